--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the declared entities, their checks, chunks and differences."""
