--- a/packages/hibiscusspar/hibiscusspar/ports.py
+++ b/packages/hibiscusspar/hibiscusspar/ports.py
@@ -1,10 +1,19 @@
 """Interfaces between the decisions and whoever drives them."""
 
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from hibiscusspar.outbox import Outbox, PlatformResult
 
-__all__ = ["Clock", "Platform", "System"]
+__all__ = [
+    "Clock",
+    "Member",
+    "Members",
+    "Platform",
+    "Roles",
+    "System",
+    "limit_home",
+    "target_owner",
+]
 
 
 class Clock(Protocol):
@@ -57,3 +66,54 @@
 
     def platform_result(self, now: float, result: PlatformResult, out: Outbox) -> None:
         """Take in the result of a platform call that this system asked for."""
+
+
+class Member(NamedTuple):
+    """A VM as this node knows it; ``address`` is ``"IP:port"`` of its peer port."""
+
+    vm: str
+    zone: str
+    address: str
+
+
+class Members(Protocol):
+    """The VMs as this node knows them. Suspicion steers routing only."""
+
+    vm: str
+    zone: str
+
+    def live(self, zone: str = "") -> list[Member]:
+        """Return the VMs of a zone, or of all, that are not known to have left."""
+
+    def suspected(self, vm: str) -> bool:
+        """Return whether nothing was heard of the VM for too long."""
+
+
+class Roles(Protocol):
+    """Exclusive roles of this zone and their holders, each with a number.
+
+    A role is named by :func:`limit_home` or :func:`target_owner`. The number
+    grows with each change of holder, so a later holder has a higher one.
+    """
+
+    def want(self, names: list[str]) -> None:
+        """Replace the list of roles of this zone that somebody must hold."""
+
+    def holder(self, name: str) -> str:
+        """Return the VM last known to hold the role; empty if none is known."""
+
+    def number(self, name: str) -> int:
+        """Return the number last known of the role; 0 if none is known."""
+
+    def holds(self, name: str) -> bool:
+        """Return whether this VM holds the role and may act in it now."""
+
+
+def limit_home(account, zone):
+    """Return the name of the role that divides a zone's part of a limit."""
+    return f"limit-home/{zone}/{account}"
+
+
+def target_owner(target):
+    """Return the name of the role that alone orders loads on a target."""
+    return f"target-owner/{target}"
