Check declarations and split configurations into chunks

Cause: files beside the services have to become one checked configuration whose changes travel alone. Change: from_declarations reports all faults in one group with file and key path; split/join name chunks by content, buckets by a hash of the row's name; diff for operators. Conclusion: publishing and the watchers can be built on it.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/config/chunks.py
@@ -0,0 +1,201 @@
+"""Configuration as immutable chunks named by their content, and a root value.
+
+A section is split into buckets by a hash of the row's name, so a changed row
+changes one chunk. Numbers of buckets are powers of two, doubled until the
+largest chunk fits.
+"""
+
+import json
+from typing import NamedTuple, TypedDict
+
+from xxhash import xxh3_64_intdigest, xxh3_128_hexdigest
+
+from hibiscusspar.config.model import (
+    AccountSpec,
+    AdapterSpec,
+    Configuration,
+    KeySpec,
+    ModelSpec,
+    RouteSpec,
+    ServiceSpec,
+    TargetSpec,
+    WeightStoreSpec,
+)
+from hibiscusspar.errors import StepError
+
+__all__ = [
+    "MAX_CHUNK_BYTES",
+    "Chunk",
+    "Root",
+    "check_chunk",
+    "chunk_name",
+    "join",
+    "missing_chunks",
+    "root_chunks",
+    "split",
+]
+
+MAX_CHUNK_BYTES = 64 * 1024
+_STORE_ROW = "weight_store"
+_SPECS = {
+    "accounts": AccountSpec,
+    "adapters": AdapterSpec,
+    "keys": KeySpec,
+    "models": ModelSpec,
+    "routes": RouteSpec,
+    "services": ServiceSpec,
+    "targets": TargetSpec,
+    "weight_store": WeightStoreSpec,
+}
+
+
+class Chunk(NamedTuple):
+    """Rows of one section as JSON text; the name is derived from the text."""
+
+    name: str
+    text: str
+
+
+class Root(TypedDict):
+    """The one value that puts a configuration in force.
+
+    ``chunks`` gives the names of the chunks of each section.
+    """
+
+    revision: int
+    chunks: dict[str, list[str]]
+    write_id: str
+    author: str
+
+
+def split(configuration, write_id, author):
+    """Return the root value and the chunks of a configuration.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    write_id : str
+        Identifies this publication when its answer is lost.
+    author : str
+
+    Returns
+    -------
+    (Root, list of Chunk)
+
+    Raises
+    ------
+    StepError
+        If a single row doesn't fit into a chunk.
+    """
+    names = {}
+    chunks = []
+    for section in _SPECS:
+        made = _section_chunks(section, _rows(configuration, section))
+        names[section] = [chunk.name for chunk in made]
+        chunks += made
+    root = Root(
+        revision=configuration.revision,
+        chunks=names,
+        write_id=write_id,
+        author=author,
+    )
+    return root, chunks
+
+
+def join(root, texts):
+    """Return the configuration of a root.
+
+    Parameters
+    ----------
+    root : Root
+    texts : dict of str to str
+        Text of each chunk that the root names.
+
+    Returns
+    -------
+    Configuration
+    """
+    tables = {section: {} for section in _SPECS}
+    for section, names in root["chunks"].items():
+        if section in _SPECS:
+            for name in names:
+                tables[section].update(_read_rows(section, texts[name]))
+    store = tables.pop("weight_store").get(_STORE_ROW, WeightStoreSpec())
+    return Configuration(root["revision"], weight_store=store, **tables)
+
+
+def root_chunks(root):
+    """Return the names of all chunks of a root, each once, keys first."""
+    sections = sorted(root["chunks"], key=lambda section: (section != "keys", section))
+    names = [name for section in sections for name in root["chunks"][section]]
+    return list(dict.fromkeys(names))
+
+
+def missing_chunks(root, held):
+    """Return the names of the chunks of a root that are not among ``held``."""
+    return [name for name in root_chunks(root) if name not in held]
+
+
+def chunk_name(text):
+    """Return the content name: 128 bits of xxh3 in hexadecimal and the length."""
+    data = text.encode()
+    return f"{xxh3_128_hexdigest(data)}-{len(data)}"
+
+
+def check_chunk(name, text, peer):
+    """Return the text if its content has the name.
+
+    Raises
+    ------
+    StepError
+        If the content was changed or cut.
+    """
+    if not isinstance(text, str) or chunk_name(text) != name:
+        raise StepError("config.chunk", peer, f"content doesn't match name {name}")
+    return text
+
+
+def _rows(configuration, section):
+    if section == _STORE_ROW:
+        return {_STORE_ROW: configuration.weight_store}
+    return getattr(configuration, section)
+
+
+def _section_chunks(section, rows):
+    if not rows:
+        return []
+    lines = [
+        (xxh3_64_intdigest(key.encode()), json.dumps([key, row], separators=(",", ":")))
+        for key, row in sorted(rows.items())
+    ]
+    largest = max(len(line) for _, line in lines)
+    if largest > MAX_CHUNK_BYTES // 2:
+        reason = f"a row of {largest} bytes is larger than a chunk may be"
+        raise StepError("config.split", section, reason)
+    buckets = 1
+    while True:
+        texts = _bucket_texts(section, lines, buckets)
+        if max(map(len, texts)) <= MAX_CHUNK_BYTES:
+            return [Chunk(chunk_name(text), text) for text in texts]
+        buckets *= 2
+
+
+def _bucket_texts(section, lines, buckets):
+    parts = {}
+    for digest, line in lines:
+        parts.setdefault(digest % buckets, []).append(line)
+    head = f'{{"section":"{section}","rows":[\n'
+    return [head + ",\n".join(parts[i]) + "\n]}" for i in sorted(parts)]
+
+
+def _read_rows(section, text):
+    spec = _SPECS[section]
+    width = len(spec._fields)
+    rows = json.loads(text)["rows"]
+    return {key: spec(*_freeze(row[:width])) for key, row in rows}
+
+
+def _freeze(value):
+    if isinstance(value, list):
+        return tuple(_freeze(item) for item in value)
+    return value
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/config/declarations.py
@@ -0,0 +1,230 @@
+"""Declarations: decoded files to one checked configuration.
+
+All faults of all files are reported together, in one
+:class:`~hibiscusspar.errors.ConfigErrorGroup`.
+"""
+
+from hibiscusspar.config import fields as f
+from hibiscusspar.config.fields import REQUIRED, Field, read_table
+from hibiscusspar.config.model import (
+    AccountSpec,
+    AdapterSpec,
+    ModelSpec,
+    RouteSpec,
+    ServiceSpec,
+    TargetSpec,
+    WeightStoreSpec,
+    empty_configuration,
+)
+from hibiscusspar.config.references import check_references
+from hibiscusspar.errors import ConfigError, ConfigErrorGroup
+
+__all__ = ["from_declarations"]
+
+_TOKENS = "tokens"
+_SECONDS = "seconds"
+
+_SERVICE = (
+    Field("name", f.name),
+    Field("kind", f.choice("engine", "plain")),
+    Field("model", f.name, ""),
+)
+_TARGET = (
+    Field("name", f.name),
+    Field("service", f.name),
+    Field("address", f.address),
+    Field("zone", f.name),
+    Field("checks_fencing", f.flag, False),
+    Field("slots", f.whole, 8),
+    Field("concurrency", f.whole, 16),
+    Field("draining", f.flag, False),
+)
+_ROUTE = (
+    Field("prefix", f.path_prefix),
+    Field("service", f.name),
+    Field("idempotent", f.flag, False),
+    Field("open_to_all", f.flag, False),
+    Field("deadline_s", f.number(_SECONDS), 30.0),
+)
+_MODEL = (
+    Field("name", f.name),
+    Field("bytes_per_token", f.number("bytes per token"), 1.0),
+    Field("max_tokens", f.whole, 1024),
+)
+_ADAPTER = (
+    Field("name", f.name),
+    Field("model", f.name),
+    Field("versions", f.names),
+    Field("current", f.name, ""),
+    Field("accounts", f.names, ()),
+)
+_ADAPTER_GROUP = (Field("names", f.names), *_ADAPTER[1:])
+_ACCOUNT = (
+    Field("name", f.name),
+    Field("rate", f.number("tokens per second")),
+    Field("burst", f.number(_TOKENS)),
+    Field("weight", f.number("parts"), 1.0),
+    Field("zone_fractions", f.fractions, ()),
+    Field("routes", lambda v: tuple(map(f.path_prefix, _list(v))), ()),
+    Field("stale_bound_s", f.number(_SECONDS, zero=True), 0.0),
+)
+_WEIGHT_STORE = (
+    Field("loads_per_s", f.number("loads per second"), 3.0),
+    Field("max_in_transit", f.whole, 8),
+)
+_TABLES = {
+    "services": (_SERVICE, ServiceSpec, "name"),
+    "targets": (_TARGET, TargetSpec, "name"),
+    "routes": (_ROUTE, RouteSpec, "prefix"),
+    "models": (_MODEL, ModelSpec, "name"),
+    "adapters": (_ADAPTER, AdapterSpec, "name"),
+    "accounts": (_ACCOUNT, AccountSpec, "name"),
+}
+_SINGLE = ("service", "weight_store")
+_SECTIONS = (*_TABLES, "adapter_groups", *_SINGLE)
+
+
+def from_declarations(files):
+    """Return the configuration that a set of decoded files declares.
+
+    Parameters
+    ----------
+    files : list of (str, dict)
+        Names of files and what their TOML decodes to.
+
+    Returns
+    -------
+    Configuration
+        At revision 0 and without keys, which are issued and not declared.
+
+    Raises
+    ------
+    ConfigErrorGroup
+        If anything is wrong, with one ConfigError for each fault.
+    """
+    tables = _Tables()
+    for file, mapping in files:
+        tables.add_file(file, mapping)
+    _check_adapters(tables)
+    check_references(tables.rows, tables.places, tables.faults)
+    if tables.faults:
+        count = len(tables.faults)
+        raise ConfigErrorGroup(f"{count} faults in the declarations", tables.faults)
+    _fill_fractions(tables.rows)
+    store = tables.weight_store or WeightStoreSpec()
+    return empty_configuration()._replace(weight_store=store, **tables.rows)
+
+
+class _Tables:
+    """Rows read so far, where each stands, and the faults found."""
+
+    def __init__(self):
+        self.rows = {section: {} for section in _TABLES}
+        self.places = {}
+        self.faults = []
+        self.weight_store = None
+
+    def add_file(self, file, mapping):
+        for key in sorted(set(mapping) - set(_SECTIONS)):
+            reason = f"is not a known section; known are {', '.join(_SECTIONS)}"
+            self.faults.append(ConfigError(file, key, reason))
+        defaults = self._service(file, mapping)
+        for section in _TABLES:
+            for path, table in self._entries(file, mapping, section):
+                self._add(file, path, section, table, defaults)
+        for path, table in self._entries(file, mapping, "adapter_groups"):
+            self._add_group(file, path, table, defaults)
+        if "weight_store" in mapping:
+            self._set_weight_store(file, mapping["weight_store"])
+
+    def _service(self, file, mapping):
+        """Add the file's own service and return the defaults it gives."""
+        if "service" not in mapping:
+            return {}
+        table = mapping["service"]
+        self._add(file, "service", "services", table, {})
+        if not isinstance(table, dict):
+            return {}
+        return {
+            k: table[s]
+            for k, s in (("service", "name"), ("model", "model"))
+            if s in table
+        }
+
+    def _entries(self, file, mapping, section):
+        entries = mapping.get(section, [])
+        if not isinstance(entries, list):
+            self.faults.append(ConfigError(file, section, f"write [[{section}]]"))
+            return []
+        return [(f"{section}.{i}", table) for i, table in enumerate(entries)]
+
+    def _add(self, file, path, section, table, defaults):
+        fields, spec, key = _TABLES[section]
+        values = read_table(file, path, table, _with(fields, defaults), self.faults)
+        if values is not None:
+            self._put(file, path, section, values[key], spec(**values))
+
+    def _add_group(self, file, path, table, defaults):
+        fields = _with(_ADAPTER_GROUP, defaults)
+        values = read_table(file, path, table, fields, self.faults)
+        if values is None:
+            return
+        names = values.pop("names")
+        for i, name in enumerate(names):
+            row = AdapterSpec(name=name, **values)
+            self._put(file, f"{path}.names.{i}", "adapters", name, row)
+
+    def _put(self, file, path, section, key, row):
+        if key in self.rows[section]:
+            other = "{}: {}".format(*self.places[section, key])
+            reason = f"{key!r} is already declared at {other}"
+            self.faults.append(ConfigError(file, path, reason))
+            return
+        self.rows[section][key] = row
+        self.places[section, key] = (file, path)
+
+    def _set_weight_store(self, file, table):
+        path = "weight_store"
+        values = read_table(file, path, table, _WEIGHT_STORE, self.faults)
+        if self.weight_store is not None:
+            reason = "is already declared in another file"
+            self.faults.append(ConfigError(file, path, reason))
+        if values is not None:
+            self.weight_store = WeightStoreSpec(**values)
+
+
+def _with(fields, defaults):
+    return [
+        field._replace(default=defaults[field.name])
+        if field.default is REQUIRED and field.name in defaults
+        else field
+        for field in fields
+    ]
+
+
+def _list(value):
+    if not isinstance(value, list):
+        raise ValueError("must be a list of path prefixes")
+    return value
+
+
+def _check_adapters(tables):
+    for name, spec in tables.rows["adapters"].items():
+        file, path = tables.places["adapters", name]
+        if not spec.versions:
+            reason = "must list at least one version"
+            tables.faults.append(ConfigError(file, f"{path}.versions", reason))
+        elif not spec.current:
+            spec = spec._replace(current=spec.versions[-1])
+            tables.rows["adapters"][name] = spec
+        elif spec.current not in spec.versions:
+            reason = f"{spec.current!r} is not one of its versions"
+            tables.faults.append(ConfigError(file, f"{path}.current", reason))
+
+
+def _fill_fractions(rows):
+    zones = sorted({target.zone for target in rows["targets"].values()})
+    equal = tuple((zone, 1 / len(zones)) for zone in zones)
+    for name, account in rows["accounts"].items():
+        if not account.zone_fractions:
+            rows["accounts"][name] = account._replace(zone_fractions=equal)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/config/diff.py
@@ -0,0 +1,73 @@
+"""Differences of two configurations, for operators."""
+
+from typing import Any, NamedTuple
+
+from hibiscusspar.config.chunks import split
+
+__all__ = ["Change", "changed_chunks", "diff", "render_change"]
+
+_SECTIONS = ("services", "targets", "routes", "models", "adapters", "accounts", "keys")
+
+
+class Change(NamedTuple):
+    """One entity that was added, removed or changed.
+
+    ``fields`` holds (field, old value, new value) of a changed entity.
+    """
+
+    section: str
+    name: str
+    action: str
+    fields: tuple[tuple[str, Any, Any], ...] = ()
+
+
+def diff(old, new):
+    """Return the changes from one configuration to another.
+
+    Parameters
+    ----------
+    old, new : Configuration
+
+    Returns
+    -------
+    list of Change
+        Ordered by section and name; revisions are not compared.
+    """
+    changes = []
+    for section in _SECTIONS:
+        changes += _diff_table(section, getattr(old, section), getattr(new, section))
+    if old.weight_store != new.weight_store:
+        fields = _changed_fields(old.weight_store, new.weight_store)
+        changes.append(Change("weight_store", "weight_store", "changed", fields))
+    return changes
+
+
+def render_change(change):
+    """Return one line of text for a change."""
+    line = f"{change.action} {change.section} {change.name}"
+    details = [f"{name}: {old!r} -> {new!r}" for name, old, new in change.fields]
+    return f"{line} ({', '.join(details)})" if details else line
+
+
+def changed_chunks(old, new):
+    """Return the chunks of a configuration that an older one doesn't have."""
+    held = {chunk.name for chunk in split(old, "", "")[1]}
+    return [chunk for chunk in split(new, "", "")[1] if chunk.name not in held]
+
+
+def _diff_table(section, old, new):
+    changes = []
+    for name in sorted(old.keys() | new.keys()):
+        if name not in old:
+            changes.append(Change(section, name, "added"))
+        elif name not in new:
+            changes.append(Change(section, name, "removed"))
+        elif old[name] != new[name]:
+            fields = _changed_fields(old[name], new[name])
+            changes.append(Change(section, name, "changed", fields))
+    return changes
+
+
+def _changed_fields(old, new):
+    pairs = zip(old._fields, old, new, strict=True)
+    return tuple((name, a, b) for name, a, b in pairs if a != b)
