--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, codecs, clients and HTTP applications."""
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/platform_errors.py
@@ -0,0 +1,51 @@
+"""Errors of the platform, told apart by what they say about the effect."""
+
+from hibiscusspar.errors import StepError
+
+__all__ = [
+    "CompactedError",
+    "ConflictError",
+    "PlatformError",
+    "MissingError",
+    "RefusedError",
+    "UnknownOutcomeError",
+]
+
+
+class PlatformError(StepError):
+    """A call of the platform failed."""
+
+    outcome = "refused"
+
+
+class RefusedError(PlatformError):
+    """The call surely had no effect: refused, not sent, or a failed read."""
+
+
+class ConflictError(PlatformError):
+    """The object is not at the expected version, or exists already.
+
+    ``version`` is the version that the platform reported, 0 if none.
+    """
+
+    outcome = "conflict"
+
+    def __init__(self, step, peer, reason, version=0):
+        super().__init__(step, peer, reason)
+        self.version = version
+
+
+class MissingError(PlatformError):
+    """There is no such object."""
+
+    outcome = "missing"
+
+
+class CompactedError(PlatformError):
+    """The events after the given version are no longer kept."""
+
+
+class UnknownOutcomeError(PlatformError):
+    """A write was sent and its answer lost: it may have taken effect."""
+
+    outcome = "unknown"
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/publishing.py
@@ -0,0 +1,402 @@
+"""Publishing: declarations to the configuration in force, by one update.
+
+Chunks are written first and then one conditional update of the root puts them
+in force. A chunk that the base revision doesn't use is written or rewritten
+after the base was read; so :func:`collect_chunks`, which changes the root before
+it deletes and deletes only versions that it listed, can't remove one that is
+about to be used.
+"""
+
+from time import monotonic, sleep
+from typing import NamedTuple
+
+from hibiscusspar.config.chunks import check_chunk, join, root_chunks, split
+from hibiscusspar.config.diff import Change, diff
+from hibiscusspar.config.model import Configuration, KeySpec, empty_configuration
+from hibiscusspar.errors import StepError
+from hibiscusspar_wire.platform_errors import (
+    ConflictError,
+    MissingError,
+    PlatformError,
+    UnknownOutcomeError,
+)
+from hibiscusspar_wire.toml_files import read_directories
+
+__all__ = [
+    "CHUNK_KIND",
+    "Current",
+    "PublishConflictError",
+    "PublishUnknownError",
+    "Published",
+    "ROOT_KIND",
+    "ROOT_NAME",
+    "change",
+    "collect_chunks",
+    "current",
+    "issue_key",
+    "publish",
+    "read_directories",
+    "wait_in_force",
+    "withdraw_key",
+]
+
+ROOT_KIND = "config-root"
+ROOT_NAME = "current"
+CHUNK_KIND = "config-chunk"
+MAX_HISTORY = 32
+MAX_ATTEMPTS = 5
+MAX_READ_BACKS = 8
+POLL_S = 0.25
+READ_BACK_PAUSE_S = 0.25
+_UPDATE = "publish.root"
+
+
+class Current(NamedTuple):
+    """What is in force: the root, its configuration and the root's version.
+
+    ``root`` is None and ``version`` 0 if nothing was published yet.
+    """
+
+    root: dict | None
+    configuration: Configuration
+    version: int
+
+
+class Published(NamedTuple):
+    """A publication that took effect.
+
+    ``chunks`` is the number of chunks written; ``version`` that of the root.
+    """
+
+    revision: int
+    version: int
+    write_id: str
+    changes: list[Change]
+    chunks: int
+
+
+class PublishConflictError(StepError):
+    """Another publication took effect first; nothing of this one did.
+
+    Attributes
+    ----------
+    revision : int
+        Revision in force.
+    author : str
+        Author of that revision.
+    changes : list of Change
+        What it changed against the base of this publication, if known.
+    """
+
+    def __init__(self, revision, author, changes=()):
+        reason = f"revision {revision} by {author!r} is in force instead"
+        super().__init__(_UPDATE, ROOT_NAME, reason)
+        self.revision = revision
+        self.author = author
+        self.changes = list(changes)
+
+
+class PublishUnknownError(StepError):
+    """The answer was lost and could not be read back: old or new is in force.
+
+    Attributes
+    ----------
+    write_id : str
+        Write id to look for in the root's history.
+    revision : int
+        Revision that is in force if the update took effect.
+    """
+
+    def __init__(self, write_id, revision, reason):
+        text = f"revision {revision} or the one before is in force ({reason})"
+        super().__init__(_UPDATE, ROOT_NAME, text)
+        self.write_id = write_id
+        self.revision = revision
+
+
+def current(platform):
+    """Return the :class:`Current` configuration of a platform.
+
+    Raises
+    ------
+    PlatformError
+        If the platform can't be read.
+    """
+    for _ in range(MAX_ATTEMPTS):
+        stored = platform.get(ROOT_KIND, ROOT_NAME)
+        if stored is None:
+            return Current(None, empty_configuration(), 0)
+        texts = _read_chunks(platform, stored.value)
+        if texts is not None:
+            configuration = join(stored.value, texts)
+            return Current(stored.value, configuration, stored.version)
+    raise StepError("publish.read", ROOT_NAME, "chunks of the root are missing")
+
+
+def _read_chunks(platform, root):
+    """Return the chunks of a root; None if it was replaced and they are gone."""
+    texts = {}
+    for name in root_chunks(root):
+        chunk = platform.get(CHUNK_KIND, name)
+        if chunk is None:
+            return None
+        texts[name] = check_chunk(name, chunk.value, "platform")
+    return texts
+
+
+def publish(
+    platform, configuration, base_version, author, rng_hex, seen=None, pause=sleep
+):
+    """Put a declared configuration in force, keeping the issued keys.
+
+    Parameters
+    ----------
+    platform : Platform
+    configuration : Configuration
+        As :func:`read_directories` returned it.
+    base_version : int
+        Version of the root that the operator compared with; 0 if none.
+    author : str
+    rng_hex : callable
+        ``rng_hex(n)`` returns ``n`` random bytes in hexadecimal.
+    seen : Configuration, optional
+        The one at ``base_version``; a conflict then tells what changed since.
+    pause : callable
+        Sleep in seconds between attempts to read back a lost answer.
+
+    Returns
+    -------
+    Published
+
+    Raises
+    ------
+    PublishConflictError
+        If another publication came first; this one had no effect.
+    PublishUnknownError
+        If the outcome could not be found out.
+    PlatformError
+        If the platform refused before the root was written: no effect.
+    """
+    base = current(platform)
+    if base.version != base_version:
+        raise _conflict(base, seen)
+    wanted = configuration._replace(keys=base.configuration.keys)
+    return _put_in_force(platform, base, wanted, author, rng_hex(16), pause)
+
+
+def change(platform, edit, author, rng_hex, pause=sleep):
+    """Apply an edit to whatever is in force, again if another came between.
+
+    Parameters
+    ----------
+    platform : Platform
+    edit : callable
+        Returns the edited configuration; may raise to give up.
+    author : str
+    rng_hex : callable
+
+    Returns
+    -------
+    Published
+    """
+    for attempt in range(MAX_ATTEMPTS):
+        base = current(platform)
+        try:
+            wanted = edit(base.configuration)
+            return _put_in_force(platform, base, wanted, author, rng_hex(16), pause)
+        except PublishConflictError:
+            if attempt == MAX_ATTEMPTS - 1:
+                raise
+    raise AssertionError("unreachable")
+
+
+def issue_key(platform, account, key_id, digest, author, rng_hex):
+    """Issue a key, given only its SHA-256 digest in hexadecimal.
+
+    Raises
+    ------
+    StepError
+        If the client account is not declared or the id or digest is taken.
+    """
+
+    def edit(configuration):
+        keys = configuration.keys
+        if account not in configuration.accounts:
+            raise StepError("key.issue", account, "client account is not declared")
+        if digest in keys or any(key.key_id == key_id for key in keys.values()):
+            raise StepError("key.issue", key_id, "key is already issued")
+        row = KeySpec(digest, account, key_id)
+        return configuration._replace(keys={**keys, digest: row})
+
+    return change(platform, edit, author, rng_hex)
+
+
+def withdraw_key(platform, key_id, author, rng_hex):
+    """Withdraw a key by its id; a withdrawn key is never issued again.
+
+    Raises
+    ------
+    StepError
+        If there is no such key.
+    """
+
+    def edit(configuration):
+        keys = dict(configuration.keys)
+        rows = [key for key in keys.values() if key.key_id == key_id]
+        if not rows:
+            raise StepError("key.withdraw", key_id, "no such key was issued")
+        for row in rows:
+            keys[row.digest] = row._replace(withdrawn=True)
+        return configuration._replace(keys=keys)
+
+    return change(platform, edit, author, rng_hex)
+
+
+def collect_chunks(platform, rng_hex, pause=sleep):
+    """Delete chunks that the root in force doesn't use; return their number.
+
+    Raises
+    ------
+    PublishConflictError
+        If a publication came between; nothing was deleted.
+    """
+    listed = platform.list(CHUNK_KIND).items
+    stored = platform.get(ROOT_KIND, ROOT_NAME)
+    if stored is None:
+        return 0
+    used = set(root_chunks(stored.value))
+    unused = [chunk for chunk in listed if chunk.name not in used]
+    if not unused:
+        return 0
+    root = {**stored.value, "write_id": f"collect-{rng_hex(16)}"}
+    _put_root(platform, root, Current(root, None, stored.version), pause)
+    return sum(_delete(platform, chunk) for chunk in unused)
+
+
+def _delete(platform, chunk):
+    try:
+        platform.delete(CHUNK_KIND, chunk.name, chunk.version)
+    except (ConflictError, MissingError, UnknownOutcomeError):
+        return 0
+    return 1
+
+
+def wait_in_force(observe, revision, timeout_s, clock=monotonic, pause=sleep):
+    """Wait until every live node reports a revision.
+
+    Parameters
+    ----------
+    observe : callable
+        Returns a mapping from VM to the revision it reports.
+    revision : int
+    timeout_s : float
+    clock, pause : callable
+
+    Returns
+    -------
+    list of str
+        VMs that don't report it yet; empty if all do.
+    """
+    ends_at = clock() + timeout_s
+    while True:
+        reported = observe()
+        behind = sorted(vm for vm, known in reported.items() if known < revision)
+        if reported and not behind:
+            return []
+        if clock() >= ends_at:
+            return behind or ["(no node answered)"]
+        pause(POLL_S)
+
+
+def _put_in_force(platform, base, wanted, author, write_id, pause):
+    changes = diff(base.configuration, wanted)
+    wanted = wanted._replace(revision=base.configuration.revision + 1)
+    root, chunks = split(wanted, write_id, author)
+    root["history"] = _history(base.root, root)
+    held = set(root_chunks(base.root)) if base.root else set()
+    new = [chunk for chunk in chunks if chunk.name not in held]
+    for chunk in new:
+        _write_chunk(platform, chunk)
+    version = _put_root(platform, root, base, pause)
+    return Published(wanted.revision, version, write_id, changes, len(new))
+
+
+def _history(base_root, root):
+    earlier = base_root.get("history", []) if base_root else []
+    line = [root["revision"], root["write_id"], root["author"]]
+    return [line, *earlier][:MAX_HISTORY]
+
+
+def _write_chunk(platform, chunk):
+    """Create a chunk, or rewrite it so that its version is new."""
+    for _ in range(MAX_ATTEMPTS):
+        stored = platform.get(CHUNK_KIND, chunk.name)
+        try:
+            if stored is None:
+                platform.create(CHUNK_KIND, chunk.name, chunk.text)
+            else:
+                platform.update(CHUNK_KIND, chunk.name, chunk.text, stored.version)
+        except (ConflictError, MissingError, UnknownOutcomeError):
+            continue
+        return
+    raise StepError("publish.chunk", chunk.name, "could not be written")
+
+
+def _put_root(platform, root, base, pause):
+    """Write the root over its base and return its new version."""
+    last = None
+    for _ in range(MAX_READ_BACKS):
+        try:
+            return _write_root(platform, root, base.version)
+        except (ConflictError, MissingError) as error:
+            if last is None:
+                raise _conflict(current(platform), base.configuration) from error
+            last = error
+        except UnknownOutcomeError as error:
+            last = error
+        except PlatformError as error:
+            if last is None:
+                raise
+            last = error
+        version = _read_back(platform, root, base)
+        if version:
+            return version
+        pause(READ_BACK_PAUSE_S)
+    raise PublishUnknownError(root["write_id"], root["revision"], str(last)) from last
+
+
+def _write_root(platform, root, base_version):
+    if base_version == 0:
+        return platform.create(ROOT_KIND, ROOT_NAME, root)
+    return platform.update(ROOT_KIND, ROOT_NAME, root, base_version)
+
+
+def _read_back(platform, root, base):
+    """Return the version of the root if the write took effect, 0 if undecided.
+
+    Raises
+    ------
+    PublishConflictError
+        If another publication took effect instead.
+    """
+    try:
+        stored = platform.get(ROOT_KIND, ROOT_NAME)
+        if stored is None or stored.version == base.version:
+            return 0
+        if _took_effect(stored.value, root["write_id"]):
+            return stored.version
+        found = current(platform)
+    except PlatformError:
+        return 0
+    raise _conflict(found, base.configuration)
+
+
+def _took_effect(root, write_id):
+    history = root.get("history", [])
+    return root["write_id"] == write_id or any(line[1] == write_id for line in history)
+
+
+def _conflict(found, seen):
+    root = found.root or {"revision": 0, "author": "nobody"}
+    changes = () if seen is None else diff(seen, found.configuration)
+    return PublishConflictError(root["revision"], root["author"], changes)
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_publishing.py
@@ -0,0 +1,340 @@
+"""Tests of publishing, with a stateful model of racing operators."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from hibiscusspar.config.model import AccountSpec, AdapterSpec, empty_configuration
+from hibiscusspar.errors import ConfigErrorGroup, StepError
+from hibiscusspar_wire.platform_errors import PlatformError
+from hibiscusspar_wire.publishing import (
+    CHUNK_KIND,
+    PublishConflictError,
+    PublishUnknownError,
+    change,
+    collect_chunks,
+    current,
+    issue_key,
+    publish,
+    read_directories,
+    wait_in_force,
+    withdraw_key,
+)
+from hibiscusspar_wire.tests.fake_platform import FakePlatform
+
+PROFILE = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=30,
+)
+
+
+def no_pause(_seconds):
+    return None
+
+
+def declared(*names, current_version="1"):
+    adapters = {n: AdapterSpec(n, "base", ("1", "2"), current_version) for n in names}
+    accounts = {"mill": AccountSpec("mill", 1.0, 1.0)}
+    return empty_configuration()._replace(adapters=adapters, accounts=accounts)
+
+
+class TestPublish(unittest.TestCase):
+    def setUp(self):
+        self.platform = FakePlatform()
+        rng = Random(7)
+        self.rng_hex = lambda count: rng.randbytes(count).hex()
+
+    def publish(self, configuration, base=None, author="ann"):
+        version = current(self.platform).version if base is None else base
+        return publish(
+            self.platform, configuration, version, author, self.rng_hex, pause=no_pause
+        )
+
+    def test_first_and_next_revision(self):
+        self.assertEqual(self.publish(declared("larch")).revision, 1)
+        done = self.publish(declared("larch", "oak"))
+        self.assertEqual((done.revision, done.chunks), (2, 1))
+        found = current(self.platform).configuration
+        self.assertEqual(set(found.adapters), {"larch", "oak"})
+
+    def test_racing_operator_is_told_of_the_other(self):
+        self.publish(declared("larch"))
+        base = current(self.platform)
+        self.publish(declared("oak"), author="bob")
+        with self.assertRaises(PublishConflictError) as caught:
+            publish(
+                self.platform,
+                declared("elm"),
+                base.version,
+                "ann",
+                self.rng_hex,
+                seen=base.configuration,
+            )
+        self.assertEqual(
+            (caught.exception.author, caught.exception.revision), ("bob", 2)
+        )
+        names = [(c.action, c.name) for c in caught.exception.changes]
+        self.assertEqual(names, [("removed", "larch"), ("added", "oak")])
+        self.assertEqual(set(current(self.platform).configuration.adapters), {"oak"})
+
+    def test_lost_answer_of_each_write_still_publishes_once(self):
+        for position in range(40):
+            for fault in ("lost", "dropped"):
+                with self.subTest(position=position, fault=fault):
+                    self.platform = FakePlatform()
+                    self.publish(declared("larch"))
+                    base = current(self.platform).version
+                    self.platform.faults = ["ok"] * position + [fault]
+                    try:
+                        done = self.publish(declared("oak"), base)
+                    except PlatformError:
+                        self.platform.faults = []
+                        found = current(self.platform).configuration
+                        self.assertEqual(set(found.adapters), {"larch"})
+                        continue
+                    self.platform.faults = []
+                    found = current(self.platform)
+                    self.assertEqual(done.revision, 2)
+                    self.assertEqual(found.version, done.version)
+                    self.assertEqual(set(found.configuration.adapters), {"oak"})
+
+    def test_outage_after_the_root_was_sent_leaves_the_outcome_unknown(self):
+        self.publish(declared("larch"))
+        base = current(self.platform).version
+        writes = self._calls_of_publish(base)
+        self.platform.faults = ["ok"] * (writes - 1) + ["lost"] + ["refused"] * 99
+        with self.assertRaises(PublishUnknownError) as caught:
+            self.publish(declared("oak"), base)
+        self.platform.faults = []
+        found = current(self.platform)
+        self.assertEqual(found.root["write_id"], caught.exception.write_id)
+        self.assertEqual(found.configuration.revision, caught.exception.revision)
+
+    def _calls_of_publish(self, base):
+        twin = FakePlatform()
+        twin.objects = dict(self.platform.objects)
+        twin.version = self.platform.version
+        publish(twin, declared("oak"), base, "ann", self.rng_hex)
+        return twin.calls
+
+    def test_killed_publish_leaves_the_old_revision(self):
+        self.publish(declared("larch"))
+        base = current(self.platform).version
+        for position in range(1, self._calls_of_publish(base)):
+            self.platform.faults = ["ok"] * position + ["refused"] * 99
+            with self.assertRaises(StepError):
+                self.publish(declared("oak"), base)
+            self.platform.faults = []
+            found = current(self.platform)
+            self.assertEqual((found.configuration.revision, found.version), (1, base))
+
+    def test_keys_outlive_publishing_and_are_withdrawn_for_good(self):
+        self.publish(declared("larch"))
+        issue_key(self.platform, "mill", "k1", "ab" * 32, "ann", self.rng_hex)
+        self.publish(declared("oak"))
+        done = withdraw_key(self.platform, "k1", "ann", self.rng_hex)
+        self.assertEqual((done.revision, done.chunks), (4, 1))
+        self.publish(declared("larch"))
+        found = current(self.platform).configuration
+        self.assertTrue(found.keys["ab" * 32].withdrawn)
+        with self.assertRaises(StepError):
+            issue_key(self.platform, "mill", "k1", "cd" * 32, "ann", self.rng_hex)
+
+    def test_key_of_unknown_account_or_id_is_refused(self):
+        self.publish(declared("larch"))
+        with self.assertRaises(StepError):
+            issue_key(self.platform, "nobody", "k", "ab", "ann", self.rng_hex)
+        with self.assertRaises(StepError):
+            withdraw_key(self.platform, "k", "ann", self.rng_hex)
+
+    def test_change_is_applied_again_after_a_race(self):
+        self.publish(declared("larch"))
+        base_reads = self._calls_of_publish(current(self.platform).version)
+        other = lambda: self._publish_between(declared("oak"))  # noqa: E731
+        self.platform.faults = ["ok"] * (base_reads - 1) + [other]
+        done = issue_key(self.platform, "mill", "k1", "ab", "ann", self.rng_hex)
+        found = current(self.platform).configuration
+        self.assertEqual((set(found.adapters), set(found.keys)), ({"oak"}, {"ab"}))
+        self.assertEqual(done.revision, 3)
+
+    def _publish_between(self, configuration):
+        faults, self.platform.faults = self.platform.faults, []
+        self.publish(configuration, author="bob")
+        self.platform.faults = faults
+
+    def test_collection_keeps_what_a_racing_publish_reuses(self):
+        self.publish(declared("larch"))
+        self.publish(declared("oak"))
+        base = current(self.platform).version
+        calls = self._calls_of_publish(base)
+        collect = lambda: collect_chunks(self.platform, self.rng_hex)  # noqa: E731
+        for position in range(calls):
+            with self.subTest(position=position):
+                self.platform.faults = ["ok"] * position + [collect]
+                try:
+                    self.publish(declared("larch"), current(self.platform).version)
+                except PublishConflictError:
+                    self.publish(declared("larch"))
+                self.platform.faults = []
+                self.assertIn("larch", current(self.platform).configuration.adapters)
+                self.publish(declared("oak"))
+
+    def test_collection_removes_unused_chunks(self):
+        self.publish(declared("larch"))
+        self.publish(declared("oak"))
+        self.assertEqual(collect_chunks(self.platform, self.rng_hex), 1)
+        self.assertEqual(collect_chunks(self.platform, self.rng_hex), 0)
+        self.assertIn("oak", current(self.platform).configuration.adapters)
+
+
+class TestWaitInForce(unittest.TestCase):
+    def test_returns_the_nodes_that_stay_behind(self):
+        times = iter(range(100))
+        behind = wait_in_force(
+            lambda: {"a": 3, "b": 2}, 3, 5, lambda: next(times), no_pause
+        )
+        self.assertEqual(behind, ["b"])
+        answers = iter([{"a": 2}, {"a": 3}])
+        clock = lambda: 0.0  # noqa: E731
+        self.assertEqual(
+            wait_in_force(lambda: next(answers), 3, 5, clock, no_pause), []
+        )
+
+
+class TestReadDirectories(unittest.TestCase):
+    def test_faults_of_syntax_and_content_come_together(self):
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "a.toml").write_text("x = [")
+            Path(folder, "b.toml").write_text("[[models]]\nname = 3\n")
+            with self.assertRaises(ConfigErrorGroup) as caught:
+                read_directories([folder, Path(folder, "none")])
+        found = {(Path(e.file).name, e.key_path) for e in caught.exception.exceptions}
+        expected = {
+            ("a.toml", "(file)"),
+            ("b.toml", "models.0.name"),
+            ("none", "(path)"),
+        }
+        self.assertEqual(found, expected)
+
+
+class PublishingModel(RuleBasedStateMachine):
+    """Operators who publish, edit and collect while calls fail in any place."""
+
+    def __init__(self):
+        super().__init__()
+        self.platform = FakePlatform()
+        self.rng = Random(11)
+        self.accepted = {0: frozenset()}
+        self.unknown = {}
+        self.nodes = [0, 0, 0]
+
+    def rng_hex(self, count):
+        return self.rng.randbytes(count).hex()
+
+    faults = st.lists(
+        st.sampled_from(["ok", "ok", "ok", "refused", "lost", "dropped"]), max_size=24
+    )
+    sets = st.frozensets(st.sampled_from(["larch", "oak", "elm"]), max_size=3)
+
+    def attempt(self, action, faults, content):
+        """Run an action under faults and note what it said about the outcome."""
+        self.platform.faults = list(faults)
+        try:
+            done = action()
+        except PublishUnknownError as error:
+            self.unknown[error.revision] = error.write_id
+        except StepError:
+            return
+        else:
+            if content is not None:
+                assert done.revision not in self.accepted
+                self.accepted[done.revision] = content(done)
+        finally:
+            self.platform.faults = []
+
+    @rule(names=sets, faults=faults, stale=st.booleans())
+    def publish(self, names, faults, stale):
+        if not self.accepted_root():
+            version = 0
+        else:
+            version = current(self.platform).version - (1 if stale else 0)
+        self.attempt(
+            lambda: publish(
+                self.platform,
+                declared(*names),
+                version,
+                "ann",
+                self.rng_hex,
+                pause=no_pause,
+            ),
+            faults,
+            lambda _: names,
+        )
+
+    @rule(faults=faults, name=st.sampled_from(["larch", "oak"]))
+    def edit(self, faults, name):
+        def apply(configuration):
+            adapters = dict(configuration.adapters)
+            adapters.pop(name, None)
+            return configuration._replace(adapters=adapters)
+
+        before = frozenset(current(self.platform).configuration.adapters)
+        self.attempt(
+            lambda: change(self.platform, apply, "bob", self.rng_hex, no_pause),
+            faults,
+            lambda _: before - {name},
+        )
+
+    @rule(faults=faults)
+    def collect(self, faults):
+        action = lambda: collect_chunks(self.platform, self.rng_hex, no_pause)  # noqa: E731
+        self.attempt(action, faults, None)
+
+    def accepted_root(self):
+        return ("config-root", "current") in self.platform.objects
+
+    @invariant()
+    def in_force_is_whole_and_what_its_operator_published(self):
+        found = current(self.platform)
+        revision = found.configuration.revision
+        content = frozenset(found.configuration.adapters)
+        if revision == 0:
+            return
+        if revision in self.accepted:
+            assert self.accepted[revision] == content
+        else:
+            assert self.unknown.get(revision) == found.root["write_id"]
+            self.accepted[revision] = content
+
+    @invariant()
+    def an_accepted_revision_never_reverts(self):
+        revision = current(self.platform).configuration.revision
+        assert revision >= max(self.accepted)
+        assert all(revision >= known for known in self.nodes)
+        self.nodes[revision % 3] = revision
+
+    @invariant()
+    def every_chunk_of_the_root_is_there(self):
+        stored = self.platform.get("config-root", "current")
+        if stored is not None:
+            for names in stored.value["chunks"].values():
+                for name in names:
+                    assert (CHUNK_KIND, name) in self.platform.objects
+
+
+class TestPublishingModel(unittest.TestCase):
+    def test_model(self):
+        run_state_machine_as_test(PublishingModel, settings=PROFILE)
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/toml_files.py
@@ -0,0 +1,57 @@
+"""Directories of TOML files, read and checked."""
+
+import tomllib
+from pathlib import Path
+
+from hibiscusspar.config.declarations import from_declarations
+from hibiscusspar.errors import ConfigError, ConfigErrorGroup
+
+__all__ = ["read_directories"]
+
+
+def read_directories(paths):
+    """Return the checked configuration that directories of TOML files declare.
+
+    Parameters
+    ----------
+    paths : sequence of path
+        Directories, searched through for ``*.toml``, or single files.
+
+    Returns
+    -------
+    Configuration
+        Without keys, which are issued and not declared.
+
+    Raises
+    ------
+    ConfigErrorGroup
+        With every fault of every file.
+    """
+    faults = []
+    files = []
+    for file in _toml_files(paths, faults):
+        try:
+            files.append((str(file), tomllib.loads(file.read_text("utf-8"))))
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError, OSError) as error:
+            faults.append(ConfigError(str(file), "(file)", str(error)))
+    if not faults:
+        return from_declarations(files)
+    try:
+        from_declarations(files)
+    except ConfigErrorGroup as group:
+        faults += group.exceptions
+    raise ConfigErrorGroup(f"{len(faults)} faults in the declarations", faults)
+
+
+def _toml_files(paths, faults):
+    found = {}
+    for path in map(Path, paths):
+        if path.is_dir():
+            files = sorted(path.rglob("*.toml"))
+        else:
+            files = [path] if path.is_file() else []
+        if not files:
+            reason = "holds no .toml file or doesn't exist"
+            faults.append(ConfigError(str(path), "(path)", reason))
+        found.update((file.resolve(), file) for file in files)
+    return list(found.values())
