Add stand-ins of platform, engine, plain service and weight store

Cause: the thin path and every later test needs outside systems that speak docs/PROTOCOLS.md and fail on demand. Change: hibiscusspar_standins in memory with an HTTP face (CherryPy on cheroot, port 0), a table of faults settable in process and over /faults, a ledger, and python -m hibiscusspar_standins.

--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and demos."""
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/faults.py
@@ -0,0 +1,79 @@
+"""A table of faults that a stand-in shows on the requests that match them."""
+
+from threading import Lock
+from typing import NamedTuple
+
+__all__ = ["ALWAYS", "Fault", "Faults"]
+
+ALWAYS = -1
+
+
+class Fault(NamedTuple):
+    """One fault to show.
+
+    Parameters
+    ----------
+    kind : str
+        What goes wrong, for example ``"reset_before_body"``.
+    count : int
+        How often it is shown; ``ALWAYS`` means without end.
+    match : str
+        Text that the path or the body must hold; empty matches all.
+    seconds : float
+        Length of a delay or of an outage.
+    after : int
+        Number of chunks that are answered before the fault.
+    """
+
+    kind: str
+    count: int = 1
+    match: str = ""
+    seconds: float = 0.0
+    after: int = 0
+
+
+class Faults:
+    """The faults that wait to be shown, in the order in which they were added."""
+
+    def __init__(self):
+        self._lock = Lock()
+        self._rows = []
+
+    def add(self, kind, **fields):
+        """Add a :class:`Fault`."""
+        with self._lock:
+            self._rows.append(Fault(kind, **fields))
+
+    def clear(self):
+        """Remove all faults."""
+        with self._lock:
+            self._rows.clear()
+
+    def rows(self):
+        """Return the faults that wait as a list of dicts."""
+        with self._lock:
+            return [fault._asdict() for fault in self._rows]
+
+    def take(self, kind, *texts):
+        """Return the first fault of a kind that matches one of the texts, or None.
+
+        A fault that was shown ``count`` times is removed.
+        """
+        with self._lock:
+            for index, fault in enumerate(self._rows):
+                if fault.kind == kind and _matches(fault, texts):
+                    self._count_down(index, fault)
+                    return fault
+        return None
+
+    def _count_down(self, index, fault):
+        if fault.count == ALWAYS:
+            return
+        if fault.count <= 1:
+            del self._rows[index]
+        else:
+            self._rows[index] = fault._replace(count=fault.count - 1)
+
+
+def _matches(fault, texts):
+    return not fault.match or any(fault.match in text for text in texts)
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/server.py
@@ -0,0 +1,236 @@
+"""HTTP face of the stand-ins: a CherryPy application whose sockets can misbehave."""
+
+import json
+import os
+import socket
+import struct
+from contextlib import suppress
+from threading import Event, Thread, Timer
+from typing import Any, NamedTuple
+
+import cherrypy
+from cheroot.server import HTTPConnection
+from cheroot.wsgi import Gateway_10, Server
+
+__all__ = ["Answer", "ConnectionGoneError", "Exchange", "StandinServer"]
+
+MAX_BODY_BYTES = 4 << 20
+POLL_S = 0.02
+
+
+class ConnectionGoneError(Exception):
+    """The connection was closed on purpose; nothing more can be answered."""
+
+
+class Answer(NamedTuple):
+    """An answer; an iterator of bytes as ``body`` is streamed."""
+
+    status: int
+    body: Any = None
+    headers: dict | None = None
+
+
+class Exchange:
+    """One request, with the means to break its connection."""
+
+    def __init__(self, request, connection, faults, stopping):
+        self.method = request.method
+        self.path = request.path_info
+        self.query = dict(request.params)
+        self.headers = request.headers
+        self._rfile = request.rfile
+        self._connection = connection
+        self._faults = faults
+        self._stopping = stopping
+
+    def read(self):
+        """Return the body, or break the connection around it as a fault says."""
+        size = min(int(self.headers.get("Content-Length") or 0), MAX_BODY_BYTES)
+        self.show("reset_before_body", "silent_before_body")
+        head = self._rfile.read(size // 2) if size else b""
+        self.show("reset_during_body")
+        body = head + (self._rfile.read(size - len(head)) if size else b"")
+        text = body.decode(errors="replace")
+        self.show("reset_after_body", "silent_before_head", text=text)
+        return body
+
+    def show(self, *kinds, text=""):
+        """Show the first waiting fault of the kinds, if there is one."""
+        for kind in kinds:
+            fault = self._faults.take(kind, self.path, text)
+            if fault is not None:
+                self.fail(fault)
+
+    def fail(self, fault):
+        """Keep silent if the fault says so, then break the connection."""
+        if fault.kind.startswith("silent"):
+            self.wait(fault.seconds or None)
+        self.reset()
+
+    def wait(self, seconds):
+        """Wait for a time, or without end, but no longer than the server runs."""
+        self._stopping.wait(seconds)
+
+    def reset(self):
+        """Close the connection at once with a TCP reset."""
+        reset_socket(self._connection.socket)
+        raise ConnectionGoneError
+
+
+class StandinServer:
+    """Serves a stand-in on an address that outlives restarts of the server.
+
+    Parameters
+    ----------
+    standin : object
+        Has ``faults``, ``ledger`` and ``handle(exchange)``, and may have
+        ``start()``, ``stop()`` and ``restart()``.
+    port : int
+        Port to bind; 0 lets the kernel choose.
+    threads : int
+        Number of requests that are served at a time.
+    """
+
+    def __init__(self, standin, port=0, threads=32):
+        self.standin = standin
+        self._bind = ("127.0.0.1", port)
+        self._threads = threads
+        self._server = None
+        self._stopping = Event()
+        self._timer = None
+
+    @property
+    def address(self):
+        """Bound address as ``"IP:port"``."""
+        return f"{self._bind[0]}:{self._bind[1]}"
+
+    def start(self):
+        """Start to serve and return the bound address."""
+        self._listen()
+        getattr(self.standin, "start", _nothing)()
+        return self.address
+
+    def stop(self):
+        """Close all connections and end all threads."""
+        if self._timer is not None:
+            self._timer.cancel()
+        getattr(self.standin, "stop", _nothing)()
+        self._close()
+
+    def crash(self, seconds=0.0):
+        """Lose all state and connections; refuse connections for some seconds."""
+        getattr(self.standin, "restart", _nothing)()
+        self._close()
+        if seconds:
+            self._timer = Timer(seconds, self._listen)
+            self._timer.daemon = True
+            self._timer.start()
+        else:
+            self._listen()
+
+    def _listen(self):
+        self._stopping = Event()
+        server = Server(
+            self._bind, _application(self), numthreads=self._threads, timeout=60
+        )
+        server.gateway = _Gateway
+        server.ConnectionClass = _Connection
+        server.shutdown_timeout = 1
+        server.error_log = _nothing
+        server.prepare()
+        self._bind = server.bind_addr[:2]
+        self._server = server
+        Thread(target=server.serve, daemon=True).start()
+
+    def _close(self):
+        self._stopping.set()
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+
+    def answer(self, request, connection):
+        """Return the answer of the stand-in, or of its control paths."""
+        standin = self.standin
+        exchange = Exchange(request, connection, standin.faults, self._stopping)
+        if exchange.path == "/faults":
+            return self._control(exchange, request.rfile)
+        if exchange.path == "/ledger":
+            return Answer(200, standin.ledger.report())
+        return standin.handle(exchange)
+
+    def _control(self, exchange, rfile):
+        faults = self.standin.faults
+        if exchange.method == "DELETE":
+            faults.clear()
+        if exchange.method == "POST":
+            size = int(exchange.headers.get("Content-Length") or 0)
+            for row in json.loads(rfile.read(size) or b"{}").get("faults", []):
+                self._add_fault(row)
+        return Answer(200, {"faults": faults.rows()})
+
+    def _add_fault(self, row):
+        if row["kind"] in ("refuse", "restart_cold"):
+            delay_s = POLL_S  # lets the answer leave before the server stops
+            Timer(delay_s, self.crash, (row.get("seconds", 0.0),)).start()
+        else:
+            self.standin.faults.add(**row)
+
+
+class _Connection(HTTPConnection):
+    def close(self):
+        with suppress(OSError):  # the socket may be closed already by a fault
+            super().close()
+
+
+class _Gateway(Gateway_10):
+    def get_environ(self):
+        return super().get_environ() | {"standin.connection": self.req.conn}
+
+
+class _Root:
+    def __init__(self, server):
+        self._server = server
+
+    @cherrypy.expose
+    def default(self, *_path, **_params):
+        request = cherrypy.serving.request
+        connection = request.wsgi_environ["standin.connection"]
+        try:
+            answer = self._server.answer(request, connection)
+        except ConnectionGoneError:
+            return b""
+        return _write(answer)
+
+
+def _write(answer):
+    response = cherrypy.serving.response
+    response.status = answer.status
+    response.headers["Content-Type"] = "application/json"
+    response.headers.update(answer.headers or {})
+    if isinstance(answer.body, bytes):
+        return answer.body
+    if answer.body is None or isinstance(answer.body, dict):
+        return json.dumps(answer.body or {}).encode()
+    response.stream = True
+    return answer.body
+
+
+def _application(server):
+    app = cherrypy.Application(_Root(server), "")
+    app.merge({"/": {"request.process_request_body": False}})
+    app.log.screen = False
+    app.log.access_log.disabled = True
+    app.log.error_log.disabled = True
+    return app
+
+
+def reset_socket(sock):
+    """Close a socket so that the other end sees a reset."""
+    linger = struct.pack("ii", 1, 0)
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        os.close(sock.detach())
+
+
+def _nothing(*_args, **_kwargs):
+    return None
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/weights.py
@@ -0,0 +1,97 @@
+"""Stand-in of the weight store, which all engines load adapters from."""
+
+import json
+from threading import Lock
+from time import monotonic, sleep
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from hibiscusspar_standins.faults import Faults
+from hibiscusspar_standins.ledger import Ledger
+from hibiscusspar_standins.server import Answer
+
+__all__ = ["RemoteWeights", "WeightStore"]
+
+FETCH_TIMEOUT_S = 60.0
+
+
+class WeightStore:
+    """A rate-limited store.
+
+    Parameters
+    ----------
+    loads_per_s : float
+        Rate at which transfers start; others wait for their turn.
+    max_in_transit : int
+        Number of transfers that run at full speed.
+    load_s : float
+        Seconds that a transfer takes at full speed.
+    clock, pause : callable
+    """
+
+    def __init__(
+        self,
+        loads_per_s=3.0,
+        max_in_transit=8,
+        load_s=0.25,
+        clock=monotonic,
+        pause=sleep,
+    ):
+        self.faults = Faults()
+        self.ledger = Ledger(clock)
+        self._clock = clock
+        self._pause = pause
+        self._interval_s = 1.0 / loads_per_s
+        self._max_in_transit = max_in_transit
+        self._load_s = load_s
+        self._lock = Lock()
+        self._next_start = clock()
+        self._in_transit = 0
+
+    def fetch(self, label):
+        """Transfer an adapter version; return whether it succeeded."""
+        self._pause(self._turn())
+        try:
+            self._pause(self._transfer_s())
+        finally:
+            with self._lock:
+                self._in_transit -= 1
+        failed = self.faults.take("load_fails", label) is not None
+        self.ledger.add("load", label, detail="failed" if failed else "")
+        return not failed
+
+    def handle(self, exchange):
+        """Answer one HTTP request."""
+        if exchange.path != "/fetch":
+            return Answer(404)
+        label = json.loads(exchange.read())["adapter"]
+        return Answer(200 if self.fetch(label) else 502)
+
+    def _turn(self):
+        with self._lock:
+            now = self._clock()
+            start = max(now, self._next_start)
+            self._next_start = start + self._interval_s
+            return start - now
+
+    def _transfer_s(self):
+        with self._lock:
+            self._in_transit += 1
+            return self._load_s * max(1.0, self._in_transit / self._max_in_transit)
+
+
+class RemoteWeights:
+    """A weight store in another process."""
+
+    def __init__(self, address):
+        self._url = f"http://{address}/fetch"
+        self._pool = PoolManager(timeout=FETCH_TIMEOUT_S, retries=False)
+
+    def fetch(self, label):
+        """Transfer an adapter version; return whether it succeeded."""
+        try:
+            answer = self._pool.request("POST", self._url, json={"adapter": label})
+        except HTTPError:
+            return False
+        return answer.status == 200
