--- a/packages/hibiscusspar_standins/hibiscusspar_standins/server.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/server.py
@@ -136,6 +136,7 @@
         server.gateway = _Gateway
         server.ConnectionClass = _Connection
         server.shutdown_timeout = 1
+        server.expiration_interval = 0.1
         server.error_log = _nothing
         server.prepare()
         self._bind = server.bind_addr[:2]
