--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, token limits over all VMs and fair queues."""
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of client accounts."""
