Serve a request end to end through one entry process

Cause: nothing ran yet. The composition root, the three HTTP ports, settings, logs, metrics, the exchange codec and a thin gateway now carry a request from a caller to a stand-in engine or plain service and back, plain or streamed.

--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/configuration.py
@@ -0,0 +1,51 @@
+"""The configuration in force on this VM and how long ago it was confirmed."""
+
+from hibiscusspar.config.model import empty_configuration
+
+__all__ = ["ConfigurationHolder"]
+
+
+class ConfigurationHolder:
+    """Holds one configuration and never goes back to a lower revision.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._configuration = empty_configuration()
+        self._confirmed = clock()
+
+    @property
+    def configuration(self):
+        """The :class:`~hibiscusspar.config.model.Configuration` in force."""
+        return self._configuration
+
+    @property
+    def revision(self):
+        """Revision in force; 0 before the first one."""
+        return self._configuration.revision
+
+    @property
+    def age_s(self):
+        """Seconds since the configuration was last known to be the newest."""
+        return self._clock() - self._confirmed
+
+    def confirm(self):
+        """Note that the configuration in force is the newest now."""
+        self._confirmed = self._clock()
+
+    def replace(self, configuration):
+        """Put a configuration in force if its revision is higher.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now.
+        """
+        if configuration.revision <= self.revision:
+            return False
+        self._configuration = configuration
+        return True
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -0,0 +1,181 @@
+"""Drives the systems: ticks them, carries their messages and platform calls."""
+
+import threading
+from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+from hibiscusspar.errors import StepError
+from hibiscusspar.outbox import Outbox
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.events import PEER_FAILED, SYSTEM_FAILED
+
+__all__ = ["Driver"]
+
+EXCHANGE_THREADS = 4
+MAX_QUEUED_MESSAGES = 10_000
+
+
+class Driver:
+    """Runs the systems under one lock and carries out what they decide.
+
+    Parameters
+    ----------
+    vm : str
+        Id of this VM.
+    systems : sequence of System
+    codec : MessageCodec
+    peers : PeerClient
+    address_of : callable
+        Maps a VM id to the address of its peer port, or None.
+    run_call : callable
+        Carries out a platform call and returns its result; runs in a thread.
+    run_order : callable
+        Carries out an order to a target; runs in a thread.
+    clock : Clock
+    metrics : Metrics
+    exchange_s : float
+        Least seconds between two exchanges with one peer.
+    """
+
+    def __init__(
+        self,
+        vm,
+        systems,
+        codec,
+        peers,
+        address_of,
+        run_call,
+        run_order,
+        clock,
+        metrics,
+        exchange_s,
+    ):
+        self._vm = vm
+        self._systems = {system.name: system for system in systems}
+        self._codec = codec
+        self._peers = peers
+        self._address_of = address_of
+        self._run_call = run_call
+        self._run_order = run_order
+        self._clock = clock
+        self._metrics = metrics
+        self._exchange_s = exchange_s
+        self._lock = threading.RLock()
+        self._due = defaultdict(list)
+        self._busy_peers = set()
+        self._next_exchange = {}
+        self._exchangers = ThreadPoolExecutor(EXCHANGE_THREADS, "exchange")
+        self._callers = ThreadPoolExecutor(2, "platform")
+        self._orderers = ThreadPoolExecutor(4, "order")
+
+    @contextmanager
+    def decide(self):
+        """Hold the lock over the tables; what was decided is carried out after.
+
+        Yields
+        ------
+        now : float
+            Seconds of the monotonic clock.
+        out : Outbox
+        """
+        out = Outbox()
+        with self._lock:
+            yield self._clock(), out
+            self._queue_sends(out)
+        self._start_work(out)
+
+    def tick(self):
+        """Run every system once and start the exchanges that are due."""
+        for name, system in self._systems.items():
+            try:
+                with self.decide() as (now, out):
+                    system.tick(now, out)
+            except Exception as error:  # noqa: BLE001
+                write_records([(SYSTEM_FAILED, _fault(name, error))])
+        self._start_exchanges()
+
+    def receive(self, data):
+        """Take in an encoded exchange and return the one due to its sender."""
+        self._metrics.exchange_bytes.labels("in").inc(len(data))
+        incoming = self._codec.decode(data)
+        self._take_in(incoming)
+        answer = self._codec.encode(self._vm, self._take_due(incoming.sender))
+        self._metrics.exchanges.labels("in", "ok").inc()
+        self._metrics.exchange_bytes.labels("out").inc(len(answer))
+        return answer
+
+    def stop(self):
+        """Send what is still due and end the worker threads."""
+        self._start_exchanges(ignore_interval=True)
+        self._exchangers.shutdown(wait=True)
+        self._callers.shutdown(wait=True)
+        self._orderers.shutdown(wait=True, cancel_futures=True)
+
+    def _queue_sends(self, out):
+        for peer, message in out.sends:
+            queue = self._due[peer]
+            if len(queue) < MAX_QUEUED_MESSAGES:
+                queue.append(message)
+
+    def _start_work(self, out):
+        write_records(out.records)
+        for call in out.calls:
+            self._callers.submit(self._finish_call, call)
+        for order in out.orders:
+            self._orderers.submit(self._run_order, order)
+
+    def _finish_call(self, call):
+        result = self._run_call(call)
+        with self.decide() as (now, out):
+            self._systems[call.system].platform_result(now, result, out)
+
+    def _take_in(self, incoming):
+        for message in incoming.messages:
+            system = self._systems[self._codec.topic(message)]
+            with self.decide() as (now, out):
+                system.receive(now, incoming.sender, message, out)
+
+    def _take_due(self, peer):
+        with self._lock:
+            return self._due.pop(peer, [])
+
+    def _start_exchanges(self, ignore_interval=False):
+        now = self._clock()
+        with self._lock:
+            ready = [
+                peer
+                for peer in self._due
+                if peer not in self._busy_peers
+                and (ignore_interval or now >= self._next_exchange.get(peer, 0.0))
+            ]
+            self._busy_peers.update(ready)
+        for peer in ready:
+            self._next_exchange[peer] = now + self._exchange_s
+            self._exchangers.submit(self._exchange, peer)
+
+    def _exchange(self, peer):
+        try:
+            self._exchange_once(peer)
+        except StepError as error:
+            self._metrics.exchanges.labels("out", "failed").inc()
+            write_records([(PEER_FAILED, {"peer": peer, "reason": error.reason})])
+        finally:
+            with self._lock:
+                self._busy_peers.discard(peer)
+
+    def _exchange_once(self, peer):
+        messages = self._take_due(peer)
+        address = self._address_of(peer)
+        if not messages or address is None:
+            return
+        data = self._codec.encode(self._vm, messages)
+        self._metrics.exchange_bytes.labels("out").inc(len(data))
+        answer = self._peers.exchange(address, data)
+        self._metrics.exchanges.labels("out", "ok").inc()
+        self._metrics.exchange_bytes.labels("in").inc(len(answer))
+        self._take_in(self._codec.decode(answer))
+
+
+def _fault(system, error):
+    return {"system": system, "reason": f"{type(error).__name__}: {error}"}
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
@@ -0,0 +1,55 @@
+"""Log events of the process and of the callers' interface."""
+
+from hibiscusspar.events import declare
+
+__all__ = [
+    "CONFIGURATION_READ",
+    "DRAINING",
+    "LISTENING",
+    "PEER_FAILED",
+    "PLATFORM_FAILED",
+    "REQUEST_ENDED",
+    "REQUEST_REFUSED",
+    "STOPPED",
+    "SYSTEM_FAILED",
+]
+
+LISTENING = declare(
+    100,
+    "process.listening",
+    ("caller", "peer", "operator"),
+    "The process is bound to its three ports.",
+)
+DRAINING = declare(
+    101, "process.draining", ("reason",), "New requests are refused; running ones end."
+)
+STOPPED = declare(
+    102, "process.stopped", ("running",), "The process ends; `running` were cut off."
+)
+CONFIGURATION_READ = declare(
+    103, "process.configuration", ("revision",), "A configuration is in force here."
+)
+PEER_FAILED = declare(
+    104, "process.peer_failed", ("peer", "reason"), "An exchange with a VM failed."
+)
+PLATFORM_FAILED = declare(
+    105, "process.platform_failed", ("step", "reason"), "A platform call failed."
+)
+SYSTEM_FAILED = declare(
+    106,
+    "process.system_failed",
+    ("system", "reason"),
+    "A system raised an error in a tick; it runs again in the next one.",
+)
+REQUEST_REFUSED = declare(
+    110,
+    "request.refused",
+    ("request", "account", "code", "step", "reason", "ran"),
+    "A request got a refusal instead of an answer.",
+)
+REQUEST_ENDED = declare(
+    111,
+    "request.ended",
+    ("request", "account", "target", "status", "outcome", "tokens", "seconds"),
+    "A request got its answer, or a visibly broken one.",
+)
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/process.py
@@ -0,0 +1,26 @@
+"""Runs a node until a signal or a drain ends it."""
+
+import signal
+import threading
+
+from hibiscusspar_entry.event_log import open_log
+from hibiscusspar_entry.node import build_node
+
+__all__ = ["run_process"]
+
+
+def run_process(settings):
+    """Serve until SIGTERM, SIGINT or a drain, then shut down gracefully.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+    open_log(settings.log_file, vm=settings.vm_id, zone=settings.zone)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    node = build_node(settings, stop.set)
+    node.start()
+    stop.wait()
+    node.stop()
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/callers.py
@@ -0,0 +1,150 @@
+"""The application for callers: parses HTTP and hands requests to a gateway."""
+
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+from cherrypy import expose, request, response
+from msgspec.json import encode as to_json
+
+__all__ = [
+    "Answer",
+    "CallerApp",
+    "CallerRequest",
+    "Gateway",
+    "bearer_key",
+    "error_answer",
+]
+
+RUN_HEADER = "Hibiscusspar-Run"
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallerRequest(NamedTuple):
+    """One request of a caller, its body read whole.
+
+    ``headers`` holds pairs with lower-case names; hop-by-hop ones are left out.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name):
+        """Return the first value of a header, or an empty string."""
+        return next((value for key, value in self.headers if key == name), "")
+
+
+class Answer(NamedTuple):
+    """What goes back to the caller; the body is bytes or an iterable of them."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | Iterable[bytes]
+
+
+class Gateway(Protocol):
+    """Answers requests of callers."""
+
+    def handle(self, call: CallerRequest) -> Answer:
+        """Return the answer, complete or as a stream."""
+
+
+def error_answer(status, code, message, step, ran="not-run", retry_after_s=None):
+    """Return an error as JSON that says whether the request ran.
+
+    Parameters
+    ----------
+    status : int
+    code : str
+        Stable identifier of the error.
+    message : str
+        Reason for people.
+    step : str
+        Step at which the request ended.
+    ran : {"not-run", "unknown"}
+    retry_after_s : float, optional
+        Seconds after which a retry makes sense.
+
+    Returns
+    -------
+    Answer
+    """
+    error = {"code": code, "message": message, "step": step, "ran": ran}
+    headers = [("Content-Type", "application/json"), (RUN_HEADER, ran)]
+    if retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(retry_after_s + 0.5)))))
+    return Answer(status, tuple(headers), to_json({"error": error}))
+
+
+def bearer_key(call):
+    """Return the key of the ``Authorization: Bearer`` header; empty if none."""
+    scheme, _, key = call.header("authorization").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+class CallerApp:
+    """CherryPy controller of the callers' port.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    max_body_bytes : int
+        Longest accepted request body.
+    """
+
+    def __init__(self, gateway, max_body_bytes):
+        self._gateway = gateway
+        self._max_body_bytes = max_body_bytes
+
+    @expose
+    def default(self, *_path, **_query):
+        """Answer one request of any method on any path."""
+        body = _read_body(self._max_body_bytes)
+        if body is None:
+            reason = f"the body is longer than {self._max_body_bytes} bytes"
+            return _respond(error_answer(413, "body_too_large", reason, "http.read"))
+        return _respond(self._gateway.handle(_caller_request(body)))
+
+
+def _read_body(max_bytes):
+    length = request.headers.get("Content-Length")
+    if length is None and "Transfer-Encoding" not in request.headers:
+        return b""
+    size = max_bytes + 1 if length is None else min(int(length), max_bytes + 1)
+    body = request.rfile.read(size)
+    return None if len(body) > max_bytes else body
+
+
+def _caller_request(body):
+    headers = tuple(
+        (name.lower(), value)
+        for name, value in request.header_list
+        if name.lower() not in _HOP_HEADERS
+    )
+    uri = request.wsgi_environ.get("REQUEST_URI", request.path_info)
+    path = uri.partition("?")[0]
+    return CallerRequest(request.method, path, request.query_string, headers, body)
+
+
+def _respond(answer):
+    response.status = answer.status
+    for name, value in answer.headers:
+        response.headers[name] = value
+    if isinstance(answer.body, bytes):
+        return answer.body
+    response.stream = True
+    return answer.body
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/http_server.py
@@ -0,0 +1,103 @@
+"""CherryPy applications on cheroot servers, one server for each port."""
+
+import threading
+from typing import NamedTuple
+
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+from cheroot.wsgi import Server
+from cherrypy import Application
+from cherrypy import response as current_response
+from msgspec.json import encode as to_json
+
+__all__ = ["HttpServer", "ServerBounds", "Tls", "json_error_page"]
+
+_JSON = "application/json"
+
+
+class ServerBounds(NamedTuple):
+    """Bounds of a server: bytes, threads and seconds."""
+
+    max_header_bytes: int = 32 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    threads: int = 16
+    idle_timeout_s: float = 30.0
+    shutdown_timeout_s: float = 5.0
+
+
+class Tls(NamedTuple):
+    """Files of a server's certificate and private key, in PEM."""
+
+    certificate: str
+    private_key: str
+
+
+def json_error_page(status, message, traceback, version):
+    """Return the body of an error that CherryPy itself raised."""
+    current_response.headers["Content-Type"] = _JSON
+    code = int(status.split()[0])
+    error = {"code": f"http_{code}", "message": message, "step": "http.parse"}
+    return to_json({"error": {**error, "ran": "not-run"}}).decode()
+
+
+class HttpServer:
+    """One listening port that serves one application.
+
+    Parameters
+    ----------
+    root : object
+        CherryPy controller; its ``default`` method gets every path.
+    host : str
+        IP number to bind.
+    port : int
+        Port to bind; 0 lets the kernel choose.
+    bounds : ServerBounds, optional
+    tls : Tls, optional
+    """
+
+    def __init__(self, root, host, port, bounds=None, tls=None):
+        bounds = bounds or ServerBounds()
+        self._server = Server(
+            (host, port),
+            _application(root),
+            numthreads=bounds.threads,
+            timeout=bounds.idle_timeout_s,
+            shutdown_timeout=bounds.shutdown_timeout_s,
+            request_queue_size=512,
+        )
+        self._server.max_request_header_size = bounds.max_header_bytes
+        self._server.max_request_body_size = bounds.max_body_bytes
+        if tls is not None:
+            adapter = BuiltinSSLAdapter(tls.certificate, tls.private_key)
+            self._server.ssl_adapter = adapter
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    @property
+    def port(self):
+        """Port that is bound."""
+        return self._server.bind_addr[1]
+
+    def start(self):
+        """Bind the port and serve in threads of its own."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self):
+        """Close the port and end the threads."""
+        self._server.stop()
+        self._thread.join()
+
+
+def _application(root):
+    config = {
+        "/": {
+            "error_page.default": json_error_page,
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "tools.encode.on": False,
+        }
+    }
+    application = Application(root, "", config)
+    application.log.screen = False
+    application.log.access_log.disabled = True
+    application.log.error_log.disabled = True
+    return application
