Add the limit system: homes, leases, loans and recorded parts

Change: LimitSystem with leases counted from when they were asked for, homes that only move tokens, loans between zones, and each zone's part recorded in one platform object per account. A world of several VMs over fakes, with an exact oracle, drives the tests.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/escrow.py
@@ -0,0 +1,216 @@
+"""A zone's recorded part of an account's limit, in the platform's object API.
+
+One object per account holds the parts of all zones. A home changes only its
+zone's part, by conditional update, and raises it only into what the other parts
+leave free. It uses a lower part before it records it, and records it once
+everything handed out fits; it uses a higher part after it was recorded. Each
+home first writes the part that it found, which makes every update fail that a
+predecessor may still have under way.
+"""
+
+from math import isclose
+from typing import NamedTuple
+
+from hibiscusspar.outbox import PlatformCall
+
+__all__ = ["KIND", "Escrow", "next_part"]
+
+KIND = "limit-parts"
+RETRY_S = 1.0
+MAX_RETRY_S = 16.0
+
+
+class _Record(NamedTuple):
+    """The object as last read or written; ``parts`` maps zone to (rate, cap)."""
+
+    version: int
+    revision: int
+    parts: dict
+    writers: dict
+
+
+def next_part(parts, zone, total, target):
+    """Return the part that a zone should record next.
+
+    It goes down to its target, and up to it as far as the other parts leave free.
+
+    Parameters
+    ----------
+    parts : dict of str to (float, float)
+        Recorded rate and capacity of each zone.
+    zone : str
+    total, target : tuple of (float, float)
+        Rate and capacity of the fleet, and those that the zone should have.
+    """
+    own = parts.get(zone, (0.0, 0.0))
+    others = [part for name, part in parts.items() if name != zone]
+    free = [total[i] - sum(part[i] for part in others) for i in (0, 1)]
+    rate, cap = (
+        min(target[i], max(own[i], free[i])) if target[i] > own[i] else target[i]
+        for i in (0, 1)
+    )
+    return rate, cap
+
+
+class Escrow:
+    """The part of one account that this zone's home may use.
+
+    Parameters
+    ----------
+    now : float
+    account : str
+    zone : str
+    writer : str
+        Names this holding of the home's role.
+
+    Attributes
+    ----------
+    first_home : bool
+        Whether no home of this zone had a part before, which the record shows.
+    """
+
+    def __init__(self, now, account, zone, writer):
+        self._account = account
+        self._zone = zone
+        self._writer = writer
+        self._record = None
+        self._claimed = False
+        self.first_home = False
+        self._first = False
+        self._own = (0.0, 0.0)
+        self._call = None
+        self._calls = 0
+        self._next_at = now
+        self._retry_s = RETRY_S
+        self._target = (0.0, 0.0)
+        self._total = (0.0, 0.0)
+        self._revision = 0
+
+    @property
+    def recorded(self):
+        """The least that the record may hold for this zone; zero until claimed."""
+        return self._own
+
+    @property
+    def usable(self):
+        """The part that may be used now."""
+        return _smaller(self._own, self._target)
+
+    def configure(self, now, revision, total, target):
+        """Set the limit of the fleet and this zone's part of it."""
+        if (total, target) != (self._total, self._target):
+            self._next_at = now
+            self._retry_s = RETRY_S
+        self._revision = revision
+        self._total = total
+        self._target = target
+
+    def tick(self, now, fits, out):
+        """Ask the platform for whatever is missing.
+
+        Parameters
+        ----------
+        now : float
+        fits : callable
+            Takes a part and returns whether all that was handed out fits in it.
+        out : Outbox
+        """
+        if self._call is not None or now < self._next_at:
+            return
+        if self._record is None:
+            self._send(now, "get", out)
+            return
+        wanted = self._next_part(fits)
+        if self._claimed and _close(wanted, self._record.parts[self._zone]):
+            self._look_again(now)
+            return
+        if self._claimed:
+            self._own = _smaller(self._own, wanted)
+        self._send(now, "update" if self._record.version else "create", out, wanted)
+
+    def result(self, now, result):
+        """Take in the platform's answer; return whether it was due."""
+        if self._call is None or result.call_id != self._call.call_id:
+            return False
+        call, self._call = self._call, None
+        if call.operation == "get" and result.outcome in ("ok", "missing"):
+            self._record = _read(result)
+            self._first = self._writer_before() in ("", self._writer)
+            self._next_at = now
+        elif result.outcome == "ok":
+            self._record = _read(result._replace(value=call.value))
+            self._own = self._record.parts[self._zone]
+            self._claimed = True
+            self.first_home = self._first
+            self._retry_s = RETRY_S
+        else:
+            self._claimed = self._claimed and call.operation == "get"
+            self._record = None
+            self._back_off(now)
+        return True
+
+    def _writer_before(self):
+        return self._record.writers.get(self._zone, "")
+
+    def _next_part(self, fits):
+        record = self._record
+        own = record.parts.get(self._zone)
+        wanted = next_part(record.parts, self._zone, self._total, self._target)
+        if own is None:
+            return wanted
+        if not self._claimed:
+            return own
+        if self._revision < record.revision:
+            wanted = _smaller(wanted, own)
+        lower = _smaller(wanted, own)
+        return (
+            wanted if fits(lower) else (max(wanted[0], own[0]), max(wanted[1], own[1]))
+        )
+
+    def _look_again(self, now):
+        """Read the object again later if this zone's part is short of its target."""
+        if _close(_smaller(self._own, self._target), self._target):
+            self._next_at = now + RETRY_S
+            return
+        self._record = None
+        self._back_off(now)
+
+    def _value(self, part):
+        record = self._record
+        return {
+            "revision": max(record.revision, self._revision),
+            "parts": {**record.parts, self._zone: part},
+            "writers": {**record.writers, self._zone: self._writer},
+        }
+
+    def _send(self, now, operation, out, part=None):
+        self._calls += 1
+        version = self._record.version if self._record else 0
+        self._call = PlatformCall(
+            system="limits",
+            call_id=f"{self._writer}/{self._account}/{self._calls}",
+            operation=operation,
+            kind=KIND,
+            name=self._account,
+            value=None if part is None else self._value(part),
+            version=version,
+        )
+        out.call(self._call)
+
+    def _back_off(self, now):
+        self._next_at = now + self._retry_s
+        self._retry_s = min(2.0 * self._retry_s, MAX_RETRY_S)
+
+
+def _smaller(part, other):
+    return min(part[0], other[0]), min(part[1], other[1])
+
+
+def _close(part, other):
+    return all(isclose(a, b, rel_tol=1e-9) for a, b in zip(part, other, strict=True))
+
+
+def _read(result):
+    value = result.value or {"revision": 0, "parts": {}, "writers": {}}
+    parts = {zone: (part[0], part[1]) for zone, part in value["parts"].items()}
+    return _Record(result.version, value["revision"], parts, dict(value["writers"]))
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -0,0 +1,343 @@
+"""The home of an account's limit in one zone: it holds the zone's part.
+
+Tokens are only moved, never made: what a lease accrues is no longer accrued
+here, its capacity is no longer available here, and a credit is debited before
+the grant is sent. So the balances of home and nodes together never exceed what
+a single bucket with the zone's rate and burst would hold.
+"""
+
+from typing import NamedTuple
+
+from hibiscusspar.limits.bucket import MAX_CLOCK_DRIFT, surely_after
+from hibiscusspar.limits.division import divide
+from hibiscusspar.limits.messages import Grant
+
+__all__ = ["LOAN_S", "MAX_LEASE_S", "NODE_LEASE_S", "Home", "Loan"]
+
+NODE_LEASE_S = 12.0
+LOAN_S = 24.0
+MAX_LEASE_S = max(NODE_LEASE_S, LOAN_S)
+OWN_HEADROOM = 1.1  # of the zone's own demand, not lent to other zones
+CREDIT_AHEAD_S = 1.0  # of demand, added to a credit for a node that is short
+LARGE_WANT_S = 5.0
+
+
+class _Lease(NamedTuple):
+    rate: float
+    cap: float
+    ends_at: float
+
+
+class Loan(NamedTuple):
+    """What this home borrowed from another zone, until its own ``lapse_at``."""
+
+    rate: float
+    cap: float
+    lapse_at: float
+
+
+class _Asker:
+    """What the home knows of one asker: a node, or a home of another zone."""
+
+    def __init__(self, is_loan):
+        self.is_loan = is_loan
+        self.last_seq = 0
+        self.demand = 0.0
+        self.seen_at = 0.0
+        self.leases = {}
+
+    def drop_ended(self, now):
+        for seq in [s for s, lease in self.leases.items() if lease.ends_at <= now]:
+            del self.leases[seq]
+
+    def charge(self):
+        rate = max((lease.rate for lease in self.leases.values()), default=0.0)
+        cap = max((lease.cap for lease in self.leases.values()), default=0.0)
+        return rate, cap
+
+
+class Home:
+    """Balance, leases and loans of one account in one zone.
+
+    Parameters
+    ----------
+    now : float
+    account : str
+    zone : str
+    epoch : str
+        Names this holding of the role by this process.
+    """
+
+    def __init__(self, now, account, zone, epoch):
+        self.account = account
+        self.zone = zone
+        self.epoch = epoch
+        self.part = (0.0, 0.0)
+        self.level = 0.0
+        self.recover_until = surely_after(now, MAX_LEASE_S)
+        self.loans = {}
+        self.offers = {}
+        self._askers = {}
+        self._at = now
+        self._large_want = (0.0, now)
+
+    @property
+    def leases(self):
+        """Rate and capacity that each asker may hold."""
+        return {name: asker.charge() for name, asker in self._askers.items()}
+
+    def recovering(self, now):
+        """Return whether leases of a predecessor may still be in use."""
+        return now < self.recover_until
+
+    def end_recovery(self, now):
+        """Start at once: no home of this zone came before this one."""
+        self.recover_until = min(self.recover_until, now)
+
+    def own_demand(self):
+        """Return the tokens per second that the nodes of this zone ask for."""
+        return sum(a.demand for a in self._askers.values() if not a.is_loan)
+
+    def advance(self, now):
+        """Accrue up to ``now`` and forget what has ended."""
+        if now > self._at:
+            elapsed = now - self._at
+            self._at = now
+            self._drop_loans(now)
+            rate, _ = self._free()
+            if not self.recovering(now):
+                self.level += max(0.0, rate) * elapsed * (1.0 - MAX_CLOCK_DRIFT)
+            for asker in self._askers.values():
+                asker.drop_ended(now)
+        self._clip(now)
+
+    def set_part(self, now, part):
+        """Use another part of the limit from now on."""
+        self.advance(now)
+        self.part = part
+        self._clip(now)
+
+    def add_loan(self, now, zone, loan, credit):
+        """Take in a loan in the place of the zone's earlier one, if possible.
+
+        A smaller loan is taken only when what was handed out fits; until then
+        the earlier one stays and the nodes' leases shrink.
+
+        Returns
+        -------
+        bool
+            Whether the loan was taken.
+        """
+        self.advance(now)
+        before = self.loans.get(zone, Loan(0.0, 0.0, now))
+        self.offers[zone] = loan
+        rate, cap = self._free()
+        if rate < before.rate - loan.rate or cap < before.cap - loan.cap:
+            return False
+        self.loans[zone] = loan
+        self.level += credit
+        self._clip(now)
+        return True
+
+    def fits(self, part):
+        """Return whether everything handed out would fit in another part.
+
+        Loans count that outlast all leases.
+        """
+        until = max(
+            (e.ends_at for a in self._askers.values() for e in a.leases.values()),
+            default=None,
+        )
+        rate, cap = self._charges()
+        loans = [e for e in self.loans.values() if until and e.lapse_at >= until]
+        free_rate = part[0] + sum(loan.rate for loan in loans)
+        free_cap = part[1] + sum(loan.cap for loan in loans)
+        return rate <= free_rate and cap <= free_cap
+
+    def answer(self, now, ask, nodes):
+        """Answer an ask.
+
+        Parameters
+        ----------
+        now : float
+        ask : Ask
+        nodes : int
+            Number of nodes in the zone.
+
+        Returns
+        -------
+        Grant or None
+            None if the ask is a duplicate, was overtaken by a later one, or comes
+            while leases of a predecessor may be in use and names none to go on.
+        """
+        self.advance(now)
+        is_loan = ask.asker_zone != self.zone
+        asker = self._askers.setdefault(ask.asker, _Asker(is_loan))
+        if ask.seq <= asker.last_seq:
+            return None
+        asker.last_seq = ask.seq
+        asker.demand = ask.demand
+        asker.seen_at = now
+        self._note_held(now, asker, ask)
+        if self.recovering(now):
+            return self._continue_held(now, asker, ask)
+        if asker.leases:
+            self.level += ask.returned
+            self._clip(now)
+        return self._grant(now, asker, ask, nodes)
+
+    def forget_idle(self, now):
+        """Forget askers that are silent and hold nothing."""
+        for name in list(self._askers):
+            asker = self._askers[name]
+            asker.drop_ended(now)
+            if not asker.leases and now - asker.seen_at > MAX_LEASE_S:
+                del self._askers[name]
+            elif now - asker.seen_at > (LOAN_S if asker.is_loan else NODE_LEASE_S):
+                asker.demand = 0.0
+
+    def _note_held(self, now, asker, ask):
+        """Keep only the lease that the asker holds: it takes no earlier answer."""
+        if ask.held_seq and ask.held_epoch == self.epoch:
+            held = asker.leases.get(ask.held_seq)
+            asker.leases = {} if held is None else {ask.held_seq: held}
+            return
+        asker.leases = {}
+        if ask.held_cap > 0.0 and self.recovering(now):
+            held = _Lease(ask.held_rate, ask.held_cap, self.recover_until)
+            asker.leases = {0: held}
+
+    def _continue_held(self, now, asker, ask):
+        if not asker.leases:
+            return None
+        rate, cap = asker.charge()
+        return self._lease(now, asker, ask, rate, cap, 0.0)
+
+    def _lease(self, now, asker, ask, rate, cap, credit):
+        duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
+        ends_at = surely_after(now, duration_s)
+        asker.leases[ask.seq] = _Lease(rate, cap, ends_at)
+        adoptable = self.recovering(now) or self._fits_without_loans()
+        return Grant(
+            account=self.account,
+            asker=ask.asker,
+            seq=ask.seq,
+            epoch=self.epoch,
+            rate=rate,
+            cap=cap,
+            credit=credit,
+            duration_s=duration_s,
+            adoptable=adoptable,
+        )
+
+    def _grant(self, now, asker, ask, nodes):
+        duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
+        ends_at = surely_after(now, duration_s)
+        rate, cap, credit = self._target(now, asker, ask, nodes)
+        free_rate, free_cap = self._free(ends_at, asker)
+        rate = max(0.0, min(rate, free_rate))
+        cap = max(0.0, min(cap, free_cap))
+        credit = max(0.0, min(credit, cap - ask.level, self.level))
+        self.level -= credit
+        grant = self._lease(now, asker, ask, rate, cap, credit)
+        self._clip(now)
+        return grant
+
+    def _target(self, now, asker, ask, nodes):
+        lent = self._lent()
+        if asker.is_loan:
+            return self._loan_target(asker, ask)
+        rate, cap = self._expected_total()
+        demands = [a.demand for a in self._askers.values() if not a.is_loan]
+        rate, cap = max(0.0, rate - lent[0]), max(0.0, cap - lent[1])
+        division = divide(rate, cap - self._want_kept(now), ask.demand, demands, nodes)
+        node_cap = division.cap
+        needed = max(0.0, ask.level) + ask.want
+        if ask.want > 0.0 and needed > node_cap:
+            node_cap = needed
+            if needed > self._free(now, asker)[1]:
+                self._large_want = (needed, now + LARGE_WANT_S)
+        asked = sum(demands)
+        by_demand = ask.demand / asked if asked > 0.0 else 1.0 / max(1, nodes)
+        credit = self.level * by_demand
+        if ask.want > 0.0:
+            ahead = min(CREDIT_AHEAD_S * ask.demand, 0.25 * self.level)
+            credit = max(credit, ask.want + ahead)
+        return division.rate, node_cap, credit
+
+    def _loan_target(self, asker, ask):
+        """Lend what the zone's own nodes don't ask for."""
+        part_rate, part_cap = self.part
+        if part_rate <= 0.0:
+            return 0.0, 0.0, 0.0
+        others = sum(
+            min(a.demand, a.charge()[0])
+            for a in self._askers.values()
+            if a.is_loan and a is not asker
+        )
+        spare = part_rate - OWN_HEADROOM * self.own_demand() - others
+        rate = max(0.0, min(ask.demand, spare))
+        fraction = rate / part_rate
+        return rate, part_cap * fraction, self.level * fraction
+
+    def _fits_without_loans(self):
+        rate, cap = self._charges()
+        return rate <= self.part[0] and cap <= self.part[1]
+
+    def _lent(self):
+        """Return the part to be kept free of nodes' leases for other zones."""
+        part_rate, part_cap = self.part
+        if part_rate <= 0.0:
+            return 0.0, 0.0
+        asked = sum(a.demand for a in self._askers.values() if a.is_loan)
+        held = sum(a.charge()[0] for a in self._askers.values() if a.is_loan)
+        spare = max(0.0, part_rate - OWN_HEADROOM * self.own_demand())
+        rate = max(held, min(asked, spare))
+        return rate, part_cap * rate / part_rate
+
+    def _want_kept(self, now):
+        amount, until = self._large_want
+        return amount if now < until else 0.0
+
+    def _charges(self, without=None):
+        rate = cap = 0.0
+        for asker in self._askers.values():
+            if asker is not without:
+                asker_rate, asker_cap = asker.charge()
+                rate += asker_rate
+                cap += asker_cap
+        return rate, cap
+
+    def _total(self, until=None):
+        rate, cap = self.part
+        for loan in self.loans.values():
+            if until is None or loan.lapse_at >= until:
+                rate += loan.rate
+                cap += loan.cap
+        return rate, cap
+
+    def _expected_total(self):
+        """Return the total after the smaller loans that were offered are taken."""
+        rate, cap = self.part
+        for zone, loan in self.loans.items():
+            offer = self.offers.get(zone, loan)
+            rate += min(loan.rate, offer.rate)
+            cap += min(loan.cap, offer.cap)
+        return rate, cap
+
+    def _free(self, until=None, asker=None):
+        """Return what no asker but ``asker`` may hold."""
+        total = self._total(until)
+        charged = self._charges(asker)
+        return total[0] - charged[0], total[1] - charged[1]
+
+    def _drop_loans(self, now):
+        for zone in [z for z, loan in self.loans.items() if loan.lapse_at <= now]:
+            del self.loans[zone]
+            self.offers.pop(zone, None)
+
+    def _clip(self, now):
+        _, cap = self._free()
+        if self.recovering(now):
+            cap = 0.0
+        self.level = max(0.0, min(self.level, cap))
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/node.py
@@ -0,0 +1,188 @@
+"""Leases, balances and open reservations of one node."""
+
+from math import exp
+from typing import NamedTuple
+
+from hibiscusspar.limits.bucket import Bucket
+from hibiscusspar.limits.messages import Ask
+
+__all__ = ["Pending", "Reservation", "Shortage", "Slot"]
+
+DEMAND_TIME_CONSTANT_S = 3.0
+MIN_URGENT_GAP_S = 0.2
+ANSWER_TIMEOUT_S = 1.0
+MIN_RETRY_AFTER_S = 0.1
+LOW_WATER_S = 0.5  # of demand
+SURPLUS_FACTOR = 2.0
+SURPLUS_AHEAD_S = 4.0  # of demand
+
+
+class Reservation(NamedTuple):
+    """Tokens taken for a request, to be settled when it has ended."""
+
+    reservation_id: int
+    account: str
+    tokens: float
+
+
+class Shortage(NamedTuple):
+    """Why tokens were not reserved; the request did not run.
+
+    ``reason`` is ``"rate"``, ``"larger-than-burst"`` (a retry can't help),
+    ``"no-lease"`` or ``"unknown-account"``. ``asked`` tells whether an answer of
+    the home is due that may bring tokens within a moment.
+    """
+
+    reason: str
+    retry_after_s: float
+    asked: bool = False
+
+
+class Pending(NamedTuple):
+    """The latest ask of this node that has not been answered."""
+
+    seq: int
+    asked_at: float
+    want: float
+
+
+class Slot:
+    """One account on this node.
+
+    Parameters
+    ----------
+    now : float
+    account : str
+    asker : str
+        Names this process life.
+    """
+
+    def __init__(self, now, account, asker):
+        self.account = account
+        self.asker = asker
+        self.bucket = Bucket(now)
+        self.epoch = ""
+        self.held_seq = 0
+        self.adoptable = False
+        self.demand = 0.0
+        self.pending = None
+        self.next_ask_at = now
+        self.urgent_gap_s = MIN_URGENT_GAP_S
+        self.short = 0.0
+        self._seq = 0
+        self._asked_at = now - MIN_URGENT_GAP_S
+        self._attempted = 0.0
+        self._demand_at = now
+
+    def note_attempt(self, tokens):
+        """Count tokens that a request asks for, or that it did not use."""
+        self._attempted += tokens
+
+    def update_demand(self, now):
+        """Fold what was asked for since the last time into the demand."""
+        elapsed = now - self._demand_at
+        if elapsed <= 0.0:
+            return
+        keep = exp(-elapsed / DEMAND_TIME_CONSTANT_S)
+        seen = max(0.0, self._attempted) / elapsed
+        self.demand = keep * self.demand + (1.0 - keep) * seen
+        self._attempted = min(0.0, self._attempted)
+        self._demand_at = now
+
+    def advance(self, now):
+        """Accrue; return whether the lease lapsed."""
+        lapsed = self.bucket.advance(now)
+        if lapsed:
+            self.held_seq = 0
+            self.adoptable = False
+        return lapsed
+
+    def ask_due(self, now, period_s):
+        """Return whether to ask the home now."""
+        if now >= self.next_ask_at:
+            return True
+        pending = self.pending
+        if pending is not None and now < pending.asked_at + ANSWER_TIMEOUT_S:
+            return False
+        low = self.bucket.level < max(self.short, LOW_WATER_S * self.demand)
+        return low and now >= self._asked_at + min(self.urgent_gap_s, period_s)
+
+    def make_ask(self, now, zone, vm, period_s, jitter):
+        """Return the next ask; earlier ones are no longer waited for."""
+        self.update_demand(now)
+        self._seq += 1
+        want = max(0.0, self.short - self.bucket.level)
+        if want == 0.0:
+            want = max(0.0, LOW_WATER_S * self.demand - self.bucket.level)
+        self.short = 0.0
+        returned = self._take_surplus() if self.held_seq else 0.0
+        self.pending = Pending(self._seq, now, want)
+        self._asked_at = now
+        unanswered_s = max(ANSWER_TIMEOUT_S, period_s) * jitter
+        self.next_ask_at = now + unanswered_s
+        return Ask(
+            account=self.account,
+            zone=zone,
+            asker=self.asker,
+            reply_to=vm,
+            asker_zone=zone,
+            seq=self._seq,
+            held_epoch=self.epoch,
+            held_seq=self.held_seq,
+            held_rate=self.bucket.rate if self.adoptable else 0.0,
+            held_cap=self.bucket.cap if self.adoptable else 0.0,
+            level=self.bucket.level,
+            demand=self.demand,
+            want=want,
+            returned=returned,
+        )
+
+    def take_grant(self, now, grant):
+        """Take a lease if it answers the latest ask and has not ended.
+
+        The lease is counted from when it was asked for, so that it ends here
+        before its giver counts it as ended, however late the answer is.
+
+        Returns
+        -------
+        bool
+            Whether the lease was taken.
+        """
+        pending = self.pending
+        if pending is None or grant.seq != pending.seq or grant.asker != self.asker:
+            return False
+        lapse_at = pending.asked_at + grant.duration_s
+        if now >= lapse_at:
+            return False
+        self.advance(now)
+        self.pending = None
+        self.bucket.renew(now, grant.rate, grant.cap, grant.credit, lapse_at)
+        self.epoch = grant.epoch
+        self.held_seq = grant.seq
+        self.adoptable = grant.adoptable
+        self._adapt_gap(pending, grant)
+        return True
+
+    def shortage(self, now, tokens, period_s):
+        """Return why tokens can't be reserved now and when to come back."""
+        bucket = self.bucket
+        asked = self.pending is not None
+        if bucket.cap == 0.0:
+            wait_s = MIN_RETRY_AFTER_S if asked else period_s
+            return Shortage("no-lease", wait_s, asked)
+        missing = tokens - bucket.level
+        accrued_s = missing / bucket.rate if bucket.rate > 0.0 else period_s
+        next_s = max(0.0, self.next_ask_at - now)
+        wait_s = accrued_s if tokens <= bucket.cap else max(next_s, accrued_s)
+        return Shortage("rate", max(MIN_RETRY_AFTER_S, wait_s), asked)
+
+    def _take_surplus(self):
+        kept = SURPLUS_AHEAD_S * self.demand
+        surplus = self.bucket.level - max(kept, self.bucket.cap / SURPLUS_FACTOR)
+        return self.bucket.take(max(0.0, surplus))
+
+    def _adapt_gap(self, pending, grant):
+        if grant.credit >= 0.5 * pending.want:
+            self.urgent_gap_s = MIN_URGENT_GAP_S
+        else:
+            self.urgent_gap_s *= 2.0
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -0,0 +1,362 @@
+"""Limits of all accounts on one VM: its leases, and the homes that it holds."""
+
+from hibiscusspar.limits import events
+from hibiscusspar.limits.division import zone_part
+from hibiscusspar.limits.escrow import Escrow
+from hibiscusspar.limits.home import Home
+from hibiscusspar.limits.loans import Borrower
+from hibiscusspar.limits.messages import Ask, Grant
+from hibiscusspar.limits.node import Reservation, Shortage, Slot
+from hibiscusspar.ports import limit_home
+
+__all__ = ["LimitSystem", "wanted_roles"]
+
+MAX_ASKS_PER_S = 15.0  # that one home gets from the nodes of its zone
+MIN_PERIOD_S = 1.0
+MAX_PERIOD_S = 4.0
+MAX_HOPS = 1
+IDLE_CHECK_S = 5.0
+
+
+def wanted_roles(configuration, zone):
+    """Return the names of the homes that a zone must have."""
+    return [limit_home(account, zone) for account in configuration.accounts]
+
+
+class _Office:
+    """A home's role as this VM holds it."""
+
+    def __init__(self, now, account, zone, epoch, number):
+        self.number = number
+        self.home = Home(now, account, zone, epoch)
+        self.escrow = Escrow(now, account, zone, epoch)
+        self.borrower = Borrower(account, zone, f"home/{zone}/{epoch}")
+        self.next_idle_check = now
+
+
+class LimitSystem:
+    """Token limits of client accounts; see ``docs/design/limits.md``.
+
+    Parameters
+    ----------
+    vm, zone : str
+    members : Members
+    roles : Roles
+    rng : random.Random
+        Seeded differently in each process life: it names this one.
+    """
+
+    name = "limits"
+
+    def __init__(self, vm, zone, members, roles, rng):
+        self._vm = vm
+        self._zone = zone
+        self._members = members
+        self._roles = roles
+        self._rng = rng
+        self._nonce = f"{rng.getrandbits(64):016x}"
+        self._slots_made = 0
+        self._specs = {}
+        self._zones = ()
+        self._revision = 0
+        self._slots = {}
+        self._offices = {}
+        self._reservations = {}
+        self._last_id = 0
+        self._period_s = MIN_PERIOD_S
+        self._next_period_at = None
+
+    @property
+    def open_reservations(self):
+        """Number of reservations that wait to be settled."""
+        return len(self._reservations)
+
+    def configure(self, now, configuration, out):
+        """Put the accounts of a configuration in force."""
+        self._specs = configuration.accounts
+        self._revision = configuration.revision
+        targets = configuration.targets.values()
+        self._zones = tuple(sorted({target.zone for target in targets}))
+        for account in self._specs:
+            if account not in self._slots:
+                self._slots_made += 1
+                asker = f"{self._vm}/{self._nonce}/{self._slots_made}"
+                self._slots[account] = Slot(now, account, asker)
+        for account in [name for name in self._slots if name not in self._specs]:
+            del self._slots[account]
+        self._update_offices(now, out)
+
+    def reserve(self, now, account, tokens, out, retry=False):
+        """Reserve tokens before a request is queued or sent.
+
+        Parameters
+        ----------
+        now : float
+        account : str
+        tokens : float
+            Upper bound of what the request can use.
+        out : Outbox
+        retry : bool
+            Whether the same request was refused here a moment ago.
+
+        Returns
+        -------
+        Reservation or Shortage
+        """
+        slot = self._slots.get(account)
+        if slot is None:
+            return Shortage("unknown-account", 0.0)
+        self._advance(now, slot, out)
+        if not retry:
+            slot.note_attempt(tokens)
+        self._last_id += 1
+        if slot.bucket.reserve(self._last_id, tokens):
+            reservation = Reservation(self._last_id, account, tokens)
+            self._reservations[self._last_id] = reservation
+            out.log(
+                events.ADMITTED,
+                account=account,
+                reservation=reservation.reservation_id,
+                tokens=tokens,
+            )
+            if slot.ask_due(now, self._period_s):
+                self._ask(now, slot, out)
+            return reservation
+        return self._refuse(now, slot, tokens, out)
+
+    def settle(self, now, reservation_id, used_tokens, out):
+        """Close a reservation with what the request used; a repeat does nothing."""
+        reservation = self._reservations.pop(reservation_id, None)
+        if reservation is None:
+            return
+        slot = self._slots.get(reservation.account)
+        if slot is None:
+            return
+        self._advance(now, slot, out)
+        slot.bucket.settle(reservation_id, reservation.tokens, used_tokens)
+        slot.note_attempt(used_tokens - reservation.tokens)
+
+    def tick(self, now, out):
+        """Renew leases and loans, and look after the homes of this VM."""
+        self._update_period(now)
+        self._update_offices(now, out)
+        for office in self._offices.values():
+            self._tick_office(now, office, out)
+        for slot in self._slots.values():
+            self._advance(now, slot, out)
+            if slot.ask_due(now, self._period_s):
+                self._ask(now, slot, out)
+
+    def receive(self, now, sender, message, out):
+        """Take in an :class:`Ask` or a :class:`Grant`."""
+        if isinstance(message, Ask):
+            self._receive_ask(now, message, out)
+        elif isinstance(message, Grant):
+            self._receive_grant(now, sender, message, out)
+
+    def platform_result(self, now, result, out):
+        """Take in the result of a call about a zone's part of a limit."""
+        for account, office in self._offices.items():
+            if office.escrow.result(now, result):
+                self._use_part(now, account, office, out)
+                return
+
+    def status(self, now):
+        """Return what operators see, as plain values by account."""
+        return {
+            name: self._slot_status(now, slot) for name, slot in self._slots.items()
+        }
+
+    def _slot_status(self, now, slot):
+        bucket = slot.bucket
+        status = {
+            "level": bucket.level,
+            "rate": bucket.rate,
+            "cap": bucket.cap,
+            "lease_s": max(0.0, bucket.lapse_at - now),
+            "demand": slot.demand,
+            "home": self._roles.holder(limit_home(slot.account, self._zone)),
+        }
+        office = self._offices.get(slot.account)
+        if office is not None:
+            home = office.home
+            status["zone"] = {
+                "part": list(home.part),
+                "recorded": list(office.escrow.recorded),
+                "level": home.level,
+                "recovery_s": max(0.0, home.recover_until - now),
+                "leases": {name: list(held) for name, held in home.leases.items()},
+                "loans": {z: list(loan[:2]) for z, loan in home.loans.items()},
+            }
+        return status
+
+    def _advance(self, now, slot, out):
+        epoch = slot.epoch
+        if slot.advance(now):
+            out.log(events.LEASE_LAPSED, account=slot.account, epoch=epoch)
+
+    def _refuse(self, now, slot, tokens, out):
+        spec = self._specs[slot.account]
+        if tokens > spec.burst:
+            shortage = Shortage("larger-than-burst", 0.0)
+        else:
+            slot.short = max(slot.short, tokens)
+            if slot.ask_due(now, self._period_s):
+                self._ask(now, slot, out)
+            shortage = slot.shortage(now, tokens, self._period_s)
+        out.log(
+            events.TOKENS_REFUSED,
+            account=slot.account,
+            tokens=tokens,
+            reason=shortage.reason,
+            retry_after_s=shortage.retry_after_s,
+        )
+        return shortage
+
+    def _ask(self, now, slot, out):
+        jitter = self._rng.uniform(0.85, 1.0)
+        ask = slot.make_ask(now, self._zone, self._vm, self._period_s, jitter)
+        self._route_ask(now, ask, out)
+
+    def _route_ask(self, now, ask, out):
+        role = limit_home(ask.account, ask.zone)
+        if ask.zone == self._zone and self._roles.holds(role):
+            self._receive_ask(now, ask, out)
+            return
+        holder = self._roles.holder(role)
+        if holder and holder != self._vm:
+            out.send(holder, ask)
+        elif ask.zone != self._zone:
+            peers = [member.vm for member in self._members.live(ask.zone)]
+            if peers:
+                out.send(self._rng.choice(peers), ask)
+
+    def _receive_ask(self, now, ask, out):
+        role = limit_home(ask.account, ask.zone)
+        if ask.zone != self._zone:
+            return
+        if not self._roles.holds(role):
+            if ask.hops < MAX_HOPS:
+                self._route_ask(now, ask._replace(hops=ask.hops + 1), out)
+            return
+        self._update_offices(now, out)
+        office = self._offices.get(ask.account)
+        if office is None:
+            return
+        recovering = office.home.recovering(now)
+        nodes = len(self._members.live(self._zone))
+        grant = office.home.answer(now, ask, nodes)
+        if grant is None:
+            return
+        _log_grant(ask, grant, recovering, self._zone, out)
+        if ask.reply_to == self._vm:
+            self._receive_grant(now, self._vm, grant, out)
+        else:
+            out.send(ask.reply_to, grant)
+
+    def _receive_grant(self, now, sender, grant, out):
+        slot = self._slots.get(grant.account)
+        if slot is not None and slot.take_grant(now, grant):
+            out.log(
+                events.LEASE_TAKEN,
+                account=grant.account,
+                epoch=grant.epoch,
+                rate=grant.rate,
+                cap=grant.cap,
+                credit=grant.credit,
+            )
+            return
+        office = self._offices.get(grant.account)
+        if office is None:
+            return
+        zone = office.borrower.take_grant(now, office.home, grant)
+        if zone is not None:
+            out.log(
+                events.LOAN_TAKEN,
+                account=grant.account,
+                zone=zone,
+                rate=grant.rate,
+                cap=grant.cap,
+                credit=grant.credit,
+            )
+
+    def _update_period(self, now):
+        if self._next_period_at is not None and now < self._next_period_at:
+            return
+        self._next_period_at = now + IDLE_CHECK_S
+        nodes = len(self._members.live(self._zone))
+        period_s = nodes / MAX_ASKS_PER_S
+        self._period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, period_s))
+
+    def _update_offices(self, now, out):
+        """Start and end homes as the roles of this VM change."""
+        for account, office in list(self._offices.items()):
+            role = limit_home(account, self._zone)
+            same = office.number == self._roles.number(role)
+            if account in self._specs and same and self._roles.holds(role):
+                continue
+            del self._offices[account]
+            out.log(events.HOME_ENDED, account=account, epoch=office.home.epoch)
+        for account in self._specs:
+            role = limit_home(account, self._zone)
+            if account not in self._offices and self._roles.holds(role):
+                self._start_office(now, account, self._roles.number(role), out)
+
+    def _start_office(self, now, account, number, out):
+        epoch = f"{number}/{self._nonce}/{self._rng.getrandbits(32):08x}"
+        office = _Office(now, account, self._zone, epoch, number)
+        self._offices[account] = office
+        out.log(
+            events.HOME_STARTED,
+            account=account,
+            epoch=epoch,
+            recovery_s=office.home.recover_until - now,
+        )
+
+    def _tick_office(self, now, office, out):
+        home = office.home
+        home.advance(now)
+        if now >= office.next_idle_check:
+            office.next_idle_check = now + IDLE_CHECK_S
+            home.forget_idle(now)
+        spec = self._specs[home.account]
+        limit = (spec.rate, spec.burst)
+        target = zone_part(spec, self._zone, self._zones)
+        office.escrow.configure(now, self._revision, limit, target)
+        self._use_part(now, home.account, office, out)
+        office.escrow.tick(
+            now, lambda part: not home.recovering(now) and home.fits(part), out
+        )
+        zones = [zone for zone in self._other_zones(spec) if zone != self._zone]
+        for ask in office.borrower.asks(now, self._vm, home, limit, zones):
+            self._route_ask(now, ask, out)
+
+    def _other_zones(self, spec):
+        return [zone for zone, _ in spec.zone_fractions] or self._zones
+
+    def _use_part(self, now, account, office, out):
+        if office.escrow.first_home:
+            office.home.end_recovery(now)
+        part = office.escrow.usable
+        if part == office.home.part:
+            return
+        office.home.set_part(now, part)
+        out.log(
+            events.PART_CHANGED,
+            account=account,
+            rate=part[0],
+            cap=part[1],
+            revision=self._revision,
+        )
+
+
+def _log_grant(ask, grant, recovering, zone, out):
+    fields = {"account": ask.account, "asker": ask.asker, "rate": grant.rate}
+    fields["cap"] = grant.cap
+    if recovering:
+        out.log(events.LEASE_ADOPTED, **fields)
+    elif ask.asker_zone != zone:
+        fields.update(zone=ask.asker_zone, credit=grant.credit)
+        out.log(events.LOAN_GRANTED, **fields)
+    else:
+        out.log(events.LEASE_GRANTED, credit=grant.credit, **fields)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -0,0 +1,358 @@
+"""Limit systems of several VMs over a fake network, platform and set of roles.
+
+Events run in order of time from a heap. An exact oracle counts each request by
+the tokens it used at the moment it was admitted: an ideal bucket with the whole
+limit, from which they are taken, must never go below zero.
+"""
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from hibiscusspar.config.model import AccountSpec, TargetSpec, empty_configuration
+from hibiscusspar.limits.escrow import KIND
+from hibiscusspar.limits.node import Reservation
+from hibiscusspar.limits.system import LimitSystem
+from hibiscusspar.outbox import Outbox, PlatformResult
+from hibiscusspar.ports import Member
+
+TOLERANCE = 1e-6
+
+
+def configuration(accounts, zones, revision=1):
+    targets = {z: TargetSpec(z, "s", "127.0.0.1:1", z) for z in zones}
+    table = {account.name: account for account in accounts}
+    return empty_configuration()._replace(
+        revision=revision, accounts=table, targets=targets
+    )
+
+
+def account(name="yard", rate=100.0, burst=400.0, zones=("a", "b")):
+    fractions = tuple((zone, 1.0 / len(zones)) for zone in zones)
+    return AccountSpec(name, rate, burst, zone_fractions=fractions)
+
+
+class Oracle:
+    """The ideal bucket of one account over the whole fleet."""
+
+    def __init__(self, limit):
+        self._limits = [(0.0, *limit)]
+        self._admitted = {}
+
+    def set_limit(self, now, limit):
+        if self._limits[-1][1:] != limit:
+            self._limits.append((now, *limit))
+
+    def admit(self, key, now, tokens):
+        self._admitted[key] = (now, tokens)
+
+    def settle(self, key, used):
+        self._admitted[key] = (self._admitted[key][0], used)
+
+    @property
+    def total(self):
+        return sum(tokens for _, tokens in self._admitted.values())
+
+    def lowest(self):
+        """Return the lowest level that the ideal bucket ever had."""
+        events = [(at, 1, tokens, 0.0) for at, tokens in self._admitted.values()]
+        events += [(at, 0, rate, cap) for at, rate, cap in self._limits]
+        rate, cap, level, last = 0.0, float("inf"), None, 0.0
+        lowest = float("inf")
+        for at, is_admission, first, second in sorted(events):
+            if level is not None:
+                level = min(cap, level + rate * (at - last))
+            last = at
+            if is_admission:
+                level -= first
+                lowest = min(lowest, level)
+            else:
+                rate, cap = first, second
+                level = cap if level is None else min(cap, level)
+        return lowest
+
+
+class _View:
+    """What one VM sees of members and roles."""
+
+    def __init__(self, world, vm, zone):
+        self._world = world
+        self.vm = vm
+        self.zone = zone
+
+    def live(self, zone=""):
+        return self._world.live(zone)
+
+    def suspected(self, vm):
+        return False
+
+    def want(self, names):
+        pass
+
+    def holder(self, name):
+        if name.split("/")[1] != self.zone:
+            return ""
+        return self._world.roles.get(name, ("", 0))[0]
+
+    def number(self, name):
+        return self._world.roles.get(name, ("", 0))[1]
+
+    def holds(self, name):
+        return self.holder(name) == self.vm
+
+
+class Vm:
+    """One VM, its clock and its process."""
+
+    def __init__(self, name, zone, offset, drift):
+        self.name = name
+        self.zone = zone
+        self.offset = offset
+        self.drift = drift
+        self.system = None
+        self.paused = False
+        self.life = 0
+        self.held_back = []
+        self.sent = 0
+        self.sent_messages = 0
+
+    def clock(self, now):
+        return self.offset + now * (1.0 + self.drift)
+
+
+class World:
+    """VMs by zone with the given accounts.
+
+    ``chance`` maps ``"lose"``, ``"double"`` and ``"late"`` to probabilities.
+    """
+
+    def __init__(self, sizes, accounts, seed=0, latency_s=0.001, tick_s=0.1):
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.vms = {}
+        self.roles = {}
+        self.objects = {}
+        self.cuts = set()
+        self.platform_up = True
+        self.chance = {"lose": 0.0, "double": 0.0, "late": 0.0}
+        self.late_s = 20.0
+        self.platform_lost = 0.0
+        self.refused = 0
+        self.admitted = 0
+        self.on_send = None
+        self._latency_s = latency_s
+        self._tick_s = tick_s
+        self._heap = []
+        self._order = count()
+        self._version = 0
+        self._keys = count()
+        self.open = {}
+        self.configuration = configuration(accounts, sizes)
+        self.oracles = {a.name: Oracle((a.rate, a.burst)) for a in accounts}
+        for zone, size in sizes.items():
+            for index in range(size):
+                self.add_vm(f"{zone}{index}", zone)
+        self.assign_roles()
+
+    def live(self, zone=""):
+        return [
+            Member(vm.name, vm.zone, "")
+            for vm in self.vms.values()
+            if not zone or vm.zone == zone
+        ]
+
+    def add_vm(self, name, zone):
+        offset = self.rng.uniform(0.0, 1e5)
+        vm = Vm(name, zone, offset, self.rng.uniform(-4e-4, 4e-4))
+        self.vms[name] = vm
+        self.start_process(name)
+        self.schedule(self.rng.uniform(0.0, self._tick_s), self._tick, name, vm)
+
+    def start_process(self, name):
+        """Start the process of a VM anew; all it knew is lost."""
+        vm = self.vms[name]
+        vm.life += 1
+        vm.paused = False
+        vm.held_back = []
+        rng = Random(self.rng.getrandbits(64))
+        view = _View(self, name, vm.zone)
+        vm.system = LimitSystem(name, vm.zone, view, view, rng)
+        out = Outbox()
+        vm.system.configure(vm.clock(self.now), self.configuration, out)
+        self._carry_out(vm, out)
+
+    def remove_vm(self, name):
+        """Take a VM away for good; the platform's list no longer shows it."""
+        del self.vms[name]
+        self.assign_roles()
+
+    def pause(self, name):
+        self.vms[name].paused = True
+
+    def resume(self, name):
+        vm = self.vms[name]
+        vm.paused = False
+        held, vm.held_back = vm.held_back, []
+        for function, args in held:
+            function(*args)
+
+    def publish(self, accounts, zones=None):
+        zones = zones or sorted({vm.zone for vm in self.vms.values()})
+        revision = self.configuration.revision + 1
+        self.configuration = configuration(accounts, zones, revision)
+        for vm in self.vms.values():
+            self._run(vm, vm.life, self._configure, vm, self.configuration)
+        self._update_limits()
+
+    def assign_roles(self):
+        """Give roles without a VM to another one of the zone, if it can take them."""
+        for zone in sorted({vm.zone for vm in self.vms.values()}):
+            if not self.platform_up or zone in self.cuts:
+                continue
+            names = sorted(
+                vm.name for vm in self.vms.values() if vm.zone == zone and not vm.paused
+            )
+            for index, name in enumerate(sorted(self.configuration.accounts)):
+                role = f"limit-home/{zone}/{name}"
+                holder, number = self.roles.get(role, ("", 0))
+                if holder not in self.vms and names:
+                    chosen = names[(index + number) % len(names)]
+                    self.roles[role] = (chosen, number + 1)
+
+    def request(self, vm_name, account, tokens, used=None, lasts_s=0.0):
+        """Reserve for one request on a VM; return what the system answered."""
+        vm = self.vms.get(vm_name)
+        if vm is None or vm.paused:
+            return None
+        out = Outbox()
+        answer = vm.system.reserve(vm.clock(self.now), account, tokens, out)
+        self._carry_out(vm, out)
+        if not isinstance(answer, Reservation):
+            self.refused += 1
+            return answer
+        self.admitted += 1
+        key = next(self._keys)
+        self.oracles[account].admit(key, self.now, tokens)
+        if used is not None:
+            args = (vm, key, account, answer.reservation_id, used)
+            self.schedule(lasts_s, self._run, vm, vm.life, self._settle, *args)
+        return answer
+
+    def run(self, duration_s):
+        """Run all events of the next seconds."""
+        end = self.now + duration_s
+        while self._heap and self._heap[0][0] <= end:
+            at, _, function, args = heappop(self._heap)
+            self.now = at
+            function(*args)
+        self.now = end
+
+    def schedule(self, delay_s, function, *args):
+        heappush(self._heap, (self.now + delay_s, next(self._order), function, args))
+
+    def over_admitted(self):
+        """Return by how many tokens the worst account went beyond its limit."""
+        lowest = min(oracle.lowest() for oracle in self.oracles.values())
+        return max(0.0, -lowest)
+
+    def _tick(self, name, vm):
+        if self.vms.get(name) is not vm:
+            return
+        if not vm.paused:
+            out = Outbox()
+            vm.system.tick(vm.clock(self.now), out)
+            self._carry_out(vm, out)
+        self.schedule(self._tick_s, self._tick, name, vm)
+
+    def _run(self, vm, life, function, *args):
+        """Run something in a VM's process, after its pause, if it still lives."""
+        if self.vms.get(vm.name) is not vm or vm.life != life:
+            return
+        if vm.paused:
+            vm.held_back.append((self._run, (vm, life, function, *args)))
+            return
+        function(*args)
+
+    def _configure(self, vm, configuration):
+        out = Outbox()
+        vm.system.configure(vm.clock(self.now), configuration, out)
+        self._carry_out(vm, out)
+
+    def _settle(self, vm, key, account, reservation_id, used):
+        out = Outbox()
+        vm.system.settle(vm.clock(self.now), reservation_id, used, out)
+        self.oracles[account].settle(key, used)
+        self._carry_out(vm, out)
+
+    def _carry_out(self, vm, out):
+        peers = set()
+        for send in out.sends:
+            peers.add(send.peer)
+            self._transmit(vm, send.peer, send.message)
+        vm.sent += len(peers)
+        vm.sent_messages += len(out.sends)
+        for call in out.calls:
+            self.schedule(self._latency_s, self._platform, vm, vm.life, call)
+
+    def _transmit(self, vm, peer, message):
+        if self.on_send is not None:
+            self.on_send(vm, peer, message)
+        copies = 0 if self.rng.random() < self.chance["lose"] else 1
+        copies += self.rng.random() < self.chance["double"]
+        for _ in range(copies):
+            late = self.rng.random() < self.chance["late"]
+            delay_s = self._latency_s * self.rng.uniform(0.5, 1.5)
+            delay_s += self.rng.uniform(0.0, self.late_s) if late else 0.0
+            self.schedule(delay_s, self._deliver, vm.name, vm.zone, peer, message)
+
+    def _deliver(self, sender, zone, peer, message):
+        vm = self.vms.get(peer)
+        if vm is None:
+            return
+        if zone != vm.zone and (zone in self.cuts or vm.zone in self.cuts):
+            return
+        self._run(vm, vm.life, self._receive, vm, sender, message)
+
+    def _receive(self, vm, sender, message):
+        out = Outbox()
+        vm.system.receive(vm.clock(self.now), sender, message, out)
+        self._carry_out(vm, out)
+
+    def _platform(self, vm, life, call):
+        reached = self.platform_up and vm.zone not in self.cuts
+        result = PlatformResult(call.call_id, "refused")
+        if reached:
+            result = self._apply(call)
+            if self.rng.random() < self.platform_lost:
+                result = PlatformResult(call.call_id, "unknown")
+        self.schedule(
+            self._latency_s, self._run, vm, life, self._platform_result, vm, result
+        )
+
+    def _apply(self, call):
+        value, version = self.objects.get(call.name, (None, 0))
+        if call.kind != KIND:
+            raise AssertionError(f"unexpected kind {call.kind}")
+        if call.operation == "get":
+            outcome = "ok" if version else "missing"
+            return PlatformResult(call.call_id, outcome, value, version)
+        if version != call.version:
+            return PlatformResult(call.call_id, "conflict", None, version)
+        self._version += 1
+        self.objects[call.name] = (call.value, self._version)
+        self._update_limits()
+        return PlatformResult(call.call_id, "ok", None, self._version)
+
+    def _platform_result(self, vm, result):
+        out = Outbox()
+        vm.system.platform_result(vm.clock(self.now), result, out)
+        self._carry_out(vm, out)
+
+    def _update_limits(self):
+        """Put the limit in force: as configured, or as recorded if that is more."""
+        for name, spec in self.configuration.accounts.items():
+            value, _ = self.objects.get(name, ({"parts": {}}, 0))
+            parts = value["parts"].values()
+            rate = max(spec.rate, sum(part[0] for part in parts))
+            cap = max(spec.burst, sum(part[1] for part in parts))
+            self.oracles[name].set_limit(self.now, (rate, cap))
