Route on grants, order loads and evictions as the owner of a target

Cause: requests for tens of thousands of adapters have to find one of few slots, and an adapter that serves requests must never be evicted. Change: the package hibiscusspar.placement with the system PlacementSystem. Owners divide a target's concurrency into absolute grants that are acknowledged, recalled and resent; nodes dispatch on the grants they hold and ask for more; loads take permits of the weight store, which are granted the same way by zone.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/declared.py
@@ -0,0 +1,36 @@
+"""What the configuration declares for placement: targets, stores and roles."""
+
+from hibiscusspar.placement.permits import store_specs
+from hibiscusspar.ports import target_owner
+
+__all__ = ["engine_targets", "longest_deadline", "owned_specs", "role_names"]
+
+
+def engine_targets(configuration):
+    """Return the targets of all engine services by name."""
+    services = configuration.services
+    return {
+        name: spec
+        for name, spec in configuration.targets.items()
+        if spec.service in services and services[spec.service].kind == "engine"
+    }
+
+
+def owned_specs(configuration):
+    """Return all that has an owner: engine targets and stores of permits."""
+    engines = engine_targets(configuration)
+    if not engines:
+        return {}
+    zones = [spec.zone for spec in engines.values()]
+    return {**engines, **store_specs(configuration, zones)}
+
+
+def role_names(configuration, zone):
+    """Return the roles that the nodes of a zone must hold between them."""
+    specs = owned_specs(configuration)
+    return sorted(target_owner(n) for n, spec in specs.items() if spec.zone == zone)
+
+
+def longest_deadline(configuration):
+    """Return the longest time in seconds that a request may run."""
+    return max((r.deadline_s for r in configuration.routes.values()), default=30.0)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/ledger.py
@@ -0,0 +1,277 @@
+"""Grants as the owner of a target sees them: who may run how much of what."""
+
+from hibiscusspar.placement.divide import divide
+from hibiscusspar.placement.messages import Grant
+
+__all__ = ["Ledger", "Share"]
+
+RESEND_S = 0.5
+RESEND_MAX_S = 8.0
+WANT_TTL_S = 3.0
+TURN_S = 1.0
+
+
+class Share:
+    """What one node was granted of one label.
+
+    ``bound`` is the most that the node may have running as far as the owner knows:
+    it rises when a grant is sent and falls only by an acknowledgement.
+    """
+
+    __slots__ = (
+        "bound",
+        "expires",
+        "level",
+        "resend_at",
+        "resend_s",
+        "serial",
+        "served_at",
+        "want",
+        "want_at",
+    )
+
+    def __init__(self):
+        self.level = 0
+        self.bound = 0
+        self.serial = 0
+        self.want = 0
+        self.want_at = 0.0
+        self.resend_at = 0.0
+        self.resend_s = RESEND_S
+        self.served_at = 0.0
+        self.expires = None
+
+
+class Ledger:
+    """Shares of one target's concurrency.
+
+    Parameters
+    ----------
+    target : str
+    term : (int, int)
+        Number and life of the owner.
+    capacity : int
+        Units of concurrency that the target runs at a time.
+    spare : int
+        Units given beyond a node's wish while nobody else wants them.
+    """
+
+    def __init__(self, target, term, capacity, spare=1):
+        self.target = target
+        self.term = term
+        self.capacity = capacity
+        self._spare = spare
+        self.shares = {}
+        self.nodes = {}
+        self.asked_at = {}
+        self._dirty = True
+        self._unacked = set()
+        self._wanting = set()
+        self._expiring = set()
+        self._serial = 0
+
+    def pinned(self, label):
+        """Return whether any node may still run something on the label."""
+        return any(s.bound for (name, _), s in self.shares.items() if name == label)
+
+    def used_units(self):
+        """Return the units that nodes may have running now."""
+        return sum(share.bound for share in self.shares.values())
+
+    def wants(self):
+        """Return label to units wanted, over all nodes."""
+        totals = {}
+        for label, node in self._wanting:
+            share = self.shares[label, node]
+            totals[label] = totals.get(label, 0) + share.want
+        return totals
+
+    def ask(self, now, node, label, want):
+        """Note how many units a node wants of a label."""
+        share = self._ensure(node, label)
+        share.want_at = now
+        if share.want != want:
+            share.want = want
+            self._dirty = True
+        self._note_want((label, node), share)
+
+    def bind(self, now, holdings, node, hold_s):
+        """Take in what a node holds; return whether an earlier life was orphaned."""
+        before = self.nodes.get(node)
+        if before is not None and holdings.node_life < before:
+            return False
+        if before == holdings.node_life:
+            return False
+        self.nodes[node] = holdings.node_life
+        self._dirty = True
+        orphaned = before is not None and self.orphan(now, node, hold_s)
+        for label, bound in holdings.held:
+            share = self._ensure(node, label)
+            share.level = share.bound = bound
+        return orphaned
+
+    def orphan(self, now, node, hold_s):
+        """Keep what a lost holder had bound for ``hold_s`` seconds only."""
+        lost = [key for key in self.shares if key[1] == node]
+        found = False
+        for key in lost:
+            share = self._drop(key)
+            if not share.bound:
+                continue
+            found = True
+            self._serial += 1
+            share.expires = now + hold_s
+            share.level = share.want = 0
+            kept = (key[0], f"{node}#{self._serial}")
+            self.shares[kept] = share
+            self._expiring.add(kept)
+        return found
+
+    def acknowledge(self, node, message):
+        """Take in a :class:`Held`; return whether it was of use."""
+        key = (message.label, node)
+        share = self.shares.get(key)
+        if share is None or message.serial != share.serial:
+            return False
+        share.bound = min(share.bound, message.bound)
+        share.want = message.want
+        self._unacked.discard(key)
+        self._note_want(key, share)
+        self._dirty = True
+        if not (share.level or share.bound or share.want):
+            self._drop(key)
+        return True
+
+    def rebalance(self, now, grantable, incarnation):
+        """Divide the units anew if anything changed and return the grants to send.
+
+        Parameters
+        ----------
+        now : float
+        grantable : callable
+            Whether units of a (label, node) may be raised now.
+        incarnation : str
+
+        Returns
+        -------
+        list of (str, Grant)
+        """
+        self._expire(now)
+        sends = []
+        if self._dirty:
+            self._dirty = False
+            sends = self._apply(now, grantable, incarnation)
+        return sends + self._resend(now, incarnation)
+
+    def touch(self):
+        """Have the units divided anew at the next call of :meth:`rebalance`."""
+        self._dirty = True
+
+    def _apply(self, now, grantable, incarnation):
+        levels = self._levels(now, grantable)
+        sends = []
+        used = self.used_units()
+        for key, share in list(self.shares.items()):
+            if share.expires is not None:
+                continue
+            level = levels.get(key, 0)
+            if level > share.level:
+                room = self.capacity - used + share.bound
+                level = max(share.level, min(level, room))
+            if level != share.level:
+                used += max(level, share.bound) - share.bound
+                sends.append((key[1], self._send(now, key, level, incarnation)))
+        return sends
+
+    def _levels(self, now, grantable):
+        kept = sum(s.bound for s in self.shares.values() if s.expires is not None)
+        open_shares = {
+            key: share
+            for key, share in self.shares.items()
+            if share.expires is None and grantable(*key)
+        }
+
+        def turn(key):
+            share = open_shares[key]
+            in_turn = share.level > 0 and now - share.served_at < TURN_S
+            return (not in_turn, share.served_at, key)
+
+        capacity = self.capacity - kept
+        wanted = {key: share.want for key, share in open_shares.items()}
+        levels = divide(capacity, wanted, turn)
+        left = capacity - sum(levels.values())
+        order = sorted(open_shares, key=turn)
+        left = _top_up(levels, order, left, lambda key: open_shares[key].level)
+        _top_up(levels, order, left, lambda key: self._goal(open_shares[key]))
+        return levels
+
+    def _goal(self, share):
+        return max(share.level, share.want + self._spare if share.want else 0)
+
+    def _send(self, now, key, level, incarnation):
+        share = self.shares[key]
+        if level > share.level:
+            share.served_at = now
+        share.level = level
+        share.bound = max(share.bound, level)
+        share.resend_s = RESEND_S
+        self._unacked.add(key)
+        return self._grant(now, key, incarnation)
+
+    def _grant(self, now, key, incarnation):
+        label, node = key
+        share = self.shares[key]
+        share.resend_at = now + share.resend_s
+        share.resend_s = min(2 * share.resend_s, RESEND_MAX_S)
+        self._serial += 1
+        share.serial = self._serial
+        life = self.nodes[node]
+        return Grant(
+            self.target, label, *self.term, life, share.serial, share.level, incarnation
+        )
+
+    def _resend(self, now, incarnation):
+        sends = []
+        for key in sorted(self._unacked):
+            if now >= self.shares[key].resend_at:
+                sends.append((key[1], self._grant(now, key, incarnation)))
+        return sends
+
+    def _expire(self, now):
+        for key in sorted(self._expiring):
+            if now >= self.shares[key].expires:
+                self._drop(key)
+                self._dirty = True
+        for key in sorted(self._wanting):
+            share = self.shares[key]
+            if now - share.want_at > WANT_TTL_S and share.want > share.bound:
+                share.want = share.bound
+                self._note_want(key, share)
+                self._dirty = True
+
+    def _note_want(self, key, share):
+        if share.want:
+            self._wanting.add(key)
+        else:
+            self._wanting.discard(key)
+
+    def _ensure(self, node, label):
+        share = self.shares.get((label, node))
+        if share is None:
+            share = self.shares[label, node] = Share()
+        return share
+
+    def _drop(self, key):
+        self._unacked.discard(key)
+        self._wanting.discard(key)
+        self._expiring.discard(key)
+        return self.shares.pop(key)
+
+
+def _top_up(levels, order, left, goal):
+    for key in order:
+        extra = min(left, max(0, goal(key) - levels.get(key, 0)))
+        if extra:
+            levels[key] = levels.get(key, 0) + extra
+            left -= extra
+    return left
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/owned.py
@@ -0,0 +1,204 @@
+"""One target as its owner sees it."""
+
+from hibiscusspar.placement.demand import DemandTable
+from hibiscusspar.placement.ledger import Ledger
+from hibiscusspar.placement.loads import after_failure
+from hibiscusspar.placement.residency import Row
+
+__all__ = ["SETTLE_S", "OwnedTarget"]
+
+HALF_LIFE_S = 300.0
+DEMAND_ROWS = 512
+SETTLE_S = 2.0
+STATE_LAG_S = 3.0
+MINOR_PUBLISH_S = 1.0
+
+
+class OwnedTarget:
+    """State of a target that only its owner keeps.
+
+    Parameters
+    ----------
+    spec : TargetSpec
+    term : (int, int)
+        Number and life of this owner.
+    now : float
+        When the role was taken up.
+    spare : int
+        Units granted beyond a node's wish.
+    """
+
+    def __init__(self, spec, term, now, spare=1):
+        self.spec = spec
+        self.term = term
+        self.taken_at = now
+        self.ledger = Ledger(spec.name, term, spec.concurrency, spare)
+        self.demand = DemandTable(HALF_LIFE_S, DEMAND_ROWS)
+        self.resident = {}
+        self.incarnation = ""
+        self.reachable = True
+        self.order = None
+        self.order_at = 0.0
+        self.retry_at = 0.0
+        self.store = ""
+        self.closing = ""
+        self.closing_at = 0.0
+        self.fenced = False
+        self.fence_raised = False
+        self.waiting_since = {}
+        self.avoid = {}
+        self.early = {}
+        self.inquired_at = {}
+        self.sequence = 0
+        self._failures = {}
+        self._evicted_at = {}
+        self._past = set()
+        self._minor = None
+        self._major = None
+        self._published_at = 0.0
+
+    @property
+    def number(self):
+        """Number of the owner's role, sent with every order as its fence."""
+        return self.term[0]
+
+    @property
+    def may_order(self):
+        """Whether the owner knows enough to give orders for new work."""
+        return (
+            bool(self.incarnation)
+            and self.reachable
+            and not self.fenced
+            and not self.spec.draining
+        )
+
+    @property
+    def must_raise_fence(self):
+        """Whether an earlier owner's orders would still be obeyed."""
+        if not self.spec.checks_fencing or self.fence_raised:
+            return False
+        return self.number > 1 and bool(self.resident)
+
+    def settled(self, now):
+        """Return whether no order of an earlier owner can still take effect."""
+        if now - self.taken_at < SETTLE_S:
+            return False
+        return not self.must_raise_fence
+
+    def grantable(self, now):
+        """Return a function that says whether a (label, node) may have units."""
+        settled = self.settled(now)
+
+        def may(label, node):
+            if label not in self.resident or label == self.closing:
+                return False
+            if self.spec.draining or self.fenced:
+                return False
+            share = self.ledger.shares[label, node]
+            return settled or share.level > 0
+
+        return may
+
+    def not_before(self, label):
+        """Return the time before which a label isn't loaded, after failures."""
+        return self._failures.get(label, (0, 0.0))[1]
+
+    def failed(self, now, label):
+        """Note that a load failed and return the delay in seconds."""
+        failures, _ = self._failures.get(label, (0, 0.0))
+        delay = after_failure(failures)
+        self._failures[label] = (failures + 1, now + delay)
+        return delay
+
+    def close(self, now, label):
+        """Stop granting a label that is about to be evicted."""
+        if self.closing != label:
+            self.closing = label
+            self.closing_at = now
+            self.ledger.touch()
+
+    def loaded(self, now, label):
+        """Note that a label is resident."""
+        self.resident[label] = now
+        self._failures.pop(label, None)
+        self.waiting_since.pop(label, None)
+        self.ledger.touch()
+
+    def evicted(self, now, label):
+        """Note that a label was evicted by an order of this owner."""
+        self._evicted_at[label] = now
+        self.gone(label)
+
+    def gone(self, label):
+        """Note that a label is not resident any more."""
+        self.resident.pop(label, None)
+        if self.closing == label:
+            self.closing = ""
+        self.avoid.pop(label, None)
+        self.ledger.touch()
+
+    def restarted(self, incarnation):
+        """Void all residency if the incarnation is new; return whether it was."""
+        before = self.incarnation
+        if incarnation in self._past or incarnation == before:
+            return False
+        self.incarnation = incarnation
+        if not before:
+            return False
+        self._past.add(before)
+        self.resident.clear()
+        self.closing = ""
+        self.avoid.clear()
+        self.ledger.touch()
+        return True
+
+    def reported(self, now, resident):
+        """Bring the residency in line with a report that lags behind."""
+        recent = {k: t for k, t in self._evicted_at.items() if now - t < STATE_LAG_S}
+        self._evicted_at = recent
+        for label in resident:
+            if label not in self.resident and label not in recent:
+                self.loaded(now, label)
+        reported = set(resident)
+        for label, since in list(self.resident.items()):
+            if label not in reported and now - since > STATE_LAG_S:
+                self.gone(label)
+
+    def row(self, now, owner):
+        """Return the :class:`Row` to publish, or None if nothing has changed."""
+        major = (
+            self.incarnation if self.reachable else "",
+            tuple(k for k in self.resident if k != self.closing),
+        )
+        minor = (self._saturated(), self._pressure(now), self._pending())
+        if major == self._major:
+            if minor == self._minor:
+                return None
+            if now - self._published_at < MINOR_PUBLISH_S:
+                return None
+        self._major, self._minor = major, minor
+        self._published_at = now
+        self.sequence += 1
+        return Row(self.spec.name, *self.term, self.sequence, owner, *major, *minor)
+
+    def _saturated(self):
+        wants = self.ledger.wants()
+        levels = {}
+        for (label, _), share in self.ledger.shares.items():
+            levels[label] = levels.get(label, 0) + share.level
+        step = max(1, self.spec.concurrency // 4)
+        return tuple(
+            label
+            for label, want in wants.items()
+            if label in self.resident and want >= levels.get(label, 0) + step
+        )
+
+    def _pressure(self, now):
+        if len(self.resident) < self.spec.slots:
+            return 0.0
+        least = min(self.demand.value(now, label) for label in self.resident)
+        return float(1 << int(1.0 + least).bit_length() - 1)
+
+    def _pending(self):
+        wants = self.ledger.wants()
+        return sum(1 for label in wants if label not in self.resident)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/owners.py
@@ -0,0 +1,384 @@
+"""The targets that this node owns, and the messages and orders of their owner."""
+
+from hibiscusspar.outbox import Order
+from hibiscusspar.placement.events import (
+    ADAPTER_MISSING,
+    EVICT_DONE,
+    EVICT_ORDERED,
+    GRANT_CHANGED,
+    HOLDER_ORPHANED,
+    INCARNATION_CHANGED,
+    LOAD_DONE,
+    LOAD_FAILED,
+    LOAD_ORDERED,
+    OWNER_FENCED,
+    OWNER_STARTED,
+    OWNER_STOPPED,
+    RECALLED,
+)
+from hibiscusspar.placement.loads import next_step, raise_fence
+from hibiscusspar.placement.messages import Failed, Inquiry
+from hibiscusspar.placement.owned import SETTLE_S, OwnedTarget
+from hibiscusspar.placement.permits import STORE_PREFIX
+from hibiscusspar.ports import target_owner
+
+__all__ = ["OwnerTable"]
+
+INQUIRY_S = 1.0
+SWEEP_S = 1.0
+ORDER_RETRY_S = 5.0
+UNKNOWN_RETRY_S = 0.5
+PERMIT_HOLD_S = 30.0
+
+
+class OwnerTable:
+    """Owned targets by name, the stores of permits among them.
+
+    Parameters
+    ----------
+    members : Members
+    roles : Roles
+    post : Post
+    permits : Permits
+    publish : callable
+        Takes (now, row, out) for each row that changed.
+    """
+
+    def __init__(self, members, roles, post, permits, publish):
+        self._members = members
+        self._roles = roles
+        self._post = post
+        self._permits = permits
+        self._publish = publish
+        self._specs = {}
+        self._hold_s = PERMIT_HOLD_S
+        self._swept_at = 0.0
+        self._short = False
+        self.owned = {}
+
+    def configure(self, specs, hold_s):
+        """Replace the targets of this zone; ``hold_s`` outlasts any request."""
+        self._specs = specs
+        self._hold_s = hold_s
+        for name, owned in self.owned.items():
+            spec = specs.get(name)
+            if spec is not None and spec != owned.spec:
+                owned.spec = spec
+                owned.ledger.capacity = spec.concurrency
+                owned.ledger.touch()
+
+    def tick(self, now, out):
+        """Take up and give up roles, then run the planner of each owned target."""
+        for name in self._specs:
+            self._sync(now, name, out)
+        for name in [name for name in self.owned if name not in self._specs]:
+            self._stop(name, out)
+        if now - self._swept_at >= SWEEP_S:
+            self._swept_at = now
+            self._sweep(now, out)
+        for owned in self.owned.values():
+            self._run(now, owned, out)
+        self._want_permits(now)
+
+    def permitted(self, now, out):
+        """Run the planner of the targets that waited for a permit."""
+        for owned in self.owned.values():
+            if owned.waiting_since and owned.order is None:
+                self._run(now, owned, out)
+
+    def take_short(self, now):
+        """Return whether a load found no permit since this was last called."""
+        short, self._short = self._short, False
+        if short:
+            self._want_permits(now)
+        return short
+
+    def want(self, now, sender, message, out):
+        """Take in a :class:`Want`."""
+        owned = self.owned.get(message.target)
+        if owned is None:
+            return
+        if (message.number, message.life) != owned.term:
+            owned.early[sender, message.label] = message.want
+            self._inquire(now, owned, sender, out)
+            return
+        if sender not in owned.ledger.nodes:
+            owned.early[sender, message.label] = message.want
+            self._inquire(now, owned, sender, out)
+            return
+        owned.ledger.ask(now, sender, message.label, message.want)
+        self._run(now, owned, out)
+
+    def held(self, now, sender, message, out):
+        """Take in a :class:`Held`."""
+        owned = self.owned.get(message.target)
+        if owned is None or (message.number, message.life) != owned.term:
+            return
+        if owned.ledger.acknowledge(sender, message):
+            self._run(now, owned, out)
+
+    def holdings(self, now, sender, message, out):
+        """Take in a :class:`Holdings`."""
+        owned = self.owned.get(message.target)
+        if owned is None or (message.number, message.life) != owned.term:
+            return
+        hold_s = self._hold_of(owned)
+        if owned.ledger.bind(now, message, sender, hold_s):
+            self._log_orphan(owned, sender, hold_s, out)
+        for key in [key for key in owned.early if key[0] == sender]:
+            owned.ledger.ask(now, sender, key[1], owned.early.pop(key))
+        self._run(now, owned, out)
+
+    def usage(self, now, message):
+        """Take in a :class:`Usage`."""
+        owned = self.owned.get(message.target)
+        if owned is not None:
+            for label, count in message.counts:
+                owned.demand.add(now, label, count)
+
+    def missing(self, now, message, out):
+        """Take in a :class:`Missing`."""
+        owned = self.owned.get(message.target)
+        if owned is None or message.incarnation != owned.incarnation:
+            return
+        if message.label in owned.resident and owned.order is None:
+            out.log(ADAPTER_MISSING, target=message.target, adapter=message.label)
+            owned.gone(message.label)
+            self._run(now, owned, out)
+
+    def state(self, now, target, incarnation, resident, out):
+        """Take in a report of the target itself."""
+        owned = self.owned.get(target)
+        if owned is None:
+            return
+        if not owned.reachable:
+            owned.reachable = True
+            owned.ledger.touch()
+        self._note_incarnation(now, owned, incarnation, out)
+        if incarnation == owned.incarnation and owned.order is None:
+            owned.reported(now, resident)
+        self._run(now, owned, out)
+
+    def unreachable(self, now, target, out):
+        """Note that the target doesn't answer."""
+        owned = self.owned.get(target)
+        if owned is not None and owned.reachable:
+            owned.reachable = False
+            self._run(now, owned, out)
+
+    def result(self, now, order, ok, reason, incarnation, out):
+        """Take in the outcome of an order.
+
+        ``reason`` is "fenced", "no_slot", "failed" or "unknown" if not ``ok``.
+        """
+        owned = self.owned.get(order.target)
+        if owned is None or owned.order != order:
+            return
+        if not ok and (reason == "unknown" or _failed_evict(order, reason)):
+            owned.retry_at = now + UNKNOWN_RETRY_S
+            return
+        owned.order = None
+        if incarnation:
+            self._note_incarnation(now, owned, incarnation, out)
+        if reason == "fenced" and not ok:
+            owned.fenced = True
+            owned.ledger.touch()
+            out.log(OWNER_FENCED, target=order.target, number=order.fence)
+        elif order.action == "load":
+            self._load_ended(now, owned, order, ok, reason, out)
+        elif ok:
+            owned.evicted(now, _label(order))
+            out.log(EVICT_DONE, target=order.target, adapter=_label(order))
+        self._return_permit(now, owned)
+        self._run(now, owned, out)
+
+    def _load_ended(self, now, owned, order, ok, reason, out):
+        label = _label(order)
+        if ok:
+            owned.fence_raised = True
+            owned.loaded(now, label)
+            seconds = now - owned.order_at
+            out.log(LOAD_DONE, target=order.target, adapter=label, seconds=seconds)
+            return
+        delay = owned.failed(now, label)
+        out.log(
+            LOAD_FAILED,
+            target=order.target,
+            adapter=label,
+            reason=reason,
+            retry_s=delay,
+        )
+        for name, node in sorted(owned.ledger.shares):
+            if name == label and node in owned.ledger.nodes:
+                self._post.send(out, node, Failed(order.target, label, delay))
+
+    def _return_permit(self, now, owned):
+        if owned.store:
+            self._permits.give_back(now, owned.store, owned.order_at)
+            owned.store = ""
+
+    def _note_incarnation(self, now, owned, incarnation, out):
+        before = owned.incarnation
+        if owned.restarted(incarnation):
+            out.log(
+                INCARNATION_CHANGED,
+                target=owned.spec.name,
+                before=before,
+                after=incarnation,
+            )
+
+    def _sync(self, now, name, out):
+        role = target_owner(name)
+        owned = self.owned.get(name)
+        number = self._roles.number(role)
+        holds = self._roles.holds(role)
+        if owned is not None and (not holds or owned.number != number):
+            self._stop(name, out)
+            owned = None
+        if holds and owned is None:
+            self._start(now, name, number, out)
+
+    def _start(self, now, name, number, out):
+        spec = self._specs[name]
+        spare = 0 if name.startswith(STORE_PREFIX) else 1
+        owned = OwnedTarget(spec, (number, int(now * 1000) + 1), now, spare)
+        self.owned[name] = owned
+        out.log(OWNER_STARTED, target=name, number=number)
+        for vm in self._live():
+            self._inquire(now, owned, vm, out)
+
+    def _stop(self, name, out):
+        owned = self.owned.pop(name)
+        if owned.store:
+            self._permits.give_back(owned.order_at + PERMIT_HOLD_S, owned.store, 0.0)
+        out.log(OWNER_STOPPED, target=name, number=owned.number)
+
+    def _sweep(self, now, out):
+        live = self._live()
+        for owned in self.owned.values():
+            for vm in [vm for vm in owned.ledger.nodes if vm not in live]:
+                del owned.ledger.nodes[vm]
+                hold_s = self._hold_of(owned)
+                if owned.ledger.orphan(now, vm, hold_s):
+                    self._log_orphan(owned, vm, hold_s, out)
+                owned.ledger.touch()
+            for vm in live - owned.ledger.nodes.keys():
+                self._inquire(now, owned, vm, out)
+
+    def _log_orphan(self, owned, vm, hold_s, out):
+        out.log(HOLDER_ORPHANED, target=owned.spec.name, node=vm, hold_s=hold_s)
+
+    def _hold_of(self, owned):
+        if owned.spec.name.startswith(STORE_PREFIX):
+            return PERMIT_HOLD_S
+        return self._hold_s
+
+    def _live(self):
+        return {member.vm for member in self._members.live()} | {self._members.vm}
+
+    def _inquire(self, now, owned, vm, out):
+        if now - owned.inquired_at.get(vm, -INQUIRY_S) < INQUIRY_S:
+            return
+        owned.inquired_at[vm] = now
+        message = Inquiry(owned.spec.name, self._members.vm, *owned.term)
+        self._post.send(out, vm, message)
+
+    def _bound(self, owned):
+        return self._live() <= owned.ledger.nodes.keys()
+
+    def _run(self, now, owned, out):
+        if owned.spec.name.startswith(STORE_PREFIX):
+            may = self._store_grantable(now, owned)
+        else:
+            self._plan(now, owned, out)
+            may = owned.grantable(now)
+        for node, grant in owned.ledger.rebalance(now, may, owned.incarnation):
+            out.log(
+                GRANT_CHANGED,
+                target=grant.target,
+                adapter=grant.label,
+                node=node,
+                level=grant.level,
+                reason="demand",
+            )
+            self._post.send(out, node, grant)
+        row = owned.row(now, self._members.vm)
+        if row is not None:
+            self._publish(now, row, out)
+
+    def _store_grantable(self, now, owned):
+        free = owned.settled(now) and self._bound(owned)
+        shares = owned.ledger.shares
+        return lambda label, node: free or shares[label, node].level > 0
+
+    def _plan(self, now, owned, out):
+        if owned.order is not None:
+            if now >= owned.retry_at:
+                owned.retry_at = now + ORDER_RETRY_S
+                out.order(owned.order)
+            return
+        if now - owned.taken_at < SETTLE_S:
+            return
+        step = raise_fence(now, owned) or next_step(
+            now, owned, lambda: self._bound(owned)
+        )
+        if step is None:
+            return
+        if step.action == "load":
+            self._load(now, owned, step, out)
+        elif step.action == "evict":
+            self._evict(now, owned, step, out)
+        else:
+            out.log(
+                RECALLED,
+                target=owned.spec.name,
+                adapter=step.label,
+                reason=step.reason,
+            )
+
+    def _load(self, now, owned, step, out):
+        owned.store = self._permits.take()
+        if not owned.store:
+            self._short = True
+            return
+        self._order(now, owned, "load", step.label, out)
+        out.log(
+            LOAD_ORDERED,
+            target=owned.spec.name,
+            adapter=step.label,
+            candidates=step.candidates,
+            reason=step.reason,
+        )
+
+    def _evict(self, now, owned, step, out):
+        self._order(now, owned, "evict", step.label, out)
+        out.log(
+            EVICT_ORDERED,
+            target=owned.spec.name,
+            adapter=step.label,
+            candidates=step.candidates,
+            reason=step.reason,
+        )
+
+    def _order(self, now, owned, action, label, out):
+        adapter, _, version = label.partition("@")
+        order = Order(owned.spec.name, action, adapter, version, owned.number)
+        owned.order = order
+        owned.order_at = now
+        owned.retry_at = now + ORDER_RETRY_S
+        out.order(order)
+
+    def _want_permits(self, now):
+        short = 0
+        for owned in self.owned.values():
+            if owned.order is None and owned.may_order and owned.waiting_since:
+                short += 1
+        self._permits.want(now, short)
+
+
+def _failed_evict(order, reason):
+    return order.action == "evict" and reason != "fenced"
+
+
+def _label(order):
+    return f"{order.adapter}@{order.version}"
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/residency.py
@@ -0,0 +1,118 @@
+"""What every node knows of every target: rows spread by their owners as deltas."""
+
+from typing import NamedTuple
+
+from xxhash import xxh64_intdigest
+
+__all__ = ["ResidencyTable", "Row", "rendezvous"]
+
+
+class Row(NamedTuple):
+    """One target as its owner last described it.
+
+    ``saturated`` are resident labels whose demand exceeds what the target can run;
+    ``pressure`` is the frequency of the label that would go next, and ``pending``
+    the number of labels waiting to be loaded.
+    """
+
+    target: str
+    number: int
+    life: int
+    sequence: int
+    owner: str
+    incarnation: str
+    resident: tuple[str, ...] = ()
+    saturated: tuple[str, ...] = ()
+    pressure: float = 0.0
+    pending: int = 0
+
+    @property
+    def version(self):
+        """Ordering of rows of one target."""
+        return (self.number, self.life, self.sequence)
+
+
+class ResidencyTable:
+    """Rows by target with an index by label."""
+
+    def __init__(self):
+        self.rows = {}
+        self.digest = 0
+        self._holders = {}
+
+    def holders(self, label):
+        """Return the targets on which a label is resident, as far as is known."""
+        return self._holders.get(label, ())
+
+    def labels(self):
+        """Return all labels that are resident anywhere."""
+        return self._holders.keys()
+
+    def adopt(self, row):
+        """Take in a row if it is newer than the one known; return whether it was."""
+        known = self.rows.get(row.target)
+        if known is not None:
+            if row.version <= known.version:
+                return False
+            self._unlink(known)
+        self._link(row)
+        return True
+
+    def forget(self, target):
+        """Remove the row of a target that is no longer declared."""
+        row = self.rows.get(target)
+        if row is not None:
+            self._unlink(row)
+            del self.rows[target]
+
+    def drop_label(self, target, label):
+        """Stop believing that a label is resident until a newer row says so."""
+        row = self.rows.get(target)
+        if row is None or label not in row.resident:
+            return
+        resident = tuple(name for name in row.resident if name != label)
+        self._unlink(row)
+        self._link(row._replace(resident=resident))
+
+    def versions(self):
+        """Return (target, number, life, sequence) for all rows."""
+        return tuple((r.target, *r.version) for r in self.rows.values())
+
+    def newer_than(self, versions):
+        """Return the rows that are newer than those of another node."""
+        theirs = {target: tuple(rest) for target, *rest in versions}
+        return [
+            row
+            for row in self.rows.values()
+            if row.version > theirs.get(row.target, (0, 0, 0))
+        ]
+
+    def _link(self, row):
+        self.rows[row.target] = row
+        self.digest ^= _version_hash(row)
+        for label in row.resident:
+            self._holders.setdefault(label, set()).add(row.target)
+
+    def _unlink(self, row):
+        self.digest ^= _version_hash(row)
+        for label in row.resident:
+            holders = self._holders.get(label)
+            if holders is None:
+                continue
+            holders.discard(row.target)
+            if not holders:
+                del self._holders[label]
+
+
+def rendezvous(label, names):
+    """Order names by their hash with a label, highest first."""
+
+    def weight(name):
+        return xxh64_intdigest(f"{label}|{name}".encode())
+
+    return sorted(names, key=weight, reverse=True)
+
+
+def _version_hash(row):
+    text = f"{row.target}|{row.number}|{row.life}|{row.sequence}"
+    return xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/system.py
@@ -0,0 +1,292 @@
+"""The placement system: routing on this node and the targets that it owns."""
+
+from hibiscusspar.placement.declared import (
+    engine_targets,
+    longest_deadline,
+    owned_specs,
+    role_names,
+)
+from hibiscusspar.placement.events import VERSION_KEPT
+from hibiscusspar.placement.gossip import Gossip
+from hibiscusspar.placement.holder import HolderTable
+from hibiscusspar.placement.messages import (
+    Digest,
+    Failed,
+    Grant,
+    Held,
+    Holdings,
+    Inquiry,
+    Missing,
+    Rows,
+    Usage,
+    Versions,
+    Want,
+)
+from hibiscusspar.placement.owners import OwnerTable
+from hibiscusspar.placement.permits import Permits
+from hibiscusspar.placement.post import Post
+from hibiscusspar.placement.residency import ResidencyTable
+from hibiscusspar.placement.router import Router
+from hibiscusspar.placement.routing import Dispatch, Refuse, RouteRequest, Wait
+
+__all__ = [
+    "Dispatch",
+    "PlacementSystem",
+    "Refuse",
+    "RouteRequest",
+    "Wait",
+    "role_names",
+]
+
+USAGE_S = 2.0
+
+
+class PlacementSystem:
+    """Routes requests, and places adapters on the targets that this node owns.
+
+    Parameters
+    ----------
+    vm, zone : str
+        This node and its zone.
+    members : Members
+    roles : Roles
+    rng : random.Random
+    now : float
+        Start of the process in seconds of the monotonic clock of its VM.
+    """
+
+    name = "placement"
+
+    def __init__(self, vm, zone, members, roles, rng, now=0.0):
+        self._vm = vm
+        self._zone = zone
+        self._holder = HolderTable(int(now * 1000) + 1)
+        self._residency = ResidencyTable()
+        self._post = Post(vm)
+        self._permits = Permits(zone, self._holder)
+        self._gossip = Gossip(members, self._residency, self._post, rng)
+        self._router = Router(
+            members,
+            roles,
+            rng,
+            self._holder,
+            self._residency,
+            self._permits,
+            self._post,
+        )
+        self._owners = OwnerTable(
+            members, roles, self._post, self._permits, self._publish
+        )
+        self._configuration = None
+        self._stores = []
+        self._prefetched = set()
+        self._usage_at = now
+        self._handlers = _handlers(self)
+
+    def configure(self, now, configuration, out):
+        """Take in a new configuration."""
+        specs = owned_specs(configuration)
+        engines = engine_targets(configuration)
+        self._configuration = configuration
+        self._stores = [name for name in specs if name not in engines]
+        mine = {name: spec for name, spec in specs.items() if spec.zone == self._zone}
+        self._owners.configure(mine, longest_deadline(configuration))
+        self._permits.configure(configuration, self._stores)
+        self._router.configure(configuration)
+        for target in [t for t in self._residency.rows if t not in specs]:
+            self._residency.forget(target)
+        self._drain(now, out)
+
+    def route(self, now, request, out):
+        """Decide on a request; a :class:`Dispatch` takes one unit of concurrency.
+
+        Parameters
+        ----------
+        now : float
+        request : RouteRequest
+        out : Outbox
+
+        Returns
+        -------
+        Dispatch, Wait or Refuse
+            After :class:`Wait`, call again once :meth:`take_ready` names the
+            service and label of the request, or end it with :meth:`finished`.
+        """
+        decision = self._router.attempt(now, request, out)
+        if decision is not None:
+            return decision
+        decision = self._router.wait(now, request, out)
+        if decision is not None:
+            return decision
+        self._drain(now, out)
+        decision = self._router.attempt(now, request, out)
+        return decision or self._router.waited(request, out)
+
+    def finished(self, now, request_id, outcome, out):
+        """End a request, whether it ran or waited; give back its unit."""
+        self._router.finished(now, request_id, out)
+        self._drain(now, out)
+
+    def waiting(self, now, adapter, version, tokens, out):
+        """Set the tokens that wait for an adapter in the queues of this node."""
+        services = [s.name for s in self._services_of(adapter)]
+        self._router.hint(now, f"{adapter}@{version}", services, tokens)
+        self._router.flush(out)
+        self._drain(now, out)
+
+    def take_ready(self):
+        """Return and clear the (service, ``adapter@version``) to route again."""
+        return self._router.take_ready()
+
+    def serving_version(self, now, adapter, out):
+        """Return the version that a request naming only the adapter runs on.
+
+        The current version, unless it is resident nowhere while an earlier one is;
+        the current version is asked for meanwhile.
+        """
+        spec = self._configuration.adapters[adapter]
+        if self._residency.holders(f"{adapter}@{spec.current}"):
+            if adapter in self._prefetched:
+                self._prefetched.discard(adapter)
+                self.waiting(now, adapter, spec.current, 0, out)
+            return spec.current
+        for version in reversed(spec.versions):
+            if self._residency.holders(f"{adapter}@{version}"):
+                self._prefetched.add(adapter)
+                self.waiting(now, adapter, spec.current, 1, out)
+                out.log(
+                    VERSION_KEPT,
+                    adapter=adapter,
+                    version=version,
+                    instead_of=spec.current,
+                )
+                return version
+        return spec.current
+
+    def polls(self):
+        """Return the targets whose state this node has to poll, as their owner."""
+        return [name for name in self._owners.owned if name not in self._stores]
+
+    def resident(self, adapter, version):
+        """Return the targets on which a version is resident, as far as is known."""
+        return sorted(self._residency.holders(f"{adapter}@{version}"))
+
+    def target_state(self, now, target, incarnation, resident, running, queued, out):
+        """Take in a report that a target gave of itself, with a lag."""
+        self._owners.state(now, target, incarnation, resident, out)
+        self._drain(now, out)
+
+    def target_unreachable(self, now, target, out):
+        """Note that a target doesn't answer its owner."""
+        self._owners.unreachable(now, target, out)
+        self._drain(now, out)
+
+    def target_restarted(self, now, target, incarnation, out):
+        """Note that an answer of a target carried a new incarnation."""
+        row = self._residency.rows.get(target)
+        if row is None or row.incarnation in ("", incarnation):
+            return
+        for label in row.resident:
+            self._report_missing(target, label, row.incarnation, out)
+        self._drain(now, out)
+
+    def adapter_missing(self, now, target, adapter, version, incarnation, out):
+        """Note that a target refused an adapter as not resident."""
+        self._report_missing(target, f"{adapter}@{version}", incarnation, out)
+        self._drain(now, out)
+
+    def cache_event(self, now, target, sequence, prefix, kind):
+        """Take in a cache event, which may come late and with gaps."""
+        self._router.prefixes.event(target, sequence, prefix, kind)
+
+    def order_result(self, now, order, ok, reason, incarnation, out):
+        """Take in the outcome of an order.
+
+        ``reason`` is "fenced", "no_slot", "failed" or "unknown" if not ``ok``.
+        """
+        self._owners.result(now, order, ok, reason, incarnation, out)
+        self._drain(now, out)
+
+    def tick(self, now, out):
+        """Run over what has changed since the last tick."""
+        for store in self._permits.rested(now):
+            self._router.give_back(store, "", out)
+        self._owners.tick(now, out)
+        self._router.want_permits(out)
+        self._router.tick(now, out)
+        if now - self._usage_at >= USAGE_S:
+            self._usage_at = now
+            self._send_usage(out)
+        self._drain(now, out)
+        self._gossip.tick(now, out)
+
+    def receive(self, now, sender, message, out):
+        """Take in one message of the VM ``sender``."""
+        self._handlers[type(message)](now, sender, message, out)
+        self._drain(now, out)
+
+    def platform_result(self, now, result, out):
+        """Do nothing: this system calls the platform only through roles."""
+
+    def _drain(self, now, out):
+        for message in self._post.drain():
+            self._handlers[type(message)](now, self._vm, message, out)
+        if self._owners.take_short(now):
+            self._router.want_permits(out)
+            self._drain(now, out)
+
+    def _publish(self, now, row, out):
+        if self._residency.adopt(row):
+            self._gossip.published(row)
+            self._router.seen(now, row)
+            self._router.flush(out)
+
+    def _granted(self, now, sender, message, out):
+        self._router.granted(message, out)
+        if not message.label:
+            self._owners.permitted(now, out)
+
+    def _rows(self, now, sender, message, out):
+        for row in self._gossip.rows(message):
+            self._router.seen(now, row)
+        self._router.flush(out)
+
+    def _services_of(self, adapter):
+        model = self._configuration.adapters[adapter].model
+        services = self._configuration.services.values()
+        return [s for s in services if s.kind == "engine" and s.model == model]
+
+    def _report_missing(self, target, label, incarnation, out):
+        self._residency.drop_label(target, label)
+        owner = self._router.owner_of(target)
+        if owner:
+            self._post.send(out, owner, Missing(target, label, incarnation))
+
+    def _send_usage(self, out):
+        for target, counts in self._router.take_counts().items():
+            owner = self._router.owner_of(target)
+            if owner:
+                message = Usage(target, tuple(counts.items()))
+                self._post.send(out, owner, message)
+
+    def _inquired(self, now, sender, message, out):
+        answer = self._holder.answer_inquiry(message)
+        if answer is not None:
+            self._post.send(out, message.owner, answer)
+
+
+def _handlers(system):
+    owners, gossip, router = system._owners, system._gossip, system._router
+    return {
+        Want: owners.want,
+        Held: owners.held,
+        Holdings: owners.holdings,
+        Missing: lambda now, sender, m, out: owners.missing(now, m, out),
+        Usage: lambda now, sender, m, out: owners.usage(now, m),
+        Grant: system._granted,
+        Failed: lambda now, sender, m, out: router.failed(now, m),
+        Inquiry: system._inquired,
+        Rows: system._rows,
+        Digest: lambda now, sender, m, out: gossip.digest(sender, m, out),
+        Versions: lambda now, sender, m, out: gossip.versions(sender, m, out),
+    }
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement and routing."""
