Add the life of a request, retries, ejection, quarantine and claims

Cause: a refusal that says "not run" must be true, and a request that is not idempotent must run at most once, over all VMs and lost answers. Change: the life as a table of transitions whose outcome is derived; retry rules by cause with a budget; ejection that never takes the last targets; quarantine of bodies spread as rumours; Idempotency-Keys claimed in shards of the platform by conditional update, committed in groups, read back after a lost answer, released if a late write may still land. Conclusion: ready to be wired.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/claims.py
@@ -0,0 +1,383 @@
+"""Claims of Idempotency-Keys in the platform, committed in groups.
+
+A request that is not idempotent and carries an ``Idempotency-Key`` is sent only
+after its key is claimed. All claims of a shard that wait at the same time travel
+in one conditional update, so the number of writes follows the time and the number
+of shards, not the number of requests. A claim is won only once a version of the
+shard is known to hold it: by the answer of the update, or by reading back.
+"""
+
+from typing import NamedTuple
+
+from hibiscusspar.outbox import PlatformCall
+from hibiscusspar.requests.claim_shard import (
+    ANSWERED,
+    CLAIMED,
+    UNKNOWN,
+    Change,
+    Entry,
+    apply_changes,
+    key_digest,
+    parse_shard,
+    shard_of,
+    shard_value,
+)
+from hibiscusspar.requests.events import (
+    CLAIM_DECIDED,
+    CLAIM_SHARD_CONFLICT,
+    CLAIM_SHARD_UNREACHABLE,
+)
+from hibiscusspar.requests.lifecycle import Outcome
+
+__all__ = ["Away", "ClaimPolicy", "Claims", "Earlier", "Mismatch", "Won"]
+
+_KIND = "claims"
+_ID_BITS = 64
+
+
+class ClaimPolicy(NamedTuple):
+    """Settings of claims; times are in seconds.
+
+    Claims of one shard are committed at most every ``commit_interval_s``, ends of
+    requests after ``end_interval_s``. A finished claim is kept for at least
+    ``keep_s``. ``max_entries`` bounds a shard to the size of a platform value.
+    """
+
+    shards: int = 16
+    commit_interval_s: float = 0.1
+    end_interval_s: float = 1.0
+    keep_s: float = 900.0
+    max_entries: int = 5000
+    away_retry_s: float = 2.0
+
+
+class Won(NamedTuple):
+    """The claim is in the platform; the request may be sent once."""
+
+
+class Earlier(NamedTuple):
+    """The key was claimed before; ``state`` and ``status`` tell how that ended."""
+
+    state: str
+    status: int
+
+
+class Mismatch(NamedTuple):
+    """The key was claimed before for another body."""
+
+
+class Away(NamedTuple):
+    """The claim could not be made in time; the request was not run."""
+
+    retry_after_s: float
+
+
+class _Waiting(NamedTuple):
+    claim_id: str
+    account: str
+    key: str
+    body: str
+    deadline: float
+
+
+class _Shard:
+    """What this VM knows of one shard and wants of it."""
+
+    def __init__(self):
+        self.version = None
+        self.entries = {}
+        self.waiting = {}
+        self.ends = {}
+        self.exposed = set()
+        self.call_id = ""
+        self.operation = ""
+        self.written = None
+        self.stale = True
+        self.next_at = 0.0
+        self.conflicts = 0
+        self.seen = {}
+
+
+class Claims:
+    """Claims that this VM waits for or holds.
+
+    Parameters
+    ----------
+    members : hibiscusspar.ports.Members
+    rng : random.Random
+    policy : ClaimPolicy
+    system : str
+        Name of the system to which results of platform calls go back.
+    """
+
+    def __init__(self, members, rng, policy=None, system="requests"):
+        self._members = members
+        self._rng = rng
+        self._policy = policy or ClaimPolicy()
+        self._system = system
+        self._life = self._new_id()
+        self._shards = {}
+        self._calls = {}
+        self._verdicts = {}
+        self._held = {}
+
+    @property
+    def unwritten(self):
+        """Number of claims and ends that the platform does not have yet."""
+        return sum(len(s.waiting) + len(s.ends) for s in self._shards.values())
+
+    def claim(self, now, account, key, body, deadline):
+        """Ask for a key; its verdict comes from :meth:`take_verdicts`.
+
+        Parameters
+        ----------
+        now : float
+        account, key : str
+        body : str
+            Digest of the request body.
+        deadline : float
+            When the verdict is :class:`Away` if nothing else is known.
+
+        Returns
+        -------
+        str
+            Id of the claim.
+        """
+        digest = key_digest(account, key)
+        claim_id = self._new_id()
+        shard = self._shard(digest)
+        entry = shard.entries.get(digest)
+        if entry is not None and entry.state != CLAIMED:
+            self._verdicts[claim_id] = _compare(entry, body)
+            return claim_id
+        shard.stale = shard.stale or entry is not None
+        shard.waiting[claim_id] = _Waiting(claim_id, account, digest, body, deadline)
+        return claim_id
+
+    def finish(self, now, claim_id, outcome, status=0):
+        """Note how the request of a won claim ended; "not run" releases the key."""
+        key, entry = self._held.pop(claim_id)
+        if outcome is Outcome.NOT_RUN:
+            self._end(now, Change(key, claim_id, None))
+            return
+        state = ANSWERED if outcome is Outcome.ANSWERED else UNKNOWN
+        ended = entry._replace(state=state, status=status)
+        self._end(now, Change(key, claim_id, ended))
+
+    def take_verdicts(self):
+        """Return the verdicts since the last call, keyed by id of the claim."""
+        verdicts, self._verdicts = self._verdicts, {}
+        return verdicts
+
+    def tick(self, now, out):
+        """Give up claims past their deadline and start the calls that are due."""
+        for name, shard in self._shards.items():
+            self._expire_waiting(now, shard, out)
+            if not shard.call_id and now >= shard.next_at:
+                self._start(now, name, shard, out)
+
+    def platform_result(self, now, result, out):
+        """Take in the result of a call on a shard."""
+        name = self._calls.pop(result.call_id, None)
+        if name is None:
+            return
+        shard = self._shards[name]
+        operation, shard.call_id = shard.operation, ""
+        shard.next_at = now + self._policy.commit_interval_s
+        if operation == "get":
+            self._read(now, name, shard, result, out)
+        else:
+            self._wrote(now, name, shard, result, out)
+
+    def _shard(self, digest):
+        name = shard_of(digest, self._policy.shards)
+        return self._shards.setdefault(name, _Shard())
+
+    def _new_id(self):
+        return f"{self._rng.getrandbits(_ID_BITS):016x}"
+
+    def _start(self, now, name, shard, out):
+        if not shard.waiting and not self._ends_due(now, shard):
+            return
+        if shard.stale:
+            self._call(name, shard, "get", out)
+            return
+        changes = self._changes(now, shard, out)
+        if not changes:
+            return
+        shard.written = apply_changes(shard.entries, changes)
+        shard.exposed.update(shard.waiting)
+        value = shard_value(shard.written, self._new_id())
+        operation = "update" if shard.version else "create"
+        self._call(name, shard, operation, out, value)
+
+    def _call(self, name, shard, operation, out, value=None):
+        call_id = f"claims-{self._new_id()}"
+        shard.call_id, shard.operation = call_id, operation
+        self._calls[call_id] = name
+        version = shard.version or 0
+        out.call(
+            PlatformCall(self._system, call_id, operation, _KIND, name, value, version)
+        )
+
+    def _changes(self, now, shard, out):
+        ends = [change for change, _ in shard.ends.values()]
+        ends += self._expired(now, shard)
+        kept = apply_changes(shard.entries, ends)
+        room = self._policy.max_entries - len(kept)
+        for waiting in list(shard.waiting.values())[max(room, 0) :]:
+            self._abandon(now, shard, waiting, out)
+        claims = [
+            Change(w.key, w.claim_id, self._entry(w)) for w in shard.waiting.values()
+        ]
+        return ends + claims
+
+    def _expired(self, now, shard):
+        return [
+            Change(key, entry.claim_id, None)
+            for (key, entry), since in shard.seen.items()
+            if now >= since + self._policy.keep_s
+        ]
+
+    def _entry(self, waiting):
+        return Entry(waiting.claim_id, self._members.vm, self._life, waiting.body)
+
+    def _ends_due(self, now, shard):
+        due = (at for _, at in shard.ends.values())
+        return any(now >= at for at in due)
+
+    def _end(self, now, change):
+        shard = self._shard(change.key)
+        due = now + self._policy.end_interval_s
+        shard.ends.setdefault(change.claim_id, (change, due))
+
+    def _read(self, now, name, shard, result, out):
+        if result.outcome not in ("ok", "missing"):
+            self._unreachable(now, name, shard, "get", result.outcome, out)
+            return
+        found = result.outcome == "ok" and result.value is not None
+        shard.version = result.version if found else None
+        shard.entries = parse_shard(result.value) if found else {}
+        shard.stale = False
+        self._settle_with(shard, out)
+        self._mark_orphans(now, shard)
+        self._watch_entries(now, shard)
+        if shard.waiting or shard.ends:
+            shard.next_at = now + self._conflict_delay(shard)
+
+    def _wrote(self, now, name, shard, result, out):
+        if result.outcome == "ok":
+            shard.version = result.version
+            shard.entries = shard.written
+            shard.conflicts = 0
+            shard.exposed.clear()
+            self._drop_written_ends(shard)
+            self._settle_with(shard, out)
+            self._watch_entries(now, shard)
+            return
+        shard.stale = True
+        shard.next_at = now
+        if result.outcome in ("conflict", "missing"):
+            shard.conflicts += 1
+            delay_s = self._conflict_delay(shard)
+            out.log(
+                CLAIM_SHARD_CONFLICT,
+                shard=name,
+                conflicts=shard.conflicts,
+                delay_s=delay_s,
+            )
+        elif result.outcome == "refused":
+            self._unreachable(now, name, shard, "write", "refused", out)
+        # An unknown outcome is resolved by the read that follows at once.
+
+    def _conflict_delay(self, shard):
+        if not shard.conflicts:
+            return 0.0
+        ceiling = self._policy.commit_interval_s * 2 ** min(shard.conflicts, 4)
+        return self._rng.uniform(0, ceiling)
+
+    def _drop_written_ends(self, shard):
+        for claim_id, (change, _) in list(shard.ends.items()):
+            present = shard.entries.get(change.key)
+            gone = present is None or present.claim_id != claim_id
+            if gone or change.entry == present:
+                del shard.ends[claim_id]
+
+    def _settle_with(self, shard, out):
+        """Decide the waiting claims whose keys the platform surely holds."""
+        for waiting in list(shard.waiting.values()):
+            entry = shard.entries.get(waiting.key)
+            if entry is None or self._being_released(shard, entry):
+                continue
+            if entry.claim_id == waiting.claim_id:
+                self._held[waiting.claim_id] = (waiting.key, entry)
+                self._decide(shard, waiting, Won(), out)
+            else:
+                known = self._known(shard, entry)
+                self._decide(shard, waiting, _compare(known, waiting.body), out)
+
+    def _being_released(self, shard, entry):
+        change, _ = shard.ends.get(entry.claim_id, (None, 0.0))
+        return change is not None and change.entry is None
+
+    def _known(self, shard, entry):
+        change, _ = shard.ends.get(entry.claim_id, (None, 0.0))
+        return entry if change is None else change.entry
+
+    def _decide(self, shard, waiting, verdict, out):
+        del shard.waiting[waiting.claim_id]
+        self._verdicts[waiting.claim_id] = verdict
+        out.log(
+            CLAIM_DECIDED,
+            claim_id=waiting.claim_id,
+            account=waiting.account,
+            decision=type(verdict).__name__.lower(),
+        )
+
+    def _unreachable(self, now, name, shard, operation, outcome, out):
+        out.log(
+            CLAIM_SHARD_UNREACHABLE, shard=name, operation=operation, outcome=outcome
+        )
+        shard.stale = True
+        shard.next_at = now + self._policy.away_retry_s
+        for waiting in list(shard.waiting.values()):
+            self._abandon(now, shard, waiting, out)
+
+    def _expire_waiting(self, now, shard, out):
+        for waiting in list(shard.waiting.values()):
+            if now >= waiting.deadline:
+                self._abandon(now, shard, waiting, out)
+
+    def _abandon(self, now, shard, waiting, out):
+        """Refuse a claim; a write still under way may yet bring it, so release it."""
+        self._decide(shard, waiting, Away(self._policy.away_retry_s), out)
+        if waiting.claim_id in shard.exposed:
+            self._end(now, Change(waiting.key, waiting.claim_id, None))
+
+    def _mark_orphans(self, now, shard):
+        """End the claims that an earlier process of this VM left open."""
+        for key, entry in shard.entries.items():
+            mine = entry.vm == self._members.vm and entry.life != self._life
+            if mine and entry.state == CLAIMED:
+                ended = entry._replace(state=UNKNOWN)
+                self._end(now, Change(key, entry.claim_id, ended))
+
+    def _watch_entries(self, now, shard):
+        """Note since when finished claims, and claims of VMs that left, are seen.
+
+        The time runs on this VM's clock from when it first saw the entry so, which
+        is never before the entry was written.
+        """
+        live = {member.vm for member in self._members.live()}
+        live.add(self._members.vm)
+        shard.seen = {
+            (key, entry): shard.seen.get((key, entry), now)
+            for key, entry in shard.entries.items()
+            if entry.state != CLAIMED or entry.vm not in live
+        }
+
+
+def _compare(entry, body):
+    if entry.body != body:
+        return Mismatch()
+    return Earlier(entry.state, entry.status)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/ejection.py
@@ -0,0 +1,109 @@
+"""Ejection of targets that fail several times in a row, with a probing return."""
+
+from typing import NamedTuple
+
+from hibiscusspar.requests.events import (
+    TARGET_EJECTED,
+    TARGET_PROBED,
+    TARGET_RETURNED,
+)
+
+__all__ = ["EjectionPolicy", "EjectionRow", "EjectionTable"]
+
+
+class EjectionPolicy(NamedTuple):
+    """Settings of ejection; times are in seconds.
+
+    ``max_fraction`` is the largest part of the candidates that may be ejected.
+    """
+
+    failures: int = 3
+    base_s: float = 1.0
+    cap_s: float = 30.0
+    max_fraction: float = 0.5
+    probe_timeout_s: float = 10.0
+
+
+class EjectionRow(NamedTuple):
+    """Failures of one target; ``probe_at`` is when the last probe began."""
+
+    failures: int = 0
+    ejections: int = 0
+    until: float = 0.0
+    probe_at: float | None = None
+
+    @property
+    def ejected(self):
+        """Whether the target awaits a successful probe."""
+        return self.ejections > 0
+
+
+class EjectionTable:
+    """Consecutive failures of targets as this VM saw them."""
+
+    def __init__(self, policy=None, rng=None):
+        self._policy = policy or EjectionPolicy()
+        self._rng = rng
+        self._rows = {}
+
+    @property
+    def rows(self):
+        """Targets that failed since they last answered, with their rows."""
+        return dict(self._rows)
+
+    def excluded(self, now, candidates):
+        """Return the candidates that get no new request now.
+
+        At most ``max_fraction`` of the candidates are left out, and never all:
+        those that have been ejected the longest are let in first.
+        """
+        barred = [t for t in candidates if self._barred(now, t)]
+        barred.sort(key=lambda t: (-self._rows[t].until, t))
+        most = int(len(candidates) * self._policy.max_fraction)
+        return frozenset(barred[:most])
+
+    def _barred(self, now, target):
+        row = self._rows.get(target)
+        if row is None or not row.ejected:
+            return False
+        if now < row.until:
+            return True
+        if row.probe_at is None:
+            return False
+        return now < row.probe_at + self._policy.probe_timeout_s
+
+    def begin(self, now, target, out):
+        """Note that a request goes to a target; for an ejected one it is a probe."""
+        row = self._rows.get(target)
+        if row is None or not row.ejected or now < row.until:
+            return
+        self._rows[target] = row._replace(probe_at=now)
+        out.log(TARGET_PROBED, target=target)
+
+    def succeeded(self, target, out):
+        """Note that a target answered."""
+        row = self._rows.pop(target, None)
+        if row is not None and row.ejected:
+            out.log(TARGET_RETURNED, target=target)
+
+    def failed(self, now, target, out):
+        """Note that a target failed a request."""
+        row = self._rows.get(target, EjectionRow())
+        row = row._replace(failures=row.failures + 1)
+        probe_failed = row.ejected and row.probe_at is not None
+        first_time = not row.ejected and row.failures >= self._policy.failures
+        if probe_failed or first_time:
+            row = self._eject(now, target, row, out)
+        self._rows[target] = row
+
+    def keep(self, targets):
+        """Forget the targets that are no longer declared."""
+        self._rows = {t: row for t, row in self._rows.items() if t in targets}
+
+    def _eject(self, now, target, row, out):
+        ceiling = min(self._policy.cap_s, self._policy.base_s * 2**row.ejections)
+        duration = self._rng.uniform(ceiling / 2, ceiling) if self._rng else ceiling
+        out.log(
+            TARGET_EJECTED, target=target, failures=row.failures, duration_s=duration
+        )
+        return EjectionRow(row.failures, row.ejections + 1, now + duration)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/lifecycle.py
@@ -0,0 +1,150 @@
+"""Life of a request as a table of transitions, without I/O.
+
+A request passes the phases of :class:`Phase` and ends with exactly one
+:class:`Outcome`. The outcome is derived from what happened and never chosen by
+the caller of this module: ``NOT_RUN`` only if no attempt may have run.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from hibiscusspar.errors import StepError
+
+__all__ = ["Life", "Outcome", "Phase", "Step", "TRANSITIONS", "advance", "begin"]
+
+
+class Phase(StrEnum):
+    """How far a request has come."""
+
+    AUTHENTICATED = "authenticated"
+    RESERVED = "reserved"
+    QUEUED = "queued"
+    GRANTED = "granted"
+    SENT = "sent"
+    FIRST_BYTE = "first byte"
+    DONE = "done"
+
+
+class Outcome(StrEnum):
+    """What the caller may conclude from the end of a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+class Step(StrEnum):
+    """What moves a request from one phase to another.
+
+    ``DISCLAIM`` ends an attempt that surely did not run: no byte left for the
+    target, or the target said so. ``LOSE`` ends an attempt that may have run.
+    ``RESUME`` continues a stream on a new connection.
+    """
+
+    RESERVE = "reserve"
+    ENQUEUE = "enqueue"
+    GRANT = "grant"
+    SEND = "send"
+    DISCLAIM = "disclaim"
+    LOSE = "lose"
+    BEGIN_ANSWER = "begin answer"
+    RESUME = "resume"
+    COMPLETE = "complete"
+    GIVE_UP = "give up"
+
+
+TRANSITIONS = {
+    (Phase.AUTHENTICATED, Step.RESERVE): Phase.RESERVED,
+    (Phase.RESERVED, Step.ENQUEUE): Phase.QUEUED,
+    (Phase.QUEUED, Step.GRANT): Phase.GRANTED,
+    (Phase.GRANTED, Step.SEND): Phase.SENT,
+    (Phase.GRANTED, Step.DISCLAIM): Phase.QUEUED,
+    (Phase.SENT, Step.DISCLAIM): Phase.QUEUED,
+    (Phase.SENT, Step.LOSE): Phase.QUEUED,
+    (Phase.SENT, Step.BEGIN_ANSWER): Phase.FIRST_BYTE,
+    (Phase.FIRST_BYTE, Step.LOSE): Phase.QUEUED,
+    (Phase.FIRST_BYTE, Step.RESUME): Phase.FIRST_BYTE,
+    (Phase.FIRST_BYTE, Step.COMPLETE): Phase.DONE,
+    (Phase.AUTHENTICATED, Step.GIVE_UP): Phase.DONE,
+    (Phase.RESERVED, Step.GIVE_UP): Phase.DONE,
+    (Phase.QUEUED, Step.GIVE_UP): Phase.DONE,
+    (Phase.GRANTED, Step.GIVE_UP): Phase.DONE,
+    (Phase.SENT, Step.GIVE_UP): Phase.DONE,
+    (Phase.FIRST_BYTE, Step.GIVE_UP): Phase.DONE,
+}
+
+_EFFECT_UNKNOWN = frozenset({(Phase.SENT, Step.LOSE), (Phase.SENT, Step.GIVE_UP)})
+
+
+class Life(NamedTuple):
+    """One request; ``outcome`` and ``tokens`` are set when it is done.
+
+    ``reserved`` is the number of tokens held for it, ``tokens`` what it is
+    settled with. ``attempts`` counts how often it was sent.
+    """
+
+    request_id: str
+    idempotent: bool
+    phase: Phase = Phase.AUTHENTICATED
+    reserved: int = 0
+    attempts: int = 0
+    may_have_run: bool = False
+    outcome: Outcome | None = None
+    tokens: int = 0
+
+
+def begin(request_id, idempotent):
+    """Return the life of a request whose key has just been accepted."""
+    return Life(request_id, idempotent)
+
+
+def advance(life, step, tokens=0):
+    """Move a request by one step.
+
+    Parameters
+    ----------
+    life : Life
+    step : Step
+    tokens : int
+        For ``RESERVE`` the tokens reserved; for ``COMPLETE`` and ``GIVE_UP`` the
+        tokens that the target is known to have used.
+
+    Returns
+    -------
+    Life
+
+    Raises
+    ------
+    StepError
+        If the table has no such transition, or a request that is not idempotent
+        would be sent after an attempt that may have run.
+    """
+    phase = TRANSITIONS.get((life.phase, step))
+    if phase is None:
+        reason = f"illegal in phase {life.phase.value!r}"
+        raise StepError(f"request.{step.value}", life.request_id, reason)
+    if step is Step.SEND:
+        return _sent(life)
+    if step is Step.RESERVE:
+        return life._replace(phase=phase, reserved=tokens)
+    may_have_run = life.may_have_run or (life.phase, step) in _EFFECT_UNKNOWN
+    may_have_run = may_have_run or step is Step.BEGIN_ANSWER
+    life = life._replace(phase=phase, may_have_run=may_have_run)
+    if phase is Phase.DONE:
+        return _done(life, step, tokens)
+    return life
+
+
+def _sent(life):
+    if life.may_have_run and not life.idempotent:
+        reason = "an earlier attempt may have run and the request is not idempotent"
+        raise StepError("request.send", life.request_id, reason)
+    return life._replace(phase=Phase.SENT, attempts=life.attempts + 1)
+
+
+def _done(life, step, tokens):
+    if step is Step.COMPLETE:
+        return life._replace(outcome=Outcome.ANSWERED, tokens=tokens)
+    if not life.may_have_run:
+        return life._replace(outcome=Outcome.NOT_RUN, tokens=0)
+    return life._replace(outcome=Outcome.UNKNOWN, tokens=tokens or life.reserved)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -0,0 +1,117 @@
+"""Bodies that crashed two targets are refused for a time.
+
+Each crash is spread as a rumour: a VM that hears of one for the first time
+passes it on to a few random peers. So crashes that different VMs saw add up, and
+a body sent again through another VM is refused there as well.
+"""
+
+from hashlib import sha256
+from typing import NamedTuple
+
+from hibiscusspar.requests.events import (
+    BODY_QUARANTINED,
+    BODY_SUSPECTED,
+    QUARANTINE_EXPIRED,
+)
+from hibiscusspar.requests.messages import BodyCrash
+
+__all__ = ["Quarantine", "QuarantinePolicy", "body_digest"]
+
+_DIGEST_CHARACTERS = 32
+
+
+def body_digest(body):
+    """Return the digest of a request body, 128 bits in hexadecimal."""
+    return sha256(body).hexdigest()[:_DIGEST_CHARACTERS]
+
+
+class QuarantinePolicy(NamedTuple):
+    """Settings of the quarantine; times are in seconds.
+
+    A crash counts for ``memory_s``; a body is refused until that has passed
+    since the latest of its crashes. ``fanout`` is the number of peers that a
+    rumour is passed on to, ``max_bodies`` the most digests that are kept.
+    """
+
+    targets: int = 2
+    memory_s: float = 300.0
+    fanout: int = 4
+    max_bodies: int = 1000
+
+
+class Quarantine:
+    """Digests of bodies and the targets that crashed while running them."""
+
+    def __init__(self, members, rng, policy=None):
+        self._members = members
+        self._rng = rng
+        self._policy = policy or QuarantinePolicy()
+        self._crashes = {}
+
+    def refused_for(self, now, digest):
+        """Return for how many seconds requests with the body are refused; else 0."""
+        crashes = self._crashes.get(digest)
+        if crashes is None:
+            return 0.0
+        live = [at for at in crashes.values() if now < at + self._policy.memory_s]
+        if len(live) < self._policy.targets:
+            return 0.0
+        # The crash that brings the number below the threshold when it lapses.
+        oldest_needed = sorted(live)[-self._policy.targets]
+        return oldest_needed + self._policy.memory_s - now
+
+    def quarantined(self, now):
+        """Return pairs of digest and seconds left, for operators."""
+        left = ((digest, self.refused_for(now, digest)) for digest in self._crashes)
+        return [(digest, left_s) for digest, left_s in left if left_s > 0]
+
+    def crashed(self, now, digest, target, out):
+        """Note that a target crashed while it ran a body, and tell some peers."""
+        self._note(now, digest, target, 0.0, out)
+
+    def receive(self, now, message, out):
+        """Take in a :class:`BodyCrash` of a peer and pass it on if it is new."""
+        self._note(now, message.digest, message.target, message.age_s, out)
+
+    def tick(self, now, out):
+        """Forget crashes that no longer count."""
+        for digest, crashes in list(self._crashes.items()):
+            self._expire(now, digest, crashes, out)
+
+    def _note(self, now, digest, target, age_s, out):
+        if age_s >= self._policy.memory_s:
+            return
+        at = now - age_s
+        crashes = self._crashes.setdefault(digest, {})
+        known_at = crashes.get(target)
+        if known_at is not None and at < known_at + self._policy.memory_s / 2:
+            return
+        crashes[target] = at
+        out.log(BODY_SUSPECTED, digest=digest, target=target)
+        self._log_if_quarantined(now, digest, out)
+        self._spread(BodyCrash(digest, target, age_s), out)
+        self._bound()
+
+    def _log_if_quarantined(self, now, digest, out):
+        left_s = self.refused_for(now, digest)
+        if left_s > 0:
+            targets = sorted(self._crashes[digest])
+            out.log(BODY_QUARANTINED, digest=digest, targets=targets, duration_s=left_s)
+
+    def _spread(self, message, out):
+        peers = [m.vm for m in self._members.live() if m.vm != self._members.vm]
+        for peer in self._rng.sample(peers, min(self._policy.fanout, len(peers))):
+            out.send(peer, message)
+
+    def _bound(self):
+        while len(self._crashes) > self._policy.max_bodies:
+            self._crashes.pop(next(iter(self._crashes)))
+
+    def _expire(self, now, digest, crashes, out):
+        live = {t: at for t, at in crashes.items() if now < at + self._policy.memory_s}
+        if len(crashes) >= self._policy.targets > len(live):
+            out.log(QUARANTINE_EXPIRED, digest=digest)
+        if live:
+            self._crashes[digest] = live
+        else:
+            del self._crashes[digest]
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/system.py
@@ -0,0 +1,156 @@
+"""The system of requests: retries, ejection, quarantine and claims of one VM."""
+
+from hibiscusspar.requests.claims import Claims
+from hibiscusspar.requests.ejection import EjectionTable
+from hibiscusspar.requests.events import (
+    REQUEST_ATTEMPT_FAILED,
+    REQUEST_DONE,
+    REQUEST_RETRIED,
+)
+from hibiscusspar.requests.lifecycle import Phase, Step, advance, begin
+from hibiscusspar.requests.messages import BodyCrash
+from hibiscusspar.requests.quarantine import Quarantine
+from hibiscusspar.requests.retry import RULES, Retry, RetryBudget, RetryPolicy, decide
+
+__all__ = ["RequestSystem"]
+
+
+class RequestSystem:
+    """Requests in flight on this VM and what they teach about targets and bodies.
+
+    Parameters
+    ----------
+    members : hibiscusspar.ports.Members
+    rng : random.Random
+        Seeded differently in each process; ids of claims come from it.
+    retry_policy : RetryPolicy, optional
+    claim_policy : ClaimPolicy, optional
+
+    Attributes
+    ----------
+    claims : Claims
+    ejection : EjectionTable
+    quarantine : Quarantine
+    budget : RetryBudget
+    """
+
+    name = "requests"
+
+    def __init__(self, members, rng, retry_policy=None, claim_policy=None):
+        self.retry_policy = retry_policy or RetryPolicy()
+        self.claims = Claims(members, rng, claim_policy, self.name)
+        self.ejection = EjectionTable(rng=rng)
+        self.quarantine = Quarantine(members, rng)
+        self.budget = RetryBudget(self.retry_policy)
+        self._rng = rng
+        self._lives = {}
+
+    @property
+    def in_flight(self):
+        """Requests that are not done, keyed by id."""
+        return dict(self._lives)
+
+    def begin(self, request_id, idempotent):
+        """Take up a request whose key was accepted."""
+        self.budget.earn()
+        self._lives[request_id] = begin(request_id, idempotent)
+
+    def step(self, request_id, step, out, tokens=0):
+        """Move a request by one step.
+
+        Returns
+        -------
+        Life
+            With outcome and tokens to settle, if the request is done.
+
+        Raises
+        ------
+        StepError
+            If the step is illegal in the request's phase.
+        """
+        life = advance(self._lives[request_id], step, tokens)
+        if life.phase is Phase.DONE:
+            self._end(life, out)
+        else:
+            self._lives[request_id] = life
+        return life
+
+    def attempt_failed(self, now, request_id, target, cause, deadline, out, resumes=0):
+        """Take in that an attempt failed, and decide what follows.
+
+        The request goes back to its queue, or stays in the phase of its first byte
+        if its stream can be resumed.
+
+        Parameters
+        ----------
+        now : float
+        request_id, target : str
+        cause : Cause
+        deadline : float
+        out : Outbox
+        resumes : int
+            Resumptions of the stream so far.
+
+        Returns
+        -------
+        Retry or GiveUp
+        """
+        rule = RULES[cause]
+        life = self._lives[request_id]
+        out.log(
+            REQUEST_ATTEMPT_FAILED,
+            request_id=request_id,
+            target=target,
+            cause=cause.value,
+            may_have_run=rule.may_have_run,
+        )
+        if rule.failure:
+            self.ejection.failed(now, target, out)
+        if not rule.resume:
+            step = Step.LOSE if rule.may_have_run else Step.DISCLAIM
+            life = self.step(request_id, step, out)
+        attempts = resumes + 1 if rule.resume else max(life.attempts, 1)
+        decision = decide(
+            self.retry_policy,
+            self.budget,
+            self._rng,
+            cause,
+            life.idempotent and not rule.resume,
+            attempts,
+            now,
+            deadline,
+        )
+        if isinstance(decision, Retry):
+            out.log(
+                REQUEST_RETRIED,
+                request_id=request_id,
+                cause=cause.value,
+                attempt=attempts + 1,
+                delay_s=decision.delay_s,
+            )
+        return decision
+
+    def tick(self, now, out):
+        """Expire crashes and start the platform calls of claims."""
+        self.quarantine.tick(now, out)
+        self.claims.tick(now, out)
+
+    def receive(self, now, sender, message, out):
+        """Take in a message of another VM."""
+        if isinstance(message, BodyCrash):
+            self.quarantine.receive(now, message, out)
+
+    def platform_result(self, now, result, out):
+        """Take in the result of a platform call of the claims."""
+        self.claims.platform_result(now, result, out)
+
+    def _end(self, life, out):
+        del self._lives[life.request_id]
+        out.log(
+            REQUEST_DONE,
+            request_id=life.request_id,
+            outcome=life.outcome.value,
+            phase=life.phase.value,
+            attempts=life.attempts,
+            tokens=life.tokens,
+        )
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_lifecycle.py
@@ -0,0 +1,115 @@
+"""Tests of the life of a request and of the system that holds the lives."""
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscusspar.errors import StepError
+from hibiscusspar.outbox import Outbox
+from hibiscusspar.requests.lifecycle import (
+    TRANSITIONS,
+    Outcome,
+    Phase,
+    Step,
+    advance,
+    begin,
+)
+from hibiscusspar.requests.retry import Cause, GiveUp, Retry
+from hibiscusspar.requests.system import RequestSystem
+from hibiscusspar.requests.tests.fakes import FakeMembers
+
+FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=300)
+
+
+class TestAdvance(unittest.TestCase):
+    @FIXED
+    @given(st.lists(st.sampled_from(list(Step)), max_size=40), st.booleans())
+    def test_every_path_ends_once_and_tells_the_truth(self, steps, idempotent):
+        life = begin("r", idempotent)
+        sends, lost, begun, ends = 0, False, False, 0
+        for step in [*steps, Step.GIVE_UP]:
+            before = life
+            try:
+                life = advance(life, step, 7)
+            except StepError:
+                continue
+            sends += step is Step.SEND
+            lost = lost or (step is Step.LOSE and before.phase is Phase.SENT)
+            lost = lost or (step is Step.GIVE_UP and before.phase is Phase.SENT)
+            begun = begun or step is Step.BEGIN_ANSWER
+            ends += life.phase is Phase.DONE
+        self.assertEqual(ends, 1)
+        self.assertIn(life.outcome, set(Outcome))
+        self.assertEqual(life.outcome is Outcome.NOT_RUN, not (lost or begun))
+        if life.outcome is Outcome.NOT_RUN:
+            self.assertEqual(life.tokens, 0)
+
+    @FIXED
+    @given(st.integers(0, 2**32))
+    def test_not_idempotent_is_sent_once_unless_it_surely_did_not_run(self, seed):
+        rng, life, may_have_run = Random(seed), begin("r", False), False
+        while life.phase is not Phase.DONE:
+            step = rng.choice([s for phase, s in TRANSITIONS if phase is life.phase])
+            try:
+                life = advance(life, step)
+            except StepError:
+                self.assertTrue(step is Step.SEND and may_have_run)
+                continue
+            self.assertFalse(step is Step.SEND and may_have_run)
+            may_have_run |= step is Step.LOSE or step is Step.BEGIN_ANSWER
+
+    def test_done_allows_no_step(self):
+        self.assertFalse([1 for phase, _ in TRANSITIONS if phase is Phase.DONE])
+        life = advance(begin("r", True), Step.GIVE_UP)
+        with self.assertRaisesRegex(StepError, "illegal in phase 'done'"):
+            advance(life, Step.GIVE_UP)
+
+    def test_every_phase_can_end(self):
+        ends = {phase for phase, step in TRANSITIONS if step is Step.GIVE_UP}
+        self.assertEqual(ends, set(Phase) - {Phase.DONE})
+
+    def test_unknown_is_settled_with_the_reservation(self):
+        life = advance(begin("r", False), Step.RESERVE, 50)
+        for step in (Step.ENQUEUE, Step.GRANT, Step.SEND, Step.GIVE_UP):
+            life = advance(life, step)
+        self.assertEqual((life.outcome, life.tokens), (Outcome.UNKNOWN, 50))
+
+
+class TestRequestSystem(unittest.TestCase):
+    def setUp(self):
+        self.out = Outbox()
+        self.system = RequestSystem(FakeMembers("a"), Random(1))
+
+    def sent(self, idempotent):
+        self.system.begin("r", idempotent)
+        for step in (Step.RESERVE, Step.ENQUEUE, Step.GRANT, Step.SEND):
+            self.system.step("r", step, self.out)
+
+    def test_idempotent_is_retried_and_other_is_not(self):
+        for idempotent, kind in ((True, Retry), (False, GiveUp)):
+            self.sent(idempotent)
+            decision = self.system.attempt_failed(
+                0, "r", "t", Cause.CLOSED, 10, self.out
+            )
+            self.assertIsInstance(decision, kind)
+            life = self.system.step("r", Step.GIVE_UP, self.out)
+            self.assertIs(life.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.system.in_flight, {})
+
+    def test_unsent_is_retried_and_given_up_as_not_run(self):
+        self.sent(False)
+        decision = self.system.attempt_failed(0, "r", "t", Cause.NOT_SENT, 10, self.out)
+        self.assertIsInstance(decision, Retry)
+        life = self.system.step("r", Step.GIVE_UP, self.out)
+        self.assertIs(life.outcome, Outcome.NOT_RUN)
+
+    def test_resumable_stream_keeps_its_phase(self):
+        self.sent(False)
+        self.system.step("r", Step.BEGIN_ANSWER, self.out)
+        decision = self.system.attempt_failed(
+            0, "r", "t", Cause.STREAM_SILENT, 10, self.out
+        )
+        self.assertIsInstance(decision, Retry)
+        self.assertIs(self.system.in_flight["r"].phase, Phase.FIRST_BYTE)
