Add hibiscussparctl: check, diff, publish, status, keys, adapters and drain

Cause: operators need one command that checks files, shows the change, puts it in force and answers scripts with JSON and exit codes. Change: typer commands over hibiscusspar_wire.publishing; edits of what is in force are free functions over a Configuration.

--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command ``hibiscussparctl``."""
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/declaration_commands.py
@@ -0,0 +1,107 @@
+"""Commands on declarations: check, diff and publish."""
+
+from secrets import token_hex
+
+from typer import Argument, Context, Exit, Option, confirm, echo
+
+from hibiscusspar.config.diff import diff as changes_between
+from hibiscusspar.config.diff import render_change
+from hibiscusspar_ctl.exits import ExitCode, reported_errors
+from hibiscusspar_ctl.nodes import node_statuses
+from hibiscusspar_ctl.session import NODES, change_rows, show
+from hibiscusspar_wire import publishing
+from hibiscusspar_wire.publishing import PublishConflictError
+
+__all__ = ["check", "diff", "publish"]
+
+_PATHS = Argument(..., help="Directories of TOML files, or single files.")
+
+
+def check(context: Context, paths: list[str] = _PATHS):
+    """Check declarations and report every fault; the platform is not asked."""
+    with reported_errors():
+        configuration = publishing.read_directories(paths)
+    counts = {
+        section: len(getattr(configuration, section))
+        for section in ("services", "targets", "routes", "models")
+        + ("adapters", "accounts")
+    }
+    text = ", ".join(f"{count} {section}" for section, count in counts.items())
+    show(context.obj, {"ok": True, "counts": counts}, [f"no faults: {text}"])
+
+
+def diff(context: Context, paths: list[str] = _PATHS):
+    """Show what publishing would change; nothing is changed."""
+    with reported_errors():
+        wanted = publishing.read_directories(paths)
+        base = publishing.current(context.obj.platform())
+    changes = _changes(base.configuration, wanted)
+    data = {"revision": base.configuration.revision, "changes": change_rows(changes)}
+    head = f"{len(changes)} changes to revision {base.configuration.revision}"
+    show(context.obj, data, [*map(render_change, changes), head])
+
+
+def publish(
+    context: Context,
+    paths: list[str] = _PATHS,
+    yes: bool = Option(False, "--yes", help="Don't ask before publishing."),
+    wait: float = Option(
+        0.0, help="Seconds to wait until all given nodes report the revision."
+    ),
+    node: list[str] = NODES,
+):
+    """Check declarations, show the changes and put them in force.
+
+    All of it takes effect, or none. If another operator published in between, the
+    command exits with 1 and names that change. Issued keys are kept.
+    """
+    session = context.obj
+    if wait and not node:
+        echo("--wait needs at least one --node", err=True)
+        raise Exit(ExitCode.BAD_INPUT)
+    with reported_errors():
+        published = _publish(session, paths, yes)
+    late = _wait(node, published.revision, wait) if wait else []
+    data = {"revision": published.revision, "chunks": published.chunks}
+    data |= {"changes": change_rows(published.changes), "late": late}
+    lines = [f"revision {published.revision} is published"]
+    lines += [f"not yet in force at {vm}" for vm in late]
+    show(session, data, lines)
+    if late:
+        raise Exit(ExitCode.NOT_IN_FORCE)
+
+
+def _publish(session, paths, yes):
+    wanted = publishing.read_directories(paths)
+    platform = session.platform()
+    base = publishing.current(platform)
+    changes = _changes(base.configuration, wanted)
+    for change in changes:
+        echo(render_change(change), err=True)
+    if not yes:
+        confirm(f"publish {len(changes)} changes?", abort=True, err=True)
+    try:
+        return publishing.publish(
+            platform,
+            wanted,
+            base.version,
+            session.author,
+            token_hex,
+            seen=base.configuration,
+        )
+    except PublishConflictError as conflict:
+        for change in conflict.changes:
+            echo(f"{conflict.author}: {render_change(change)}", err=True)
+        raise
+
+
+def _changes(base, wanted):
+    return changes_between(base, wanted._replace(keys=base.keys))
+
+
+def _wait(addresses, revision, timeout_s):
+    def observe():
+        rows = node_statuses(addresses)
+        return {row["address"]: row.get("revision", 0) for row in rows}
+
+    return publishing.wait_in_force(observe, revision, timeout_s)
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/edits.py
@@ -0,0 +1,83 @@
+"""Edits of the configuration in force that operators make without files."""
+
+from hibiscusspar.errors import StepError
+
+__all__ = ["add_version", "drain_target", "make_current", "retire"]
+
+
+def add_version(configuration, name, version, current):
+    """Return the configuration with a further version of an adapter.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    name, version : str
+    current : bool
+        Whether a bare adapter name means the new version from now on.
+
+    Returns
+    -------
+    Configuration
+
+    Raises
+    ------
+    StepError
+        If the adapter is not declared or has the version already.
+    """
+    spec = _adapter(configuration, name, "adapter.add-version")
+    if version in spec.versions:
+        raise StepError("adapter.add-version", name, f"has version {version} already")
+    changed = spec._replace(versions=(*spec.versions, version))
+    if current:
+        changed = changed._replace(current=version)
+    return _with_adapter(configuration, changed)
+
+
+def make_current(configuration, name, version):
+    """Return the configuration in which a bare adapter name means a version."""
+    spec = _adapter(configuration, name, "adapter.make-current")
+    if version not in spec.versions:
+        raise StepError("adapter.make-current", name, f"has no version {version}")
+    return _with_adapter(configuration, spec._replace(current=version))
+
+
+def retire(configuration, name, version=""):
+    """Return the configuration without an adapter, or without one version of it.
+
+    Raises
+    ------
+    StepError
+        If there is no such adapter or version, or the version is the current one.
+    """
+    spec = _adapter(configuration, name, "adapter.retire")
+    if not version:
+        rest = {k: row for k, row in configuration.adapters.items() if k != name}
+        return configuration._replace(adapters=rest)
+    if version not in spec.versions:
+        raise StepError("adapter.retire", name, f"has no version {version}")
+    if version == spec.current:
+        reason = f"version {version} is current; make another one current first"
+        raise StepError("adapter.retire", name, reason)
+    versions = tuple(held for held in spec.versions if held != version)
+    return _with_adapter(configuration, spec._replace(versions=versions))
+
+
+def drain_target(configuration, name, draining):
+    """Return the configuration in which a target drains, or no longer does."""
+    spec = configuration.targets.get(name)
+    if spec is None:
+        raise StepError("drain.target", name, "target is not declared")
+    targets = configuration.targets | {name: spec._replace(draining=draining)}
+    return configuration._replace(targets=targets)
+
+
+def _adapter(configuration, name, step):
+    spec = configuration.adapters.get(name)
+    if spec is None:
+        raise StepError(step, name, "adapter is not declared")
+    return spec
+
+
+def _with_adapter(configuration, spec):
+    adapters = configuration.adapters | {spec.name: spec}
+    return configuration._replace(adapters=adapters)
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/key_commands.py
@@ -0,0 +1,65 @@
+"""Commands on the keys of client accounts."""
+
+from hashlib import sha256
+from secrets import token_hex, token_urlsafe
+
+from typer import Argument, Context, Option, Typer
+
+from hibiscusspar_ctl.exits import reported_errors
+from hibiscusspar_ctl.session import show
+from hibiscusspar_wire.publishing import current, issue_key, withdraw_key
+
+__all__ = ["keys"]
+
+KEY_BYTES = 32
+KEY_ID_BYTES = 6
+
+keys = Typer(no_args_is_help=True, help="Issue, withdraw and list keys of accounts.")
+
+
+@keys.command()
+def issue(
+    context: Context,
+    account: str = Argument(..., help="Declared client account."),
+    key_id: str = Option("", "--id", help="Name of the key; random if not given."),
+):
+    """Issue a key and print it once; only its digest is stored."""
+    session = context.obj
+    key_id = key_id or f"{account}-{token_hex(KEY_ID_BYTES)}"
+    key = token_urlsafe(KEY_BYTES)
+    digest = sha256(key.encode()).hexdigest()
+    with reported_errors():
+        platform = session.platform()
+        made = issue_key(platform, account, key_id, digest, session.author, token_hex)
+    data = {"key": key, "key_id": key_id, "revision": made.revision}
+    lines = [f"key: {key}", f"id: {key_id}", f"revision {made.revision} is published"]
+    show(session, data, lines)
+
+
+@keys.command()
+def withdraw(
+    context: Context, key_id: str = Argument(..., help="Id as 'key list' shows it.")
+):
+    """Withdraw a key for good; requests that run already are finished."""
+    session = context.obj
+    with reported_errors():
+        made = withdraw_key(session.platform(), key_id, session.author, token_hex)
+    data = {"key_id": key_id, "revision": made.revision}
+    show(session, data, [f"revision {made.revision} withdraws {key_id}"])
+
+
+@keys.command("list")
+def list_keys(
+    context: Context, account: str = Option("", help="Only keys of this account.")
+):
+    """List keys by id; the keys themselves are not known to the system."""
+    session = context.obj
+    with reported_errors():
+        rows = current(session.platform()).configuration.keys.values()
+    chosen = [row for row in rows if not account or row.account == account]
+    chosen.sort(key=lambda row: (row.account, row.key_id))
+    lines = [
+        f"{row.key_id}  {row.account}  {'withdrawn' if row.withdrawn else 'valid'}"
+        for row in chosen
+    ]
+    show(session, {"keys": [row._asdict() for row in chosen]}, lines)
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
@@ -0,0 +1,49 @@
+"""Client of the operators' port of entry VMs."""
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from hibiscusspar.errors import StepError
+
+__all__ = ["drain_node", "node_statuses", "read_status"]
+
+CALL_TIMEOUT_S = 3.0
+_POOL = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
+
+
+def read_status(address):
+    """Return what an entry VM reports of itself.
+
+    Raises
+    ------
+    StepError
+        If it doesn't answer.
+    """
+    return _call("GET", address, "/status", "node.status")
+
+
+def drain_node(address):
+    """Ask an entry VM to take no further requests, finish and exit."""
+    return _call("POST", address, "/drain", "node.drain")
+
+
+def node_statuses(addresses):
+    """Return the status of each address; an error takes the place of a status."""
+    rows = []
+    for address in addresses:
+        try:
+            rows.append({"address": address} | read_status(address))
+        except StepError as error:
+            rows.append({"address": address, "error": error.reason})
+    return rows
+
+
+def _call(method, address, path, step):
+    try:
+        answer = _POOL.request(method, f"http://{address}{path}")
+        value = answer.json()
+    except (HTTPError, ValueError) as error:
+        raise StepError(step, address, str(error)) from error
+    if answer.status >= 400 or not isinstance(value, dict):
+        raise StepError(step, address, f"answered {answer.status}")
+    return value
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/session.py
@@ -0,0 +1,82 @@
+"""What every command shares: the platform, the author and the form of output."""
+
+import json
+from getpass import getuser
+from random import Random
+from secrets import token_hex
+from typing import NamedTuple
+
+from typer import Exit, Option, echo
+
+from hibiscusspar.config.diff import render_change
+from hibiscusspar_ctl.exits import ExitCode
+from hibiscusspar_wire.platform_client import PlatformClient
+from hibiscusspar_wire.publishing import change
+
+__all__ = ["NODES", "Session", "apply_edit", "change_rows", "default_author", "show"]
+
+DEADLINE_S = 10.0
+CALLS_PER_S = 50.0
+CALL_BURST = 200.0
+NODES = Option(
+    [], "--node", help="IP:PORT of the operators' port of a node; may be repeated."
+)
+
+
+class Session(NamedTuple):
+    """Options given before the command."""
+
+    platform_address: str
+    author: str
+    output: str
+
+    def platform(self):
+        """Return a client of the platform; exit if no address was given."""
+        if not self.platform_address:
+            echo("give --platform IP:PORT or set HIBISCUSSPAR_PLATFORM", err=True)
+            raise Exit(ExitCode.BAD_INPUT)
+        return PlatformClient(
+            self.platform_address,
+            Random(),
+            deadline_s=DEADLINE_S,
+            calls_per_s=CALLS_PER_S,
+            burst=CALL_BURST,
+        )
+
+
+def default_author():
+    """Return the name of the operating system's user, if there is one."""
+    try:
+        return getuser()
+    except (KeyError, OSError):
+        return "operator"
+
+
+def show(session, data, lines):
+    """Print ``data`` as JSON or ``lines`` as text, as the operator chose."""
+    if session.output == "json":
+        echo(json.dumps(data, sort_keys=True))
+        return
+    for line in lines:
+        echo(line)
+
+
+def change_rows(changes):
+    """Return changes as plain data."""
+    return [
+        {
+            "section": row.section,
+            "name": row.name,
+            "action": row.action,
+            "fields": [list(field) for field in row.fields],
+        }
+        for row in changes
+    ]
+
+
+def apply_edit(session, edit):
+    """Put an edit of the configuration in force and show what it changed."""
+    published = change(session.platform(), edit, session.author, token_hex)
+    data = {"revision": published.revision, "changes": change_rows(published.changes)}
+    lines = [render_change(row) for row in published.changes]
+    show(session, data, [*lines, f"revision {published.revision} is published"])
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/status_command.py
@@ -0,0 +1,41 @@
+"""Command that shows what is in force and what the nodes report."""
+
+from typer import Context
+
+from hibiscusspar_ctl.exits import reported_errors
+from hibiscusspar_ctl.nodes import node_statuses
+from hibiscusspar_ctl.session import NODES, show
+from hibiscusspar_wire.publishing import current
+
+__all__ = ["status"]
+
+
+def status(context: Context, node: list[str] = NODES):
+    """Show the revision in force, the VMs the platform lists, and given nodes."""
+    session = context.obj
+    with reported_errors():
+        platform = session.platform()
+        found = current(platform)
+        vms = platform.vms().vms
+    root = found.root or {"author": "", "history": []}
+    data = {
+        "revision": found.configuration.revision,
+        "author": root["author"],
+        "history": root.get("history", []),
+        "vms": [_vm_row(row) for row in vms],
+        "nodes": node_statuses(node),
+    }
+    show(session, data, _lines(data))
+
+
+def _vm_row(row):
+    return {"vm": row.vm, "zone": row.zone, "address": row.address, "state": row.state}
+
+
+def _lines(data):
+    yield f"revision {data['revision']} by {data['author'] or 'nobody'}"
+    for row in data["vms"]:
+        yield f"vm {row['vm']}  {row['zone']}  {row['address']}  {row['state']}"
+    for row in data["nodes"]:
+        known = row.get("error") or f"revision {row.get('revision', 'unknown')}"
+        yield f"node {row['address']}  {known}"
