--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/declaration_commands.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/declaration_commands.py
@@ -14,6 +14,7 @@
 
 __all__ = ["check", "diff", "publish"]
 
+MAX_SHOWN = 40
 _PATHS = Argument(..., help="Directories of TOML files, or single files.")
 
 
@@ -76,8 +77,8 @@
     platform = session.platform()
     base = publishing.current(platform)
     changes = _changes(base.configuration, wanted)
-    for change in changes:
-        echo(render_change(change), err=True)
+    for line in _shortened(changes):
+        echo(line, err=True)
     if not yes:
         confirm(f"publish {len(changes)} changes?", abort=True, err=True)
     try:
@@ -99,6 +100,13 @@
     return changes_between(base, wanted._replace(keys=base.keys))
 
 
+def _shortened(changes):
+    lines = [render_change(change) for change in changes[:MAX_SHOWN]]
+    if len(changes) > MAX_SHOWN:
+        lines.append(f"and {len(changes) - MAX_SHOWN} more; 'diff' shows all")
+    return lines
+
+
 def _wait(addresses, revision, timeout_s):
     def observe():
         rows = node_statuses(addresses)
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/drain_commands.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/drain_commands.py
@@ -29,8 +29,11 @@
 def vm(
     context: Context,
     node: str = Argument(..., help="IP:PORT of the node's operators' port."),
+    secret: str = Option(
+        ..., envvar="HIBISCUSSPAR_PEER_SECRET", help="Secret that the entry VMs share."
+    ),
 ):
     """Let an entry VM finish its requests, hand over its roles and exit."""
     with reported_errors():
-        answer = drain_node(node)
-    show(context.obj, answer, [f"{node} drains"])
+        drain_node(node, secret)
+    show(context.obj, {"node": node, "draining": True}, [f"{node} drains"])
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
@@ -1,5 +1,7 @@
 """Client of the operators' port of entry VMs."""
 
+from http import HTTPStatus
+
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
@@ -8,6 +10,7 @@
 __all__ = ["drain_node", "node_statuses", "read_status"]
 
 CALL_TIMEOUT_S = 3.0
+SECRET_HEADER = "X-Peer-Secret"
 _POOL = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
 
 
@@ -19,12 +22,19 @@
     StepError
         If it doesn't answer.
     """
-    return _call("GET", address, "/status", "node.status")
+    answer = _call("GET", address, "/status", "node.status")
+    try:
+        value = answer.json()
+    except ValueError as error:
+        raise StepError("node.status", address, "answer is not JSON") from error
+    if not isinstance(value, dict):
+        raise StepError("node.status", address, "answer is not a status")
+    return value
 
 
-def drain_node(address):
+def drain_node(address, secret):
     """Ask an entry VM to take no further requests, finish and exit."""
-    return _call("POST", address, "/drain", "node.drain")
+    _call("POST", address, "/drain", "node.drain", {SECRET_HEADER: secret})
 
 
 def node_statuses(addresses):
@@ -38,12 +48,11 @@
     return rows
 
 
-def _call(method, address, path, step):
+def _call(method, address, path, step, headers=None):
     try:
-        answer = _POOL.request(method, f"http://{address}{path}")
-        value = answer.json()
-    except (HTTPError, ValueError) as error:
+        answer = _POOL.request(method, f"http://{address}{path}", headers=headers)
+    except HTTPError as error:
         raise StepError(step, address, str(error)) from error
-    if answer.status >= 400 or not isinstance(value, dict):
+    if answer.status >= HTTPStatus.BAD_REQUEST:
         raise StepError(step, address, f"answered {answer.status}")
-    return value
+    return answer
