--- /dev/null
+++ b/measure/part_limits.py
@@ -0,0 +1,172 @@
+"""Limits of client accounts: wrongful refusals, shares and cost of control."""
+
+from measure.limit_load import MEAN_TOKENS, SHARES, USED_FRACTION, Case, Load
+from measure.report import Table
+
+__all__ = ["run"]
+
+SIDE_S = 0.0008  # CPU of one side of an exchange
+EVEN = (0.95,) * len(SHARES)
+SIZES = ((3, 3, 40.0, 0.1), (6, 60, 4000.0, 0.1))
+WARM_UP_S = 14.0
+
+
+def run(quick):
+    """Measure the cases at both sizes, beside the baselines.
+
+    Parameters
+    ----------
+    quick : bool
+        Whether to run the small size only, for a short time.
+
+    Returns
+    -------
+    list of Table
+    """
+    sizes = SIZES[:1] if quick else SIZES
+    refusals, shares, costs = [], [], []
+    for zones, per_zone, requests_per_s, tick_s in sizes:
+        load_s = 20.0 if quick else (120.0 if per_zone < 10 else 45.0)
+        rate = requests_per_s * MEAN_TOKENS * USED_FRACTION
+        for case in _cases(zones):
+            load = Load(case, zones, per_zone, rate, tick_s=tick_s)
+            load.run(WARM_UP_S, load_s)
+            size = f"{zones} x {per_zone}"
+            refusals.append(_refusal_row(size, load))
+            shares.append(_share_row(size, load))
+            costs.append(_cost_row(size, load, load_s))
+    return [_refusal_table(refusals), _share_table(shares), _cost_table(costs)]
+
+
+def _cases(zones):
+    skewed = {"a": 0.6, **dict.fromkeys("bcdef"[: zones - 1], 0.4 / (zones - 1))}
+    return (
+        Case("(a) even, 95 %", EVEN),
+        Case("(b) one zone 60 %", EVEN, skewed),
+        Case("(c) one account x 5", (0.95, 5.0, 0.95, 0.95, 0.95)),
+        Case("(d) burst first", EVEN, front_s=10.0, front_load=1.85),
+        Case("(e) zone cut off", EVEN, fault="cut"),
+        Case("(f) home replaced", EVEN, fault="replace"),
+    )
+
+
+def _percent(part, whole):
+    return 100.0 * part / max(whole, 1)
+
+
+def _total(load, scheme, field):
+    return sum(
+        getattr(tally, field)
+        for (name, _), tally in load.tallies.items()
+        if name == scheme
+    )
+
+
+def _wrongful(load, scheme):
+    offered = _total(load, scheme, "offered")
+    return _percent(_total(load, scheme, "wrongful"), offered)
+
+
+def _refusal_row(size, load):
+    offered = _total(load, "leases", "offered")
+    return (
+        size,
+        load.case.name,
+        offered,
+        _wrongful(load, "leases"),
+        _percent(load.late_wrongful, load.late_offered),
+        _percent(load.short_at_first, offered),
+        _wrongful(load, "static"),
+        _wrongful(load, "central"),
+        load.world.over_admitted(),
+    )
+
+
+def _share_row(size, load):
+    shares = {}
+    for (scheme, account), tally in load.tallies.items():
+        share = _percent(tally.tokens, tally.ideal_tokens)
+        shares.setdefault(scheme, {})[account] = share
+    worst = [min(shares[name].values()) for name in ("leases", "static", "central")]
+    others = [
+        tally.wrongful
+        for (scheme, account), tally in load.tallies.items()
+        if scheme == "leases" and account != "account1"
+    ]
+    return (size, load.case.name, *worst, sum(others))
+
+
+def _cost_row(size, load, load_s):
+    nodes = list(load.world.vms.values())
+    sides = [vm.sent / load_s for vm in nodes]
+    sent = [load.bytes.get(vm.name, 0) / load_s for vm in nodes]
+    cpu = [load.cpu.get(vm.name, 0.0) / load_s for vm in nodes]
+    cores = [c + SIDE_S * s for c, s in zip(cpu, sides, strict=True)]
+    central = 2.0 * _total(load, "central", "offered") / load_s
+    return (
+        size,
+        load.case.name,
+        sum(sides) / len(sides),
+        max(sides),
+        sum(sent) / len(sent) / 1000.0,
+        max(sent) / 1000.0,
+        100.0 * sum(cpu) / len(cpu),
+        100.0 * max(cores),
+        central,
+    )
+
+
+def _refusal_table(rows):
+    columns = (
+        "zones x nodes",
+        "case",
+        "requests",
+        "wrongful %",
+        "after 15 s %",
+        "short at first %",
+        "static split %",
+        "central home %",
+        "over-admitted",
+    )
+    note = (
+        "Wrongful: refused after waiting at most 1 s for the home, though an ideal "
+        "bucket for the whole fleet admitted the request at once. Over-admitted: "
+        "tokens beyond burst + rate x T in the worst interval."
+    )
+    return Table("Wrongful refusals", columns, rows, note)
+
+
+def _share_table(rows):
+    columns = (
+        "zones x nodes",
+        "case",
+        "worst share %",
+        "static split %",
+        "central home %",
+        "wrongful, other accounts",
+    )
+    note = (
+        "Share: tokens admitted over those that the ideal bucket admitted, of the "
+        "worst account. Other accounts: all but account1, which case (c) overloads."
+    )
+    return Table("Worst account", columns, rows, note)
+
+
+def _cost_table(rows):
+    columns = (
+        "zones x nodes",
+        "case",
+        "sides/s mean",
+        "sides/s max",
+        "KB/s mean",
+        "KB/s max",
+        "decisions % core",
+        "with exchanges % core, max",
+        "central home: sides/s",
+    )
+    note = (
+        "Sides of exchanges between VMs, messages to one peer at one moment sharing "
+        "one; bytes are the encoded messages and 350 bytes of HTTP head each. The "
+        "last but one column adds 0.8 ms of CPU for each side."
+    )
+    return Table("Cost of control per node", columns, rows, note)
--- a/packages/hibiscusspar/hibiscusspar/limits/bucket.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/bucket.py
@@ -99,6 +99,10 @@
             return
         self.level = min(self.cap, self.level + min(refundable, reserved - used))
 
+    def shrink(self):
+        """Lower the capacity to what is held and may come back."""
+        self.cap = min(self.cap, max(0.0, self.level) + self._refundable)
+
     def take(self, tokens):
         """Debit up to ``tokens`` to give them back; return how many."""
         taken = max(0.0, min(tokens, self.level))
--- a/packages/hibiscusspar/hibiscusspar/limits/division.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/division.py
@@ -4,9 +4,13 @@
 
 __all__ = ["Division", "divide", "fair_level", "share_of", "zone_part"]
 
-POOL_RATE_FRACTION = 0.1  # of the part, kept back for nodes that fall short
-POOL_CAP_FRACTION = 0.3  # of the part, kept back for nodes that fall short
-EQUAL_CAP_FRACTION = 0.3  # of the nodes' capacity, divided equally
+POOL_RATE_FRACTION = 0.15  # of the part, kept back for nodes that fall short
+NODES_CAP_FRACTION = 0.6  # of the part; the rest is for nodes that fall short
+HOLD_PERIODS = 2.0  # of renewal, that a node can bridge at its demand
+HOLD_S = 1.0
+TYPICAL_REQUESTS = 3.0  # that a node can admit one upon the other
+HYSTERESIS = 0.4
+MIN_TYPICAL_REQUESTS = 1.5  # below which nodes hold nothing ahead
 
 
 class Division(NamedTuple):
@@ -69,29 +73,44 @@
     return demand + spare * 0.5 * (1.0 / nodes + by_demand)
 
 
-def divide(rate, cap, demand, demands, nodes):
+def divide(part, demand, demands, nodes, typical, period_s, has_rate=False):
     """Return the lease that a node should have.
 
+    If the capacity is too small for every node to hold some requests, nodes hold
+    nothing ahead: the tokens stay at the home, which gives them for each request.
+
     Parameters
     ----------
-    rate, cap : float
-        What the home may divide among the nodes of its zone.
+    part : tuple of (float, float)
+        Rate and capacity that the home may divide among the nodes of its zone.
     demand : float
         Tokens per second that the node sees.
     demands : sequence of float
         The same of all nodes known to the home, the asker among them.
     nodes : int
         Number of nodes that may come to ask.
+    typical : float
+        Tokens of a usual request.
+    period_s : float
+        Seconds between two renewals.
+    has_rate : bool
+        Whether the node accrues already, which it then does somewhat longer.
 
     Returns
     -------
     Division
     """
+    rate, cap = part
     nodes = max(nodes, len(demands), 1)
-    node_rate = share_of(rate * (1.0 - POOL_RATE_FRACTION), demand, demands, nodes)
-    spread = cap * (1.0 - POOL_CAP_FRACTION)
-    asked = sum(demands)
-    by_demand = demand / asked if asked > 0.0 else 1.0 / nodes
-    equal = EQUAL_CAP_FRACTION / nodes
-    node_cap = spread * (equal + (1.0 - EQUAL_CAP_FRACTION) * by_demand)
-    return Division(node_rate, node_cap)
+    hold_s = HOLD_PERIODS * period_s + HOLD_S
+    needed = hold_s * demand + TYPICAL_REQUESTS * typical
+    needed_by_all = hold_s * sum(demands) + nodes * TYPICAL_REQUESTS * typical
+    budget = NODES_CAP_FRACTION * cap
+    node_cap = needed
+    if needed_by_all > budget:
+        node_cap = needed * budget / needed_by_all
+    least = MIN_TYPICAL_REQUESTS * typical * (1.0 if has_rate else 1.0 + HYSTERESIS)
+    if node_cap <= 0.0 or node_cap < least:
+        return Division(0.0, 0.0)
+    shared = rate * (1.0 - POOL_RATE_FRACTION)
+    return Division(share_of(shared, demand, demands, nodes), node_cap)
--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -18,8 +18,15 @@
 LOAN_S = 24.0
 MAX_LEASE_S = max(NODE_LEASE_S, LOAN_S)
 OWN_HEADROOM = 1.1  # of the zone's own demand, not lent to other zones
-CREDIT_AHEAD_S = 1.0  # of demand, added to a credit for a node that is short
+USUAL_DEMAND_S = 20.0  # over which demand is averaged to set rates
+RATE_BAND = 1.3
+CAP_BAND = 1.6
 LARGE_WANT_S = 5.0
+AHEAD_FRACTION = 0.25  # of the balance
+LENT_FRACTION = 0.5  # of the balance, to another zone that is short
+SHORTFALL_S = 1.0
+RICH_FRACTION = 0.5  # of the part's capacity
+MAX_REFUND_FRACTION = 0.4  # of the part's capacity, for open reservations
 
 
 class _Lease(NamedTuple):
@@ -43,9 +50,38 @@
         self.is_loan = is_loan
         self.last_seq = 0
         self.demand = 0.0
+        self.usual = 0.0
+        self._first_at = None
+        self.typical = 0.0
+        self.refundable = 0.0
         self.seen_at = 0.0
         self.leases = {}
 
+    def note(self, now, ask):
+        """Take in what an ask reports."""
+        if self._first_at is None:
+            self._first_at = self.seen_at = now
+        age_s = min(now - self._first_at, USUAL_DEMAND_S)
+        weight = min(1.0, (now - self.seen_at) / age_s) if age_s > 0.0 else 1.0
+        self.usual += weight * (ask.demand - self.usual)
+        self.last_seq = ask.seq
+        self.demand = ask.demand
+        self.typical = ask.typical
+        self.refundable = ask.refundable
+        self.seen_at = now
+
+    def keep_near(self, rate, cap):
+        """Return the rate and capacity held if they are near the given ones.
+
+        A change is charged twice until the asker has taken it.
+        """
+        held_rate, held_cap = self.charge()
+        if rate <= held_rate * RATE_BAND and held_rate <= rate * RATE_BAND:
+            rate = held_rate
+        if cap <= held_cap <= cap * CAP_BAND:
+            cap = held_cap
+        return rate, cap
+
     def drop_ended(self, now):
         for seq in [s for s, lease in self.leases.items() if lease.ends_at <= now]:
             del self.leases[seq]
@@ -80,6 +116,7 @@
         self._askers = {}
         self._at = now
         self._large_want = (0.0, now)
+        self._shortfall = (0.0, now)
 
     @property
     def leases(self):
@@ -94,9 +131,14 @@
         """Start at once: no home of this zone came before this one."""
         self.recover_until = min(self.recover_until, now)
 
+    def shortfall(self, now):
+        """Return the tokens that a node lacked a moment ago."""
+        missing, until = self._shortfall
+        return missing if now < until else 0.0
+
     def own_demand(self):
-        """Return the tokens per second that the nodes of this zone ask for."""
-        return sum(a.demand for a in self._askers.values() if not a.is_loan)
+        """Return the tokens per second that the nodes of this zone usually need."""
+        return sum(a.usual for a in self._askers.values() if not a.is_loan)
 
     def advance(self, now):
         """Accrue up to ``now`` and forget what has ended."""
@@ -154,7 +196,7 @@
         free_cap = part[1] + sum(loan.cap for loan in loans)
         return rate <= free_rate and cap <= free_cap
 
-    def answer(self, now, ask, nodes):
+    def answer(self, now, ask, nodes, period_s):
         """Answer an ask.
 
         Parameters
@@ -163,6 +205,8 @@
         ask : Ask
         nodes : int
             Number of nodes in the zone.
+        period_s : float
+            Seconds between two asks of a node that is not short.
 
         Returns
         -------
@@ -175,16 +219,14 @@
         asker = self._askers.setdefault(ask.asker, _Asker(is_loan))
         if ask.seq <= asker.last_seq:
             return None
-        asker.last_seq = ask.seq
-        asker.demand = ask.demand
-        asker.seen_at = now
+        asker.note(now, ask)
         self._note_held(now, asker, ask)
         if self.recovering(now):
             return self._continue_held(now, asker, ask)
         if asker.leases:
             self.level += ask.returned
             self._clip(now)
-        return self._grant(now, asker, ask, nodes)
+        return self._grant(now, asker, ask, nodes, period_s)
 
     def forget_idle(self, now):
         """Forget askers that are silent and hold nothing."""
@@ -194,13 +236,16 @@
             if not asker.leases and now - asker.seen_at > MAX_LEASE_S:
                 del self._askers[name]
             elif now - asker.seen_at > (LOAN_S if asker.is_loan else NODE_LEASE_S):
-                asker.demand = 0.0
+                asker.demand = asker.usual = 0.0
 
     def _note_held(self, now, asker, ask):
         """Keep only the lease that the asker holds: it takes no earlier answer."""
         if ask.held_seq and ask.held_epoch == self.epoch:
             held = asker.leases.get(ask.held_seq)
-            asker.leases = {} if held is None else {ask.held_seq: held}
+            asker.leases = {}
+            if held is not None:
+                cap = min(held.cap, ask.kept_cap)
+                asker.leases[ask.held_seq] = held._replace(cap=cap)
             return
         asker.leases = {}
         if ask.held_cap > 0.0 and self.recovering(now):
@@ -230,42 +275,79 @@
             adoptable=adoptable,
         )
 
-    def _grant(self, now, asker, ask, nodes):
+    def _grant(self, now, asker, ask, nodes, period_s):
         duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
         ends_at = surely_after(now, duration_s)
-        rate, cap, credit = self._target(now, asker, ask, nodes)
+        rate, cap, credit = self._target(now, asker, ask, nodes, period_s)
         free_rate, free_cap = self._free(ends_at, asker)
         rate = max(0.0, min(rate, free_rate))
         cap = max(0.0, min(cap, free_cap))
-        credit = max(0.0, min(credit, cap - ask.level, self.level))
+        room = cap - ask.level - ask.refundable
+        overflow = self.level - (free_cap - max(cap, asker.charge()[1]))
+        credit = max(0.0, min(max(credit, overflow), room, self.level))
+        if rate == 0.0 and not asker.is_loan:
+            cap = min(cap, max(0.0, ask.level) + ask.refundable + credit)
+        missing = ask.want - credit
+        if missing > 0.0 and not asker.is_loan:
+            missing = max(missing, self.shortfall(now))
+            self._shortfall = (missing, now + SHORTFALL_S)
         self.level -= credit
         grant = self._lease(now, asker, ask, rate, cap, credit)
         self._clip(now)
         return grant
 
-    def _target(self, now, asker, ask, nodes):
-        lent = self._lent()
+    def _target(self, now, asker, ask, nodes, period_s):
         if asker.is_loan:
-            return self._loan_target(asker, ask)
-        rate, cap = self._expected_total()
-        demands = [a.demand for a in self._askers.values() if not a.is_loan]
-        rate, cap = max(0.0, rate - lent[0]), max(0.0, cap - lent[1])
-        division = divide(rate, cap - self._want_kept(now), ask.demand, demands, nodes)
-        node_cap = division.cap
-        needed = max(0.0, ask.level) + ask.want
-        if ask.want > 0.0 and needed > node_cap:
-            node_cap = needed
-            if needed > self._free(now, asker)[1]:
-                self._large_want = (needed, now + LARGE_WANT_S)
-        asked = sum(demands)
-        by_demand = ask.demand / asked if asked > 0.0 else 1.0 / max(1, nodes)
-        credit = self.level * by_demand
+            return self._loan_target(now, asker, ask)
+        own = [a for a in self._askers.values() if not a.is_loan]
+        demands = [a.usual for a in own]
+        typical = max(a.typical for a in own)
+        part = self._divisible(now, own)
+        rate, cap = divide(
+            part,
+            asker.usual,
+            demands,
+            nodes,
+            typical,
+            period_s,
+            asker.charge()[0] > 0.0,
+        )
+        held = max(0.0, ask.level) + ask.refundable
+        cap = max(cap + ask.refundable * self._refund_fraction(own), ask.level)
+        if rate > 0.0:
+            rate, cap = asker.keep_near(rate, cap)
+        credit = max(0.0, cap - held) if rate > 0.0 else 0.0
+        credit = min(credit, self.level * _fraction(asker.usual, sum(demands), nodes))
         if ask.want > 0.0:
-            ahead = min(CREDIT_AHEAD_S * ask.demand, 0.25 * self.level)
-            credit = max(credit, ask.want + ahead)
-        return division.rate, node_cap, credit
+            credit = max(credit, ask.want + self._ahead(ask, rate, period_s))
+            cap = max(cap, held + credit)
+            if held + ask.want > self._free(now, asker)[1]:
+                self._large_want = (held + ask.want, now + LARGE_WANT_S)
+        return rate, cap, credit
+
+    def _ahead(self, ask, rate, period_s):
+        """Return what to add to a credit, so that the node needn't ask again soon."""
+        if rate > 0.0:
+            return min(period_s * ask.demand, AHEAD_FRACTION * self.level)
+        rich = self.level > RICH_FRACTION * self.part[1]
+        return ask.typical if rich else 0.0
+
+    def _refund_fraction(self, own):
+        """Return how much of what may come back is covered by leases."""
+        refundable = sum(a.refundable for a in own)
+        most = MAX_REFUND_FRACTION * self.part[1]
+        return min(1.0, most / refundable) if refundable > 0.0 else 1.0
+
+    def _divisible(self, now, own):
+        """Return what may be divided among the nodes of the zone."""
+        rate, cap = self._expected_total()
+        lent_rate, lent_cap = self._lent()
+        refundable = sum(a.refundable for a in own)
+        refundable = min(refundable, MAX_REFUND_FRACTION * self.part[1])
+        cap -= lent_cap + refundable + self._want_kept(now)
+        return max(0.0, rate - lent_rate), max(0.0, cap)
 
-    def _loan_target(self, asker, ask):
+    def _loan_target(self, now, asker, ask):
         """Lend what the zone's own nodes don't ask for."""
         part_rate, part_cap = self.part
         if part_rate <= 0.0:
@@ -278,7 +360,10 @@
         spare = part_rate - OWN_HEADROOM * self.own_demand() - others
         rate = max(0.0, min(ask.demand, spare))
         fraction = rate / part_rate
-        return rate, part_cap * fraction, self.level * fraction
+        credit = self.level * fraction
+        if not self.shortfall(now):
+            credit = max(credit, min(ask.want, LENT_FRACTION * self.level))
+        return rate, max(part_cap * fraction, credit), credit
 
     def _fits_without_loans(self):
         rate, cap = self._charges()
@@ -341,3 +426,7 @@
         if self.recovering(now):
             cap = 0.0
         self.level = max(0.0, min(self.level, cap))
+
+
+def _fraction(demand, all_demand, nodes):
+    return demand / all_demand if all_demand > 0.0 else 1.0 / max(1, nodes)
--- a/packages/hibiscusspar/hibiscusspar/limits/loans.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/loans.py
@@ -9,13 +9,17 @@
 
 RENEW_S = 6.0
 RETRY_S = 2.0
-DEMAND_HEADROOM = 1.15
-MIN_BORROWED_FRACTION = 0.02  # of the limit's rate
+MIN_URGENT_GAP_S = 0.3
+MAX_URGENT_GAP_S = 5.0
+ZONES_AT_ONCE = 2  # that are asked when tokens are short
+DEMAND_HEADROOM = 1.1
+MIN_BORROWED_FRACTION = 0.15  # of the zone's own part
 
 
 class _Pending(NamedTuple):
     seq: int
     asked_at: float
+    want: float
 
 
 class _Line:
@@ -28,6 +32,14 @@
         self.adoptable = False
         self.pending = None
         self.next_ask_at = 0.0
+        self.urgent_gap_s = MIN_URGENT_GAP_S
+        self.next_urgent_at = 0.0
+
+    def adapt_gap(self, now, satisfied):
+        """Ask more rarely while the other zone has nothing to give."""
+        gap_s = MIN_URGENT_GAP_S if satisfied else 2.0 * self.urgent_gap_s
+        self.urgent_gap_s = min(gap_s, MAX_URGENT_GAP_S)
+        self.next_urgent_at = now + self.urgent_gap_s
 
 
 class Borrower:
@@ -68,17 +80,25 @@
         """
         if home.recovering(now):
             return []
+        lines = {zone: self._lines.setdefault(zone, _Line()) for zone in zones}
+        urgent = self._urgent(now, home, lines)
         asks = []
-        for zone in zones:
-            line = self._lines.setdefault(zone, _Line())
-            if now < line.next_ask_at:
-                continue
+        for zone, line in lines.items():
             missing = self._missing(home, zone, limit)
-            if missing <= 0.0 and zone not in home.loans:
-                continue
-            asks.append(self._ask(now, vm, home, zone, line, missing))
+            due = now >= line.next_ask_at and (missing > 0.0 or zone in home.loans)
+            if due or zone in urgent:
+                want = home.shortfall(now) if zone in urgent else 0.0
+                asks.append(self._ask(now, vm, home, zone, line, missing, want))
         return asks
 
+    def _urgent(self, now, home, lines):
+        """Return the zones to ask for tokens at once."""
+        if home.shortfall(now) <= 0.0:
+            return []
+        ready = [zone for zone, line in lines.items() if now >= line.next_urgent_at]
+        ready.sort(key=lambda zone: lines[zone].next_urgent_at)
+        return ready[:ZONES_AT_ONCE]
+
     def take_grant(self, now, home, grant):
         """Take a loan if it answers the latest ask; return the zone, or None."""
         for zone, line in self._lines.items():
@@ -95,6 +115,8 @@
             if not home.add_loan(now, zone, loan, grant.credit):
                 line.next_ask_at = now + RETRY_S
                 return None
+            if pending.want > 0.0:
+                line.adapt_gap(now, grant.credit >= 0.5 * pending.want)
             line.held_seq = grant.seq
             line.held_epoch = grant.epoch
             line.adoptable = grant.adoptable
@@ -109,16 +131,17 @@
         wanted = DEMAND_HEADROOM * home.own_demand() - home.part[0]
         held = sum(loan.rate for name, loan in home.loans.items() if name != zone)
         missing = wanted - held
-        return missing if missing > MIN_BORROWED_FRACTION * limit[0] else 0.0
+        return missing if missing > MIN_BORROWED_FRACTION * home.part[0] else 0.0
 
-    def _ask(self, now, vm, home, zone, line, missing):
+    def _ask(self, now, vm, home, zone, line, missing, want):
         held = home.loans.get(zone)
         if held is None:
             line.held_seq = 0
             line.adoptable = False
         line.seq += 1
-        line.pending = _Pending(line.seq, now)
-        line.next_ask_at = now + (RENEW_S if held is not None else RETRY_S)
+        line.pending = _Pending(line.seq, now, want)
+        line.next_ask_at = now + (RENEW_S if held and held.rate > 0.0 else RETRY_S)
+        line.next_urgent_at = now + line.urgent_gap_s
         return Ask(
             account=self._account,
             zone=zone,
@@ -130,8 +153,11 @@
             held_seq=line.held_seq,
             held_rate=held.rate if held and line.adoptable else 0.0,
             held_cap=held.cap if held and line.adoptable else 0.0,
+            kept_cap=held.cap if held else 0.0,
             level=0.0,
+            refundable=0.0,
             demand=missing,
-            want=0.0,
+            typical=0.0,
+            want=want,
             returned=0.0,
         )
--- a/packages/hibiscusspar/hibiscusspar/limits/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/messages.py
@@ -13,9 +13,11 @@
     ``held_epoch`` and ``held_seq`` name the lease that the asker holds, with its
     ``held_rate`` and ``held_cap``; ``held_seq`` is 0 if it holds none, and rate
     and capacity are 0 if a successor of the giver may not go on with the lease.
-    ``level`` is its balance and ``demand`` the tokens per second it sees.
-    ``want`` are tokens needed at once. ``returned`` are tokens that the asker
-    has already debited. ``hops`` counts how often the message was forwarded.
+    The asker has already lowered the capacity of the lease to ``kept_cap``.
+    ``level`` is its balance, ``refundable`` what open reservations may bring back,
+    ``demand`` the tokens per second it sees and ``typical`` the tokens of a usual
+    request. ``want`` are tokens needed at once. ``returned`` are tokens that the
+    asker has already debited. ``hops`` counts how often the message was forwarded.
     """
 
     account: str
@@ -28,8 +30,11 @@
     held_seq: int
     held_rate: float
     held_cap: float
+    kept_cap: float
     level: float
+    refundable: float
     demand: float
+    typical: float
     want: float
     returned: float
     hops: int = 0
--- a/packages/hibiscusspar/hibiscusspar/limits/node.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/node.py
@@ -10,9 +10,17 @@
 
 DEMAND_TIME_CONSTANT_S = 3.0
 MIN_URGENT_GAP_S = 0.2
+URGENT_GAP_GROWTH = 1.5
+MAX_URGENT_GAP_S = 4.0
+ROUNDING_TOKENS = 1e-3
 ANSWER_TIMEOUT_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
 LOW_WATER_S = 0.5  # of demand
+MAX_SHORT_REQUESTS = 4.0  # asked for at a time
+RELEASE_S = 0.2
+KEEP_SHORT_S = 0.3  # that a balance is kept for a request that waits
+IDLE_PERIOD_S = 10.0
+TYPICAL_WEIGHT = 0.1  # of the latest request
 SURPLUS_FACTOR = 2.0
 SURPLUS_AHEAD_S = 4.0  # of demand
 
@@ -65,18 +73,26 @@
         self.held_seq = 0
         self.adoptable = False
         self.demand = 0.0
+        self.typical = 0.0
         self.pending = None
         self.next_ask_at = now
         self.urgent_gap_s = MIN_URGENT_GAP_S
         self.short = 0.0
         self._seq = 0
+        self._short_at = now - KEEP_SHORT_S
         self._asked_at = now - MIN_URGENT_GAP_S
         self._attempted = 0.0
         self._demand_at = now
 
     def note_attempt(self, tokens):
-        """Count tokens that a request asks for, or that it did not use."""
+        """Count the tokens that a request asks for."""
         self._attempted += tokens
+        weight = TYPICAL_WEIGHT if self.typical else 1.0
+        self.typical += weight * (tokens - self.typical)
+
+    def note_unused(self, tokens):
+        """Count tokens that a request asked for and did not use."""
+        self._attempted -= tokens
 
     def update_demand(self, now):
         """Fold what was asked for since the last time into the demand."""
@@ -89,6 +105,22 @@
         self._attempted = min(0.0, self._attempted)
         self._demand_at = now
 
+    def note_short(self, now, tokens, retry):
+        """Note that tokens were lacking, to ask for them."""
+        self._short_at = now
+        if retry:
+            self.short = max(self.short, tokens)
+            return
+        most = max(tokens, MAX_SHORT_REQUESTS * self.typical)
+        self.short = min(self.short + tokens, most)
+
+    def settle(self, now, reservation, used):
+        """Close a reservation; without a rate, give back at once what is left."""
+        self.bucket.settle(reservation.reservation_id, reservation.tokens, used)
+        self.note_unused(reservation.tokens - used)
+        if self.bucket.rate == 0.0 and self.bucket.cap > 0.0:
+            self.next_ask_at = min(self.next_ask_at, now + RELEASE_S)
+
     def advance(self, now):
         """Accrue; return whether the lease lapsed."""
         lapsed = self.bucket.advance(now)
@@ -100,22 +132,25 @@
     def ask_due(self, now, period_s):
         """Return whether to ask the home now."""
         if now >= self.next_ask_at:
-            return True
+            return not self._idle(now)
         pending = self.pending
         if pending is not None and now < pending.asked_at + ANSWER_TIMEOUT_S:
             return False
-        low = self.bucket.level < max(self.short, LOW_WATER_S * self.demand)
+        low = self.bucket.level < max(self.short, self._low_water())
         return low and now >= self._asked_at + min(self.urgent_gap_s, period_s)
 
     def make_ask(self, now, zone, vm, period_s, jitter):
         """Return the next ask; earlier ones are no longer waited for."""
         self.update_demand(now)
         self._seq += 1
-        want = max(0.0, self.short - self.bucket.level)
-        if want == 0.0:
-            want = max(0.0, LOW_WATER_S * self.demand - self.bucket.level)
+        want = max(0.0, max(self.short, self._low_water()) - self.bucket.level)
+        if want > 0.0:
+            want += ROUNDING_TOKENS
         self.short = 0.0
-        returned = self._take_surplus() if self.held_seq else 0.0
+        waiting = want > 0.0 or now < self._short_at + KEEP_SHORT_S
+        returned = self._take_surplus() if self.held_seq and not waiting else 0.0
+        if self.bucket.rate == 0.0:
+            self.bucket.shrink()
         self.pending = Pending(self._seq, now, want)
         self._asked_at = now
         unanswered_s = max(ANSWER_TIMEOUT_S, period_s) * jitter
@@ -131,8 +166,11 @@
             held_seq=self.held_seq,
             held_rate=self.bucket.rate if self.adoptable else 0.0,
             held_cap=self.bucket.cap if self.adoptable else 0.0,
+            kept_cap=self.bucket.cap,
             level=self.bucket.level,
+            refundable=self.bucket.refundable,
             demand=self.demand,
+            typical=self.typical,
             want=want,
             returned=returned,
         )
@@ -176,7 +214,19 @@
         wait_s = accrued_s if tokens <= bucket.cap else max(next_s, accrued_s)
         return Shortage("rate", max(MIN_RETRY_AFTER_S, wait_s), asked)
 
+    def _idle(self, now):
+        """Return whether there is nothing to renew, return or ask for."""
+        if self.bucket.cap > 0.0 or self.short > 0.0:
+            return False
+        return now < self._asked_at + IDLE_PERIOD_S
+
+    def _low_water(self):
+        """Return the level below which to ask ahead, if this node accrues at all."""
+        return LOW_WATER_S * self.demand if self.bucket.rate > 0.0 else 0.0
+
     def _take_surplus(self):
+        if self.bucket.rate == 0.0:
+            return self.bucket.take(self.bucket.level)
         kept = SURPLUS_AHEAD_S * self.demand
         surplus = self.bucket.level - max(kept, self.bucket.cap / SURPLUS_FACTOR)
         return self.bucket.take(max(0.0, surplus))
@@ -185,4 +235,5 @@
         if grant.credit >= 0.5 * pending.want:
             self.urgent_gap_s = MIN_URGENT_GAP_S
         else:
-            self.urgent_gap_s *= 2.0
+            gap_s = URGENT_GAP_GROWTH * self.urgent_gap_s
+            self.urgent_gap_s = min(gap_s, MAX_URGENT_GAP_S)
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -109,20 +109,13 @@
         self._advance(now, slot, out)
         if not retry:
             slot.note_attempt(tokens)
-        self._last_id += 1
-        if slot.bucket.reserve(self._last_id, tokens):
-            reservation = Reservation(self._last_id, account, tokens)
-            self._reservations[self._last_id] = reservation
-            out.log(
-                events.ADMITTED,
-                account=account,
-                reservation=reservation.reservation_id,
-                tokens=tokens,
-            )
-            if slot.ask_due(now, self._period_s):
-                self._ask(now, slot, out)
-            return reservation
-        return self._refuse(now, slot, tokens, out)
+        reservation = self._take(slot, tokens, out)
+        if reservation is None and tokens <= self._specs[account].burst:
+            slot.note_short(now, tokens, retry)
+        if slot.ask_due(now, self._period_s):
+            self._ask(now, slot, out)
+            reservation = reservation or self._take(slot, tokens, out)
+        return reservation or self._refuse(now, slot, tokens, out)
 
     def settle(self, now, reservation_id, used_tokens, out):
         """Close a reservation with what the request used; a repeat does nothing."""
@@ -133,8 +126,7 @@
         if slot is None:
             return
         self._advance(now, slot, out)
-        slot.bucket.settle(reservation_id, reservation.tokens, used_tokens)
-        slot.note_attempt(used_tokens - reservation.tokens)
+        slot.settle(now, reservation, used_tokens)
 
     def tick(self, now, out):
         """Renew leases and loans, and look after the homes of this VM."""
@@ -195,14 +187,25 @@
         if slot.advance(now):
             out.log(events.LEASE_LAPSED, account=slot.account, epoch=epoch)
 
+    def _take(self, slot, tokens, out):
+        reservation = Reservation(self._last_id + 1, slot.account, tokens)
+        if not slot.bucket.reserve(reservation.reservation_id, tokens):
+            return None
+        self._last_id = reservation.reservation_id
+        self._reservations[reservation.reservation_id] = reservation
+        out.log(
+            events.ADMITTED,
+            account=slot.account,
+            reservation=reservation.reservation_id,
+            tokens=tokens,
+        )
+        return reservation
+
     def _refuse(self, now, slot, tokens, out):
         spec = self._specs[slot.account]
         if tokens > spec.burst:
             shortage = Shortage("larger-than-burst", 0.0)
         else:
-            slot.short = max(slot.short, tokens)
-            if slot.ask_due(now, self._period_s):
-                self._ask(now, slot, out)
             shortage = slot.shortage(now, tokens, self._period_s)
         out.log(
             events.TOKENS_REFUSED,
@@ -245,7 +248,7 @@
             return
         recovering = office.home.recovering(now)
         nodes = len(self._members.live(self._zone))
-        grant = office.home.answer(now, ask, nodes)
+        grant = office.home.answer(now, ask, nodes, self._period_s)
         if grant is None:
             return
         _log_grant(ask, grant, recovering, self._zone, out)
