Provoke each fault of limits by a test of its own

Change: focused tests of bucket, slot, home and recorded part, worlds with an isolated node, a restarted and a paused home, and rules in the model that spend everything. Idle nodes no longer take half of a zone's rate on their first request: spare rate is divided equally.

--- a/packages/hibiscusspar/hibiscusspar/limits/division.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/division.py
@@ -60,7 +60,7 @@
 def share_of(total, demand, demands, nodes):
     """Return the part of a rate that one of several nodes should have.
 
-    Every node gets its demand and a part of what is spare; if there is too
+    Every node gets its demand and an equal part of what is spare; if there is too
     little, the demands are cut to the same level.
     """
     if total <= 0.0:
@@ -68,9 +68,7 @@
     asked = sum(demands)
     if asked > total:
         return min(demand, fair_level(total, demands))
-    spare = total - asked
-    by_demand = demand / asked if asked > 0.0 else 1.0 / nodes
-    return demand + spare * 0.5 * (1.0 / nodes + by_demand)
+    return demand + (total - asked) / nodes
 
 
 def divide(part, demand, demands, nodes, typical, period_s, has_rate=False):
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_faults.py
@@ -0,0 +1,285 @@
+"""Tests of chosen faults: each would admit too much if a rule were left out."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscusspar.limits.bucket import Bucket
+from hibiscusspar.limits.escrow import Escrow, next_part
+from hibiscusspar.limits.home import Home, Loan
+from hibiscusspar.limits.messages import Ask, Grant
+from hibiscusspar.limits.node import Slot
+from hibiscusspar.limits.tests.world import TOLERANCE, Oracle, World, account
+from hibiscusspar.outbox import Outbox, PlatformResult
+
+ASK = Ask("yard", "a", "n", "vm", "a", 1, "", 0, 0, 0, 0, 0, 0, 50.0, 10.0, 0, 0)
+GRANT = Grant("yard", "n", 1, "e", 10.0, 40.0, 30.0, 12.0, True)
+EXAMPLES = settings(derandomize=True, database=None, deadline=None, max_examples=200)
+
+
+def home(part=(100.0, 400.0)):
+    made = Home(0.0, "yard", "a", "e")
+    made.end_recovery(0.0)
+    made.set_part(0.0, part)
+    made.advance(100.0)
+    return made
+
+
+def answer(made, now, ask, nodes=2):
+    return made.answer(now, ask, nodes, 1.0)
+
+
+class TestBucket(unittest.TestCase):
+    @EXAMPLES
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 6.0),
+                st.floats(0.1, 90.0),
+                st.floats(0.0, 1.0),
+                st.booleans(),
+            ),
+            max_size=40,
+        )
+    )
+    def test_refunds_never_admit_more_than_the_ideal(self, steps):
+        bucket = Bucket(0.0)
+        bucket.renew(0.0, 10.0, 100.0, 100.0, 1e9)
+        oracle = Oracle((10.0, 100.0))
+        now, opened = 0.0, []
+        for key, (gap, tokens, used, settles) in enumerate(steps):
+            now += gap
+            bucket.advance(now)
+            if settles and opened:
+                first, reserved, fraction = opened.pop(0)
+                bucket.settle(first, reserved, reserved * fraction)
+                oracle.settle(first, reserved * fraction)
+            elif bucket.reserve(key, tokens):
+                oracle.admit(key, now, tokens)
+                opened.append((key, tokens, used))
+        self.assertGreaterEqual(oracle.lowest(), -TOLERANCE)
+
+    def test_what_is_taken_is_debited(self):
+        bucket = Bucket(0.0)
+        bucket.renew(0.0, 0.0, 50.0, 50.0, 10.0)
+        self.assertEqual(bucket.take(20.0), 20.0)
+        self.assertEqual(bucket.level, 30.0)
+
+    def test_use_beyond_the_reservation_blocks(self):
+        bucket = Bucket(0.0)
+        bucket.renew(0.0, 10.0, 50.0, 50.0, 100.0)
+        bucket.reserve(1, 50.0)
+        bucket.settle(1, 50.0, 90.0)
+        bucket.advance(3.0)
+        self.assertFalse(bucket.reserve(2, 1.0))
+        bucket.advance(5.0)
+        self.assertTrue(bucket.reserve(3, 1.0))
+
+
+class TestSlot(unittest.TestCase):
+    def slot(self):
+        slot = Slot(0.0, "yard", "n")
+        slot.make_ask(0.0, "a", "vm", 1.0, 1.0)
+        return slot
+
+    def test_lease_is_counted_from_the_ask(self):
+        slot = self.slot()
+        self.assertTrue(slot.take_grant(10.0, GRANT))
+        self.assertEqual(slot.bucket.lapse_at, 12.0)
+        self.assertTrue(slot.advance(12.0))
+        self.assertEqual(slot.bucket.level, 0.0)
+
+    def test_answer_after_the_end_is_not_taken(self):
+        self.assertFalse(self.slot().take_grant(12.0, GRANT))
+
+    def test_grant_is_credited_once(self):
+        slot = self.slot()
+        self.assertTrue(slot.take_grant(1.0, GRANT))
+        self.assertFalse(slot.take_grant(1.0, GRANT))
+        self.assertEqual(slot.bucket.level, 30.0)
+
+    def test_answer_to_an_earlier_ask_is_not_taken(self):
+        slot = self.slot()
+        slot.make_ask(0.5, "a", "vm", 1.0, 1.0)
+        self.assertFalse(slot.take_grant(1.0, GRANT))
+        self.assertFalse(slot.take_grant(1.0, GRANT._replace(seq=2, asker="m")))
+        self.assertTrue(slot.take_grant(1.0, GRANT._replace(seq=2)))
+
+
+class TestHome(unittest.TestCase):
+    def test_doubled_ask_is_answered_and_credited_once(self):
+        made = home()
+        grant = answer(made, 100.0, ASK)
+        held = ASK._replace(
+            seq=2, held_epoch="e", held_seq=1, kept_cap=grant.cap, returned=20.0
+        )
+        answer(made, 100.0, held)
+        level = made.level
+        self.assertIsNone(answer(made, 100.0, held))
+        self.assertIsNone(answer(made, 100.0, ASK))
+        self.assertEqual(made.level, level)
+
+    def test_forgotten_asker_returns_nothing(self):
+        made = home()
+        answer(made, 100.0, ASK._replace(want=400.0))
+        made.advance(200.0)
+        made.forget_idle(200.0)
+        answer(made, 200.0, ASK._replace(want=400.0, asker="m"))
+        level = made.level
+        answer(made, 200.0, ASK._replace(held_epoch="e", held_seq=1, returned=200.0))
+        self.assertLessEqual(made.level, level)
+
+    def test_larger_lease_counts_until_it_is_surely_replaced(self):
+        made = home()
+        first = answer(made, 100.0, ASK._replace(demand=80.0))
+        ask = ASK._replace(seq=2, held_epoch="e", held_seq=1, kept_cap=first.cap)
+        second = answer(made, 100.5, ask._replace(demand=0.0, typical=200.0))
+        self.assertLess(second.rate, first.rate)
+        self.assertEqual(made.leases["n"], (first.rate, first.cap))
+        made.advance(112.1)
+        self.assertLess(made.leases["n"][0], first.rate)
+
+    def test_lease_is_counted_longer_than_its_holder_does(self):
+        made = home()
+        first = answer(made, 100.0, ASK)
+        made.advance(100.0 + first.duration_s + 0.01)
+        self.assertEqual(made.leases["n"], (first.rate, first.cap))
+
+    def test_lease_does_not_outlast_a_loan(self):
+        made = home(part=(10.0, 40.0))
+        made.add_loan(100.0, "b", Loan(90.0, 360.0, 105.0), 100.0)
+        self.assertLessEqual(answer(made, 100.0, ASK).rate, 10.0)
+
+    def test_lease_on_a_loan_is_not_adoptable(self):
+        made = home(part=(10.0, 40.0))
+        made.add_loan(100.0, "b", Loan(90.0, 360.0, 124.0), 100.0)
+        grant = answer(made, 100.0, ASK._replace(demand=80.0))
+        self.assertGreater(grant.rate, 10.0)
+        self.assertFalse(grant.adoptable)
+
+    def test_smaller_loan_waits_until_leases_fit(self):
+        made = home(part=(10.0, 40.0))
+        made.add_loan(100.0, "b", Loan(90.0, 360.0, 124.0), 100.0)
+        answer(made, 100.0, ASK._replace(demand=80.0))
+        self.assertFalse(made.add_loan(101.0, "b", Loan(0.0, 0.0, 125.0), 0.0))
+        self.assertEqual(made.loans["b"].rate, 90.0)
+        made.advance(112.5)
+        self.assertTrue(made.add_loan(112.5, "b", Loan(0.0, 0.0, 136.0), 0.0))
+
+
+class TestEscrow(unittest.TestCase):
+    def escrow(self, parts):
+        escrow = Escrow(0.0, "yard", "a", "w")
+        escrow.configure(0.0, 1, (100.0, 400.0), (50.0, 200.0))
+        value = {"revision": 1, "parts": parts, "writers": dict.fromkeys(parts, "v")}
+        self.step(escrow, 0.0, "ok", value, 7)
+        return escrow
+
+    def step(self, escrow, now, outcome, value=None, version=0, fits=True):
+        out = Outbox()
+        escrow.tick(now, lambda part: fits, out)
+        if not out.calls:
+            return None
+        call = out.calls[0]
+        escrow.result(now, PlatformResult(call.call_id, outcome, value, version))
+        return call
+
+    def test_part_is_raised_into_what_is_free_only(self):
+        parts = {"a": (20.0, 80.0), "b": (70.0, 280.0)}
+        part = next_part(parts, "a", (100.0, 400.0), (50.0, 200.0))
+        self.assertEqual(part, (30.0, 120.0))
+
+    def test_found_part_is_used_after_it_was_written(self):
+        escrow = self.escrow({"a": (50.0, 200.0)})
+        self.assertEqual(escrow.usable, (0.0, 0.0))
+        self.assertFalse(escrow.first_home)
+        call = self.step(escrow, 0.0, "ok", version=8)
+        self.assertEqual((call.operation, call.version), ("update", 7))
+        self.assertEqual(escrow.usable, (50.0, 200.0))
+
+    def test_higher_part_is_used_after_it_was_recorded(self):
+        escrow = self.escrow({"a": (20.0, 80.0)})
+        self.step(escrow, 0.0, "ok", version=8)
+        self.step(escrow, 0.0, "unknown")
+        self.assertEqual(escrow.usable, (20.0, 80.0))
+
+    def test_lower_part_is_recorded_after_everything_fits(self):
+        escrow = self.escrow({"a": (80.0, 320.0)})
+        self.step(escrow, 0.0, "ok", version=8)
+        self.assertIsNone(self.step(escrow, 0.0, "ok", version=9, fits=False))
+        self.assertEqual(escrow.usable, (50.0, 200.0))
+        call = self.step(escrow, 2.0, "ok", version=9)
+        self.assertEqual(call.value["parts"]["a"], (50.0, 200.0))
+
+    def test_lowered_part_with_a_lost_answer_stays_low(self):
+        escrow = self.escrow({"a": (80.0, 320.0)})
+        self.step(escrow, 0.0, "ok", version=8)
+        self.step(escrow, 0.0, "unknown")
+        escrow.configure(0.0, 2, (100.0, 400.0), (80.0, 320.0))
+        self.assertEqual(escrow.usable, (50.0, 200.0))
+
+
+class TestFaults(unittest.TestCase):
+    def world(self):
+        world = World({"a": 3}, [account(zones=("a",))])
+        world.run(20.0)
+        return world
+
+    def others(self, world):
+        home_vm = world.roles["limit-home/a/yard"][0]
+        return home_vm, [name for name in sorted(world.vms) if name != home_vm]
+
+    def check(self, world):
+        self.assertLessEqual(world.over_admitted(), TOLERANCE)
+
+    def test_home_restarts_with_nothing(self):
+        world = self.world()
+        world.drain(10.0)
+        home_vm, _ = self.others(world)
+        world.start_process(home_vm)
+        world.drain(40.0)
+        self.check(world)
+
+    def test_home_restarts_while_a_node_is_isolated(self):
+        world = self.world()
+        world.drain(10.0)
+        home_vm, others = self.others(world)
+        world.isolated = {others[0]}
+        world.start_process(home_vm)
+        world.drain(15.0)
+        self.check(world)
+
+    def test_isolated_node_spends_until_its_lease_ends(self):
+        world = self.world()
+        world.drain(10.0)
+        world.isolated = {self.others(world)[1][0]}
+        world.drain(15.0)
+        self.check(world)
+
+    def test_isolated_node_comes_back_after_its_lease(self):
+        world = self.world()
+        for _ in range(10):
+            for name in sorted(world.vms):
+                world.submit(name, "yard", 10.0)
+            world.run(1.0)
+        isolated = self.others(world)[1][0]
+        world.isolated = {isolated}
+        world.pause(isolated)
+        world.run(30.0)
+        world.drain(0.5)
+        world.resume(isolated)
+        world.drain(0.5)
+        self.check(world)
+
+    def test_paused_home_comes_back(self):
+        world = self.world()
+        home_vm, others = self.others(world)
+        world.drain(1.0, others)
+        world.run(10.0)
+        world.pause(home_vm)
+        world.assign_roles()
+        world.drain(60.0, others)
+        world.resume(home_vm)
+        world.drain(1.0)
+        self.check(world)
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_model.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_model.py
@@ -64,6 +64,15 @@
             )
         self.world.run(seconds)
 
+    @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, 15.0]), zone=st.sampled_from("ab "))
+    def drain(self, seconds, zone):
+        names = [vm.name for vm in self.world.vms.values() if zone in (" ", vm.zone)]
+        self.world.drain(seconds, sorted(names), step_s=0.2)
+
+    @rule(index=st.integers(0, 5))
+    def isolate(self, index):
+        self.world.isolated = {self.pick(index)} if index < 4 else set()
+
     @rule(
         lose=st.sampled_from([0.0, 0.3, 0.9]),
         double=st.sampled_from([0.0, 0.5]),
@@ -139,6 +148,7 @@
         self.resume_all()
         self.platform(True)
         self.cut("")
+        world.isolated = set()
         world.run(world.late_s + RECOVERY_S)
         rate = world.configuration.accounts["yard"].rate
         before = world.oracles["yard"].total
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -141,6 +141,7 @@
         self.roles = {}
         self.objects = {}
         self.cuts = set()
+        self.isolated = set()
         self.platform_up = True
         self.chance = {"lose": 0.0, "double": 0.0, "late": 0.0}
         self.late_s = 20.0
@@ -280,6 +281,25 @@
         args = (vm_name, account, tokens, lasts_s, until)
         self.schedule(RETRY_S, self.submit, *args)
 
+    def drain(self, duration_s, names=None, step_s=0.1):
+        """Spend whatever the VMs hold, and ask for more, for some seconds."""
+        end = self.now + duration_s
+        while self.now < end:
+            for name in names or sorted(self.vms):
+                self._spend(name)
+            self.run(min(step_s, end - self.now))
+
+    def _spend(self, name):
+        vm = self.vms.get(name)
+        if vm is None or vm.paused:
+            return
+        status = vm.system.status(vm.clock(self.now))
+        for account, slot in status.items():
+            level = vm.system.status(vm.clock(self.now))[account]["level"]
+            if level > 0.0:
+                self.request(name, account, level, level)
+            self.request(name, account, slot["demand"] + 20.0, 0.0)
+
     def settle_later(self, vm, key, reservation, used, lasts_s):
         """Settle a reservation of a VM after some seconds."""
         args = (vm, key, reservation.account, reservation.reservation_id, used)
@@ -356,6 +376,8 @@
         vm = self.vms.get(peer)
         if vm is None:
             return
+        if sender != peer and self.isolated & {sender, peer}:
+            return
         if zone != vm.zone and (zone in self.cuts or vm.zone in self.cuts):
             return
         self._run(vm, vm.life, self._receive, vm, sender, message)
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -15,7 +15,9 @@
 from hypothesis import Phase, settings
 
 TIMEOUT_S = 240
-TESTS = tuple(f"hibiscusspar.limits.tests.test_{name}" for name in ("system", "model"))
+TESTS = tuple(
+    f"hibiscusspar.limits.tests.test_{name}" for name in ("system", "faults", "model")
+)
 
 
 class Mutation(NamedTuple):
