--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo: both example deployments as processes on loopback."""
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__main__.py
@@ -0,0 +1,160 @@
+"""``python -m hibiscusspar_standins.demo``: show both example deployments."""
+
+import sys
+from collections import Counter
+from pathlib import Path
+from statistics import quantiles
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from typer import Argument, Option, run
+from urllib3 import PoolManager
+
+from hibiscusspar_standins.demo.deployment import Deployment, Example
+from hibiscusspar_standins.demo.processes import DemoError, Processes
+from hibiscusspar_standins.demo.traffic import Call, CallMaker, Traffic, send
+
+EXAMPLES = {
+    "pryce-daughters": ("caerdydd", "abertawe", "wrecsam"),
+    "valtrebbia": ("piacenza", "parma", "lodi"),
+}
+CALLERS = 24
+SEED = 1
+WITHDRAWN_TIMEOUT_S = 15.0
+WITHDRAWN_ID = "to-withdraw"
+_STARTED = monotonic()
+_NAMES = Argument(None, help="Examples to show; all if none is given.")
+_FOLDER = Option(Path("examples"), help="Folder of the examples.")
+
+
+def main(
+    names: list[str] = _NAMES,
+    folder: Path = _FOLDER,
+    seconds: float = Option(6.0, help="Length of each of the three traffic phases."),
+):
+    """Run the examples one after another and print what happened."""
+    good = True
+    for name in names or EXAMPLES:
+        example = Example(name, folder / name, EXAMPLES[name])
+        good = show(example, seconds) and good
+    say("all checks passed" if good else "CHECKS FAILED")
+    sys.exit(0 if good else 1)
+
+
+def show(example, seconds):
+    """Run one example; return whether all checks passed."""
+    with TemporaryDirectory() as folder:
+        processes = Processes(folder)
+        try:
+            return _play(Deployment(example, processes, f"{folder}/files"), seconds)
+        except DemoError as error:
+            say(f"failed: {error}")
+            return False
+        finally:
+            processes.stop_all()
+            say(f"{example.name}: all processes ended")
+
+
+def say(text):
+    """Print one line of progress with the time since the start."""
+    print(f"[{monotonic() - _STARTED:6.1f} s] {text}", flush=True)
+
+
+def _play(deployment, seconds):
+    name = deployment.example.name
+    deployment.start_standins()
+    say(f"{name}: {len(deployment.targets)} targets, platform, weight store")
+    say(f"{name}: published {deployment.publish()} changes")
+    accounts = sorted(deployment.configuration.accounts)
+    keys = {account: deployment.issue_key(account, account) for account in accounts}
+    withdrawn = deployment.issue_key(accounts[0], WITHDRAWN_ID)
+    deployment.start_entries()
+    say(f"{name}: {len(deployment.entries)} entry VMs are ready, keys are issued")
+    traffic = Traffic(
+        lambda: [entry.caller for entry in deployment.entries],
+        CallMaker(deployment.configuration, keys),
+        CALLERS,
+        SEED,
+    )
+    traffic.start()
+    sleep(seconds)
+    withdrawn_s = _withdraw(deployment, withdrawn, accounts[0])
+    say(f"{name}: a withdrawn key stopped at all entry VMs after {withdrawn_s:.1f} s")
+    sleep(seconds)
+    code = _replace(deployment)
+    sleep(seconds)
+    traffic.stop()
+    return _summary(deployment, traffic, code)
+
+
+def _withdraw(deployment, key, account):
+    """Withdraw a key under traffic; return when no entry VM accepts it any more."""
+    adapters = deployment.configuration.adapters.values()
+    name = min(row.name for row in adapters if account in row.accounts)
+    body = {"model": f"{name}@1", "prompt": "x", "max_tokens": 1}
+    call = Call("POST", "/v1/completions", key, body)
+    pool = PoolManager(retries=False, timeout=5.0)
+    started = monotonic()
+    deployment.control("key", "withdraw", WITHDRAWN_ID)
+    waiting = list(deployment.entries)
+    while waiting:
+        if monotonic() - started > WITHDRAWN_TIMEOUT_S:
+            raise DemoError(f"a withdrawn key works at {[e.vm for e in waiting]}")
+        waiting = [e for e in waiting if not _key_refused(pool, e.caller, call)]
+    return monotonic() - started
+
+
+def _key_refused(pool, address, call):
+    outcome, _, _ = send(pool, address, call)
+    return outcome == "refused bad_key, not-run"
+
+
+def _replace(deployment):
+    old = deployment.entries[0]
+    started = monotonic()
+    code = deployment.replace(old)
+    new = deployment.entries[-1]
+    took = monotonic() - started
+    say(f"{old.vm} ended with code {code}, {new.vm} ready after {took:.1f} s")
+    return code
+
+
+def _summary(deployment, traffic, code):
+    counts = Counter()
+    violations = []
+    for address in deployment.targets.values():
+        ledger = deployment.ledger(address)
+        counts.update(ledger["counts"])
+        violations += ledger["violations"]
+    fetched = deployment.ledger(deployment.weights)["counts"].get("load", 0)
+    name = deployment.example.name
+    for outcome, number in sorted(traffic.outcomes.items()):
+        say(f"{name}: {number:5d} requests {outcome}")
+    say(
+        f"{name}: targets ran {counts['started']}, loaded {counts['load']} adapters"
+        f" ({fetched} transfers), evicted {counts['evict']}"
+    )
+    say(f"{name}: {_latency(traffic)}; {_memory(deployment)}")
+    for line in traffic.problems[:5]:
+        say(f"{name}: {line}")
+    for violation in violations[:5]:
+        say(f"{name}: violation {violation}")
+    answered = traffic.outcomes["answered"]
+    return bool(answered and not traffic.problems and not violations and code == 0)
+
+
+def _latency(traffic):
+    times = sorted(traffic.first_token_s)
+    if len(times) < 2:
+        return "no answers"
+    cuts = quantiles(times, n=20)
+    return f"first byte after {cuts[9]:.2f} s (median), {cuts[18]:.2f} s (95 in 100)"
+
+
+def _memory(deployment):
+    sizes = [deployment.memory_mb(entry) for entry in deployment.entries]
+    return f"memory of an entry VM {min(sizes):.0f} to {max(sizes):.0f} MB"
+
+
+if __name__ == "__main__":
+    run(main)
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
@@ -0,0 +1,200 @@
+"""One example deployment: stand-ins, published declarations and entry VMs."""
+
+import json
+import re
+from pathlib import Path
+from typing import NamedTuple
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from hibiscusspar_standins.demo.processes import DemoError, Process
+from hibiscusspar_wire.publishing import read_directories
+
+__all__ = ["Deployment", "Entry", "Example"]
+
+READY_TIMEOUT_S = 20.0
+CALL_TIMEOUT_S = 3.0
+PEER_SECRET = "demo-secret-of-the-entry-vms"
+TOKENS_PER_S = 60
+_ADDRESS = re.compile(r"\d+\.\d+\.\d+\.\d+:\d+")
+
+
+class Example(NamedTuple):
+    """A folder of declarations and the zones of the entry VMs."""
+
+    name: str
+    folder: Path
+    zones: tuple[str, ...]
+    vms_per_zone: int = 3
+
+
+class Entry(NamedTuple):
+    """A running entry VM."""
+
+    vm: str
+    zone: str
+    process: Process
+    caller: str
+    peer: str
+    operator: str
+
+
+class Deployment:
+    """Starts and changes one example deployment.
+
+    Parameters
+    ----------
+    example : Example
+    processes : Processes
+    folder : path
+        Where the declarations are written with the addresses of the stand-ins.
+    """
+
+    def __init__(self, example, processes, folder):
+        self.example = example
+        self.entries = []
+        self.targets = {}
+        self.platform = ""
+        self.weights = ""
+        self.configuration = None
+        self._processes = processes
+        self._folder = Path(folder)
+        self._pool = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
+        self._lives = 0
+
+    def start_standins(self):
+        """Start the outside systems, one process for each kind."""
+        declared = read_directories([self.example.folder]).targets.values()
+        services = sorted({target.service for target in declared})
+        (self.platform,) = self._standins("platform", 1, "--vm-lag-s", 0.5)
+        (self.weights,) = self._standins("weights", 1)
+        for service in services:
+            targets = [target for target in declared if target.service == service]
+            self._start_service(service, targets)
+        self._write_declarations()
+
+    def publish(self):
+        """Put the declarations in force and return the number of changes."""
+        return len(self.control("publish", "--yes", self._folder)["changes"])
+
+    def control(self, *words):
+        """Run ``hibiscussparctl`` and return what it prints."""
+        options = ["--platform", self.platform, "--output", "json", "--author", "demo"]
+        return self._processes.command("hibiscusspar_ctl", *options, *words)
+
+    def issue_key(self, account, key_id):
+        """Issue a key and return it."""
+        return self.control("key", "issue", account, "--id", key_id)["key"]
+
+    def start_entries(self):
+        """Start all entry VMs and wait until they are ready."""
+        zones = self.example.zones * self.example.vms_per_zone
+        started = [self._start_entry(zone) for zone in zones]
+        self.entries = [self._join(vm, zone, p) for vm, zone, p in started]
+
+    def replace(self, entry):
+        """Replace an entry VM by a new one; return the old one's exit code."""
+        self.entries.remove(entry)
+        row = {"zone": entry.zone, "address": entry.peer, "state": "leaving"}
+        self._set_vm(entry.vm, row)
+        code = self._processes.stop(entry.process)
+        self._set_vm(entry.vm, {"state": "gone"})
+        vm, zone, process = self._start_entry(entry.zone)
+        self.entries.append(self._join(vm, zone, process))
+        return code
+
+    def status(self, entry):
+        """Return the status that an entry VM reports, or an empty dict."""
+        try:
+            answer = self._pool.request("GET", f"http://{entry.operator}/status")
+            return answer.json() if answer.status == 200 else {}
+        except (HTTPError, ValueError):
+            return {}
+
+    def memory_mb(self, entry):
+        """Return the resident memory of an entry VM in megabytes."""
+        return self._processes.memory_mb(entry.process)
+
+    def ledger(self, address):
+        """Return the ledger of a stand-in."""
+        return self._pool.request("GET", f"http://{address}/ledger").json()
+
+    def _standins(self, role, count, *words):
+        name = f"{self.example.name}-{role}-{len(self.targets)}"
+        process = self._processes.start(
+            name, "hibiscusspar_standins", "--role", role, "--count", count, *words
+        )
+
+        def addresses(lines):
+            found = [line.split()[1] for line in lines if line.startswith(f"{role} ")]
+            return found if len(found) == count else None
+
+        return self._processes.wait_for(process, addresses)
+
+    def _start_service(self, service, targets):
+        if any(target.checks_fencing for target in targets):
+            words = ["--checks-fencing"]
+        else:
+            words = []
+        role = "engine" if _is_engine(self.example, service) else "plain"
+        words += ["--weights", self.weights, "--tokens-per-s", TOKENS_PER_S]
+        words += ["--slots", targets[0].slots, "--concurrency", targets[0].concurrency]
+        addresses = self._standins(role, len(targets), *words)
+        for target, address in zip(targets, addresses, strict=True):
+            self.targets[target.address] = address
+
+    def _write_declarations(self):
+        for file in Path(self.example.folder).rglob("*.toml"):
+            copy = self._folder / file.relative_to(self.example.folder)
+            copy.parent.mkdir(parents=True, exist_ok=True)
+            text = _ADDRESS.sub(lambda m: self.targets[m.group()], file.read_text())
+            copy.write_text(text)
+        self.configuration = read_directories([self._folder])
+
+    def _start_entry(self, zone):
+        self._lives += 1
+        vm = f"{self.example.name}-{zone}-{self._lives}"
+        process = self._processes.start(
+            vm,
+            "hibiscusspar_entry",
+            *("--vm-id", vm, "--zone", zone),
+            *("--caller-port", 0, "--peer-port", 0, "--operator-port", 0),
+            *("--platform", self.platform, "--peer-secret", PEER_SECRET),
+            *("--caller-threads", 64, "--silence-timeout-s", 10),
+        )
+        return vm, zone, process
+
+    def _join(self, vm, zone, process):
+        line = self._processes.wait_for(process, _listening, READY_TIMEOUT_S)
+        ports = line["caller"], line["peer"], line["operator"]
+        entry = Entry(vm, zone, process, *ports)
+        self._set_vm(vm, {"zone": zone, "address": entry.peer, "state": "live"})
+        url = f"http://{entry.operator}/readyz"
+
+        def ready():
+            return self._pool.request("GET", url).status == 200
+
+        self._processes.wait_until(f"{vm} to be ready", ready, READY_TIMEOUT_S, process)
+        return entry
+
+    def _set_vm(self, vm, row):
+        url = f"http://{self.platform}/vms/{vm}"
+        answer = self._pool.request("PUT", url, json=row)
+        if answer.status != 200:
+            raise DemoError(f"the platform refused the VM {vm}: {answer.status}")
+
+
+def _is_engine(example, service):
+    return read_directories([example.folder]).services[service].kind == "engine"
+
+
+def _listening(lines):
+    for line in lines:
+        try:
+            row = json.loads(line)
+        except ValueError:
+            continue
+        if "caller" in row and "operator" in row:
+            return row
+    return None
--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/traffic.py
@@ -0,0 +1,221 @@
+"""Callers of the demo: threads that send requests and check every answer."""
+
+import json
+from collections import Counter
+from random import Random
+from threading import Event, Lock, Thread
+from time import monotonic
+from typing import NamedTuple
+
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from hibiscusspar_standins.engine import expected_text
+
+__all__ = ["Call", "CallMaker", "Traffic", "judge", "send", "streamed_text"]
+
+PAUSE_S = 0.05
+READ_TIMEOUT_S = 40.0
+POPULARITY = 1.2  # exponent of the Pareto distribution of adapters
+MIN_TOKENS = 8
+MAX_TOKENS = 48
+PLAIN_SHARE = 0.2
+CHAT_SHARE = 0.2
+
+
+class Call(NamedTuple):
+    """One request of a caller; ``key`` is empty on routes open to all."""
+
+    method: str
+    path: str
+    key: str
+    body: dict
+
+
+class Traffic:
+    """Sends requests from several threads until it is stopped.
+
+    Parameters
+    ----------
+    entries : callable
+        Returns the ``IP:port`` of the entry VMs that take requests now.
+    make_call : callable
+        Returns a :class:`Call`, given a random generator.
+    threads : int
+    seed : int
+    """
+
+    def __init__(self, entries, make_call, threads, seed):
+        self.outcomes = Counter()
+        self.problems = []
+        self.first_token_s = []
+        self._entries = entries
+        self._make_call = make_call
+        self._stop = Event()
+        self._lock = Lock()
+        self._pool = PoolManager(
+            maxsize=threads,
+            retries=False,
+            timeout=Timeout(connect=5.0, read=READ_TIMEOUT_S),
+        )
+        self._threads = [
+            Thread(target=self._run, args=(Random(seed + index),), daemon=True)
+            for index in range(threads)
+        ]
+
+    def start(self):
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Let each thread finish its request."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(READ_TIMEOUT_S)
+
+    def _run(self, rng):
+        while not self._stop.wait(PAUSE_S):
+            address = rng.choice(self._entries())
+            call = self._make_call(rng)
+            outcome, detail, first_s = send(self._pool, address, call)
+            with self._lock:
+                self.outcomes[outcome] += 1
+                if first_s is not None:
+                    self.first_token_s.append(first_s)
+                if outcome in ("wrong", "broken"):
+                    self.problems.append(f"{outcome} at {address}: {detail}")
+
+
+def send(pool, address, call):
+    """Send a call; return its outcome, a detail and the time to the first byte."""
+    headers = {"Authorization": f"Bearer {call.key}"} if call.key else {}
+    started = monotonic()
+    first_s = None
+    parts = []
+    try:
+        answer = pool.request(
+            call.method,
+            f"http://{address}{call.path}",
+            json=call.body,
+            headers=headers,
+            preload_content=False,
+        )
+        for part in answer.stream():
+            first_s = monotonic() - started if first_s is None else first_s
+            parts.append(part)
+        answer.release_conn()
+    except HTTPError as error:
+        return "broken", repr(error), None
+    data = b"".join(parts)
+    outcome, detail = judge(call, answer.status, answer.headers, data)
+    return outcome, detail, first_s if outcome == "answered" else None
+
+
+def judge(call, status, headers, data):
+    """Return what an answer amounts to, and a detail for people.
+
+    Returns
+    -------
+    (str, str)
+        ``"answered"``, ``"wrong"`` for an answer that is not the whole answer to
+        this request, or ``"refused CODE"`` with what it says of the run.
+    """
+    if status != 200:
+        return _refusal(status, headers, data)
+    if "prompt" not in call.body and "messages" not in call.body:
+        return _judge_plain(call, data)
+    prompt = call.body.get("prompt") or call.body["messages"][0]["content"]
+    wanted = expected_text(call.body["model"], prompt, call.body["max_tokens"])
+    got = streamed_text(data) if call.body.get("stream") else _whole_text(data)
+    return ("answered", "") if got == wanted else ("wrong", f"{data[-200:]!r}")
+
+
+def streamed_text(data):
+    """Return the text of a complete stream; None if it is not complete."""
+    rows = [row for row in data.decode().split("\n\n") if row]
+    if not rows or rows[-1] != "data: [DONE]":
+        return None
+    values = [json.loads(row.removeprefix("data: ")) for row in rows[:-1]]
+    return "".join(_text(value["choices"][0]) for value in values)
+
+
+def _refusal(status, headers, data):
+    ran = headers.get("Hibiscusspar-Run", "unsaid")
+    try:
+        code = json.loads(data)["error"]["code"]
+    except (ValueError, KeyError, TypeError):
+        code = str(status)
+    return f"refused {code}, {ran}", f"{data[:200]!r}"
+
+
+def _judge_plain(call, data):
+    value = json.loads(data)
+    same = value["path"] == call.path and json.loads(value["body"]) == call.body
+    return ("answered", "") if same else ("wrong", f"{data[:200]!r}")
+
+
+def _whole_text(data):
+    try:
+        return _text(json.loads(data)["choices"][0])
+    except (ValueError, KeyError):
+        return None
+
+
+def _text(choice):
+    if "text" in choice:
+        return choice["text"]
+    return (choice.get("delta") or choice["message"])["content"]
+
+
+class CallMaker:
+    """Makes calls on the adapters and routes of a configuration.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    keys : dict of str to str
+        A key for each client account.
+    """
+
+    def __init__(self, configuration, keys):
+        self._keys = keys
+        self._accounts = sorted(keys)
+        self._plain = [
+            route
+            for route in configuration.routes.values()
+            if configuration.services[route.service].kind == "plain"
+        ]
+        self._labels = {
+            account: sorted(
+                f"{row.name}@{row.current}"
+                for row in configuration.adapters.values()
+                if account in row.accounts
+            )
+            for account in keys
+        }
+
+    def __call__(self, rng):
+        """Return a call."""
+        account = rng.choice(self._accounts)
+        kind = rng.random()
+        if kind < PLAIN_SHARE:
+            return self._plain_call(rng, self._keys[account])
+        labels = self._labels[account]
+        rank = min(int(rng.paretovariate(POPULARITY)), len(labels)) - 1
+        return self._engine_call(rng, account, labels[rank], kind)
+
+    def _plain_call(self, rng, key):
+        route = rng.choice(self._plain)
+        body = {"number": rng.getrandbits(32)}
+        key = "" if route.open_to_all else key
+        return Call("POST", route.prefix, key, body)
+
+    def _engine_call(self, rng, account, label, kind):
+        prompt = f"charge log {rng.getrandbits(64):016x}"
+        body = {"model": label, "max_tokens": rng.randint(MIN_TOKENS, MAX_TOKENS)}
+        if kind < PLAIN_SHARE + CHAT_SHARE:
+            body["messages"] = [{"role": "user", "content": prompt}]
+            return Call("POST", "/v1/chat/completions", self._keys[account], body)
+        body |= {"prompt": prompt, "stream": True}
+        return Call("POST", "/v1/completions", self._keys[account], body)
