Test the whole path over real processes

Cause: the demo is not run by make test, and its own checks need a test. Change: two entry VMs, two engines, a plain service, platform and weight store as processes; whole answers, refusals, withdrawn key, replacement under load.

--- /dev/null
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/tests/test_whole_path.py
@@ -0,0 +1,237 @@
+"""Tests of the whole path over real processes: the demo in small."""
+
+import json
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from urllib3 import PoolManager
+
+from hibiscusspar_standins.demo.deployment import Deployment, Example
+from hibiscusspar_standins.demo.processes import Processes
+from hibiscusspar_standins.demo.traffic import Call, CallMaker, Traffic, judge, send
+from hibiscusspar_standins.engine import expected_text
+from hibiscusspar_wire.publishing import read_directories
+
+LABEL = "bark@1"
+CLIENTS = ("mill", "yard")
+SLOW_TOKENS = 90  # 1.5 s at the speed of the stand-ins
+DECLARATIONS = """
+[service]
+name = "drafting"
+kind = "engine"
+model = "base"
+
+[[models]]
+name = "base"
+
+[[services]]
+name = "registry"
+kind = "plain"
+
+[[targets]]
+name = "drafting-1"
+address = "10.0.0.1:8000"
+zone = "lodi"
+
+[[targets]]
+name = "drafting-2"
+address = "10.0.0.2:8000"
+zone = "lodi"
+
+[[targets]]
+name = "registry-1"
+service = "registry"
+address = "10.0.0.3:8000"
+zone = "lodi"
+
+[[routes]]
+prefix = "/v1"
+service = "drafting"
+idempotent = true
+
+[[routes]]
+prefix = "/certificates"
+service = "registry"
+
+[[routes]]
+prefix = "/status"
+service = "registry"
+idempotent = true
+open_to_all = true
+
+[[adapters]]
+name = "bark"
+model = "base"
+versions = ["1"]
+accounts = ["mill"]
+
+[[adapters]]
+name = "elm"
+model = "base"
+versions = ["1"]
+accounts = ["yard"]
+
+[[accounts]]
+name = "mill"
+rate = 100000.0
+burst = 1000000.0
+
+[[accounts]]
+name = "yard"
+rate = 100000.0
+burst = 1000000.0
+"""
+
+
+class TestWholePath(TestCase):
+    """Two entry VMs, two engines, a plain service, a platform, a weight store."""
+
+    @classmethod
+    def setUpClass(cls):
+        folder = TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        declared = Path(folder.name) / "declared"
+        declared.mkdir()
+        (declared / "all.toml").write_text(DECLARATIONS)
+        cls.processes = Processes(folder.name)
+        cls.addClassCleanup(cls.processes.stop_all)
+        example = Example("small", declared, ("lodi",), vms_per_zone=2)
+        cls.deployment = Deployment(example, cls.processes, f"{folder.name}/files")
+        cls.deployment.start_standins()
+        cls.deployment.publish()
+        cls.keys = {name: cls.deployment.issue_key(name, name) for name in CLIENTS}
+        cls.deployment.start_entries()
+        cls.pool = PoolManager(retries=False, timeout=20.0)
+
+    def send(self, call, entry=None):
+        entry = entry or self.deployment.entries[0]
+        return send(self.pool, entry.caller, call)[:2]
+
+    def completion(self, account="mill", **fields):
+        body = {"model": LABEL, "prompt": "hello", "max_tokens": 8, "stream": True}
+        return Call("POST", "/v1/completions", self.keys[account], body | fields)
+
+    def entries_of(self, kind):
+        rows = []
+        for address in self.deployment.targets.values():
+            rows += self.deployment.ledger(address)["entries"]
+        return [row for row in rows if row["kind"] == kind]
+
+    def test_each_entry_vm_streams_a_whole_answer(self):
+        for entry in self.deployment.entries:
+            self.assertEqual(self.send(self.completion(), entry), ("answered", ""))
+
+    def test_whole_and_chat_answers_are_relayed(self):
+        self.assertEqual(self.send(self.completion(stream=False))[0], "answered")
+        body = {"messages": [{"role": "user", "content": "hello"}]}
+        body |= {"model": LABEL, "max_tokens": 3}
+        call = Call("POST", "/v1/chat/completions", self.keys["mill"], body)
+        self.assertEqual(self.send(call)[0], "answered")
+
+    def test_a_bare_adapter_name_means_its_current_version(self):
+        call = self.completion(model="bark", stream=False)
+        answer = self.pool.request(
+            call.method,
+            f"http://{self.deployment.entries[0].caller}{call.path}",
+            json=call.body,
+            headers={"Authorization": f"Bearer {call.key}"},
+        )
+        text = answer.json()["choices"][0]["text"]
+        self.assertEqual(text, expected_text(LABEL, "hello", 8))
+
+    def test_plain_calls_run_once_and_open_routes_need_no_key(self):
+        body = {"number": 77001}
+        call = Call("POST", "/certificates", self.keys["mill"], body)
+        self.assertEqual(self.send(call)[0], "answered")
+        self.assertEqual(self.send(Call("POST", "/status", "", body))[0], "answered")
+        started = self.entries_of("started")
+        issued = [row for row in started if row["detail"] == "POST /certificates"]
+        self.assertEqual([row["account"] for row in issued], ["mill"])
+
+    def test_refusals_run_nothing_and_say_so(self):
+        stranger = self.completion()._replace(key="not-a-key")
+        other = self.completion(account="yard")
+        unknown = self.completion(model="oak@1")
+        before = len(self.entries_of("started"))
+        for call in (stranger, other, unknown):
+            outcome, _ = self.send(call)
+            self.assertRegex(outcome, "^refused [a-z_]+, not-run$")
+        self.assertEqual(len(self.entries_of("started")), before)
+
+    def test_a_withdrawn_key_stops_everywhere(self):
+        key = self.deployment.issue_key("mill", "short-lived")
+        call = self.completion()._replace(key=key)
+        for entry in self.deployment.entries:
+            self.reach("answered", call, entry)
+        self.deployment.control("key", "withdraw", "short-lived")
+        for entry in self.deployment.entries:
+            self.reach("refused bad_key, not-run", call, entry)
+
+    def reach(self, outcome, call, entry):
+        def probe():
+            return self.send(call, entry)[0] == outcome
+
+        self.processes.wait_until(outcome, probe, timeout_s=15.0)
+
+    def test_a_replaced_entry_vm_cuts_off_no_request(self):
+        traffic = Traffic(
+            lambda: [entry.caller for entry in self.deployment.entries],
+            lambda rng: self.completion(max_tokens=SLOW_TOKENS),
+            threads=4,
+            seed=1,
+        )
+        traffic.start()
+        old = self.deployment.entries[0]
+
+        def serves_some():
+            return traffic.outcomes["answered"] >= 4
+
+        self.processes.wait_until("first answers", serves_some, timeout_s=20.0)
+        code = self.deployment.replace(old)
+        traffic.stop()
+        self.assertEqual(code, 0)
+        self.assertEqual(traffic.problems, [])
+        self.assertEqual(set(traffic.outcomes), {"answered"})
+
+    def test_targets_see_no_credential(self):
+        self.send(self.completion())
+        self.send(Call("POST", "/certificates", self.keys["yard"], {"number": 1}))
+        self.assertEqual(self.entries_of("violation"), [])
+
+
+class TestJudge(TestCase):
+    """The demo's own check of answers."""
+
+    CALL = Call("POST", "/v1/completions", "", {"model": LABEL, "prompt": "hello"})
+
+    def judge(self, text):
+        call = self.CALL._replace(body=self.CALL.body | {"max_tokens": 2})
+        data = json.dumps({"choices": [{"text": text}]}).encode()
+        return judge(call, 200, {}, data)[0]
+
+    def test_only_the_whole_answer_to_the_request_counts(self):
+        self.assertEqual(self.judge(expected_text(LABEL, "hello", 2)), "answered")
+        self.assertEqual(self.judge(expected_text(LABEL, "hello", 1)), "wrong")
+        self.assertEqual(self.judge(expected_text(LABEL, "other", 2)), "wrong")
+        self.assertEqual(self.judge(expected_text("elm@1", "hello", 2)), "wrong")
+
+    def test_a_stream_without_its_end_is_wrong(self):
+        call = self.CALL._replace(body=self.CALL.body | {"max_tokens": 1})
+        call.body["stream"] = True
+        text = expected_text(LABEL, "hello", 1)
+        frame = "data: " + json.dumps({"choices": [{"text": text}]}) + "\n\n"
+        self.assertEqual(judge(call, 200, {}, frame.encode())[0], "wrong")
+        whole = f"{frame}data: [DONE]\n\n".encode()
+        self.assertEqual(judge(call, 200, {}, whole)[0], "answered")
+
+    def test_calls_use_adapters_of_their_account(self):
+        folder = Path(__file__).resolve().parents[4] / "examples" / "valtrebbia"
+        configuration = read_directories([folder])
+        make_call = CallMaker(configuration, dict.fromkeys(configuration.accounts, "k"))
+        rng = Random(1)
+        models = {make_call(rng).body.get("model") for _ in range(200)} - {None}
+        self.assertGreater(len(models), 20)
+        for model in models:
+            self.assertIn(model.partition("@")[0], configuration.adapters)
