--- a/packages/hibiscusspar/hibiscusspar/placement/router.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/router.py
@@ -117,6 +117,21 @@
             return self._plain(now, request, names, out)
         return self._held(now, request, names, out)
 
+    def room(self, request):
+        """Return whether :meth:`attempt` would decide now; it changes nothing."""
+        spec = self._services.get(request.service)
+        allowed = set(self._by_service.get(request.service, ()))
+        allowed.difference_update(request.excluded)
+        if spec is None or not allowed:
+            return True
+        if spec.kind == "plain":
+            return any(
+                self._in_flight.get(name, 0) < self._specs[name].concurrency
+                for name in allowed
+            )
+        holds = self._holder.of_label(label_of(request))
+        return any(hold.free for name, hold in holds.items() if name in allowed)
+
     def wait(self, now, request, out):
         """Keep a request waiting and ask for what it needs."""
         key = (request.service, label_of(request))
--- a/packages/hibiscusspar/hibiscusspar/placement/system.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/system.py
@@ -122,6 +122,10 @@
         decision = self._router.attempt(now, request, out)
         return decision or self._router.waited(request, out)
 
+    def room(self, request):
+        """Return whether :meth:`route` would decide at once, without a wait."""
+        return self._router.room(request)
+
     def finished(self, now, request_id, outcome, out):
         """End a request, whether it ran or waited; give back its unit."""
         self._router.finished(now, request_id, out)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -61,6 +61,7 @@
         self._clock = clock
         self._metrics = metrics
         self._exchange_s = exchange_s
+        self._after_decision = _nothing
         self._lock = threading.RLock()
         self._due = defaultdict(list)
         self._busy_peers = set()
@@ -69,6 +70,10 @@
         self._callers = ThreadPoolExecutor(2, "platform")
         self._orderers = ThreadPoolExecutor(4, "order")
 
+    def call_after_decisions(self, after):
+        """Have ``after(now, out)`` called under the lock after each decision."""
+        self._after_decision = after
+
     @contextmanager
     def decide(self):
         """Hold the lock over the tables; what was decided is carried out after.
@@ -81,7 +86,9 @@
         """
         out = Outbox()
         with self._lock:
-            yield self._clock(), out
+            now = self._clock()
+            yield now, out
+            self._after_decision(now, out)
             self._queue_sends(out)
         self._start_work(out)
 
@@ -177,5 +184,9 @@
         self._take_in(self._codec.decode(answer))
 
 
+def _nothing(_now, _out):
+    """Stand in until something is to be called after decisions."""
+
+
 def _fault(system, error):
     return {"system": system, "reason": f"{type(error).__name__}: {error}"}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
@@ -12,6 +12,7 @@
     "REQUEST_REFUSED",
     "STOPPED",
     "SYSTEM_FAILED",
+    "TARGET_UNREACHABLE",
 ]
 
 LISTENING = declare(
@@ -41,6 +42,12 @@
     ("system", "reason"),
     "A system raised an error in a tick; it runs again in the next one.",
 )
+TARGET_UNREACHABLE = declare(
+    107,
+    "process.target_unreachable",
+    ("target", "reason"),
+    "A target did not answer the poll of its owner.",
+)
 REQUEST_REFUSED = declare(
     110,
     "request.refused",
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/orders.py
@@ -0,0 +1,128 @@
+"""Carries out orders to targets and polls the state of the targets owned here."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from msgspec import MsgspecError, Struct, json
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError as TransportError
+
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.events import TARGET_UNREACHABLE
+
+__all__ = ["TargetKeeper"]
+
+POLL_THREADS = 4
+LOAD_TIMEOUT_S = 30.0
+STATE_TIMEOUT_S = 1.0
+_PATHS = {"load": "/v1/load_lora_adapter", "evict": "/v1/unload_lora_adapter"}
+_REASONS = {409: "fenced", 507: "no_slot", 502: "failed"}
+
+
+class _State(Struct):
+    incarnation: str | int = ""
+    resident: list[str] = []
+    running: int = 0
+    queued: int = 0
+
+
+class _Done(Struct):
+    incarnation: str | int = ""
+
+
+class TargetKeeper:
+    """Sends orders to targets and reads their state.
+
+    Parameters
+    ----------
+    address_of : callable
+        Maps the name of a target to its address, or None if it isn't declared.
+    connect_timeout_s : float
+    """
+
+    def __init__(self, address_of, connect_timeout_s):
+        self._address_of = address_of
+        self._connect_timeout_s = connect_timeout_s
+        self._pool = PoolManager(num_pools=256, maxsize=4, retries=False)
+        self._pollers = ThreadPoolExecutor(POLL_THREADS, "state")
+        self._polling = set()
+        self._lock = threading.Lock()
+
+    def order(self, order):
+        """Carry out an order once; it is safe to repeat.
+
+        Parameters
+        ----------
+        order : Order
+
+        Returns
+        -------
+        ok : bool
+        reason : str
+            Empty if it was carried out, else ``"fenced"``, ``"no_slot"``,
+            ``"failed"`` or ``"unknown"``.
+        incarnation : str
+        """
+        address = self._address_of(order.target)
+        if address is None:
+            return False, "failed", ""
+        body = {"lora_name": f"{order.adapter}@{order.version}", "fence": order.fence}
+        url = f"http://{address}{_PATHS[order.action]}"
+        try:
+            answer = self._request("POST", url, LOAD_TIMEOUT_S, json=body)
+            incarnation = str(json.decode(answer.data, type=_Done).incarnation)
+        except (TransportError, MsgspecError):
+            return False, "unknown", ""
+        if answer.status == 200:
+            return True, "", incarnation
+        return False, _REASONS.get(answer.status, "unknown"), incarnation
+
+    def poll(self, targets, take_state, take_silence):
+        """Read the state of targets in the background.
+
+        Parameters
+        ----------
+        targets : sequence of str
+        take_state : callable
+            Called with target, incarnation, resident, running and queued.
+        take_silence : callable
+            Called with the name of a target that doesn't answer.
+        """
+        for target in targets:
+            with self._lock:
+                if target in self._polling:
+                    continue
+                self._polling.add(target)
+            self._pollers.submit(self._poll_one, target, take_state, take_silence)
+
+    def stop(self):
+        """End the polling threads."""
+        self._pollers.shutdown(wait=True, cancel_futures=True)
+
+    def _poll_one(self, target, take_state, take_silence):
+        try:
+            state = self._state(target)
+        except (TransportError, MsgspecError) as error:
+            fields = {"target": target, "reason": type(error).__name__}
+            write_records([(TARGET_UNREACHABLE, fields)])
+            take_silence(target)
+        else:
+            if state is not None:
+                take_state(target, *state)
+        finally:
+            with self._lock:
+                self._polling.discard(target)
+
+    def _state(self, target):
+        address = self._address_of(target)
+        if address is None:
+            return None
+        url = f"http://{address}/v1/state"
+        answer = self._request("GET", url, STATE_TIMEOUT_S)
+        state = json.decode(answer.data, type=_State)
+        resident = tuple(state.resident)
+        return str(state.incarnation), resident, state.running, state.queued
+
+    def _request(self, method, url, read_timeout_s, **fields):
+        timeout = Timeout(connect=self._connect_timeout_s, read=read_timeout_s)
+        return self._pool.request(method, url, timeout=timeout, **fields)
