--- a/packages/hibiscusspar/hibiscusspar/requests/claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/claims.py
@@ -108,9 +108,12 @@
     policy : ClaimPolicy
     system : str
         Name of the system to which results of platform calls go back.
+    on_verdict : callable, optional
+        Called with the id of a claim and its verdict, instead of keeping them
+        for :meth:`take_verdicts`.
     """
 
-    def __init__(self, members, rng, policy=None, system="requests"):
+    def __init__(self, members, rng, policy=None, system="requests", on_verdict=None):
         self._members = members
         self._rng = rng
         self._policy = policy or ClaimPolicy()
@@ -119,6 +122,7 @@
         self._shards = {}
         self._calls = {}
         self._verdicts = {}
+        self._on_verdict = on_verdict or self._verdicts_put
         self._held = {}
 
     @property
@@ -148,7 +152,7 @@
         shard = self._shard(digest)
         entry = shard.entries.get(digest)
         if entry is not None and entry.state != CLAIMED:
-            self._verdicts[claim_id] = _compare(entry, body)
+            self._on_verdict(claim_id, _compare(entry, body))
             return claim_id
         shard.stale = shard.stale or entry is not None
         shard.waiting[claim_id] = _Waiting(claim_id, account, digest, body, deadline)
@@ -188,6 +192,11 @@
             self._read(now, name, shard, result, out)
         else:
             self._wrote(now, name, shard, result, out)
+        if now >= shard.next_at:
+            self._start(now, name, shard, out)
+
+    def _verdicts_put(self, claim_id, verdict):
+        self._verdicts[claim_id] = verdict
 
     def _shard(self, digest):
         name = shard_of(digest, self._policy.shards)
@@ -326,7 +335,7 @@
 
     def _decide(self, shard, waiting, verdict, out):
         del shard.waiting[waiting.claim_id]
-        self._verdicts[waiting.claim_id] = verdict
+        self._on_verdict(waiting.claim_id, verdict)
         out.log(
             CLAIM_DECIDED,
             claim_id=waiting.claim_id,
--- a/packages/hibiscusspar/hibiscusspar/requests/retry.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/retry.py
@@ -20,7 +20,7 @@
 
     NOT_SENT = "not sent"
     DISCLAIMED = "target did not run it"
-    PARTLY_SENT = "reset while sending"
+    NOT_RESIDENT = "adapter not resident"
     CLOSED = "closed before the answer"
     SILENT = "silent before the answer"
     REFUSED = "refused, effect unknown"
@@ -50,7 +50,7 @@
 RULES = {
     Cause.NOT_SENT: Rule(False, True, True, False, True),
     Cause.DISCLAIMED: Rule(False, False, True, False, False),
-    Cause.PARTLY_SENT: Rule(True, False, True, False, True),
+    Cause.NOT_RESIDENT: Rule(False, True, True, False, False),
     Cause.CLOSED: Rule(True, False, True, False, True),
     Cause.SILENT: Rule(True, False, True, False, True),
     Cause.REFUSED: Rule(True, False, True, False, True),
--- a/packages/hibiscusspar/hibiscusspar/requests/system.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/system.py
@@ -25,6 +25,8 @@
         Seeded differently in each process; ids of claims come from it.
     retry_policy : RetryPolicy, optional
     claim_policy : ClaimPolicy, optional
+    on_verdict : callable, optional
+        See :class:`~hibiscusspar.requests.claims.Claims`.
 
     Attributes
     ----------
@@ -36,9 +38,11 @@
 
     name = "requests"
 
-    def __init__(self, members, rng, retry_policy=None, claim_policy=None):
+    def __init__(
+        self, members, rng, retry_policy=None, claim_policy=None, on_verdict=None
+    ):
         self.retry_policy = retry_policy or RetryPolicy()
-        self.claims = Claims(members, rng, claim_policy, self.name)
+        self.claims = Claims(members, rng, claim_policy, self.name, on_verdict)
         self.ejection = EjectionTable(rng=rng)
         self.quarantine = Quarantine(members, rng)
         self.budget = RetryBudget(self.retry_policy)
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
@@ -106,8 +106,7 @@
             if outcome in ("", "unknown"):
                 real = self.platform.apply(call)
                 result = real if not outcome else result
-            self.claims[i].platform_result(self.now, result, Outbox())
-            self.collect(i)
+            self.take_in(i, result)
 
     def delay(self, i):
         """Lose the answer of a call that takes effect later, or never."""
@@ -115,8 +114,13 @@
             self.late.append(call)
             del self.calls[i][:1]
             result = PlatformResult(call.call_id, "unknown")
-            self.claims[i].platform_result(self.now, result, Outbox())
-            self.collect(i)
+            self.take_in(i, result)
+
+    def take_in(self, i, result):
+        out = Outbox()
+        self.claims[i].platform_result(self.now, result, out)
+        self.calls[i] += out.calls
+        self.collect(i)
 
     def restart(self, i):
         self.calls[i].clear()
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -0,0 +1,415 @@
+"""Carries a request to targets and its answer to the caller, whole or broken."""
+
+import time
+from typing import NamedTuple, Protocol
+
+from msgspec import MsgspecError, Struct
+from msgspec.json import decode as from_json
+from msgspec.json import encode as to_json
+
+from hibiscusspar.errors import StepError
+from hibiscusspar.requests.events import (
+    CONNECTION_SILENT,
+    REQUEST_CANCELLED,
+    REQUEST_REJECTED,
+    STREAM_RESUMED,
+)
+from hibiscusspar.requests.lifecycle import Outcome, Step
+from hibiscusspar.requests.retry import Cause, GiveUp
+from hibiscusspar_wire.stream_check import StreamCheck
+from hibiscusspar_wire.target_client import TargetError
+
+__all__ = ["GaveUpError", "Hooks", "Placed", "Relay", "Relayed", "Work"]
+
+_CRASH_CAUSES = frozenset({Cause.CLOSED, Cause.TRUNCATED, Cause.STREAM_CLOSED})
+_SILENT_CAUSES = frozenset({Cause.SILENT, Cause.STREAM_SILENT})
+_NOT_RELAYED = frozenset(
+    {"connection", "content-length", "date", "keep-alive", "server"}
+    | {"transfer-encoding", "x-run", "x-request-id"}
+)
+
+
+class Work(NamedTuple):
+    """One request as it goes to a target.
+
+    ``label`` is ``adapter@version`` for engines, else empty. ``deadline`` is the
+    time of the first byte; ``tokens`` is what was reserved; ``digest`` is that of
+    the body.
+    """
+
+    request_id: str
+    method: str
+    uri: str
+    headers: dict
+    body: bytes
+    label: str
+    stream: bool
+    idempotent: bool
+    deadline: float
+    tokens: int
+    digest: str
+
+
+class Placed(NamedTuple):
+    """The target that a request was granted."""
+
+    target: str
+    address: str
+
+
+class Relayed(NamedTuple):
+    """An answer; ``body`` is bytes if whole, else an iterator."""
+
+    status: int
+    headers: tuple
+    body: object
+
+
+class Hooks(Protocol):
+    """What the relay needs from the process around it."""
+
+    def place(self, work, excluded):
+        """Return a :class:`Placed` target, or raise.
+
+        ``excluded(candidates)`` returns those of some target names to avoid.
+        """
+
+    def left(self, work, placed, cause):
+        """Take back the grant of an attempt that ended; cause None if well."""
+
+    def missing(self, work, placed):
+        """Take in that the target does not hold the adapter."""
+
+    def ended(self, work, life, target, status):
+        """Take in the end of a request with its outcome and its tokens."""
+
+
+class GaveUpError(StepError):
+    """A request ended without an answer; ``ran`` tells what is known of it."""
+
+    def __init__(self, step, peer, reason, code, status, ran, retry_after_s):
+        super().__init__(step, peer, reason)
+        self.code = code
+        self.status = status
+        self.ran = ran
+        self.retry_after_s = retry_after_s
+
+
+class _Usage(Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Completion(Struct):
+    usage: _Usage = _Usage()
+
+
+class Relay:
+    """Follows the life of requests with sockets.
+
+    Parameters
+    ----------
+    system : RequestSystem
+    targets : TargetClient
+    hooks : Hooks
+    decide : callable
+        Context manager that yields the time and an outbox under the lock of the
+        tables.
+    sleep : callable
+    """
+
+    def __init__(self, system, targets, hooks, decide, sleep=time.sleep):
+        self._system = system
+        self._targets = targets
+        self._hooks = hooks
+        self._decide = decide
+        self._sleep = sleep
+        self._incarnations = {}
+
+    def run(self, work):
+        """Return the answer to a request; raise :class:`GaveUpError` if there is none.
+
+        The body of a stream must be exhausted or closed, which ends the request.
+        """
+        self._begin(work)
+        try:
+            self._refuse_poison(work)
+            return self._attempts(work)
+        except BaseException:
+            self._give_up_if_open(work)
+            raise
+
+    def _begin(self, work):
+        with self._decide() as (_now, out):
+            self._system.begin(work.request_id, work.idempotent)
+            self._system.step(work.request_id, Step.RESERVE, out, work.tokens)
+            self._system.step(work.request_id, Step.ENQUEUE, out)
+
+    def _refuse_poison(self, work):
+        with self._decide() as (now, _out):
+            left_s = self._system.quarantine.refused_for(now, work.digest)
+        if left_s > 0:
+            reason = "requests with this body crashed two targets"
+            raise GaveUpError(
+                "quarantine", "", reason, "body_quarantined", 422, "not-run", left_s
+            )
+
+    def _attempts(self, work):
+        tried = set()
+        while True:
+            placed = self._place(work, tried)
+            try:
+                return self._attempt(work, placed)
+            except TargetError as error:
+                failure = error
+            self._hooks.left(work, placed, failure.cause)
+            decision = self._failed(work, placed, failure, work.deadline)
+            if failure.cause is Cause.NOT_RESIDENT:
+                self._hooks.missing(work, placed)
+            else:
+                tried.add(placed.target)
+            if isinstance(decision, GiveUp):
+                raise self._gave_up(work, placed, failure, decision)
+            self._sleep(decision.delay_s)
+
+    def _place(self, work, tried):
+        def excluded(candidates):
+            with self._decide() as (now, _out):
+                ejected = self._system.ejection.excluded(now, sorted(candidates))
+            return ejected | tried if set(candidates) - ejected - tried else ejected
+
+        placed = self._hooks.place(work, excluded)
+        with self._decide() as (now, out):
+            self._system.step(work.request_id, Step.GRANT, out)
+            self._system.step(work.request_id, Step.SEND, out)
+            self._system.ejection.begin(now, placed.target, out)
+        return placed
+
+    def _attempt(self, work, placed):
+        answer = self._targets.send(
+            placed.address,
+            work.method,
+            work.uri,
+            work.headers,
+            work.body,
+            self._answer_timeout(work),
+            work.idempotent,
+        )
+        self._targets.check(placed.address, answer, work.request_id, work.label)
+        self._note_incarnation(placed, answer)
+        self._step(work, Step.BEGIN_ANSWER)
+        headers = _relayed_headers(answer)
+        if work.stream and answer.status == 200:
+            check = StreamCheck(work.request_id, work.label)
+            body = _Stream(self._stream(work, placed, answer, check))
+            return Relayed(answer.status, headers, body)
+        data = self._targets.read(placed.address, answer)
+        self._complete(work, placed, answer.status, _tokens(work, data))
+        return Relayed(answer.status, headers, data)
+
+    def _answer_timeout(self, work):
+        with self._decide() as (now, _out):
+            left_s = max(work.deadline - now, 0.001)
+        if work.stream:
+            return min(left_s, self._targets.silence_timeout_s)
+        # Half of the time left leaves room for another attempt.
+        return left_s / 2 if work.idempotent else left_s
+
+    def _note_incarnation(self, placed, answer):
+        incarnation = answer.headers.get("X-Incarnation")
+        if incarnation:
+            self._incarnations[placed.target] = incarnation
+
+    def _failed(self, work, placed, error, deadline, resumes=0):
+        """Note a failed attempt and return what the rules decide."""
+        crashed = error.cause in _CRASH_CAUSES and self._has_crashed(placed)
+        with self._decide() as (now, out):
+            if error.cause in _SILENT_CAUSES:
+                phase = self._system.in_flight[work.request_id].phase.value
+                out.log(
+                    CONNECTION_SILENT,
+                    request_id=work.request_id,
+                    target=placed.target,
+                    phase=phase,
+                )
+            if crashed:
+                self._system.quarantine.crashed(now, work.digest, placed.target, out)
+            return self._system.attempt_failed(
+                now,
+                work.request_id,
+                placed.target,
+                error.cause,
+                deadline,
+                out,
+                resumes,
+            )
+
+    def _has_crashed(self, placed):
+        known = self._incarnations.get(placed.target, "")
+        now = self._targets.incarnation(placed.address)
+        return now is None or bool(known and now and now != known)
+
+    def _gave_up(self, work, placed, error, decision):
+        with self._decide() as (_now, out):
+            life = self._system.step(work.request_id, Step.GIVE_UP, out)
+            ran = "not-run" if life.outcome is Outcome.NOT_RUN else "unknown"
+            code = "target_unavailable" if ran == "not-run" else "outcome_unknown"
+            out.log(
+                REQUEST_REJECTED,
+                request_id=work.request_id,
+                code=code,
+                ran=ran,
+                retry_after_s=decision.retry_after_s,
+            )
+        status = 503 if ran == "not-run" else 502
+        self._hooks.ended(work, life, placed.target, status)
+        reason = f"{error.cause.value}; {decision.reason}"
+        return GaveUpError(
+            error.step, "", reason, code, status, ran, decision.retry_after_s
+        )
+
+    def _give_up_if_open(self, work, target="", status=0, tokens=0):
+        with self._decide() as (_now, out):
+            if work.request_id not in self._system.in_flight:
+                return
+            life = self._system.step(work.request_id, Step.GIVE_UP, out, tokens)
+        self._hooks.ended(work, life, target, status)
+
+    def _step(self, work, step):
+        with self._decide() as (_now, out):
+            self._system.step(work.request_id, step, out)
+
+    def _complete(self, work, placed, status, tokens):
+        with self._decide() as (_now, out):
+            self._system.ejection.succeeded(placed.target, out)
+            life = self._system.step(work.request_id, Step.COMPLETE, out, tokens)
+        self._hooks.left(work, placed, None)
+        self._hooks.ended(work, life, placed.target, status)
+
+    def _stream(self, work, placed, answer, check):
+        resumes = 0
+        try:
+            while True:
+                try:
+                    yield from self._targets.stream(placed.address, answer, check)
+                    break
+                except TargetError as error:
+                    resumes += 1
+                    found = self._resume(work, placed, check, error, resumes)
+                    placed, answer, check = found
+        except GeneratorExit:
+            self._cancel(work, placed, check)
+            raise
+        except Exception as error:
+            self._broken(work, placed, check)
+            yield _broken_frame(error)
+            raise
+        self._complete(work, placed, 200, check.tokens)
+
+    def _broken(self, work, placed, check):
+        self._hooks.left(work, placed, Cause.STREAM_CLOSED)
+        self._give_up_if_open(work, placed.target, 200, check.index)
+
+    def _resume(self, work, placed, check, error, resumes):
+        """Return where the stream goes on, or raise what broke it."""
+        with self._decide() as (now, _out):
+            deadline = now + self._targets.silence_timeout_s
+        decision = self._failed(work, placed, error, deadline, resumes - 1)
+        if isinstance(decision, GiveUp):
+            reason = f"{error.cause.value}; {decision.reason}"
+            raise StepError(error.step, "", reason) from error
+        self._sleep(decision.delay_s)
+        try:
+            answer = self._reconnect(work, placed, check)
+        except TargetError as failure:
+            if not work.idempotent:
+                reason = f"{error.cause.value}; then {failure.cause.value}"
+                raise StepError(failure.step, "", reason) from failure
+            return self._replay(work, placed, check)
+        return placed, answer, check
+
+    def _reconnect(self, work, placed, check):
+        answer = self._targets.resume(placed.address, work.request_id, check.index)
+        self._targets.check(placed.address, answer, work.request_id, work.label)
+        check.reconnect()
+        self._step(work, Step.RESUME)
+        self._log_resumed(work, placed, check)
+        return answer
+
+    def _replay(self, work, placed, check):
+        """Run an idempotent request again, to go on where its stream broke."""
+        self._hooks.left(work, placed, Cause.STREAM_CLOSED)
+        self._step(work, Step.LOSE)
+        placed = self._place(work, {placed.target})
+        answer = self._targets.send(
+            placed.address, work.method, work.uri, work.headers, work.body
+        )
+        self._targets.check(placed.address, answer, work.request_id, work.label)
+        self._step(work, Step.BEGIN_ANSWER)
+        return placed, answer, check.replay()
+
+    def _log_resumed(self, work, placed, check):
+        with self._decide() as (_now, out):
+            out.log(
+                STREAM_RESUMED,
+                request_id=work.request_id,
+                target=placed.target,
+                offset=check.index,
+            )
+
+    def _cancel(self, work, placed, check):
+        with self._decide() as (_now, out):
+            out.log(REQUEST_CANCELLED, request_id=work.request_id, target=placed.target)
+        self._hooks.left(work, placed, None)
+        self._give_up_if_open(work, placed.target, 200, check.index)
+        try:
+            self._targets.cancel(placed.address, work.request_id)
+        except TargetError:
+            return
+
+
+class _Stream:
+    """Iterator of a stream whose end is certain, even if it is never started."""
+
+    def __init__(self, frames):
+        self._frames = frames
+        self._first = next(frames, b"")
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        if self._first:
+            first, self._first = self._first, b""
+            return first
+        return next(self._frames)
+
+    def close(self):
+        """Cancel the request if its answer is not whole."""
+        self._frames.close()
+
+
+def _tokens(work, data):
+    if not work.label:
+        return work.tokens
+    try:
+        usage = from_json(data, type=_Completion).usage
+    except MsgspecError:
+        return work.tokens
+    return usage.prompt_tokens + usage.completion_tokens
+
+
+def _relayed_headers(answer):
+    return tuple(
+        (name, value)
+        for name, value in answer.headers.items()
+        if name.lower() not in _NOT_RELAYED
+    )
+
+
+def _broken_frame(error):
+    step = getattr(error, "step", "stream")
+    reason = getattr(error, "reason", type(error).__name__)
+    fields = {"code": "stream_broken", "message": reason, "step": step}
+    frame = to_json({"error": {**fields, "ran": "unknown"}})
+    return b"event: error\ndata: " + frame + b"\n\n"
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/stream_check.py
@@ -0,0 +1,125 @@
+"""Checks an SSE stream of an engine frame by frame while it is relayed."""
+
+from hashlib import sha256
+
+from msgspec import MsgspecError, Struct
+from msgspec.json import Decoder
+
+__all__ = ["StreamCheck"]
+
+_END = b"\n\n"
+_PREFIX = b"data: "
+_DONE = b"data: [DONE]"
+
+
+class _Usage(Struct):
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class _Chunk(Struct):
+    id: str
+    model: str
+    index: int
+    usage: _Usage | None = None
+
+
+_CHUNKS = Decoder(_Chunk)
+
+
+class StreamCheck:
+    """State of one relayed stream.
+
+    Only whole frames that belong to the request and follow one another pass.
+
+    Parameters
+    ----------
+    request_id : str
+    label : str
+        ``adapter@version`` that every chunk must name.
+    skip : int
+        Number of chunks that the caller already has; they are compared with
+        ``digest`` and not passed on.
+    digest : bytes, optional
+        Digest of those chunks.
+    """
+
+    def __init__(self, request_id, label, skip=0, digest=None):
+        self.index = 0
+        self.tokens = 0
+        self.done = False
+        self.fault = ""
+        self._request_id = request_id
+        self._label = label
+        self._skip = skip
+        self._expected = digest
+        self._passed = sha256()
+        self._rest = b""
+
+    @property
+    def digest(self):
+        """Digest of the chunks so far."""
+        return self._passed.digest()
+
+    def reconnect(self):
+        """Forget the part of a frame that a broken connection left."""
+        self._rest = b""
+        self.fault = ""
+
+    def replay(self):
+        """Return a check for the same stream from its beginning on another target."""
+        return StreamCheck(self._request_id, self._label, self.index, self.digest)
+
+    def feed(self, data):
+        """Take in bytes and return the frames that may be passed on.
+
+        Sets ``fault`` at the first frame that may not.
+        """
+        *frames, self._rest = (self._rest + data).split(_END)
+        passed = []
+        for frame in frames:
+            frame = frame.lstrip(b"\n")
+            if not frame or self.fault:
+                continue
+            if self._accept(frame):
+                passed.append(frame + _END)
+        return b"".join(passed)
+
+    def _accept(self, frame):
+        if self.done:
+            self.fault = "data after the end"
+        elif frame == _DONE:
+            self._end()
+            return self.done
+        else:
+            return self._accept_chunk(frame)
+        return False
+
+    def _end(self):
+        if self.tokens and self.index >= self._skip:
+            self.done = True
+        else:
+            self.fault = "ended before the last chunk"
+
+    def _accept_chunk(self, frame):
+        try:
+            chunk = _CHUNKS.decode(frame.removeprefix(_PREFIX))
+        except MsgspecError:
+            self.fault = "not a chunk of a completion"
+            return False
+        if chunk.id != self._request_id or chunk.model != self._label:
+            self.fault = "chunk of another request or adapter"
+        elif chunk.index != self.index:
+            self.fault = f"chunk {chunk.index} instead of {self.index}"
+        else:
+            return self._count(frame, chunk)
+        return False
+
+    def _count(self, frame, chunk):
+        self._passed.update(frame)
+        self.index += 1
+        if chunk.usage is not None:
+            self.tokens = chunk.usage.prompt_tokens + chunk.usage.completion_tokens
+        if self.index == self._skip and self.digest != self._expected:
+            self.fault = "another target gave another text"
+        return self.index > self._skip
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
@@ -1,24 +1,37 @@
-"""Client of targets: sends one request and reads its answer."""
+"""Client of targets: one attempt of a request, with the exact cause of a failure."""
 
 from typing import Any, NamedTuple
 
 from urllib3 import PoolManager, Timeout
-from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
 from urllib3.exceptions import HTTPError as TransportError
 
 from hibiscusspar.errors import StepError
+from hibiscusspar.requests.retry import RULES, Cause
 
 __all__ = ["TargetAnswer", "TargetClient", "TargetError"]
 
 _CHUNK_BYTES = 64 * 1024
+_CONTROL_TIMEOUT_S = 1.0
+_REFUSALS = frozenset({429, 502, 503, 504})
+_BODILESS = frozenset({204, 304})
 
 
 class TargetError(StepError):
-    """A request to a target failed; ``ran`` is ``"not-run"`` or ``"unknown"``."""
+    """An attempt failed at a target; ``cause`` is a :class:`Cause`."""
 
-    def __init__(self, step, peer, reason, ran):
+    def __init__(self, step, peer, reason, cause):
         super().__init__(step, peer, reason)
-        self.ran = ran
+        self.cause = cause
+
+    @property
+    def ran(self):
+        """Whether the request may have run: ``"not-run"`` or ``"unknown"``."""
+        return "unknown" if RULES[self.cause].may_have_run else "not-run"
 
 
 class TargetAnswer(NamedTuple):
@@ -32,6 +45,9 @@
 class TargetClient:
     """Pooled connections to targets.
 
+    Requests that may not be repeated use connections of their own, since a pooled
+    one may have been closed by the other end while it was idle.
+
     Parameters
     ----------
     connect_timeout_s : float
@@ -40,54 +56,198 @@
     """
 
     def __init__(self, connect_timeout_s, silence_timeout_s):
-        timeout = Timeout(connect=connect_timeout_s, read=silence_timeout_s)
-        self._pool = PoolManager(num_pools=1024, maxsize=64, timeout=timeout)
-
-    def send(self, address, method, uri, headers, body):
+        self._connect_timeout_s = connect_timeout_s
+        self.silence_timeout_s = silence_timeout_s
+        self._pool = PoolManager(num_pools=1024, maxsize=64)
+        self._unpooled = PoolManager(num_pools=1024, maxsize=1)
+
+    def send(
+        self, address, method, uri, headers, body, answer_timeout_s=None, reuse=True
+    ):
         """Send a request and return its answer up to the headers.
 
+        Parameters
+        ----------
+        address : str
+        method, uri : str
+        headers : dict
+        body : bytes
+        answer_timeout_s : float, optional
+            Longest wait for the headers; the silence timeout if not given.
+        reuse : bool
+            Whether a pooled connection may be used.
+
+        Returns
+        -------
+        TargetAnswer
+
         Raises
         ------
         TargetError
-            With ``ran`` ``"not-run"`` if no byte of the request left.
+            With cause ``NOT_SENT`` only if no byte of the request left.
         """
+        pool = self._pool if reuse else self._unpooled
+        if not reuse:
+            headers = {**headers, "Connection": "close"}
+        wait_s = answer_timeout_s or self.silence_timeout_s
         try:
-            response = self._pool.urlopen(
+            response = pool.urlopen(
                 method,
                 f"http://{address}{uri}",
                 body=body,
                 headers=headers,
+                timeout=Timeout(connect=self._connect_timeout_s, read=wait_s),
                 retries=False,
                 preload_content=False,
                 redirect=False,
+                decode_content=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
-            raise TargetError(
-                "target.connect", address, str(error), "not-run"
-            ) from error
+            raise _failed("connect", address, error, Cause.NOT_SENT) from error
+        except ReadTimeoutError as error:
+            raise _failed("wait", address, error, Cause.SILENT) from error
         except TransportError as error:
-            raise TargetError("target.send", address, str(error), "unknown") from error
+            raise _failed("send", address, error, Cause.CLOSED) from error
         return TargetAnswer(response.status, response.headers, response)
 
+    def check(self, address, answer, request_id, label):
+        """Check that an answer is to this request and is no refusal.
+
+        Raises
+        ------
+        TargetError
+            The connection of the answer is closed then.
+        """
+        fault = _head_fault(answer, request_id, label)
+        if fault is not None:
+            answer.response.close()
+            cause, reason = fault
+            raise TargetError("target.answer", address, reason, cause)
+
     def read(self, address, answer):
-        """Return the whole body of an answer."""
+        """Return the whole body of an answer; a shorter one is an error."""
+        response = answer.response
         try:
-            return answer.response.read()
+            if not _has_length(answer):
+                raise TransportError("the answer has no length")
+            data = response.read()
+        except ReadTimeoutError as error:
+            response.close()
+            raise _failed("read", address, error, Cause.SILENT) from error
         except TransportError as error:
-            raise TargetError("target.read", address, str(error), "unknown") from error
-        finally:
-            answer.response.release_conn()
+            response.close()
+            raise _failed("read", address, error, Cause.TRUNCATED) from error
+        response.release_conn()
+        return data
+
+    def stream(self, address, answer, check):
+        """Yield the checked frames of a stream as they come.
 
-    def stream(self, address, answer):
-        """Yield the body of an answer; ending early closes the connection."""
+        Ends only when the stream is whole. Ending early closes the connection.
+
+        Parameters
+        ----------
+        address : str
+        answer : TargetAnswer
+        check : StreamCheck
+        """
+        response = answer.response
+        self._set_silence_timeout(response)
         whole = False
         try:
-            yield from answer.response.stream(_CHUNK_BYTES)
-            whole = True
+            for data in _pieces(response):
+                frames = check.feed(data)
+                if frames:
+                    yield frames
+                if check.fault:
+                    reason = check.fault
+                    raise TargetError(
+                        "target.stream", address, reason, Cause.STREAM_MISMATCHED
+                    )
+            whole = check.done
+        except ReadTimeoutError as error:
+            raise _failed("stream", address, error, Cause.STREAM_SILENT) from error
         except TransportError as error:
-            raise TargetError("target.read", address, str(error), "unknown") from error
+            raise _failed("stream", address, error, Cause.STREAM_CLOSED) from error
         finally:
             if whole:
-                answer.response.release_conn()
+                response.release_conn()
             else:
-                answer.response.close()
+                response.close()
+        if not whole:
+            reason = "the stream ended early"
+            raise TargetError("target.stream", address, reason, Cause.STREAM_CLOSED)
+
+    def resume(self, address, request_id, offset):
+        """Return the answer that carries a stream on from a chunk."""
+        uri = f"/v1/requests/{request_id}/stream?offset={offset}"
+        headers = {"X-Request-Id": request_id}
+        answer = self.send(address, "GET", uri, headers, None, reuse=False)
+        if answer.status != 200:
+            answer.response.close()
+            reason = f"status {answer.status}"
+            raise TargetError("target.resume", address, reason, Cause.STREAM_CLOSED)
+        return answer
+
+    def cancel(self, address, request_id):
+        """Ask a target to stop a request; failures are of no consequence."""
+        self._control(address, "DELETE", f"/v1/requests/{request_id}")
+
+    def incarnation(self, address):
+        """Return a target's incarnation, empty if unknown, None if unreachable."""
+        try:
+            answer = self._control(address, "GET", "/v1/state")
+        except TargetError as error:
+            return None if error.cause is Cause.NOT_SENT else ""
+        return answer.headers.get("X-Incarnation", "")
+
+    def _control(self, address, method, uri):
+        answer = self.send(address, method, uri, {}, None, _CONTROL_TIMEOUT_S, False)
+        answer.response.close()
+        return answer
+
+    def _set_silence_timeout(self, response):
+        connection = response.connection
+        if connection is not None and connection.sock is not None:
+            connection.sock.settimeout(self.silence_timeout_s)
+
+
+def _pieces(response):
+    if response.chunked:
+        yield from response.read_chunked(decode_content=False)
+        return
+    while data := response.read1(_CHUNK_BYTES, decode_content=False):
+        yield data
+
+
+def _has_length(answer):
+    response = answer.response
+    if response.chunked or "Content-Length" in answer.headers:
+        return True
+    return answer.status in _BODILESS
+
+
+def _head_fault(answer, request_id, label):
+    """Return the cause and the reason why an answer can't be used, or None."""
+    echo = answer.headers.get("X-Request-Id", "")
+    ran_not = answer.headers.get("X-Run") == "not-run"
+    if echo != request_id and (echo or not _is_refusal(answer)):
+        return Cause.MISMATCHED, f"answer to request {echo!r}"
+    if ran_not and answer.status == 404 and label:
+        return Cause.NOT_RESIDENT, "the adapter is not resident"
+    if ran_not:
+        return Cause.DISCLAIMED, f"status {answer.status}, not run"
+    if _is_refusal(answer):
+        return Cause.REFUSED, f"status {answer.status}"
+    adapter = answer.headers.get("X-Adapter", "")
+    if label and answer.status == 200 and adapter != label:
+        return Cause.MISMATCHED, f"answer of adapter {adapter!r}"
+    return None
+
+
+def _is_refusal(answer):
+    return answer.status in _REFUSALS or answer.headers.get("X-Run") == "not-run"
+
+
+def _failed(step, address, error, cause):
+    return TargetError(f"target.{step}", address, type(error).__name__, cause)
