--- a/packages/hibiscusspar_entry/hibiscusspar_entry/admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/admission.py
@@ -17,11 +17,12 @@
 )
 from hibiscusspar_entry.refusal import RefusedError
 
-__all__ = ["Admitted", "admit", "key_digest"]
+__all__ = ["Admitted", "admit"]
 
 ENGINE_PATHS = ("/v1/completions", "/v1/chat/completions")
 PREFIX_BYTES = 256
 RETRY_AFTER_STALE_S = 30.0
+PLAIN_CALL_TOKENS = 1
 _KEY_ERRORS = {
     "missing": (401, "bad_key", "the request carries no key"),
     "unknown": (401, "bad_key", "the key is unknown"),
@@ -77,7 +78,7 @@
     adapter: str = ""
     version: str = ""
     stream: bool = False
-    tokens: int = 0
+    tokens: int = PLAIN_CALL_TOKENS
     body: bytes = b""
 
 
@@ -105,7 +106,7 @@
     route = find_route(configuration, call.path)
     if route is None:
         raise RefusedError(404, "no_route", "no route has this path", "route")
-    key = _key_of(call)
+    key = bearer_key(call.header("authorization"))
     account = _account_of(configuration, route, key)
     service = configuration.services[route.service]
     engine = _EngineCall(body=call.body)
@@ -141,16 +142,6 @@
     )
 
 
-def key_digest(call):
-    """Return the digest of the key that a request came with; empty if none."""
-    key = _key_of(call)
-    return digest_key(key) if key else ""
-
-
-def _key_of(call):
-    return bearer_key(call.header("authorization"))
-
-
 def _account_of(configuration, route, key):
     if route.open_to_all:
         return ""
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
@@ -0,0 +1,134 @@
+"""Connects the relay of a request with placement, limits and claims."""
+
+from hibiscusspar.config.model import Configuration
+from hibiscusspar.placement.routing import RouteRequest
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.events import REQUEST_ENDED
+from hibiscusspar_entry.refusal import RefusedError
+from hibiscusspar_entry.scheduler import Job
+from hibiscusspar_wire.relay import Placed
+
+__all__ = ["DispatchHooks"]
+
+
+class DispatchHooks:
+    """Implements :class:`hibiscusspar_wire.relay.Hooks` for one VM.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of this VM.
+    holder : ConfigurationHolder
+    scheduler : Scheduler
+    placement : PlacementSystem
+    limits : LimitSystem
+    requests : RequestSystem
+    claim_gate : ClaimGate
+    open_requests : OpenRequests
+    driver : Driver
+    clock : Clock
+    metrics : Metrics
+    queue_timeout_s : float
+        Longest wait for a target, in seconds.
+    """
+
+    def __init__(
+        self,
+        zone,
+        holder,
+        scheduler,
+        placement,
+        limits,
+        requests,
+        claim_gate,
+        open_requests,
+        driver,
+        clock,
+        metrics,
+        queue_timeout_s,
+    ):
+        self._zone = zone
+        self._holder = holder
+        self._scheduler = scheduler
+        self._placement = placement
+        self._limits = limits
+        self._requests = requests
+        self._claim_gate = claim_gate
+        self._open = open_requests
+        self._driver = driver
+        self._clock = clock
+        self._metrics = metrics
+        self._queue_timeout_s = queue_timeout_s
+
+    def place(self, work, excluded):
+        """Wait for a target and return it."""
+        admitted = self._open.get(work.request_id).admitted
+        configuration = self._holder.configuration
+        names = _targets_of(configuration, admitted.service)
+        route = RouteRequest(
+            request_id=work.request_id,
+            service=admitted.service,
+            adapter=admitted.adapter,
+            version=admitted.version,
+            prefix_digest=admitted.prefix_digest,
+            zone=self._zone,
+            excluded=tuple(sorted(excluded(names))),
+        )
+        deadline = min(work.deadline, self._clock() + self._queue_timeout_s)
+        job = Job(route, admitted.account, admitted.tokens, deadline)
+        decision = self._scheduler.acquire(job)
+        spec = self._holder.configuration.targets.get(decision.target)
+        if spec is None:
+            self._scheduler.release(work.request_id, "not-run")
+            reason = "the target was removed"
+            raise RefusedError(
+                503, "busy", reason, "schedule", admitted.account, retry_after_s=1.0
+            )
+        return Placed(decision.target, spec.address)
+
+    def left(self, work, placed, cause):
+        """Give back the unit of concurrency of an attempt that ended."""
+        outcome = "answered" if cause is None else cause.value
+        self._scheduler.release(work.request_id, outcome)
+
+    def missing(self, work, placed):
+        """Take in that a target doesn't hold the adapter after all."""
+        admitted = self._open.get(work.request_id).admitted
+        with self._driver.decide() as (now, out):
+            self._placement.adapter_missing(
+                now, placed.target, admitted.adapter, admitted.version, "", out
+            )
+
+    def ended(self, work, life, target, status):
+        """Settle what was reserved and note how the request ended."""
+        row = self._open.remove(work.request_id)
+        if row is None:
+            return
+        outcome = life.outcome
+        if row.reservation is not None:
+            with self._driver.decide() as (now, out):
+                reservation_id = row.reservation.reservation_id
+                self._limits.settle(now, reservation_id, life.tokens, out)
+        if row.claim_id:
+            claims = self._requests.claims
+            self._claim_gate.finish(claims, row.claim_id, outcome, status)
+        self._note_end(row, target, status, outcome.value, life.tokens)
+
+    def _note_end(self, row, target, status, outcome, tokens):
+        account = row.admitted.account
+        self._metrics.requests.labels(account, outcome, str(status)).inc()
+        fields = {
+            "request": row.request_id,
+            "account": account,
+            "target": target,
+            "status": status,
+            "outcome": outcome,
+            "tokens": tokens,
+            "seconds": round(self._clock() - row.started, 4),
+        }
+        write_records([(REQUEST_ENDED, fields)])
+
+
+def _targets_of(configuration: Configuration, service):
+    targets = configuration.targets.values()
+    return [spec.name for spec in targets if spec.service == service]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
@@ -1,48 +1,26 @@
-"""The way of a request: authenticate, resolve, route, dispatch, relay."""
+"""The way of a request: admit, claim, reserve, schedule, relay, settle."""
 
-import hashlib
-from typing import NamedTuple
+import threading
+from time import sleep
 
-from msgspec import MsgspecError, Struct, json
+from msgspec.json import encode as to_json
+from xxhash import xxh3_128_hexdigest
 
-from hibiscusspar.config.lookup import find_adapter, find_route
-from hibiscusspar.errors import StepError
+from hibiscusspar.limits.node import Reservation
+from hibiscusspar.requests.claims import Away, Earlier, Mismatch, Won
+from hibiscusspar_entry.admission import admit
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.events import REQUEST_ENDED, REQUEST_REFUSED
-from hibiscusspar_wire.callers import Answer, bearer_key, error_answer
-from hibiscusspar_wire.target_client import TargetError
+from hibiscusspar_entry.events import REQUEST_REFUSED
+from hibiscusspar_entry.open_requests import OpenRequest
+from hibiscusspar_entry.refusal import RefusedError
+from hibiscusspar_wire.callers import Answer
+from hibiscusspar_wire.relay import GaveUpError, Work
 
 __all__ = ["RequestGateway"]
 
-ENGINE_PATHS = ("/v1/completions", "/v1/chat/completions")
-RETRY_AFTER_S = 1.0
-_SECRET_HEADERS = frozenset(
-    {"authorization", "cookie", "proxy-authorization", "x-api-key"}
-)
-
-
-class _Refusal(Exception):  # noqa: N818
-    """A request that ends without an answer of a target."""
-
-    def __init__(self, answer, account, fields):
-        super().__init__(fields["code"])
-        self.answer = answer
-        self.account = account
-        self.fields = fields
-
-
-class _EngineBody(Struct):
-    model: str
-    max_tokens: int | None = None
-    stream: bool = False
-
-
-class _Resolved(NamedTuple):
-    account: str
-    service: str
-    label: str
-    stream: bool
-    body: bytes
+RETRY_AFTER_SHUTDOWN_S = 1.0
+MIN_TOKEN_WAIT_S = 0.02
+IDEMPOTENCY_HEADER = "idempotency-key"
 
 
 class RequestGateway:
@@ -50,187 +28,258 @@
 
     Parameters
     ----------
-    configuration : callable
-        Returns the :class:`~hibiscusspar.config.model.Configuration` in force.
-    targets : TargetClient
+    holder : ConfigurationHolder
+    limits : LimitSystem
+    requests : RequestSystem
+    placement : PlacementSystem
+    claim_gate : ClaimGate
+    relay : Relay
+    open_requests : OpenRequests
+    driver : Driver
     rng : random.Random
-        Source of request ids and of routing choices.
+        Source of request ids.
     clock : Clock
     metrics : Metrics
+    token_wait_s : float
+        Longest wait for tokens of the account's limit, in seconds.
     """
 
-    def __init__(self, configuration, targets, rng, clock, metrics):
-        self._configuration = configuration
-        self._targets = targets
+    def __init__(
+        self,
+        holder,
+        limits,
+        requests,
+        placement,
+        claim_gate,
+        relay,
+        open_requests,
+        driver,
+        rng,
+        clock,
+        metrics,
+        token_wait_s,
+    ):
+        self._holder = holder
+        self._limits = limits
+        self._requests = requests
+        self._placement = placement
+        self._claim_gate = claim_gate
+        self._relay = relay
+        self._open = open_requests
+        self._driver = driver
         self._rng = rng
         self._clock = clock
         self._metrics = metrics
+        self._token_wait_s = token_wait_s
+        self._closed = threading.Event()
+
+    def close(self):
+        """Refuse new requests from now on."""
+        self._closed.set()
 
     def handle(self, call):
         """Answer one request of a caller."""
         request_id = f"{self._rng.getrandbits(128):032x}"
-        started = self._clock()
-        try:
-            resolved = self._resolve(call)
-            target = self._choose(resolved)
-            answer = self._send(request_id, call, resolved, target)
-        except _Refusal as refusal:
-            return self._refused(request_id, refusal)
-        self._metrics.latency.observe(self._clock() - started)
-        return self._relay(request_id, resolved, target, answer, started)
-
-    def _resolve(self, call):
-        configuration = self._configuration()
-        route = find_route(configuration, call.path)
-        if route is None:
-            raise _refusal(404, "no_route", "no route has this path", "route")
-        account = self._authenticate(configuration, call, route)
-        service = configuration.services[route.service]
-        if service.kind == "plain":
-            return _Resolved(account, service.name, "", False, call.body)
-        return self._resolve_engine(configuration, call, account, service)
-
-    def _authenticate(self, configuration, call, route):
-        if route.open_to_all:
-            return ""
-        digest = hashlib.sha256(bearer_key(call).encode()).hexdigest()
-        key = configuration.keys.get(digest)
-        if key is None or key.withdrawn:
-            reason = "the key is missing, unknown or withdrawn"
-            raise _refusal(401, "bad_key", reason, "authenticate")
-        spec = configuration.accounts[key.account]
-        if spec.routes and route.prefix not in spec.routes:
-            reason = f"the account may not use {route.prefix}"
-            raise _refusal(403, "route_not_allowed", reason, "route", key.account)
-        return key.account
-
-    def _resolve_engine(self, configuration, call, account, service):
-        if call.path not in ENGINE_PATHS or call.method != "POST":
-            reason = f"engines answer POST on {' and '.join(ENGINE_PATHS)}"
-            raise _refusal(404, "no_such_call", reason, "route", account)
+        account = ""
         try:
-            body = json.decode(call.body, type=_EngineBody)
-            fields = json.decode(call.body)
-        except MsgspecError as error:
-            raise _refusal(400, "bad_body", str(error), "parse", account) from error
-        found = find_adapter(configuration, body.model)
-        if found is None:
-            reason = "no such adapter or version"
-            raise _refusal(404, "no_adapter", reason, "resolve", account)
-        allowed = configuration.adapters[found.adapter].accounts
-        if allowed and account not in allowed:
-            reason = "the account may not use this adapter"
-            raise _refusal(403, "adapter_not_allowed", reason, "resolve", account)
-        fields["model"] = found.label
-        encoded = json.encode(fields)
-        return _Resolved(account, service.name, found.label, body.stream, encoded)
-
-    def _choose(self, resolved):
-        targets = [
-            target
-            for target in self._configuration().targets.values()
-            if target.service == resolved.service and not target.draining
-        ]
-        if not targets:
-            reason = "the service has no target"
-            account = resolved.account
-            raise _refusal(
-                503, "no_target", reason, "place", account, retry_after_s=RETRY_AFTER_S
+            admitted = self._admit(call)
+            account = admitted.account
+            return self._run(request_id, call, admitted)
+        except RefusedError as error:
+            return self._refused(request_id, error)
+        except GaveUpError as error:
+            return self._refused(request_id, _refusal_of(error, account))
+
+    def _admit(self, call):
+        if self._closed.is_set():
+            reason = "this VM is shutting down"
+            raise RefusedError(
+                503, "draining", reason, "admit", retry_after_s=RETRY_AFTER_SHUTDOWN_S
             )
-        return self._rng.choice(targets)
+        holder = self._holder
+        return admit(holder.configuration, call, holder.age_s, self._serving_version)
+
+    def _serving_version(self, adapter):
+        with self._driver.decide() as (now, out):
+            return self._placement.serving_version(now, adapter, out)
 
-    def _send(self, request_id, call, resolved, target):
-        headers = _forwarded(call, request_id, resolved)
-        uri = f"{call.path}?{call.query}" if call.query else call.path
+    def _run(self, request_id, call, admitted):
+        reservation = self._reserve(admitted)
+        row = OpenRequest(
+            request_id, admitted, reservation, self._clock(), threading.Event()
+        )
+        claim_id = ""
         try:
-            answer = self._targets.send(
-                target.address, call.method, uri, headers, resolved.body
-            )
-            if answer.status == 404 and resolved.label:
-                self._load(target, resolved.label)
-                answer = self._targets.send(
-                    target.address, call.method, uri, headers, resolved.body
+            claim_id = self._claim(call, admitted)
+            self._open.add(row._replace(claim_id=claim_id))
+        except BaseException:
+            self._settle_unused(reservation)
+            raise
+        work = _work(row, self._holder.configuration)
+        relayed = self._relay.run(work)
+        self._metrics.latency.observe(self._clock() - row.started)
+        headers = (*relayed.headers, ("X-Request-Id", request_id))
+        body = relayed.body
+        if not isinstance(body, bytes):
+            body = _RevocableBody(body, row.revoked)
+        return Answer(relayed.status, headers, body)
+
+    def _reserve(self, admitted):
+        if not admitted.account:
+            return None
+        deadline = self._clock() + self._token_wait_s
+        retry = False
+        while True:
+            with self._driver.decide() as (now, out):
+                found = self._limits.reserve(
+                    now, admitted.account, admitted.tokens, out, retry
                 )
-        except TargetError as error:
-            raise _target_refusal(error, resolved) from error
-        return answer
-
-    def _load(self, target, label):
-        body = json.encode({"lora_name": label, "fence": 1})
-        headers = {"Content-Type": "application/json"}
-        path = "/v1/load_lora_adapter"
-        answer = self._targets.send(target.address, "POST", path, headers, body)
-        self._targets.read(target.address, answer)
-
-    def _relay(self, request_id, resolved, target, answer, started):
-        headers = tuple(
-            (name, answer.headers[name])
-            for name in ("Content-Type", "X-Adapter")
-            if name in answer.headers
+            if isinstance(found, Reservation):
+                return found
+            wait_s = max(MIN_TOKEN_WAIT_S, found.retry_after_s)
+            if not found.retry_after_s or self._clock() + wait_s > deadline:
+                raise _over_limit(admitted.account, found)
+            sleep(wait_s)
+            retry = True
+
+    def _settle_unused(self, reservation):
+        if reservation is None:
+            return
+        with self._driver.decide() as (now, out):
+            self._limits.settle(now, reservation.reservation_id, 0, out)
+
+    def _claim(self, call, admitted):
+        key = call.header(IDEMPOTENCY_HEADER)
+        if admitted.idempotent or not key:
+            return ""
+        body = xxh3_128_hexdigest(admitted.method + admitted.uri) + _digest(admitted)
+        claim_id, verdict = self._claim_gate.claim(
+            self._requests.claims, admitted.account, key, body
         )
-        headers += (("X-Request-Id", request_id),)
-        body = self._body(request_id, resolved, target, answer, started)
-        if resolved.stream:
-            return Answer(answer.status, headers, body)
-        try:
-            return Answer(answer.status, headers, b"".join(body))
-        except TargetError as error:
-            return self._refused(request_id, _target_refusal(error, resolved))
+        if not isinstance(verdict, Won):
+            raise _claim_refusal(verdict, admitted.account)
+        return claim_id
 
-    def _body(self, request_id, resolved, target, answer, started):
-        outcome = "unknown"
-        try:
-            yield from self._targets.stream(target.address, answer)
-            outcome = "answered"
-        finally:
-            self._ended(request_id, resolved, target, answer, outcome, started)
-
-    def _ended(self, request_id, resolved, target, answer, outcome, started):
-        account = resolved.account
-        self._metrics.requests.labels(account, outcome, str(answer.status)).inc()
-        fields = {
-            "request": request_id,
-            "account": account,
-            "target": target.name,
-            "status": answer.status,
-            "outcome": outcome,
-            "seconds": round(self._clock() - started, 4),
-        }
-        write_records([(REQUEST_ENDED, fields)])
-
-    def _refused(self, request_id, refusal):
-        fields = refusal.fields
-        self._metrics.requests.labels(
-            refusal.account, fields["ran"], fields["code"]
-        ).inc()
-        record = {"request": request_id, "account": refusal.account, **fields}
+    def _refused(self, request_id, error):
+        self._metrics.requests.labels(error.account, error.ran, error.code).inc()
+        record = {"request": request_id, **error.fields()}
         write_records([(REQUEST_REFUSED, record)])
-        return refusal.answer
+        return error.answer()
+
+
+class _RevocableBody:
+    """The frames of a stream until its end or until its key is withdrawn."""
+
+    def __init__(self, frames, revoked):
+        self._frames = frames
+        self._revoked = revoked
+        self._ended = False
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        if self._ended:
+            raise StopIteration
+        if self._revoked.is_set():
+            self._ended = True
+            self.close()
+            return _REVOKED_FRAME
+        return next(self._frames)
+
+    def close(self):
+        """End the request if its stream is not whole."""
+        self._frames.close()
+
+
+def _work(row, configuration):
+    admitted = row.admitted
+    headers = dict(admitted.headers)
+    headers["x-request-id"] = row.request_id
+    headers.pop("x-client-account", None)
+    if admitted.account:
+        weight = configuration.accounts[admitted.account].weight
+        headers["x-client-account"] = admitted.account
+        headers["x-priority"] = str(round(weight))
+    return Work(
+        request_id=row.request_id,
+        method=admitted.method,
+        uri=admitted.uri,
+        headers=headers,
+        body=admitted.body,
+        label=admitted.label,
+        stream=admitted.stream,
+        idempotent=admitted.idempotent,
+        deadline=row.started + admitted.deadline_s,
+        tokens=admitted.tokens,
+        digest=_digest(admitted),
+    )
+
+
+def _digest(admitted):
+    return xxh3_128_hexdigest(admitted.body)
+
+
+def _over_limit(account, shortage):
+    if not shortage.retry_after_s:
+        reason = f"the request can never run: {shortage.reason}"
+        return RefusedError(413, "over_burst", reason, "reserve", account)
+    return RefusedError(
+        429,
+        "over_rate",
+        f"the account is over its rate: {shortage.reason}",
+        "reserve",
+        account,
+        retry_after_s=shortage.retry_after_s,
+    )
 
 
-def _refusal(status, code, reason, step, account="", ran="not-run", retry_after_s=None):
-    answer = error_answer(status, code, reason, step, ran, retry_after_s)
-    fields = {"code": code, "step": step, "reason": reason, "ran": ran}
-    return _Refusal(answer, account, fields)
+def _claim_refusal(verdict, account):
+    match verdict:
+        case Earlier(state=state, status=status):
+            reason = f"the Idempotency-Key was used before: {state}, status {status}"
+            return RefusedError(
+                409, "key_used", reason, "claim", account, ran="unknown"
+            )
+        case Mismatch():
+            reason = "the Idempotency-Key was used before for another request"
+            return RefusedError(422, "key_reused", reason, "claim", account)
+        case Away(retry_after_s=retry_after_s):
+            reason = "the Idempotency-Key can't be claimed now"
+            return RefusedError(
+                503,
+                "claims_away",
+                reason,
+                "claim",
+                account,
+                retry_after_s=retry_after_s,
+            )
+    raise TypeError(f"unexpected verdict {verdict!r}")
 
 
-def _target_refusal(error: StepError, resolved):
-    return _refusal(
-        502,
-        "target_failed",
-        "the target did not answer",
+def _refusal_of(error, account):
+    return RefusedError(
+        error.status,
+        error.code,
+        error.reason,
         error.step,
-        resolved.account,
+        account,
         error.ran,
-        RETRY_AFTER_S,
+        error.retry_after_s,
     )
 
 
-def _forwarded(call, request_id, resolved):
-    headers = {
-        name: value for name, value in call.headers if name not in _SECRET_HEADERS
-    }
-    headers["x-request-id"] = request_id
-    if resolved.account:
-        headers["x-client-account"] = resolved.account
-    return headers
+_REVOKED_FRAME = (
+    b"event: error\ndata: "
+    + to_json(
+        {
+            "error": {
+                "code": "key_withdrawn",
+                "message": "the key was withdrawn while the answer was sent",
+                "step": "stream",
+                "ran": "unknown",
+            }
+        }
+    )
+    + b"\n\n"
+)
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/open_requests.py
@@ -0,0 +1,70 @@
+"""The requests that are open on this VM and what has to follow their end."""
+
+import threading
+from typing import NamedTuple
+
+__all__ = ["OpenRequest", "OpenRequests"]
+
+
+class OpenRequest(NamedTuple):
+    """An admitted request from its reservation to its end.
+
+    ``reservation`` is None on a route open to all, ``claim_id`` empty without an
+    ``Idempotency-Key``. ``revoked`` is set when its key is withdrawn.
+    """
+
+    request_id: str
+    admitted: object
+    reservation: object
+    started: float
+    revoked: threading.Event
+    claim_id: str = ""
+
+
+class OpenRequests:
+    """Table of open requests, safe to use from many threads."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._rows = {}
+
+    def __len__(self):
+        return len(self._rows)
+
+    def add(self, row):
+        """Add a request."""
+        with self._lock:
+            self._rows[row.request_id] = row
+
+    def get(self, request_id):
+        """Return an open request."""
+        return self._rows[request_id]
+
+    def remove(self, request_id):
+        """Remove a request and return it; None if it is not open."""
+        with self._lock:
+            return self._rows.pop(request_id, None)
+
+    def revoke(self, is_valid):
+        """Mark the requests whose key is no longer valid.
+
+        Parameters
+        ----------
+        is_valid : callable
+            Takes the digest of a key and its account.
+
+        Returns
+        -------
+        list of OpenRequest
+        """
+        with self._lock:
+            rows = list(self._rows.values())
+        revoked = [row for row in rows if not _is_valid(row, is_valid)]
+        for row in revoked:
+            row.revoked.set()
+        return revoked
+
+
+def _is_valid(row, is_valid):
+    admitted = row.admitted
+    return not admitted.key_digest or is_valid(admitted.key_digest, admitted.account)
