Add membership by gossip and roles by conditional update

Cause: nobody may be cut off or replaced and leave a role with two holders, and there is no second coordination service. Change: MemberSystem (lists by version, heartbeats, suspicion, watchers by rendezvous, configuration offers); RoleSystem with one object per zone, claims by one steward in batches, resumption under new numbers, hand-over in one write.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership by gossip, and exclusive roles kept in the platform."""
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -0,0 +1,366 @@
+"""Gossip among the VMs: who is there, who is silent, which revision each has.
+
+A VM is known to have left only when the platform's list ceases to show it.
+Silence makes a VM suspected, which steers routing and nothing else.
+"""
+
+from typing import NamedTuple
+
+from hibiscusspar.membership.events import (
+    LIST_ADOPTED,
+    MEMBER_JOINED,
+    MEMBER_LEFT,
+    MEMBER_RESTARTED,
+    MEMBER_SUSPECTED,
+    MEMBER_TRUSTED,
+    WATCHER_CHANGED,
+)
+from hibiscusspar.membership.heartbeats import Heartbeats
+from hibiscusspar.membership.messages import Beat, Gossip, VmEntry, VmRows
+from hibiscusspar.membership.rendezvous import ranked
+from hibiscusspar.membership.vm_table import VmTable
+from hibiscusspar.outbox import PlatformCall
+from hibiscusspar.ports import Member
+
+__all__ = ["GossipBounds", "MemberSystem", "Offer"]
+
+PLATFORM = "platform"
+WATCH_ROLE = "watcher"
+SEED = "seed:"
+JUDGE_S = 1.0
+
+
+class Offer(NamedTuple):
+    """A configuration that a VM has: its revision and the name of its root."""
+
+    revision: int
+    root: str
+    vm: str
+
+
+class GossipBounds(NamedTuple):
+    """Periods in seconds, sizes in rows, probabilities in parts of 1."""
+
+    period_s: float = 1.0
+    other_zone: float = 0.2
+    max_beats: int = 24
+    own_zone_beats: int = 16
+    max_unlisted: int = 8
+    fanout: int = 3
+    hasten_rounds: int = 2
+    suspect_s: float = 10.0
+    suspect_other_zone_s: float = 60.0
+    pause_s: float = 3.0
+    forget_s: float = 300.0
+    list_period_s: float = 2.0
+    list_retry_s: float = 5.0
+    watchers: int = 2
+
+
+class MemberSystem:
+    """System ``members``; implements :class:`hibiscusspar.ports.Members`.
+
+    Parameters
+    ----------
+    vm, zone, address : str
+        This VM, its zone and ``"IP:port"`` of its peer port.
+    rng : random.Random
+    seeds : sequence of str
+        Addresses of peer ports to ask while no other VM of the zone is known.
+    bounds : GossipBounds
+    """
+
+    name = "members"
+
+    def __init__(self, vm, zone, address, rng, seeds=(), bounds=None):
+        self.vm = vm
+        self.zone = zone
+        self._me = VmEntry(vm, zone, address, "live")
+        self._rng = rng
+        self._bounds = bounds or GossipBounds()
+        self._table = VmTable()
+        self._beats = Heartbeats()
+        self._suspected = set()
+        self._incarnation = 1
+        self._count = 0
+        self._revision = 0
+        self._root = ""
+        self._offers = {}
+        self._next_round = 0.0
+        self._next_list = 0.0
+        self._next_judge = 0.0
+        self._calls = 0
+        self._list_call = ""
+        self._last_tick = None
+        self._hasten = 0
+        self._watching = False
+        self.round_peers = []
+        self._seeds = {SEED + at: at for at in seeds if at != address}
+
+    @property
+    def list_version(self):
+        """Version of the newest list of the platform that is known."""
+        return self._table.version
+
+    @property
+    def watching(self):
+        """Whether this VM is one of those that watch the platform."""
+        return self._watching
+
+    @property
+    def incarnation(self):
+        """Number of this process among those of this VM."""
+        return self._incarnation
+
+    def live(self, zone=""):
+        """Return the members of a zone, or of all, that have not left."""
+        return [
+            Member(row.vm, row.zone, row.address)
+            for row in self._rows()
+            if zone in ("", row.zone)
+        ]
+
+    def suspected(self, vm):
+        """Return whether nothing was heard of the VM for too long."""
+        return vm in self._suspected
+
+    def leaving(self, vm):
+        """Return whether the platform says that the VM is about to leave."""
+        row = self._table.get(vm)
+        return row is not None and row.state == "leaving"
+
+    def is_listed(self, vm):
+        """Return whether the newest known list of the platform shows a VM."""
+        return self._table.is_listed(vm)
+
+    def address_of(self, vm):
+        """Return the address of a VM's peer port, or None if it isn't known."""
+        row = self._table.get(vm)
+        return row.address if row else self._seeds.get(vm)
+
+    def revisions(self):
+        """Return the revision that each VM reported last, this one included."""
+        found = {row.vm: self._reported(row.vm) for row in self._rows()}
+        found[self.vm] = self._revision
+        return found
+
+    def candidates(self, zone):
+        """Return the ids of members of a zone fit for new duties."""
+        rows = [row for row in self._rows() if row.zone == zone]
+        fit = [row.vm for row in rows if row.state == "live"]
+        return [vm for vm in fit if vm not in self._suspected]
+
+    def best_offer(self):
+        """Return the newest :class:`Offer` above the revision here, or None."""
+        return max(self._offers.values(), default=None)
+
+    def withdraw_offer(self, vm):
+        """Drop the offer of a VM from which fetching failed."""
+        self._offers.pop(vm, None)
+
+    def set_revision(self, revision, root):
+        """Take note of the configuration in force here, and spread it."""
+        self._revision = revision
+        self._root = root
+        for vm, offer in list(self._offers.items()):
+            if offer.revision <= revision:
+                del self._offers[vm]
+        self.hasten()
+
+    def hasten(self):
+        """Gossip in the next ticks, to several peers each, without waiting."""
+        self._hasten = self._bounds.hasten_rounds
+
+    def tick(self, now, out):
+        """Gossip if a round is due, and judge who has been silent too long."""
+        self._allow_for_pause(now)
+        self._ask_for_list(now, out)
+        self._judge(now, out)
+        self.round_peers = self._choose_peers(now)
+        if self.round_peers:
+            self._count += 1
+        for peer in self.round_peers:
+            out.send(peer, self._gossip(now, peer, reply=False))
+
+    def receive(self, now, sender, message, out):
+        """Take in gossip or a list of VMs."""
+        if isinstance(message, VmRows):
+            self._adopt(now, message.version, message.rows, sender, out)
+        elif isinstance(message, Gossip):
+            self._take_gossip(now, sender, message, out)
+
+    def platform_result(self, now, result, out):
+        """Take in the list of VMs that was asked for."""
+        if result.call_id != self._list_call:
+            return
+        self._list_call = ""
+        if result.outcome == "ok":
+            rows = [VmEntry(r.vm, r.zone, r.address, r.state) for r in result.value.vms]
+            self._adopt(now, result.value.version, rows, PLATFORM, out)
+
+    def _rows(self):
+        rows = self._table.rows()
+        if self._table.get(self.vm) is None:
+            rows.append(self._me)
+        return rows
+
+    def _allow_for_pause(self, now):
+        last, self._last_tick = self._last_tick, now
+        if last is not None and now - last > self._bounds.pause_s:
+            self._beats.shift(now - last)
+
+    def _ask_for_list(self, now, out):
+        if now < self._next_list:
+            return
+        watching = self._is_watcher()
+        if watching != self._watching:
+            self._watching = watching
+            out.log(WATCHER_CHANGED, watching=watching)
+        known = self._table.is_listed(self.vm)
+        period = self._bounds.list_period_s if watching else self._bounds.list_retry_s
+        self._next_list = now + period * self._rng.uniform(0.75, 1.25)
+        if watching or not known:
+            self._calls += 1
+            self._list_call = f"list-{self._calls}"
+            out.call(PlatformCall(self.name, self._list_call, "vms", "", ""))
+
+    def _is_watcher(self):
+        fit = self.candidates(self.zone)
+        return self.vm in ranked(WATCH_ROLE, fit)[: self._bounds.watchers]
+
+    def _judge(self, now, out):
+        if now < self._next_judge:
+            return
+        self._next_judge = now + JUDGE_S
+        for row in self._rows():
+            if row.vm != self.vm:
+                self._beats.expect(row.vm, now)
+                self._judge_one(now, row, out)
+
+    def _judge_one(self, now, row, out):
+        silent = self._beats.silent_s(row.vm, now)
+        if silent > self._bounds.forget_s and not self._table.is_listed(row.vm):
+            self._drop(row.vm, "silent", out)
+            self._table.forget(row.vm)
+            return
+        limit = self._bounds.suspect_other_zone_s
+        if row.zone == self.zone:
+            limit = self._bounds.suspect_s
+        if silent > limit and row.vm not in self._suspected:
+            self._suspected.add(row.vm)
+            out.log(MEMBER_SUSPECTED, peer=row.vm, silent_s=round(silent, 1))
+        elif silent <= limit and row.vm in self._suspected:
+            self._suspected.discard(row.vm)
+            out.log(MEMBER_TRUSTED, peer=row.vm)
+
+    def _choose_peers(self, now):
+        if self._hasten > 0:
+            self._hasten -= 1
+            return self._peers_behind(self._bounds.fanout)
+        if now < self._next_round:
+            return []
+        self._next_round = now + self._bounds.period_s * self._rng.uniform(0.75, 1.25)
+        return self._one_peer()
+
+    def _peers_behind(self, count):
+        """Return random peers of the zone, those of a lower revision first."""
+        own = [r.vm for r in self._rows() if r.zone == self.zone and r.vm != self.vm]
+        behind = [vm for vm in own if self._reported(vm) < self._revision]
+        pool = behind or own
+        return self._rng.sample(pool, min(count, len(pool))) or self._one_peer()
+
+    def _reported(self, vm):
+        beat = self._beats.get(vm)
+        return beat.revision if beat else 0
+
+    def _one_peer(self):
+        own, other = [], []
+        for row in self._rows():
+            if row.vm != self.vm:
+                (own if row.zone == self.zone else other).append(row.vm)
+        own = own or list(self._seeds)
+        elsewhere = other and self._rng.random() < self._bounds.other_zone
+        pool = other if elsewhere or not own else own
+        return [self._rng.choice(pool)] if pool else []
+
+    def _gossip(self, now, peer, reply):
+        unlisted = self._table.unlisted()
+        if len(unlisted) > self._bounds.max_unlisted:
+            unlisted = tuple(self._rng.sample(unlisted, self._bounds.max_unlisted))
+        return Gossip(
+            self.zone,
+            self._me.address,
+            self._revision,
+            self._root,
+            self._table.version,
+            reply,
+            self._beats_for(now, peer),
+            unlisted,
+        )
+
+    def _beats_for(self, now, peer):
+        mine = Beat(self.vm, self._incarnation, self._count, self._revision)
+        recent = [beat for beat in self._beats.recent(now) if beat.vm != peer]
+        own = [beat for beat in recent if self._zone_of(beat.vm) == self.zone]
+        other = [beat for beat in recent if self._zone_of(beat.vm) != self.zone]
+        room = self._bounds.max_beats - 1
+        near = self._sample(own, max(self._bounds.own_zone_beats, room - len(other)))
+        far = self._sample(other, room - len(near))
+        echo = [beat] if (beat := self._beats.get(peer)) and beat.count else []
+        return (mine, *echo, *near, *far)
+
+    def _sample(self, beats, count):
+        return self._rng.sample(beats, min(len(beats), max(0, count)))
+
+    def _zone_of(self, vm):
+        row = self._table.get(vm)
+        return row.zone if row else ""
+
+    def _take_gossip(self, now, sender, gossip, out):
+        row = VmEntry(sender, gossip.zone, gossip.address, "live")
+        for unlisted in (row, *gossip.unlisted):
+            if unlisted.vm != self.vm and self._table.announce(unlisted):
+                self._join(now, unlisted, sender, out)
+        for beat in gossip.beats:
+            self._take_beat(now, beat, out)
+        if gossip.revision > self._revision:
+            self._offers[sender] = Offer(gossip.revision, gossip.root, sender)
+        if gossip.list_version < self._table.version:
+            rows = self._table.listed()
+            out.send(sender, VmRows(self._table.version, rows))
+        if not gossip.reply:
+            self._count += 1
+            out.send(sender, self._gossip(now, sender, reply=True))
+
+    def _take_beat(self, now, beat, out):
+        if beat.vm == self.vm:
+            if (beat.incarnation, beat.count) > (self._incarnation, self._count):
+                self._incarnation = beat.incarnation + 1
+            return
+        known = self._beats.get(beat.vm)
+        if not self._beats.merge(beat, now):
+            return
+        if known and 0 < known.incarnation < beat.incarnation:
+            out.log(MEMBER_RESTARTED, peer=beat.vm, incarnation=beat.incarnation)
+
+    def _adopt(self, now, version, rows, source, out):
+        change = self._table.adopt(version, rows)
+        if change is None:
+            return
+        out.log(LIST_ADOPTED, version=version, vms=len(rows), source=source)
+        for row in change.joined:
+            if row.vm != self.vm:
+                self._join(now, row, source, out)
+        for vm in change.left:
+            self._drop(vm, "not listed", out)
+        self.hasten()
+
+    def _join(self, now, row, source, out):
+        self._beats.expect(row.vm, now)
+        out.log(MEMBER_JOINED, peer=row.vm, peer_zone=row.zone, source=source)
+
+    def _drop(self, vm, reason, out):
+        self._beats.forget(vm)
+        self._suspected.discard(vm)
+        self._offers.pop(vm, None)
+        out.log(MEMBER_LEFT, peer=vm, reason=reason)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/role_table.py
@@ -0,0 +1,71 @@
+"""Tables of roles: the holders of each zone at the newest known version."""
+
+from typing import NamedTuple
+
+from hibiscusspar.membership.messages import RoleRow, RoleRows, ZoneVersion
+
+__all__ = ["NOBODY", "RoleEntry", "RoleTable", "entries_of", "object_value"]
+
+
+class RoleEntry(NamedTuple):
+    """Holder of a role, its number, and the list version that showed the holder.
+
+    An empty holder means that the role was given up without a successor.
+    """
+
+    holder: str
+    number: int
+    seen: int
+
+
+NOBODY = RoleEntry("", 0, 0)
+
+
+def entries_of(value):
+    """Return the entries and the counter in the value of a platform object."""
+    entries = {name: RoleEntry(*row) for name, row in value["roles"].items()}
+    return entries, value["counter"]
+
+
+def object_value(entries, counter, write_id):
+    """Return the value of the platform object that holds the entries."""
+    rows = {name: list(entry) for name, entry in sorted(entries.items())}
+    return {"write_id": write_id, "counter": counter, "roles": rows}
+
+
+class RoleTable:
+    """Entries of all zones, each with the version of the zone's object."""
+
+    def __init__(self):
+        self._versions = {}
+        self._zones = {}
+
+    def version(self, zone):
+        """Return the newest known version of a zone's object; 0 if none."""
+        return self._versions.get(zone, 0)
+
+    def entries(self, zone):
+        """Return the entries of a zone."""
+        return self._zones.get(zone, {})
+
+    def find(self, name):
+        """Return the entry of a role of any zone; the latest number wins."""
+        found = [t[name] for t in self._zones.values() if name in t]
+        return max(found, key=lambda entry: entry.number, default=NOBODY)
+
+    def adopt(self, zone, version, entries):
+        """Take in a zone's entries; return whether they were newer."""
+        if version <= self.version(zone):
+            return False
+        self._versions[zone] = version
+        self._zones[zone] = dict(entries)
+        return True
+
+    def versions(self):
+        """Return the known versions of all zones, for gossip."""
+        return tuple(ZoneVersion(*pair) for pair in sorted(self._versions.items()))
+
+    def rows(self, zone):
+        """Return the message that carries the entries of a zone."""
+        rows = (RoleRow(name, *entry) for name, entry in self.entries(zone).items())
+        return RoleRows(zone, self.version(zone), tuple(rows))
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/roles.py
@@ -0,0 +1,405 @@
+"""Exclusive roles of a zone, kept in one platform object.
+
+Nothing here depends on a lease: with the platform away no role changes hands
+and holders go on. A process acts in a role only after it has read the zone's
+object since it started; roles that an earlier process of its VM held are taken
+up under a new number, so that a write of that process that is still on its way
+can't take effect any more.
+"""
+
+from typing import NamedTuple
+
+from hibiscusspar.membership.events import (
+    ROLE_GAINED,
+    ROLE_LOST,
+    ROLE_RELEASED,
+    ROLE_WRITE,
+)
+from hibiscusspar.membership.messages import RoleRows, RoleVersions
+from hibiscusspar.membership.rendezvous import first
+from hibiscusspar.membership.role_plan import Situation, claimable, plan
+from hibiscusspar.membership.role_table import RoleTable, entries_of, object_value
+from hibiscusspar.outbox import PlatformCall
+
+__all__ = ["ROLES_KIND", "RoleBounds", "RoleSystem"]
+
+ROLES_KIND = "roles"
+_READING = ("vms", "get")
+_WRITING = ("create", "update")
+
+
+class RoleBounds(NamedTuple):
+    """Periods in seconds and numbers of roles."""
+
+    check_s: float = 0.5
+    idle_s: float = 1.5
+    poll_s: float = 10.0
+    settle_s: float = 30.0
+    rebalance_s: float = 5.0
+    max_moves: int = 4
+    distrust_s: float = 20.0
+    retry_s: float = 0.25
+    max_retry_s: float = 10.0
+    call_timeout_s: float = 15.0
+
+
+class _Call(NamedTuple):
+    call_id: str
+    operation: str
+    sent_at: float
+
+
+class _Write(NamedTuple):
+    write_id: str
+    entries: dict
+    changed: tuple
+    released: dict
+
+
+class RoleSystem:
+    """System ``roles``; implements :class:`hibiscusspar.ports.Roles`.
+
+    Parameters
+    ----------
+    vm, zone : str
+    members : MemberSystem
+    rng : random.Random
+    bounds : RoleBounds
+    """
+
+    name = "roles"
+
+    def __init__(self, vm, zone, members, rng, bounds=None):
+        self._vm = vm
+        self._zone = zone
+        self._members = members
+        self._rng = rng
+        self._bounds = bounds or RoleBounds()
+        self._table = RoleTable()
+        self._wanted = frozenset()
+        self._fenced = frozenset()
+        self._confirmed = False
+        self._inactive = {}
+        self._releasing = {}
+        self._leaving = False
+        self._held = frozenset()
+        self._call = None
+        self._write = None
+        self._listed = None
+        self._failures = 0
+        self._calls = 0
+        self._next_check = 0.0
+        self._next_poll = 0.0
+        self._next_rebalance = 0.0
+        self._since = {}
+        self._silent_since = {}
+
+    @property
+    def held(self):
+        """Names of the roles that this VM may act in now."""
+        return self._held
+
+    @property
+    def handed_over(self):
+        """Whether no entry of this zone names this VM any more."""
+        return self._confirmed and not self._mine()
+
+    def want(self, names, fenced=()):
+        """Replace the roles of this zone that somebody must hold.
+
+        Parameters
+        ----------
+        names : sequence of str
+        fenced : sequence of str
+            Those among them whose target checks fencing numbers.
+        """
+        self._wanted = frozenset(names)
+        self._fenced = frozenset(fenced) & self._wanted
+
+    def holder(self, name):
+        """Return the VM last known to hold the role; empty if none is known."""
+        return self._table.find(name).holder
+
+    def number(self, name):
+        """Return the number last known of the role; 0 if none is known."""
+        return self._table.find(name).number
+
+    def holds(self, name):
+        """Return whether this VM holds the role and may act in it now."""
+        return name in self._held
+
+    def hand_over_all(self, now, out):
+        """Cease to act in all roles and pass them on; safe to repeat."""
+        self._leaving = True
+        for name, entry in self._mine().items():
+            self._stop_acting(name, entry, out)
+        self._refresh(out)
+        self._next_check = now
+
+    def tick(self, now, out):
+        """Spread versions, and start a change of the object if one is needed."""
+        for peer in self._members.round_peers:
+            out.send(peer, RoleVersions(self._table.versions()))
+        if self._call and now - self._call.sent_at > self._bounds.call_timeout_s:
+            self._settle(now, "unknown", 0, out)
+        if self._call or now < self._next_check:
+            return
+        self._next_check = now + self._bounds.check_s * self._rng.uniform(0.75, 1.25)
+        self._observe(now)
+        self._rebalance(now, out)
+        if self._must_read(now):
+            self._start(now, "vms" if self._is_steward() else "get", out)
+
+    def receive(self, now, sender, message, out):
+        """Take in versions or entries that a peer knows."""
+        if isinstance(message, RoleRows):
+            entries, _ = _entries_of_rows(message)
+            self._adopt(message.zone, message.version, entries, out)
+        elif isinstance(message, RoleVersions):
+            self._compare(sender, message, out)
+
+    def platform_result(self, now, result, out):
+        """Go on with the change that the answered call belongs to."""
+        if self._call is None or result.call_id != self._call.call_id:
+            return
+        operation = self._call.operation
+        if operation in _WRITING:
+            self._settle(now, result.outcome, result.version, out)
+        elif result.outcome not in ("ok", "missing"):
+            self._settle(now, "refused", 0, out)
+        elif operation == "vms":
+            self._listed = result.value
+            self._start(now, "get", out)
+        else:
+            self._take_object(now, result, out)
+
+    def _mine(self):
+        entries = self._table.entries(self._zone)
+        return {n: e for n, e in entries.items() if e.holder == self._vm}
+
+    def _is_steward(self):
+        fit = self._members.candidates(self._zone)
+        return first(f"steward/{self._zone}", fit) == self._vm
+
+    def _observe(self, now):
+        """Note since when VMs are known, and since when they are silent."""
+        present = {member.vm for member in self._members.live(self._zone)}
+        silent = {vm for vm in present if self._members.suspected(vm)}
+        self._since = {vm: self._since.get(vm, now) for vm in present}
+        self._silent_since = {vm: self._silent_since.get(vm, now) for vm in silent}
+
+    def _distrusted(self, now):
+        limit = self._bounds.distrust_s
+        return frozenset(v for v, at in self._silent_since.items() if now - at > limit)
+
+    def _rebalance(self, now, out):
+        """Choose roles that a VM known for long enough is the better holder of."""
+        if now < self._next_rebalance or not self._confirmed or self._leaving:
+            return
+        pause = self._bounds.rebalance_s * self._rng.uniform(0.75, 1.25)
+        self._next_rebalance = now + pause
+        settled = [
+            vm
+            for vm in self._listed_candidates()
+            if now - self._since.get(vm, now) >= self._bounds.settle_s
+        ]
+        if self._failures or self._vm not in settled:
+            return
+        moves = [n for n in sorted(self._held) if first(n, settled) != self._vm]
+        unwanted = sorted(self._held - self._wanted) if self._wanted else []
+        for name in (unwanted + moves)[: self._bounds.max_moves]:
+            self._releasing[name] = self._table.entries(self._zone)[name].number
+
+    def _listed_candidates(self):
+        fit = self._members.candidates(self._zone)
+        return [vm for vm in fit if self._members.is_listed(vm)]
+
+    def _must_read(self, now):
+        if self._leaving:
+            return bool(self._mine()) or not self._confirmed
+        if not self._confirmed or self._releasing or self._resuming():
+            return True
+        if not self._is_steward():
+            return False
+        return now >= self._next_poll or self._sees_claimable(now)
+
+    def _resuming(self):
+        if self._leaving:
+            return {}
+        mine = self._mine()
+        return {
+            name: number
+            for name, number in self._inactive.items()
+            if name not in self._releasing
+            and name in mine
+            and mine[name].number == number
+        }
+
+    def _sees_claimable(self, now):
+        entries = self._table.entries(self._zone)
+        listed = [m.vm for m in self._members.live() if self._members.is_listed(m.vm)]
+        version = self._members.list_version
+        situation = self._situation(now, listed, listed, version)
+        return any(claimable(n, entries.get(n), situation) for n in self._wanted)
+
+    def _situation(self, now, listed, fit, list_version, claiming=True):
+        return Situation(
+            self._vm,
+            self._wanted,
+            self._fenced,
+            self._distrusted(now),
+            dict(self._releasing),
+            self._resuming(),
+            claiming,
+            frozenset(listed),
+            tuple(fit),
+            list_version,
+        )
+
+    def _start(self, now, operation, out, value=None, version=0):
+        self._calls += 1
+        call_id = f"{operation}-{self._calls}"
+        self._call = _Call(call_id, operation, now)
+        out.call(
+            PlatformCall(
+                self.name, call_id, operation, ROLES_KIND, self._zone, value, version
+            )
+        )
+
+    def _take_object(self, now, result, out):
+        self._next_poll = now + self._bounds.poll_s * self._rng.uniform(0.75, 1.25)
+        entries, counter = {}, 0
+        if result.outcome == "ok":
+            entries, counter = entries_of(result.value)
+            self._adopt(self._zone, result.version, entries, out)
+        self._confirm()
+        self._refresh(out)
+        situation = self._fresh_situation(now)
+        changes = plan(entries, counter, situation)
+        if not changes.changed:
+            self._finish(now)
+            self._next_check += self._bounds.idle_s
+            return
+        self._send_write(now, result, changes, situation, out)
+
+    def _confirm(self):
+        """Keep from acting in what an earlier process of this VM held."""
+        if not self._confirmed:
+            self._confirmed = True
+            self._inactive = {n: e.number for n, e in self._mine().items()}
+
+    def _fresh_situation(self, now):
+        listed, self._listed = self._listed, None
+        if listed is None:
+            fit = self._listed_candidates()
+            version = self._members.list_version
+            return self._situation(now, fit, fit, version, claiming=False)
+        rows = [r for r in listed.vms if r.zone == self._zone and r.state == "live"]
+        fit = [row.vm for row in rows if not self._members.suspected(row.vm)]
+        shown = [row.vm for row in listed.vms]
+        return self._situation(now, shown, fit, listed.version)
+
+    def _send_write(self, now, result, changes, situation, out):
+        released = {}
+        for name, entry in self._mine().items():
+            if situation.releasing.get(name) == entry.number:
+                released[name] = entry.number
+                self._stop_acting(name, entry, out)
+        self._refresh(out)
+        write_id = f"{self._rng.getrandbits(128):032x}"
+        self._write = _Write(write_id, changes.entries, changes.changed, released)
+        value = object_value(changes.entries, changes.counter, write_id)
+        operation = "update" if result.outcome == "ok" else "create"
+        self._start(now, operation, out, value, result.version)
+
+    def _stop_acting(self, name, entry, out):
+        if self._inactive.get(name) != entry.number:
+            successor = "" if self._leaving else "by rendezvous"
+            number = entry.number
+            out.log(ROLE_RELEASED, role=name, number=number, successor=successor)
+        self._inactive[name] = entry.number
+        self._releasing[name] = entry.number
+
+    def _settle(self, now, outcome, version, out):
+        """End a change; what an unknown outcome left is seen by the next read."""
+        write, self._write = self._write, None
+        if write is not None:
+            out.log(
+                ROLE_WRITE,
+                role_zone=self._zone,
+                outcome=outcome,
+                changes=len(write.changed),
+                version=version,
+            )
+            self._settle_write(write, outcome, version, out)
+        if not self._leaving:
+            self._releasing = {}
+        if outcome == "ok":
+            self._finish(now)
+            return
+        self._call = None
+        self._listed = None
+        self._failures += 1
+        self._next_check = now + self._pause_s()
+        self._refresh(out)
+
+    def _settle_write(self, write, outcome, version, out):
+        if outcome == "ok":
+            self._adopt(self._zone, version, write.entries, out)
+            rows = self._table.rows(self._zone)
+            new = {write.entries[n].holder for n in write.changed if n in write.entries}
+            for vm in sorted(new - {"", self._vm}):
+                out.send(vm, rows)
+        elif outcome != "unknown" and not self._leaving:
+            for name, number in write.released.items():
+                if self._inactive.get(name) == number:
+                    del self._inactive[name]
+
+    def _finish(self, now):
+        self._call = None
+        self._failures = 0
+        if not self._leaving:
+            self._releasing = {}
+        self._next_check = now + self._bounds.check_s * self._rng.uniform(0.75, 1.25)
+
+    def _pause_s(self):
+        bound = self._bounds.retry_s * 2 ** min(self._failures, 10)
+        return self._rng.uniform(0.5, 1.0) * min(bound, self._bounds.max_retry_s)
+
+    def _compare(self, sender, message, out):
+        known = {row.zone: row.version for row in message.zones}
+        for zone, version in self._table.versions():
+            if version > known.get(zone, 0):
+                out.send(sender, self._table.rows(zone))
+        if any(v > self._table.version(zone) for zone, v in known.items()):
+            out.send(sender, RoleVersions(self._table.versions()))
+
+    def _adopt(self, zone, version, entries, out):
+        if not self._table.adopt(zone, version, entries):
+            return
+        self._members.hasten()
+        if zone != self._zone:
+            return
+        for name, number in list(self._inactive.items()):
+            entry = entries.get(name)
+            if entry is None or entry.number > number:
+                del self._inactive[name]
+        if self._leaving:
+            for name, entry in self._mine().items():
+                self._stop_acting(name, entry, out)
+        self._refresh(out)
+
+    def _refresh(self, out):
+        """Work out in which roles this VM may act, and log what changed."""
+        mine = self._mine() if self._confirmed else {}
+        held = {n for n, e in mine.items() if self._inactive.get(n) != e.number}
+        for name in sorted(held - self._held):
+            out.log(ROLE_GAINED, role=name, number=mine[name].number)
+        for name in sorted(self._held - held):
+            out.log(ROLE_LOST, role=name, holder=self.holder(name))
+        self._held = frozenset(held)
+
+
+def _entries_of_rows(message):
+    rows = {row.role: [row.holder, row.number, row.seen] for row in message.rows}
+    return entries_of({"roles": rows, "counter": 0})
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/cluster.py
@@ -0,0 +1,180 @@
+"""Nodes with members and roles over a network and a platform that can fail."""
+
+from random import Random
+from typing import Any, NamedTuple
+
+from hibiscusspar.membership.members import MemberSystem
+from hibiscusspar.membership.messages import VmEntry
+from hibiscusspar.membership.roles import RoleSystem
+from hibiscusspar.outbox import Outbox, PlatformResult
+
+
+class ListAnswer(NamedTuple):
+    vms: tuple
+    version: int
+
+
+class Process:
+    """One process life of a VM, with its systems and what waits for it."""
+
+    def __init__(self, vm, zone, seed, wanted, fenced):
+        rng = Random(seed)
+        self.vm = vm
+        self.zone = zone
+        self.members = MemberSystem(vm, zone, "127.0.0.1:1", rng)
+        self.roles = RoleSystem(vm, zone, self.members, rng)
+        self.roles.want(wanted, fenced)
+        self.paused = False
+        self.dead = False
+        self.inbox = []
+        self.results = []
+        self.records = []
+
+
+class InFlight(NamedTuple):
+    process: Process
+    call: Any
+
+
+class Cluster:
+    """Nodes, network and platform.
+
+    ``cut`` holds frozensets of two VMs that can't talk; the VMs in ``away`` can't
+    reach the platform. Only VMs of the zone ``"a"`` want the given roles.
+    """
+
+    def __init__(self, zones, wanted, fenced=(), seed=1):
+        self.rng = Random(seed)
+        self.now = 100.0
+        self.wanted = wanted
+        self.fenced = fenced
+        self.processes = {}
+        self.old = []
+        self.flights = []
+        self.cut = set()
+        self.away = set()
+        self.objects = {}
+        self.version = 1
+        self.lists = [ListAnswer((), 1)]
+        self.lag = 0
+        self.answers_lost = 0.0
+        self.writes_delayed = 0.0
+        self.loss = 0.0
+        self.calls = 0
+        for zone, count in zones.items():
+            for index in range(count):
+                self.add_vm(f"{zone}{index}", zone)
+
+    def add_vm(self, vm, zone):
+        rows = {row.vm: row for row in self.lists[-1].vms}
+        rows[vm] = VmEntry(vm, zone, "127.0.0.1:1", "live")
+        self._list(rows)
+        self.start(vm, zone)
+
+    def remove_vm(self, vm):
+        rows = {row.vm: row for row in self.lists[-1].vms if row.vm != vm}
+        process = self.processes.pop(vm)
+        process.dead = True
+        self._list(rows)
+
+    def start(self, vm, zone):
+        """Start a process on a VM, in place of the one that ran there."""
+        if vm in self.processes:
+            self.processes[vm].dead = True
+        seed = self.rng.getrandbits(32)
+        wanted = self.wanted if zone == "a" else ()
+        self.processes[vm] = Process(vm, zone, seed, wanted, self.fenced)
+
+    def run(self, seconds, step=0.25):
+        """Tick, deliver and answer for a while."""
+        for _ in range(int(seconds / step)):
+            self.now += step
+            for process in list(self.processes.values()):
+                if not process.paused:
+                    self._work(process)
+            self._settle_flights()
+
+    def acting(self, role):
+        """Return (VM, number) of each process that may act in a role."""
+        return [
+            (process.vm, process.roles.number(role))
+            for process in self.processes.values()
+            if process.roles.holds(role)
+        ]
+
+    def hand_over(self, vm):
+        process = self.processes[vm]
+        out = Outbox()
+        process.roles.hand_over_all(self.now, out)
+        self._carry_out(process, out)
+
+    def _list(self, rows):
+        self.version += 1
+        self.lists.append(ListAnswer(tuple(rows.values()), self.version))
+
+    def _work(self, process):
+        out = Outbox()
+        inbox, process.inbox = process.inbox, []
+        results, process.results = process.results, []
+        for sender, message in inbox:
+            self._system(process, message).receive(self.now, sender, message, out)
+        for system, result in results:
+            getattr(process, system).platform_result(self.now, result, out)
+        process.members.tick(self.now, out)
+        process.roles.tick(self.now, out)
+        self._carry_out(process, out)
+
+    def _system(self, process, message):
+        kind = type(message).__name__
+        return process.roles if kind.startswith("Role") else process.members
+
+    def _carry_out(self, process, out):
+        process.records += out.records
+        for peer, message in out.sends:
+            target = self.processes.get(peer)
+            apart = frozenset((peer, process.vm)) in self.cut
+            if target and not apart and self.rng.random() >= self.loss:
+                target.inbox.append((process.vm, message))
+        for call in out.calls:
+            self.calls += 1
+            self.flights.append(InFlight(process, call))
+
+    def _settle_flights(self):
+        flights, self.flights = self.flights, []
+        for flight in flights:
+            write = flight.call.operation in ("create", "update")
+            if write and self.rng.random() < self.writes_delayed:
+                self._answer(flight, "unknown", None, 0)
+                self.flights.append(flight._replace(process=Process("", "", 0, (), ())))
+                continue
+            if flight.process.vm in self.away:
+                self._answer(flight, "refused", None, 0)
+                continue
+            outcome, value, version = self._apply(flight.call)
+            if self.rng.random() < self.answers_lost:
+                self._answer(flight, "unknown" if write else "refused", None, 0)
+            else:
+                self._answer(flight, outcome, value, version)
+
+    def _answer(self, flight, outcome, value, version):
+        if not flight.process.dead:
+            result = PlatformResult(flight.call.call_id, outcome, value, version)
+            flight.process.results.append((flight.call.system, result))
+
+    def _apply(self, call):
+        key = (call.kind, call.name)
+        value, version = self.objects.get(key, (None, 0))
+        match call.operation:
+            case "vms":
+                lag = self.rng.randint(0, self.lag)
+                listed = self.lists[max(0, len(self.lists) - 1 - lag)]
+                return "ok", listed, listed.version
+            case "get":
+                return ("ok", value, version) if version else ("missing", None, 0)
+            case "create" if version:
+                return "conflict", None, version
+            case "update" if version != call.version:
+                return "conflict", None, version
+        self.version += 1
+        self.objects[key] = (call.value, self.version)
+        return "ok", None, self.version
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/vm_table.py
@@ -0,0 +1,83 @@
+"""Table of VMs: the newest list of the platform and the VMs not in it yet."""
+
+from typing import NamedTuple
+
+from hibiscusspar.membership.messages import VmEntry
+
+__all__ = ["ListChange", "VmTable"]
+
+MAX_LEFT = 4096
+
+
+class ListChange(NamedTuple):
+    """VMs that an adopted list added and removed."""
+
+    joined: list[VmEntry]
+    left: list[str]
+
+
+class VmTable:
+    """VMs by id; a VM that left never returns, since an id is one VM life."""
+
+    def __init__(self):
+        self.version = 0
+        self._listed = {}
+        self._unlisted = {}
+        self._left = {}
+
+    def get(self, vm):
+        """Return the :class:`VmEntry` of a VM, or None."""
+        return self._listed.get(vm) or self._unlisted.get(vm)
+
+    def rows(self):
+        """Return all VMs that are not known to have left."""
+        return [*self._listed.values(), *self._unlisted.values()]
+
+    def listed(self):
+        """Return the VMs of the platform's list, as it was adopted."""
+        return tuple(self._listed.values())
+
+    def unlisted(self):
+        """Return the VMs that announced themselves and are not listed yet."""
+        return tuple(self._unlisted.values())
+
+    def is_listed(self, vm):
+        """Return whether the platform's list shows a VM."""
+        return vm in self._listed
+
+    def has_left(self, vm):
+        """Return whether a VM is known to have left."""
+        return vm in self._left
+
+    def announce(self, row):
+        """Add a VM that the list doesn't show; return whether it is new."""
+        if row.vm in self._left or row.vm in self._listed:
+            return False
+        new = row.vm not in self._unlisted
+        self._unlisted[row.vm] = row
+        return new
+
+    def forget(self, vm):
+        """Drop a VM that was never listed."""
+        self._unlisted.pop(vm, None)
+
+    def adopt(self, version, rows):
+        """Take in a list; return the :class:`ListChange`, None if it is older."""
+        if version <= self.version:
+            return None
+        table = {row.vm: row for row in rows if row.vm not in self._left}
+        left = [vm for vm in self._listed if vm not in table]
+        known = self._listed.keys() | self._unlisted.keys()
+        joined = [row for vm, row in table.items() if vm not in known]
+        self._note_left(left)
+        for vm in table:
+            self._unlisted.pop(vm, None)
+        self._listed = table
+        self.version = version
+        return ListChange(joined, left)
+
+    def _note_left(self, vms):
+        for vm in vms:
+            self._left[vm] = True
+        while len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
