Refuse a publication over edits made by command unless asked for

Cause: files published by an automatic job would silently undo a drain or a new adapter version made by command.

--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/authors.py
@@ -0,0 +1,37 @@
+"""Marks in the recorded author that tell how a revision came about."""
+
+__all__ = ["edits_since_publish", "edit_author", "key_author"]
+
+_EDIT = " (edit)"
+_KEYS = " (keys)"
+
+
+def edit_author(author):
+    """Return the author to record for an edit made by command."""
+    return author + _EDIT
+
+
+def key_author(author):
+    """Return the author to record for a change of keys."""
+    return author + _KEYS
+
+
+def edits_since_publish(root):
+    """Return the edits made by command since files were last published.
+
+    Parameters
+    ----------
+    root : Root or None
+
+    Returns
+    -------
+    list of (int, str)
+        Revision and author of each, the latest first.
+    """
+    edits = []
+    for revision, _, author in (root or {}).get("history", []):
+        if author.endswith(_EDIT):
+            edits.append((revision, author))
+        elif not author.endswith(_KEYS):
+            break
+    return edits
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/declaration_commands.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/declaration_commands.py
@@ -6,6 +6,8 @@
 
 from hibiscusspar.config.diff import diff as changes_between
 from hibiscusspar.config.diff import render_change
+from hibiscusspar.errors import StepError
+from hibiscusspar_ctl.authors import edits_since_publish
 from hibiscusspar_ctl.exits import ExitCode, reported_errors
 from hibiscusspar_ctl.nodes import node_statuses
 from hibiscusspar_ctl.session import NODES, change_rows, show
@@ -46,6 +48,9 @@
     context: Context,
     paths: list[str] = _PATHS,
     yes: bool = Option(False, "--yes", help="Don't ask before publishing."),
+    over_edits: bool = Option(
+        False, "--over-edits", help="Replace what was edited by command since."
+    ),
     wait: float = Option(
         0.0, help="Seconds to wait until all given nodes report the revision."
     ),
@@ -61,7 +66,7 @@
         echo("--wait needs at least one --node", err=True)
         raise Exit(ExitCode.BAD_INPUT)
     with reported_errors():
-        published = _publish(session, paths, yes)
+        published = _publish(session, paths, yes, over_edits)
     late = _wait(node, published.revision, wait) if wait else []
     data = {"revision": published.revision, "chunks": published.chunks}
     data |= {"changes": change_rows(published.changes), "late": late}
@@ -72,13 +77,15 @@
         raise Exit(ExitCode.NOT_IN_FORCE)
 
 
-def _publish(session, paths, yes):
+def _publish(session, paths, yes, over_edits):
     wanted = publishing.read_directories(paths)
     platform = session.platform()
     base = publishing.current(platform)
     changes = _changes(base.configuration, wanted)
     for line in _shortened(changes):
         echo(line, err=True)
+    if changes and not over_edits:
+        _refuse_over_edits(base.root)
     if not yes:
         confirm(f"publish {len(changes)} changes?", abort=True, err=True)
     try:
@@ -100,6 +107,15 @@
     return changes_between(base, wanted._replace(keys=base.keys))
 
 
+def _refuse_over_edits(root):
+    edits = edits_since_publish(root)
+    if edits:
+        made = ", ".join(f"{revision} by {author}" for revision, author in edits)
+        reason = f"revisions made by command are in force ({made}); put them into "
+        reason += "the files, look at 'diff', then publish with --over-edits"
+        raise StepError("publish.check", "", reason)
+
+
 def _shortened(changes):
     lines = [render_change(change) for change in changes[:MAX_SHOWN]]
     if len(changes) > MAX_SHOWN:
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/key_commands.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/key_commands.py
@@ -5,6 +5,7 @@
 
 from typer import Argument, Context, Option, Typer
 
+from hibiscusspar_ctl.authors import key_author
 from hibiscusspar_ctl.exits import reported_errors
 from hibiscusspar_ctl.session import show
 from hibiscusspar_wire.publishing import current, issue_key, withdraw_key
@@ -30,7 +31,8 @@
     digest = sha256(key.encode()).hexdigest()
     with reported_errors():
         platform = session.platform()
-        made = issue_key(platform, account, key_id, digest, session.author, token_hex)
+        author = key_author(session.author)
+        made = issue_key(platform, account, key_id, digest, author, token_hex)
     data = {"key": key, "key_id": key_id, "revision": made.revision}
     lines = [f"key: {key}", f"id: {key_id}", f"revision {made.revision} is published"]
     show(session, data, lines)
@@ -43,7 +45,8 @@
     """Withdraw a key for good; requests that run already are finished."""
     session = context.obj
     with reported_errors():
-        made = withdraw_key(session.platform(), key_id, session.author, token_hex)
+        author = key_author(session.author)
+        made = withdraw_key(session.platform(), key_id, author, token_hex)
     data = {"key_id": key_id, "revision": made.revision}
     show(session, data, [f"revision {made.revision} withdraws {key_id}"])
 
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/session.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/session.py
@@ -9,6 +9,7 @@
 from typer import Exit, Option, echo
 
 from hibiscusspar.config.diff import render_change
+from hibiscusspar_ctl.authors import edit_author
 from hibiscusspar_ctl.exits import ExitCode
 from hibiscusspar_wire.platform_client import PlatformClient
 from hibiscusspar_wire.publishing import change
@@ -76,7 +77,8 @@
 
 def apply_edit(session, edit):
     """Put an edit of the configuration in force and show what it changed."""
-    published = change(session.platform(), edit, session.author, token_hex)
+    author = edit_author(session.author)
+    published = change(session.platform(), edit, author, token_hex)
     data = {"revision": published.revision, "changes": change_rows(published.changes)}
     lines = [render_change(row) for row in published.changes]
     show(session, data, [*lines, f"revision {published.revision} is published"])
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/tests/test_cli.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/tests/test_cli.py
@@ -63,6 +63,7 @@
         return json.loads(result.stdout) if result.stdout.startswith("{") else None
 
     def publish(self, **options):
+        """Publish the declarations and return what is printed."""
         return self.run_command("publish", str(self.file), "--yes", **options)
 
     def rewrite(self, old, new):
@@ -173,6 +174,17 @@
         self.run_command("adapter", "retire", "bark")
         self.assertEqual(self.run_command("adapter", "list")["adapters"], [])
 
+    def test_publishing_over_an_edit_has_to_be_asked_for(self):
+        self.publish()
+        self.run_command("drain", "target", "drafting-1")
+        self.run_command("key", "issue", "mill")
+        self.publish(code=ExitCode.REFUSED)
+        self.assertEqual(self.run_command("status")["revision"], 3)
+        words = ["publish", str(self.file), "--yes", "--over-edits"]
+        self.assertEqual(self.run_command(*words)["revision"], 4)
+        self.rewrite("rate = 100.0", "rate = 200.0")
+        self.assertEqual(self.publish()["revision"], 5)
+
     def test_a_target_drains_and_comes_back(self):
         self.publish()
         made = self.run_command("drain", "target", "drafting-1")
