Wire members, roles, limits, placement and requests into one process

Cause: the path ran without limits, ownership or retries. Change: one composition root builds the five systems over one lock; the fair queue stands before placement; the relay follows each request; tokens are reserved before and settled after; a withdrawn key ends its open streams.

--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -71,6 +71,11 @@
         """Number of reservations that wait to be settled."""
         return len(self._reservations)
 
+    @property
+    def unleased(self):
+        """Accounts for which this node holds no lease."""
+        return [name for name, slot in self._slots.items() if not slot.bucket.cap]
+
     def configure(self, now, configuration, out):
         """Put the accounts of a configuration in force."""
         self._specs = configuration.accounts
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -0,0 +1,168 @@
+"""The composition root: wires the parts of one entry process."""
+
+import random
+import secrets
+from time import monotonic
+
+from hibiscusspar.limits.messages import MESSAGES as LIMIT_MESSAGES
+from hibiscusspar.limits.system import LimitSystem
+from hibiscusspar.membership.members import MemberSystem
+from hibiscusspar.membership.messages import Gossip, RoleRows, RoleVersions, VmRows
+from hibiscusspar.membership.roles import RoleSystem
+from hibiscusspar.placement.messages import MESSAGES as PLACEMENT_MESSAGES
+from hibiscusspar.placement.system import PlacementSystem
+from hibiscusspar.requests.messages import MESSAGES as REQUEST_MESSAGES
+from hibiscusspar.requests.system import RequestSystem
+from hibiscusspar_entry.configuration import ConfigurationHolder
+from hibiscusspar_entry.dispatch import DispatchHooks
+from hibiscusspar_entry.driver import Driver
+from hibiscusspar_entry.gateway import RequestGateway
+from hibiscusspar_entry.metrics import Metrics
+from hibiscusspar_entry.node import Node, Parts, Servers
+from hibiscusspar_entry.open_requests import OpenRequests
+from hibiscusspar_entry.orders import TargetKeeper
+from hibiscusspar_entry.scheduler import Scheduler
+from hibiscusspar_entry.systems import Applier, Systems
+from hibiscusspar_entry.work import OrderRunner, PlatformRunner
+from hibiscusspar_wire.claim_gate import ClaimGate
+from hibiscusspar_wire.codec import MessageCodec
+from hibiscusspar_wire.http_server import HttpServer, ServerBounds, Tls
+from hibiscusspar_wire.peers import PeerClient
+from hibiscusspar_wire.platform_client import PlatformClient
+from hibiscusspar_wire.relay import Relay
+from hibiscusspar_wire.target_client import TargetClient
+
+__all__ = ["build_node"]
+
+PEER_THREADS = 8
+OPERATOR_THREADS = 4
+MESSAGES = {
+    "members": (Gossip, VmRows),
+    "roles": (RoleRows, RoleVersions),
+    "limits": LIMIT_MESSAGES,
+    "placement": PLACEMENT_MESSAGES,
+    "requests": REQUEST_MESSAGES,
+}
+
+
+def build_node(settings, request_stop):
+    """Bind the ports and wire all parts of one process.
+
+    Parameters
+    ----------
+    settings : Settings
+    request_stop : callable
+        Called when an operator drains this VM.
+
+    Returns
+    -------
+    Node
+    """
+    clock = monotonic
+    rng = random.Random(settings.seed or secrets.randbits(64))
+    metrics = Metrics()
+    servers = _bound_servers(settings)
+    holder = ConfigurationHolder(clock)
+    platform = PlatformClient(
+        settings.platform, _child(rng), settings.platform_timeout_s
+    )
+    keeper = TargetKeeper(holder.target_address, settings.connect_timeout_s)
+    gate = ClaimGate(settings.platform_timeout_s)
+    systems = _systems(settings, servers, rng, clock(), gate)
+    order_runner = OrderRunner(keeper, systems.placement)
+    driver = Driver(
+        vm=settings.vm_id,
+        systems=systems,
+        codec=MessageCodec(MESSAGES),
+        peers=PeerClient(settings.peer_secret, settings.peer_timeout_s),
+        address_of=systems.members.address_of,
+        run_call=PlatformRunner(platform, metrics),
+        run_order=order_runner,
+        clock=clock,
+        metrics=metrics,
+        exchange_s=settings.exchange_s,
+    )
+    scheduler = Scheduler(driver, systems.placement, clock)
+    driver.call_after_decisions(scheduler.after_decision)
+    open_requests = OpenRequests()
+    hooks = DispatchHooks(
+        zone=settings.zone,
+        holder=holder,
+        scheduler=scheduler,
+        systems=systems,
+        claim_gate=gate,
+        open_requests=open_requests,
+        driver=driver,
+        clock=clock,
+        metrics=metrics,
+        queue_timeout_s=settings.queue_timeout_s,
+    )
+    targets = TargetClient(settings.connect_timeout_s, settings.silence_timeout_s)
+    gateway = RequestGateway(
+        holder=holder,
+        systems=systems,
+        claim_gate=gate,
+        relay=Relay(systems.requests, targets, hooks, driver.decide),
+        open_requests=open_requests,
+        driver=driver,
+        rng=_child(rng),
+        clock=clock,
+        metrics=metrics,
+        token_wait_s=settings.token_wait_s,
+    )
+    applier = Applier(settings.zone, holder, systems, scheduler, open_requests, driver)
+    parts = Parts(
+        settings=settings,
+        servers=servers,
+        driver=driver,
+        systems=systems,
+        gateway=gateway,
+        scheduler=scheduler,
+        open_requests=open_requests,
+        keeper=keeper,
+        holder=holder,
+        applier=applier,
+        platform=platform,
+        metrics=metrics,
+    )
+    return Node(parts, request_stop)
+
+
+def _systems(settings, servers, rng, now, gate):
+    vm, zone = settings.vm_id, settings.zone
+    address = f"{settings.address}:{servers.peer.port}"
+    members = MemberSystem(vm, zone, address, _child(rng))
+    roles = RoleSystem(vm, zone, members, _child(rng))
+    return Systems(
+        members=members,
+        roles=roles,
+        limits=LimitSystem(vm, zone, members, roles, _child(rng)),
+        placement=PlacementSystem(vm, zone, members, roles, _child(rng), now),
+        requests=RequestSystem(members, _child(rng), on_verdict=gate.on_verdict),
+    )
+
+
+def _child(rng):
+    return random.Random(rng.getrandbits(64))
+
+
+def _bound_servers(settings):
+    host = settings.address
+    bounds = ServerBounds(
+        max_header_bytes=settings.max_header_bytes,
+        max_body_bytes=settings.max_body_bytes + 1,
+        threads=settings.caller_threads,
+    )
+    tls = None
+    if settings.tls_certificate:
+        tls = Tls(settings.tls_certificate, settings.tls_private_key)
+    peer_bounds = ServerBounds(threads=PEER_THREADS)
+    operator_bounds = ServerBounds(threads=OPERATOR_THREADS)
+    servers = Servers(
+        HttpServer(host, settings.caller_port, bounds, tls),
+        HttpServer(host, settings.peer_port, peer_bounds),
+        HttpServer(host, settings.operator_port, operator_bounds),
+    )
+    for server in servers:
+        server.bind()
+    return servers
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/configuration.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/configuration.py
@@ -17,6 +17,7 @@
         self._clock = clock
         self._configuration = empty_configuration()
         self._confirmed = clock()
+        self._first_at = clock()
 
     @property
     def configuration(self):
@@ -33,6 +34,16 @@
         """Seconds since the configuration was last known to be the newest."""
         return self._clock() - self._confirmed
 
+    @property
+    def in_force_s(self):
+        """Seconds since the first configuration was put in force here."""
+        return self._clock() - self._first_at
+
+    def target_address(self, name):
+        """Return the address of a target, or None if it isn't declared."""
+        spec = self._configuration.targets.get(name)
+        return spec.address if spec else None
+
     def confirm(self):
         """Note that the configuration in force is the newest now."""
         self._confirmed = self._clock()
@@ -47,5 +58,7 @@
         """
         if configuration.revision <= self.revision:
             return False
+        if self.revision == 0:
+            self._first_at = self._clock()
         self._configuration = configuration
         return True
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
@@ -20,9 +20,7 @@
         Zone of this VM.
     holder : ConfigurationHolder
     scheduler : Scheduler
-    placement : PlacementSystem
-    limits : LimitSystem
-    requests : RequestSystem
+    systems : Systems
     claim_gate : ClaimGate
     open_requests : OpenRequests
     driver : Driver
@@ -37,9 +35,7 @@
         zone,
         holder,
         scheduler,
-        placement,
-        limits,
-        requests,
+        systems,
         claim_gate,
         open_requests,
         driver,
@@ -50,9 +46,9 @@
         self._zone = zone
         self._holder = holder
         self._scheduler = scheduler
-        self._placement = placement
-        self._limits = limits
-        self._requests = requests
+        self._placement = systems.placement
+        self._limits = systems.limits
+        self._claims = systems.requests.claims
         self._claim_gate = claim_gate
         self._open = open_requests
         self._driver = driver
@@ -110,8 +106,9 @@
                 reservation_id = row.reservation.reservation_id
                 self._limits.settle(now, reservation_id, life.tokens, out)
         if row.claim_id:
-            claims = self._requests.claims
-            self._claim_gate.finish(claims, row.claim_id, outcome, status)
+            self._claim_gate.finish(
+                self._driver.decide, self._claims, row.claim_id, outcome, status
+            )
         self._note_end(row, target, status, outcome.value, life.tokens)
 
     def _note_end(self, row, target, status, outcome, tokens):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -31,7 +31,8 @@
     run_call : callable
         Carries out a platform call and returns its result; runs in a thread.
     run_order : callable
-        Carries out an order to a target; runs in a thread.
+        Carries out an order to a target, given the order and :meth:`decide`; runs
+        in a thread.
     clock : Clock
     metrics : Metrics
     exchange_s : float
@@ -130,7 +131,7 @@
         for call in out.calls:
             self._callers.submit(self._finish_call, call)
         for order in out.orders:
-            self._orderers.submit(self._run_order, order)
+            self._orderers.submit(self._run_order, order, self.decide)
 
     def _finish_call(self, call):
         result = self._run_call(call)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
@@ -11,6 +11,7 @@
     "REQUEST_ENDED",
     "REQUEST_REFUSED",
     "STOPPED",
+    "STREAM_REVOKED",
     "SYSTEM_FAILED",
     "TARGET_UNREACHABLE",
 ]
@@ -60,3 +61,9 @@
     ("request", "account", "target", "status", "outcome", "tokens", "seconds"),
     "A request got its answer, or a visibly broken one.",
 )
+STREAM_REVOKED = declare(
+    112,
+    "request.revoked",
+    ("request", "account"),
+    "The key of an open request was withdrawn; nothing more of its answer is sent.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
@@ -20,6 +20,7 @@
 
 RETRY_AFTER_SHUTDOWN_S = 1.0
 MIN_TOKEN_WAIT_S = 0.02
+ASKED_WAIT_S = 0.05
 IDEMPOTENCY_HEADER = "idempotency-key"
 
 
@@ -29,9 +30,7 @@
     Parameters
     ----------
     holder : ConfigurationHolder
-    limits : LimitSystem
-    requests : RequestSystem
-    placement : PlacementSystem
+    systems : Systems
     claim_gate : ClaimGate
     relay : Relay
     open_requests : OpenRequests
@@ -47,9 +46,7 @@
     def __init__(
         self,
         holder,
-        limits,
-        requests,
-        placement,
+        systems,
         claim_gate,
         relay,
         open_requests,
@@ -60,9 +57,9 @@
         token_wait_s,
     ):
         self._holder = holder
-        self._limits = limits
-        self._requests = requests
-        self._placement = placement
+        self._limits = systems.limits
+        self._claims = systems.requests.claims
+        self._placement = systems.placement
         self._claim_gate = claim_gate
         self._relay = relay
         self._open = open_requests
@@ -137,6 +134,8 @@
             if isinstance(found, Reservation):
                 return found
             wait_s = max(MIN_TOKEN_WAIT_S, found.retry_after_s)
+            if found.asked:
+                wait_s = ASKED_WAIT_S
             if not found.retry_after_s or self._clock() + wait_s > deadline:
                 raise _over_limit(admitted.account, found)
             sleep(wait_s)
@@ -154,7 +153,7 @@
             return ""
         body = xxh3_128_hexdigest(admitted.method + admitted.uri) + _digest(admitted)
         claim_id, verdict = self._claim_gate.claim(
-            self._requests.claims, admitted.account, key, body
+            self._driver.decide, self._claims, admitted.account, key, body
         )
         if not isinstance(verdict, Won):
             raise _claim_refusal(verdict, admitted.account)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -1,154 +1,167 @@
-"""The composition root: wires the parts of one entry process."""
+"""One entry process: its servers, its threads and its graceful end."""
 
-import random
-import secrets
 import threading
-from time import monotonic
+from time import sleep
+from typing import NamedTuple
 
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.driver import Driver
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.events import (
-    CONFIGURATION_READ,
-    DRAINING,
-    LISTENING,
-    PLATFORM_FAILED,
-    STOPPED,
-)
+from hibiscusspar_entry.events import DRAINING, LISTENING, PLATFORM_FAILED, STOPPED
 from hibiscusspar_entry.gateway import RequestGateway
 from hibiscusspar_entry.metrics import Metrics
-from hibiscusspar_entry.work import PlatformRunner
+from hibiscusspar_entry.open_requests import OpenRequests
+from hibiscusspar_entry.orders import TargetKeeper
+from hibiscusspar_entry.scheduler import Scheduler
+from hibiscusspar_entry.settings import Settings
+from hibiscusspar_entry.systems import Applier, Systems
 from hibiscusspar_wire.callers import CallerApp
-from hibiscusspar_wire.codec import MessageCodec
-from hibiscusspar_wire.http_server import HttpServer, ServerBounds, Tls
+from hibiscusspar_wire.http_server import HttpServer
 from hibiscusspar_wire.operators import OperatorApp
-from hibiscusspar_wire.peers import PeerApp, PeerClient
-from hibiscusspar_wire.platform_client import PlatformClient
+from hibiscusspar_wire.peers import PeerApp
 from hibiscusspar_wire.publishing import current
-from hibiscusspar_wire.target_client import TargetClient
 
-__all__ = ["Node", "build_node"]
+__all__ = ["Node", "Parts", "Servers"]
 
-PEER_THREADS = 8
-OPERATOR_THREADS = 4
 CONFIGURATION_POLL_S = 1.0
+STATE_POLL_S = 0.5
+HANDOVER_POLL_S = 0.05
+MAX_HANDOVER_S = 3.0
+READY_WITHOUT_LEASES_S = 10.0
 
 
-def build_node(settings, request_stop):
-    """Wire all parts of one process.
+class Servers(NamedTuple):
+    """The three bound servers of a process."""
 
-    Parameters
-    ----------
-    settings : Settings
-    request_stop : callable
-        Called when an operator drains this VM.
+    caller: HttpServer
+    peer: HttpServer
+    operator: HttpServer
 
-    Returns
-    -------
-    Node
-    """
-    clock = monotonic
-    rng = random.Random(settings.seed or secrets.randbits(64))
-    metrics = Metrics()
-    holder = ConfigurationHolder(clock)
-    platform = PlatformClient(
-        settings.platform, random.Random(rng.random()), settings.platform_timeout_s
-    )
-    driver = Driver(
-        settings.vm_id,
-        [],
-        MessageCodec({}),
-        PeerClient(settings.peer_secret, settings.peer_timeout_s),
-        lambda vm: None,
-        PlatformRunner(platform, metrics),
-        lambda order: None,
-        clock,
-        metrics,
-        settings.exchange_s,
-    )
-    targets = TargetClient(settings.connect_timeout_s, settings.silence_timeout_s)
-    gateway = RequestGateway(lambda: holder.configuration, targets, rng, clock, metrics)
-    return Node(settings, driver, gateway, holder, platform, metrics, request_stop)
+
+class Parts(NamedTuple):
+    """The wired parts of a process."""
+
+    settings: Settings
+    servers: Servers
+    driver: Driver
+    systems: Systems
+    gateway: RequestGateway
+    scheduler: Scheduler
+    open_requests: OpenRequests
+    keeper: TargetKeeper
+    holder: ConfigurationHolder
+    applier: Applier
+    platform: object
+    metrics: Metrics
 
 
 class Node:
-    """One entry process: three servers, a ticker and the configuration.
+    """Runs the parts of one process.
 
     Parameters
     ----------
-    settings : Settings
-    driver : Driver
-    gateway : Gateway
-    holder : ConfigurationHolder
-    platform : Platform
-    metrics : Metrics
+    parts : Parts
     request_stop : callable
+        Called when an operator drains this VM.
     """
 
-    def __init__(
-        self, settings, driver, gateway, holder, platform, metrics, request_stop
-    ):
-        self._settings = settings
-        self._driver = driver
-        self._gateway = gateway
-        self._holder = holder
-        self._platform = platform
-        self._metrics = metrics
+    def __init__(self, parts, request_stop):
+        self._parts = parts
         self._request_stop = request_stop
+        self._draining = threading.Event()
         self._stopping = threading.Event()
-        self._servers = _servers(settings, gateway, self)
         self._threads = [
             threading.Thread(target=target, daemon=True)
-            for target in (self._run_ticks, self._run_configuration)
+            for target in (self._run_ticks, self._run_configuration, self._run_polls)
         ]
 
     @property
     def ports(self):
         """Bound ports for callers, peers and operators."""
-        return tuple(server.port for server in self._servers)
+        return tuple(server.port for server in self._parts.servers)
 
     def start(self):
-        """Bind the ports and start the threads."""
-        for server in self._servers:
-            server.start()
-        host = self._settings.address
-        addresses = [f"{host}:{port}" for port in self.ports]
-        names = ("caller", "peer", "operator")
-        write_records([(LISTENING, dict(zip(names, addresses, strict=True)))])
+        """Serve on the three ports and start the threads."""
+        parts = self._parts
+        settings = parts.settings
+        secret = settings.peer_secret
+        parts.servers.caller.start(CallerApp(parts.gateway, settings.max_body_bytes))
+        parts.servers.peer.start(PeerApp(self, secret))
+        parts.servers.operator.start(OperatorApp(self, secret))
+        addresses = [f"{settings.address}:{port}" for port in self.ports]
+        fields = dict(zip(Servers._fields, addresses, strict=True))
+        write_records([(LISTENING, fields)])
         for thread in self._threads:
             thread.start()
 
     def stop(self):
-        """Shut down gracefully: refuse new requests, let running ones end."""
+        """Shut down gracefully.
+
+        New requests are refused, running ones end within the bound of the
+        settings, roles are handed over, then the ports close.
+        """
+        parts = self._parts
+        self._draining.set()
+        parts.gateway.close()
         write_records([(DRAINING, {"reason": "stop requested"})])
+        bound_s = parts.settings.shutdown_timeout_s
+        self._wait(lambda: not len(parts.open_requests), bound_s)
+        self._hand_over()
         self._stopping.set()
         for thread in self._threads:
             thread.join()
-        for server in self._servers:
+        cut_off = len(parts.open_requests)
+        for server in parts.servers:
             server.stop()
-        self._driver.stop()
-        write_records([(STOPPED, {"running": 0})])
+        parts.driver.stop()
+        parts.keeper.stop()
+        write_records([(STOPPED, {"running": cut_off})])
 
     def ready(self):
-        """Return whether requests are taken."""
-        return self._holder.revision > 0 and not self._stopping.is_set()
+        """Return whether requests are taken.
+
+        A process that has just started waits for its leases, but no longer than a
+        bound: a zone that is cut off may have no home for some accounts.
+        """
+        holder = self._parts.holder
+        if holder.revision == 0 or self._draining.is_set():
+            return False
+        if holder.in_force_s > READY_WITHOUT_LEASES_S:
+            return True
+        return not self._parts.systems.limits.unleased
 
     def status(self):
         """Return the state of the process."""
-        return {
-            "vm": self._settings.vm_id,
-            "zone": self._settings.zone,
-            "ready": self.ready(),
-            "revision": self._holder.revision,
-            "configuration_age_s": round(self._holder.age_s, 3),
-        }
+        parts = self._parts
+        systems = parts.systems
+        with parts.driver.decide() as (now, _out):
+            return {
+                "vm": parts.settings.vm_id,
+                "zone": parts.settings.zone,
+                "ready": self.ready(),
+                "draining": self._draining.is_set(),
+                "revision": parts.holder.revision,
+                "configuration_age_s": round(parts.holder.age_s, 3),
+                "open_requests": len(parts.open_requests),
+                "waiting_requests": parts.scheduler.waiting,
+                "revisions": systems.members.revisions(),
+                "suspected": sorted(
+                    member.vm
+                    for member in systems.members.live()
+                    if systems.members.suspected(member.vm)
+                ),
+                "roles": sorted(systems.roles.held),
+                "limits": systems.limits.status(now),
+            }
 
     def metrics(self):
         """Return the metrics in the Prometheus text format."""
-        self._metrics.revision.set(self._holder.revision)
-        self._metrics.configuration_age.set(self._holder.age_s)
-        return self._metrics.render()
+        metrics = self._parts.metrics
+        metrics.revision.set(self._parts.holder.revision)
+        metrics.configuration_age.set(self._parts.holder.age_s)
+        metrics.running.set(len(self._parts.open_requests))
+        return metrics.render()
 
     def drain(self):
         """Start a graceful shutdown."""
@@ -156,54 +169,53 @@
 
     def exchange(self, data):
         """Take in an exchange of a peer and return the one due to it."""
-        return self._driver.receive(data)
+        return self._parts.driver.receive(data)
 
     def chunk(self, name):
         """Return a configuration chunk, or None if it isn't held."""
         return
 
+    def _hand_over(self):
+        roles = self._parts.systems.roles
+        with self._parts.driver.decide() as (now, out):
+            roles.hand_over_all(now, out)
+        self._wait(lambda: roles.handed_over, MAX_HANDOVER_S)
+
+    def _wait(self, condition, timeout_s):
+        for _ in range(int(timeout_s / HANDOVER_POLL_S)):
+            if condition():
+                return
+            sleep(HANDOVER_POLL_S)
+
     def _run_ticks(self):
-        while not self._stopping.wait(self._settings.tick_s):
-            self._driver.tick()
+        while not self._stopping.wait(self._parts.settings.tick_s):
+            self._parts.driver.tick()
+
+    def _run_polls(self):
+        parts = self._parts
+        placement = parts.systems.placement
+        while not self._stopping.wait(STATE_POLL_S):
+            with parts.driver.decide():
+                targets = placement.polls()
+            parts.keeper.poll(targets, self._take_state, self._take_silence)
+
+    def _take_state(self, target, incarnation, resident, running, queued):
+        with self._parts.driver.decide() as (now, out):
+            self._parts.systems.placement.target_state(
+                now, target, incarnation, resident, running, queued, out
+            )
+
+    def _take_silence(self, target):
+        with self._parts.driver.decide() as (now, out):
+            self._parts.systems.placement.target_unreachable(now, target, out)
 
     def _run_configuration(self):
         while not self._stopping.is_set():
             try:
-                self._read_configuration()
+                found = current(self._parts.platform)
+                self._parts.holder.confirm()
+                self._parts.applier.apply(found.configuration, "")
             except StepError as error:
                 fields = {"step": error.step, "reason": error.reason}
                 write_records([(PLATFORM_FAILED, fields)])
             self._stopping.wait(CONFIGURATION_POLL_S)
-
-    def _read_configuration(self):
-        found = current(self._platform)
-        self._holder.confirm()
-        if self._holder.replace(found.configuration):
-            fields = {"revision": self._holder.revision}
-            write_records([(CONFIGURATION_READ, fields)])
-
-
-def _servers(settings, gateway, node):
-    callers = CallerApp(gateway, settings.max_body_bytes)
-    bounds = ServerBounds(
-        settings.max_header_bytes,
-        settings.max_body_bytes + 1,
-        settings.caller_threads,
-        shutdown_timeout_s=settings.shutdown_timeout_s,
-    )
-    tls = None
-    if settings.tls_certificate:
-        tls = Tls(settings.tls_certificate, settings.tls_private_key)
-    host = settings.address
-    peers = PeerApp(node, settings.peer_secret)
-    operators = OperatorApp(node, settings.peer_secret)
-    return (
-        HttpServer(callers, host, settings.caller_port, bounds, tls),
-        HttpServer(peers, host, settings.peer_port, ServerBounds(threads=PEER_THREADS)),
-        HttpServer(
-            operators,
-            host,
-            settings.operator_port,
-            ServerBounds(threads=OPERATOR_THREADS),
-        ),
-    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/process.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/process.py
@@ -3,8 +3,8 @@
 import signal
 import threading
 
+from hibiscusspar_entry.composition import build_node
 from hibiscusspar_entry.event_log import open_log
-from hibiscusspar_entry.node import build_node
 
 __all__ = ["run_process"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
@@ -33,6 +33,7 @@
     connect_timeout_s: float
     silence_timeout_s: float
     queue_timeout_s: float
+    token_wait_s: float
     shutdown_timeout_s: float
     max_body_bytes: int
     max_header_bytes: int
@@ -135,6 +136,7 @@
     SettingSpec("connect_timeout_s", _seconds, "1", "Deadline to reach a target."),
     SettingSpec("silence_timeout_s", _seconds, "10", "Longest silence of a target."),
     SettingSpec("queue_timeout_s", _seconds, "20", "Longest wait for a target."),
+    SettingSpec("token_wait_s", _seconds, "1", "Longest wait for tokens of a limit."),
     SettingSpec("shutdown_timeout_s", _seconds, "60", "Bound of a graceful stop."),
     SettingSpec("max_body_bytes", _bytes, "4194304", "Longest request body."),
     SettingSpec("max_header_bytes", _bytes, "32768", "Longest request header."),
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/systems.py
@@ -0,0 +1,94 @@
+"""The systems of one node, and what a new configuration means to each."""
+
+from typing import NamedTuple
+
+from hibiscusspar.config.model import TargetSpec
+from hibiscusspar.limits.keys import still_valid
+from hibiscusspar.limits.system import LimitSystem, wanted_roles
+from hibiscusspar.membership.members import MemberSystem
+from hibiscusspar.membership.roles import RoleSystem
+from hibiscusspar.placement.system import PlacementSystem, role_names
+from hibiscusspar.ports import target_owner
+from hibiscusspar.requests.system import RequestSystem
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.events import CONFIGURATION_READ, STREAM_REVOKED
+
+__all__ = ["Applier", "Systems"]
+
+
+class Systems(NamedTuple):
+    """The systems of one node, in the order in which they are ticked."""
+
+    members: MemberSystem
+    roles: RoleSystem
+    limits: LimitSystem
+    placement: PlacementSystem
+    requests: RequestSystem
+
+
+class Applier:
+    """Puts a configuration in force in all systems.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of this VM.
+    holder : ConfigurationHolder
+    systems : Systems
+    scheduler : Scheduler
+    open_requests : OpenRequests
+    driver : Driver
+    """
+
+    def __init__(self, zone, holder, systems, scheduler, open_requests, driver):
+        self._zone = zone
+        self._holder = holder
+        self._systems = systems
+        self._scheduler = scheduler
+        self._open = open_requests
+        self._driver = driver
+
+    def apply(self, configuration, root_name):
+        """Put a configuration in force if its revision is higher.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        root_name : str
+            Name of its root value, spread with the revision.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now.
+        """
+        with self._driver.decide() as (now, out):
+            if not self._holder.replace(configuration):
+                return False
+            self._configure(now, configuration, root_name, out)
+        self._revoke(configuration)
+        fields = {"revision": configuration.revision}
+        write_records([(CONFIGURATION_READ, fields)])
+        return True
+
+    def _configure(self, now, configuration, root_name, out):
+        systems = self._systems
+        homes = wanted_roles(configuration, self._zone)
+        owners = role_names(configuration, self._zone)
+        systems.roles.want(homes + owners, _fenced(configuration.targets))
+        systems.limits.configure(now, configuration, out)
+        systems.placement.configure(now, configuration, out)
+        systems.members.set_revision(configuration.revision, root_name)
+        self._scheduler.configure(configuration)
+
+    def _revoke(self, configuration):
+        def is_valid(digest, account):
+            return still_valid(configuration, digest, account)
+
+        for row in self._open.revoke(is_valid):
+            fields = {"request": row.request_id, "account": row.admitted.account}
+            write_records([(STREAM_REVOKED, fields)])
+
+
+def _fenced(targets: dict[str, TargetSpec]):
+    return [target_owner(spec.name) for spec in targets.values() if spec.checks_fencing]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
@@ -17,7 +17,7 @@
     empty_configuration,
 )
 from hibiscusspar.limits.keys import digest_key, new_key
-from hibiscusspar_entry.node import build_node
+from hibiscusspar_entry.composition import build_node
 from hibiscusspar_entry.settings import check_settings
 from hibiscusspar_standins.engine import Engine
 from hibiscusspar_standins.engine_http import EngineService
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/work.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/work.py
@@ -1,4 +1,4 @@
-"""Carries out the platform calls that systems asked for."""
+"""Carries out the platform calls and the orders that systems asked for."""
 
 from hibiscusspar.errors import StepError
 from hibiscusspar.outbox import PlatformResult
@@ -10,7 +10,7 @@
     UnknownOutcomeError,
 )
 
-__all__ = ["PlatformRunner"]
+__all__ = ["OrderRunner", "PlatformRunner"]
 
 
 class PlatformRunner:
@@ -59,7 +59,7 @@
                 return PlatformResult(call.call_id, "ok", listed.items, listed.version)
             case "vms":
                 listed = platform.vms()
-                return PlatformResult(call.call_id, "ok", listed.vms, listed.version)
+                return PlatformResult(call.call_id, "ok", listed, listed.version)
             case "create":
                 version = platform.create(call.kind, call.name, call.value)
             case "update":
@@ -74,5 +74,25 @@
         return PlatformResult(call.call_id, "ok", version=version)
 
 
+class OrderRunner:
+    """Runs :class:`~hibiscusspar.outbox.Order` entries and reports their outcome.
+
+    Parameters
+    ----------
+    keeper : TargetKeeper
+    placement : PlacementSystem
+    """
+
+    def __init__(self, keeper, placement):
+        self._keeper = keeper
+        self._placement = placement
+
+    def __call__(self, order, decide):
+        """Carry out one order; ``decide`` is that of the driver."""
+        ok, reason, incarnation = self._keeper.order(order)
+        with decide() as (now, out):
+            self._placement.order_result(now, order, ok, reason, incarnation, out)
+
+
 def _log_failure(error):
     write_records([(PLATFORM_FAILED, {"step": error.step, "reason": error.reason})])
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
@@ -12,15 +12,11 @@
 
     Parameters
     ----------
-    decide : callable
-        Context manager that yields the time and an outbox under the lock of the
-        tables.
     max_wait_s : float
         Longest wait for the platform.
     """
 
-    def __init__(self, decide, max_wait_s):
-        self._decide = decide
+    def __init__(self, max_wait_s):
         self._max_wait_s = max_wait_s
         self._changed = Condition()
         self._verdicts = {}
@@ -31,11 +27,14 @@
             self._verdicts[claim_id] = verdict
             self._changed.notify_all()
 
-    def claim(self, claims, account, key, body):
+    def claim(self, decide, claims, account, key, body):
         """Claim a key and wait for the verdict.
 
         Parameters
         ----------
+        decide : callable
+            Context manager that yields the time and an outbox under the lock of
+            the tables.
         claims : Claims
         account, key : str
         body : str
@@ -46,7 +45,7 @@
         claim_id : str
         verdict : Won, Earlier, Mismatch or Away
         """
-        with self._decide() as (now, out):
+        with decide() as (now, out):
             claim_id = claims.claim(now, account, key, body, now + self._max_wait_s)
             claims.tick(now, out)
         # The tables give the verdict at the deadline; the rest is for their tick.
@@ -57,7 +56,7 @@
             verdict = self._verdicts.pop(claim_id, None)
         return claim_id, verdict or Away(self._max_wait_s)
 
-    def finish(self, claims, claim_id, outcome, status):
+    def finish(self, decide, claims, claim_id, outcome, status):
         """Note how the request of a won claim ended."""
-        with self._decide() as (now, _out):
+        with decide() as (now, _out):
             claims.finish(now, claim_id, outcome, status)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/http_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/http_server.py
@@ -44,8 +44,6 @@
 
     Parameters
     ----------
-    root : object
-        CherryPy controller; its ``default`` method gets every path.
     host : str
         IP number to bind.
     port : int
@@ -54,11 +52,11 @@
     tls : Tls, optional
     """
 
-    def __init__(self, root, host, port, bounds=None, tls=None):
+    def __init__(self, host, port, bounds=None, tls=None):
         bounds = bounds or ServerBounds()
         self._server = Server(
             (host, port),
-            _application(root),
+            None,
             numthreads=bounds.threads,
             timeout=bounds.idle_timeout_s,
             shutdown_timeout=bounds.shutdown_timeout_s,
@@ -76,9 +74,20 @@
         """Port that is bound."""
         return self._server.bind_addr[1]
 
-    def start(self):
-        """Bind the port and serve in threads of its own."""
+    def bind(self):
+        """Bind the port; connections wait until :meth:`start`."""
         self._server.prepare()
+
+    def start(self, root):
+        """Serve in threads of its own.
+
+        Parameters
+        ----------
+        root : object
+            CherryPy controller; its ``default`` method gets every path that no
+            other method has.
+        """
+        self._server.wsgi_app = _application(root)
         self._thread.start()
 
     def stop(self):
