Relay requests along their life, with retries, claims and a graceful stop

Cause: the thin path sent each request once, took any answer for the right one and lost running requests' ends at shutdown.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -3,9 +3,11 @@
 import random
 import secrets
 import threading
-from time import monotonic
+from time import monotonic, sleep
 
 from hibiscusspar.errors import StepError
+from hibiscusspar.requests.messages import MESSAGES
+from hibiscusspar.requests.system import RequestSystem
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.driver import Driver
 from hibiscusspar_entry.event_log import write_records
@@ -17,9 +19,11 @@
     STOPPED,
 )
 from hibiscusspar_entry.gateway import RequestGateway
+from hibiscusspar_entry.local_members import LocalMembers
 from hibiscusspar_entry.metrics import Metrics
 from hibiscusspar_entry.work import PlatformRunner
 from hibiscusspar_wire.callers import CallerApp
+from hibiscusspar_wire.claim_gate import ClaimGate
 from hibiscusspar_wire.codec import MessageCodec
 from hibiscusspar_wire.http_server import HttpServer, ServerBounds, Tls
 from hibiscusspar_wire.operators import OperatorApp
@@ -33,6 +37,8 @@
 PEER_THREADS = 8
 OPERATOR_THREADS = 4
 CONFIGURATION_POLL_S = 1.0
+STOP_POLL_S = 0.02
+FLUSH_S = 3.0
 
 
 def build_node(settings, request_stop):
@@ -55,10 +61,15 @@
     platform = PlatformClient(
         settings.platform, random.Random(rng.random()), settings.platform_timeout_s
     )
+    members = LocalMembers(settings.vm_id, settings.zone, settings.address)
+    gate = ClaimGate(lambda: driver.decide(), settings.platform_timeout_s)
+    requests = RequestSystem(
+        members, random.Random(secrets.randbits(64)), on_verdict=gate.on_verdict
+    )
     driver = Driver(
         settings.vm_id,
-        [],
-        MessageCodec({}),
+        [requests],
+        MessageCodec({"requests": MESSAGES}),
         PeerClient(settings.peer_secret, settings.peer_timeout_s),
         lambda vm: None,
         PlatformRunner(platform, metrics),
@@ -68,8 +79,19 @@
         settings.exchange_s,
     )
     targets = TargetClient(settings.connect_timeout_s, settings.silence_timeout_s)
-    gateway = RequestGateway(lambda: holder.configuration, targets, rng, clock, metrics)
-    return Node(settings, driver, gateway, holder, platform, metrics, request_stop)
+    gateway = RequestGateway(
+        lambda: holder.configuration,
+        targets,
+        rng,
+        clock,
+        metrics,
+        requests,
+        gate,
+        driver.decide,
+    )
+    return Node(
+        settings, driver, gateway, requests, holder, platform, metrics, request_stop
+    )
 
 
 class Node:
@@ -79,7 +101,8 @@
     ----------
     settings : Settings
     driver : Driver
-    gateway : Gateway
+    gateway : RequestGateway
+    requests : RequestSystem
     holder : ConfigurationHolder
     platform : Platform
     metrics : Metrics
@@ -87,11 +110,20 @@
     """
 
     def __init__(
-        self, settings, driver, gateway, holder, platform, metrics, request_stop
+        self,
+        settings,
+        driver,
+        gateway,
+        requests,
+        holder,
+        platform,
+        metrics,
+        request_stop,
     ):
         self._settings = settings
         self._driver = driver
         self._gateway = gateway
+        self._requests = requests
         self._holder = holder
         self._platform = platform
         self._metrics = metrics
@@ -122,17 +154,29 @@
     def stop(self):
         """Shut down gracefully: refuse new requests, let running ones end."""
         write_records([(DRAINING, {"reason": "stop requested"})])
+        self._gateway.drain()
+        callers, *others = self._servers
+        ended = self._wait(lambda: not self._gateway.running)
+        callers.stop()
+        self._wait(lambda: not self._requests.claims.unwritten, FLUSH_S)
         self._stopping.set()
         for thread in self._threads:
             thread.join()
-        for server in self._servers:
+        for server in others:
             server.stop()
         self._driver.stop()
-        write_records([(STOPPED, {"running": 0})])
+        write_records([(STOPPED, {"running": 0 if ended else self._gateway.running})])
+
+    def _wait(self, condition, limit_s=None):
+        """Wait for a condition; return whether it came true within the bound."""
+        deadline = monotonic() + (limit_s or self._settings.shutdown_timeout_s)
+        while not condition() and monotonic() < deadline:
+            sleep(STOP_POLL_S)
+        return condition()
 
     def ready(self):
         """Return whether requests are taken."""
-        return self._holder.revision > 0 and not self._stopping.is_set()
+        return self._holder.revision > 0 and not self._gateway.draining
 
     def status(self):
         """Return the state of the process."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -95,7 +95,7 @@
         self.retry_after_s = retry_after_s
 
 
-class _Usage(Struct):
+class _Usage(Struct, frozen=True):
     prompt_tokens: int = 0
     completion_tokens: int = 0
 
