Let the demo expect the code of a withdrawn key

Cause: the demo waited for bad_key; admission now answers key_withdrawn, so that a caller learns why.

--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__main__.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__main__.py
@@ -106,7 +106,7 @@
 
 def _key_refused(pool, address, call):
     outcome, _, _ = send(pool, address, call)
-    return outcome == "refused bad_key, not-run"
+    return outcome == "refused key_withdrawn, not-run"
 
 
 def _replace(deployment):
