--- a/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -16,6 +16,7 @@
 )
 from hibiscusspar.requests.lifecycle import Outcome, Step
 from hibiscusspar.requests.retry import Cause, GiveUp
+from hibiscusspar_wire.crash_watch import CrashWatch
 from hibiscusspar_wire.stream_check import StreamCheck
 from hibiscusspar_wire.target_client import TargetError
 
@@ -124,7 +125,7 @@
         self._hooks = hooks
         self._decide = decide
         self._sleep = sleep
-        self._incarnations = {}
+        self._crash_watch = CrashWatch()
 
     def run(self, work):
         """Return the answer to a request; raise :class:`GaveUpError` if there is none.
@@ -162,6 +163,9 @@
                 return self._attempt(work, placed)
             except TargetError as error:
                 failure = error
+            except BaseException:
+                self._hooks.left(work, placed, Cause.CLOSED)
+                raise
             self._hooks.left(work, placed, failure.cause)
             decision = self._failed(work, placed, failure, work.deadline)
             if failure.cause is Cause.NOT_RESIDENT:
@@ -196,7 +200,7 @@
             work.idempotent,
         )
         self._targets.check(placed.address, answer, work.request_id, work.label)
-        self._note_incarnation(placed, answer)
+        self.incarnation_seen(placed.target, answer.headers.get("X-Incarnation", ""))
         self._step(work, Step.BEGIN_ANSWER)
         headers = _relayed_headers(answer)
         if work.stream and answer.status == 200:
@@ -215,14 +219,22 @@
         # Half of the time left leaves room for another attempt.
         return left_s / 2 if work.idempotent else left_s
 
-    def _note_incarnation(self, placed, answer):
-        incarnation = answer.headers.get("X-Incarnation")
-        if incarnation:
-            self._incarnations[placed.target] = incarnation
+    def incarnation_seen(self, target, incarnation):
+        """Take in the incarnation that a target shows."""
+        digests = self._crash_watch.seen(target, str(incarnation))
+        self._note_crashes(target, digests)
+
+    def _note_crashes(self, target, digests):
+        if not digests:
+            return
+        with self._decide() as (now, out):
+            for digest in digests:
+                self._system.quarantine.crashed(now, digest, target, out)
 
     def _failed(self, work, placed, error, deadline, resumes=0):
         """Note a failed attempt and return what the rules decide."""
-        crashed = error.cause in _CRASH_CAUSES and self._has_crashed(placed)
+        if error.cause in _CRASH_CAUSES:
+            self._look_for_crash(work, placed)
         with self._decide() as (now, out):
             if error.cause in _SILENT_CAUSES:
                 phase = self._system.in_flight[work.request_id].phase.value
@@ -232,8 +244,6 @@
                     target=placed.target,
                     phase=phase,
                 )
-            if crashed:
-                self._system.quarantine.crashed(now, work.digest, placed.target, out)
             return self._system.attempt_failed(
                 now,
                 work.request_id,
@@ -244,10 +254,17 @@
                 resumes,
             )
 
-    def _has_crashed(self, placed):
-        known = self._incarnations.get(placed.target, "")
-        now = self._targets.incarnation(placed.address)
-        return now is None or bool(known and now and now != known)
+    def _look_for_crash(self, work, placed):
+        self._crash_watch.suspect(placed.target, work.digest)
+        try:
+            incarnation = self._targets.incarnation(placed.address)
+        except TargetError as error:
+            if error.cause is Cause.NOT_SENT:
+                digests = self._crash_watch.crashed(placed.target)
+                self._note_crashes(placed.target, digests)
+            return
+        if self._crash_watch.differs(placed.target, incarnation):
+            self.incarnation_seen(placed.target, incarnation)
 
     def _gave_up(self, work, placed, error, decision):
         with self._decide() as (_now, out):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from msgspec import MsgspecError, Struct
+from msgspec.json import Decoder
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -42,6 +44,13 @@
     response: Any
 
 
+class _State(Struct):
+    incarnation: int | str = ""
+
+
+_STATE = Decoder(_State)
+
+
 class TargetClient:
     """Pooled connections to targets.
 
@@ -194,12 +203,14 @@
         self._control(address, "DELETE", f"/v1/requests/{request_id}")
 
     def incarnation(self, address):
-        """Return a target's incarnation, empty if unknown, None if unreachable."""
+        """Return the incarnation in a target's reported state, empty if it has none."""
+        answer = self.send(
+            address, "GET", "/v1/state", {}, None, _CONTROL_TIMEOUT_S, False
+        )
         try:
-            answer = self._control(address, "GET", "/v1/state")
-        except TargetError as error:
-            return None if error.cause is Cause.NOT_SENT else ""
-        return answer.headers.get("X-Incarnation", "")
+            return str(_STATE.decode(self.read(address, answer)).incarnation)
+        except MsgspecError:
+            return ""
 
     def _control(self, address, method, uri):
         answer = self.send(address, method, uri, {}, None, _CONTROL_TIMEOUT_S, False)
