--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -140,7 +140,9 @@
 
     def _take_in(self, incoming):
         for message in incoming.messages:
-            system = self._systems[self._codec.topic(message)]
+            kind = self._codec.kind(message)
+            self._metrics.messages.labels(kind).inc()
+            system = self._systems[kind.partition(".")[0]]
             with self.decide() as (now, out):
                 system.receive(now, incoming.sender, message, out)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/metrics.py
@@ -52,6 +52,12 @@
             ("direction",),
             registry=self._registry,
         )
+        self.messages = Counter(
+            "hibiscusspar_messages",
+            "Messages from other VMs by kind.",
+            ("kind",),
+            registry=self._registry,
+        )
         self.platform_calls = Counter(
             "hibiscusspar_platform_calls",
             "Platform calls by operation and outcome.",
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/codec.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/codec.py
@@ -83,6 +83,6 @@
             raise StepError(_STEP, "", str(error)) from error
         return Exchange(body.sender, messages)
 
-    def topic(self, message):
-        """Return the topic whose system takes in a message."""
-        return self._kinds[type(message)].partition(".")[0]
+    def kind(self, message):
+        """Return the name of a message's type, ``topic.ClassName``."""
+        return self._kinds[type(message)]
