Tell leases that are due from those that never came

Cause: after the last change an idle node holds no capacity, so it never counted as ready; and a home that had not recorded its part yet answered asks. Change: a node is unleased until a home answers it, and a home answers after it has written its record. A shortage says asked also if an ask is due soon.

--- a/packages/hibiscusspar/hibiscusspar/limits/escrow.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/escrow.py
@@ -75,6 +75,7 @@
         self._writer = writer
         self._record = None
         self._claimed = False
+        self._written = False
         self.first_home = False
         self._first = False
         self._own = (0.0, 0.0)
@@ -86,6 +87,11 @@
         self._total = (0.0, 0.0)
         self._revision = 0
 
+    @property
+    def claimed(self):
+        """Whether this home has written the record, so that it may use its part."""
+        return self._written
+
     @property
     def recorded(self):
         """The least that the record may hold for this zone; zero until claimed."""
@@ -140,7 +146,7 @@
         elif result.outcome == "ok":
             self._record = _read(result._replace(value=call.value))
             self._own = self._record.parts[self._zone]
-            self._claimed = True
+            self._claimed = self._written = True
             self.first_home = self._first
             self._retry_s = RETRY_S
         else:
--- a/packages/hibiscusspar/hibiscusspar/limits/node.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/node.py
@@ -15,6 +15,7 @@
 ROUNDING_TOKENS = 1e-3
 ANSWER_TIMEOUT_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
+ASK_SOON_S = 0.5
 LOW_WATER_S = 0.5  # of demand
 MAX_SHORT_REQUESTS = 4.0  # asked for at a time
 RELEASE_S = 0.2
@@ -37,8 +38,8 @@
     """Why tokens were not reserved; the request did not run.
 
     ``reason`` is ``"rate"``, ``"larger-than-burst"`` (a retry can't help),
-    ``"no-lease"`` or ``"unknown-account"``. ``asked`` tells whether an answer of
-    the home is due that may bring tokens within a moment.
+    ``"no-lease"`` or ``"unknown-account"``. ``asked`` tells whether the home was
+    asked, or is about to be, and may give tokens within a moment.
     """
 
     reason: str
@@ -204,10 +205,10 @@
     def shortage(self, now, tokens, period_s):
         """Return why tokens can't be reserved now and when to come back."""
         bucket = self.bucket
-        asked = self.pending is not None
+        gap_s = min(self.urgent_gap_s, period_s)
+        asked = self.pending is not None or self._asked_at + gap_s < now + ASK_SOON_S
         if bucket.cap == 0.0:
-            wait_s = MIN_RETRY_AFTER_S if asked else period_s
-            return Shortage("no-lease", wait_s, asked)
+            return Shortage("no-lease", period_s, asked)
         missing = tokens - bucket.level
         accrued_s = missing / bucket.rate if bucket.rate > 0.0 else period_s
         next_s = max(0.0, self.next_ask_at - now)
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -73,8 +73,8 @@
 
     @property
     def unleased(self):
-        """Accounts for which this node holds no lease."""
-        return [name for name, slot in self._slots.items() if not slot.bucket.cap]
+        """Accounts whose home has not answered this process yet."""
+        return [name for name, slot in self._slots.items() if not slot.epoch]
 
     def configure(self, now, configuration, out):
         """Put the accounts of a configuration in force."""
@@ -252,6 +252,8 @@
         if office is None:
             return
         recovering = office.home.recovering(now)
+        if not recovering and not office.escrow.claimed:
+            return
         nodes = len(self._members.live(self._zone))
         grant = office.home.answer(now, ask, nodes, self._period_s)
         if grant is None:
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -108,8 +108,8 @@
     Mutation(
         "lower part recorded before it fits",
         "escrow",
-        "return wanted if fits(lower) else (",
-        "return wanted if True else (",
+        "wanted if fits(lower) else (",
+        "wanted if True else (",
     ),
     Mutation(
         "part used as found, without writing first",
