Move the scheduler's decisions into the pure package

Cause: the measurement of all parts together needs the same scheduler as the process, without threads. Change: hibiscusspar.scheduling decides, TargetGate lets threads wait.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling: whose waiting request gets the next free unit of a target."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -13,6 +13,7 @@
 from hibiscusspar.placement.system import PlacementSystem
 from hibiscusspar.requests.messages import MESSAGES as REQUEST_MESSAGES
 from hibiscusspar.requests.system import RequestSystem
+from hibiscusspar.scheduling.scheduler import Scheduler
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.dispatch import DispatchHooks
 from hibiscusspar_entry.driver import Driver
@@ -21,8 +22,8 @@
 from hibiscusspar_entry.node import Node, Parts, Servers
 from hibiscusspar_entry.open_requests import OpenRequests
 from hibiscusspar_entry.orders import TargetKeeper
-from hibiscusspar_entry.scheduler import Scheduler
 from hibiscusspar_entry.systems import Applier, Systems
+from hibiscusspar_entry.target_gate import TargetGate
 from hibiscusspar_entry.work import OrderRunner, PlatformRunner
 from hibiscusspar_wire.claim_gate import ClaimGate
 from hibiscusspar_wire.codec import MessageCodec
@@ -82,13 +83,14 @@
         metrics=metrics,
         exchange_s=settings.exchange_s,
     )
-    scheduler = Scheduler(driver, systems.placement, clock)
-    driver.call_after_decisions(scheduler.after_decision)
+    scheduler = Scheduler(systems.placement)
+    target_gate = TargetGate(driver, scheduler, systems.placement, clock)
+    driver.call_after_decisions(target_gate.after_decision)
     open_requests = OpenRequests()
     hooks = DispatchHooks(
         zone=settings.zone,
         holder=holder,
-        scheduler=scheduler,
+        target_gate=target_gate,
         systems=systems,
         claim_gate=gate,
         open_requests=open_requests,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
@@ -2,10 +2,10 @@
 
 from hibiscusspar.config.model import Configuration
 from hibiscusspar.placement.routing import RouteRequest
+from hibiscusspar.scheduling.scheduler import Job
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.events import REQUEST_ENDED
 from hibiscusspar_entry.refusal import RefusedError
-from hibiscusspar_entry.scheduler import Job
 from hibiscusspar_wire.relay import Placed
 
 __all__ = ["DispatchHooks"]
@@ -19,7 +19,7 @@
     zone : str
         Zone of this VM.
     holder : ConfigurationHolder
-    scheduler : Scheduler
+    target_gate : TargetGate
     systems : Systems
     claim_gate : ClaimGate
     open_requests : OpenRequests
@@ -34,7 +34,7 @@
         self,
         zone,
         holder,
-        scheduler,
+        target_gate,
         systems,
         claim_gate,
         open_requests,
@@ -45,7 +45,7 @@
     ):
         self._zone = zone
         self._holder = holder
-        self._scheduler = scheduler
+        self._target_gate = target_gate
         self._placement = systems.placement
         self._limits = systems.limits
         self._claims = systems.requests.claims
@@ -72,10 +72,10 @@
         )
         deadline = min(work.deadline, self._clock() + self._queue_timeout_s)
         job = Job(route, admitted.account, admitted.tokens, deadline)
-        decision = self._scheduler.acquire(job)
+        decision = self._target_gate.acquire(job)
         spec = self._holder.configuration.targets.get(decision.target)
         if spec is None:
-            self._scheduler.release(work.request_id, "not-run")
+            self._target_gate.release(work.request_id, "not-run")
             reason = "the target was removed"
             raise RefusedError(
                 503, "busy", reason, "schedule", admitted.account, retry_after_s=1.0
@@ -85,7 +85,7 @@
     def left(self, work, placed, cause):
         """Give back the unit of concurrency of an attempt that ended."""
         outcome = "answered" if cause is None else cause.value
-        self._scheduler.release(work.request_id, outcome)
+        self._target_gate.release(work.request_id, outcome)
 
     def missing(self, work, placed):
         """Take in that a target doesn't hold the adapter after all."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hibiscusspar.errors import StepError
+from hibiscusspar.scheduling.scheduler import Scheduler
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.driver import Driver
 from hibiscusspar_entry.event_log import write_records
@@ -13,7 +14,6 @@
 from hibiscusspar_entry.metrics import Metrics
 from hibiscusspar_entry.open_requests import OpenRequests
 from hibiscusspar_entry.orders import TargetKeeper
-from hibiscusspar_entry.scheduler import Scheduler
 from hibiscusspar_entry.settings import Settings
 from hibiscusspar_entry.systems import Applier, Systems
 from hibiscusspar_wire.callers import CallerApp
@@ -144,7 +144,7 @@
                 "revision": parts.holder.revision,
                 "configuration_age_s": round(parts.holder.age_s, 3),
                 "open_requests": len(parts.open_requests),
-                "waiting_requests": parts.scheduler.waiting,
+                "waiting_requests": len(parts.scheduler),
                 "revisions": systems.members.revisions(),
                 "suspected": sorted(
                     member.vm
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/target_gate.py
@@ -0,0 +1,97 @@
+"""Lets the thread of a request wait for its turn and its target."""
+
+import threading
+
+from hibiscusspar.limits.fair_queue import QueueRefusal
+from hibiscusspar.placement.routing import Dispatch
+from hibiscusspar_entry.refusal import RefusedError
+
+__all__ = ["TargetGate"]
+
+_BUSY_STATUS = 503
+
+
+class _Ticket:
+    """The decision about one request, once there is one."""
+
+    def __init__(self):
+        self.decision = None
+        self.decided = threading.Event()
+
+    def decide(self, decision):
+        self.decision = decision
+        self.decided.set()
+
+
+class TargetGate:
+    """Hands the decisions of a scheduler to the threads that wait for them.
+
+    Parameters
+    ----------
+    driver : Driver
+    scheduler : Scheduler
+    placement : PlacementSystem
+    clock : Clock
+    """
+
+    def __init__(self, driver, scheduler, placement, clock):
+        self._driver = driver
+        self._scheduler = scheduler
+        self._placement = placement
+        self._clock = clock
+        self._tickets = {}
+
+    def acquire(self, job):
+        """Wait for a target until the deadline of a job.
+
+        Parameters
+        ----------
+        job : Job
+
+        Returns
+        -------
+        Dispatch
+
+        Raises
+        ------
+        RefusedError
+            If the queue is full, no target can be had, or the deadline passed.
+        """
+        request_id = job.route.request_id
+        ticket = self._tickets[request_id] = _Ticket()
+        try:
+            with self._driver.decide() as (now, out):
+                refusal = self._scheduler.add(now, job, out)
+            if refusal is not None:
+                raise _busy(job, refusal)
+            ticket.decided.wait(max(0.0, job.deadline - self._clock()))
+            with self._driver.decide() as (now, out):
+                refusal = self._scheduler.give_up(now, request_id, out)
+        finally:
+            del self._tickets[request_id]
+        decision = refusal or ticket.decision
+        if isinstance(decision, Dispatch):
+            return decision
+        raise _busy(job, decision)
+
+    def release(self, request_id, outcome):
+        """Give back the unit of concurrency that a request took."""
+        with self._driver.decide() as (now, out):
+            self._placement.finished(now, request_id, outcome, out)
+
+    def after_decision(self, now, out):
+        """Wake the threads whose requests can start; called under the lock."""
+        self._scheduler.start_ready(now, out)
+        for request_id, decision in self._scheduler.take_decided():
+            self._tickets[request_id].decide(decision)
+
+
+def _busy(job, refusal: QueueRefusal):
+    return RefusedError(
+        _BUSY_STATUS,
+        "busy",
+        f"no target in time: {refusal.reason}",
+        "schedule",
+        job.account,
+        retry_after_s=refusal.retry_after_s,
+    )
