--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/limits/loans.py
@@ -0,0 +1,163 @@
+"""What the home of one zone borrows from the homes of other zones."""
+
+from typing import NamedTuple
+
+from hibiscusspar.limits.home import Loan
+from hibiscusspar.limits.messages import Ask
+
+__all__ = ["Borrower"]
+
+RENEW_S = 6.0
+RETRY_S = 2.0
+MIN_URGENT_GAP_S = 0.3
+MAX_URGENT_GAP_S = 5.0
+ZONES_AT_ONCE = 2  # that are asked when tokens are short
+DEMAND_HEADROOM = 1.1
+MIN_BORROWED_FRACTION = 0.15  # of the zone's own part
+
+
+class _Pending(NamedTuple):
+    seq: int
+    asked_at: float
+    want: float
+
+
+class _Line:
+    """What is held of, and was asked from, one other zone."""
+
+    def __init__(self):
+        self.seq = 0
+        self.held_seq = 0
+        self.held_epoch = ""
+        self.adoptable = False
+        self.pending = None
+        self.next_ask_at = 0.0
+        self.urgent_gap_s = MIN_URGENT_GAP_S
+        self.next_urgent_at = 0.0
+
+    def adapt_gap(self, now, satisfied):
+        """Ask more rarely while the other zone has nothing to give."""
+        gap_s = MIN_URGENT_GAP_S if satisfied else 2.0 * self.urgent_gap_s
+        self.urgent_gap_s = min(gap_s, MAX_URGENT_GAP_S)
+        self.next_urgent_at = now + self.urgent_gap_s
+
+
+class Borrower:
+    """Loans of one account's home.
+
+    Parameters
+    ----------
+    account : str
+    zone : str
+        Zone of the home that borrows.
+    asker : str
+        Names this holding of the home's role.
+    """
+
+    def __init__(self, account, zone, asker):
+        self._account = account
+        self._zone = zone
+        self._asker = asker
+        self._lines = {}
+
+    @property
+    def asker(self):
+        """Name under which loans are asked for."""
+        return self._asker
+
+    def asks(self, now, vm, home, limit, zones):
+        """Return the asks that are due, one to a zone.
+
+        Parameters
+        ----------
+        now : float
+        vm : str
+        home : Home
+        limit : tuple of (float, float)
+            Rate and burst of the account in the whole fleet.
+        zones : iterable of str
+            The other zones.
+        """
+        if home.recovering(now):
+            return []
+        lines = {zone: self._lines.setdefault(zone, _Line()) for zone in zones}
+        urgent = self._urgent(now, home, lines)
+        asks = []
+        for zone, line in lines.items():
+            missing = self._missing(home, zone, limit)
+            due = now >= line.next_ask_at and (missing > 0.0 or zone in home.loans)
+            if due or zone in urgent:
+                want = home.shortfall(now) if zone in urgent else 0.0
+                asks.append(self._ask(now, vm, home, zone, line, missing, want))
+        return asks
+
+    def _urgent(self, now, home, lines):
+        """Return the zones to ask for tokens at once."""
+        if home.shortfall(now) <= 0.0:
+            return []
+        ready = [zone for zone, line in lines.items() if now >= line.next_urgent_at]
+        ready.sort(key=lambda zone: lines[zone].next_urgent_at)
+        return ready[:ZONES_AT_ONCE]
+
+    def take_grant(self, now, home, grant):
+        """Take a loan if it answers the latest ask; return the zone, or None."""
+        for zone, line in self._lines.items():
+            pending = line.pending
+            if pending is None or grant.asker != self._line_asker(zone):
+                continue
+            if grant.seq != pending.seq:
+                return None
+            line.pending = None
+            lapse_at = pending.asked_at + grant.duration_s
+            if now >= lapse_at:
+                return None
+            loan = Loan(grant.rate, grant.cap, lapse_at)
+            if not home.add_loan(now, zone, loan, grant.credit):
+                line.next_ask_at = now + RETRY_S
+                return None
+            if pending.want > 0.0:
+                line.adapt_gap(now, grant.credit >= 0.5 * pending.want)
+            line.held_seq = grant.seq
+            line.held_epoch = grant.epoch
+            line.adoptable = grant.adoptable
+            return zone
+        return None
+
+    def _line_asker(self, zone):
+        return f"{self._asker}/{zone}"
+
+    def _missing(self, home, zone, limit):
+        """Return the tokens per second to borrow from a zone."""
+        wanted = DEMAND_HEADROOM * home.own_demand() - home.part[0]
+        held = sum(loan.rate for name, loan in home.loans.items() if name != zone)
+        missing = wanted - held
+        return missing if missing > MIN_BORROWED_FRACTION * home.part[0] else 0.0
+
+    def _ask(self, now, vm, home, zone, line, missing, want):
+        held = home.loans.get(zone)
+        if held is None:
+            line.held_seq = 0
+            line.adoptable = False
+        line.seq += 1
+        line.pending = _Pending(line.seq, now, want)
+        line.next_ask_at = now + (RENEW_S if held and held.rate > 0.0 else RETRY_S)
+        line.next_urgent_at = now + line.urgent_gap_s
+        return Ask(
+            account=self._account,
+            zone=zone,
+            asker=self._line_asker(zone),
+            reply_to=vm,
+            asker_zone=self._zone,
+            seq=line.seq,
+            held_epoch=line.held_epoch,
+            held_seq=line.held_seq,
+            held_rate=held.rate if held and line.adoptable else 0.0,
+            held_cap=held.cap if held and line.adoptable else 0.0,
+            kept_cap=held.cap if held else 0.0,
+            level=0.0,
+            refundable=0.0,
+            demand=missing,
+            typical=0.0,
+            want=want,
+            returned=0.0,
+        )
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
@@ -0,0 +1,58 @@
+"""Client of the operators' port of entry VMs."""
+
+from http import HTTPStatus
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from hibiscusspar.errors import StepError
+
+__all__ = ["drain_node", "node_statuses", "read_status"]
+
+CALL_TIMEOUT_S = 3.0
+SECRET_HEADER = "X-Peer-Secret"
+_POOL = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
+
+
+def read_status(address):
+    """Return what an entry VM reports of itself.
+
+    Raises
+    ------
+    StepError
+        If it doesn't answer.
+    """
+    answer = _call("GET", address, "/status", "node.status")
+    try:
+        value = answer.json()
+    except ValueError as error:
+        raise StepError("node.status", address, "answer is not JSON") from error
+    if not isinstance(value, dict):
+        raise StepError("node.status", address, "answer is not a status")
+    return value
+
+
+def drain_node(address, secret):
+    """Ask an entry VM to take no further requests, finish and exit."""
+    _call("POST", address, "/drain", "node.drain", {SECRET_HEADER: secret})
+
+
+def node_statuses(addresses):
+    """Return the status of each address; an error takes the place of a status."""
+    rows = []
+    for address in addresses:
+        try:
+            rows.append({"address": address} | read_status(address))
+        except StepError as error:
+            rows.append({"address": address, "error": error.reason})
+    return rows
+
+
+def _call(method, address, path, step, headers=None):
+    try:
+        answer = _POOL.request(method, f"http://{address}{path}", headers=headers)
+    except HTTPError as error:
+        raise StepError(step, address, str(error)) from error
+    if answer.status >= HTTPStatus.BAD_REQUEST:
+        raise StepError(step, address, f"answered {answer.status}")
+    return answer
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -31,7 +31,8 @@
     run_call : callable
         Carries out a platform call and returns its result; runs in a thread.
     run_order : callable
-        Carries out an order to a target; runs in a thread.
+        Carries out an order to a target, given the order and :meth:`decide`; runs
+        in a thread.
     clock : Clock
     metrics : Metrics
     exchange_s : float
@@ -61,6 +62,7 @@
         self._clock = clock
         self._metrics = metrics
         self._exchange_s = exchange_s
+        self._after_decision = _nothing
         self._lock = threading.RLock()
         self._due = defaultdict(list)
         self._busy_peers = set()
@@ -69,6 +71,10 @@
         self._callers = ThreadPoolExecutor(2, "platform")
         self._orderers = ThreadPoolExecutor(4, "order")
 
+    def call_after_decisions(self, after):
+        """Have ``after(now, out)`` called under the lock after each decision."""
+        self._after_decision = after
+
     @contextmanager
     def decide(self):
         """Hold the lock over the tables; what was decided is carried out after.
@@ -81,7 +87,9 @@
         """
         out = Outbox()
         with self._lock:
-            yield self._clock(), out
+            now = self._clock()
+            yield now, out
+            self._after_decision(now, out)
             self._queue_sends(out)
         self._start_work(out)
 
@@ -123,7 +131,7 @@
         for call in out.calls:
             self._callers.submit(self._finish_call, call)
         for order in out.orders:
-            self._orderers.submit(self._run_order, order)
+            self._orderers.submit(self._run_order, order, self.decide)
 
     def _finish_call(self, call):
         result = self._run_call(call)
@@ -177,5 +185,9 @@
         self._take_in(self._codec.decode(answer))
 
 
+def _nothing(_now, _out):
+    """Stand in until something is to be called after decisions."""
+
+
 def _fault(system, error):
     return {"system": system, "reason": f"{type(error).__name__}: {error}"}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/events.py
@@ -11,7 +11,9 @@
     "REQUEST_ENDED",
     "REQUEST_REFUSED",
     "STOPPED",
+    "STREAM_REVOKED",
     "SYSTEM_FAILED",
+    "TARGET_UNREACHABLE",
 ]
 
 LISTENING = declare(
@@ -41,6 +43,12 @@
     ("system", "reason"),
     "A system raised an error in a tick; it runs again in the next one.",
 )
+TARGET_UNREACHABLE = declare(
+    107,
+    "process.target_unreachable",
+    ("target", "reason"),
+    "A target did not answer the poll of its owner.",
+)
 REQUEST_REFUSED = declare(
     110,
     "request.refused",
@@ -53,3 +61,9 @@
     ("request", "account", "target", "status", "outcome", "tokens", "seconds"),
     "A request got its answer, or a visibly broken one.",
 )
+STREAM_REVOKED = declare(
+    112,
+    "request.revoked",
+    ("request", "account"),
+    "The key of an open request was withdrawn; nothing more of its answer is sent.",
+)
