Fetch configurations by watch, offers of peers and content names

Cause: every node polled the platform for the whole configuration each second. Change: ConfigWatch waits on the root on the watchers of a zone only; others take what a peer offers by gossip and fetch chunks they lack from it, else from the platform; never lower; withdrawn keys first; the age of the configuration travels with an allowance for transit. The platform's list carries its own version.

--- a/packages/hibiscusspar/hibiscusspar/config/chunks.py
+++ b/packages/hibiscusspar/hibiscusspar/config/chunks.py
@@ -30,6 +30,7 @@
     "check_chunk",
     "chunk_name",
     "join",
+    "join_keys",
     "missing_chunks",
     "root_chunks",
     "split",
@@ -124,6 +125,14 @@
     return Configuration(root["revision"], weight_store=store, **tables)
 
 
+def join_keys(root, texts):
+    """Return the table of keys of a root, given at least the chunks of keys."""
+    keys = {}
+    for name in root["chunks"].get("keys", []):
+        keys.update(_read_rows("keys", texts[name]))
+    return keys
+
+
 def root_chunks(root):
     """Return the names of all chunks of a root, each once, keys first."""
     sections = sorted(root["chunks"], key=lambda section: (section != "keys", section))
--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -28,14 +28,19 @@
 WATCH_ROLE = "watcher"
 SEED = "seed:"
 JUDGE_S = 1.0
+MAX_TRANSIT_S = 1.0
 
 
 class Offer(NamedTuple):
-    """A configuration that a VM has: its revision and the name of its root."""
+    """A configuration that a VM has: its revision and the name of its root.
+
+    ``confirmed`` is when that VM knew it to be the newest, by the clock here.
+    """
 
     revision: int
     root: str
     vm: str
+    confirmed: float
 
 
 class GossipBounds(NamedTuple):
@@ -85,6 +90,7 @@
         self._count = 0
         self._revision = 0
         self._root = ""
+        self._confirmed = None
         self._offers = {}
         self._next_round = 0.0
         self._next_list = 0.0
@@ -163,10 +169,23 @@
         self._revision = revision
         self._root = root
         for vm, offer in list(self._offers.items()):
+            if offer.root == root:
+                self._confirm_at(offer.confirmed)
             if offer.revision <= revision:
                 del self._offers[vm]
         self.hasten()
 
+    def confirm(self, now):
+        """Take note that the configuration here is the newest of the platform."""
+        self._confirm_at(now)
+
+    def age_s(self, now):
+        """Return seconds since the configuration here was known as the newest.
+
+        It is 0 as long as there is none.
+        """
+        return 0.0 if self._confirmed is None else max(0.0, now - self._confirmed)
+
     def hasten(self):
         """Gossip in the next ticks, to several peers each, without waiting."""
         self._hasten = self._bounds.hasten_rounds
@@ -195,8 +214,12 @@
             return
         self._list_call = ""
         if result.outcome == "ok":
-            rows = [VmEntry(r.vm, r.zone, r.address, r.state) for r in result.value.vms]
-            self._adopt(now, result.value.version, rows, PLATFORM, out)
+            rows = [VmEntry(r.vm, r.zone, r.address, r.state) for r in result.value]
+            self._adopt(now, result.version, rows, PLATFORM, out)
+
+    def _confirm_at(self, at):
+        if self._confirmed is None or at > self._confirmed:
+            self._confirmed = at
 
     def _rows(self):
         rows = self._table.rows()
@@ -292,6 +315,7 @@
             self._me.address,
             self._revision,
             self._root,
+            round(self.age_s(now), 3),
             self._table.version,
             reply,
             self._beats_for(now, peer),
@@ -323,8 +347,12 @@
                 self._join(now, unlisted, sender, out)
         for beat in gossip.beats:
             self._take_beat(now, beat, out)
+        confirmed = now - gossip.age_s - MAX_TRANSIT_S
         if gossip.revision > self._revision:
-            self._offers[sender] = Offer(gossip.revision, gossip.root, sender)
+            offer = Offer(gossip.revision, gossip.root, sender, confirmed)
+            self._offers[sender] = offer
+        elif gossip.revision == self._revision > 0:
+            self._confirm_at(confirmed)
         if gossip.list_version < self._table.version:
             rows = self._table.listed()
             out.send(sender, VmRows(self._table.version, rows))
--- a/packages/hibiscusspar/hibiscusspar/membership/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/messages.py
@@ -40,7 +40,8 @@
 class Gossip(NamedTuple):
     """One round of gossip.
 
-    ``root`` is the content name of the root of the sender's configuration.
+    ``root`` is the content name of the root of the sender's configuration, and
+    ``age_s`` the seconds since the sender knew it to be the newest.
     ``list_version`` is that of the platform's list the sender has.
     ``unlisted`` holds VMs that the list doesn't show yet.
     """
@@ -49,6 +50,7 @@
     address: str
     revision: int
     root: str
+    age_s: float
     list_version: int
     reply: bool
     beats: tuple[Beat, ...]
--- a/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
@@ -118,6 +118,28 @@
         taker.set_revision(8, "root8")
         self.assertIsNone(taker.best_offer())
 
+    def test_age_of_the_configuration_follows_the_last_watcher(self):
+        cluster = Cluster({"a": 4}, [])
+        cluster.run(10)
+        for process in cluster.processes.values():
+            process.members.set_revision(1, "root")
+        for _ in range(10):
+            cluster.processes["a0"].members.confirm(cluster.now)
+            cluster.run(1)
+        ages = [p.members.age_s(cluster.now) for p in cluster.processes.values()]
+        self.assertLess(max(ages), 10.0)
+        cluster.run(100)
+        ages = [p.members.age_s(cluster.now) for p in cluster.processes.values()]
+        self.assertGreaterEqual(min(ages), 100.0)
+        self.assert_age_is_taken_over_with_an_offer(cluster)
+
+    def assert_age_is_taken_over_with_an_offer(self, cluster):
+        cluster.start("a1", "a")
+        cluster.run(20)
+        members = cluster.processes["a1"].members
+        members.set_revision(1, "root")
+        self.assertGreaterEqual(members.age_s(cluster.now), 100.0)
+
     def test_vm_without_platform_finds_peers_by_its_seeds(self):
         members = MemberSystem("n", "a", "10.0.0.9:1", Random(1), ["10.0.0.1:1"])
         out = Outbox()
@@ -125,8 +147,10 @@
         peer = out.sends[0].peer
         self.assertEqual(members.address_of(peer), "10.0.0.1:1")
         self.assertEqual(names(members.live()), ["n"])
-        gossip = Gossip("a", "10.0.0.1:1", 3, "r", 4, True, (Beat("x", 1, 1, 3),), ())
+        gossip = Gossip(
+            "a", "10.0.0.1:1", 3, "r", 0.0, 4, True, (Beat("x", 1, 1, 3),), ()
+        )
         members.receive(1.1, "x", gossip, out)
         members.receive(1.1, "x", VmRows(4, (row("x"), row("y"))), out)
         self.assertEqual(names(members.live("a")), ["n", "x", "y"])
-        self.assertEqual(members.best_offer(), (3, "r", "x"))
+        self.assertEqual(members.best_offer()[:3], (3, "r", "x"))
--- a/packages/hibiscusspar_standins/hibiscusspar_standins/platform.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/platform.py
@@ -75,7 +75,7 @@
         self._version = 0
         self._events = deque()
         self._compacted = 0
-        self._vm_changes = deque([(float("-inf"), {})])
+        self._vm_changes = deque([(float("-inf"), {}, 0)])
         self._vm_lag_s = vm_lag_s
         self._reads = Bucket(reads_per_s, clock())
         self._writes = Bucket(writes_per_s, clock())
@@ -126,11 +126,16 @@
 
     def vms(self):
         """Return the list of VMs as it was some time ago."""
+        return self.vm_list()[0]
+
+    def vm_list(self):
+        """Return the lagging list of VMs and the version of its content."""
         horizon = self._clock() - self._vm_lag_s
         with self._changed:
             while len(self._vm_changes) > 1 and self._vm_changes[1][0] <= horizon:
                 self._vm_changes.popleft()
-            return list(self._vm_changes[0][1].values())
+            _, table, version = self._vm_changes[0]
+            return list(table.values()), version
 
     def set_vm(self, vm, zone="", address="", state="live"):
         """Add or change a VM, or remove it with the state ``"gone"``."""
@@ -140,7 +145,8 @@
             if state != "gone":
                 row = {"vm": vm, "zone": zone, "address": address, "state": state}
                 table[vm] = row
-            self._vm_changes.append((self._clock(), table))
+            self._version += 1
+            self._vm_changes.append((self._clock(), table, self._version))
 
     def handle(self, exchange):
         """Answer one HTTP request."""
@@ -172,7 +178,8 @@
     def _route(self, exchange, parts, value):
         match exchange.method, parts:
             case "GET", ["vms"]:
-                return {"vms": self.vms(), "version": self._version}
+                vms, version = self.vm_list()
+                return {"vms": vms, "version": version}
             case "PUT", ["vms", vm]:
                 return self.set_vm(vm, **value)
             case "GET", ["objects", kind]:
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/config_store.py
@@ -0,0 +1,43 @@
+"""Chunks of configuration held by this VM, for itself and for its peers."""
+
+import json
+from threading import Lock
+
+from hibiscusspar.config.chunks import chunk_name, root_chunks
+
+__all__ = ["ConfigStore", "root_text"]
+
+
+def root_text(root):
+    """Return the JSON text of a root, by whose content peers name it."""
+    return json.dumps(root, sort_keys=True, separators=(",", ":"))
+
+
+class ConfigStore:
+    """Texts of the configuration in force and of the one before, by name."""
+
+    def __init__(self):
+        self._lock = Lock()
+        self._texts = {}
+        self._older = {}
+
+    def text(self, name):
+        """Return the text of a chunk or root, or None if it isn't held."""
+        with self._lock:
+            return self._texts.get(name) or self._older.get(name)
+
+    def chunk(self, name):
+        """Return the bytes of a chunk or root, or None if it isn't held."""
+        text = self.text(name)
+        return None if text is None else text.encode()
+
+    def replace(self, root, texts):
+        """Hold the texts of a new root; return the name of the root."""
+        text = root_text(root)
+        name = chunk_name(text)
+        held = {chunk: texts[chunk] for chunk in root_chunks(root)}
+        held[name] = text
+        with self._lock:
+            self._older = self._texts
+            self._texts = held
+        return name
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_config_watch.py
@@ -0,0 +1,210 @@
+"""Tests of how a VM gets its configuration."""
+
+import unittest
+from contextlib import contextmanager
+from random import Random
+
+from hibiscusspar.config.model import AccountSpec, AdapterSpec, empty_configuration
+from hibiscusspar.errors import StepError
+from hibiscusspar.membership.members import MemberSystem
+from hibiscusspar.membership.messages import Gossip
+from hibiscusspar.outbox import Outbox
+from hibiscusspar_wire.config_watch import ConfigWatch
+from hibiscusspar_wire.platform_errors import CompactedError
+from hibiscusspar_wire.publishing import (
+    CHUNK_KIND,
+    ROOT_KIND,
+    ROOT_NAME,
+    collect_chunks,
+    current,
+    issue_key,
+    publish,
+    withdraw_key,
+)
+from hibiscusspar_wire.tests.fake_platform import FakePlatform
+
+RNG = Random(5)
+
+
+def rng_hex(count):
+    return RNG.randbytes(count).hex()
+
+
+class FakePeers:
+    """Peers by address, each with the store of another watch."""
+
+    def __init__(self):
+        self.stores = {}
+        self.asked = []
+
+    def chunk(self, address, name):
+        self.asked.append(name)
+        store = self.stores.get(address)
+        data = store.chunk(name) if store else None
+        if data is None:
+            raise StepError("peer/chunks", address, "answered 404")
+        return data
+
+
+class Vm:
+    """A member with a watch, and the configurations it applied."""
+
+    def __init__(self, name, platform, peers):
+        self.members = MemberSystem(name, "a", f"{name}:1", Random(1))
+        self.now = 10.0
+        self.applied = []
+        self.withdrawn = []
+        self.records = []
+        self.watch = ConfigWatch(
+            platform, peers, self.members, self.decide, self, Random(2)
+        )
+        peers.stores[f"{name}:1"] = self.watch.store
+
+    @contextmanager
+    def decide(self):
+        out = Outbox()
+        yield self.now, out
+        self.records += [record.kind.name for record in out.records]
+
+    def apply(self, configuration, root_name):
+        self.applied.append(configuration)
+        self.members.set_revision(configuration.revision, root_name)
+
+    def withdraw_keys(self, digests):
+        self.withdrawn += digests
+
+    def offer_to(self, other):
+        """Gossip this VM's revision to another one."""
+        out = Outbox()
+        self.members.hasten()
+        with self.decide() as (now, _):
+            other_row = Gossip(
+                "a", other.members._me.address, 0, "", 0.0, 0, True, (), ()
+            )
+            self.members.receive(now, other.members.vm, other_row, out)
+            self.members.tick(now, out)
+        for send in out.sends:
+            if send.peer == other.members.vm:
+                other.members.receive(other.now, self.members.vm, send.message, out)
+
+
+def declared(*names):
+    adapters = {n: AdapterSpec(n, "base", ("1",), "1") for n in names}
+    accounts = {"mill": AccountSpec("mill", 1.0, 1.0)}
+    return empty_configuration()._replace(adapters=adapters, accounts=accounts)
+
+
+class TestConfigWatch(unittest.TestCase):
+    def setUp(self):
+        self.platform = FakePlatform()
+        self.peers = FakePeers()
+        self.first = Vm("first", self.platform, self.peers)
+        self.second = Vm("second", self.platform, self.peers)
+        self.publish("larch")
+
+    def publish(self, *names):
+        version = current(self.platform).version
+        publish(self.platform, declared(*names), version, "ann", rng_hex)
+
+    def adapters(self, vm):
+        return set(vm.applied[-1].adapters) if vm.applied else None
+
+    def test_starts_from_the_platform(self):
+        self.assertEqual(self.first.watch.watch_once(), 1.0)
+        self.assertEqual(self.adapters(self.first), {"larch"})
+        self.assertEqual(self.first.watch.revision, 1)
+
+    def test_takes_an_offer_from_the_peer_without_the_platform(self):
+        self.first.watch.watch_once()
+        self.platform.away = True
+        self.first.offer_to(self.second)
+        self.assertTrue(self.second.watch.take_offer())
+        self.assertEqual(self.adapters(self.second), {"larch"})
+        self.assertFalse(self.second.watch.take_offer())
+
+    def test_only_what_changed_is_fetched(self):
+        for vm in (self.first, self.second):
+            vm.watch.watch_once()
+        self.publish("larch", "oak")
+        self.first.watch._since = None
+        self.first.watch.watch_once()
+        self.first.offer_to(self.second)
+        self.peers.asked.clear()
+        self.assertTrue(self.second.watch.take_offer())
+        self.assertEqual(len(self.peers.asked), 2)
+        self.assertEqual(self.adapters(self.second), {"larch", "oak"})
+
+    def test_lower_revision_is_not_applied(self):
+        old = self.platform.objects[ROOT_KIND, ROOT_NAME]
+        self.publish("oak")
+        self.first.watch.watch_once()
+        self.platform.objects[ROOT_KIND, ROOT_NAME] = old
+        self.first.watch._since = None
+        self.first.watch.watch_once()
+        self.assertEqual(self.adapters(self.first), {"oak"})
+        self.assertIn("config.behind", self.first.records)
+
+    def test_peer_that_fails_is_replaced_by_the_platform(self):
+        self.first.watch.watch_once()
+        self.first.offer_to(self.second)
+        chunks = self.first.watch.store
+        for name in list(chunks._texts):
+            if (CHUNK_KIND, name) in self.platform.objects:
+                chunks._texts[name] += " "
+        self.assertTrue(self.second.watch.take_offer())
+        self.assertEqual(self.adapters(self.second), {"larch"})
+
+    def test_offer_that_cannot_be_fetched_is_dropped(self):
+        self.first.watch.watch_once()
+        self.first.offer_to(self.second)
+        del self.peers.stores["first:1"]
+        self.assertFalse(self.second.watch.take_offer())
+        self.assertIsNone(self.second.members.best_offer())
+        self.assertIn("config.fetch_failed", self.second.records)
+
+    def test_withdrawn_key_applies_before_the_rest_arrives(self):
+        issue_key(self.platform, "mill", "k", "ab", "ann", rng_hex)
+        self.first.watch.watch_once()
+        withdraw_key(self.platform, "k", "ann", rng_hex)
+        self.publish("oak")
+        calls = ["ok"] * 2 + ["refused"] * 9
+        self.platform.faults = calls
+        self.first.watch._since = None
+        self.first.watch.watch_once()
+        self.platform.faults = []
+        self.assertEqual(self.first.withdrawn, ["ab"])
+        self.assertEqual(self.adapters(self.first), {"larch"})
+        self.assertEqual(self.first.watch.revision, 2)
+        self.first.watch.watch_once()
+        self.assertEqual(self.adapters(self.first), {"oak"})
+
+    def test_collection_between_root_and_chunks_is_read_again(self):
+        self.publish("oak")
+        self.publish("elm")
+
+        def overtake():
+            faults, self.platform.faults = self.platform.faults, []
+            self.publish("larch")
+            collect_chunks(self.platform, rng_hex)
+            self.platform.faults = faults
+
+        self.platform.faults = ["ok", overtake]
+        self.assertGreater(self.first.watch.watch_once(), 0)
+        self.assertEqual(self.first.applied, [])
+        self.first.watch.watch_once()
+        self.assertEqual(self.adapters(self.first), {"larch"})
+
+    def test_compacted_watch_reads_the_root_again(self):
+        members = self.first.members
+        with self.first.decide() as (now, out):
+            members.tick(now, out)
+        self.assertTrue(members.watching)
+        self.first.watch.watch_once()
+        self.publish("oak")
+        self.platform.faults = [self.compact]
+        self.first.watch.watch_once()
+        self.first.watch.watch_once()
+        self.assertEqual(self.adapters(self.first), {"oak"})
+
+    def compact(self):
+        raise CompactedError("watch", "platform", "compacted")
