--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -26,6 +26,7 @@
 from hibiscusspar_entry.work import OrderRunner, PlatformRunner
 from hibiscusspar_wire.claim_gate import ClaimGate
 from hibiscusspar_wire.codec import MessageCodec
+from hibiscusspar_wire.config_watch import ConfigWatch
 from hibiscusspar_wire.http_server import HttpServer, ServerBounds, Tls
 from hibiscusspar_wire.peers import PeerClient
 from hibiscusspar_wire.platform_client import PlatformClient
@@ -66,6 +67,7 @@
     platform = PlatformClient(
         settings.platform, _child(rng), settings.platform_timeout_s
     )
+    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s)
     keeper = TargetKeeper(holder.target_address, settings.connect_timeout_s)
     gate = ClaimGate(settings.platform_timeout_s)
     systems = _systems(settings, servers, rng, clock(), gate)
@@ -74,7 +76,7 @@
         vm=settings.vm_id,
         systems=systems,
         codec=MessageCodec(MESSAGES),
-        peers=PeerClient(settings.peer_secret, settings.peer_timeout_s),
+        peers=peers,
         address_of=systems.members.address_of,
         run_call=PlatformRunner(platform, metrics),
         run_order=order_runner,
@@ -111,6 +113,9 @@
         token_wait_s=settings.token_wait_s,
     )
     applier = Applier(settings.zone, holder, systems, scheduler, open_requests, driver)
+    config_watch = ConfigWatch(
+        platform, peers, systems.members, driver.decide, applier, _child(rng)
+    )
     parts = Parts(
         settings=settings,
         servers=servers,
@@ -121,8 +126,7 @@
         open_requests=open_requests,
         keeper=keeper,
         holder=holder,
-        applier=applier,
-        platform=platform,
+        config_watch=config_watch,
         metrics=metrics,
     )
     return Node(parts, request_stop)
@@ -131,7 +135,7 @@
 def _systems(settings, servers, rng, now, gate):
     vm, zone = settings.vm_id, settings.zone
     address = f"{settings.address}:{servers.peer.port}"
-    members = MemberSystem(vm, zone, address, _child(rng))
+    members = MemberSystem(vm, zone, address, _child(rng), settings.peers)
     roles = RoleSystem(vm, zone, members, _child(rng))
     return Systems(
         members=members,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/configuration.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/configuration.py
@@ -44,9 +44,16 @@
         spec = self._configuration.targets.get(name)
         return spec.address if spec else None
 
-    def confirm(self):
-        """Note that the configuration in force is the newest now."""
-        self._confirmed = self._clock()
+    def confirm(self, age_s):
+        """Note how long ago the configuration in force was the newest."""
+        self._confirmed = self._clock() - age_s
+
+    def withdraw_keys(self, digests):
+        """Withdraw keys of the configuration in force, ahead of the next revision."""
+        keys = dict(self._configuration.keys)
+        for digest in keys.keys() & set(digests):
+            keys[digest] = keys[digest]._replace(withdrawn=True)
+        self._configuration = self._configuration._replace(keys=keys)
 
     def replace(self, configuration):
         """Put a configuration in force if its revision is higher.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -4,27 +4,25 @@
 from time import sleep
 from typing import NamedTuple
 
-from hibiscusspar.errors import StepError
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.driver import Driver
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.events import DRAINING, LISTENING, PLATFORM_FAILED, STOPPED
+from hibiscusspar_entry.events import DRAINING, LISTENING, STOPPED
 from hibiscusspar_entry.gateway import RequestGateway
 from hibiscusspar_entry.metrics import Metrics
 from hibiscusspar_entry.open_requests import OpenRequests
 from hibiscusspar_entry.orders import TargetKeeper
 from hibiscusspar_entry.scheduler import Scheduler
 from hibiscusspar_entry.settings import Settings
-from hibiscusspar_entry.systems import Applier, Systems
+from hibiscusspar_entry.systems import Systems
 from hibiscusspar_wire.callers import CallerApp
+from hibiscusspar_wire.config_watch import ConfigWatch
 from hibiscusspar_wire.http_server import HttpServer
 from hibiscusspar_wire.operators import OperatorApp
 from hibiscusspar_wire.peers import PeerApp
-from hibiscusspar_wire.publishing import current
 
 __all__ = ["Node", "Parts", "Servers"]
 
-CONFIGURATION_POLL_S = 1.0
 STATE_POLL_S = 0.5
 HANDOVER_POLL_S = 0.05
 MAX_HANDOVER_S = 3.0
@@ -51,8 +49,7 @@
     open_requests: OpenRequests
     keeper: TargetKeeper
     holder: ConfigurationHolder
-    applier: Applier
-    platform: object
+    config_watch: ConfigWatch
     metrics: Metrics
 
 
@@ -73,8 +70,9 @@
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=target, daemon=True)
-            for target in (self._run_ticks, self._run_configuration, self._run_polls)
+            for target in (self._run_ticks, self._run_offers, self._run_polls)
         ]
+        self._watcher = threading.Thread(target=self._run_watch, daemon=True)
 
     @property
     def ports(self):
@@ -92,7 +90,7 @@
         addresses = [f"{settings.address}:{port}" for port in self.ports]
         fields = dict(zip(Servers._fields, addresses, strict=True))
         write_records([(LISTENING, fields)])
-        for thread in self._threads:
+        for thread in (*self._threads, self._watcher):
             thread.start()
 
     def stop(self):
@@ -173,7 +171,7 @@
 
     def chunk(self, name):
         """Return a configuration chunk, or None if it isn't held."""
-        return
+        return self._parts.config_watch.store.chunk(name)
 
     def _hand_over(self):
         roles = self._parts.systems.roles
@@ -190,6 +188,18 @@
     def _run_ticks(self):
         while not self._stopping.wait(self._parts.settings.tick_s):
             self._parts.driver.tick()
+            self._note_age()
+
+    def _note_age(self):
+        parts = self._parts
+        with parts.driver.decide() as (now, _out):
+            parts.holder.confirm(parts.systems.members.age_s(now))
+
+    def _run_offers(self):
+        self._parts.config_watch.run_offers(self._stopping)
+
+    def _run_watch(self):
+        self._parts.config_watch.run_watch(self._stopping)
 
     def _run_polls(self):
         parts = self._parts
@@ -208,14 +218,3 @@
     def _take_silence(self, target):
         with self._parts.driver.decide() as (now, out):
             self._parts.systems.placement.target_unreachable(now, target, out)
-
-    def _run_configuration(self):
-        while not self._stopping.is_set():
-            try:
-                found = current(self._parts.platform)
-                self._parts.holder.confirm()
-                self._parts.applier.apply(found.configuration, "")
-            except StepError as error:
-                fields = {"step": error.step, "reason": error.reason}
-                write_records([(PLATFORM_FAILED, fields)])
-            self._stopping.wait(CONFIGURATION_POLL_S)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
@@ -24,6 +24,7 @@
     peer_port: int
     operator_port: int
     platform: str
+    peers: tuple[str, ...]
     peer_secret: str
     caller_threads: int
     tick_s: float
@@ -77,6 +78,10 @@
     return f"{_ip(host)}:{_port(port)}"
 
 
+def _addresses(text):
+    return tuple(_address(part.strip()) for part in text.split(",") if part.strip())
+
+
 def _port(text):
     return _integer(text, 0, 65_535)
 
@@ -127,6 +132,7 @@
     SettingSpec("peer_port", _port, "8081", "Port for other VMs; 0: any free one."),
     SettingSpec("operator_port", _port, "8082", "Port for operators; 0: any free."),
     SettingSpec("platform", _address, None, "Object API of the platform, IP:port."),
+    SettingSpec("peers", _addresses, "", "Peer ports to ask without a platform."),
     SettingSpec("peer_secret", _secret, None, "Secret shared by all entry VMs."),
     SettingSpec("caller_threads", _threads, "300", "Requests handled at a time."),
     SettingSpec("tick_s", _seconds, "0.1", "Seconds between runs of the systems."),
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/systems.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/systems.py
@@ -71,6 +71,12 @@
         write_records([(CONFIGURATION_READ, fields)])
         return True
 
+    def withdraw_keys(self, digests):
+        """Withdraw keys at once, ahead of the revision that withdraws them."""
+        with self._driver.decide():
+            self._holder.withdraw_keys(digests)
+        self._revoke(self._holder.configuration)
+
     def _configure(self, now, configuration, root_name, out):
         systems = self._systems
         homes = wanted_roles(configuration, self._zone)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/work.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/work.py
@@ -59,7 +59,7 @@
                 return PlatformResult(call.call_id, "ok", listed.items, listed.version)
             case "vms":
                 listed = platform.vms()
-                return PlatformResult(call.call_id, "ok", listed, listed.version)
+                return PlatformResult(call.call_id, "ok", listed.vms, listed.version)
             case "create":
                 version = platform.create(call.kind, call.name, call.value)
             case "update":
