Tell successors of roles what they leave at a graceful stop

Cause: a stopping process ended its ticks before its limits could send the handover of homes to the successors that the roles' update named. Change: one more tick after the roles were handed over.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -97,7 +97,8 @@
         """Shut down gracefully.
 
         New requests are refused, running ones end within the bound of the
-        settings, roles are handed over, then the ports close.
+        settings, roles are handed over, a last tick tells the successors what the
+        roles leave to them, then the ports close.
         """
         parts = self._parts
         self._draining.set()
@@ -109,6 +110,7 @@
         self._stopping.set()
         for thread in self._threads:
             thread.join()
+        parts.driver.tick()
         cut_off = len(parts.open_requests)
         for server in parts.servers:
             server.stop()
