Accrue at a new home from the end of its recovery only

Cause: the mutations showed that a home whose ticks stopped over the end of its recovery credited the whole gap, also the time in which leases of its predecessor still accrued. Change: accrual starts at the end of the recovery; tests of a new home, and a paused home whose pool is full, which the mutated roles must fail.

--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -86,12 +86,12 @@
     def advance(self, now):
         """Accrue up to ``now`` and forget what has ended."""
         if now > self._at:
-            elapsed = now - self._at
+            elapsed = now - max(self._at, self.recover_until)
             self._at = now
             self._drop_loans(now)
             rate, _ = self._free()
-            if not self.recovering(now):
-                self.level += max(0.0, rate) * elapsed * (1.0 - MAX_CLOCK_DRIFT)
+            gain = max(0.0, rate) * elapsed * (1.0 - MAX_CLOCK_DRIFT)
+            self.level += max(0.0, gain)
             for asker in self._askers.values():
                 asker.drop_ended(now)
         self._clip(now)
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_faults.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_faults.py
@@ -120,6 +120,21 @@
         self.assertIsNone(answer(made, 100.0, ASK))
         self.assertEqual(made.level, level)
 
+    def test_new_home_starts_empty_after_all_leases_ended(self):
+        made = Home(0.0, "yard", "a", "e")
+        made.set_part(0.0, (100.0, 400.0))
+        made.advance(24.0)
+        self.assertTrue(made.recovering(24.0))
+        self.assertIsNone(answer(made, 24.0, ASK))
+        made.advance(made.recover_until)
+        self.assertEqual(made.level, 0.0)
+
+    def test_new_home_paused_over_its_recovery_accrues_from_its_end(self):
+        made = Home(0.0, "yard", "a", "e")
+        made.set_part(0.0, (100.0, 400.0))
+        made.advance(made.recover_until + 1.0)
+        self.assertAlmostEqual(made.level, 100.0, delta=0.2)
+
     def test_forgotten_asker_returns_nothing(self):
         made = home()
         answer(made, 100.0, ASK._replace(want=400.0))
@@ -307,11 +322,9 @@
     def test_paused_home_comes_back(self):
         world = self.world()
         home_vm, others = self.others(world)
-        world.drain(1.0, others)
-        world.run(10.0)
         world.pause(home_vm)
         world.assign_roles()
         world.drain(60.0, others)
         world.resume(home_vm)
-        world.drain(1.0)
+        world.drain(0.9, more=150.0)
         self.check(world)
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -206,7 +206,8 @@
         vm.paused = False
         held, vm.held_back = vm.held_back, []
         for function, args in held:
-            function(*args)
+            late = args[2] == self._learn_role
+            self.schedule(ROLE_DELAY_S if late else 0.0, function, *args)
 
     def publish(self, accounts, zones=None):
         zones = zones or sorted({vm.zone for vm in self.vms.values()})
@@ -282,15 +283,15 @@
         args = (vm_name, account, tokens, lasts_s, until)
         self.schedule(RETRY_S, self.submit, *args)
 
-    def drain(self, duration_s, names=None, step_s=0.1):
+    def drain(self, duration_s, names=None, step_s=0.1, more=MORE_TOKENS):
         """Spend whatever the VMs hold, and ask for more, for some seconds."""
         end = self.now + duration_s
         while self.now < end:
             for name in names or sorted(self.vms):
-                self._spend(name)
+                self._spend(name, more)
             self.run(min(step_s, end - self.now))
 
-    def _spend(self, name):
+    def _spend(self, name, more):
         vm = self.vms.get(name)
         if vm is None or vm.paused:
             return
@@ -299,7 +300,7 @@
             level = vm.system.status(vm.clock(self.now))[account]["level"]
             if level > 0.0:
                 self.request(name, account, level, level)
-            self.request(name, account, MORE_TOKENS, MORE_TOKENS)
+            self.request(name, account, more, more)
 
     def settle_later(self, vm, key, reservation, used, lasts_s):
         """Settle a reservation of a VM after some seconds."""
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -58,9 +58,8 @@
     Mutation(
         "restart with full balance",
         "home",
-        "        self.part = part\n",
-        "        fresh = self.part == (0.0, 0.0)\n        self.part = part\n"
-        "        self.level = part[1] if fresh else self.level\n",
+        "            cap = 0.0\n",
+        "            self.level = cap\n            return\n",
     ),
     Mutation(
         "home taken while its holder is paused",
@@ -88,7 +87,7 @@
     ),
     Mutation(
         "only the latest lease counted",
-        "home",
+        "askers",
         "rate = max((lease.rate for lease in self.leases.values()), default=0.0)",
         "return [(e.rate, e.cap) for e in self.leases.values()][-1] "
         "if self.leases else (0.0, 0.0)",
