--- a/packages/hibiscusspar/hibiscusspar/limits/askers.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/askers.py
@@ -33,6 +33,7 @@
         self.refundable = 0.0
         self.seen_at = 0.0
         self.leases = {}
+        self._charge = None
 
     def note(self, now, ask):
         """Take in what an ask reports."""
@@ -85,15 +86,28 @@
         if self._first_at is None:
             self._first_at = self.seen_at = now
         ends_at = surely_after(now, row.remaining_s)
-        self.leases[row.epoch, row.seq] = Lease(row.rate, row.cap, ends_at)
+        self.add((row.epoch, row.seq), Lease(row.rate, row.cap, ends_at))
 
     def drop_ended(self, now):
         """Forget leases that have surely ended."""
-        for seq in [s for s, lease in self.leases.items() if lease.ends_at <= now]:
-            del self.leases[seq]
+        for key in [k for k, lease in self.leases.items() if lease.ends_at <= now]:
+            del self.leases[key]
+            self._charge = None
+
+    def replace(self, leases):
+        """Replace the leases that the asker may hold."""
+        self.leases = leases
+        self._charge = None
+
+    def add(self, key, lease):
+        """Add a lease under the giver's epoch and the number of the ask."""
+        self.leases[key] = lease
+        self._charge = None
 
     def charge(self):
         """Return the rate and capacity that the asker may hold."""
-        rate = max((lease.rate for lease in self.leases.values()), default=0.0)
-        cap = max((lease.cap for lease in self.leases.values()), default=0.0)
-        return rate, cap
+        if self._charge is None:
+            rate = max((lease.rate for lease in self.leases.values()), default=0.0)
+            cap = max((lease.cap for lease in self.leases.values()), default=0.0)
+            self._charge = rate, cap
+        return self._charge
--- a/packages/hibiscusspar/hibiscusspar/limits/bucket.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/bucket.py
@@ -93,7 +93,7 @@
     def settle(self, reservation_id, reserved, used):
         """Close a reservation; use beyond it is taken from the balance."""
         refundable = self._refunds.pop(reservation_id, 0.0)
-        self._refundable = sum(self._refunds.values()) if self._refunds else 0.0
+        self._refundable = self._refundable - refundable if self._refunds else 0.0
         if used > reserved:
             self.level -= used - reserved
             return
--- a/packages/hibiscusspar/hibiscusspar/limits/escrow.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/escrow.py
@@ -17,6 +17,7 @@
 
 KIND = "limit-parts"
 RETRY_S = 1.0
+CONFLICT_RETRY_S = 0.5
 MAX_RETRY_S = 16.0
 
 
@@ -62,6 +63,8 @@
     zone : str
     writer : str
         Names this holding of the home's role.
+    rng : random.Random
+        Spreads the attempts of the zones' homes.
 
     Attributes
     ----------
@@ -71,10 +74,11 @@
         Writer of this zone's part when the record was first read.
     """
 
-    def __init__(self, now, account, zone, writer):
+    def __init__(self, now, account, zone, writer, rng):
         self._account = account
         self._zone = zone
         self._writer = writer
+        self._rng = rng
         self._record = None
         self._claimed = False
         self._written = False
@@ -155,7 +159,10 @@
         else:
             self._claimed = self._claimed and call.operation == "get"
             self._record = None
-            self._back_off(now)
+            if result.outcome == "conflict":
+                self._next_at = now + self._rng.uniform(0.0, CONFLICT_RETRY_S)
+            else:
+                self._back_off(now)
         return True
 
     def _next_part(self, fits):
@@ -204,7 +211,7 @@
         out.call(self._call)
 
     def _back_off(self, now):
-        self._next_at = now + self._retry_s
+        self._next_at = now + self._retry_s * self._rng.uniform(0.5, 1.0)
         self._retry_s = min(2.0 * self._retry_s, MAX_RETRY_S)
 
 
--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -202,13 +202,12 @@
         """Keep only the lease that the asker holds: it takes no earlier answer."""
         key = ask.held_epoch, ask.held_seq
         held = asker.leases.get(key)
-        asker.leases = {}
+        asker.replace({})
         if held is not None:
-            cap = min(held.cap, ask.kept_cap)
-            asker.leases[key] = held._replace(cap=cap)
+            asker.add(key, held._replace(cap=min(held.cap, ask.kept_cap)))
         elif ask.held_epoch != self.epoch and self._adopts(now, ask):
             held = Lease(ask.held_rate, ask.held_cap, self.recover_until)
-            asker.leases[key] = held
+            asker.add(key, held)
 
     def _adopts(self, now, ask):
         return ask.held_seq and ask.held_cap > 0.0 and self.recovering(now)
@@ -222,7 +221,7 @@
     def _lease(self, now, asker, ask, rate, cap, credit):
         duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
         ends_at = surely_after(now, duration_s)
-        asker.leases[self.epoch, ask.seq] = Lease(rate, cap, ends_at)
+        asker.add((self.epoch, ask.seq), Lease(rate, cap, ends_at))
         adoptable = self.recovering(now) or self._fits_without_loans()
         return Grant(
             account=self.account,
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -26,10 +26,10 @@
 class _Office:
     """A home's role as this VM holds it."""
 
-    def __init__(self, now, account, zone, epoch, number):
+    def __init__(self, now, account, zone, epoch, number, rng):
         self.number = number
         self.home = Home(now, account, zone, epoch)
-        self.escrow = Escrow(now, account, zone, epoch)
+        self.escrow = Escrow(now, account, zone, epoch, rng)
         self.borrower = Borrower(account, zone, f"home/{zone}/{epoch}")
         self.next_idle_check = now
 
@@ -352,7 +352,7 @@
 
     def _start_office(self, now, account, number, out):
         epoch = f"{number}/{self._nonce}/{self._rng.getrandbits(32):08x}"
-        office = _Office(now, account, self._zone, epoch, number)
+        office = _Office(now, account, self._zone, epoch, number, self._rng)
         self._offices[account] = office
         out.log(
             events.HOME_STARTED,
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -88,9 +88,9 @@
     Mutation(
         "only the latest lease counted",
         "askers",
-        "rate = max((lease.rate for lease in self.leases.values()), default=0.0)",
+        "if self._charge is None:",
         "return [(e.rate, e.cap) for e in self.leases.values()][-1] "
-        "if self.leases else (0.0, 0.0)",
+        "if self.leases else (0.0, 0.0)\n        if self._charge is None:",
     ),
     Mutation(
         "refund beyond the capacity",
