Keep the homes of a VM in a module of their own

Change: offices.py holds the homes' start, end, parts and handovers; the oracle of the tests stands in its own module.

--- a/packages/hibiscusspar/hibiscusspar/limits/loans.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/loans.py
@@ -65,7 +65,7 @@
         """Name under which loans are asked for."""
         return self._asker
 
-    def asks(self, now, vm, home, limit, zones):
+    def asks(self, now, vm, home, zones):
         """Return the asks that are due, one to a zone.
 
         Parameters
@@ -73,8 +73,6 @@
         now : float
         vm : str
         home : Home
-        limit : tuple of (float, float)
-            Rate and burst of the account in the whole fleet.
         zones : iterable of str
             The other zones.
         """
@@ -84,7 +82,7 @@
         urgent = self._urgent(now, home, lines)
         asks = []
         for zone, line in lines.items():
-            missing = self._missing(home, zone, limit)
+            missing = self._missing(home, zone)
             due = now >= line.next_ask_at and (missing > 0.0 or zone in home.loans)
             if due or zone in urgent:
                 want = home.shortfall(now) if zone in urgent else 0.0
@@ -126,7 +124,7 @@
     def _line_asker(self, zone):
         return f"{self._asker}/{zone}"
 
-    def _missing(self, home, zone, limit):
+    def _missing(self, home, zone):
         """Return the tokens per second to borrow from a zone."""
         wanted = DEMAND_HEADROOM * home.own_demand() - home.part[0]
         held = sum(loan.rate for name, loan in home.loans.items() if name != zone)
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -1,12 +1,9 @@
 """Limits of all accounts on one VM: its leases, and the homes that it holds."""
 
 from hibiscusspar.limits import events
-from hibiscusspar.limits.division import zone_part
-from hibiscusspar.limits.escrow import Escrow
-from hibiscusspar.limits.home import Home
-from hibiscusspar.limits.loans import Borrower
 from hibiscusspar.limits.messages import Ask, Grant, Handover
 from hibiscusspar.limits.node import Reservation, Shortage, Slot
+from hibiscusspar.limits.offices import Offices
 from hibiscusspar.ports import limit_home
 
 __all__ = ["LimitSystem", "wanted_roles"]
@@ -15,7 +12,7 @@
 MIN_PERIOD_S = 1.0
 MAX_PERIOD_S = 4.0
 MAX_HOPS = 1
-IDLE_CHECK_S = 5.0
+PERIOD_CHECK_S = 5.0
 
 
 def wanted_roles(configuration, zone):
@@ -23,17 +20,6 @@
     return [limit_home(account, zone) for account in configuration.accounts]
 
 
-class _Office:
-    """A home's role as this VM holds it."""
-
-    def __init__(self, now, account, zone, epoch, number, rng):
-        self.number = number
-        self.home = Home(now, account, zone, epoch)
-        self.escrow = Escrow(now, account, zone, epoch, rng)
-        self.borrower = Borrower(account, zone, f"home/{zone}/{epoch}")
-        self.next_idle_check = now
-
-
 class LimitSystem:
     """Token limits of client accounts; see ``docs/design/limits.md``.
 
@@ -57,12 +43,8 @@
         self._nonce = f"{rng.getrandbits(64):016x}"
         self._slots_made = 0
         self._specs = {}
-        self._zones = ()
-        self._revision = 0
         self._slots = {}
-        self._offices = {}
-        self._leaving = {}
-        self._arrived = {}
+        self._offices = Offices(vm, zone, roles, rng, self._nonce)
         self._reservations = {}
         self._last_id = 0
         self._period_s = MIN_PERIOD_S
@@ -81,9 +63,7 @@
     def configure(self, now, configuration, out):
         """Put the accounts of a configuration in force."""
         self._specs = configuration.accounts
-        self._revision = configuration.revision
-        targets = configuration.targets.values()
-        self._zones = tuple(sorted({target.zone for target in targets}))
+        self._offices.configure(configuration)
         for account in self._specs:
             if account not in self._slots:
                 self._slots_made += 1
@@ -91,7 +71,7 @@
                 self._slots[account] = Slot(now, account, asker)
         for account in [name for name in self._slots if name not in self._specs]:
             del self._slots[account]
-        self._update_offices(now, out)
+        self._offices.update(now, out)
 
     def reserve(self, now, account, tokens, out, retry=False):
         """Reserve tokens before a request is queued or sent.
@@ -138,10 +118,9 @@
     def tick(self, now, out):
         """Renew leases and loans, and look after the homes of this VM."""
         self._update_period(now)
-        self._update_offices(now, out)
-        self._send_handovers(out)
-        for office in self._offices.values():
-            self._tick_office(now, office, out)
+        self._offices.update(now, out)
+        for ask in self._offices.tick(now, out):
+            self._route_ask(now, ask, out)
         for slot in self._slots.values():
             self._advance(now, slot, out)
             if slot.ask_due(now, self._period_s):
@@ -154,14 +133,11 @@
         elif isinstance(message, Grant):
             self._receive_grant(now, sender, message, out)
         elif isinstance(message, Handover) and message.zone == self._zone:
-            self._arrived[message.account] = message
+            self._offices.keep_handover(message)
 
     def platform_result(self, now, result, out):
         """Take in the result of a call about a zone's part of a limit."""
-        for account, office in self._offices.items():
-            if office.escrow.result(now, result):
-                self._use_part(now, account, office, out)
-                return
+        self._offices.platform_result(now, result, out)
 
     def status(self, now):
         """Return what operators see, as plain values by account."""
@@ -252,7 +228,7 @@
             if ask.hops < MAX_HOPS:
                 self._route_ask(now, ask._replace(hops=ask.hops + 1), out)
             return
-        self._update_offices(now, out)
+        self._offices.update(now, out)
         office = self._offices.get(ask.account)
         if office is None:
             return
@@ -298,106 +274,11 @@
     def _update_period(self, now):
         if self._next_period_at is not None and now < self._next_period_at:
             return
-        self._next_period_at = now + IDLE_CHECK_S
+        self._next_period_at = now + PERIOD_CHECK_S
         nodes = len(self._members.live(self._zone))
         period_s = nodes / MAX_ASKS_PER_S
         self._period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, period_s))
 
-    def _update_offices(self, now, out):
-        """Start and end homes as the roles of this VM change."""
-        for account, office in list(self._offices.items()):
-            role = limit_home(account, self._zone)
-            same = office.number == self._roles.number(role)
-            if account in self._specs and same and self._roles.holds(role):
-                continue
-            del self._offices[account]
-            handover = office.home.handover(now)
-            if handover is not None:
-                self._leaving[account] = handover
-            out.log(events.HOME_ENDED, account=account, epoch=office.home.epoch)
-        for account in self._specs:
-            role = limit_home(account, self._zone)
-            if account not in self._offices and self._roles.holds(role):
-                self._start_office(now, account, self._roles.number(role), out)
-
-    def _send_handovers(self, out):
-        """Leave what ended homes held to their successors, once they are known."""
-        for account, handover in list(self._leaving.items()):
-            role = limit_home(account, self._zone)
-            if self._roles.holds(role):
-                self._arrived[account] = self._leaving.pop(account)
-                continue
-            holder = self._roles.holder(role)
-            if holder and holder != self._vm:
-                del self._leaving[account]
-                out.send(holder, handover)
-
-    def _inherit(self, now, office, out):
-        """Take in what the predecessor left, which the record must confirm."""
-        home = office.home
-        handover = self._arrived.get(home.account)
-        if handover is None or not office.escrow.claimed:
-            return
-        del self._arrived[home.account]
-        if not home.recovering(now) or handover.epoch != office.escrow.predecessor:
-            return
-        home.inherit(now, handover)
-        out.log(
-            events.HOME_INHERITED,
-            account=home.account,
-            epoch=home.epoch,
-            level=home.level,
-            leases=len(handover.leases),
-        )
-
-    def _start_office(self, now, account, number, out):
-        epoch = f"{number}/{self._nonce}/{self._rng.getrandbits(32):08x}"
-        office = _Office(now, account, self._zone, epoch, number, self._rng)
-        self._offices[account] = office
-        out.log(
-            events.HOME_STARTED,
-            account=account,
-            epoch=epoch,
-            recovery_s=office.home.recover_until - now,
-        )
-
-    def _tick_office(self, now, office, out):
-        home = office.home
-        home.advance(now)
-        if now >= office.next_idle_check:
-            office.next_idle_check = now + IDLE_CHECK_S
-            home.forget_idle(now)
-        spec = self._specs[home.account]
-        limit = (spec.rate, spec.burst)
-        target = zone_part(spec, self._zone, self._zones)
-        office.escrow.configure(now, self._revision, limit, target)
-        self._use_part(now, home.account, office, out)
-        self._inherit(now, office, out)
-        office.escrow.tick(
-            now, lambda part: not home.recovering(now) and home.fits(part), out
-        )
-        zones = [zone for zone in self._other_zones(spec) if zone != self._zone]
-        for ask in office.borrower.asks(now, self._vm, home, limit, zones):
-            self._route_ask(now, ask, out)
-
-    def _other_zones(self, spec):
-        return [zone for zone, _ in spec.zone_fractions] or self._zones
-
-    def _use_part(self, now, account, office, out):
-        if office.escrow.first_home:
-            office.home.end_recovery(now)
-        part = office.escrow.usable
-        if part == office.home.part:
-            return
-        office.home.set_part(now, part)
-        out.log(
-            events.PART_CHANGED,
-            account=account,
-            rate=part[0],
-            cap=part[1],
-            revision=self._revision,
-        )
-
 
 def _log_grant(ask, grant, recovering, zone, out):
     fields = {"account": ask.account, "asker": ask.asker, "rate": grant.rate}
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_faults.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_faults.py
@@ -11,7 +11,8 @@
 from hibiscusspar.limits.home import Home, Loan
 from hibiscusspar.limits.messages import Ask, Grant, Handover
 from hibiscusspar.limits.node import Slot
-from hibiscusspar.limits.tests.world import TOLERANCE, Oracle, World, account
+from hibiscusspar.limits.tests.oracle import TOLERANCE, Oracle
+from hibiscusspar.limits.tests.world import World, account
 from hibiscusspar.outbox import Outbox, PlatformResult
 
 ASK = Ask("yard", "a", "n", "vm", "a", 1, "", 0, 0, 0, 0, 0, 0, 50.0, 10.0, 0, 0)
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_model.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_model.py
@@ -7,7 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from hibiscusspar.limits.node import Reservation
-from hibiscusspar.limits.tests.world import TOLERANCE, World, account
+from hibiscusspar.limits.tests.oracle import TOLERANCE
+from hibiscusspar.limits.tests.world import World, account
 
 ZONES = {"a": 2, "b": 2}
 LIMITS = [(100.0, 400.0), (40.0, 100.0), (200.0, 300.0)]
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_system.py
@@ -3,7 +3,8 @@
 import unittest
 
 from hibiscusspar.limits.node import Reservation, Shortage
-from hibiscusspar.limits.tests.world import TOLERANCE, World, account
+from hibiscusspar.limits.tests.oracle import TOLERANCE
+from hibiscusspar.limits.tests.world import World, account
 
 
 def offer(world, seconds, rate, vms=None, tokens=10.0):
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -1,8 +1,6 @@
 """Limit systems of several VMs over a fake network, platform and set of roles.
 
-Events run in order of time from a heap. An exact oracle counts each request by
-the tokens it used at the moment it was admitted: an ideal bucket with the whole
-limit, from which they are taken, must never go below zero.
+Events run in order of time from a heap.
 """
 
 from heapq import heappop, heappush
@@ -13,6 +11,7 @@
 from hibiscusspar.limits.escrow import KIND
 from hibiscusspar.limits.node import Reservation, Shortage
 from hibiscusspar.limits.system import LimitSystem
+from hibiscusspar.limits.tests.oracle import Oracle
 from hibiscusspar.outbox import Outbox, PlatformResult
 from hibiscusspar.ports import Member
 
@@ -20,7 +19,6 @@
 WAIT_S = 1.0
 RETRY_S = 0.05
 MORE_TOKENS = 20.0
-TOLERANCE = 1e-6
 
 
 def configuration(accounts, zones, revision=1):
@@ -36,46 +34,6 @@
     return AccountSpec(name, rate, burst, zone_fractions=fractions)
 
 
-class Oracle:
-    """The ideal bucket of one account over the whole fleet."""
-
-    def __init__(self, limit):
-        self._limits = [(0.0, *limit)]
-        self._admitted = {}
-
-    def set_limit(self, now, limit):
-        if self._limits[-1][1:] != limit:
-            self._limits.append((now, *limit))
-
-    def admit(self, key, now, tokens):
-        self._admitted[key] = (now, tokens)
-
-    def settle(self, key, used):
-        self._admitted[key] = (self._admitted[key][0], used)
-
-    @property
-    def total(self):
-        return sum(tokens for _, tokens in self._admitted.values())
-
-    def lowest(self):
-        """Return the lowest level that the ideal bucket ever had."""
-        events = [(at, 1, tokens, 0.0) for at, tokens in self._admitted.values()]
-        events += [(at, 0, rate, cap) for at, rate, cap in self._limits]
-        rate, cap, level, last = 0.0, float("inf"), None, 0.0
-        lowest = float("inf")
-        for at, is_admission, first, second in sorted(events):
-            if level is not None:
-                level = min(cap, level + rate * (at - last))
-            last = at
-            if is_admission:
-                level -= first
-                lowest = min(lowest, level)
-            else:
-                rate, cap = first, second
-                level = cap if level is None else min(cap, level)
-        return lowest
-
-
 class _View:
     """What one VM sees of members and roles."""
 
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -148,7 +148,7 @@
     ),
     Mutation(
         "handover taken without the record",
-        "system",
+        "offices",
         "not home.recovering(now) or handover.epoch != office.escrow.predecessor",
         "not home.recovering(now)",
     ),
