Give up the roles of a leaving VM once when nobody can take them

Cause: the plan of a leaving VM that is alone in its zone claimed for itself what it had just released, so that it wrote the zone's object again until it ended. Ruled out: the repeat of hand_over_all, which the node calls once. The new test is red without the change. Conclusion: a leaving VM is never fit for a role.

--- a/packages/hibiscusspar/hibiscusspar/membership/roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/roles.py
@@ -243,6 +243,8 @@
         return any(claimable(n, entries.get(n), situation) for n in self._wanted)
 
     def _situation(self, now, listed, fit, list_version, claiming=True):
+        if self._leaving:
+            fit = [vm for vm in fit if vm != self._vm]
         return Situation(
             self._vm,
             self._wanted,
--- a/packages/hibiscusspar/hibiscusspar/membership/tests/test_roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/test_roles.py
@@ -50,6 +50,18 @@
             known = {role: process.roles.holder(role) for role in found}
             self.assertEqual(known, found)
 
+    def test_last_vm_of_a_zone_gives_up_its_roles_once(self):
+        cluster = Cluster({"a": 1}, HOMES + OWNERS)
+        cluster.run(10)
+        roles = cluster.processes["a0"].roles
+        numbers = {role: roles.number(role) for role in HOMES + OWNERS}
+        cluster.hand_over("a0")
+        cluster.run(20)
+        self.assertTrue(roles.handed_over)
+        self.assertEqual({roles.holder(role) for role in numbers}, {""})
+        raised = {role: roles.number(role) - numbers[role] for role in numbers}
+        self.assertEqual(max(raised.values()), len(numbers))
+
     def test_holders_go_on_without_the_platform(self):
         before = self.holders()
         self.cluster.away = set(self.cluster.processes)
