Measure placement beside its baselines; tell owners' reports apart by when asked

Cause: stalls and loads were not measured, and a process paused between a poll and its answer could believe a report older than an eviction. Change: measure part placement with both users' load, random and least loaded with LRU and an offline bound; polls carry the time they were asked at; a refusal without an incarnation means the one known; wishes are told by a module of their own.

--- /dev/null
+++ b/measure/part_placement.py
@@ -0,0 +1,283 @@
+"""Placement: stalls by loads, loads, batches and the cost of decisions."""
+
+import tracemalloc
+from random import Random
+from statistics import mean, quantiles
+from time import process_time
+
+from msgspec.json import decode, encode
+
+from hibiscusspar.config.model import TargetSpec
+from hibiscusspar.outbox import Outbox
+from hibiscusspar.placement.messages import Grant, Inquiry, Rows
+from hibiscusspar.placement.system import PlacementSystem, RouteRequest
+from hibiscusspar.placement.tests.cluster import (
+    Cluster,
+    FakeMembers,
+    FakeRoles,
+    configuration_of,
+)
+from hibiscusspar.ports import Member, target_owner
+from measure.placement_load import (
+    LOAD_INTERVAL_S,
+    LOAD_S,
+    Baseline,
+    Outcome,
+    Profile,
+    make_trace,
+    offline_bound,
+)
+from measure.report import Table
+
+__all__ = ["run"]
+
+SLOTS = 8
+CONCURRENCY = 16
+STALL_S = 0.05
+WARM_UP_S = 60.0
+SETTLE_S = 6.0
+DECISIONS = 5000
+MISSES = 1000
+TICKS = 300
+PRYCE_ZONES = ("caerdydd", "abertawe", "wrecsam")
+ASAV_ZONES = ("piacenza", "parma", "lodi")
+PROFILES = (
+    (Profile("pryce", 3000, 5.0, 1.2, 60.0, 10.0, 12.0, 1.0, 100.0, 2.0), 0.0005),
+    (Profile("asav", 3000, 6.0, 1.2, 120.0, 60.0, 9.0, 1.2, 150.0, 2.0), 0.0015),
+)
+
+
+class _Row:
+    """What one placement did with one trace."""
+
+    def __init__(self, name, outcomes, loads, batches):
+        self.name = name
+        waits = [o.wait_s for o in outcomes if o.at >= WARM_UP_S]
+        self.stalls = sorted(w for w in waits if w > STALL_S)
+        self.share = len(self.stalls) / len(waits)
+        self.requests = len(outcomes)
+        self.loads = loads
+        self.batches = [b for b in batches if b[0] >= WARM_UP_S]
+
+    def cells(self):
+        """Return the cells of the table."""
+        cuts = quantiles(self.stalls, n=100) if len(self.stalls) > 1 else [0.0] * 99
+        sizes = [total for _, total, _ in self.batches]
+        labels = [total / used for _, total, used in self.batches]
+        return (
+            self.name,
+            100 * self.share,
+            1000 * cuts[49],
+            1000 * cuts[98],
+            self.loads / self.requests,
+            mean(sizes) if sizes else "",
+            mean(labels) if labels else "",
+        )
+
+
+def run(quick):
+    """Measure both users' load beside the baselines, then the cost of decisions.
+
+    Parameters
+    ----------
+    quick : bool
+
+    Returns
+    -------
+    list of Table
+    """
+    seconds = 120.0 if quick else 400.0
+    tables = [_load_table(p, delay, seconds) for p, delay in PROFILES]
+    sizes = ((3000, 9, 3),) if quick else ((3000, 9, 3), (36000, 830, 6))
+    tables.append(_cost_table(sizes))
+    return tables
+
+
+def _load_table(profile, delay_s, seconds):
+    arrivals = make_trace(profile, seconds, Random(f"placement/{profile.name}"))
+    bound_loads, bound_outcomes = offline_bound(arrivals, 6 * SLOTS)
+    bound = _Row("offline bound", bound_outcomes, bound_loads, [])
+    ours = _ours(profile, arrivals, delay_s)
+    rows = [ours, *_baselines(arrivals), bound]
+    least = rows[2]
+    note = (
+        f"{len(arrivals)} requests over {seconds:.0f} s. Stalls of hibiscusspar are "
+        f"{ours.share / least.share:.2f} of least loaded with LRU and "
+        f"{ours.share / bound.share:.2f} of the offline bound."
+    )
+    columns = (
+        "placement",
+        "stalled, %",
+        "stall p50, ms",
+        "stall p99, ms",
+        "loads a request",
+        "mean batch of 16",
+        "requests an adapter in use",
+    )
+    return Table(f"Load of {profile.name}", columns, [r.cells() for r in rows], note)
+
+
+def _baselines(arrivals):
+    rng = Random("baseline")
+
+    def at_random(loads):
+        return rng.randrange(len(loads))
+
+    def least_loaded(loads):
+        least = min(loads)
+        return rng.choice([i for i, load in enumerate(loads) if load == least])
+
+    for name, choose in (("random, LRU", at_random), ("least, LRU", least_loaded)):
+        baseline = Baseline(6, SLOTS, CONCURRENCY, choose).run(arrivals)
+        yield _Row(name, baseline.outcomes, baseline.loads, baseline.batches)
+
+
+def _ours(profile, arrivals, delay_s):
+    zones = PRYCE_ZONES if profile.name == "pryce" else ASAV_ZONES
+    targets = [
+        TargetSpec(f"{zone}-{index}", "drafting", "", zone, True, SLOTS, CONCURRENCY)
+        for zone in zones
+        for index in range(2)
+    ]
+    names = {f"a{index}": ("1",) for index in range(profile.adapters)}
+    sizes = dict.fromkeys(zones, 3)
+    cluster = Cluster(sizes, targets, names, Random("cluster"), delay_s, LOAD_S)
+    cluster.load_interval_s = LOAD_INTERVAL_S
+    cluster.run(SETTLE_S)
+    start = cluster.now
+    batches = []
+    next_sample = 0.0
+    vms = sorted(cluster.nodes)
+    rng = Random("balancer")
+    for arrival in arrivals:
+        while next_sample < arrival.at:
+            cluster.run(max(0.0, start + next_sample - cluster.now))
+            batches += _sample(cluster, next_sample)
+            next_sample += 1.0
+        cluster.run(start + arrival.at - cluster.now)
+        vm = rng.choice(vms)
+        label = f"a{arrival.adapter}"
+        cluster.submit(vm, "drafting", label, "1", arrival.service_s)
+    cluster.run(120.0)
+    records = cluster.requests.values()
+    outcomes = [
+        Outcome(r.born - start, r.started - r.born) for r in records if r.started
+    ]
+    lost = len(cluster.requests) - len(outcomes)
+    if lost:
+        raise RuntimeError(f"{lost} requests were never served")
+    return _Row("hibiscusspar", outcomes, cluster.loads, batches)
+
+
+def _sample(cluster, at):
+    found = []
+    for engine in cluster.engines.values():
+        if engine.running:
+            used = len(set(engine.running.values()))
+            found.append((at, len(engine.running), used))
+    return found
+
+
+def _cost_table(sizes):
+    rows = [_cost_row(*size) for size in sizes]
+    columns = (
+        "adapters",
+        "replicas",
+        "route hit, us",
+        "route miss, us",
+        "tick, us",
+        "tick with 1000 waiting, us",
+        "bytes a target row",
+        "bytes a waiting row",
+    )
+    return Table("Cost on one node", columns, rows)
+
+
+def _cost_row(adapters, replicas, zones):
+    targets = _cost_targets(replicas, zones)
+    system = _one_node(targets, adapters)
+    row_bytes = _bytes_of(lambda: _take_rows(system, targets, adapters)) / replicas
+    _take_grant(system)
+    hit_us = _microseconds(lambda index: _hit(system, index), DECISIONS)
+    tick_us = _microseconds(lambda index: _tick(system, index), TICKS)
+    miss_us = _microseconds(lambda index: _miss(system, index), MISSES)
+    waiting_us = _microseconds(lambda index: _tick(system, TICKS + index), TICKS)
+    fresh = _one_node(targets, adapters)
+    _take_rows(fresh, targets, adapters)
+    waiting = _bytes_of(lambda: [_miss(fresh, index) for index in range(MISSES)])
+    return (
+        adapters,
+        replicas,
+        hit_us,
+        miss_us,
+        tick_us,
+        waiting_us,
+        row_bytes,
+        waiting / MISSES,
+    )
+
+
+def _cost_targets(replicas, zones):
+    return [
+        TargetSpec(f"t{index}", "drafting", "", f"z{index % zones}", True)
+        for index in range(replicas)
+    ]
+
+
+def _one_node(targets, adapters):
+    members = {vm: Member(vm, "z0", "") for vm in ("me", "peer")}
+    roles = {target_owner(name): ("me", 1) for name in ("t0", "t3", "t6")}
+    system = PlacementSystem(
+        "me", "z0", FakeMembers("me", "z0", members), FakeRoles("me", roles), Random(1)
+    )
+    names = {f"a{index}": ("1",) for index in range(adapters)}
+    system.configure(0.0, configuration_of(targets, names, 8), Outbox())
+    return system
+
+
+def _take_rows(system, targets, adapters):
+    """Tell a node of all targets; one adapter in nine of the popular is resident."""
+    rows = []
+    for index, spec in enumerate(targets):
+        first = index * SLOTS
+        labels = tuple(f"a{(first + k) % adapters}@1" for k in range(SLOTS))
+        rows.append((spec.name, 1, 1, 1, "peer", "i", labels, (), 1.0, 0))
+    system.receive(0.0, "peer", decode(encode(Rows(tuple(rows))), type=Rows), Outbox())
+
+
+def _take_grant(system):
+    system.receive(0.0, "peer", Inquiry("t1", "peer", 1, 1), Outbox())
+    grant = Grant("t1", "a8@1", 1, 1, 1, 1, CONCURRENCY, "i")
+    system.receive(0.0, "peer", grant, Outbox())
+
+
+def _hit(system, index):
+    request = RouteRequest(f"h{index}", "drafting", "a8", "1", f"p{index % 100}")
+    out = Outbox()
+    system.route(0.0, request, out)
+    system.finished(0.0, request.request_id, "answered", out)
+
+
+def _miss(system, index):
+    name = f"a{2999 - index}"
+    system.route(0.0, RouteRequest(f"m{index}", "drafting", name, "1"), Outbox())
+
+
+def _tick(system, index):
+    system.tick(index * 0.1, Outbox())
+
+
+def _microseconds(step, times):
+    started = process_time()
+    for index in range(times):
+        step(index)
+    return 1e6 * (process_time() - started) / times
+
+
+def _bytes_of(step):
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    step()
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return grown
--- /dev/null
+++ b/measure/placement_load.py
@@ -0,0 +1,234 @@
+"""Traces of requests, and baselines for placement, all in virtual time."""
+
+from bisect import bisect
+from collections import defaultdict, deque
+from heapq import heappop, heappush
+from itertools import accumulate, count
+from typing import NamedTuple
+
+__all__ = [
+    "LOAD_S",
+    "Arrival",
+    "Baseline",
+    "Outcome",
+    "Profile",
+    "make_trace",
+    "offline_bound",
+]
+
+LOAD_S = 0.25
+LOAD_INTERVAL_S = 1 / 3
+IN_TRANSIT = 8
+
+
+class Profile(NamedTuple):
+    """The load of one user; rates are in requests per second.
+
+    For ``burst_s`` seconds out of every ``period_s`` the rate is ``burst_rate`` and
+    popularity flattens to ``burst_exponent``. Every ``shift_s`` seconds the most
+    popular adapters change places with others.
+    """
+
+    name: str
+    adapters: int
+    rate: float
+    exponent: float
+    period_s: float
+    burst_s: float
+    burst_rate: float
+    burst_exponent: float
+    shift_s: float
+    service_s: float
+
+
+class Arrival(NamedTuple):
+    """One request of a trace."""
+
+    at: float
+    adapter: int
+    service_s: float
+
+
+class Outcome(NamedTuple):
+    """One request as it went; times are in seconds."""
+
+    at: float
+    wait_s: float
+
+
+def make_trace(profile, seconds, rng):
+    """Return the arrivals of a user over some seconds."""
+    ranks = list(range(profile.adapters))
+    rng.shuffle(ranks)
+    calm = _cumulative(profile.adapters, profile.exponent)
+    busy = _cumulative(profile.adapters, profile.burst_exponent)
+    arrivals = []
+    now, next_shift = 0.0, profile.shift_s
+    while now < seconds:
+        burst = now % profile.period_s >= profile.period_s - profile.burst_s
+        now += rng.expovariate(profile.burst_rate if burst else profile.rate)
+        if now >= next_shift:
+            next_shift += profile.shift_s
+            _shift(ranks, rng)
+        weights = busy if burst else calm
+        rank = min(bisect(weights, rng.random() * weights[-1]), profile.adapters - 1)
+        service_s = profile.service_s * rng.uniform(0.5, 1.5)
+        arrivals.append(Arrival(now, ranks[rank], service_s))
+    return arrivals
+
+
+def _cumulative(size, exponent):
+    return list(accumulate(1 / (rank + 1) ** exponent for rank in range(size)))
+
+
+def _shift(ranks, rng):
+    for hot in range(0, 20, 2):
+        other = rng.randrange(len(ranks))
+        ranks[hot], ranks[other] = ranks[other], ranks[hot]
+
+
+def offline_bound(arrivals, slots):
+    """Return the loads and the waits of a placement that knows the future.
+
+    All slots form one pool without limits of concurrency or of the weight store, a
+    label is loaded when it is first wanted, and the one that goes is wanted again
+    last. No placement that loads on demand has fewer loads.
+
+    Returns
+    -------
+    loads : int
+    outcomes : list of Outcome
+    """
+    coming = defaultdict(deque)
+    for arrival in arrivals:
+        coming[arrival.adapter].append(arrival.at)
+    ready, outcomes, loads = {}, [], 0
+    for arrival in arrivals:
+        coming[arrival.adapter].popleft()
+        if arrival.adapter not in ready:
+            loads += 1
+            if len(ready) >= slots:
+                del ready[_last_wanted(ready, coming)]
+            ready[arrival.adapter] = arrival.at + LOAD_S
+        wait_s = max(0.0, ready[arrival.adapter] - arrival.at)
+        outcomes.append(Outcome(arrival.at, wait_s))
+    return loads, outcomes
+
+
+def _last_wanted(ready, coming):
+    def next_use(label):
+        return coming[label][0] if coming[label] else float("inf")
+
+    return max(ready, key=next_use)
+
+
+class _Target:
+    def __init__(self):
+        self.resident = {}
+        self.running = defaultdict(int)
+        self.total = 0
+        self.queue = []
+        self.loading = None
+
+
+class Baseline:
+    """Targets with one queue each, chosen at random or by least load, with LRU.
+
+    The choice knows the true load of every target at once, which no node does.
+
+    Parameters
+    ----------
+    targets, slots, concurrency : int
+    choose : callable
+        Takes the loads of the targets and returns an index.
+    """
+
+    def __init__(self, targets, slots, concurrency, choose):
+        self._targets = [_Target() for _ in range(targets)]
+        self._slots = slots
+        self._concurrency = concurrency
+        self._choose = choose
+        self._events = []
+        self._order = count()
+        self._next_load = 0.0
+        self._transit = 0
+        self.loads = 0
+        self.outcomes = []
+        self.batches = []
+
+    def run(self, arrivals):
+        """Run a trace to its end."""
+        for arrival in arrivals:
+            self._at(arrival.at, self._arrive, arrival)
+        for second in range(int(arrivals[-1].at)):
+            self._at(float(second), self._sample)
+        while self._events:
+            now, _, action, args = heappop(self._events)
+            action(now, *args)
+        return self
+
+    def _at(self, when, action, *args):
+        heappush(self._events, (when, next(self._order), action, args))
+
+    def _sample(self, now):
+        for target in self._targets:
+            used = [n for n in target.running.values() if n]
+            if used:
+                self.batches.append((now, target.total, len(used)))
+
+    def _arrive(self, now, arrival):
+        loads = [t.total + len(t.queue) for t in self._targets]
+        target = self._targets[self._choose(loads)]
+        target.queue.append(arrival)
+        self._pump(now, target)
+
+    def _pump(self, now, target):
+        waiting = []
+        for arrival in target.queue:
+            free = target.total < self._concurrency
+            if free and arrival.adapter in target.resident:
+                self._start(now, target, arrival)
+            else:
+                waiting.append(arrival)
+        target.queue = waiting
+        self._load(now, target)
+
+    def _start(self, now, target, arrival):
+        target.resident[arrival.adapter] = now
+        target.running[arrival.adapter] += 1
+        target.total += 1
+        self.outcomes.append(Outcome(arrival.at, now - arrival.at))
+        self._at(now + arrival.service_s, self._end, target, arrival)
+
+    def _end(self, now, target, arrival):
+        target.running[arrival.adapter] -= 1
+        target.total -= 1
+        self._pump(now, target)
+
+    def _load(self, now, target):
+        if target.loading is not None:
+            return
+        absent = [a for a in target.queue if a.adapter not in target.resident]
+        if not absent:
+            return
+        if len(target.resident) >= self._slots:
+            idle = [name for name in target.resident if not target.running[name]]
+            if not idle:
+                return
+            del target.resident[min(idle, key=target.resident.get)]
+        target.loading = absent[0].adapter
+        self.loads += 1
+        start = max(now, self._next_load)
+        self._next_load = start + LOAD_INTERVAL_S
+        self._at(start, self._transfer, target)
+
+    def _transfer(self, now, target):
+        self._transit += 1
+        slow = max(1.0, self._transit / IN_TRANSIT)
+        self._at(now + LOAD_S * slow, self._loaded, target)
+
+    def _loaded(self, now, target):
+        self._transit -= 1
+        target.resident[target.loading] = now
+        target.loading = None
+        self._pump(now, target)
--- a/packages/hibiscusspar/hibiscusspar/placement/router.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/router.py
@@ -8,7 +8,6 @@
     ROUTE_REFUSED,
     ROUTE_WAITED,
 )
-from hibiscusspar.placement.messages import Want
 from hibiscusspar.placement.prefixes import PrefixTable
 from hibiscusspar.placement.residency import rendezvous
 from hibiscusspar.placement.routing import (
@@ -20,13 +19,13 @@
     pick_plain,
     pick_resident,
 )
+from hibiscusspar.placement.wishes import Wishes
 from hibiscusspar.ports import target_owner
 
 __all__ = ["Router"]
 
 ASK_TIMEOUT_S = 2.0
 WANT_REPEAT_S = 1.0
-REPORT_S = 1.0
 RETRY_AFTER_S = 1.0
 LOGGED_CANDIDATES = 8
 
@@ -63,15 +62,11 @@
         self._by_service = {}
         self._running = {}
         self._in_flight = {}
-        self._reported = {}
-        self._urgent = set()
-        self._soon = set()
-        self._lazy = set()
         self._repeat_at = 0.0
-        self._report_at = 0.0
         self._ready = {}
         self._counts = {}
         self.waits = WaitTable()
+        self.wishes = Wishes(holder, self.waits, permits, post, self.owner_of)
         self.prefixes = PrefixTable()
 
     def configure(self, configuration):
@@ -144,8 +139,8 @@
             self._forget_waiting(request.request_id)
             after = max(RETRY_AFTER_S, min(row.barred.values()) - now)
             return self._refuse(request, tuple(row.barred), "load failed", out, after)
-        self._mark(key[1], row.asked)
-        self.flush(out)
+        self.wishes.rose(key[1], row.asked)
+        self.wishes.flush(out)
         return None
 
     def waited(self, request, out):
@@ -174,7 +169,7 @@
             row.tokens = tokens
             if tokens and not row.asked:
                 self._ask(now, (service, label), row, ())
-            self._mark(label, row.asked)
+            self.wishes.rose(label, row.asked)
             self._settle((service, label))
 
     def finished(self, now, request_id, out):
@@ -192,7 +187,7 @@
     def give_back(self, target, label, out):
         """Give back one unit, and tell the owner if it waits to hear of it."""
         recalled = self._holder.give_back(target, label)
-        self._lazy.add((target, label))
+        self.wishes.lazy.add((target, label))
         if recalled:
             self._acknowledge(target, label, out)
         else:
@@ -208,8 +203,7 @@
         target, label = message.target, message.label
         if hold is None:
             if not self._holder.answered(message):
-                want = self._want(target, label)
-                self._post.send(out, sender, self._want_message(target, label, want))
+                self._post.send(out, sender, self.wishes.message(target, label))
             return
         self._acknowledge(message.target, message.label, out)
         if hold.free:
@@ -223,7 +217,7 @@
                 self.waits.unask(row, message.target)
                 row.barred[message.target] = now + message.retry_s
                 self._ready[key] = None
-        self._lazy.add((message.target, message.label))
+        self.wishes.lazy.add((message.target, message.label))
 
     def tick(self, now, out):
         """Ask again where nothing came, and report changed wishes."""
@@ -233,27 +227,12 @@
         if now >= self._repeat_at:
             self._repeat_at = now + WANT_REPEAT_S
             self._review(now)
-        if now >= self._report_at:
-            self._report_at = now + REPORT_S
-            self._soon |= self._lazy
-            self._lazy = set()
-        self._urgent |= self._soon
-        self._soon = set()
-        self.flush(out)
-
-    def flush(self, out):
-        """Send the wishes that changed and are urgent."""
-        urgent, self._urgent = self._urgent, set()
-        for target, label in sorted(urgent):
-            want = self._want(target, label)
-            if self._reported.get((target, label), 0) == want:
-                continue
-            self._send_want(target, label, want, out)
+        self.wishes.tick(now, out)
 
     def want_permits(self, out):
         """Tell the stores how many permits this node can use."""
-        self._urgent.update((store, "") for store in self._permits.wanted)
-        self.flush(out)
+        self.wishes.urgent.update((store, "") for store in self._permits.wanted)
+        self.wishes.flush(out)
 
     def seen(self, now, row):
         """Ask a target for the waiting labels that have become resident there."""
@@ -267,23 +246,9 @@
                     continue
                 for name in list(waiting.asked):
                     self.waits.unask(waiting, name)
-                    self._urgent.add((name, label))
+                    self.wishes.urgent.add((name, label))
                 self.waits.ask(now, waiting, row.target)
-                self._urgent.add((row.target, label))
-
-    def _send_want(self, target, label, want, out):
-        owner = self.owner_of(target)
-        if not owner:
-            return
-        if want:
-            self._reported[target, label] = want
-        else:
-            self._reported.pop((target, label), None)
-        self._post.send(out, owner, self._want_message(target, label, want))
-
-    def _want_message(self, target, label, want):
-        term = self._holder.term(target)
-        return Want(target, label, *term, self._holder.node_life, want)
+                self.wishes.urgent.add((row.target, label))
 
     def _plain(self, now, request, names, out):
         zone = request.zone or self._members.zone
@@ -310,7 +275,7 @@
         self._holder.take(best, label)
         self._running[request.request_id] = _Running(best, label)
         self._forget_waiting(request.request_id)
-        self._lazy.add((best, label))
+        self.wishes.lazy.add((best, label))
         self.prefixes.note(request.prefix_digest, best)
         counts = self._counts.setdefault(best, {})
         counts[label] = counts.get(label, 0) + 1
@@ -382,18 +347,16 @@
             for target, since in list(row.asked.items()):
                 if now - since >= ASK_TIMEOUT_S and not self._usable(target):
                     self.waits.unask(row, target)
-                    self._lazy.add((target, label))
+                    self.wishes.lazy.add((target, label))
             if not row.asked or self._short(key, row):
                 self._ask(now, key, row, ())
             for target in row.asked:
-                self._reported.pop((target, label), None)
-                self._urgent.add((target, label))
+                self.wishes.repeat(target, label)
             if row.barred and not row.asked:
                 self._ready[key] = None
         for store, want in self._permits.wanted.items():
             if want:
-                self._reported.pop((store, ""), None)
-                self._urgent.add((store, ""))
+                self.wishes.repeat(store, "")
 
     def _short(self, key, row):
         rows = self._residency.rows
@@ -401,27 +364,11 @@
             name in rows and key[1] in rows[name].saturated for name in row.asked
         )
 
-    def _mark(self, label, targets):
-        for target in targets:
-            hold = self._holder.hold(target, label)
-            level = hold.level if hold else 0
-            if self._reported.get((target, label), 0) <= level:
-                self._urgent.add((target, label))
-            else:
-                self._soon.add((target, label))
-
-    def _want(self, target, label):
-        if not label:
-            return self._permits.wanted.get(target, 0)
-        hold = self._holder.hold(target, label)
-        used = hold.in_use if hold else 0
-        return used + self.waits.waiting_for(target, label)
-
     def _acknowledge(self, target, label, out):
         owner = self._holder.owners.get(target, "")
-        want = self._want(target, label)
+        want = self.wishes.units(target, label)
         held = self._holder.acknowledge(target, label, want)
-        self._reported[target, label] = want
+        self.wishes.note_told(target, label, want)
         if owner:
             self._post.send(out, owner, held)
 
@@ -436,7 +383,7 @@
 
     def _settle(self, key):
         for target in self.waits.settle(key):
-            self._lazy.add((target, key[1]))
+            self.wishes.lazy.add((target, key[1]))
 
     def _specs_service(self, target):
         spec = self._specs.get(target)
--- a/packages/hibiscusspar/hibiscusspar/placement/system.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/system.py
@@ -135,7 +135,7 @@
         """Set the tokens that wait for an adapter in the queues of this node."""
         services = [s.name for s in self._services_of(adapter)]
         self._router.hint(now, f"{adapter}@{version}", services, tokens)
-        self._router.flush(out)
+        self._router.wishes.flush(out)
         self._drain(now, out)
 
     def take_ready(self):
@@ -202,7 +202,14 @@
         self._drain(now, out)
 
     def adapter_missing(self, now, target, adapter, version, incarnation, out):
-        """Note that a target refused an adapter as not resident."""
+        """Note that a target refused an adapter as not resident.
+
+        ``incarnation`` is that of the dispatch; if it is empty, the one that this
+        node knows is meant.
+        """
+        row = self._residency.rows.get(target)
+        if not incarnation and row is not None:
+            incarnation = row.incarnation
         self._report_missing(target, f"{adapter}@{version}", incarnation, out)
         self._drain(now, out)
 
@@ -250,7 +257,7 @@
         if self._residency.adopt(row):
             self._gossip.published(row)
             self._router.seen(now, row)
-            self._router.flush(out)
+            self._router.wishes.flush(out)
 
     def _granted(self, now, sender, message, out):
         self._router.granted(sender, message, out)
@@ -260,7 +267,7 @@
     def _rows(self, now, sender, message, out):
         for row in self._gossip.rows(message):
             self._router.seen(now, row)
-        self._router.flush(out)
+        self._router.wishes.flush(out)
 
     def _services_of(self, adapter):
         model = self._configuration.adapters[adapter].model
--- a/packages/hibiscusspar/hibiscusspar/placement/tests/cluster.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/tests/cluster.py
@@ -188,6 +188,8 @@
         self.load_s = load_s
         self.loss = 0.0
         self.load_failures = 0.0
+        self.load_interval_s = 0.0
+        self._next_load = 0.0
         self.lost_answers = 0.0
         self.cut = set()
         self.roles = {}
@@ -206,7 +208,7 @@
         self.messages = 0
         self._serial = count(1)
         self._events = []
-        self.config = _configuration(targets, adapters, in_transit)
+        self.config = configuration_of(targets, adapters, in_transit)
         self.nodes = {}
         for zone, size in zones.items():
             for index in range(size):
@@ -490,9 +492,15 @@
         if reason or label in engine.resident:
             self._result(node, order, not reason, reason, engine.incarnation)
             return
+        self.loads += 1
+        start = max(self.now, self._next_load)
+        self._next_load = start + self.load_interval_s
+        self._schedule(start - self.now, self._transfer, node, order)
+
+    def _transfer(self, node, order):
+        engine = self.engines[order.target]
         self.transit += 1
         self.max_transit = max(self.max_transit, self.transit)
-        self.loads += 1
         self.load_times.append(self.now)
         slow = max(1.0, self.transit / self.config.weight_store.max_in_transit)
         seconds = self.load_s * slow
@@ -528,7 +536,8 @@
             self._awake(node, self.act, node, take)
 
 
-def _configuration(targets, adapters, in_transit):
+def configuration_of(targets, adapters, in_transit):
+    """Return a configuration of engine targets and adapters with their versions."""
     services = {spec.service for spec in targets}
     return empty_configuration()._replace(
         revision=1,
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/wishes.py
@@ -0,0 +1,92 @@
+"""What this node wishes of the owners of targets, and when it tells them."""
+
+from hibiscusspar.placement.messages import Want
+
+__all__ = ["Wishes"]
+
+REPORT_S = 1.0
+
+
+class Wishes:
+    """Sends changed wishes: at once, with the next tick, or once a second.
+
+    Parameters
+    ----------
+    holder : HolderTable
+    waits : WaitTable
+    permits : Permits
+    post : Post
+    owner_of : callable
+        Maps a target to the VM that owns it; empty if none is known.
+    """
+
+    def __init__(self, holder, waits, permits, post, owner_of):
+        self._holder = holder
+        self._waits = waits
+        self._permits = permits
+        self._post = post
+        self._owner_of = owner_of
+        self._told = {}
+        self._report_at = 0.0
+        self.urgent = set()
+        self.soon = set()
+        self.lazy = set()
+
+    def units(self, target, label):
+        """Return the units of a target that this node can use, those in use too."""
+        if not label:
+            return self._permits.wanted.get(target, 0)
+        hold = self._holder.hold(target, label)
+        used = hold.in_use if hold else 0
+        return used + self._waits.waiting_for(target, label)
+
+    def rose(self, label, targets):
+        """Note that more requests wait; the first one is told at once."""
+        for target in targets:
+            hold = self._holder.hold(target, label)
+            level = hold.level if hold else 0
+            first = self._told.get((target, label), 0) <= level
+            (self.urgent if first else self.soon).add((target, label))
+
+    def repeat(self, target, label):
+        """Tell a wish again, since the last message may have been lost."""
+        self._told.pop((target, label), None)
+        self.urgent.add((target, label))
+
+    def note_told(self, target, label, units):
+        """Note that another message carried a wish."""
+        self._told[target, label] = units
+
+    def tick(self, now, out):
+        """Tell what has changed since the last tick."""
+        if now >= self._report_at:
+            self._report_at = now + REPORT_S
+            self.soon |= self.lazy
+            self.lazy = set()
+        self.urgent |= self.soon
+        self.soon = set()
+        self.flush(out)
+
+    def flush(self, out):
+        """Tell the owners of the urgent changes."""
+        urgent, self.urgent = self.urgent, set()
+        for target, label in sorted(urgent):
+            units = self.units(target, label)
+            if self._told.get((target, label), 0) != units:
+                self._tell(target, label, units, out)
+
+    def message(self, target, label):
+        """Return the :class:`Want` for a label of a target."""
+        term = self._holder.term(target)
+        units = self.units(target, label)
+        return Want(target, label, *term, self._holder.node_life, units)
+
+    def _tell(self, target, label, units, out):
+        owner = self._owner_of(target)
+        if not owner:
+            return
+        if units:
+            self._told[target, label] = units
+        else:
+            self._told.pop((target, label), None)
+        self._post.send(out, owner, self.message(target, label))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -1,6 +1,7 @@
 """One entry process: its servers, its threads and its graceful end."""
 
 import threading
+from functools import partial
 from time import sleep
 from typing import NamedTuple
 
@@ -195,14 +196,15 @@
         parts = self._parts
         placement = parts.systems.placement
         while not self._stopping.wait(STATE_POLL_S):
-            with parts.driver.decide():
+            with parts.driver.decide() as (asked_at, _):
                 targets = placement.polls()
-            parts.keeper.poll(targets, self._take_state, self._take_silence)
+            take_state = partial(self._take_state, asked_at)
+            parts.keeper.poll(targets, take_state, self._take_silence)
 
-    def _take_state(self, target, incarnation, resident, running, queued):
+    def _take_state(self, asked_at, target, incarnation, resident, running, queued):
         with self._parts.driver.decide() as (now, out):
             self._parts.systems.placement.target_state(
-                now, target, incarnation, resident, running, queued, out
+                now, target, incarnation, resident, running, queued, out, asked_at
             )
 
     def _take_silence(self, target):
