Look for this VM in the platform's list more often until it is there

Cause: a VM that started before the list showed it looked again only after 5 s. Change: the first looks are 0.5 s apart and double up to the usual period; roles are checked as soon as a new list or a new set of roles is known.

--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -58,7 +58,8 @@
     pause_s: float = 3.0
     forget_s: float = 300.0
     list_period_s: float = 2.0
-    list_retry_s: float = 5.0
+    list_retry_s: float = 0.5
+    list_check_s: float = 5.0
     watchers: int = 2
 
 
@@ -97,6 +98,7 @@
         self._next_judge = 0.0
         self._calls = 0
         self._list_call = ""
+        self._list_misses = 0
         self._last_tick = None
         self._hasten = 0
         self._watching = False
@@ -240,13 +242,22 @@
             self._watching = watching
             out.log(WATCHER_CHANGED, watching=watching)
         known = self._table.is_listed(self.vm)
-        period = self._bounds.list_period_s if watching else self._bounds.list_retry_s
+        period = self._list_period_s(watching, known)
         self._next_list = now + period * self._rng.uniform(0.75, 1.25)
         if watching or not known:
             self._calls += 1
             self._list_call = f"list-{self._calls}"
             out.call(PlatformCall(self.name, self._list_call, "vms", "", ""))
 
+    def _list_period_s(self, watching, known):
+        """Return the seconds to the next look; short while this VM isn't listed."""
+        bounds = self._bounds
+        usual = bounds.list_period_s if watching else bounds.list_check_s
+        if known:
+            return usual
+        self._list_misses += 1
+        return min(usual, bounds.list_retry_s * 2 ** min(self._list_misses - 1, 8))
+
     def _is_watcher(self):
         fit = self.candidates(self.zone)
         return self.vm in ranked(WATCH_ROLE, fit)[: self._bounds.watchers]
--- a/packages/hibiscusspar/hibiscusspar/membership/roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/roles.py
@@ -89,6 +89,7 @@
         self._failures = 0
         self._calls = 0
         self._next_check = 0.0
+        self._list_version = 0
         self._next_poll = 0.0
         self._next_rebalance = 0.0
         self._since = {}
@@ -113,6 +114,8 @@
         fenced : sequence of str
             Those among them whose target checks fencing numbers.
         """
+        if self._wanted != frozenset(names):
+            self._next_check = 0.0
         self._wanted = frozenset(names)
         self._fenced = frozenset(fenced) & self._wanted
 
@@ -142,6 +145,9 @@
             out.send(peer, RoleVersions(self._table.versions()))
         if self._call and now - self._call.sent_at > self._bounds.call_timeout_s:
             self._settle(now, "unknown", 0, out)
+        if self._members.list_version != self._list_version:
+            self._list_version = self._members.list_version
+            self._next_check = min(self._next_check, now + self._failures)
         if self._call or now < self._next_check:
             return
         self._next_check = now + self._bounds.check_s * self._rng.uniform(0.75, 1.25)
