--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -13,6 +13,7 @@
 from hibiscusspar.placement.system import PlacementSystem
 from hibiscusspar.requests.messages import MESSAGES as REQUEST_MESSAGES
 from hibiscusspar.requests.system import RequestSystem
+from hibiscusspar.scheduling.scheduler import Scheduler
 from hibiscusspar_entry.configuration import ConfigurationHolder
 from hibiscusspar_entry.dispatch import DispatchHooks
 from hibiscusspar_entry.driver import Driver
@@ -21,11 +22,12 @@
 from hibiscusspar_entry.node import Node, Parts, Servers
 from hibiscusspar_entry.open_requests import OpenRequests
 from hibiscusspar_entry.orders import TargetKeeper
-from hibiscusspar_entry.scheduler import Scheduler
 from hibiscusspar_entry.systems import Applier, Systems
+from hibiscusspar_entry.target_gate import TargetGate
 from hibiscusspar_entry.work import OrderRunner, PlatformRunner
 from hibiscusspar_wire.claim_gate import ClaimGate
 from hibiscusspar_wire.codec import MessageCodec
+from hibiscusspar_wire.config_watch import ConfigWatch
 from hibiscusspar_wire.http_server import HttpServer, ServerBounds, Tls
 from hibiscusspar_wire.peers import PeerClient
 from hibiscusspar_wire.platform_client import PlatformClient
@@ -66,6 +68,7 @@
     platform = PlatformClient(
         settings.platform, _child(rng), settings.platform_timeout_s
     )
+    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s)
     keeper = TargetKeeper(holder.target_address, settings.connect_timeout_s)
     gate = ClaimGate(settings.platform_timeout_s)
     systems = _systems(settings, servers, rng, clock(), gate)
@@ -74,7 +77,7 @@
         vm=settings.vm_id,
         systems=systems,
         codec=MessageCodec(MESSAGES),
-        peers=PeerClient(settings.peer_secret, settings.peer_timeout_s),
+        peers=peers,
         address_of=systems.members.address_of,
         run_call=PlatformRunner(platform, metrics),
         run_order=order_runner,
@@ -82,13 +85,14 @@
         metrics=metrics,
         exchange_s=settings.exchange_s,
     )
-    scheduler = Scheduler(driver, systems.placement, clock)
-    driver.call_after_decisions(scheduler.after_decision)
+    scheduler = Scheduler(systems.placement)
+    target_gate = TargetGate(driver, scheduler, systems.placement, clock)
+    driver.call_after_decisions(target_gate.after_decision)
     open_requests = OpenRequests()
     hooks = DispatchHooks(
         zone=settings.zone,
         holder=holder,
-        scheduler=scheduler,
+        target_gate=target_gate,
         systems=systems,
         claim_gate=gate,
         open_requests=open_requests,
@@ -111,6 +115,9 @@
         token_wait_s=settings.token_wait_s,
     )
     applier = Applier(settings.zone, holder, systems, scheduler, open_requests, driver)
+    config_watch = ConfigWatch(
+        platform, peers, systems.members, driver.decide, applier, _child(rng)
+    )
     parts = Parts(
         settings=settings,
         servers=servers,
@@ -121,8 +128,7 @@
         open_requests=open_requests,
         keeper=keeper,
         holder=holder,
-        applier=applier,
-        platform=platform,
+        config_watch=config_watch,
         metrics=metrics,
     )
     return Node(parts, request_stop)
@@ -131,7 +137,7 @@
 def _systems(settings, servers, rng, now, gate):
     vm, zone = settings.vm_id, settings.zone
     address = f"{settings.address}:{servers.peer.port}"
-    members = MemberSystem(vm, zone, address, _child(rng))
+    members = MemberSystem(vm, zone, address, _child(rng), settings.peers)
     roles = RoleSystem(vm, zone, members, _child(rng))
     return Systems(
         members=members,
