--- a/packages/hibiscusspar_standins/hibiscusspar_standins/tests/test_platform.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/tests/test_platform.py
@@ -50,12 +50,14 @@
 
     def test_the_list_of_vms_lags(self):
         self.platform.set_vm("vm1", "lodi", "127.0.0.1:1")
-        self.assertEqual(self.platform.vms(), [])
+        self.assertEqual(self.platform.vm_list(), ([], 0))
         self.clock.now = 1.5
         self.platform.set_vm("vm1", state="gone")
-        self.assertEqual([row["vm"] for row in self.platform.vms()], ["vm1"])
+        self.platform.put("k", "a", 1)
+        rows, version = self.platform.vm_list()
+        self.assertEqual(([row["vm"] for row in rows], version), (["vm1"], 1))
         self.clock.now = 3.0
-        self.assertEqual(self.platform.vms(), [])
+        self.assertEqual(self.platform.vm_list(), ([], 2))
 
 
 class TestOverHttp(TestCase):
