--- a/packages/hibiscusspar_standins/hibiscusspar_standins/platform.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/platform.py
@@ -71,6 +71,7 @@
         self.ledger = Ledger(clock)
         self._clock = clock
         self._changed = Condition()
+        self._stopped = False
         self._objects = {}
         self._version = 0
         self._events = deque()
@@ -80,6 +81,12 @@
         self._reads = Bucket(reads_per_s, clock())
         self._writes = Bucket(writes_per_s, clock())
 
+    def stop(self):
+        """Let the waiting watches end."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
+
     def get(self, kind, name):
         """Return a :class:`Stored`; raise :class:`RefusedError` if there is none."""
         with self._changed:
@@ -118,7 +125,8 @@
         """Wait for events after ``since``; return them and the version."""
         with self._changed:
             self._changed.wait_for(
-                lambda: self._since(kind, since), min(timeout_s, MAX_WATCH_S)
+                lambda: self._stopped or self._since(kind, since),
+                min(timeout_s, MAX_WATCH_S),
             )
             if since < self._compacted:
                 raise RefusedError(410, error="compacted")
