--- /dev/null
+++ b/measure/part_whole.py
@@ -0,0 +1,141 @@
+"""The four measures of the users with all parts working together."""
+
+from statistics import mean, quantiles
+from time import process_time
+from typing import NamedTuple
+
+from measure.fleet import ACCOUNTS, Fleet
+from measure.report import Table
+from measure.whole_load import User, ideal_admits, make_load, plain_baseline
+
+__all__ = ["run"]
+
+USERS = (
+    User("pryce-daughters", ("caerdydd", "abertawe", "wrecsam"), 1100.0, 0.0005),
+    User("valtrebbia", ("piacenza", "parma", "lodi"), 1100.0, 0.0015),
+)
+STALL_S = 0.05
+SEED = 11
+COLUMNS = (
+    "situation",
+    "scheme",
+    "requests",
+    "stalled, %",
+    "stall p99, s",
+    "loads a request",
+    "mean batch of 16",
+    "worst account, % of entitlement",
+    "its account",
+    "wrongful refusals, %",
+    "by limit, %",
+    "by queue, %",
+)
+
+
+class _Situation(NamedTuple):
+    """A situation: its name, the load's options and what happens to the fleet."""
+
+    name: str
+    load: dict
+    fault: str = ""
+
+
+def run(quick):
+    """Return one table a user, each with every situation and its baseline."""
+    seconds = 60.0 if quick else 150.0
+    return [_user_table(user, seconds) for user in USERS]
+
+
+def _situations(seconds):
+    crowd = (seconds / 3.0, seconds / 3.0 + 60.0, 1.0)
+    return (
+        _Situation("calm", {}),
+        _Situation("whole audience in a minute", {"load": 0.3, "crowd": crowd}),
+        _Situation("large-1 at 5 times", {"greedy": 5.0 / 0.55}),
+        _Situation("popularity shift", {"shift_at": seconds / 2.0}),
+        _Situation("engine restart", {}, "restart"),
+        _Situation("zone cut off", {}, "cut"),
+    )
+
+
+def _user_table(user, seconds):
+    started = process_time()
+    rows = []
+    for situation in _situations(seconds):
+        rows += _rows(user, situation, seconds)
+    note = (
+        f"{seconds:g} s of virtual time, the first fifth not counted, seed {SEED}. "
+        "Stalled: waited more than 50 ms for an adapter that was resident nowhere; "
+        "for the baseline, any wait. Entitlement: what one ideal bucket would admit. "
+        "Baseline: equal static split of limits, least load, queues in order of "
+        f"arrival, LRU; it knows all loads at once and sees no fault. CPU "
+        f"{process_time() - started:.0f} s."
+    )
+    return Table(user.name, COLUMNS, rows, note)
+
+
+def _rows(user, situation, seconds):
+    requests = make_load(user, seconds, SEED, **situation.load)
+    entitled = ideal_admits(user, requests)
+    fleet = Fleet(user.zones, user.rate, user.latency_s)
+    fleet.offer(requests)
+    _inject(fleet, user, situation.fault, seconds)
+    fleet.run(seconds + 60.0)
+    since = seconds / 5.0
+    ours = _cells(fleet.ended, entitled, since, fleet.loads, fleet.batches)
+    rows = [(situation.name, "hibiscusspar", *ours)]
+    if not situation.fault:
+        ended, baseline = plain_baseline(user, requests)
+        batches = [(at, total) for at, total, _ in baseline.batches]
+        cells = _cells(ended, entitled, since, baseline.loads, batches)
+        rows.append((situation.name, "baseline", *cells))
+    return rows
+
+
+def _inject(fleet, user, fault, seconds):
+    def cut():
+        fleet.cut = user.zones[0]
+
+    def heal():
+        fleet.cut = ""
+
+    if fault == "restart":
+        fleet.at(seconds / 2.0, lambda: fleet.restart_engine("t0"))
+    if fault == "cut":
+        fleet.at(seconds / 3.0, cut)
+        fleet.at(seconds * 2.0 / 3.0, heal)
+
+
+def _cells(ended, entitled, since, loads, batches):
+    counted = [e for e in ended if e.offered.at >= since]
+    answered = [e for e in counted if e.outcome == "answered"]
+    stalls = [e.stall_s for e in answered if e.stall_s > STALL_S]
+    cuts = quantiles(stalls, n=100) if len(stalls) > 1 else [0.0] * 99
+    account, worst = _worst(counted, entitled)
+    wrongful = [e for e in counted if e.offered in entitled and e.outcome != "answered"]
+    by_limit = sum(e.outcome == "limit" for e in wrongful)
+    sizes = [size for at, size in batches if at >= since]
+    return (
+        len(counted),
+        100.0 * len(stalls) / max(1, len(answered)),
+        cuts[98],
+        loads / max(1, len(ended)),
+        mean(sizes) if sizes else 0.0,
+        100.0 * worst,
+        account,
+        100.0 * len(wrongful) / len(counted),
+        100.0 * by_limit / len(counted),
+        100.0 * (len(wrongful) - by_limit) / len(counted),
+    )
+
+
+def _worst(counted, entitled):
+    """Return the account whose entitled requests were answered least, by tokens."""
+    shares = []
+    for account in ACCOUNTS:
+        mine = [e for e in counted if e.offered.account == account]
+        due = sum(e.offered.used for e in mine if e.offered in entitled)
+        got = sum(e.offered.used for e in mine if e.outcome == "answered")
+        shares.append((min(1.0, got / due), account))
+    share, account = min(shares)
+    return account, share
