Take permits before making room, judge labels by use on all nodes, walk a ring

Cause: slots stood empty while loads waited for a permit, an owner knew nothing of the use of a label elsewhere, and a decision scanned all replicas. Change: an owner takes the permit before it recalls and evicts; wishes carry how often the node used the label, from which a newly loaded label's use is estimated; counts halve in 60 s instead of 300 s; targets for loads come from a hash ring. A request for which no owner can be asked for 5 s is refused at once.

--- a/measure/placement_load.py
+++ b/measure/placement_load.py
@@ -6,6 +6,8 @@
 from itertools import accumulate, count
 from typing import NamedTuple
 
+from hibiscusspar.placement.demand import HALF_LIFE_S, DemandTable
+
 __all__ = [
     "LOAD_S",
     "Arrival",
@@ -14,6 +16,7 @@
     "Profile",
     "make_trace",
     "offline_bound",
+    "pooled_frequency",
 ]
 
 LOAD_S = 0.25
@@ -115,6 +118,34 @@
     return loads, outcomes
 
 
+def pooled_frequency(arrivals, slots):
+    """Return the loads and the waits of one pool that evicts by decayed frequency.
+
+    Like :func:`offline_bound` it has no limits, but it doesn't know the future.
+
+    Returns
+    -------
+    loads : int
+    outcomes : list of Outcome
+    """
+    demand = DemandTable(HALF_LIFE_S, len(arrivals))
+    ready, outcomes, loads = {}, [], 0
+    for arrival in arrivals:
+        at, label = arrival.at, arrival.adapter
+        demand.add(at, label, 1)
+        if label not in ready:
+            loads += 1
+            if len(ready) >= slots:
+                del ready[_least_used(ready, demand, at)]
+            ready[label] = at + LOAD_S
+        outcomes.append(Outcome(at, max(0.0, ready[label] - at)))
+    return loads, outcomes
+
+
+def _least_used(ready, demand, at):
+    return min(ready, key=lambda label: demand.value(at, label))
+
+
 def _last_wanted(ready, coming):
     def next_use(label):
         return coming[label][0] if coming[label] else float("inf")
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/asker.py
@@ -0,0 +1,98 @@
+"""Which owner a node asks for the requests that wait on it."""
+
+from itertools import islice
+
+from hibiscusspar.placement.ring import EMPTY_RING
+from hibiscusspar.placement.routing import (
+    LOAD_CHOICES,
+    pick_load_target,
+    pick_resident,
+)
+from hibiscusspar.ports import target_owner
+
+__all__ = ["Asker"]
+
+
+class Asker:
+    """Chooses targets to ask for grants and loads.
+
+    Parameters
+    ----------
+    members : Members
+    roles : Roles
+    residency : ResidencyTable
+    waits : WaitTable
+    """
+
+    def __init__(self, members, roles, residency, waits):
+        self._members = members
+        self._roles = roles
+        self._residency = residency
+        self._waits = waits
+        self._specs = {}
+        self._rings = {}
+
+    def configure(self, specs, rings):
+        """Take in the declared targets and the ring of each service."""
+        self._specs = specs
+        self._rings = rings
+
+    def owner_of(self, target):
+        """Return the VM that owns a target as far as is known; empty if none."""
+        role = target_owner(target)
+        row = self._residency.rows.get(target)
+        if row is None or self._roles.number(role) > row.number:
+            return self._roles.holder(role)
+        return row.owner
+
+    def ask(self, now, key, row, excluded):
+        """Ask one more target for a row, a holder of the label if it has units.
+
+        Parameters
+        ----------
+        now : float
+        key : (str, str)
+            Service and label.
+        row : Waiting
+        excluded : collection of str
+            Targets that aren't asked.
+        """
+        service, label = key
+        ring = self._rings.get(service, EMPTY_RING)
+        for name in [n for n, until in row.barred.items() if until <= now]:
+            del row.barred[name]
+        closed = {*excluded, *row.barred, *row.asked}
+        holders = self._residency.holders(label)
+        resident = [
+            name
+            for name in holders
+            if name in ring and name not in closed and self.usable(name)
+        ]
+        if resident and self._ask_holder(now, label, row, resident):
+            return
+        others = (
+            name
+            for name in ring.walk(label)
+            if name not in closed and name not in holders and self.usable(name)
+        )
+        names = list(islice(others, LOAD_CHOICES))
+        if names:
+            rows, pending = self._residency.rows, self._waits.pending
+            self._waits.ask(now, row, pick_load_target(names, rows, pending))
+
+    def _ask_holder(self, now, label, row, resident):
+        """Ask a target that has the label; return whether it has units to give."""
+        rows, zone = self._residency.rows, self._members.zone
+        pending = self._waits.pending
+        resident = pick_resident(resident, rows, self._specs, zone, pending)
+        unsaturated = [n for n in resident if label not in rows[n].saturated]
+        self._waits.ask(now, row, (unsaturated or resident)[0])
+        return bool(unsaturated)
+
+    def usable(self, name):
+        """Return whether the owner of a target can be asked now."""
+        row = self._residency.rows.get(name)
+        if row is None or not row.incarnation:
+            return False
+        owner = self.owner_of(name)
+        return bool(owner) and not self._members.suspected(owner)
--- a/packages/hibiscusspar/hibiscusspar/placement/asks.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/asks.py
@@ -12,20 +12,24 @@
     load failed to the time after which it may be asked again.
     """
 
-    __slots__ = ("asked", "barred", "order", "requests", "tokens")
+    __slots__ = ("asked", "barred", "requests", "tokens")
 
     def __init__(self):
         self.requests = {}
         self.tokens = 0
         self.asked = {}
         self.barred = {}
-        self.order = ()
 
     @property
     def count(self):
         """Number of requests, at least one if only tokens are known to wait."""
         return len(self.requests) or (1 if self.tokens else 0)
 
+    @property
+    def since(self):
+        """When the first of the requests began to wait; None if there is none."""
+        return min(self.requests.values(), default=None)
+
     def part(self, target):
         """Return the waiting requests for which a target is asked."""
         if target not in self.asked:
--- a/packages/hibiscusspar/hibiscusspar/placement/demand.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/demand.py
@@ -2,8 +2,9 @@
 
 from math import exp, log
 
-__all__ = ["DemandTable"]
+__all__ = ["HALF_LIFE_S", "DemandTable"]
 
+HALF_LIFE_S = 60.0
 FORGET_BELOW = 0.05
 
 
--- a/packages/hibiscusspar/hibiscusspar/placement/ledger.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/ledger.py
@@ -26,6 +26,7 @@
         "resend_s",
         "serial",
         "served_at",
+        "used",
         "want",
         "want_at",
     )
@@ -35,6 +36,7 @@
         self.bound = 0
         self.serial = 0
         self.want = 0
+        self.used = 0.0
         self.want_at = 0.0
         self.resend_at = 0.0
         self.resend_s = RESEND_S
@@ -86,9 +88,21 @@
             totals[label] = totals.get(label, 0) + share.want
         return totals
 
-    def ask(self, now, node, label, want):
-        """Note how many units a node wants of a label."""
+    def estimate(self, label):
+        """Return how often all nodes have used a label, judged by those that want it.
+
+        A request may come to any node, so that the nodes that want the label are a
+        sample of all.
+        """
+        samples = [self.shares[key].used for key in self._wanting if key[0] == label]
+        if not samples:
+            return 0.0
+        return len(self.nodes) * sum(samples) / len(samples)
+
+    def ask(self, now, node, label, want, used=0.0):
+        """Note how many units a node wants of a label, and how much it used it."""
         share = self._ensure(node, label)
+        share.used = used
         share.want_at = now
         if share.want != want:
             share.want = want
--- a/packages/hibiscusspar/hibiscusspar/placement/loads.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/loads.py
@@ -125,9 +125,7 @@
     if owned.ledger.pinned(victim):
         if owned.closing:
             return None
-        owned.close(now, victim)
         return Step("recall", victim, candidates, f"room for {label}")
-    owned.close(now, victim)
     return Step("evict", victim, candidates or (victim,), f"room for {label}")
 
 
--- a/packages/hibiscusspar/hibiscusspar/placement/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/messages.py
@@ -24,7 +24,10 @@
 
 
 class Want(NamedTuple):
-    """A node's wish for ``want`` units of concurrency, those in use included."""
+    """A node's wish for ``want`` units of concurrency, those in use included.
+
+    ``used`` is how often the node has lately run the label, on any target.
+    """
 
     target: str
     label: str
@@ -32,6 +35,7 @@
     life: int
     node_life: int
     want: int
+    used: float = 0.0
 
 
 class Grant(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/placement/owned.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/owned.py
@@ -1,14 +1,14 @@
 """One target as its owner sees it."""
 
-from hibiscusspar.placement.demand import DemandTable
+from hibiscusspar.placement.demand import HALF_LIFE_S, DemandTable
 from hibiscusspar.placement.ledger import Ledger
 from hibiscusspar.placement.loads import after_failure
 from hibiscusspar.placement.residency import Row
 
 __all__ = ["SETTLE_S", "STATE_LAG_S", "OwnedTarget"]
 
-HALF_LIFE_S = 300.0
 DEMAND_ROWS = 512
+PRESSURE_STEP = 0.25
 SETTLE_S = 2.0
 STATE_LAG_S = 2.0
 MINOR_PUBLISH_S = 1.0
@@ -84,7 +84,7 @@
     @property
     def wants_permit(self):
         """Whether a load waits, or a target has yet to learn the owner's number."""
-        if self.order is not None or not self.may_order:
+        if self.order is not None or self.store or not self.may_order:
             return False
         return bool(self.waiting_since) or self.must_raise_fence
 
@@ -143,10 +143,17 @@
         """Note that a label is resident."""
         self.doubtful.discard(label)
         self.resident[label] = now
+        self._learn(now, label)
         self._failures.pop(label, None)
         self.waiting_since.pop(label, None)
         self.ledger.touch()
 
+    def _learn(self, now, label):
+        """Take over the use of a label elsewhere, estimated from the nodes asking."""
+        missing = self.ledger.estimate(label) - self.demand.value(now, label)
+        if missing > 0:
+            self.demand.add(now, label, missing)
+
     def evicted(self, now, label):
         """Note that a label was evicted by an order of this owner."""
         self._evicted_at[label] = now
@@ -231,7 +238,7 @@
         if len(self.resident) < self.spec.slots:
             return 0.0
         least = min(self.demand.value(now, label) for label in self.resident)
-        return float(1 << int(1.0 + least).bit_length() - 1)
+        return round(least / PRESSURE_STEP) * PRESSURE_STEP
 
     def _pending(self):
         wants = self.ledger.wants()
--- a/packages/hibiscusspar/hibiscusspar/placement/owners.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/owners.py
@@ -29,6 +29,7 @@
 ORDER_RETRY_S = 5.0
 UNKNOWN_RETRY_S = 0.5
 PERMIT_HOLD_S = 30.0
+MAX_REST_S = 3600.0
 
 
 class OwnerTable:
@@ -99,10 +100,10 @@
         if owned is None:
             return
         if not _in_touch(owned, sender, message):
-            owned.early[sender, message.label] = message.want
+            owned.early[sender, message.label] = (message.want, message.used)
             self._inquire(now, owned, sender, out)
             return
-        owned.ledger.ask(now, sender, message.label, message.want)
+        owned.ledger.ask(now, sender, message.label, message.want, message.used)
         self._run(now, owned, out)
 
     def held(self, now, sender, message, out):
@@ -122,7 +123,7 @@
         if owned.ledger.bind(now, message, sender, hold_s):
             self._log_orphan(owned, sender, hold_s, out)
         for key in [key for key in owned.early if key[0] == sender]:
-            owned.ledger.ask(now, sender, key[1], owned.early.pop(key))
+            owned.ledger.ask(now, sender, key[1], *owned.early.pop(key))
         self._run(now, owned, out)
 
     def usage(self, now, message):
@@ -185,7 +186,8 @@
         elif ok:
             owned.evicted(now, _label(order))
             out.log(EVICT_DONE, target=order.target, adapter=_label(order))
-        self._return_permit(now, owned)
+        if order.action == "load" or not ok:
+            self._return_permit(now, owned, owned.order_at)
         self._run(now, owned, out)
 
     def _load_ended(self, now, owned, order, ok, reason, out):
@@ -208,9 +210,9 @@
             if name == label and node in owned.ledger.nodes:
                 self._post.send(out, node, Failed(order.target, label, delay))
 
-    def _return_permit(self, now, owned):
+    def _return_permit(self, now, owned, started):
         if owned.store:
-            self._permits.give_back(now, owned.store, owned.order_at)
+            self._permits.give_back(now, owned.store, started)
             owned.store = ""
 
     def _note_incarnation(self, now, owned, incarnation, out):
@@ -322,12 +324,23 @@
             now, owned, lambda: self._bound(owned)
         )
         if step is None:
-            return
+            self._return_permit(now, owned, now - MAX_REST_S)
+        elif owned.store or self._take_permit(owned):
+            self._act(now, owned, step, out)
+
+    def _take_permit(self, owned):
+        """Take a permit before making room, so that no slot is empty for long."""
+        owned.store = self._permits.take()
+        self._short = self._short or not owned.store
+        return bool(owned.store)
+
+    def _act(self, now, owned, step, out):
         if step.action == "load":
             self._load(now, owned, step, out)
         elif step.action == "evict":
             self._evict(now, owned, step, out)
         else:
+            owned.close(now, step.label)
             out.log(
                 RECALLED,
                 target=owned.spec.name,
@@ -336,10 +349,6 @@
             )
 
     def _load(self, now, owned, step, out):
-        owned.store = self._permits.take()
-        if not owned.store:
-            self._short = True
-            return
         self._order(now, owned, "load", step.label, out)
         out.log(
             LOAD_ORDERED,
@@ -350,6 +359,7 @@
         )
 
     def _evict(self, now, owned, step, out):
+        owned.close(now, step.label)
         self._order(now, owned, "evict", step.label, out)
         out.log(
             EVICT_ORDERED,
--- a/packages/hibiscusspar/hibiscusspar/placement/residency.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/residency.py
@@ -4,7 +4,7 @@
 
 from xxhash import xxh64_intdigest
 
-__all__ = ["ResidencyTable", "Row", "rendezvous"]
+__all__ = ["ResidencyTable", "Row"]
 
 
 class Row(NamedTuple):
@@ -104,15 +104,6 @@
                 del self._holders[label]
 
 
-def rendezvous(label, names):
-    """Order names by their hash with a label, highest first."""
-
-    def weight(name):
-        return xxh64_intdigest(f"{label}|{name}".encode())
-
-    return sorted(names, key=weight, reverse=True)
-
-
 def _version_hash(row):
     text = f"{row.target}|{row.number}|{row.life}|{row.sequence}"
     return xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/placement/ring.py
@@ -0,0 +1,54 @@
+"""Targets of a service in the order in which they are considered for a label."""
+
+from bisect import bisect
+
+from xxhash import xxh64_intdigest
+
+__all__ = ["EMPTY_RING", "Ring"]
+
+POINTS = 32
+
+
+class Ring:
+    """A consistent hash ring of names; walking it from a label costs no scan.
+
+    Parameters
+    ----------
+    names : iterable of str
+    """
+
+    def __init__(self, names):
+        self.names = tuple(names)
+        self._known = frozenset(self.names)
+        points = sorted(
+            (_hash(f"{name}#{index}"), name)
+            for name in self.names
+            for index in range(POINTS)
+        )
+        self._hashes = [point for point, _ in points]
+        self._owners = [name for _, name in points]
+
+    def __contains__(self, name):
+        return name in self._known
+
+    def __len__(self):
+        return len(self.names)
+
+    def walk(self, label):
+        """Yield every name once, nearest to the label first."""
+        start = bisect(self._hashes, _hash(label))
+        seen = set()
+        for step in range(len(self._owners)):
+            name = self._owners[(start + step) % len(self._owners)]
+            if name not in seen:
+                seen.add(name)
+                yield name
+                if len(seen) == len(self.names):
+                    return
+
+
+def _hash(text):
+    return xxh64_intdigest(text.encode())
+
+
+EMPTY_RING = Ring(())
--- a/packages/hibiscusspar/hibiscusspar/placement/router.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/router.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from hibiscusspar.placement.asker import Asker
 from hibiscusspar.placement.asks import WaitTable
 from hibiscusspar.placement.events import (
     ROUTE_DISPATCHED,
@@ -9,24 +10,22 @@
     ROUTE_WAITED,
 )
 from hibiscusspar.placement.prefixes import PrefixTable
-from hibiscusspar.placement.residency import rendezvous
+from hibiscusspar.placement.ring import EMPTY_RING, Ring
 from hibiscusspar.placement.routing import (
     Dispatch,
     Refuse,
     Wait,
     pick_held,
-    pick_load_target,
     pick_plain,
-    pick_resident,
 )
 from hibiscusspar.placement.wishes import Wishes
-from hibiscusspar.ports import target_owner
 
 __all__ = ["Router"]
 
 ASK_TIMEOUT_S = 2.0
 WANT_REPEAT_S = 1.0
 RETRY_AFTER_S = 1.0
+GIVE_UP_S = 5.0
 LOGGED_CANDIDATES = 8
 
 
@@ -51,7 +50,6 @@
 
     def __init__(self, members, roles, rng, holder, residency, permits, post):
         self._members = members
-        self._roles = roles
         self._rng = rng
         self._holder = holder
         self._residency = residency
@@ -59,25 +57,34 @@
         self._post = post
         self._services = {}
         self._specs = {}
-        self._by_service = {}
+        self._rings = {}
         self._running = {}
         self._in_flight = {}
         self._repeat_at = 0.0
         self._ready = {}
         self._counts = {}
         self.waits = WaitTable()
-        self.wishes = Wishes(holder, self.waits, permits, post, self.owner_of)
+        self._asker = Asker(members, roles, residency, self.waits)
+        self.wishes = Wishes(holder, self.waits, permits, post, self._asker.owner_of)
         self.prefixes = PrefixTable()
 
     def configure(self, configuration):
         """Take in the declared services and targets."""
         self._services = configuration.services
         self._specs = configuration.targets
-        self._by_service = {}
+        by_service = {name: [] for name in configuration.services}
         for name in sorted(configuration.targets):
             spec = configuration.targets[name]
             if not spec.draining:
-                self._by_service.setdefault(spec.service, []).append(name)
+                by_service.setdefault(spec.service, []).append(name)
+        self._rings = {
+            service: self._ring(service, names) for service, names in by_service.items()
+        }
+        self._asker.configure(self._specs, self._rings)
+
+    def owner_of(self, target):
+        """Return the VM that owns a target as far as is known; empty if none."""
+        return self._asker.owner_of(target)
 
     def take_ready(self):
         """Return and clear the (service, label) whose waiting requests may go."""
@@ -90,42 +97,29 @@
         counts, self._counts = self._counts, {}
         return counts
 
-    def owner_of(self, target):
-        """Return the VM that owns a target as far as is known; empty if none."""
-        role = target_owner(target)
-        row = self._residency.rows.get(target)
-        if row is None or self._roles.number(role) > row.number:
-            return self._roles.holder(role)
-        return row.owner
-
     def attempt(self, now, request, out):
         """Return a :class:`Dispatch` or :class:`Refuse`, or None if it has to wait."""
         spec = self._services.get(request.service)
-        names = [
-            name
-            for name in self._by_service.get(request.service, ())
-            if name not in request.excluded
-        ]
-        if spec is None or not names:
+        ring = self._rings.get(request.service, EMPTY_RING)
+        if spec is None or not _allows(ring, request.excluded):
             return self._refuse(request, (), "no target", out)
         if spec.kind == "plain":
-            return self._plain(now, request, names, out)
-        return self._held(now, request, names, out)
+            return self._plain(now, request, ring, out)
+        return self._held(now, request, ring, out)
 
     def room(self, request):
         """Return whether :meth:`attempt` would decide now; it changes nothing."""
         spec = self._services.get(request.service)
-        allowed = set(self._by_service.get(request.service, ()))
-        allowed.difference_update(request.excluded)
-        if spec is None or not allowed:
+        ring = self._rings.get(request.service, EMPTY_RING)
+        if spec is None or not _allows(ring, request.excluded):
             return True
-        if spec.kind == "plain":
-            return any(
-                self._in_flight.get(name, 0) < self._specs[name].concurrency
-                for name in allowed
-            )
-        holds = self._holder.of_label(label_of(request))
-        return any(hold.free for name, hold in holds.items() if name in allowed)
+        if spec.kind == "engine":
+            return bool(self._free_holds(request, ring))
+        return any(
+            self._in_flight.get(name, 0) < self._specs[name].concurrency
+            for name in ring.names
+            if name not in request.excluded
+        )
 
     def wait(self, now, request, out):
         """Keep a request waiting and ask for what it needs."""
@@ -133,12 +127,13 @@
         if not request.adapter:
             return Wait("full")
         row = self.waits.add(now, key, request.request_id)
+        if row.asked.keys() <= set(request.excluded):
+            self._asker.ask(now, key, row, request.excluded)
         if not row.asked:
-            self._ask(now, key, row, request.excluded)
-        if not row.asked and row.barred:
-            self._forget_waiting(request.request_id)
-            after = max(RETRY_AFTER_S, min(row.barred.values()) - now)
-            return self._refuse(request, tuple(row.barred), "load failed", out, after)
+            refusal = self._hopeless(now, request, row, out)
+            if refusal is not None:
+                self._forget_waiting(request.request_id)
+                return refusal
         self.wishes.rose(key[1], row.asked)
         self.wishes.flush(out)
         return None
@@ -168,7 +163,7 @@
             row = self.waits.ensure((service, label))
             row.tokens = tokens
             if tokens and not row.asked:
-                self._ask(now, (service, label), row, ())
+                self._asker.ask(now, (service, label), row, ())
             self.wishes.rose(label, row.asked)
             self._settle((service, label))
 
@@ -242,7 +237,7 @@
                 waiting = self.waits.rows[key]
                 if any(name in holders(label) for name in waiting.asked):
                     continue
-                if row.target not in self._by_service.get(key[0], ()):
+                if row.target not in self._rings.get(key[0], EMPTY_RING):
                     continue
                 for name in list(waiting.asked):
                     self.waits.unask(waiting, name)
@@ -250,7 +245,21 @@
                 self.waits.ask(now, waiting, row.target)
                 self.wishes.urgent.add((row.target, label))
 
-    def _plain(self, now, request, names, out):
+    def _ring(self, service, names):
+        known = self._rings.get(service)
+        return known if known and known.names == tuple(names) else Ring(names)
+
+    def _hopeless(self, now, request, row, out):
+        """Refuse a request for which no target can be asked, or return None."""
+        if row.barred:
+            after = max(RETRY_AFTER_S, min(row.barred.values()) - now)
+            return self._refuse(request, tuple(row.barred), "load failed", out, after)
+        if now - row.since >= GIVE_UP_S:
+            return self._refuse(request, (), "no owner known", out)
+        return None
+
+    def _plain(self, now, request, ring, out):
+        names = [name for name in ring.names if name not in request.excluded]
         zone = request.zone or self._members.zone
         best, reason = pick_plain(names, self._specs, zone, self._in_flight, self._rng)
         if not best:
@@ -259,20 +268,23 @@
         self._running[request.request_id] = _Running(best, "")
         return self._dispatch(request, best, "", names, reason, out)
 
-    def _held(self, now, request, names, out):
-        label = label_of(request)
-        allowed = set(names)
-        holds = {
+    def _free_holds(self, request, ring):
+        return {
             name: hold
-            for name, hold in self._holder.of_label(label).items()
-            if hold.free and name in allowed
+            for name, hold in self._holder.of_label(label_of(request)).items()
+            if hold.free and name in ring and name not in request.excluded
         }
+
+    def _held(self, now, request, ring, out):
+        label = label_of(request)
+        holds = self._free_holds(request, ring)
         if not holds:
             return None
         prefix_target = self.prefixes.target(request.prefix_digest)
         zone = request.zone or self._members.zone
         best, reason = pick_held(holds, self._specs, zone, prefix_target)
         self._holder.take(best, label)
+        self.wishes.dispatched(now, label)
         self._running[request.request_id] = _Running(best, label)
         self._forget_waiting(request.request_id)
         self.wishes.lazy.add((best, label))
@@ -303,61 +315,26 @@
         )
         return Refuse(reason, after)
 
-    def _ask(self, now, key, row, excluded):
-        service, label = key
-        usable = [
-            name
-            for name in self._by_service.get(service, ())
-            if name not in excluded and self._usable(name)
-        ]
-        for name in [n for n, until in row.barred.items() if until <= now]:
-            del row.barred[name]
-        usable = [n for n in usable if n not in row.barred and n not in row.asked]
-        if not usable:
-            return
-        holders = self._residency.holders(label)
-        rows = self._residency.rows
-        resident = [name for name in usable if name in holders]
-        pending = self.waits.pending
-        if resident:
-            zone = self._members.zone
-            resident = pick_resident(resident, rows, self._specs, zone, pending)
-            open_ones = [n for n in resident if label not in rows[n].saturated]
-            chosen = (open_ones or resident)[0]
-            self.waits.ask(now, row, chosen)
-            if open_ones:
-                return
-            usable = [name for name in usable if name not in holders]
-        if usable:
-            if not row.order:
-                row.order = tuple(rendezvous(label, self._by_service[service]))
-            chosen = pick_load_target(label, usable, rows, pending, row.order)
-            self.waits.ask(now, row, chosen)
-
-    def _usable(self, name):
-        row = self._residency.rows.get(name)
-        if row is None or not row.incarnation:
-            return False
-        owner = self.owner_of(name)
-        return bool(owner) and not self._members.suspected(owner)
-
     def _review(self, now):
         for key, row in list(self.waits.rows.items()):
             label = key[1]
             for target, since in list(row.asked.items()):
-                if now - since >= ASK_TIMEOUT_S and not self._usable(target):
+                if now - since >= ASK_TIMEOUT_S and not self._asker.usable(target):
                     self.waits.unask(row, target)
                     self.wishes.lazy.add((target, label))
             if not row.asked or self._short(key, row):
-                self._ask(now, key, row, ())
+                self._asker.ask(now, key, row, ())
             for target in row.asked:
                 self.wishes.repeat(target, label)
-            if row.barred and not row.asked:
+            if row.requests and not row.asked and self._stuck(now, row):
                 self._ready[key] = None
         for store, want in self._permits.wanted.items():
             if want:
                 self.wishes.repeat(store, "")
 
+    def _stuck(self, now, row):
+        return row.barred or now - row.since >= GIVE_UP_S
+
     def _short(self, key, row):
         rows = self._residency.rows
         return all(
@@ -395,3 +372,9 @@
     if not request.adapter:
         return ""
     return f"{request.adapter}@{request.version}"
+
+
+def _allows(ring, excluded):
+    if len(ring) > len(excluded):
+        return True
+    return any(name not in excluded for name in ring.names)
--- a/packages/hibiscusspar/hibiscusspar/placement/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/routing.py
@@ -3,9 +3,8 @@
 from math import log2
 from typing import NamedTuple
 
-from hibiscusspar.placement.residency import rendezvous
-
 __all__ = [
+    "LOAD_CHOICES",
     "Dispatch",
     "Refuse",
     "RouteRequest",
@@ -104,37 +103,31 @@
     return sorted(names, key=cost)
 
 
-def pick_load_target(label, names, rows, pending, order=()):
+def pick_load_target(names, rows, pending):
     """Choose the target to ask for a load.
 
-    The first few by rendezvous hash are weighed, so that all nodes ask the same
-    target unless it is much busier than the next.
+    The names come in the order of the label's walk of the ring, so that all nodes
+    ask the same target unless it is much busier than the next.
 
     Parameters
     ----------
-    label : str
-    names : list of str
-        Targets whose owner can be asked.
+    names : sequence of str
+        The first :data:`LOAD_CHOICES` targets whose owner can be asked.
     rows : dict of str to Row
     pending : dict of str to int
         Labels that this node has already asked each target to load.
-    order : tuple of str
-        Rendezvous order, if it is known already.
 
     Returns
     -------
     str
     """
-    allowed = set(names)
-    order = [n for n in order if n in allowed] or rendezvous(label, names)
 
     def cost(index):
-        row = rows[order[index]]
+        row = rows[names[index]]
         queue = max(row.pending, pending.get(row.target, 0))
         return queue * PENDING_COST + log2(1 + row.pressure) + index * RANK_COST
 
-    best = min(range(min(LOAD_CHOICES, len(order))), key=cost)
-    return order[best]
+    return names[min(range(len(names)), key=cost)]
 
 
 def pick_plain(names, specs, zone, in_flight, rng):
--- a/packages/hibiscusspar/hibiscusspar/placement/tests/test_system.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/tests/test_system.py
@@ -82,6 +82,13 @@
         self.assertEqual(decision.reason, "load failed")
         self.assertGreaterEqual(decision.retry_after_s, 1.0)
 
+    def test_gives_up_at_once_when_no_owner_is_known(self):
+        self.cluster.nodes["caerdydd-0"].members.suspects = {"caerdydd-0"}
+        self.cluster.submit("caerdydd-0", "drafting", "oak", "1")
+        self.cluster.run(7.0)
+        (_, decision), *_ = self.cluster.refused
+        self.assertEqual(decision.reason, "no owner known")
+
     def test_draining_target_gets_no_new_work(self):
         self.cluster.submit("caerdydd-0", "drafting", "oak", "1", 0.1)
         self.cluster.run(2.0)
--- a/packages/hibiscusspar/hibiscusspar/placement/wishes.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/wishes.py
@@ -1,10 +1,12 @@
 """What this node wishes of the owners of targets, and when it tells them."""
 
+from hibiscusspar.placement.demand import HALF_LIFE_S, DemandTable
 from hibiscusspar.placement.messages import Want
 
 __all__ = ["Wishes"]
 
 REPORT_S = 1.0
+DEMAND_ROWS = 4096
 
 
 class Wishes:
@@ -28,10 +30,17 @@
         self._owner_of = owner_of
         self._told = {}
         self._report_at = 0.0
+        self._now = 0.0
+        self.demand = DemandTable(HALF_LIFE_S, DEMAND_ROWS)
         self.urgent = set()
         self.soon = set()
         self.lazy = set()
 
+    def dispatched(self, now, label):
+        """Count a request of a label that this node sent to a target."""
+        self._now = now
+        self.demand.add(now, label, 1)
+
     def units(self, target, label):
         """Return the units of a target that this node can use, those in use too."""
         if not label:
@@ -59,6 +68,7 @@
 
     def tick(self, now, out):
         """Tell what has changed since the last tick."""
+        self._now = now
         if now >= self._report_at:
             self._report_at = now + REPORT_S
             self.soon |= self.lazy
@@ -79,7 +89,8 @@
         """Return the :class:`Want` for a label of a target."""
         term = self._holder.term(target)
         units = self.units(target, label)
-        return Want(target, label, *term, self._holder.node_life, units)
+        used = self.demand.value(self._now, label)
+        return Want(target, label, *term, self._holder.node_life, units, used)
 
     def _tell(self, target, label, units, out):
         owner = self._owner_of(target)
