--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -19,6 +19,7 @@
 ROLE_DELAY_S = 1.0
 WAIT_S = 1.0
 RETRY_S = 0.05
+MORE_TOKENS = 20.0
 TOLERANCE = 1e-6
 
 
@@ -141,6 +142,7 @@
         self.roles = {}
         self.objects = {}
         self.cuts = set()
+        self.isolated = set()
         self.platform_up = True
         self.chance = {"lose": 0.0, "double": 0.0, "late": 0.0}
         self.late_s = 20.0
@@ -233,7 +235,7 @@
         """Let the holder of a role, which stops at once, pass it on."""
         holder, number = self.roles[role]
         if holder in self.vms and not self.vms[holder].paused and self.platform_up:
-            self.vms[holder].roles[role] = (chosen, number + 1)
+            self.vms[holder].roles[role] = ("", number + 1)
             self._set_role(role, chosen, number + 1)
 
     def _set_role(self, role, holder, number):
@@ -245,7 +247,7 @@
             self.schedule(delay_s, self._run, *args)
 
     def _learn_role(self, vm, role, holder, number):
-        if vm.roles.get(role, ("", 0))[1] < number:
+        if vm.roles.get(role, ("", 0))[1] < number or not vm.roles[role][0]:
             vm.roles[role] = (holder, number)
 
     def request(self, vm_name, account, tokens, used=None, lasts_s=0.0, retry=False):
@@ -280,6 +282,25 @@
         args = (vm_name, account, tokens, lasts_s, until)
         self.schedule(RETRY_S, self.submit, *args)
 
+    def drain(self, duration_s, names=None, step_s=0.1):
+        """Spend whatever the VMs hold, and ask for more, for some seconds."""
+        end = self.now + duration_s
+        while self.now < end:
+            for name in names or sorted(self.vms):
+                self._spend(name)
+            self.run(min(step_s, end - self.now))
+
+    def _spend(self, name):
+        vm = self.vms.get(name)
+        if vm is None or vm.paused:
+            return
+        status = vm.system.status(vm.clock(self.now))
+        for account in status:
+            level = vm.system.status(vm.clock(self.now))[account]["level"]
+            if level > 0.0:
+                self.request(name, account, level, level)
+            self.request(name, account, MORE_TOKENS, MORE_TOKENS)
+
     def settle_later(self, vm, key, reservation, used, lasts_s):
         """Settle a reservation of a VM after some seconds."""
         args = (vm, key, reservation.account, reservation.reservation_id, used)
@@ -356,6 +377,8 @@
         vm = self.vms.get(peer)
         if vm is None:
             return
+        if sender != peer and self.isolated & {sender, peer}:
+            return
         if zone != vm.zone and (zone in self.cuts or vm.zone in self.cuts):
             return
         self._run(vm, vm.life, self._receive, vm, sender, message)
--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -15,7 +15,9 @@
 from hypothesis import Phase, settings
 
 TIMEOUT_S = 240
-TESTS = tuple(f"hibiscusspar.limits.tests.test_{name}" for name in ("system", "model"))
+TESTS = tuple(
+    f"hibiscusspar.limits.tests.test_{name}" for name in ("system", "faults", "model")
+)
 
 
 class Mutation(NamedTuple):
@@ -106,17 +108,17 @@
     Mutation(
         "lower part recorded before it fits",
         "escrow",
-        "return wanted if fits(lower) else (",
-        "return wanted if True else (",
+        "wanted if fits(lower) else (",
+        "wanted if True else (",
     ),
     Mutation(
         "part used as found, without writing first",
         "escrow",
-        "            self._record = _read(result)\n            self._first",
+        "            self._record = _read(result)\n            if self.pre",
         "            self._record = _read(result)\n"
         "            self._own = self._record.parts.get(self._zone, (0.0, 0.0))\n"
         "            self._claimed = self._zone in self._record.parts\n"
-        "            self._first",
+        "            if self.pre",
     ),
     Mutation(
         "higher part used before it is recorded",
@@ -145,6 +147,12 @@
     Mutation(
         "surplus returned but not debited", "bucket", "self.level -= taken", "pass"
     ),
+    Mutation(
+        "handover taken without the record",
+        "system",
+        "not home.recovering(now) or handover.epoch != office.escrow.predecessor",
+        "not home.recovering(now)",
+    ),
     Mutation("everything refused", "bucket", "self.level < tokens", "True"),
     Mutation(
         "recovery never ends",
