Send what a request or a load waits for without waiting for the tick

Cause: the measurement delivered messages at once, the driver only with its next tick; modelled like the driver, most requests waited for a grant. Change: an outbox marks urgent messages; the driver starts their exchange at once, at most every 20 ms for a peer, and takes along what else is due.

--- a/measure/part_placement.py
+++ b/measure/part_placement.py
@@ -58,6 +58,7 @@
         self.share = len(self.stalls) / len(waits)
         self.requests = len(outcomes)
         self.loads = loads
+        self.exchanges = ""
         self.batches = [b for b in batches if b[0] >= WARM_UP_S]
 
     def cells(self):
@@ -73,6 +74,7 @@
             self.loads / self.requests,
             mean(sizes) if sizes else "",
             mean(labels) if labels else "",
+            self.exchanges,
         )
 
 
@@ -99,8 +101,9 @@
     bound_loads, bound_outcomes = offline_bound(arrivals, 6 * SLOTS)
     bound = _Row("offline bound", bound_outcomes, bound_loads, [])
     ours = _ours(profile, arrivals, delay_s)
-    rows = [ours, *_baselines(arrivals), _pooled(arrivals), bound]
-    least = rows[2]
+    ticked = _ours(profile, arrivals, delay_s, False)
+    rows = [ours, ticked, *_baselines(arrivals), _pooled(arrivals), bound]
+    least = rows[3]
     note = (
         f"{len(arrivals)} requests over {seconds:.0f} s. Stalls of hibiscusspar are "
         f"{ours.share / least.share:.2f} of least loaded with LRU and "
@@ -114,6 +117,7 @@
         "loads a request",
         "mean batch of 16",
         "requests an adapter in use",
+        "exchanges a node and s",
     )
     return Table(f"Load of {profile.name}", columns, [r.cells() for r in rows], note)
 
@@ -138,7 +142,7 @@
     return _Row("pooled, by frequency", outcomes, loads, [])
 
 
-def _ours(profile, arrivals, delay_s):
+def _ours(profile, arrivals, delay_s, urgent=True):
     zones = PRYCE_ZONES if profile.name == "pryce" else ASAV_ZONES
     targets = [
         TargetSpec(f"{zone}-{index}", "drafting", "", zone, True, SLOTS, CONCURRENCY)
@@ -149,6 +153,8 @@
     sizes = dict.fromkeys(zones, 3)
     cluster = Cluster(sizes, targets, names, Random("cluster"), delay_s, LOAD_S)
     cluster.load_interval_s = LOAD_INTERVAL_S
+    cluster.batched = True
+    cluster.urgent_sends = urgent
     cluster.run(SETTLE_S)
     start = cluster.now
     batches = []
@@ -172,7 +178,10 @@
     lost = len(cluster.requests) - len(outcomes)
     if lost:
         raise RuntimeError(f"{lost} requests were never served")
-    return _Row("hibiscusspar", outcomes, cluster.loads, batches)
+    name = "hibiscusspar" if urgent else "same, messages wait for ticks"
+    row = _Row(name, outcomes, cluster.loads, batches)
+    row.exchanges = cluster.exchanges / len(cluster.nodes) / arrivals[-1].at
+    return row
 
 
 def _sample(cluster, at):
--- a/packages/hibiscusspar/hibiscusspar/outbox.py
+++ b/packages/hibiscusspar/hibiscusspar/outbox.py
@@ -74,10 +74,16 @@
         self.records = []
         self.calls = []
         self.orders = []
+        self.urgent = set()
 
-    def send(self, peer, message):
-        """Queue a message for a peer VM; messages to one peer travel together."""
+    def send(self, peer, message, urgent=False):
+        """Queue a message for a peer VM; messages to one peer travel together.
+
+        An urgent one doesn't wait for the next tick, and takes the others along.
+        """
         self.sends.append(Send(peer, message))
+        if urgent:
+            self.urgent.add(peer)
 
     def log(self, kind, **fields):
         """Queue a log event; field names must be those of its kind."""
--- a/packages/hibiscusspar/hibiscusspar/placement/post.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/post.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 
-__all__ = ["Post"]
+from hibiscusspar.placement.messages import Grant, Held, Holdings, Inquiry, Want
+
+__all__ = ["Post", "is_urgent"]
 
 
 class Post:
@@ -23,9 +25,21 @@
         if peer == self._vm:
             self._local.append(message)
         else:
-            out.send(peer, message)
+            out.send(peer, message, is_urgent(message))
 
     def drain(self):
         """Yield the messages for this node, with those added meanwhile."""
         while self._local:
             yield self._local.popleft()
+
+
+def is_urgent(message):
+    """Return whether a request or a load waits for what the message says."""
+    match message:
+        case Want():
+            return message.want > 0
+        case Held():
+            return not message.bound
+        case Grant() | Holdings() | Inquiry():
+            return True
+    return False
--- a/packages/hibiscusspar/hibiscusspar/placement/tests/cluster.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/tests/cluster.py
@@ -128,6 +128,7 @@
         self.members = FakeMembers(vm, zone, cluster.members)
         self.paused_until = 0.0
         self.inbox = []
+        self.due = {}
         self.lives = 0
         self.start(cluster)
 
@@ -204,6 +205,9 @@
         self.load_times = []
         self.records = []
         self.keep_records = False
+        self.batched = False
+        self.urgent_sends = True
+        self.exchanges = 0
         self.violations = []
         self.messages = 0
         self._serial = count(1)
@@ -293,14 +297,21 @@
             action(*args)
         self.now = end
 
-    def act(self, node, step):
-        """Run one step of a node and carry out what it decided."""
+    def act(self, node, step, sender=""):
+        """Run one step of a node and carry out what it decided.
+
+        If messages are batched, those for the sender of the one taken in go back at
+        once, as the answer of its exchange.
+        """
         out = Outbox()
         step(out)
         if self.keep_records:
             self.records += out.records
-        for send in out.sends:
-            self._send(node.vm, send)
+        if self.batched:
+            self._batch(node, out, sender)
+        else:
+            for send in out.sends:
+                self._send(node.vm, send)
         for order in out.orders:
             late = 1.5 * self.rng.random() if self.rng.random() < self.loss else 0.0
             self._schedule(self._delay() + late, self._send_order, node, order)
@@ -335,6 +346,7 @@
             for action, args in waiting:
                 action(*args)
             self.act(node, lambda out: node.system.tick(self.now, out))
+            self._flush(node, list(node.due))
         self._schedule(TICK_S, self._tick, node)
 
     def _send(self, sender, send):
@@ -348,6 +360,20 @@
         if self.rng.random() < self.loss / 2:
             self._schedule(3.0, self._deliver, sender, send.peer, send.message)
 
+    def _batch(self, node, out, sender):
+        """Queue messages until the next tick unless they are urgent or an answer."""
+        for send in out.sends:
+            node.due.setdefault(send.peer, []).append(send)
+        now = [sender, *sorted(out.urgent)] if self.urgent_sends else [sender]
+        self._flush(node, now)
+
+    def _flush(self, node, peers):
+        for peer in peers:
+            sends = node.due.pop(peer, [])
+            self.exchanges += bool(sends)
+            for send in sends:
+                self._send(node.vm, send)
+
     def _cut(self, one, other):
         zones = [self.nodes[vm].zone for vm in (one, other) if vm in self.nodes]
         return len(zones) == 2 and frozenset(zones) in self.cut
@@ -360,7 +386,7 @@
         def take(out):
             node.system.receive(self.now, sender, message, out)
 
-        self._awake(node, self.act, node, take)
+        self._awake(node, self.act, node, take, sender)
 
     def _route(self, record):
         if record.state not in ("new", "waiting"):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -14,6 +14,7 @@
 
 EXCHANGE_THREADS = 4
 MAX_QUEUED_MESSAGES = 10_000
+URGENT_EXCHANGE_S = 0.02
 
 
 class Driver:
@@ -66,7 +67,8 @@
         self._lock = threading.RLock()
         self._due = defaultdict(list)
         self._busy_peers = set()
-        self._next_exchange = {}
+        self._last_exchange = {}
+        self._stopped = False
         self._exchangers = ThreadPoolExecutor(EXCHANGE_THREADS, "exchange")
         self._callers = ThreadPoolExecutor(2, "platform")
         self._orderers = ThreadPoolExecutor(4, "order")
@@ -115,7 +117,8 @@
 
     def stop(self):
         """Send what is still due and end the worker threads."""
-        self._start_exchanges(ignore_interval=True)
+        self._start_exchanges(tuple(self._due), 0.0)
+        self._stopped = True
         self._exchangers.shutdown(wait=True)
         self._callers.shutdown(wait=True)
         self._orderers.shutdown(wait=True, cancel_futures=True)
@@ -132,6 +135,8 @@
             self._callers.submit(self._finish_call, call)
         for order in out.orders:
             self._orderers.submit(self._run_order, order, self.decide)
+        if out.urgent and not self._stopped:
+            self._start_exchanges(out.urgent, URGENT_EXCHANGE_S)
 
     def _finish_call(self, call):
         result = self._run_call(call)
@@ -150,18 +155,21 @@
         with self._lock:
             return self._due.pop(peer, [])
 
-    def _start_exchanges(self, ignore_interval=False):
+    def _start_exchanges(self, peers=None, interval_s=None):
+        """Start the exchanges with the peers given, or with all, that are due."""
+        interval_s = self._exchange_s if interval_s is None else interval_s
         now = self._clock()
         with self._lock:
             ready = [
                 peer
-                for peer in self._due
-                if peer not in self._busy_peers
-                and (ignore_interval or now >= self._next_exchange.get(peer, 0.0))
+                for peer in (self._due if peers is None else peers)
+                if peer in self._due
+                and peer not in self._busy_peers
+                and now >= self._last_exchange.get(peer, -interval_s) + interval_s
             ]
             self._busy_peers.update(ready)
         for peer in ready:
-            self._next_exchange[peer] = now + self._exchange_s
+            self._last_exchange[peer] = now
             self._exchangers.submit(self._exchange, peer)
 
     def _exchange(self, peer):
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_driver.py
@@ -0,0 +1,84 @@
+"""Tests of the driver's exchanges, without sockets."""
+
+import threading
+import unittest
+from time import sleep
+
+from hibiscusspar.placement.messages import MESSAGES, Failed, Want
+from hibiscusspar_entry.driver import Driver
+from hibiscusspar_entry.metrics import Metrics
+from hibiscusspar_wire.codec import MessageCodec
+
+WAIT_S = 10.0
+MAX_TICKS = 500
+
+
+class IdleSystem:
+    """Does nothing."""
+
+    name = "placement"
+
+    def tick(self, now, out):
+        pass
+
+
+class FakePeers:
+    """Notes what is sent and answers with an empty exchange."""
+
+    def __init__(self, codec):
+        self._codec = codec
+        self.sent = []
+        self.arrived = threading.Event()
+
+    def exchange(self, address, data):
+        self.sent.append((address, self._codec.decode(data).messages))
+        self.arrived.set()
+        return self._codec.encode("peer", [])
+
+
+class TestUrgentMessages(unittest.TestCase):
+    def setUp(self):
+        codec = MessageCodec({"placement": MESSAGES})
+        self.peers = FakePeers(codec)
+        self.now = 100.0
+        self.driver = Driver(
+            vm="me",
+            systems=[IdleSystem()],
+            codec=codec,
+            peers=self.peers,
+            address_of=lambda vm: f"address of {vm}",
+            run_call=None,
+            run_order=None,
+            clock=lambda: self.now,
+            metrics=Metrics(),
+            exchange_s=0.1,
+        )
+        self.addCleanup(self.driver.stop)
+
+    def send(self, message, urgent):
+        with self.driver.decide() as (_, out):
+            out.send("peer", message, urgent)
+
+    def test_urgent_message_goes_without_a_tick_and_takes_the_others(self):
+        plain = Failed("t", "oak@1", 1.0)
+        urgent = Want("t", "oak@1", 1, 1, 1, 1)
+        self.send(plain, False)
+        self.assertEqual(self.peers.sent, [])
+        self.send(urgent, True)
+        self.assertTrue(self.peers.arrived.wait(WAIT_S))
+        self.assertEqual(len(self.peers.sent), 1)
+        self.assertEqual(list(self.peers.sent[0][1]), [plain, urgent])
+
+    def test_urgent_messages_after_each_other_share_an_exchange(self):
+        self.send(Want("t", "oak@1", 1, 1, 1, 1), True)
+        self.assertTrue(self.peers.arrived.wait(WAIT_S))
+        for want in (2, 3):
+            self.send(Want("t", "oak@1", 1, 1, 1, want), True)
+        self.assertEqual(len(self.peers.sent), 1)
+        self.now += 1.0
+        for _ in range(MAX_TICKS):
+            self.driver.tick()
+            if len(self.peers.sent) == 2:
+                break
+            sleep(0.01)
+        self.assertEqual([m.want for m in self.peers.sent[-1][1]], [2, 3])
