Push a revision to another zone as well as to peers of the own zone

Cause: with 1 VM knowing, zone-weighted gossip took longer than uniform gossip. Change: a hastened round also sends to one VM of another zone that is behind.

--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -297,11 +297,16 @@
         return self._one_peer()
 
     def _peers_behind(self, count):
-        """Return random peers of the zone, those of a lower revision first."""
-        own = [r.vm for r in self._rows() if r.zone == self.zone and r.vm != self.vm]
-        behind = [vm for vm in own if self._reported(vm) < self._revision]
-        pool = behind or own
-        return self._rng.sample(pool, min(count, len(pool))) or self._one_peer()
+        """Return random peers of the zone and one of another, those behind first."""
+        rows = [row for row in self._rows() if row.vm != self.vm]
+        own = [row.vm for row in rows if row.zone == self.zone]
+        other = [row.vm for row in rows if row.zone != self.zone]
+        behind = self._behind(own)
+        peers = self._sample(behind or own, count)
+        return peers + self._sample(self._behind(other), 1) or self._one_peer()
+
+    def _behind(self, vms):
+        return [vm for vm in vms if self._reported(vm) < self._revision]
 
     def _reported(self, vm):
         beat = self._beats.get(vm)
@@ -344,8 +349,8 @@
         echo = [beat] if (beat := self._beats.get(peer)) and beat.count else []
         return (mine, *echo, *near, *far)
 
-    def _sample(self, beats, count):
-        return self._rng.sample(beats, min(len(beats), max(0, count)))
+    def _sample(self, rows, count):
+        return self._rng.sample(rows, min(len(rows), max(0, count)))
 
     def _zone_of(self, vm):
         row = self._table.get(vm)
