--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES)))
 export PYTHONDONTWRITEBYTECODE ?= 1
 
-.PHONY: demo docs install lint measure measure-quick setup test format
+.PHONY: demo docs experiment install lint measure measure-quick setup test format
 
 setup: $(STAMP)
 
@@ -38,6 +38,9 @@
 demo: setup
 	$(BIN)/python -m hibiscusspar_standins.demo $(DEMO)
 
+experiment: setup
+	$(BIN)/python tools/zone_cut.py
+
 measure: $(VENV)/.measure
 	$(BIN)/python -m measure $(PARTS)
 
--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -17,6 +17,7 @@
 )
 from hibiscusspar.membership.heartbeats import Heartbeats
 from hibiscusspar.membership.messages import Beat, Gossip, VmEntry, VmRows
+from hibiscusspar.membership.reach import Reach
 from hibiscusspar.membership.rendezvous import ranked
 from hibiscusspar.membership.vm_table import VmTable
 from hibiscusspar.outbox import PlatformCall
@@ -87,6 +88,7 @@
         self._table = VmTable()
         self._beats = Heartbeats()
         self._suspected = set()
+        self._reach = Reach()
         self._incarnation = 1
         self._count = 0
         self._revision = 0
@@ -129,8 +131,11 @@
         ]
 
     def suspected(self, vm):
-        """Return whether nothing was heard of the VM for too long."""
-        return vm in self._suspected
+        """Return whether the VM was silent for too long or is out of reach."""
+        row = self._table.get(vm)
+        if vm in self._suspected:
+            return True
+        return row is not None and self._reach.doubts(vm, row.zone)
 
     def leaving(self, vm):
         """Return whether the platform says that the VM is about to leave."""
@@ -156,7 +161,7 @@
         """Return the ids of members of a zone fit for new duties."""
         rows = [row for row in self._rows() if row.zone == zone]
         fit = [row.vm for row in rows if row.state == "live"]
-        return [vm for vm in fit if vm not in self._suspected]
+        return [vm for vm in fit if not self.suspected(vm)]
 
     def best_offer(self):
         """Return the newest :class:`Offer` above the revision here, or None."""
@@ -203,8 +208,16 @@
         for peer in self.round_peers:
             out.send(peer, self._gossip(now, peer, reply=False))
 
+    def exchanged(self, vm, ok):
+        """Take note of whether an exchange with a VM got its answer."""
+        row = self._table.get(vm)
+        if row is not None and vm != self.vm:
+            size = sum(other.zone == row.zone for other in self._table.rows())
+            self._reach.note(vm, row.zone, ok, size)
+
     def receive(self, now, sender, message, out):
         """Take in gossip or a list of VMs."""
+        self.exchanged(sender, ok=True)
         if isinstance(message, VmRows):
             self._adopt(now, message.version, message.rows, sender, out)
         elif isinstance(message, Gossip):
@@ -407,4 +420,5 @@
         self._beats.forget(vm)
         self._suspected.discard(vm)
         self._offers.pop(vm, None)
+        self._reach.forget(vm)
         out.log(MEMBER_LEFT, peer=vm, reason=reason)
--- a/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
@@ -42,6 +42,36 @@
         self.assertTrue(table.is_listed("new"))
 
 
+class TestReach(unittest.TestCase):
+    def setUp(self):
+        self.members = MemberSystem("m", "a", "127.0.0.1:1", Random(1))
+        rows = tuple(row(vm, vm[0]) for vm in ("a1", "b1", "b2", "b3", "c1"))
+        self.members.receive(1.0, "a1", VmRows(2, rows), Outbox())
+
+    def suspects(self):
+        vms = ("a1", "b1", "b2", "b3", "c1")
+        return [vm for vm in vms if self.members.suspected(vm)]
+
+    def test_two_failed_exchanges_make_one_vm_suspected(self):
+        self.members.exchanged("b1", ok=False)
+        self.assertEqual(self.suspects(), [])
+        self.members.exchanged("b1", ok=False)
+        self.assertEqual(self.suspects(), ["b1"])
+        self.members.exchanged("b1", ok=True)
+        self.assertEqual(self.suspects(), [])
+
+    def test_two_vms_out_of_reach_make_their_zone_suspected(self):
+        self.members.exchanged("b1", ok=False)
+        self.members.exchanged("b2", ok=False)
+        self.assertEqual(self.suspects(), ["b1", "b2", "b3"])
+        self.members.receive(2.0, "b3", VmRows(1, ()), Outbox())
+        self.assertEqual(self.suspects(), [])
+
+    def test_zone_with_one_vm_is_suspected_with_it(self):
+        self.members.exchanged("c1", ok=False)
+        self.assertEqual(self.suspects(), ["c1"])
+
+
 class TestMembers(unittest.TestCase):
     def test_all_know_all_and_nobody_is_suspected(self):
         cluster = Cluster({"a": 4, "b": 3}, [])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -68,7 +68,7 @@
     platform = PlatformClient(
         settings.platform, _child(rng), settings.platform_timeout_s
     )
-    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s)
+    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s, settings.vm_id)
     keeper = TargetKeeper(holder.target_address, settings.connect_timeout_s)
     gate = ClaimGate(settings.platform_timeout_s)
     systems = _systems(settings, servers, rng, clock(), gate)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -170,10 +170,15 @@
         except StepError as error:
             self._metrics.exchanges.labels("out", "failed").inc()
             write_records([(PEER_FAILED, {"peer": peer, "reason": error.reason})])
+            self._note_exchange(peer, ok=False)
         finally:
             with self._lock:
                 self._busy_peers.discard(peer)
 
+    def _note_exchange(self, peer, ok):
+        with self._lock:
+            self._systems["members"].exchanged(peer, ok)
+
     def _exchange_once(self, peer):
         messages = self._take_due(peer)
         address = self._address_of(peer)
@@ -182,6 +187,7 @@
         data = self._codec.encode(self._vm, messages)
         self._metrics.exchange_bytes.labels("out").inc(len(data))
         answer = self._peers.exchange(address, data)
+        self._note_exchange(peer, ok=True)
         self._metrics.exchanges.labels("out", "ok").inc()
         self._metrics.exchange_bytes.labels("in").inc(len(answer))
         self._take_in(self._codec.decode(answer))
--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
@@ -162,9 +162,14 @@
             *("--caller-port", 0, "--peer-port", 0, "--operator-port", 0),
             *("--platform", self.platform, "--peer-secret", PEER_SECRET),
             *("--caller-threads", 64, "--silence-timeout-s", 10),
+            *self._entry_options(zone),
         )
         return vm, zone, process
 
+    def _entry_options(self, _zone):
+        """Return further flags of an entry VM."""
+        return []
+
     def _join(self, vm, zone, process):
         line = self._processes.wait_for(process, _listening, READY_TIMEOUT_S)
         ports = line["caller"], line["peer"], line["operator"]
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/peers.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/peers.py
@@ -9,9 +9,10 @@
 
 from hibiscusspar.errors import StepError
 
-__all__ = ["PeerApp", "PeerClient", "PeerHandler", "SECRET_HEADER"]
+__all__ = ["PeerApp", "PeerClient", "PeerHandler", "SECRET_HEADER", "VM_HEADER"]
 
 SECRET_HEADER = "X-Peer-Secret"
+VM_HEADER = "X-Peer-VM"
 MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
 
 
@@ -76,10 +77,16 @@
     secret : str
     timeout_s : float
         Longest wait to connect and between bytes, in seconds.
+    vm : str
+        Id of this VM, told to the peer.
     """
 
-    def __init__(self, secret, timeout_s):
-        self._headers = {SECRET_HEADER: secret, "Content-Type": "application/json"}
+    def __init__(self, secret, timeout_s, vm=""):
+        self._headers = {
+            SECRET_HEADER: secret,
+            VM_HEADER: vm,
+            "Content-Type": "application/json",
+        }
         timeout = Timeout(connect=timeout_s, read=timeout_s)
         self._pool = PoolManager(num_pools=512, maxsize=2, timeout=timeout)
 
