--- a/measure/part_whole.py
+++ b/measure/part_whole.py
@@ -4,8 +4,8 @@
 from time import process_time
 from typing import NamedTuple
 
-from measure.fleet import ACCOUNTS, Fleet
 from measure.report import Table
+from measure.whole_fleet import ACCOUNTS, Fleet
 from measure.whole_load import User, ideal_admits, make_load, plain_baseline
 
 __all__ = ["run"]
--- a/measure/whole_load.py
+++ b/measure/whole_load.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from hibiscusspar.limits.bucket import Bucket
-from measure.fleet import (
+from measure.placement_load import Arrival, Baseline
+from measure.whole_fleet import (
     ACCOUNTS,
     ADAPTERS,
     CONCURRENCY,
@@ -18,7 +19,6 @@
     Ended,
     Offered,
 )
-from measure.placement_load import Arrival, Baseline
 
 __all__ = ["User", "ideal_admits", "make_load", "plain_baseline"]
 
