--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -17,6 +17,7 @@
 )
 from hibiscusspar.membership.heartbeats import Heartbeats
 from hibiscusspar.membership.messages import Beat, Gossip, VmEntry, VmRows
+from hibiscusspar.membership.reach import Reach
 from hibiscusspar.membership.rendezvous import ranked
 from hibiscusspar.membership.vm_table import VmTable
 from hibiscusspar.outbox import PlatformCall
@@ -58,7 +59,8 @@
     pause_s: float = 3.0
     forget_s: float = 300.0
     list_period_s: float = 2.0
-    list_retry_s: float = 5.0
+    list_retry_s: float = 0.5
+    list_check_s: float = 5.0
     watchers: int = 2
 
 
@@ -86,6 +88,7 @@
         self._table = VmTable()
         self._beats = Heartbeats()
         self._suspected = set()
+        self._reach = Reach()
         self._incarnation = 1
         self._count = 0
         self._revision = 0
@@ -97,6 +100,7 @@
         self._next_judge = 0.0
         self._calls = 0
         self._list_call = ""
+        self._list_misses = 0
         self._last_tick = None
         self._hasten = 0
         self._watching = False
@@ -127,8 +131,11 @@
         ]
 
     def suspected(self, vm):
-        """Return whether nothing was heard of the VM for too long."""
-        return vm in self._suspected
+        """Return whether the VM was silent for too long or is out of reach."""
+        row = self._table.get(vm)
+        if vm in self._suspected:
+            return True
+        return row is not None and self._reach.doubts(vm, row.zone)
 
     def leaving(self, vm):
         """Return whether the platform says that the VM is about to leave."""
@@ -154,7 +161,7 @@
         """Return the ids of members of a zone fit for new duties."""
         rows = [row for row in self._rows() if row.zone == zone]
         fit = [row.vm for row in rows if row.state == "live"]
-        return [vm for vm in fit if vm not in self._suspected]
+        return [vm for vm in fit if not self.suspected(vm)]
 
     def best_offer(self):
         """Return the newest :class:`Offer` above the revision here, or None."""
@@ -201,8 +208,16 @@
         for peer in self.round_peers:
             out.send(peer, self._gossip(now, peer, reply=False))
 
+    def exchanged(self, vm, ok):
+        """Take note of whether an exchange with a VM got its answer."""
+        row = self._table.get(vm)
+        if row is not None and vm != self.vm:
+            size = sum(other.zone == row.zone for other in self._table.rows())
+            self._reach.note(vm, row.zone, ok, size)
+
     def receive(self, now, sender, message, out):
         """Take in gossip or a list of VMs."""
+        self.exchanged(sender, ok=True)
         if isinstance(message, VmRows):
             self._adopt(now, message.version, message.rows, sender, out)
         elif isinstance(message, Gossip):
@@ -240,13 +255,22 @@
             self._watching = watching
             out.log(WATCHER_CHANGED, watching=watching)
         known = self._table.is_listed(self.vm)
-        period = self._bounds.list_period_s if watching else self._bounds.list_retry_s
+        period = self._list_period_s(watching, known)
         self._next_list = now + period * self._rng.uniform(0.75, 1.25)
         if watching or not known:
             self._calls += 1
             self._list_call = f"list-{self._calls}"
             out.call(PlatformCall(self.name, self._list_call, "vms", "", ""))
 
+    def _list_period_s(self, watching, known):
+        """Return the seconds to the next look; short while this VM isn't listed."""
+        bounds = self._bounds
+        usual = bounds.list_period_s if watching else bounds.list_check_s
+        if known:
+            return usual
+        self._list_misses += 1
+        return min(usual, bounds.list_retry_s * 2 ** min(self._list_misses - 1, 8))
+
     def _is_watcher(self):
         fit = self.candidates(self.zone)
         return self.vm in ranked(WATCH_ROLE, fit)[: self._bounds.watchers]
@@ -286,11 +310,16 @@
         return self._one_peer()
 
     def _peers_behind(self, count):
-        """Return random peers of the zone, those of a lower revision first."""
-        own = [r.vm for r in self._rows() if r.zone == self.zone and r.vm != self.vm]
-        behind = [vm for vm in own if self._reported(vm) < self._revision]
-        pool = behind or own
-        return self._rng.sample(pool, min(count, len(pool))) or self._one_peer()
+        """Return random peers of the zone and one of another, those behind first."""
+        rows = [row for row in self._rows() if row.vm != self.vm]
+        own = [row.vm for row in rows if row.zone == self.zone]
+        other = [row.vm for row in rows if row.zone != self.zone]
+        behind = self._behind(own)
+        peers = self._sample(behind or own, count)
+        return peers + self._sample(self._behind(other), 1) or self._one_peer()
+
+    def _behind(self, vms):
+        return [vm for vm in vms if self._reported(vm) < self._revision]
 
     def _reported(self, vm):
         beat = self._beats.get(vm)
@@ -333,8 +362,8 @@
         echo = [beat] if (beat := self._beats.get(peer)) and beat.count else []
         return (mine, *echo, *near, *far)
 
-    def _sample(self, beats, count):
-        return self._rng.sample(beats, min(len(beats), max(0, count)))
+    def _sample(self, rows, count):
+        return self._rng.sample(rows, min(len(rows), max(0, count)))
 
     def _zone_of(self, vm):
         row = self._table.get(vm)
@@ -391,4 +420,5 @@
         self._beats.forget(vm)
         self._suspected.discard(vm)
         self._offers.pop(vm, None)
+        self._reach.forget(vm)
         out.log(MEMBER_LEFT, peer=vm, reason=reason)
