--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -306,6 +306,8 @@
         function(*args)
 
     def _configure(self, vm, configuration):
+        if configuration.revision < self.configuration.revision:
+            return
         out = Outbox()
         vm.system.configure(vm.clock(self.now), configuration, out)
         self._carry_out(vm, out)
