Show limits as metrics and log a shortage once

Cause: operators need the limits on dashboards, and a request that waited for tokens logged a refusal at each of its attempts. Change: gauge hibiscusspar_limit by account and field of the status, with admitted tokens and refusals; event 211 is written at the first attempt only.

--- a/packages/hibiscusspar/hibiscusspar/limits/node.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/node.py
@@ -79,6 +79,8 @@
         self.next_ask_at = now
         self.urgent_gap_s = MIN_URGENT_GAP_S
         self.short = 0.0
+        self.admitted_tokens = 0.0
+        self.refusals = 0
         self._seq = 0
         self._short_at = now - KEEP_SHORT_S
         self._asked_at = now - MIN_URGENT_GAP_S
@@ -119,6 +121,7 @@
         """Close a reservation; without a rate, give back at once what is left."""
         self.bucket.settle(reservation.reservation_id, reservation.tokens, used)
         self.note_unused(reservation.tokens - used)
+        self.admitted_tokens += used
         if self.bucket.rate == 0.0 and self.bucket.cap > 0.0:
             self.next_ask_at = min(self.next_ask_at, now + RELEASE_S)
 
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -102,7 +102,7 @@
         if slot.ask_due(now, self._period_s):
             self._ask(now, slot, out)
             reservation = reservation or self._take(slot, tokens, out)
-        return reservation or self._refuse(now, slot, tokens, out)
+        return reservation or self._refuse(now, slot, tokens, out, retry)
 
     def settle(self, now, reservation_id, used_tokens, out):
         """Close a reservation with what the request used; a repeat does nothing."""
@@ -153,6 +153,8 @@
             "cap": bucket.cap,
             "lease_s": max(0.0, bucket.lapse_at - now),
             "demand": slot.demand,
+            "admitted_tokens": slot.admitted_tokens,
+            "refusals": slot.refusals,
             "home": self._roles.holder(limit_home(slot.account, self._zone)),
         }
         office = self._offices.get(slot.account)
@@ -187,12 +189,15 @@
         )
         return reservation
 
-    def _refuse(self, now, slot, tokens, out):
+    def _refuse(self, now, slot, tokens, out, retry):
         spec = self._specs[slot.account]
         if tokens > spec.burst:
             shortage = Shortage("larger-than-burst", 0.0)
         else:
             shortage = slot.shortage(now, tokens, self._period_s)
+        if retry:
+            return shortage
+        slot.refusals += 1
         out.log(
             events.TOKENS_REFUSED,
             account=slot.account,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/metrics.py
@@ -64,6 +64,27 @@
             ("operation", "outcome"),
             registry=self._registry,
         )
+        self.limits = Gauge(
+            "hibiscusspar_limit",
+            "Limit of a client account on this VM, by field of the status.",
+            ("account", "field"),
+            registry=self._registry,
+        )
+
+    def show_limits(self, status):
+        """Set the gauges of limits.
+
+        Parameters
+        ----------
+        status : dict of str to dict
+            Status of the limit system, by account; fields without a number are
+            left out.
+        """
+        self.limits.clear()
+        for account, fields in status.items():
+            for field, value in fields.items():
+                if isinstance(value, int | float):
+                    self.limits.labels(account, field).set(value)
 
     def render(self):
         """Return all metrics in the Prometheus text format."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -162,6 +162,8 @@
         metrics.revision.set(self._parts.holder.revision)
         metrics.configuration_age.set(self._parts.holder.age_s)
         metrics.running.set(len(self._parts.open_requests))
+        with self._parts.driver.decide() as (now, _out):
+            metrics.show_limits(self._parts.systems.limits.status(now))
         return metrics.render()
 
     def drain(self):
