Leave room for accrual in what a home fills up

Cause: a home filled a node up to its capacity, so that what the node accrued next displaced refunds of its open requests: 268 tokens a second of 2640 for the largest account at 3 x 3. Change: credits leave room for one period of accrual; the measurement draws its load from a generator of its own, so that variants see the same load.

--- a/measure/limit_load.py
+++ b/measure/limit_load.py
@@ -1,5 +1,6 @@
 """Load, baselines and counters for the measurement of limits."""
 
+from random import Random
 from time import perf_counter
 from typing import NamedTuple
 
@@ -100,6 +101,7 @@
             sizes, self.accounts, seed=seed, latency_s=LATENCY_S, tick_s=tick_s
         )
         self.world.on_send = self._count_bytes
+        self._rng = Random(seed)
         self.counting = False
         self.bytes = {}
         self.cpu = {}
@@ -147,16 +149,16 @@
         front = self.world.now < self._load_from + self.case.front_s
         load = self.case.front_load if front else load
         per_s = load * account.rate / (MEAN_TOKENS * USED_FRACTION)
-        delay_s = self.world.rng.expovariate(per_s)
+        delay_s = self._rng.expovariate(per_s)
         self.world.schedule(delay_s, self._arrive, index, end)
 
     def _arrive(self, index, end):
         self._next_arrival(index, self.case.loads[index], end)
         world = self.world
         account = self.accounts[index].name
-        tokens = world.rng.uniform(0.4, 1.6) * MEAN_TOKENS
+        tokens = self._rng.uniform(0.4, 1.6) * MEAN_TOKENS
         used = USED_FRACTION * tokens
-        lasts_s = world.rng.uniform(0.5, 3.0)
+        lasts_s = self._rng.uniform(0.5, 3.0)
         vm = self._pick_vm()
         ideal = self._offer(self._ideal, account, account, tokens, used, lasts_s)
         self._count("ideal", account, ideal, ideal, used)
@@ -205,7 +207,7 @@
         scheme.settle(self.world.now, key, reservation_id, tokens, used)
 
     def _pick_vm(self):
-        rng = self.world.rng
+        rng = self._rng
         weights = [self.case.zone_shares.get(zone, 1.0) for zone in self.zones]
         zone = rng.choices(self.zones, weights)[0]
         return rng.choice([m.vm for m in self.world.live(zone)])
--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -276,7 +276,8 @@
         cap = max(cap + ask.refundable * self._refund_fraction(own), ask.level)
         if rate > 0.0:
             rate, cap = asker.keep_near(rate, cap)
-        credit = max(0.0, cap - held) if rate > 0.0 else 0.0
+        room = cap - held - rate * period_s
+        credit = max(0.0, room) if rate > 0.0 else 0.0
         credit = min(credit, self.level * _fraction(asker.usual, sum(demands), nodes))
         if ask.want > 0.0:
             credit = max(credit, ask.want + self._ahead(ask, rate, period_s))
