--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -76,7 +76,7 @@
     Mutation(
         "lease counted too short by its giver",
         "home",
-        "ends_at = surely_after(now, duration_s)\n        asker.leases",
+        "ends_at = surely_after(now, duration_s)\n        asker.add",
         "ends_at = now + 0.5 * duration_s\n        asker.leases",
     ),
     Mutation(
