Make claims unique per process; test callers, claims, inputs and the stop

Cause: with equal seeds two VMs drew the same claim id and both won a key; a won claim was taken for an absent platform (an empty tuple is false); a 500 of the process said "not run"; a body shorter than announced went on to a target; a request that lost its target after an attempt was called not run. Change: claims are named by VM, process and number; errors inside the process say "unknown"; short and malformed bodies get a 400; the stop waits for the ends of claims; while the platform is away a claim is refused at once with the time to come back.

--- a/packages/hibiscusspar/hibiscusspar/requests/claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/claims.py
@@ -94,6 +94,7 @@
         self.written = None
         self.stale = True
         self.next_at = 0.0
+        self.away_until = 0.0
         self.conflicts = 0
         self.seen = {}
 
@@ -105,6 +106,9 @@
     ----------
     members : hibiscusspar.ports.Members
     rng : random.Random
+    life : str
+        Name of this process that no other process of the VM ever has. A claim is
+        known by the VM, this name and a number, so equal seeds do no harm.
     policy : ClaimPolicy
     system : str
         Name of the system to which results of platform calls go back.
@@ -113,12 +117,15 @@
         for :meth:`take_verdicts`.
     """
 
-    def __init__(self, members, rng, policy=None, system="requests", on_verdict=None):
+    def __init__(
+        self, members, rng, life, policy=None, system="requests", on_verdict=None
+    ):
         self._members = members
         self._rng = rng
         self._policy = policy or ClaimPolicy()
         self._system = system
-        self._life = self._new_id()
+        self._life = life
+        self._last_claim = 0
         self._shards = {}
         self._calls = {}
         self._verdicts = {}
@@ -148,12 +155,16 @@
             Id of the claim.
         """
         digest = key_digest(account, key)
-        claim_id = self._new_id()
+        self._last_claim += 1
+        claim_id = f"{self._members.vm}.{self._life}.{self._last_claim}"
         shard = self._shard(digest)
         entry = shard.entries.get(digest)
         if entry is not None and entry.state != CLAIMED:
             self._on_verdict(claim_id, _compare(entry, body))
             return claim_id
+        if now < shard.away_until:
+            self._on_verdict(claim_id, Away(shard.away_until - now))
+            return claim_id
         shard.stale = shard.stale or entry is not None
         shard.waiting[claim_id] = _Waiting(claim_id, account, digest, body, deadline)
         return claim_id
@@ -348,7 +359,8 @@
             CLAIM_SHARD_UNREACHABLE, shard=name, operation=operation, outcome=outcome
         )
         shard.stale = True
-        shard.next_at = now + self._policy.away_retry_s
+        shard.away_until = now + self._policy.away_retry_s
+        shard.next_at = shard.away_until
         for waiting in list(shard.waiting.values()):
             self._abandon(now, shard, waiting, out)
 
--- a/packages/hibiscusspar/hibiscusspar/requests/system.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/system.py
@@ -22,7 +22,8 @@
     ----------
     members : hibiscusspar.ports.Members
     rng : random.Random
-        Seeded differently in each process; ids of claims come from it.
+    life : str
+        Name of this process that no other process of the VM ever has.
     retry_policy : RetryPolicy, optional
     claim_policy : ClaimPolicy, optional
     on_verdict : callable, optional
@@ -39,10 +40,10 @@
     name = "requests"
 
     def __init__(
-        self, members, rng, retry_policy=None, claim_policy=None, on_verdict=None
+        self, members, rng, life, retry_policy=None, claim_policy=None, on_verdict=None
     ):
         self.retry_policy = retry_policy or RetryPolicy()
-        self.claims = Claims(members, rng, claim_policy, self.name, on_verdict)
+        self.claims = Claims(members, rng, life, claim_policy, self.name, on_verdict)
         self.ejection = EjectionTable(rng=rng)
         self.quarantine = Quarantine(members, rng)
         self.budget = RetryBudget(self.retry_policy)
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
@@ -57,9 +57,8 @@
     def process(self, i):
         self.processes += 1
         others = [vm for vm in self.vms if vm != self.vms[i]]
-        return Claims(
-            FakeMembers(self.vms[i], others), Random(self.processes), self.policy
-        )
+        members = FakeMembers(self.vms[i], others)
+        return Claims(members, Random(1), str(self.processes), self.policy)
 
     def claim(self, i, key, body="b", wait=5.0):
         claim = self.claims[i].claim(self.now, "acc", key, body, self.now + wait)
@@ -214,6 +213,14 @@
         fleet.answer(0, "refused")
         self.assertIsInstance(fleet.verdicts[claim], Away)
         self.assertEqual(fleet.claims[0].unwritten, 0)
+        fleet.now += POLICY.away_retry_s / 2
+        again = fleet.claim(0, "k", wait=1000)
+        fleet.collect(0)
+        self.assertEqual(fleet.verdicts[again], Away(POLICY.away_retry_s / 2))
+        fleet.now += POLICY.away_retry_s / 2
+        later = fleet.claim(0, "k")
+        fleet.settle(20)
+        self.assertEqual(fleet.verdicts[later], Won())
 
     def test_abandoned_claim_that_lands_late_is_released(self):
         fleet = Fleet()
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_lifecycle.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_lifecycle.py
@@ -80,7 +80,7 @@
 class TestRequestSystem(unittest.TestCase):
     def setUp(self):
         self.out = Outbox()
-        self.system = RequestSystem(FakeMembers("a"), Random(1))
+        self.system = RequestSystem(FakeMembers("a"), Random(1), "1")
 
     def sent(self, idempotent):
         self.system.begin("r", idempotent)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -36,6 +36,7 @@
 
 PEER_THREADS = 8
 OPERATOR_THREADS = 4
+LIFE_BYTES = 8
 MESSAGES = {
     "members": (Gossip, VmRows),
     "roles": (RoleRows, RoleVersions),
@@ -138,7 +139,12 @@
         roles=roles,
         limits=LimitSystem(vm, zone, members, roles, _child(rng)),
         placement=PlacementSystem(vm, zone, members, roles, _child(rng), now),
-        requests=RequestSystem(members, _child(rng), on_verdict=gate.on_verdict),
+        requests=RequestSystem(
+            members,
+            _child(rng),
+            secrets.token_hex(LIFE_BYTES),
+            on_verdict=gate.on_verdict,
+        ),
     )
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
@@ -4,10 +4,10 @@
 from time import sleep
 
 from msgspec.json import encode as to_json
-from xxhash import xxh3_128_hexdigest
 
 from hibiscusspar.limits.node import Reservation
 from hibiscusspar.requests.claims import Away, Earlier, Mismatch, Won
+from hibiscusspar.requests.quarantine import body_digest
 from hibiscusspar_entry.admission import admit
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.events import REQUEST_REFUSED
@@ -151,7 +151,8 @@
         key = call.header(IDEMPOTENCY_HEADER)
         if admitted.idempotent or not key:
             return ""
-        body = xxh3_128_hexdigest(admitted.method + admitted.uri) + _digest(admitted)
+        line = f"{admitted.method} {admitted.uri}\n"
+        body = body_digest(line.encode() + admitted.body)
         claim_id, verdict = self._claim_gate.claim(
             self._driver.decide, self._claims, admitted.account, key, body
         )
@@ -211,14 +212,10 @@
         idempotent=admitted.idempotent,
         deadline=row.started + admitted.deadline_s,
         tokens=admitted.tokens,
-        digest=_digest(admitted),
+        digest=body_digest(admitted.body),
     )
 
 
-def _digest(admitted):
-    return xxh3_128_hexdigest(admitted.body)
-
-
 def _over_limit(account, shortage):
     if not shortage.retry_after_s:
         reason = f"the request can never run: {shortage.reason}"
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -99,7 +99,8 @@
         """Shut down gracefully.
 
         New requests are refused, running ones end within the bound of the
-        settings, roles are handed over, then the ports close.
+        settings, roles are handed over, the ends of claimed requests are written
+        to the platform, then the ports close.
         """
         parts = self._parts
         self._draining.set()
@@ -108,6 +109,8 @@
         bound_s = parts.settings.shutdown_timeout_s
         self._wait(lambda: not len(parts.open_requests), bound_s)
         self._hand_over()
+        claims = parts.systems.requests.claims
+        self._wait(lambda: not claims.unwritten, MAX_HANDOVER_S)
         self._stopping.set()
         for thread in self._threads:
             thread.join()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/callers.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/callers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from cheroot.errors import MaxSizeExceeded
 from cherrypy import expose, request, response
 from msgspec.json import encode as to_json
 
@@ -113,20 +114,41 @@
     @expose
     def default(self, *_path, **_query):
         """Answer one request of any method on any path."""
-        body = _read_body(self._max_body_bytes)
-        if body is None:
-            reason = f"the body is longer than {self._max_body_bytes} bytes"
-            return _respond(error_answer(413, "body_too_large", reason, "http.read"))
+        try:
+            body = _read_body(self._max_body_bytes)
+        except _BodyError as error:
+            response.headers["Connection"] = "close"
+            return _respond(error_answer(*error.args, "http.read"))
         return _respond(self._gateway.handle(_caller_request(body)))
 
 
+class _BodyError(Exception):
+    """A body that can't be taken: status, code and message."""
+
+
 def _read_body(max_bytes):
     length = request.headers.get("Content-Length")
     if length is None and "Transfer-Encoding" not in request.headers:
         return b""
     size = max_bytes + 1 if length is None else min(int(length), max_bytes + 1)
-    body = request.rfile.read(size)
-    return None if len(body) > max_bytes else body
+    body = _read_whole(size)
+    if len(body) > max_bytes:
+        reason = f"the body is longer than {max_bytes} bytes"
+        raise _BodyError(413, "body_too_large", reason)
+    if length is not None and len(body) < int(length):
+        raise _BodyError(400, "short_body", "the body is shorter than announced")
+    return body
+
+
+def _read_whole(size):
+    try:
+        return request.rfile.read(size)
+    except MaxSizeExceeded as error:
+        reason = "the body is too long"
+        raise _BodyError(413, "body_too_large", reason) from error
+    except ValueError as error:
+        reason = "the chunks of the body are malformed"
+        raise _BodyError(400, "bad_chunks", reason) from error
 
 
 def _caller_request(body):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
@@ -54,7 +54,7 @@
                 lambda: claim_id in self._verdicts, 2 * self._max_wait_s
             )
             verdict = self._verdicts.pop(claim_id, None)
-        return claim_id, verdict or Away(self._max_wait_s)
+        return claim_id, Away(self._max_wait_s) if verdict is None else verdict
 
     def finish(self, decide, claims, claim_id, outcome, status):
         """Note how the request of a won claim ended."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/http_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/http_server.py
@@ -12,6 +12,7 @@
 __all__ = ["HttpServer", "ServerBounds", "Tls", "json_error_page"]
 
 _JSON = "application/json"
+_FIRST_SERVER_ERROR = 500
 
 
 class ServerBounds(NamedTuple):
@@ -32,11 +33,16 @@
 
 
 def json_error_page(status, message, traceback, version):
-    """Return the body of an error that CherryPy itself raised."""
+    """Return the body of an error that CherryPy itself raised.
+
+    After an error inside the process nothing is known of the request.
+    """
     current_response.headers["Content-Type"] = _JSON
     code = int(status.split()[0])
-    error = {"code": f"http_{code}", "message": message, "step": "http.parse"}
-    return to_json({"error": {**error, "ran": "not-run"}}).decode()
+    ran = "unknown" if code >= _FIRST_SERVER_ERROR else "not-run"
+    current_response.headers["Hibiscusspar-Run"] = ran
+    error = {"code": f"http_{code}", "message": message, "step": "http"}
+    return to_json({"error": {**error, "ran": ran}}).decode()
 
 
 class HttpServer:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -136,8 +136,10 @@
         try:
             self._refuse_poison(work)
             return self._attempts(work)
-        except BaseException:
-            self._give_up_if_open(work)
+        except Exception as error:
+            life = self._give_up_if_open(work)
+            if life is not None and life.outcome is Outcome.UNKNOWN:
+                raise _outcome_unknown(error) from error
             raise
 
     def _begin(self, work):
@@ -288,9 +290,10 @@
     def _give_up_if_open(self, work, target="", status=0, tokens=0):
         with self._decide() as (_now, out):
             if work.request_id not in self._system.in_flight:
-                return
+                return None
             life = self._system.step(work.request_id, Step.GIVE_UP, out, tokens)
         self._hooks.ended(work, life, target, status)
+        return life
 
     def _step(self, work, step):
         with self._decide() as (_now, out):
@@ -406,6 +409,17 @@
         self._frames.close()
 
 
+def _outcome_unknown(error):
+    """Return the end of a request that was sent before and found no target again."""
+    step = getattr(error, "step", "relay")
+    reason = getattr(error, "reason", type(error).__name__)
+    retry_after_s = getattr(error, "retry_after_s", None)
+    reason = f"an earlier attempt may have run; then: {reason}"
+    return GaveUpError(
+        step, "", reason, "outcome_unknown", 502, "unknown", retry_after_s
+    )
+
+
 def _tokens(work, data):
     if not work.label:
         return work.tokens
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/relay_bench.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/relay_bench.py
@@ -16,7 +16,7 @@
 from hibiscusspar_standins.plain import PlainService
 from hibiscusspar_standins.server import StandinServer
 from hibiscusspar_standins.weights import WeightStore
-from hibiscusspar_wire.relay import Placed, Relay, Work
+from hibiscusspar_wire.relay import GaveUpError, Placed, Relay, Work
 from hibiscusspar_wire.target_client import TargetClient
 
 LABEL = "larch@2"
@@ -65,8 +65,9 @@
         self.lives = {}
         self.out = Outbox()
         self.granted = 0
+        self.places = 1000
         self.lock = threading.RLock()
-        self.system = RequestSystem(FakeMembers("vm"), Random(5))
+        self.system = RequestSystem(FakeMembers("vm"), Random(5), "1")
         self.targets = TargetClient(1.0, SILENCE_S)
         self.relay = Relay(self.system, self.targets, self, self.decide)
 
@@ -94,6 +95,9 @@
         )
 
     def place(self, work, excluded):
+        if not self.places:
+            raise GaveUpError("place", "", "busy", "busy", 503, "not-run", 3.0)
+        self.places -= 1
         name = min(set(LABELS) - excluded(set(LABELS)))
         self.granted += 1
         return Placed(name, self.addresses[bool(work.label), name])
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_relay.py
@@ -202,6 +202,22 @@
         self.fail("not reached")
 
 
+class TestNoTargetForARetry(RelayCase):
+    def test_is_not_called_not_run(self):
+        self.bench.engines["a"].faults.add("reset_after_body")
+        self.bench.places = 1
+        request_id, seen = self.ask()
+        self.assertEqual((seen.ran, seen.code), ("unknown", "outcome_unknown"))
+        self.assertEqual(seen.retry_after_s, 3.0)
+        self.assertIs(self.bench.lives[request_id].outcome, U)
+
+    def test_first_try_is_called_not_run(self):
+        self.bench.places = 0
+        request_id, seen = self.ask()
+        self.assertEqual(seen.ran, "not-run")
+        self.assertIs(self.bench.lives[request_id].outcome, N)
+
+
 class TestPoison(RelayCase):
     def know_incarnations(self):
         for name in ("a", "b"):
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_stream_check.py
@@ -0,0 +1,76 @@
+"""Tests of the check of relayed streams."""
+
+import unittest
+
+from msgspec import json
+
+from hibiscusspar_wire.stream_check import StreamCheck
+
+DONE = b"data: [DONE]\n\n"
+
+
+def frame(index, request="r", model="larch@2", text="t", last=False):
+    """Return one chunk as a frame."""
+    value = {"id": request, "model": model, "index": index}
+    value["choices"] = [{"index": 0, "text": text, "finish_reason": None}]
+    if last:
+        value["usage"] = {"prompt_tokens": 3, "completion_tokens": index + 1}
+    return b"data: " + json.encode(value) + b"\n\n"
+
+
+class TestStreamCheck(unittest.TestCase):
+    def setUp(self):
+        self.check = StreamCheck("r", "larch@2")
+
+    def test_whole_stream_passes_unchanged_however_it_is_cut(self):
+        data = frame(0) + frame(1) + frame(2, last=True) + DONE
+        for size in (1, 7, 1000):
+            check = StreamCheck("r", "larch@2")
+            pieces = [data[at : at + size] for at in range(0, len(data), size)]
+            passed = b"".join(check.feed(piece) for piece in pieces)
+            self.assertEqual((passed, check.done, check.tokens), (data, True, 6))
+
+    def test_first_wrong_frame_stops_the_stream(self):
+        wrong = {
+            "other request": frame(1, request="x"),
+            "other adapter": frame(1, model="oak@1"),
+            "repeated": frame(0),
+            "gap": frame(2),
+            "end too soon": DONE,
+            "not a chunk": b'data: {"error": 1}\n\n',
+        }
+        for name, data in wrong.items():
+            with self.subTest(name):
+                check = StreamCheck("r", "larch@2")
+                passed = check.feed(frame(0) + data + frame(1))
+                self.assertEqual(passed, frame(0))
+                self.assertTrue(check.fault)
+                self.assertFalse(check.done)
+
+    def test_data_after_the_end(self):
+        self.check.feed(frame(0, last=True) + DONE + frame(1))
+        self.assertTrue(self.check.fault)
+
+    def test_part_of_a_frame_is_dropped_on_reconnection(self):
+        self.check.feed(frame(0) + frame(1)[:20])
+        self.check.reconnect()
+        self.assertEqual(self.check.feed(frame(1)), frame(1))
+
+    def test_replay_passes_only_what_follows_the_same_text(self):
+        self.check.feed(frame(0) + frame(1))
+        replay = self.check.replay()
+        rest = frame(2, last=True) + DONE
+        self.assertEqual(replay.feed(frame(0) + frame(1) + rest), rest)
+        self.assertTrue(replay.done)
+
+    def test_replay_of_another_text_is_a_fault(self):
+        self.check.feed(frame(0) + frame(1))
+        replay = self.check.replay()
+        passed = replay.feed(frame(0) + frame(1, text="other") + frame(2))
+        self.assertEqual((passed, bool(replay.fault)), (b"", True))
+
+    def test_replay_that_is_shorter_is_a_fault(self):
+        self.check.feed(frame(0) + frame(1))
+        replay = self.check.replay()
+        self.assertEqual(replay.feed(frame(0, last=True) + DONE), b"")
+        self.assertTrue(replay.fault)
