--- a/packages/hibiscusspar/hibiscusspar/limits/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["MESSAGES", "Ask", "Grant"]
+__all__ = ["MESSAGES", "Ask", "Grant", "Handover", "HeldLease"]
 
 
 class Ask(NamedTuple):
@@ -13,9 +13,11 @@
     ``held_epoch`` and ``held_seq`` name the lease that the asker holds, with its
     ``held_rate`` and ``held_cap``; ``held_seq`` is 0 if it holds none, and rate
     and capacity are 0 if a successor of the giver may not go on with the lease.
-    ``level`` is its balance and ``demand`` the tokens per second it sees.
-    ``want`` are tokens needed at once. ``returned`` are tokens that the asker
-    has already debited. ``hops`` counts how often the message was forwarded.
+    The asker has already lowered the capacity of the lease to ``kept_cap``.
+    ``level`` is its balance, ``refundable`` what open reservations may bring back,
+    ``demand`` the tokens per second it sees and ``typical`` the tokens of a usual
+    request. ``want`` are tokens needed at once. ``returned`` are tokens that the
+    asker has already debited. ``hops`` counts how often the message was forwarded.
     """
 
     account: str
@@ -28,8 +30,11 @@
     held_seq: int
     held_rate: float
     held_cap: float
+    kept_cap: float
     level: float
+    refundable: float
     demand: float
+    typical: float
     want: float
     returned: float
     hops: int = 0
@@ -56,4 +61,33 @@
     adoptable: bool
 
 
-MESSAGES = (Ask, Grant)
+class HeldLease(NamedTuple):
+    """One lease in a :class:`Handover`; ``remaining_s`` is at its sending."""
+
+    asker: str
+    is_loan: bool
+    last_seq: int
+    usual: float
+    typical: float
+    epoch: str
+    seq: int
+    rate: float
+    cap: float
+    remaining_s: float
+
+
+class Handover(NamedTuple):
+    """What a home that gave up its role leaves to its successor.
+
+    The successor takes it if the zone's record, when it first read it, was
+    written by ``epoch``, and only once: it writes the record itself before.
+    """
+
+    account: str
+    zone: str
+    epoch: str
+    level: float
+    leases: list[HeldLease]
+
+
+MESSAGES = (Ask, Grant, Handover)
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -5,7 +5,7 @@
 from hibiscusspar.limits.escrow import Escrow
 from hibiscusspar.limits.home import Home
 from hibiscusspar.limits.loans import Borrower
-from hibiscusspar.limits.messages import Ask, Grant
+from hibiscusspar.limits.messages import Ask, Grant, Handover
 from hibiscusspar.limits.node import Reservation, Shortage, Slot
 from hibiscusspar.ports import limit_home
 
@@ -61,6 +61,8 @@
         self._revision = 0
         self._slots = {}
         self._offices = {}
+        self._leaving = {}
+        self._arrived = {}
         self._reservations = {}
         self._last_id = 0
         self._period_s = MIN_PERIOD_S
@@ -73,8 +75,8 @@
 
     @property
     def unleased(self):
-        """Accounts for which this node holds no lease."""
-        return [name for name, slot in self._slots.items() if not slot.bucket.cap]
+        """Accounts whose home has not answered this process yet."""
+        return [name for name, slot in self._slots.items() if not slot.epoch]
 
     def configure(self, now, configuration, out):
         """Put the accounts of a configuration in force."""
@@ -114,20 +116,13 @@
         self._advance(now, slot, out)
         if not retry:
             slot.note_attempt(tokens)
-        self._last_id += 1
-        if slot.bucket.reserve(self._last_id, tokens):
-            reservation = Reservation(self._last_id, account, tokens)
-            self._reservations[self._last_id] = reservation
-            out.log(
-                events.ADMITTED,
-                account=account,
-                reservation=reservation.reservation_id,
-                tokens=tokens,
-            )
-            if slot.ask_due(now, self._period_s):
-                self._ask(now, slot, out)
-            return reservation
-        return self._refuse(now, slot, tokens, out)
+        reservation = self._take(slot, tokens, out)
+        if reservation is None and tokens <= self._specs[account].burst:
+            slot.note_short(now, tokens, retry)
+        if slot.ask_due(now, self._period_s):
+            self._ask(now, slot, out)
+            reservation = reservation or self._take(slot, tokens, out)
+        return reservation or self._refuse(now, slot, tokens, out)
 
     def settle(self, now, reservation_id, used_tokens, out):
         """Close a reservation with what the request used; a repeat does nothing."""
@@ -138,13 +133,13 @@
         if slot is None:
             return
         self._advance(now, slot, out)
-        slot.bucket.settle(reservation_id, reservation.tokens, used_tokens)
-        slot.note_attempt(used_tokens - reservation.tokens)
+        slot.settle(now, reservation, used_tokens)
 
     def tick(self, now, out):
         """Renew leases and loans, and look after the homes of this VM."""
         self._update_period(now)
         self._update_offices(now, out)
+        self._send_handovers(out)
         for office in self._offices.values():
             self._tick_office(now, office, out)
         for slot in self._slots.values():
@@ -153,11 +148,13 @@
                 self._ask(now, slot, out)
 
     def receive(self, now, sender, message, out):
-        """Take in an :class:`Ask` or a :class:`Grant`."""
+        """Take in an :class:`Ask`, a :class:`Grant` or a :class:`Handover`."""
         if isinstance(message, Ask):
             self._receive_ask(now, message, out)
         elif isinstance(message, Grant):
             self._receive_grant(now, sender, message, out)
+        elif isinstance(message, Handover) and message.zone == self._zone:
+            self._arrived[message.account] = message
 
     def platform_result(self, now, result, out):
         """Take in the result of a call about a zone's part of a limit."""
@@ -200,14 +197,25 @@
         if slot.advance(now):
             out.log(events.LEASE_LAPSED, account=slot.account, epoch=epoch)
 
+    def _take(self, slot, tokens, out):
+        reservation = Reservation(self._last_id + 1, slot.account, tokens)
+        if not slot.bucket.reserve(reservation.reservation_id, tokens):
+            return None
+        self._last_id = reservation.reservation_id
+        self._reservations[reservation.reservation_id] = reservation
+        out.log(
+            events.ADMITTED,
+            account=slot.account,
+            reservation=reservation.reservation_id,
+            tokens=tokens,
+        )
+        return reservation
+
     def _refuse(self, now, slot, tokens, out):
         spec = self._specs[slot.account]
         if tokens > spec.burst:
             shortage = Shortage("larger-than-burst", 0.0)
         else:
-            slot.short = max(slot.short, tokens)
-            if slot.ask_due(now, self._period_s):
-                self._ask(now, slot, out)
             shortage = slot.shortage(now, tokens, self._period_s)
         out.log(
             events.TOKENS_REFUSED,
@@ -249,8 +257,10 @@
         if office is None:
             return
         recovering = office.home.recovering(now)
+        if not recovering and not office.escrow.claimed:
+            return
         nodes = len(self._members.live(self._zone))
-        grant = office.home.answer(now, ask, nodes)
+        grant = office.home.answer(now, ask, nodes, self._period_s)
         if grant is None:
             return
         _log_grant(ask, grant, recovering, self._zone, out)
@@ -301,12 +311,45 @@
             if account in self._specs and same and self._roles.holds(role):
                 continue
             del self._offices[account]
+            handover = office.home.handover(now)
+            if handover is not None:
+                self._leaving[account] = handover
             out.log(events.HOME_ENDED, account=account, epoch=office.home.epoch)
         for account in self._specs:
             role = limit_home(account, self._zone)
             if account not in self._offices and self._roles.holds(role):
                 self._start_office(now, account, self._roles.number(role), out)
 
+    def _send_handovers(self, out):
+        """Leave what ended homes held to their successors, once they are known."""
+        for account, handover in list(self._leaving.items()):
+            role = limit_home(account, self._zone)
+            if self._roles.holds(role):
+                self._arrived[account] = self._leaving.pop(account)
+                continue
+            holder = self._roles.holder(role)
+            if holder and holder != self._vm:
+                del self._leaving[account]
+                out.send(holder, handover)
+
+    def _inherit(self, now, office, out):
+        """Take in what the predecessor left, which the record must confirm."""
+        home = office.home
+        handover = self._arrived.get(home.account)
+        if handover is None or not office.escrow.claimed:
+            return
+        del self._arrived[home.account]
+        if not home.recovering(now) or handover.epoch != office.escrow.predecessor:
+            return
+        home.inherit(now, handover)
+        out.log(
+            events.HOME_INHERITED,
+            account=home.account,
+            epoch=home.epoch,
+            level=home.level,
+            leases=len(handover.leases),
+        )
+
     def _start_office(self, now, account, number, out):
         epoch = f"{number}/{self._nonce}/{self._rng.getrandbits(32):08x}"
         office = _Office(now, account, self._zone, epoch, number)
@@ -329,6 +372,7 @@
         target = zone_part(spec, self._zone, self._zones)
         office.escrow.configure(now, self._revision, limit, target)
         self._use_part(now, home.account, office, out)
+        self._inherit(now, office, out)
         office.escrow.tick(
             now, lambda part: not home.recovering(now) and home.fits(part), out
         )
--- a/packages/hibiscusspar/hibiscusspar/membership/roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/roles.py
@@ -89,6 +89,7 @@
         self._failures = 0
         self._calls = 0
         self._next_check = 0.0
+        self._list_version = 0
         self._next_poll = 0.0
         self._next_rebalance = 0.0
         self._since = {}
@@ -113,6 +114,8 @@
         fenced : sequence of str
             Those among them whose target checks fencing numbers.
         """
+        if self._wanted != frozenset(names):
+            self._next_check = 0.0
         self._wanted = frozenset(names)
         self._fenced = frozenset(fenced) & self._wanted
 
@@ -142,6 +145,9 @@
             out.send(peer, RoleVersions(self._table.versions()))
         if self._call and now - self._call.sent_at > self._bounds.call_timeout_s:
             self._settle(now, "unknown", 0, out)
+        if self._members.list_version != self._list_version:
+            self._list_version = self._members.list_version
+            self._next_check = min(self._next_check, now + self._failures)
         if self._call or now < self._next_check:
             return
         self._next_check = now + self._bounds.check_s * self._rng.uniform(0.75, 1.25)
@@ -168,7 +174,7 @@
         elif result.outcome not in ("ok", "missing"):
             self._settle(now, "refused", 0, out)
         elif operation == "vms":
-            self._listed = result.value
+            self._listed = result
             self._start(now, "get", out)
         else:
             self._take_object(now, result, out)
@@ -243,6 +249,8 @@
         return any(claimable(n, entries.get(n), situation) for n in self._wanted)
 
     def _situation(self, now, listed, fit, list_version, claiming=True):
+        if self._leaving:
+            fit = [vm for vm in fit if vm != self._vm]
         return Situation(
             self._vm,
             self._wanted,
@@ -294,9 +302,9 @@
             fit = self._listed_candidates()
             version = self._members.list_version
             return self._situation(now, fit, fit, version, claiming=False)
-        rows = [r for r in listed.vms if r.zone == self._zone and r.state == "live"]
+        rows = [r for r in listed.value if r.zone == self._zone and r.state == "live"]
         fit = [row.vm for row in rows if not self._members.suspected(row.vm)]
-        shown = [row.vm for row in listed.vms]
+        shown = [row.vm for row in listed.value]
         return self._situation(now, shown, fit, listed.version)
 
     def _send_write(self, now, result, changes, situation, out):
