Publish new residents at once and lesser changes of a row less often

Cause: most exchanges of placement carried rows whose pressure had changed a little. Change: a new resident or incarnation is published at once, other changes of the labels after 1 s, of pressure and queue after 5 s.

--- a/packages/hibiscusspar/hibiscusspar/placement/owned.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/owned.py
@@ -1,5 +1,7 @@
 """One target as its owner sees it."""
 
+from math import inf
+
 from hibiscusspar.placement.demand import HALF_LIFE_S, DemandTable
 from hibiscusspar.placement.ledger import Ledger
 from hibiscusspar.placement.loads import after_failure
@@ -11,7 +13,8 @@
 PRESSURE_STEP = 0.25
 SETTLE_S = 2.0
 STATE_LAG_S = 2.0
-MINOR_PUBLISH_S = 1.0
+MINOR_PUBLISH_S = 5.0
+CHANGE_PUBLISH_S = 1.0
 
 
 class OwnedTarget:
@@ -57,7 +60,7 @@
         self._past = set()
         self._minor = None
         self._major = None
-        self._published_at = 0.0
+        self._published_at = -inf
 
     @property
     def number(self):
@@ -212,16 +215,24 @@
             tuple(k for k in self.resident if k != self.closing),
         )
         minor = (self._saturated(), self._pressure(now), self._pending())
-        if major == self._major:
-            if minor == self._minor:
-                return None
-            if now - self._published_at < MINOR_PUBLISH_S:
-                return None
+        if now - self._published_at < self._publish_after_s(major, minor):
+            return None
         self._major, self._minor = major, minor
         self._published_at = now
         self.sequence += 1
         return Row(self.spec.name, *self.term, self.sequence, owner, *major, *minor)
 
+    def _publish_after_s(self, major, minor):
+        """Return the least time since the last row; new residents are told at once."""
+        if (major, minor) == (self._major, self._minor):
+            return inf
+        before = self._major or ("", ())
+        if major[0] != before[0] or not set(major[1]) <= set(before[1]):
+            return 0.0
+        if major != self._major or minor[0] != self._minor[0]:
+            return CHANGE_PUBLISH_S
+        return MINOR_PUBLISH_S
+
     def _saturated(self):
         wants = self.ledger.wants()
         levels = {}
