--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_config_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_config_watch.py
@@ -35,10 +35,14 @@
 
     def __init__(self):
         self.stores = {}
+        self.before = None
         self.asked = []
 
     def chunk(self, address, name):
         self.asked.append(name)
+        before, self.before = self.before, None
+        if before is not None:
+            before()
         store = self.stores.get(address)
         data = store.chunk(name) if store else None
         if data is None:
@@ -150,10 +154,23 @@
         chunks = self.first.watch.store
         for name in list(chunks._texts):
             if (CHUNK_KIND, name) in self.platform.objects:
-                chunks._texts[name] += " "
+                chunks._texts[name] = chunks._texts[name].replace("larch", "laxch")
         self.assertTrue(self.second.watch.take_offer())
         self.assertEqual(self.adapters(self.second), {"larch"})
 
+    def test_fetch_that_a_newer_revision_overtakes_is_not_applied(self):
+        self.first.watch.watch_once()
+        self.first.offer_to(self.second)
+
+        def overtake():
+            self.publish("oak")
+            self.second.watch.watch_once()
+
+        self.peers.before = overtake
+        self.assertFalse(self.second.watch.take_offer())
+        self.assertEqual(self.adapters(self.second), {"oak"})
+        self.assertEqual(self.second.watch.revision, 2)
+
     def test_offer_that_cannot_be_fetched_is_dropped(self):
         self.first.watch.watch_once()
         self.first.offer_to(self.second)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_publishing.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_publishing.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -123,11 +124,11 @@
         self.assertEqual(found.root["write_id"], caught.exception.write_id)
         self.assertEqual(found.configuration.revision, caught.exception.revision)
 
-    def _calls_of_publish(self, base):
+    def _calls_of_publish(self, base, name="oak"):
         twin = FakePlatform()
         twin.objects = dict(self.platform.objects)
         twin.version = self.platform.version
-        publish(twin, declared("oak"), base, "ann", self.rng_hex)
+        publish(twin, declared(name), base, "ann", self.rng_hex)
         return twin.calls
 
     def test_killed_publish_leaves_the_old_revision(self):
@@ -175,23 +176,65 @@
         self.publish(configuration, author="bob")
         self.platform.faults = faults
 
-    def test_collection_keeps_what_a_racing_publish_reuses(self):
+    def test_publication_that_a_collection_overtakes_stays_whole(self):
         self.publish(declared("larch"))
         self.publish(declared("oak"))
-        base = current(self.platform).version
-        calls = self._calls_of_publish(base)
-        collect = lambda: collect_chunks(self.platform, self.rng_hex)  # noqa: E731
+        calls = self._calls_of_publish(current(self.platform).version, "larch")
         for position in range(calls):
             with self.subTest(position=position):
-                self.platform.faults = ["ok"] * position + [collect]
+                base = current(self.platform).version
+                self.platform.faults = ["ok"] * position + [self._collect_between]
                 try:
-                    self.publish(declared("larch"), current(self.platform).version)
+                    self.publish(declared("larch"), base)
                 except PublishConflictError:
                     self.publish(declared("larch"))
-                self.platform.faults = []
+                self.assertEqual(self.platform.faults, [])
                 self.assertIn("larch", current(self.platform).configuration.adapters)
                 self.publish(declared("oak"))
 
+    def test_collection_that_a_publication_overtakes_keeps_its_chunks(self):
+        for position in range(6):
+            with self.subTest(position=position):
+                self.platform = FakePlatform()
+                self.publish(declared("larch"))
+                self.publish(declared("oak"))
+                other = lambda: self._publish_between(declared("larch"))  # noqa: E731
+                self.platform.faults = ["ok"] * position + [other]
+                with suppress(PublishConflictError):
+                    collect_chunks(self.platform, self.rng_hex, no_pause)
+                self.platform.faults = []
+                self.assertTrue(current(self.platform).configuration.adapters)
+
+    def _collect_between(self):
+        faults, self.platform.faults = self.platform.faults, []
+        collect_chunks(self.platform, self.rng_hex, no_pause)
+        self.platform.faults = faults
+
+    def test_publication_at_any_time_before_the_root_is_a_conflict(self):
+        other = lambda: self._publish_between(declared("elm"))  # noqa: E731
+        self.publish(declared("larch"))
+        for position in range(self._calls_of_publish(current(self.platform).version)):
+            with self.subTest(position=position):
+                self.platform = FakePlatform()
+                self.publish(declared("larch"))
+                base = current(self.platform).version
+                self.platform.faults = ["ok"] * position + [other]
+                with self.assertRaises(PublishConflictError) as caught:
+                    self.publish(declared("oak"), base)
+                self.assertEqual(caught.exception.author, "bob")
+                found = current(self.platform).configuration
+                self.assertEqual(set(found.adapters), {"elm"})
+
+    def test_lost_answer_is_found_in_the_history_of_a_later_revision(self):
+        self.publish(declared("larch"))
+        base = current(self.platform).version
+        calls = self._calls_of_publish(base)
+        other = lambda: self._publish_between(declared("elm"))  # noqa: E731
+        self.platform.faults = ["ok"] * (calls - 1) + ["lost", other]
+        done = self.publish(declared("oak"), base)
+        self.assertEqual(done.revision, 2)
+        self.assertEqual(current(self.platform).configuration.revision, 3)
+
     def test_collection_removes_unused_chunks(self):
         self.publish(declared("larch"))
         self.publish(declared("oak"))
