--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -86,12 +86,12 @@
     def advance(self, now):
         """Accrue up to ``now`` and forget what has ended."""
         if now > self._at:
-            elapsed = now - self._at
+            elapsed = now - max(self._at, self.recover_until)
             self._at = now
             self._drop_loans(now)
             rate, _ = self._free()
-            if not self.recovering(now):
-                self.level += max(0.0, rate) * elapsed * (1.0 - MAX_CLOCK_DRIFT)
+            gain = max(0.0, rate) * elapsed * (1.0 - MAX_CLOCK_DRIFT)
+            self.level += max(0.0, gain)
             for asker in self._askers.values():
                 asker.drop_ended(now)
         self._clip(now)
@@ -202,13 +202,12 @@
         """Keep only the lease that the asker holds: it takes no earlier answer."""
         key = ask.held_epoch, ask.held_seq
         held = asker.leases.get(key)
-        asker.leases = {}
+        asker.replace({})
         if held is not None:
-            cap = min(held.cap, ask.kept_cap)
-            asker.leases[key] = held._replace(cap=cap)
+            asker.add(key, held._replace(cap=min(held.cap, ask.kept_cap)))
         elif ask.held_epoch != self.epoch and self._adopts(now, ask):
             held = Lease(ask.held_rate, ask.held_cap, self.recover_until)
-            asker.leases[key] = held
+            asker.add(key, held)
 
     def _adopts(self, now, ask):
         return ask.held_seq and ask.held_cap > 0.0 and self.recovering(now)
@@ -222,7 +221,7 @@
     def _lease(self, now, asker, ask, rate, cap, credit):
         duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
         ends_at = surely_after(now, duration_s)
-        asker.leases[self.epoch, ask.seq] = Lease(rate, cap, ends_at)
+        asker.add((self.epoch, ask.seq), Lease(rate, cap, ends_at))
         adoptable = self.recovering(now) or self._fits_without_loans()
         return Grant(
             account=self.account,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -98,7 +98,9 @@
         """Shut down gracefully.
 
         New requests are refused, running ones end within the bound of the
-        settings, roles are handed over, then the ports close.
+        settings, roles are handed over, a last tick tells the successors what the
+        roles leave to them, the ends of claimed requests are written to the
+        platform, then the ports close.
         """
         parts = self._parts
         self._draining.set()
@@ -107,9 +109,12 @@
         bound_s = parts.settings.shutdown_timeout_s
         self._wait(lambda: not len(parts.open_requests), bound_s)
         self._hand_over()
+        claims = parts.systems.requests.claims
+        self._wait(lambda: not claims.unwritten, MAX_HANDOVER_S)
         self._stopping.set()
         for thread in self._threads:
             thread.join()
+        parts.driver.tick()
         cut_off = len(parts.open_requests)
         for server in parts.servers:
             server.stop()
