--- a/packages/hibiscusspar_standins/hibiscusspar_standins/server.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/server.py
@@ -15,6 +15,7 @@
 __all__ = ["Answer", "ConnectionGoneError", "Exchange", "StandinServer"]
 
 MAX_BODY_BYTES = 4 << 20
+BACKLOG = 512
 POLL_S = 0.02
 
 
@@ -131,7 +132,11 @@
     def _listen(self):
         self._stopping = Event()
         server = Server(
-            self._bind, _application(self), numthreads=self._threads, timeout=60
+            self._bind,
+            _application(self),
+            numthreads=self._threads,
+            request_queue_size=BACKLOG,
+            timeout=60,
         )
         server.gateway = _Gateway
         server.ConnectionClass = _Connection
