List all entry VMs of the demo before waiting for any to be ready

Cause: VMs of the second and third zone were registered only once the first was ready, 10 s later, so requests met zones whose limits had no home yet. Change: register all, then wait for each.

--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
@@ -92,6 +92,8 @@
         zones = self.example.zones * self.example.vms_per_zone
         started = [self._start_entry(zone) for zone in zones]
         self.entries = [self._join(vm, zone, p) for vm, zone, p in started]
+        for entry in self.entries:
+            self._wait_ready(entry)
 
     def replace(self, entry):
         """Replace an entry VM by a new one; return the old one's exit code."""
@@ -101,7 +103,9 @@
         code = self._processes.stop(entry.process)
         self._set_vm(entry.vm, {"state": "gone"})
         vm, zone, process = self._start_entry(entry.zone)
-        self.entries.append(self._join(vm, zone, process))
+        new = self._join(vm, zone, process)
+        self._wait_ready(new)
+        self.entries.append(new)
         return code
 
     def status(self, entry):
@@ -175,13 +179,17 @@
         ports = line["caller"], line["peer"], line["operator"]
         entry = Entry(vm, zone, process, *ports)
         self._set_vm(vm, {"zone": zone, "address": entry.peer, "state": "live"})
+        return entry
+
+    def _wait_ready(self, entry):
         url = f"http://{entry.operator}/readyz"
 
         def ready():
             return self._pool.request("GET", url).status == 200
 
-        self._processes.wait_until(f"{vm} to be ready", ready, READY_TIMEOUT_S, process)
-        return entry
+        self._processes.wait_until(
+            f"{entry.vm} to be ready", ready, READY_TIMEOUT_S, entry.process
+        )
 
     def _set_vm(self, vm, row):
         url = f"http://{self.platform}/vms/{vm}"
