--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -306,6 +306,8 @@
         function(*args)
 
     def _configure(self, vm, configuration):
+        if configuration.revision < self.configuration.revision:
+            return
         out = Outbox()
         vm.system.configure(vm.clock(self.now), configuration, out)
         self._carry_out(vm, out)
@@ -320,13 +322,14 @@
         peers = set()
         for send in out.sends:
             peers.add(send.peer)
-            self._transmit(vm, send.peer, send.message)
+            self.transmit(vm, send.peer, send.message)
         vm.sent += len(peers)
         vm.sent_messages += len(out.sends)
         for call in out.calls:
             self.schedule(self._latency_s, self._platform, vm, vm.life, call)
 
-    def _transmit(self, vm, peer, message):
+    def transmit(self, vm, peer, message):
+        """Send a message, with the faults of the network."""
         if self.on_send is not None:
             self.on_send(vm, peer, message)
         copies = 0 if self.rng.random() < self.chance["lose"] else 1
