--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -30,12 +30,12 @@
 
 
 MUTATIONS = (
-    Mutation("credit without debit", "home", "self.level -= credit", "pass"),
     Mutation(
         "credit before debit",
         "home",
         "self.level -= credit\n        grant =",
-        "self._later = credit\n        grant =",
+        "self.level -= getattr(self, '_later', 0.0)\n"
+        "        self._later = credit\n        grant =",
     ),
     Mutation(
         "id of an ask not remembered", "home", "ask.seq <= asker.last_seq", "False"
