--- a/measure/part_whole.py
+++ b/measure/part_whole.py
@@ -15,6 +15,8 @@
     User("valtrebbia", ("piacenza", "parma", "lodi"), 1100.0, 0.0015),
 )
 STALL_S = 0.05
+WARM_UP_S = 30.0  # without load, so that limits are full as the ideal's
+DRAIN_S = 60.0
 SEED = 11
 COLUMNS = (
     "situation",
@@ -47,12 +49,13 @@
 
 
 def _situations(seconds):
-    crowd = (seconds / 3.0, seconds / 3.0 + 60.0, 1.0)
+    third = WARM_UP_S + seconds / 3.0
+    crowd = (third, third + 60.0, 1.0)
     return (
         _Situation("calm", {}),
         _Situation("whole audience in a minute", {"load": 0.3, "crowd": crowd}),
         _Situation("large-1 at 5 times", {"greedy": 5.0 / 0.55}),
-        _Situation("popularity shift", {"shift_at": seconds / 2.0}),
+        _Situation("popularity shift", {"shift_at": WARM_UP_S + seconds / 2.0}),
         _Situation("engine restart", {}, "restart"),
         _Situation("zone cut off", {}, "cut"),
     )
@@ -64,7 +67,7 @@
     for situation in _situations(seconds):
         rows += _rows(user, situation, seconds)
     note = (
-        f"{seconds:g} s of virtual time, the first fifth not counted, seed {SEED}. "
+        f"{seconds:g} s of load in virtual time, the first fifth not counted, seed {SEED}. "
         "Stalled: waited more than 50 ms for an adapter that was resident nowhere; "
         "for the baseline, any wait. Entitlement: what one ideal bucket would admit. "
         "Baseline: equal static split of limits, least load, queues in order of "
@@ -75,13 +78,14 @@
 
 
 def _rows(user, situation, seconds):
-    requests = make_load(user, seconds, SEED, **situation.load)
+    requests = make_load(user, WARM_UP_S, seconds, SEED, **situation.load)
     entitled = ideal_admits(user, requests)
     fleet = Fleet(user.zones, user.rate, user.latency_s)
+    fleet.run(WARM_UP_S)
     fleet.offer(requests)
     _inject(fleet, user, situation.fault, seconds)
-    fleet.run(seconds + 60.0)
-    since = seconds / 5.0
+    fleet.run(WARM_UP_S + seconds + DRAIN_S)
+    since = WARM_UP_S + seconds / 5.0
     ours = _cells(fleet.ended, entitled, since, fleet.loads, fleet.batches)
     rows = [(situation.name, "hibiscusspar", *ours)]
     if not situation.fault:
@@ -100,10 +104,10 @@
         fleet.cut = ""
 
     if fault == "restart":
-        fleet.at(seconds / 2.0, lambda: fleet.restart_engine("t0"))
+        fleet.at(WARM_UP_S + seconds / 2.0, lambda: fleet.restart_engine("t0"))
     if fault == "cut":
-        fleet.at(seconds / 3.0, cut)
-        fleet.at(seconds * 2.0 / 3.0, heal)
+        fleet.at(WARM_UP_S + seconds / 3.0, cut)
+        fleet.at(WARM_UP_S + seconds * 2.0 / 3.0, heal)
 
 
 def _cells(ended, entitled, since, loads, batches):
--- a/measure/whole_fleet.py
+++ b/measure/whole_fleet.py
@@ -38,7 +38,8 @@
 ADAPTERS = 3000
 TICK_S = 0.1
 POLL_S = 0.5
-SEND_S = 0.05  # mean wait of a message for the next exchange
+SEND_S = 0.1  # longest wait of a message for the next exchange
+URGENT_SEND_S = 0.02  # the same of an urgent one, or of an answer
 TOKEN_WAIT_S = 1.0
 QUEUE_WAIT_S = 20.0
 RETRY_S = 0.05
@@ -211,15 +212,20 @@
     def _at(self, when, action, *args):
         heappush(self._events, (when, next(self._order), action, args))
 
-    def _act(self, node, step):
-        """Run a step of a node, start what it made ready, carry out the rest."""
+    def _act(self, node, step, sender=""):
+        """Run a step of a node, start what it made ready, carry out the rest.
+
+        ``sender`` is the node whose message the step takes in; what is due to it
+        goes back with the answer.
+        """
         out = Outbox()
         found = step(out)
         node.scheduler.start_ready(self.now, out)
         for request_id, decision in node.scheduler.take_decided():
             self._decided(request_id, decision)
         for send in out.sends:
-            self._send(node, send)
+            urgent = send.peer in out.urgent or send.peer == sender
+            self._send(node, send, URGENT_SEND_S if urgent else SEND_S)
         for call in out.calls:
             self._at(self.now + self._latency_s, self._platform, node, call)
         for order in out.orders:
@@ -234,12 +240,12 @@
         self._act(node, tick)
         self._at(self.now + TICK_S, self._tick, node)
 
-    def _send(self, node, send):
+    def _send(self, node, send, longest_s):
         self.messages += 1
         peer = next(n for n in self.nodes if n.vm == send.peer)
         if self.is_cut(node.zone, peer.zone):
             return
-        delay_s = self._rng.uniform(0.0, 2.0 * SEND_S) + self._latency_s
+        delay_s = self._rng.uniform(0.0, longest_s) + self._latency_s
         self._at(self.now + delay_s, self._deliver, node.vm, peer, send.message)
 
     def is_cut(self, zone, other):
@@ -249,7 +255,9 @@
     def _deliver(self, sender, node, message):
         topic = type(message).__module__.split(".")[1]
         system = node.systems[topic]
-        self._act(node, lambda out: system.receive(self.now, sender, message, out))
+        self._act(
+            node, lambda out: system.receive(self.now, sender, message, out), sender
+        )
 
     def _platform(self, node, call):
         result = PlatformResult(call.call_id, "refused")
--- a/measure/whole_load.py
+++ b/measure/whole_load.py
@@ -40,13 +40,16 @@
     latency_s: float
 
 
-def make_load(user, seconds, seed, load=0.55, crowd=None, greedy=1.0, shift_at=None):
+def make_load(
+    user, start, seconds, seed, load=0.55, crowd=None, greedy=1.0, shift_at=None
+):
     """Return the requests of all callers, ordered by time.
 
     Parameters
     ----------
     user : User
-    seconds : float
+    start, seconds : float
+        Time of the first request, and for how long they come.
     seed : int
     load : float
         Tokens used over the accounts' rates.
@@ -70,12 +73,12 @@
     mean_used = USED_FRACTION * (MIN_TOKENS + MAX_TOKENS) / 2.0
     requests = []
     for account, share in zip(ACCOUNTS, SHARES, strict=True):
-        now = 0.0
-        while now < seconds:
+        now = start
+        while now < start + seconds:
             factor = load
             if crowd is not None and crowd[0] <= now < crowd[1]:
                 factor = crowd[2]
-            if account == ACCOUNTS[0] and now >= seconds / 3.0:
+            if account == ACCOUNTS[0] and now >= start + seconds / 3.0:
                 factor *= greedy
             now += rng.expovariate(factor * user.rate * share / mean_used)
             rank = bisect(weights, rng.random() * weights[-1])
