Collect the tokens of small accounts at the home of one zone

Cause: an account whose part in a zone holds few requests was split over zones and nodes until no place held enough for one; homes stood full elsewhere. Change: while a zone's part holds fewer than 8 usual requests, one zone's home borrows all parts, with short loans, and the other homes pass their nodes' asks on to it. Cut off, the loans end and each zone has its part again.

--- a/packages/hibiscusspar/hibiscusspar/limits/home.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/home.py
@@ -13,11 +13,21 @@
 from hibiscusspar.limits.division import divide
 from hibiscusspar.limits.messages import Grant, Handover
 
-__all__ = ["LOAN_S", "MAX_LEASE_S", "NODE_LEASE_S", "Home", "Loan"]
+__all__ = [
+    "LOAN_S",
+    "MAX_LEASE_S",
+    "NODE_LEASE_S",
+    "POOL_DEMAND",
+    "Home",
+    "Loan",
+]
 
 NODE_LEASE_S = 12.0
 LOAN_S = 24.0
+POOLED_NODE_LEASE_S = 5.0
+POOL_LOAN_S = 9.0
 MAX_LEASE_S = max(NODE_LEASE_S, LOAN_S)
+POOL_DEMAND = 1e12  # tokens per second that ask for all that a zone has
 OWN_HEADROOM = 1.1  # of the zone's own demand, not lent to other zones
 LARGE_WANT_S = 5.0
 AHEAD_FRACTION = 0.25  # of the balance
@@ -56,6 +66,9 @@
         self.recover_until = surely_after(now, MAX_LEASE_S)
         self.loans = {}
         self.offers = {}
+        self.collects = False
+        self._pool = ("", now)
+        self._typical = 0.0
         self._askers = {}
         self._at = now
         self._large_want = (0.0, now)
@@ -79,6 +92,17 @@
         missing, until = self._shortfall
         return missing if now < until else 0.0
 
+    def pool_zone(self, now):
+        """Return the zone whose home holds the part of this one, if any does."""
+        zone, until = self._pool
+        return zone if now < until else ""
+
+    def typical(self):
+        """Return the tokens of a usual request; 0 until one was reported."""
+        found = max((a.typical for a in self._askers.values()), default=0.0)
+        self._typical = found or self._typical
+        return self._typical
+
     def own_demand(self):
         """Return the tokens per second that the nodes of this zone usually need."""
         return sum(a.usual for a in self._askers.values() if not a.is_loan)
@@ -219,7 +243,7 @@
         return self._lease(now, asker, ask, rate, cap, 0.0)
 
     def _lease(self, now, asker, ask, rate, cap, credit):
-        duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
+        duration_s = self._duration_s(ask, asker)
         ends_at = surely_after(now, duration_s)
         asker.add((self.epoch, ask.seq), Lease(rate, cap, ends_at))
         adoptable = self.recovering(now) or self._fits_without_loans()
@@ -236,7 +260,7 @@
         )
 
     def _grant(self, now, asker, ask, nodes, period_s):
-        duration_s = LOAN_S if asker.is_loan else NODE_LEASE_S
+        duration_s = self._duration_s(ask, asker)
         ends_at = surely_after(now, duration_s)
         rate, cap, credit = self._target(now, asker, ask, nodes, period_s)
         free_rate, free_cap = self._free(ends_at, asker)
@@ -263,15 +287,17 @@
         demands = [a.usual for a in own]
         typical = max(a.typical for a in own)
         part = self._divisible(now, own)
-        rate, cap = divide(
-            part,
-            asker.usual,
-            demands,
-            nodes,
-            typical,
-            period_s,
-            asker.charge()[0] > 0.0,
-        )
+        rate, cap = 0.0, 0.0
+        if not self.collects:
+            rate, cap = divide(
+                part,
+                asker.usual,
+                demands,
+                nodes,
+                typical,
+                period_s,
+                asker.charge()[0] > 0.0,
+            )
         held = max(0.0, ask.level) + ask.refundable
         cap = max(cap + ask.refundable * self._refund_fraction(own), ask.level)
         if rate > 0.0:
@@ -313,6 +339,11 @@
         part_rate, part_cap = self.part
         if part_rate <= 0.0:
             return 0.0, 0.0, 0.0
+        if ask.demand >= POOL_DEMAND:
+            self._pool = (ask.asker_zone, now + POOL_LOAN_S)
+            return part_rate, part_cap, self.level
+        if ask.asker_zone == self.pool_zone(now):
+            self._pool = ("", now)
         others = sum(
             min(a.demand, a.charge()[0])
             for a in self._askers.values()
@@ -326,6 +357,12 @@
             credit = max(credit, min(ask.want, LENT_FRACTION * self.level))
         return rate, max(part_cap * fraction, credit), credit
 
+    def _duration_s(self, ask, asker):
+        """Return how long a lease lasts; each is backed by one that lasts longer."""
+        if not asker.is_loan:
+            return POOLED_NODE_LEASE_S if self.collects else NODE_LEASE_S
+        return POOL_LOAN_S if ask.demand >= POOL_DEMAND else LOAN_S
+
     def _fits_without_loans(self):
         rate, cap = self._charges()
         return rate <= self.part[0] and cap <= self.part[1]
--- a/packages/hibiscusspar/hibiscusspar/limits/loans.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/loans.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.limits.home import Loan
+from xxhash import xxh3_64_intdigest
+
+from hibiscusspar.limits.home import POOL_DEMAND, Loan
 from hibiscusspar.limits.messages import Ask
 
 __all__ = ["Borrower"]
@@ -14,6 +16,8 @@
 ZONES_AT_ONCE = 2  # that are asked when tokens are short
 DEMAND_HEADROOM = 1.1
 MIN_BORROWED_FRACTION = 0.15  # of the zone's own part
+POOL_RENEW_S = 2.0
+MAX_POOLED_REQUESTS = 8.0  # that the capacity of a zone's part holds
 
 
 class _Pending(NamedTuple):
@@ -76,13 +80,14 @@
         zones : iterable of str
             The other zones.
         """
-        if home.recovering(now):
+        if home.recovering(now) or home.pool_zone(now):
             return []
         lines = {zone: self._lines.setdefault(zone, _Line()) for zone in zones}
         urgent = self._urgent(now, home, lines)
         asks = []
+        home.collects = pools = self._pools(home, lines)
         for zone, line in lines.items():
-            missing = self._missing(home, zone)
+            missing = POOL_DEMAND if pools else self._missing(home, zone)
             due = now >= line.next_ask_at and (missing > 0.0 or zone in home.loans)
             if due or zone in urgent:
                 want = home.shortfall(now) if zone in urgent else 0.0
@@ -97,6 +102,21 @@
         ready.sort(key=lambda zone: lines[zone].next_urgent_at)
         return ready[:ZONES_AT_ONCE]
 
+    def _pools(self, home, lines):
+        """Return whether this home collects what the other zones have.
+
+        An account whose part in a zone holds few requests is better served from
+        one place; when zones are cut off, the loans end and each has its part.
+        """
+        if self._pool_zone(lines) != self._zone:
+            return False
+        return home.part[1] < MAX_POOLED_REQUESTS * home.typical()
+
+    def _pool_zone(self, lines):
+        """Return the zone that collects the tokens of the account, if any does."""
+        zones = [self._zone, *lines]
+        return max(zones, key=lambda z: (_weight(self._account, z), z))
+
     def take_grant(self, now, home, grant):
         """Take a loan if it answers the latest ask; return the zone, or None."""
         for zone, line in self._lines.items():
@@ -138,7 +158,7 @@
             line.adoptable = False
         line.seq += 1
         line.pending = _Pending(line.seq, now, want)
-        line.next_ask_at = now + (RENEW_S if held and held.rate > 0.0 else RETRY_S)
+        line.next_ask_at = now + _renew_s(held, missing)
         line.next_urgent_at = now + line.urgent_gap_s
         return Ask(
             account=self._account,
@@ -155,7 +175,17 @@
             level=0.0,
             refundable=0.0,
             demand=missing,
-            typical=0.0,
+            typical=home.typical(),
             want=want,
             returned=0.0,
         )
+
+
+def _renew_s(held, missing):
+    if missing == POOL_DEMAND:
+        return POOL_RENEW_S
+    return RENEW_S if held and held.rate > 0.0 else RETRY_S
+
+
+def _weight(account, zone):
+    return xxh3_64_intdigest(f"{account}\0{zone}".encode())
--- a/packages/hibiscusspar/hibiscusspar/limits/system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/system.py
@@ -11,7 +11,7 @@
 MAX_ASKS_PER_S = 15.0  # that one home gets from the nodes of its zone
 MIN_PERIOD_S = 1.0
 MAX_PERIOD_S = 4.0
-MAX_HOPS = 1
+MAX_HOPS = 2
 PERIOD_CHECK_S = 5.0
 
 
@@ -240,6 +240,8 @@
         recovering = office.home.recovering(now)
         if not recovering and not office.escrow.claimed:
             return
+        if self._passed_on(now, office.home, ask, out):
+            return
         nodes = len(self._members.live(self._zone))
         grant = office.home.answer(now, ask, nodes, self._period_s)
         if grant is None:
@@ -250,6 +252,17 @@
         else:
             out.send(ask.reply_to, grant, urgent=True)
 
+    def _passed_on(self, now, home, ask, out):
+        """Pass a node's ask on to the home that collects the account's tokens."""
+        zone = home.pool_zone(now)
+        if not zone or home.collects or ask.asker_zone != self._zone:
+            return False
+        if ask.hops >= MAX_HOPS:
+            return False
+        passed = ask._replace(zone=zone, asker_zone=zone, hops=ask.hops + 1)
+        self._route_ask(now, passed, out)
+        return True
+
     def _receive_grant(self, now, sender, grant, out):
         slot = self._slots.get(grant.account)
         if slot is not None and slot.take_grant(now, grant):
