Spread nodes over the holders of a label, ask one more after 0.1 s, gossip each 0.5 s

Cause: every node asked the same holder of a popular label first, so that owners moved single units between many nodes, and a large fleet gossiped at each tick. Change: holders are preferred by a hash with the node's name; a row that got nothing for 0.1 s asks one more holder; large fleets gossip every 0.5 s.

--- a/packages/hibiscusspar/hibiscusspar/placement/asker.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/asker.py
@@ -12,6 +12,8 @@
 
 __all__ = ["Asker"]
 
+HURRY_S = 0.1
+
 
 class Asker:
     """Chooses targets to ask for grants and loads.
@@ -84,11 +86,26 @@
         """Ask a target that has the label; return whether it has units to give."""
         rows, zone = self._residency.rows, self._members.zone
         pending = self._waits.pending
-        resident = pick_resident(resident, rows, self._specs, zone, pending)
+        resident = pick_resident(
+            resident, rows, self._specs, zone, pending, self._members.vm
+        )
         unsaturated = [n for n in resident if label not in rows[n].saturated]
         self._waits.ask(now, row, (unsaturated or resident)[0])
         return bool(unsaturated)
 
+    def hurry(self, now, key, row):
+        """Ask one more holder if those asked gave nothing; return whether it did."""
+        if not row.asked or now - max(row.asked.values()) < HURRY_S:
+            return False
+        holders = self._residency.holders(key[1])
+        if len(holders) < 2 or not any(name in holders for name in row.asked):
+            return False
+        if all(name in row.asked for name in holders):
+            return False
+        before = len(row.asked)
+        self.ask(now, key, row, ())
+        return len(row.asked) > before
+
     def usable(self, name):
         """Return whether the owner of a target can be asked now."""
         row = self._residency.rows.get(name)
--- a/packages/hibiscusspar/hibiscusspar/placement/gossip.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/gossip.py
@@ -7,6 +7,7 @@
 
 DIRECT_MEMBERS = 12
 FANOUT = 4
+SPREAD_S = 0.5
 REPAIR_S = 5.0
 
 
@@ -33,6 +34,7 @@
         self._own = set()
         self._relayed = set()
         self._repair_at = 0.0
+        self._spread_at = 0.0
 
     def published(self, row):
         """Queue a row of a target that this node owns."""
@@ -71,10 +73,12 @@
             return
         small = len(others) < DIRECT_MEMBERS
         news = self._own if small else self._own | self._relayed
-        if news:
-            self._send_news(news, others, small, out)
-        self._own = set()
-        self._relayed = set()
+        if small or now >= self._spread_at:
+            self._spread_at = now + SPREAD_S
+            if news:
+                self._send_news(news, others, small, out)
+            self._own = set()
+            self._relayed = set()
         if now >= self._repair_at:
             self._repair_at = now + REPAIR_S * self._rng.uniform(0.5, 1.5)
             peer = self._rng.choice(others)
--- a/packages/hibiscusspar/hibiscusspar/placement/router.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/router.py
@@ -26,6 +26,7 @@
 WANT_REPEAT_S = 1.0
 RETRY_AFTER_S = 1.0
 GIVE_UP_S = 5.0
+HURRY_EVERY_S = 0.2
 LOGGED_CANDIDATES = 8
 
 
@@ -61,6 +62,7 @@
         self._running = {}
         self._in_flight = {}
         self._repeat_at = 0.0
+        self._hurry_at = 0.0
         self._ready = {}
         self._counts = {}
         self.waits = WaitTable()
@@ -222,6 +224,9 @@
         if now >= self._repeat_at:
             self._repeat_at = now + WANT_REPEAT_S
             self._review(now)
+        elif now >= self._hurry_at:
+            self._hurry_at = now + HURRY_EVERY_S
+            self._hurry(now)
         self.wishes.tick(now, out)
 
     def want_permits(self, out):
@@ -332,6 +337,12 @@
             if want:
                 self.wishes.repeat(store, "")
 
+    def _hurry(self, now):
+        for key, row in self.waits.rows.items():
+            if self._asker.hurry(now, key, row):
+                for target in row.asked:
+                    self.wishes.urgent.add((target, key[1]))
+
     def _stuck(self, now, row):
         return row.barred or now - row.since >= GIVE_UP_S
 
--- a/packages/hibiscusspar/hibiscusspar/placement/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/routing.py
@@ -3,6 +3,8 @@
 from math import log2
 from typing import NamedTuple
 
+from xxhash import xxh64_intdigest
+
 __all__ = [
     "LOAD_CHOICES",
     "Dispatch",
@@ -89,15 +91,20 @@
     return best, "resident"
 
 
-def pick_resident(names, rows, specs, zone, pending):
-    """Order targets that have the label: unsaturated first, then own zone."""
+def pick_resident(names, rows, specs, zone, pending, vm):
+    """Order targets that have the label: own zone first, then by hash.
+
+    Every node prefers other holders of a label that many have, so that few nodes
+    share a target's units and their grants last.
+    """
 
     def cost(name):
+        far = specs[name].zone != zone
         return (
-            rows[name].pending > 0 and specs[name].zone != zone,
-            specs[name].zone != zone,
+            rows[name].pending > 0 and far,
+            far,
             pending.get(name, 0),
-            name,
+            xxh64_intdigest(f"{vm}|{name}".encode()),
         )
 
     return sorted(names, key=cost)
