Acknowledge in groups, trust reports only after the last late order, measure a fleet

Change: more units are acknowledged every 0.5 s, fewer at once; a new owner trusts reports asked for 4 s after it took over; the measurement has parts of the fleet.

--- a/measure/part_placement.py
+++ b/measure/part_placement.py
@@ -18,6 +18,7 @@
     configuration_of,
 )
 from hibiscusspar.ports import Member, target_owner
+from measure.placement_fleet import fleet_row
 from measure.placement_load import (
     LOAD_INTERVAL_S,
     LOAD_S,
@@ -40,6 +41,7 @@
 DECISIONS = 5000
 MISSES = 1000
 TICKS = 300
+FLEET_S = 24.0
 PRYCE_ZONES = ("caerdydd", "abertawe", "wrecsam")
 ASAV_ZONES = ("piacenza", "parma", "lodi")
 PROFILES = (
@@ -93,9 +95,29 @@
     tables = [_load_table(p, delay, seconds) for p, delay in PROFILES]
     sizes = ((3000, 9, 3),) if quick else ((3000, 9, 3), (36000, 830, 6))
     tables.append(_cost_table(sizes))
+    tables.append(_fleet_table((2,) if quick else (2, 10)))
     return tables
 
 
+def _fleet_table(per_zone_sizes):
+    rows = [fleet_row(per_zone, FLEET_S) for per_zone in per_zone_sizes]
+    columns = (
+        "nodes",
+        "targets",
+        "requests/s",
+        "stalled, %",
+        "messages a node and s",
+        "flushes a node and s",
+        "bytes a node and s",
+        "most are",
+    )
+    note = (
+        "Parts of the fleet of 360 nodes with 36,000 adapters, engines warm at the "
+        "start. A flush is an exchange or the answer of one; bytes are without HTTP."
+    )
+    return Table("Control traffic", columns, rows, note)
+
+
 def _load_table(profile, delay_s, seconds):
     arrivals = make_trace(profile, seconds, Random(f"placement/{profile.name}"))
     bound_loads, bound_outcomes = offline_bound(arrivals, 6 * SLOTS)
--- a/packages/hibiscusspar/hibiscusspar/placement/ledger.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/ledger.py
@@ -5,7 +5,7 @@
 
 __all__ = ["Ledger", "Share"]
 
-RESEND_S = 0.5
+RESEND_S = 1.0
 RESEND_MAX_S = 8.0
 WANT_TTL_S = 3.0
 TURN_S = 1.0
--- a/packages/hibiscusspar/hibiscusspar/placement/owned.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/owned.py
@@ -49,7 +49,7 @@
         self.fenced = False
         self.fence_raised = False
         self.doubtful = set()
-        self._trusted_from = now + STATE_LAG_S
+        self._trusted_from = now + SETTLE_S + STATE_LAG_S
         self.waiting_since = {}
         self.avoid = {}
         self.early = {}
--- a/packages/hibiscusspar/hibiscusspar/placement/ring.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/ring.py
@@ -34,6 +34,12 @@
     def __len__(self):
         return len(self.names)
 
+    def has_other_than(self, excluded):
+        """Return whether any name is not among those excluded."""
+        if len(self) > len(excluded):
+            return True
+        return any(name not in excluded for name in self.names)
+
     def walk(self, label):
         """Yield every name once, nearest to the label first."""
         start = bisect(self._hashes, _hash(label))
--- a/packages/hibiscusspar/hibiscusspar/placement/router.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/router.py
@@ -26,6 +26,7 @@
 WANT_REPEAT_S = 1.0
 RETRY_AFTER_S = 1.0
 GIVE_UP_S = 5.0
+ANSWER_S = 0.5
 HURRY_EVERY_S = 0.2
 LOGGED_CANDIDATES = 8
 
@@ -61,6 +62,8 @@
         self._rings = {}
         self._running = {}
         self._in_flight = {}
+        self._unanswered = {}
+        self._answer_at = 0.0
         self._repeat_at = 0.0
         self._hurry_at = 0.0
         self._ready = {}
@@ -103,7 +106,7 @@
         """Return a :class:`Dispatch` or :class:`Refuse`, or None if it has to wait."""
         spec = self._services.get(request.service)
         ring = self._rings.get(request.service, EMPTY_RING)
-        if spec is None or not _allows(ring, request.excluded):
+        if spec is None or not ring.has_other_than(request.excluded):
             return self._refuse(request, (), "no target", out)
         if spec.kind == "plain":
             return self._plain(now, request, ring, out)
@@ -113,7 +116,7 @@
         """Return whether :meth:`attempt` would decide now; it changes nothing."""
         spec = self._services.get(request.service)
         ring = self._rings.get(request.service, EMPTY_RING)
-        if spec is None or not _allows(ring, request.excluded):
+        if spec is None or not ring.has_other_than(request.excluded):
             return True
         if spec.kind == "engine":
             return bool(self._free_holds(request, ring))
@@ -125,7 +128,7 @@
 
     def wait(self, now, request, out):
         """Keep a request waiting and ask for what it needs."""
-        key = (request.service, label_of(request))
+        key = (request.service, request.label)
         if not request.adapter:
             return Wait("full")
         row = self.waits.add(now, key, request.request_id)
@@ -142,7 +145,7 @@
 
     def waited(self, request, out):
         """Log that a request waits and return the :class:`Wait`."""
-        label = label_of(request)
+        label = request.label
         row = self.waits.rows.get((request.service, label))
         asked = tuple(row.asked) if row else ()
         holders = self._residency.holders(label)
@@ -191,20 +194,27 @@
             self._note_ready(label)
 
     def granted(self, sender, message, out):
-        """Take in a grant, acknowledge it and wake what waits for it.
+        """Take in a grant and wake what waits for it.
+
+        Fewer units are acknowledged at once, more units a little later with others.
 
         A grant to an earlier life of this process, or of an owner that never asked,
         is answered by a wish, on which the owner asks what is held.
         """
-        hold = self._holder.accept(message)
         target, label = message.target, message.label
+        before = self._holder.hold(target, label)
+        level = before.level if before else 0
+        hold = self._holder.accept(message)
         if hold is None:
             if not self._holder.answered(message):
                 self._post.send(out, sender, self.wishes.message(target, label))
             return
-        self._acknowledge(message.target, message.label, out)
+        if hold.level > level:
+            self._unanswered[target, label] = None
+        else:
+            self._acknowledge(target, label, out)
         if hold.free:
-            self._note_ready(message.label)
+            self._note_ready(label)
 
     def failed(self, now, message):
         """Bar a target for a label whose load failed there."""
@@ -221,6 +231,9 @@
         for key in self.waits.expire(now):
             self._settle(key)
             self._ready[key] = None
+        if now >= self._answer_at:
+            self._answer_at = now + ANSWER_S
+            self._answer(out)
         if now >= self._repeat_at:
             self._repeat_at = now + WANT_REPEAT_S
             self._review(now)
@@ -276,12 +289,12 @@
     def _free_holds(self, request, ring):
         return {
             name: hold
-            for name, hold in self._holder.of_label(label_of(request)).items()
+            for name, hold in self._holder.of_label(request.label).items()
             if hold.free and name in ring and name not in request.excluded
         }
 
     def _held(self, now, request, ring, out):
-        label = label_of(request)
+        label = request.label
         holds = self._free_holds(request, ring)
         if not holds:
             return None
@@ -303,7 +316,7 @@
         out.log(
             ROUTE_DISPATCHED,
             request=request.request_id,
-            adapter=label_of(request),
+            adapter=request.label,
             target=target,
             candidates=tuple(candidates[:LOGGED_CANDIDATES]),
             reason=reason,
@@ -314,7 +327,7 @@
         out.log(
             ROUTE_REFUSED,
             request=request.request_id,
-            adapter=label_of(request),
+            adapter=request.label,
             candidates=candidates,
             reason=reason,
         )
@@ -331,7 +344,7 @@
                 self._asker.ask(now, key, row, ())
             for target in row.asked:
                 self.wishes.repeat(target, label)
-            if row.requests and not row.asked and self._stuck(now, row):
+            if row.requests and not row.asked and _stuck(now, row):
                 self._ready[key] = None
         for store, want in self._permits.wanted.items():
             if want:
@@ -343,15 +356,18 @@
                 for target in row.asked:
                     self.wishes.urgent.add((target, key[1]))
 
-    def _stuck(self, now, row):
-        return row.barred or now - row.since >= GIVE_UP_S
-
     def _short(self, key, row):
         rows = self._residency.rows
         return all(
             name in rows and key[1] in rows[name].saturated for name in row.asked
         )
 
+    def _answer(self, out):
+        answers, self._unanswered = self._unanswered, {}
+        for target, label in answers:
+            if self._holder.hold(target, label) is not None:
+                self._acknowledge(target, label, out)
+
     def _acknowledge(self, target, label, out):
         owner = self._holder.owners.get(target, "")
         want = self.wishes.units(target, label)
@@ -378,14 +394,5 @@
         return spec.service if spec else ""
 
 
-def label_of(request):
-    """Return ``adapter@version``, empty for a request without an adapter."""
-    if not request.adapter:
-        return ""
-    return f"{request.adapter}@{request.version}"
-
-
-def _allows(ring, excluded):
-    if len(ring) > len(excluded):
-        return True
-    return any(name not in excluded for name in ring.names)
+def _stuck(now, row):
+    return row.barred or now - row.since >= GIVE_UP_S
--- a/packages/hibiscusspar/hibiscusspar/placement/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/routing.py
@@ -33,6 +33,11 @@
     zone: str = ""
     excluded: tuple[str, ...] = ()
 
+    @property
+    def label(self):
+        """Return ``adapter@version``, empty for a request without an adapter."""
+        return f"{self.adapter}@{self.version}" if self.adapter else ""
+
 
 class Dispatch(NamedTuple):
     """Send the request to this target now; one unit of concurrency is taken."""
--- a/packages/hibiscusspar/hibiscusspar/placement/system.py
+++ b/packages/hibiscusspar/hibiscusspar/placement/system.py
@@ -38,7 +38,7 @@
     "role_names",
 ]
 
-USAGE_S = 2.0
+USAGE_S = 4.0
 
 
 class PlacementSystem:
