--- a/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/world.py
@@ -1,8 +1,6 @@
 """Limit systems of several VMs over a fake network, platform and set of roles.
 
-Events run in order of time from a heap. An exact oracle counts each request by
-the tokens it used at the moment it was admitted: an ideal bucket with the whole
-limit, from which they are taken, must never go below zero.
+Events run in order of time from a heap.
 """
 
 from heapq import heappop, heappush
@@ -13,6 +11,7 @@
 from hibiscusspar.limits.escrow import KIND
 from hibiscusspar.limits.node import Reservation, Shortage
 from hibiscusspar.limits.system import LimitSystem
+from hibiscusspar.limits.tests.oracle import Oracle
 from hibiscusspar.outbox import Outbox, PlatformResult
 from hibiscusspar.ports import Member
 
@@ -20,7 +19,6 @@
 WAIT_S = 1.0
 RETRY_S = 0.05
 MORE_TOKENS = 20.0
-TOLERANCE = 1e-6
 
 
 def configuration(accounts, zones, revision=1):
@@ -36,46 +34,6 @@
     return AccountSpec(name, rate, burst, zone_fractions=fractions)
 
 
-class Oracle:
-    """The ideal bucket of one account over the whole fleet."""
-
-    def __init__(self, limit):
-        self._limits = [(0.0, *limit)]
-        self._admitted = {}
-
-    def set_limit(self, now, limit):
-        if self._limits[-1][1:] != limit:
-            self._limits.append((now, *limit))
-
-    def admit(self, key, now, tokens):
-        self._admitted[key] = (now, tokens)
-
-    def settle(self, key, used):
-        self._admitted[key] = (self._admitted[key][0], used)
-
-    @property
-    def total(self):
-        return sum(tokens for _, tokens in self._admitted.values())
-
-    def lowest(self):
-        """Return the lowest level that the ideal bucket ever had."""
-        events = [(at, 1, tokens, 0.0) for at, tokens in self._admitted.values()]
-        events += [(at, 0, rate, cap) for at, rate, cap in self._limits]
-        rate, cap, level, last = 0.0, float("inf"), None, 0.0
-        lowest = float("inf")
-        for at, is_admission, first, second in sorted(events):
-            if level is not None:
-                level = min(cap, level + rate * (at - last))
-            last = at
-            if is_admission:
-                level -= first
-                lowest = min(lowest, level)
-            else:
-                rate, cap = first, second
-                level = cap if level is None else min(cap, level)
-        return lowest
-
-
 class _View:
     """What one VM sees of members and roles."""
 
@@ -139,6 +97,7 @@
         self.rng = Random(seed)
         self.now = 0.0
         self.vms = {}
+        self._live = {}
         self.roles = {}
         self.objects = {}
         self.cuts = set()
@@ -166,16 +125,19 @@
         self.assign_roles()
 
     def live(self, zone=""):
-        return [
-            Member(vm.name, vm.zone, "")
-            for vm in self.vms.values()
-            if not zone or vm.zone == zone
-        ]
+        if zone not in self._live:
+            self._live[zone] = [
+                Member(vm.name, vm.zone, "")
+                for vm in self.vms.values()
+                if not zone or vm.zone == zone
+            ]
+        return self._live[zone]
 
     def add_vm(self, name, zone):
         offset = self.rng.uniform(0.0, 1e5)
         vm = Vm(name, zone, offset, self.rng.uniform(-4e-4, 4e-4))
         self.vms[name] = vm
+        self._live.clear()
         self.start_process(name)
         self.schedule(self.rng.uniform(0.0, self._tick_s), self._tick, name, vm)
 
@@ -196,6 +158,7 @@
     def remove_vm(self, name):
         """Take a VM away for good; the platform's list no longer shows it."""
         del self.vms[name]
+        self._live.clear()
         self.assign_roles()
 
     def pause(self, name):
@@ -206,7 +169,8 @@
         vm.paused = False
         held, vm.held_back = vm.held_back, []
         for function, args in held:
-            function(*args)
+            late = args[2] == self._learn_role
+            self.schedule(ROLE_DELAY_S if late else 0.0, function, *args)
 
     def publish(self, accounts, zones=None):
         zones = zones or sorted({vm.zone for vm in self.vms.values()})
@@ -282,15 +246,15 @@
         args = (vm_name, account, tokens, lasts_s, until)
         self.schedule(RETRY_S, self.submit, *args)
 
-    def drain(self, duration_s, names=None, step_s=0.1):
+    def drain(self, duration_s, names=None, step_s=0.1, more=MORE_TOKENS):
         """Spend whatever the VMs hold, and ask for more, for some seconds."""
         end = self.now + duration_s
         while self.now < end:
             for name in names or sorted(self.vms):
-                self._spend(name)
+                self._spend(name, more)
             self.run(min(step_s, end - self.now))
 
-    def _spend(self, name):
+    def _spend(self, name, more):
         vm = self.vms.get(name)
         if vm is None or vm.paused:
             return
@@ -299,7 +263,7 @@
             level = vm.system.status(vm.clock(self.now))[account]["level"]
             if level > 0.0:
                 self.request(name, account, level, level)
-            self.request(name, account, MORE_TOKENS, MORE_TOKENS)
+            self.request(name, account, more, more)
 
     def settle_later(self, vm, key, reservation, used, lasts_s):
         """Settle a reservation of a VM after some seconds."""
@@ -342,6 +306,8 @@
         function(*args)
 
     def _configure(self, vm, configuration):
+        if configuration.revision < self.configuration.revision:
+            return
         out = Outbox()
         vm.system.configure(vm.clock(self.now), configuration, out)
         self._carry_out(vm, out)
@@ -356,13 +322,14 @@
         peers = set()
         for send in out.sends:
             peers.add(send.peer)
-            self._transmit(vm, send.peer, send.message)
+            self.transmit(vm, send.peer, send.message)
         vm.sent += len(peers)
         vm.sent_messages += len(out.sends)
         for call in out.calls:
             self.schedule(self._latency_s, self._platform, vm, vm.life, call)
 
-    def _transmit(self, vm, peer, message):
+    def transmit(self, vm, peer, message):
+        """Send a message, with the faults of the network."""
         if self.on_send is not None:
             self.on_send(vm, peer, message)
         copies = 0 if self.rng.random() < self.chance["lose"] else 1
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -38,6 +38,7 @@
 
 PEER_THREADS = 8
 OPERATOR_THREADS = 4
+LIFE_BYTES = 8
 MESSAGES = {
     "members": (Gossip, VmRows),
     "roles": (RoleRows, RoleVersions),
@@ -68,7 +69,7 @@
     platform = PlatformClient(
         settings.platform, _child(rng), settings.platform_timeout_s
     )
-    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s)
+    peers = PeerClient(settings.peer_secret, settings.peer_timeout_s, settings.vm_id)
     keeper = TargetKeeper(holder.target_address, settings.connect_timeout_s)
     gate = ClaimGate(settings.platform_timeout_s)
     systems = _systems(settings, servers, rng, clock(), gate)
@@ -144,7 +145,12 @@
         roles=roles,
         limits=LimitSystem(vm, zone, members, roles, _child(rng)),
         placement=PlacementSystem(vm, zone, members, roles, _child(rng), now),
-        requests=RequestSystem(members, _child(rng), on_verdict=gate.on_verdict),
+        requests=RequestSystem(
+            members,
+            _child(rng),
+            secrets.token_hex(LIFE_BYTES),
+            on_verdict=gate.on_verdict,
+        ),
     )
 
 
