Keep claims in 4 shards, so that more of them share a write

Cause: a VM may make 10 platform calls a second; with 16 shards each claim met an idle shard and cost a write of its own. Change: 4 shards.

--- a/packages/hibiscusspar/hibiscusspar/requests/claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/claims.py
@@ -43,7 +43,7 @@
     ``keep_s``. ``max_entries`` bounds a shard to the size of a platform value.
     """
 
-    shards: int = 16
+    shards: int = 4
     commit_interval_s: float = 0.1
     end_interval_s: float = 1.0
     keep_s: float = 900.0
