--- a/packages/hibiscusspar/hibiscusspar/requests/claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/claims.py
@@ -22,6 +22,13 @@
     shard_of,
     shard_value,
 )
+from hibiscusspar.requests.claim_types import (
+    Away,
+    ClaimPolicy,
+    Earlier,
+    Mismatch,
+    Won,
+)
 from hibiscusspar.requests.events import (
     CLAIM_DECIDED,
     CLAIM_SHARD_CONFLICT,
@@ -29,49 +36,12 @@
 )
 from hibiscusspar.requests.lifecycle import Outcome
 
-__all__ = ["Away", "ClaimPolicy", "Claims", "Earlier", "Mismatch", "Won"]
+__all__ = ["Claims"]
 
 _KIND = "claims"
 _ID_BITS = 64
 
 
-class ClaimPolicy(NamedTuple):
-    """Settings of claims; times are in seconds.
-
-    Claims of one shard are committed at most every ``commit_interval_s``, ends of
-    requests after ``end_interval_s``. A finished claim is kept for at least
-    ``keep_s``. ``max_entries`` bounds a shard to the size of a platform value.
-    """
-
-    shards: int = 4
-    commit_interval_s: float = 0.1
-    end_interval_s: float = 1.0
-    keep_s: float = 900.0
-    max_entries: int = 5000
-    away_retry_s: float = 2.0
-
-
-class Won(NamedTuple):
-    """The claim is in the platform; the request may be sent once."""
-
-
-class Earlier(NamedTuple):
-    """The key was claimed before; ``state`` and ``status`` tell how that ended."""
-
-    state: str
-    status: int
-
-
-class Mismatch(NamedTuple):
-    """The key was claimed before for another body."""
-
-
-class Away(NamedTuple):
-    """The claim could not be made in time; the request was not run."""
-
-    retry_after_s: float
-
-
 class _Waiting(NamedTuple):
     claim_id: str
     account: str
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_claims.py
@@ -8,14 +8,8 @@
 
 from hibiscusspar.outbox import Outbox, PlatformResult
 from hibiscusspar.requests.claim_shard import CLAIMED, parse_shard
-from hibiscusspar.requests.claims import (
-    Away,
-    ClaimPolicy,
-    Claims,
-    Earlier,
-    Mismatch,
-    Won,
-)
+from hibiscusspar.requests.claim_types import Away, ClaimPolicy, Earlier, Mismatch, Won
+from hibiscusspar.requests.claims import Claims
 from hibiscusspar.requests.lifecycle import Outcome
 from hibiscusspar.requests.tests.fakes import FakeMembers, FakePlatform
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
@@ -6,7 +6,7 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.events import REQUEST_ENDED
 from hibiscusspar_entry.refusal import RefusedError
-from hibiscusspar_wire.relay import Placed
+from hibiscusspar_wire.relay_types import Placed
 
 __all__ = ["DispatchHooks"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
@@ -6,7 +6,7 @@
 from msgspec.json import encode as to_json
 
 from hibiscusspar.limits.node import Reservation
-from hibiscusspar.requests.claims import Away, Earlier, Mismatch, Won
+from hibiscusspar.requests.claim_types import Away, Earlier, Mismatch, Won
 from hibiscusspar.requests.quarantine import body_digest
 from hibiscusspar_entry.admission import admit
 from hibiscusspar_entry.event_log import write_records
@@ -14,7 +14,7 @@
 from hibiscusspar_entry.open_requests import OpenRequest
 from hibiscusspar_entry.refusal import RefusedError
 from hibiscusspar_wire.callers import Answer
-from hibiscusspar_wire.relay import GaveUpError, Work
+from hibiscusspar_wire.relay_types import GaveUpError, Work
 
 __all__ = ["RequestGateway"]
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/claim_gate.py
@@ -2,7 +2,7 @@
 
 from threading import Condition
 
-from hibiscusspar.requests.claims import Away
+from hibiscusspar.requests.claim_types import Away
 
 __all__ = ["ClaimGate"]
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -1,7 +1,6 @@
 """Carries a request to targets and its answer to the caller, whole or broken."""
 
 import time
-from typing import NamedTuple, Protocol
 
 from msgspec import MsgspecError, Struct
 from msgspec.json import decode as from_json
@@ -17,10 +16,11 @@
 from hibiscusspar.requests.lifecycle import Outcome, Step
 from hibiscusspar.requests.retry import Cause, GiveUp
 from hibiscusspar_wire.crash_watch import CrashWatch
+from hibiscusspar_wire.relay_types import GaveUpError, Relayed
 from hibiscusspar_wire.stream_check import StreamCheck
 from hibiscusspar_wire.target_client import TargetError
 
-__all__ = ["GaveUpError", "Hooks", "Placed", "Relay", "Relayed", "Work"]
+__all__ = ["Relay"]
 
 MIN_WAIT_S = 0.001
 _CRASH_CAUSES = frozenset({Cause.CLOSED, Cause.TRUNCATED, Cause.STREAM_CLOSED})
@@ -31,72 +31,6 @@
 )
 
 
-class Work(NamedTuple):
-    """One request as it goes to a target.
-
-    ``label`` is ``adapter@version`` for engines, else empty. ``deadline`` is the
-    time of the first byte; ``tokens`` is what was reserved; ``digest`` is that of
-    the body.
-    """
-
-    request_id: str
-    method: str
-    uri: str
-    headers: dict
-    body: bytes
-    label: str
-    stream: bool
-    idempotent: bool
-    deadline: float
-    tokens: int
-    digest: str
-
-
-class Placed(NamedTuple):
-    """The target that a request was granted."""
-
-    target: str
-    address: str
-
-
-class Relayed(NamedTuple):
-    """An answer; ``body`` is bytes if whole, else an iterator."""
-
-    status: int
-    headers: tuple
-    body: object
-
-
-class Hooks(Protocol):
-    """What the relay needs from the process around it."""
-
-    def place(self, work, excluded):
-        """Return a :class:`Placed` target, or raise.
-
-        ``excluded(candidates)`` returns those of some target names to avoid.
-        """
-
-    def left(self, work, placed, cause):
-        """Take back the grant of an attempt that ended; cause None if well."""
-
-    def missing(self, work, placed):
-        """Take in that the target does not hold the adapter."""
-
-    def ended(self, work, life, target, status):
-        """Take in the end of a request with its outcome and its tokens."""
-
-
-class GaveUpError(StepError):
-    """A request ended without an answer; ``ran`` tells what is known of it."""
-
-    def __init__(self, step, peer, reason, code, status, ran, retry_after_s):
-        super().__init__(step, peer, reason)
-        self.code = code
-        self.status = status
-        self.ran = ran
-        self.retry_after_s = retry_after_s
-
-
 class _Usage(Struct, frozen=True):
     prompt_tokens: int = 0
     completion_tokens: int = 0
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay_types.py
@@ -0,0 +1,73 @@
+"""What goes into the relay of a request and what comes out of it."""
+
+from typing import NamedTuple, Protocol
+
+from hibiscusspar.errors import StepError
+
+__all__ = ["GaveUpError", "Hooks", "Placed", "Relayed", "Work"]
+
+
+class Work(NamedTuple):
+    """One request as it goes to a target.
+
+    ``label`` is ``adapter@version`` for engines, else empty. ``deadline`` is the
+    time of the first byte; ``tokens`` is what was reserved; ``digest`` is that of
+    the body.
+    """
+
+    request_id: str
+    method: str
+    uri: str
+    headers: dict
+    body: bytes
+    label: str
+    stream: bool
+    idempotent: bool
+    deadline: float
+    tokens: int
+    digest: str
+
+
+class Placed(NamedTuple):
+    """The target that a request was granted."""
+
+    target: str
+    address: str
+
+
+class Relayed(NamedTuple):
+    """An answer; ``body`` is bytes if whole, else an iterator."""
+
+    status: int
+    headers: tuple
+    body: object
+
+
+class Hooks(Protocol):
+    """What the relay needs from the process around it."""
+
+    def place(self, work, excluded):
+        """Return a :class:`Placed` target, or raise.
+
+        ``excluded(candidates)`` returns those of some target names to avoid.
+        """
+
+    def left(self, work, placed, cause):
+        """Take back the grant of an attempt that ended; cause None if well."""
+
+    def missing(self, work, placed):
+        """Take in that the target does not hold the adapter."""
+
+    def ended(self, work, life, target, status):
+        """Take in the end of a request with its outcome and its tokens."""
+
+
+class GaveUpError(StepError):
+    """A request ended without an answer; ``ran`` tells what is known of it."""
+
+    def __init__(self, step, peer, reason, code, status, ran, retry_after_s):
+        super().__init__(step, peer, reason)
+        self.code = code
+        self.status = status
+        self.ran = ran
+        self.retry_after_s = retry_after_s
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/relay_bench.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/relay_bench.py
@@ -16,7 +16,8 @@
 from hibiscusspar_standins.plain import PlainService
 from hibiscusspar_standins.server import StandinServer
 from hibiscusspar_standins.weights import WeightStore
-from hibiscusspar_wire.relay import GaveUpError, Placed, Relay, Work
+from hibiscusspar_wire.relay import Relay
+from hibiscusspar_wire.relay_types import GaveUpError, Placed, Work
 from hibiscusspar_wire.target_client import TargetClient
 
 LABEL = "larch@2"
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_relay.py
@@ -9,7 +9,7 @@
 from hibiscusspar.requests.lifecycle import Outcome
 from hibiscusspar_standins.engine import expected_text
 from hibiscusspar_standins.faults import ALWAYS
-from hibiscusspar_wire.relay import GaveUpError
+from hibiscusspar_wire.relay_types import GaveUpError
 from hibiscusspar_wire.tests.relay_bench import LABEL, PROMPT, SILENCE_S, USAGE, Bench
 
 A = Outcome.ANSWERED
