Show quarantined bodies, ejected targets and open claims in the status

Cause: the quarantine was visible in the log only. Change: the status of the operators' port has a section for requests.

--- a/packages/hibiscusspar/hibiscusspar/requests/system.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/system.py
@@ -55,6 +55,19 @@
         """Requests that are not done, keyed by id."""
         return dict(self._lives)
 
+    def status(self, now):
+        """Return what operators see: quarantined bodies, failing targets, claims."""
+        rows = self.ejection.rows
+        return {
+            "quarantined": {
+                digest: round(left_s, 1)
+                for digest, left_s in self.quarantine.quarantined(now)
+            },
+            "ejected": sorted(target for target, row in rows.items() if row.ejected),
+            "unwritten_claims": self.claims.unwritten,
+            "retry_budget": round(self.budget.tokens, 1),
+        }
+
     def begin(self, request_id, idempotent):
         """Take up a request whose key was accepted."""
         self.budget.earn()
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_lifecycle.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_lifecycle.py
@@ -105,6 +105,15 @@
         life = self.system.step("r", Step.GIVE_UP, self.out)
         self.assertIs(life.outcome, Outcome.NOT_RUN)
 
+    def test_status_shows_what_is_refused_and_why(self):
+        for target in ("t", "t", "t"):
+            self.system.ejection.failed(0.0, target, self.out)
+        for target in ("t", "u"):
+            self.system.quarantine.crashed(0.0, "d", target, self.out)
+        status = self.system.status(100.0)
+        self.assertEqual(status["ejected"], ["t"])
+        self.assertEqual(status["quarantined"], {"d": 200.0})
+
     def test_resumable_stream_keeps_its_phase(self):
         self.sent(False)
         self.system.step("r", Step.BEGIN_ANSWER, self.out)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -157,6 +157,7 @@
                 ),
                 "roles": sorted(systems.roles.held),
                 "limits": systems.limits.status(now),
+                "requests": systems.requests.status(now),
             }
 
     def metrics(self):
