--- a/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/relay.py
@@ -1,7 +1,6 @@
 """Carries a request to targets and its answer to the caller, whole or broken."""
 
 import time
-from typing import NamedTuple, Protocol
 
 from msgspec import MsgspecError, Struct
 from msgspec.json import decode as from_json
@@ -17,11 +16,13 @@
 from hibiscusspar.requests.lifecycle import Outcome, Step
 from hibiscusspar.requests.retry import Cause, GiveUp
 from hibiscusspar_wire.crash_watch import CrashWatch
+from hibiscusspar_wire.relay_types import GaveUpError, Relayed
 from hibiscusspar_wire.stream_check import StreamCheck
 from hibiscusspar_wire.target_client import TargetError
 
-__all__ = ["GaveUpError", "Hooks", "Placed", "Relay", "Relayed", "Work"]
+__all__ = ["Relay"]
 
+MIN_WAIT_S = 0.001
 _CRASH_CAUSES = frozenset({Cause.CLOSED, Cause.TRUNCATED, Cause.STREAM_CLOSED})
 _SILENT_CAUSES = frozenset({Cause.SILENT, Cause.STREAM_SILENT})
 _NOT_RELAYED = frozenset(
@@ -30,72 +31,6 @@
 )
 
 
-class Work(NamedTuple):
-    """One request as it goes to a target.
-
-    ``label`` is ``adapter@version`` for engines, else empty. ``deadline`` is the
-    time of the first byte; ``tokens`` is what was reserved; ``digest`` is that of
-    the body.
-    """
-
-    request_id: str
-    method: str
-    uri: str
-    headers: dict
-    body: bytes
-    label: str
-    stream: bool
-    idempotent: bool
-    deadline: float
-    tokens: int
-    digest: str
-
-
-class Placed(NamedTuple):
-    """The target that a request was granted."""
-
-    target: str
-    address: str
-
-
-class Relayed(NamedTuple):
-    """An answer; ``body`` is bytes if whole, else an iterator."""
-
-    status: int
-    headers: tuple
-    body: object
-
-
-class Hooks(Protocol):
-    """What the relay needs from the process around it."""
-
-    def place(self, work, excluded):
-        """Return a :class:`Placed` target, or raise.
-
-        ``excluded(candidates)`` returns those of some target names to avoid.
-        """
-
-    def left(self, work, placed, cause):
-        """Take back the grant of an attempt that ended; cause None if well."""
-
-    def missing(self, work, placed):
-        """Take in that the target does not hold the adapter."""
-
-    def ended(self, work, life, target, status):
-        """Take in the end of a request with its outcome and its tokens."""
-
-
-class GaveUpError(StepError):
-    """A request ended without an answer; ``ran`` tells what is known of it."""
-
-    def __init__(self, step, peer, reason, code, status, ran, retry_after_s):
-        super().__init__(step, peer, reason)
-        self.code = code
-        self.status = status
-        self.ran = ran
-        self.retry_after_s = retry_after_s
-
-
 class _Usage(Struct, frozen=True):
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -132,9 +67,9 @@
 
         The body of a stream must be exhausted or closed, which ends the request.
         """
-        self._begin(work)
+        quarantined_s = self._begin(work)
         try:
-            self._refuse_poison(work)
+            _refuse_poison(quarantined_s)
             return self._attempts(work)
         except Exception as error:
             life = self._give_up_if_open(work)
@@ -143,26 +78,19 @@
             raise
 
     def _begin(self, work):
-        with self._decide() as (_now, out):
+        """Note a new request; return for how long its body is quarantined."""
+        with self._decide() as (now, out):
             self._system.begin(work.request_id, work.idempotent)
             self._system.step(work.request_id, Step.RESERVE, out, work.tokens)
             self._system.step(work.request_id, Step.ENQUEUE, out)
-
-    def _refuse_poison(self, work):
-        with self._decide() as (now, _out):
-            left_s = self._system.quarantine.refused_for(now, work.digest)
-        if left_s > 0:
-            reason = "requests with this body crashed two targets"
-            raise GaveUpError(
-                "quarantine", "", reason, "body_quarantined", 422, "not-run", left_s
-            )
+            return self._system.quarantine.refused_for(now, work.digest)
 
     def _attempts(self, work):
         tried = set()
         while True:
-            placed = self._place(work, tried)
+            placed, sent_at = self._place(work, tried)
             try:
-                return self._attempt(work, placed)
+                return self._attempt(work, placed, sent_at)
             except TargetError as error:
                 failure = error
             except BaseException:
@@ -189,33 +117,33 @@
             self._system.step(work.request_id, Step.GRANT, out)
             self._system.step(work.request_id, Step.SEND, out)
             self._system.ejection.begin(now, placed.target, out)
-        return placed
+        return placed, now
 
-    def _attempt(self, work, placed):
+    def _attempt(self, work, placed, sent_at):
         answer = self._targets.send(
             placed.address,
             work.method,
             work.uri,
             work.headers,
             work.body,
-            self._answer_timeout(work),
+            self._answer_timeout(work, sent_at),
             work.idempotent,
         )
         self._targets.check(placed.address, answer, work.request_id, work.label)
         self.incarnation_seen(placed.target, answer.headers.get("X-Incarnation", ""))
-        self._step(work, Step.BEGIN_ANSWER)
         headers = _relayed_headers(answer)
         if work.stream and answer.status == 200:
+            self._step(work, Step.BEGIN_ANSWER)
             check = StreamCheck(work.request_id, work.label)
             body = _Stream(self._stream(work, placed, answer, check))
             return Relayed(answer.status, headers, body)
         data = self._targets.read(placed.address, answer)
-        self._complete(work, placed, answer.status, _tokens(work, data))
+        tokens = _tokens(work, data)
+        self._complete(work, placed, answer.status, tokens, Step.BEGIN_ANSWER)
         return Relayed(answer.status, headers, data)
 
-    def _answer_timeout(self, work):
-        with self._decide() as (now, _out):
-            left_s = max(work.deadline - now, 0.001)
+    def _answer_timeout(self, work, now):
+        left_s = max(work.deadline - now, MIN_WAIT_S)
         if work.stream:
             return min(left_s, self._targets.silence_timeout_s)
         # Half of the time left leaves room for another attempt.
@@ -299,8 +227,10 @@
         with self._decide() as (_now, out):
             self._system.step(work.request_id, step, out)
 
-    def _complete(self, work, placed, status, tokens):
+    def _complete(self, work, placed, status, tokens, *steps):
         with self._decide() as (_now, out):
+            for step in steps:
+                self._system.step(work.request_id, step, out)
             self._system.ejection.succeeded(placed.target, out)
             life = self._system.step(work.request_id, Step.COMPLETE, out, tokens)
         self._hooks.left(work, placed, None)
@@ -360,7 +290,7 @@
         """Run an idempotent request again, to go on where its stream broke."""
         self._hooks.left(work, placed, Cause.STREAM_CLOSED)
         self._step(work, Step.LOSE)
-        placed = self._place(work, {placed.target})
+        placed, _ = self._place(work, {placed.target})
         answer = self._targets.send(
             placed.address, work.method, work.uri, work.headers, work.body
         )
@@ -388,6 +318,14 @@
             return
 
 
+def _refuse_poison(quarantined_s):
+    if quarantined_s > 0:
+        reason = "requests with this body crashed two targets"
+        raise GaveUpError(
+            "quarantine", "", reason, "body_quarantined", 422, "not-run", quarantined_s
+        )
+
+
 class _Stream:
     """Iterator of a stream whose end is certain, even if it is never started."""
 
