--- a/measure/part_spread.py
+++ b/measure/part_spread.py
@@ -1,15 +1,8 @@
-"""Spread of a revision, its cost, and calls of the platform, in virtual time."""
+"""Time until a revision has spread, in virtual time."""
 
 from random import Random
 
-from hibiscusspar.membership.messages import Beat
-from hibiscusspar_wire.codec import MessageCodec
-from hibiscusspar_wire.config_watch import REREAD_S, WATCH_S
-from measure.fleet import (
-    ANSWER_HEADER_BYTES,
-    REQUEST_HEADER_BYTES,
-    Fleet,
-)
+from measure.fleet import Fleet
 from measure.report import Table
 
 __all__ = ["run"]
@@ -17,11 +10,9 @@
 SIZES = ((3, 3), (6, 10), (6, 60))
 FAULTS = (("none", 0.0, 0.0), ("loss", 0.1, 0.0), ("loss and pauses", 0.1, 0.1))
 WARM_UP_S = 20.0
-STEADY_S = 30.0
 LIMIT_S = 60.0
 PAUSE_S = 5.0
 SEEDS = 3
-ROLES_PER_ZONE = 25
 HEARTBEAT_S = 1.0
 
 
@@ -29,11 +20,7 @@
     """Return the tables of the part."""
     sizes = SIZES[:2] if quick else SIZES
     seeds = range(2 if quick else SEEDS)
-    return [
-        _spread_table(sizes, seeds),
-        _load_table(sizes),
-        _platform_table(sizes),
-    ]
+    return [_spread_table(sizes, seeds)]
 
 
 def _spread_table(sizes, seeds):
@@ -58,7 +45,7 @@
         f"seeds. Loss: {FAULTS[1][1]:.0%} of the exchanges. Pauses: "
         f"{FAULTS[2][2]:.0%} of the VMs stand still for the first {PAUSE_S:g} s; "
         "they count. Fetching the chunks is not included. With a watch on each VM "
-        "the spread is one answer of the platform, see the last table."
+        "the spread is one answer of the platform, see part membership."
     )
     columns = ("VMs", "faults", "way", "half", "all, median", "all, worst")
     return Table("Time to spread", columns, rows, note)
@@ -98,81 +85,3 @@
         times.append(at)
     times.sort()
     return times[count // 2], times[-1]
-
-
-def _load_table(sizes):
-    rows = []
-    for zones, per_zone in sizes:
-        count = zones * per_zone
-        for name, one_zone in (("gossip, zone-weighted", False), ("uniform", True)):
-            fleet = Fleet(zones, per_zone, 0.1, 1, one_zone=one_zone)
-            fleet.run(WARM_UP_S)
-            fleet.reset_counts()
-            fleet.run(STEADY_S)
-            load = fleet.load(STEADY_S)
-            cross = fleet.cross_zone / max(1, fleet.exchanges)
-            pairs = count * (count - 1)
-            suspected = fleet.suspicions() / pairs
-            rows.append(
-                (count, name, load.exchange_sides, load.bytes_out, cross, suspected)
-            )
-        rows.append(_all_to_all_load(zones, per_zone))
-    note = (
-        f"Per VM, steady, {STEADY_S:g} s, 10% of the exchanges lost, all VMs alive. "
-        "Bytes are what a VM sends, bodies as encoded plus "
-        f"{REQUEST_HEADER_BYTES} B of headers a request and {ANSWER_HEADER_BYTES} B "
-        "an answer. Suspected: part of the pairs of VMs that wrongly suspect."
-    )
-    columns = ("VMs", "way", "exchange sides/s", "B/s", "cross-zone part", "suspected")
-    return Table("Load of membership", columns, rows, note)
-
-
-def _all_to_all_load(zones, per_zone):
-    count = zones * per_zone
-    codec = MessageCodec({"members": (Beat,)})
-    body = len(codec.encode("vm-z0-000", [Beat("vm-z0-000", 1, 1000, 1)]))
-    empty = len(codec.encode("vm-z0-000", []))
-    each = body + REQUEST_HEADER_BYTES + empty + ANSWER_HEADER_BYTES
-    sides = 2 * (count - 1) / HEARTBEAT_S
-    cross = (count - per_zone) / (count - 1)
-    sent = (count - 1) * each / HEARTBEAT_S
-    return (count, "all-to-all heartbeats (computed)", sides, sent, cross, "")
-
-
-def _platform_table(sizes):
-    rows = []
-    for zones, per_zone in sizes:
-        count = zones * per_zone
-        fleet = Fleet(zones, per_zone, 0.0, 1, roles_per_zone=ROLES_PER_ZONE)
-        fleet.run(10.0)
-        started = fleet.calls
-        fleet.run(WARM_UP_S)
-        fleet.reset_counts()
-        fleet.run(STEADY_S)
-        watching = len(fleet.watchers())
-        watch = watching * (1 / WATCH_S + 1 / REREAD_S)
-        rows.append(
-            (
-                count,
-                started,
-                fleet.calls / STEADY_S,
-                watch,
-                fleet.calls / STEADY_S + watch,
-                count * (1 / WATCH_S + 1 / REREAD_S),
-            )
-        )
-    note = (
-        f"{ROLES_PER_ZONE} roles a zone. Lists and roles are counted, watches and "
-        f"their reads computed from their periods ({WATCH_S:g} s and {REREAD_S:g} s). "
-        "A change adds two reads and the changed chunks for each watcher; with a "
-        "watch on each VM it would for each VM."
-    )
-    columns = (
-        "VMs",
-        "calls in the first 10 s",
-        "lists and roles/s",
-        "watches/s",
-        "total/s",
-        "watch on each VM/s, watches alone",
-    )
-    return Table("Calls of the platform by the fleet", columns, rows, note)
--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -49,8 +49,8 @@
 
     period_s: float = 1.0
     other_zone: float = 0.2
-    max_beats: int = 24
-    own_zone_beats: int = 16
+    max_beats: int = 64
+    own_zone_beats: int = 52
     max_unlisted: int = 8
     fanout: int = 3
     hasten_rounds: int = 2
