--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/membership/bounds.py
@@ -0,0 +1,40 @@
+"""Periods, sizes and probabilities of membership and roles."""
+
+from typing import NamedTuple
+
+__all__ = ["GossipBounds", "RoleBounds"]
+
+
+class GossipBounds(NamedTuple):
+    """Periods in seconds, sizes in rows, probabilities in parts of 1."""
+
+    period_s: float = 1.0
+    other_zone: float = 0.2
+    max_beats: int = 64
+    own_zone_beats: int = 52
+    max_unlisted: int = 8
+    fanout: int = 3
+    hasten_rounds: int = 2
+    suspect_s: float = 10.0
+    suspect_other_zone_s: float = 60.0
+    pause_s: float = 3.0
+    forget_s: float = 300.0
+    list_period_s: float = 2.0
+    list_retry_s: float = 0.5
+    list_check_s: float = 5.0
+    watchers: int = 2
+
+
+class RoleBounds(NamedTuple):
+    """Periods in seconds and numbers of roles."""
+
+    check_s: float = 0.5
+    idle_s: float = 1.5
+    poll_s: float = 10.0
+    settle_s: float = 30.0
+    rebalance_s: float = 5.0
+    max_moves: int = 4
+    distrust_s: float = 20.0
+    retry_s: float = 0.25
+    max_retry_s: float = 10.0
+    call_timeout_s: float = 15.0
--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -4,8 +4,7 @@
 Silence makes a VM suspected, which steers routing and nothing else.
 """
 
-from typing import NamedTuple
-
+from hibiscusspar.membership.bounds import GossipBounds
 from hibiscusspar.membership.events import (
     LIST_ADOPTED,
     MEMBER_JOINED,
@@ -17,51 +16,19 @@
 )
 from hibiscusspar.membership.heartbeats import Heartbeats
 from hibiscusspar.membership.messages import Beat, Gossip, VmEntry, VmRows
+from hibiscusspar.membership.offers import Offers
 from hibiscusspar.membership.reach import Reach
 from hibiscusspar.membership.rendezvous import ranked
 from hibiscusspar.membership.vm_table import VmTable
 from hibiscusspar.outbox import PlatformCall
 from hibiscusspar.ports import Member
 
-__all__ = ["GossipBounds", "MemberSystem", "Offer"]
+__all__ = ["MemberSystem"]
 
 PLATFORM = "platform"
 WATCH_ROLE = "watcher"
 SEED = "seed:"
 JUDGE_S = 1.0
-MAX_TRANSIT_S = 1.0
-
-
-class Offer(NamedTuple):
-    """A configuration that a VM has: its revision and the name of its root.
-
-    ``confirmed`` is when that VM knew it to be the newest, by the clock here.
-    """
-
-    revision: int
-    root: str
-    vm: str
-    confirmed: float
-
-
-class GossipBounds(NamedTuple):
-    """Periods in seconds, sizes in rows, probabilities in parts of 1."""
-
-    period_s: float = 1.0
-    other_zone: float = 0.2
-    max_beats: int = 64
-    own_zone_beats: int = 52
-    max_unlisted: int = 8
-    fanout: int = 3
-    hasten_rounds: int = 2
-    suspect_s: float = 10.0
-    suspect_other_zone_s: float = 60.0
-    pause_s: float = 3.0
-    forget_s: float = 300.0
-    list_period_s: float = 2.0
-    list_retry_s: float = 0.5
-    list_check_s: float = 5.0
-    watchers: int = 2
 
 
 class MemberSystem:
@@ -93,8 +60,7 @@
         self._count = 0
         self._revision = 0
         self._root = ""
-        self._confirmed = None
-        self._offers = {}
+        self._offers = Offers()
         self._next_round = 0.0
         self._next_list = 0.0
         self._next_judge = 0.0
@@ -165,33 +131,29 @@
 
     def best_offer(self):
         """Return the newest :class:`Offer` above the revision here, or None."""
-        return max(self._offers.values(), default=None)
+        return self._offers.best()
 
     def withdraw_offer(self, vm):
         """Drop the offer of a VM from which fetching failed."""
-        self._offers.pop(vm, None)
+        self._offers.drop(vm)
 
     def set_revision(self, revision, root):
         """Take note of the configuration in force here, and spread it."""
         self._revision = revision
         self._root = root
-        for vm, offer in list(self._offers.items()):
-            if offer.root == root:
-                self._confirm_at(offer.confirmed)
-            if offer.revision <= revision:
-                del self._offers[vm]
+        self._offers.put_in_force(revision, root)
         self.hasten()
 
     def confirm(self, now):
         """Take note that the configuration here is the newest of the platform."""
-        self._confirm_at(now)
+        self._offers.confirm(now)
 
     def age_s(self, now):
         """Return seconds since the configuration here was known as the newest.
 
         It is 0 as long as there is none.
         """
-        return 0.0 if self._confirmed is None else max(0.0, now - self._confirmed)
+        return self._offers.age_s(now)
 
     def hasten(self):
         """Gossip in the next ticks, to several peers each, without waiting."""
@@ -232,10 +194,6 @@
             rows = [VmEntry(r.vm, r.zone, r.address, r.state) for r in result.value]
             self._adopt(now, result.version, rows, PLATFORM, out)
 
-    def _confirm_at(self, at):
-        if self._confirmed is None or at > self._confirmed:
-            self._confirmed = at
-
     def _rows(self):
         rows = self._table.rows()
         if self._table.get(self.vm) is None:
@@ -376,12 +334,7 @@
                 self._join(now, unlisted, sender, out)
         for beat in gossip.beats:
             self._take_beat(now, beat, out)
-        confirmed = now - gossip.age_s - MAX_TRANSIT_S
-        if gossip.revision > self._revision:
-            offer = Offer(gossip.revision, gossip.root, sender, confirmed)
-            self._offers[sender] = offer
-        elif gossip.revision == self._revision > 0:
-            self._confirm_at(confirmed)
+        self._offers.take_gossip(now, sender, gossip, self._revision)
         if gossip.list_version < self._table.version:
             rows = self._table.listed()
             out.send(sender, VmRows(self._table.version, rows))
@@ -419,6 +372,6 @@
     def _drop(self, vm, reason, out):
         self._beats.forget(vm)
         self._suspected.discard(vm)
-        self._offers.pop(vm, None)
+        self._offers.drop(vm)
         self._reach.forget(vm)
         out.log(MEMBER_LEFT, peer=vm, reason=reason)
--- a/packages/hibiscusspar/hibiscusspar/membership/roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/roles.py
@@ -9,6 +9,7 @@
 
 from typing import NamedTuple
 
+from hibiscusspar.membership.bounds import RoleBounds
 from hibiscusspar.membership.events import (
     ROLE_GAINED,
     ROLE_LOST,
@@ -21,28 +22,13 @@
 from hibiscusspar.membership.role_table import RoleTable, entries_of, object_value
 from hibiscusspar.outbox import PlatformCall
 
-__all__ = ["ROLES_KIND", "RoleBounds", "RoleSystem"]
+__all__ = ["ROLES_KIND", "RoleSystem"]
 
 ROLES_KIND = "roles"
 _READING = ("vms", "get")
 _WRITING = ("create", "update")
 
 
-class RoleBounds(NamedTuple):
-    """Periods in seconds and numbers of roles."""
-
-    check_s: float = 0.5
-    idle_s: float = 1.5
-    poll_s: float = 10.0
-    settle_s: float = 30.0
-    rebalance_s: float = 5.0
-    max_moves: int = 4
-    distrust_s: float = 20.0
-    retry_s: float = 0.25
-    max_retry_s: float = 10.0
-    call_timeout_s: float = 15.0
-
-
 class _Call(NamedTuple):
     call_id: str
     operation: str
--- a/packages/hibiscusspar/hibiscusspar/membership/tests/test_roles.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/test_roles.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from hibiscusspar.membership.roles import RoleBounds
+from hibiscusspar.membership.bounds import RoleBounds
 from hibiscusspar.membership.tests.cluster import Cluster
 from hibiscusspar.ports import limit_home, target_owner
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/publishing.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/publishing.py
@@ -8,11 +8,10 @@
 """
 
 from time import monotonic, sleep
-from typing import NamedTuple
 
 from hibiscusspar.config.chunks import check_chunk, join, root_chunks, split
-from hibiscusspar.config.diff import Change, diff
-from hibiscusspar.config.model import Configuration, KeySpec, empty_configuration
+from hibiscusspar.config.diff import diff
+from hibiscusspar.config.model import KeySpec, empty_configuration
 from hibiscusspar.errors import StepError
 from hibiscusspar_wire.platform_errors import (
     ConflictError,
@@ -20,6 +19,13 @@
     PlatformError,
     UnknownOutcomeError,
 )
+from hibiscusspar_wire.publications import (
+    ROOT_NAME,
+    Current,
+    PublishConflictError,
+    Published,
+    PublishUnknownError,
+)
 from hibiscusspar_wire.toml_files import read_directories
 
 __all__ = [
@@ -41,77 +47,12 @@
 ]
 
 ROOT_KIND = "config-root"
-ROOT_NAME = "current"
 CHUNK_KIND = "config-chunk"
 MAX_HISTORY = 32
 MAX_ATTEMPTS = 5
 MAX_READ_BACKS = 8
 POLL_S = 0.25
 READ_BACK_PAUSE_S = 0.25
-_UPDATE = "publish.root"
-
-
-class Current(NamedTuple):
-    """What is in force: the root, its configuration and the root's version.
-
-    ``root`` is None and ``version`` 0 if nothing was published yet.
-    """
-
-    root: dict | None
-    configuration: Configuration
-    version: int
-
-
-class Published(NamedTuple):
-    """A publication that took effect.
-
-    ``chunks`` is the number of chunks written; ``version`` that of the root.
-    """
-
-    revision: int
-    version: int
-    write_id: str
-    changes: list[Change]
-    chunks: int
-
-
-class PublishConflictError(StepError):
-    """Another publication took effect first; nothing of this one did.
-
-    Attributes
-    ----------
-    revision : int
-        Revision in force.
-    author : str
-        Author of that revision.
-    changes : list of Change
-        What it changed against the base of this publication, if known.
-    """
-
-    def __init__(self, revision, author, changes=()):
-        reason = f"revision {revision} by {author!r} is in force instead"
-        super().__init__(_UPDATE, ROOT_NAME, reason)
-        self.revision = revision
-        self.author = author
-        self.changes = list(changes)
-
-
-class PublishUnknownError(StepError):
-    """The answer was lost and could not be read back: old or new is in force.
-
-    Attributes
-    ----------
-    write_id : str
-        Write id to look for in the root's history.
-    revision : int
-        Revision that is in force if the update took effect.
-    """
-
-    def __init__(self, write_id, revision, reason):
-        text = f"revision {revision} or the one before is in force ({reason})"
-        super().__init__(_UPDATE, ROOT_NAME, text)
-        self.write_id = write_id
-        self.revision = revision
 
 
 def current(platform):
