--- a/tools/mutate_limits.py
+++ b/tools/mutate_limits.py
@@ -30,12 +30,12 @@
 
 
 MUTATIONS = (
-    Mutation("credit without debit", "home", "self.level -= credit", "pass"),
     Mutation(
         "credit before debit",
         "home",
         "self.level -= credit\n        grant =",
-        "self._later = credit\n        grant =",
+        "self.level -= getattr(self, '_later', 0.0)\n"
+        "        self._later = credit\n        grant =",
     ),
     Mutation(
         "id of an ask not remembered", "home", "ask.seq <= asker.last_seq", "False"
@@ -76,8 +76,8 @@
     Mutation(
         "lease counted too short by its giver",
         "home",
-        "ends_at = surely_after(now, duration_s)\n        asker.leases",
-        "ends_at = now + 0.5 * duration_s\n        asker.leases",
+        "ends_at = surely_after(now, duration_s)\n        asker.add",
+        "ends_at = now + 0.5 * duration_s\n        asker.add",
     ),
     Mutation(
         "balance kept after a lapse",
