--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__main__.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/__main__.py
@@ -26,6 +26,7 @@
 SEED = 1
 WITHDRAWN_TIMEOUT_S = 15.0
 TIME_LIMIT_S = 100.0
+UNDECLARED = "undeclared@1"  # refused without a load once the key is accepted
 WITHDRAWN_ID = "to-withdraw"
 _STARTED = monotonic()
 _NAMES = Argument(None, help="Examples to show; all if none is given.")
@@ -96,7 +97,7 @@
     )
     traffic.start()
     sleep(seconds)
-    withdrawn_s = _withdraw(deployment, withdrawn, accounts[0])
+    withdrawn_s = _withdraw(deployment, withdrawn)
     say(f"{name}: a withdrawn key stopped at all entry VMs after {withdrawn_s:.1f} s")
     sleep(seconds)
     code = _replace(deployment)
@@ -105,11 +106,9 @@
     return _summary(deployment, traffic, code)
 
 
-def _withdraw(deployment, key, account):
+def _withdraw(deployment, key):
     """Withdraw a key under traffic; return when no entry VM accepts it any more."""
-    adapters = deployment.configuration.adapters.values()
-    name = min(row.name for row in adapters if account in row.accounts)
-    body = {"model": f"{name}@1", "prompt": "x", "max_tokens": 1}
+    body = {"model": UNDECLARED, "prompt": "x", "max_tokens": 1}
     call = Call("POST", "/v1/completions", key, body)
     pool = PoolManager(retries=False, timeout=5.0)
     started = monotonic()
--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/deployment.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from urllib3 import PoolManager
-from urllib3.exceptions import HTTPError
 
 from hibiscusspar_standins.demo.processes import DemoError, Process
 from hibiscusspar_wire.publishing import read_directories
@@ -59,7 +58,7 @@
         self.weights = ""
         self.configuration = None
         self._processes = processes
-        self._folder = Path(folder)
+        self.folder = Path(folder)
         self._pool = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
         self._lives = 0
 
@@ -76,7 +75,7 @@
 
     def publish(self):
         """Put the declarations in force and return the number of changes."""
-        return len(self.control("publish", "--yes", self._folder)["changes"])
+        return len(self.control("publish", "--yes", self.folder)["changes"])
 
     def control(self, *words):
         """Run ``hibiscussparctl`` and return what it prints."""
@@ -95,6 +94,15 @@
         for entry in self.entries:
             self._wait_ready(entry)
 
+    def drain(self, zone):
+        """Start an entry VM, drain it by command and return its exit code."""
+        vm, zone, process = self._start_entry(zone)
+        entry = self._join(vm, zone, process)
+        self.control("drain", "vm", entry.operator, "--secret", PEER_SECRET)
+        code = self._processes.wait_for_end(process)
+        self._set_vm(vm, {"state": "gone"})
+        return code
+
     def replace(self, entry):
         """Replace an entry VM by a new one; return the old one's exit code."""
         self.entries.remove(entry)
@@ -108,14 +116,6 @@
         self.entries.append(new)
         return code
 
-    def status(self, entry):
-        """Return the status that an entry VM reports, or an empty dict."""
-        try:
-            answer = self._pool.request("GET", f"http://{entry.operator}/status")
-            return answer.json() if answer.status == 200 else {}
-        except (HTTPError, ValueError):
-            return {}
-
     def memory_mb(self, entry):
         """Return the resident memory of an entry VM in megabytes."""
         return self._processes.memory_mb(entry.process)
@@ -150,11 +150,11 @@
 
     def _write_declarations(self):
         for file in Path(self.example.folder).rglob("*.toml"):
-            copy = self._folder / file.relative_to(self.example.folder)
+            copy = self.folder / file.relative_to(self.example.folder)
             copy.parent.mkdir(parents=True, exist_ok=True)
             text = _ADDRESS.sub(lambda m: self.targets[m.group()], file.read_text())
             copy.write_text(text)
-        self.configuration = read_directories([self._folder])
+        self.configuration = read_directories([self.folder])
 
     def _start_entry(self, zone):
         self._lives += 1
--- a/packages/hibiscusspar_standins/hibiscusspar_standins/demo/processes.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/demo/processes.py
@@ -75,6 +75,15 @@
         process.popen.terminate()
         return _wait(process, timeout_s)
 
+    def wait_for_end(self, process, timeout_s=STOP_TIMEOUT_S):
+        """Return the exit code of a process that ends by itself."""
+        try:
+            code = process.popen.wait(timeout_s)
+        except TimeoutExpired:
+            raise DemoError(f"{process.name} did not end") from None
+        self._running.remove(process)
+        return code
+
     def stop_all(self):
         """End all processes, the latest first, and start no others."""
         self._ended = True
--- a/packages/hibiscusspar_standins/hibiscusspar_standins/tests/test_whole_path.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/tests/test_whole_path.py
@@ -211,6 +211,20 @@
         traffic.stop()
         return code, traffic
 
+    def test_a_drained_entry_vm_ends_by_itself(self):
+        self.assertEqual(self.deployment.drain("lodi"), 0)
+
+    def test_publishing_waits_for_all_nodes(self):
+        nodes = [entry.operator for entry in self.deployment.entries]
+        words = [word for node in nodes for word in ("--node", node)]
+        self.deployment.control("adapter", "add-version", "elm", "2")
+        folder = self.deployment.folder
+        words = ["publish", "--yes", "--over-edits", "--wait", "10", *words, folder]
+        made = self.deployment.control(*words)
+        self.assertEqual(made["late"], [])
+        statuses = self.deployment.control("status", "--node", nodes[0])["nodes"]
+        self.assertEqual(statuses[0]["revision"], made["revision"])
+
     def test_targets_see_no_credential(self):
         self.send(self.completion())
         self.send(Call("POST", "/certificates", self.keys["yard"], {"number": 1}))
