Draw identifiers freshly, count suspended time, ask a home until it answers

Change: identifiers from secrets, clock CLOCK_BOOTTIME, no idle pause before the first answer. The new test is red without the change.

--- a/packages/hibiscusspar/hibiscusspar/limits/node.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/node.py
@@ -232,7 +232,7 @@
 
     def _idle(self, now):
         """Return whether there is nothing to renew, return or ask for."""
-        if self.bucket.cap > 0.0 or self.short > 0.0:
+        if self.bucket.cap > 0.0 or self.short > 0.0 or not self.epoch:
             return False
         return now < self._asked_at + IDLE_PERIOD_S
 
--- a/packages/hibiscusspar/hibiscusspar/limits/tests/test_system.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/tests/test_system.py
@@ -44,6 +44,16 @@
         self.assertGreater(ran * 10.0, 0.95 * 90.0 * 60.0)
         self.check(world)
 
+    def test_new_vm_asks_on_until_a_home_has_answered(self):
+        world = World({"a": 2}, [account(zones=("a",))])
+        world.run(10.0)
+        world.isolated = {"a9"}
+        world.add_vm("a9", "a")
+        world.run(2.0)
+        world.isolated = set()
+        world.run(2.5)
+        self.assertEqual(world.vms["a9"].system.unleased, [])
+
     def test_larger_than_burst_is_refused_for_good(self):
         world = World({"a": 1}, [account(zones=("a",))])
         world.run(10.0)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/composition.py
@@ -2,7 +2,7 @@
 
 import random
 import secrets
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 
 from hibiscusspar.limits.messages import MESSAGES as LIMIT_MESSAGES
 from hibiscusspar.limits.system import LimitSystem
@@ -34,7 +34,7 @@
 from hibiscusspar_wire.relay import Relay
 from hibiscusspar_wire.target_client import TargetClient
 
-__all__ = ["build_node"]
+__all__ = ["build_node", "seconds_since_boot"]
 
 PEER_THREADS = 8
 OPERATOR_THREADS = 4
@@ -48,6 +48,15 @@
 }
 
 
+def seconds_since_boot():
+    """Return the seconds since the VM booted, the time it was suspended included.
+
+    Leases count on it: a clock that stands still while a VM is suspended would let
+    them last longer here than their giver counts.
+    """
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
 def build_node(settings, request_stop):
     """Bind the ports and wire all parts of one process.
 
@@ -61,7 +70,7 @@
     -------
     Node
     """
-    clock = monotonic
+    clock = seconds_since_boot
     rng = random.Random(settings.seed or secrets.randbits(64))
     metrics = Metrics()
     servers = _bound_servers(settings)
@@ -110,7 +119,7 @@
         relay=Relay(systems.requests, targets, hooks, driver.decide),
         open_requests=open_requests,
         driver=driver,
-        rng=_child(rng),
+        rng=_identity_rng(),
         clock=clock,
         metrics=metrics,
         token_wait_s=settings.token_wait_s,
@@ -139,21 +148,26 @@
     vm, zone = settings.vm_id, settings.zone
     address = f"{settings.address}:{servers.peer.port}"
     members = MemberSystem(vm, zone, address, _child(rng), settings.peers)
-    roles = RoleSystem(vm, zone, members, _child(rng))
+    roles = RoleSystem(vm, zone, members, _identity_rng())
     return Systems(
         members=members,
         roles=roles,
-        limits=LimitSystem(vm, zone, members, roles, _child(rng)),
+        limits=LimitSystem(vm, zone, members, roles, _identity_rng()),
         placement=PlacementSystem(vm, zone, members, roles, _child(rng), now),
         requests=RequestSystem(
             members,
-            _child(rng),
+            _identity_rng(),
             secrets.token_hex(LIFE_BYTES),
             on_verdict=gate.on_verdict,
         ),
     )
 
 
+def _identity_rng():
+    """Return a source of identifiers, never the same in two lives of a process."""
+    return random.Random(secrets.randbits(64))
+
+
 def _child(rng):
     return random.Random(rng.getrandbits(64))
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_path.py
@@ -89,8 +89,12 @@
         self.addCleanup(deployment.close)
         key = deployment.issue("anwen", "anwen-1")
         nodes = [deployment.add_node(f"vm-{zone}", zone) for zone in ZONES]
+        request_ids = set()
         for node in nodes:
-            self.assertEqual(deployment.complete(node, key).status, 200)
+            answer = deployment.complete(node, key)
+            self.assertEqual(answer.status, 200)
+            request_ids.add(answer.headers["X-Request-Id"])
+        self.assertEqual(len(request_ids), len(nodes), "equal seeds, equal ids")
         deployment.revision_in_force(deployment.withdraw("anwen-1"))
         for node in nodes:
             self.assertEqual(deployment.complete(node, key).status, 401)
