Log errors of background work and go on with the other messages

Cause: an error in a platform call's result, an order or an exchange was swallowed by its thread pool, and one bad message dropped the rest of its exchange. Change: each piece of background work is guarded and logged as event 106. The new test is red without it (the second message was lost).

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/driver.py
@@ -98,11 +98,7 @@
     def tick(self):
         """Run every system once and start the exchanges that are due."""
         for name, system in self._systems.items():
-            try:
-                with self.decide() as (now, out):
-                    system.tick(now, out)
-            except Exception as error:  # noqa: BLE001
-                write_records([(SYSTEM_FAILED, _fault(name, error))])
+            self._guarded(name, self._tick_one, system)
         self._start_exchanges()
 
     def receive(self, data):
@@ -132,12 +128,24 @@
     def _start_work(self, out):
         write_records(out.records)
         for call in out.calls:
-            self._callers.submit(self._finish_call, call)
+            self._callers.submit(self._guarded, call.system, self._finish_call, call)
         for order in out.orders:
-            self._orderers.submit(self._run_order, order, self.decide)
+            task = self._run_order, order, self.decide
+            self._orderers.submit(self._guarded, "placement", *task)
         if out.urgent and not self._stopped:
             self._start_exchanges(out.urgent, URGENT_EXCHANGE_S)
 
+    def _guarded(self, system, action, *args):
+        """Run an action; an error of it is logged and ends nothing else."""
+        try:
+            action(*args)
+        except Exception as error:  # noqa: BLE001
+            write_records([(SYSTEM_FAILED, _fault(system, error))])
+
+    def _tick_one(self, system):
+        with self.decide() as (now, out):
+            system.tick(now, out)
+
     def _finish_call(self, call):
         result = self._run_call(call)
         with self.decide() as (now, out):
@@ -147,9 +155,12 @@
         for message in incoming.messages:
             kind = self._codec.kind(message)
             self._metrics.messages.labels(kind).inc()
-            system = self._systems[kind.partition(".")[0]]
-            with self.decide() as (now, out):
-                system.receive(now, incoming.sender, message, out)
+            name = kind.partition(".")[0]
+            self._guarded(name, self._receive_one, name, incoming.sender, message)
+
+    def _receive_one(self, name, sender, message):
+        with self.decide() as (now, out):
+            self._systems[name].receive(now, sender, message, out)
 
     def _take_due(self, peer):
         with self._lock:
@@ -170,7 +181,7 @@
             self._busy_peers.update(ready)
         for peer in ready:
             self._last_exchange[peer] = now
-            self._exchangers.submit(self._exchange, peer)
+            self._exchangers.submit(self._guarded, "driver", self._exchange, peer)
 
     def _exchange(self, peer):
         try:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_driver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_driver.py
@@ -22,6 +22,26 @@
         pass
 
 
+class BrokenSystem:
+    """Takes note of messages, but fails on those of one label."""
+
+    name = "members"
+
+    def __init__(self):
+        self.received = []
+
+    def tick(self, now, out):
+        raise ValueError("broken tick")
+
+    def exchanged(self, vm, ok):
+        pass
+
+    def receive(self, now, sender, message, out):
+        if message.label == "broken":
+            raise ValueError("broken message")
+        self.received.append(message)
+
+
 class FakePeers:
     """Notes what is sent and answers with an empty exchange."""
 
@@ -39,11 +59,13 @@
 class TestUrgentMessages(unittest.TestCase):
     def setUp(self):
         codec = MessageCodec({"placement": MESSAGES})
+        self.codec = codec
         self.peers = FakePeers(codec)
+        self.broken = BrokenSystem()
         self.now = 100.0
         self.driver = Driver(
             vm="me",
-            systems=[IdleSystem()],
+            systems=[IdleSystem(), self.broken],
             codec=codec,
             peers=self.peers,
             address_of=lambda vm: f"address of {vm}",
@@ -82,3 +104,23 @@
                 break
             sleep(0.01)
         self.assertEqual([m.want for m in self.peers.sent[-1][1]], [2, 3])
+
+    def test_broken_system_stops_neither_the_others_nor_the_exchange(self):
+        codec = MessageCodec({"members": MESSAGES})
+        driver = Driver(
+            vm="me",
+            systems=[self.broken],
+            codec=codec,
+            peers=self.peers,
+            address_of=lambda vm: None,
+            run_call=None,
+            run_order=None,
+            clock=lambda: self.now,
+            metrics=Metrics(),
+            exchange_s=0.1,
+        )
+        self.addCleanup(driver.stop)
+        driver.tick()
+        messages = [Failed("t", label, 1.0) for label in ("broken", "whole")]
+        driver.receive(codec.encode("peer", messages))
+        self.assertEqual([m.label for m in self.broken.received], ["whole"])
