Send no request whose key was withdrawn while it waited

Cause: a withdrawal marked open requests, but only streams looked at the mark; a request that waited for a load ran up to 20 s later. One that came between its admission and its row in the table of open requests was not marked at all.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/dispatch.py
@@ -58,7 +58,8 @@
 
     def place(self, work, excluded):
         """Wait for a target and return it."""
-        admitted = self._open.get(work.request_id).admitted
+        row = self._open.get(work.request_id)
+        admitted = row.admitted
         configuration = self._holder.configuration
         names = _targets_of(configuration, admitted.service)
         route = RouteRequest(
@@ -74,12 +75,9 @@
         job = Job(route, admitted.account, admitted.tokens, deadline)
         decision = self._target_gate.acquire(job)
         spec = self._holder.configuration.targets.get(decision.target)
-        if spec is None:
+        if spec is None or row.revoked.is_set():
             self._target_gate.release(work.request_id, "not-run")
-            reason = "the target was removed"
-            raise RefusedError(
-                503, "busy", reason, "schedule", admitted.account, retry_after_s=1.0
-            )
+            raise _late_refusal(admitted.account, row.revoked.is_set())
         return Placed(decision.target, spec.address)
 
     def left(self, work, placed, cause):
@@ -126,6 +124,15 @@
         write_records([(REQUEST_ENDED, fields)])
 
 
+def _late_refusal(account, revoked):
+    """Return why a request that got its turn isn't sent after all."""
+    if revoked:
+        reason = "the key was withdrawn while the request waited"
+        return RefusedError(401, "key_withdrawn", reason, "schedule", account)
+    reason = "the target was removed"
+    return RefusedError(503, "busy", reason, "schedule", account, retry_after_s=1.0)
+
+
 def _targets_of(configuration: Configuration, service):
     targets = configuration.targets.values()
     return [spec.name for spec in targets if spec.service == service]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/gateway.py
@@ -5,6 +5,7 @@
 
 from msgspec.json import encode as to_json
 
+from hibiscusspar.limits.keys import still_valid
 from hibiscusspar.limits.node import Reservation
 from hibiscusspar.requests.claim_types import Away, Earlier, Mismatch, Won
 from hibiscusspar.requests.quarantine import body_digest
@@ -112,6 +113,7 @@
         except BaseException:
             self._settle_unused(reservation)
             raise
+        self._revoke_if_withdrawn(row)
         work = _work(row, self._holder.configuration)
         relayed = self._relay.run(work)
         self._metrics.latency.observe(self._clock() - row.started)
@@ -121,6 +123,15 @@
             body = _RevocableBody(body, row.revoked)
         return Answer(relayed.status, headers, body)
 
+    def _revoke_if_withdrawn(self, row):
+        """Catch a withdrawal that came after the admission of a request."""
+        admitted = row.admitted
+        if not admitted.key_digest:
+            return
+        configuration = self._holder.configuration
+        if not still_valid(configuration, admitted.key_digest, admitted.account):
+            row.revoked.set()
+
     def _reserve(self, admitted):
         if not admitted.account:
             return None
@@ -198,9 +209,9 @@
     headers["x-request-id"] = row.request_id
     headers.pop("x-client-account", None)
     if admitted.account:
-        weight = configuration.accounts[admitted.account].weight
+        spec = configuration.accounts.get(admitted.account)
         headers["x-client-account"] = admitted.account
-        headers["x-priority"] = str(round(weight))
+        headers["x-priority"] = str(round(spec.weight if spec else 1.0))
     return Work(
         request_id=row.request_id,
         method=admitted.method,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
@@ -37,12 +37,19 @@
 class Deployment:
     """One engine and one plain service a zone, and nodes on request."""
 
-    def __init__(self, seed=1, rate=10_000.0, burst=20_000.0, tokens_per_s=500.0):
+    def __init__(
+        self,
+        seed=1,
+        rate=10_000.0,
+        burst=20_000.0,
+        tokens_per_s=500.0,
+        load_s=0.005,
+    ):
         self._stack = ExitStack()
         self.rng = random.Random(seed)
         self.http = PoolManager(retries=False, timeout=20.0)
         self.platform = self._serve(Platform(vm_lag_s=0.0))
-        weights = WeightStore(loads_per_s=1000.0, load_s=0.005)
+        weights = WeightStore(loads_per_s=1000.0, load_s=load_s)
         engines = {z: Engine(weights, tokens_per_s=tokens_per_s) for z in ZONES}
         self.engines = {z: self._serve(EngineService(e)) for z, e in engines.items()}
         self.plain = {z: self._serve(PlainService()) for z in ZONES}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_path.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from hibiscusspar_entry.tests.deployment import ZONES, Deployment
 from hibiscusspar_standins.engine import expected_text
@@ -98,3 +99,19 @@
         deployment.revision_in_force(deployment.withdraw("anwen-1"))
         for node in nodes:
             self.assertEqual(deployment.complete(node, key).status, 401)
+
+    def test_request_that_waits_is_not_sent_after_its_key_was_withdrawn(self):
+        deployment = Deployment(load_s=6.0)
+        self.addCleanup(deployment.close)
+        key = deployment.issue("anwen", "anwen-1")
+        node = deployment.add_node("vm-1")
+        with ThreadPoolExecutor(1) as pool:
+            waiting = pool.submit(deployment.complete, node, key)
+            deployment.until(lambda: node.status()["waiting_requests"] == 1)
+            deployment.revision_in_force(deployment.withdraw("anwen-1"))
+            answer = waiting.result()
+        self.assertEqual(answer.status, 401, answer.data)
+        self.assertEqual(answer.headers["Hibiscusspar-Run"], "not-run")
+        for server in deployment.engines.values():
+            counts = server.standin.ledger.report()["counts"]
+            self.assertEqual(counts.get("started", 0), 0)
