Treat a VM that has left as out of reach

Cause: suspicion ended when a VM left the list, so requests went on waiting for targets whose owner was gone and could not be replaced while its zone was cut off; asks stayed with it for the 20 s of the queue. Ruled out: permits of the weight store (lodi's own targets went on), the limits (refusals were busy, not over_rate, in the connected zones). The new test is red without the change.

--- a/packages/hibiscusspar/hibiscusspar/membership/members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/members.py
@@ -97,11 +97,13 @@
         ]
 
     def suspected(self, vm):
-        """Return whether the VM was silent for too long or is out of reach."""
+        """Return whether the VM was silent for too long, out of reach or has left."""
+        if vm == self.vm:
+            return False
         row = self._table.get(vm)
-        if vm in self._suspected:
+        if row is None or vm in self._suspected:
             return True
-        return row is not None and self._reach.doubts(vm, row.zone)
+        return self._reach.doubts(vm, row.zone)
 
     def leaving(self, vm):
         """Return whether the platform says that the VM is about to leave."""
--- a/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
+++ b/packages/hibiscusspar/hibiscusspar/membership/tests/test_members.py
@@ -60,6 +60,12 @@
         self.members.exchanged("b1", ok=True)
         self.assertEqual(self.suspects(), [])
 
+    def test_vm_that_left_or_was_never_known_is_suspected(self):
+        self.members.receive(2.0, "a1", VmRows(3, (row("a1"),)), Outbox())
+        self.assertEqual(self.suspects(), ["b1", "b2", "b3", "c1"])
+        self.assertTrue(self.members.suspected("never"))
+        self.assertFalse(self.members.suspected("m"))
+
     def test_two_vms_out_of_reach_make_their_zone_suspected(self):
         self.members.exchanged("b1", ok=False)
         self.members.exchanged("b2", ok=False)
--- a/packages/hibiscusspar/hibiscusspar/ports.py
+++ b/packages/hibiscusspar/hibiscusspar/ports.py
@@ -86,7 +86,7 @@
         """Return the VMs of a zone, or of all, that are not known to have left."""
 
     def suspected(self, vm: str) -> bool:
-        """Return whether nothing was heard of the VM for too long."""
+        """Return whether the VM seems out of reach, has left or was never known."""
 
 
 class Roles(Protocol):
--- a/tools/zone_cut.py
+++ b/tools/zone_cut.py
@@ -13,6 +13,7 @@
 from time import monotonic, sleep
 
 from gates import Gate
+from urllib3.exceptions import HTTPError
 
 from hibiscusspar_standins.demo.deployment import Deployment, Example
 from hibiscusspar_standins.demo.processes import Processes
@@ -43,6 +44,14 @@
         for gate in (*self.platform_gates.values(), *self.peer_gates.values()):
             gate.recheck()
 
+    def status(self, entry):
+        """Return the status that an entry VM reports, or an empty dict."""
+        try:
+            answer = self._pool.request("GET", f"http://{entry.operator}/status")
+            return answer.json() if answer.status == 200 else {}
+        except (HTTPError, ValueError):
+            return {}
+
     def zone_of(self, vm):
         """Return the zone in the name of a VM."""
         return vm.split("-")[1] if "-" in vm else ""
