--- a/measure/part_capacity.py
+++ b/measure/part_capacity.py
@@ -21,7 +21,7 @@
 from hibiscusspar.membership.roles import RoleSystem
 from hibiscusspar.outbox import Outbox
 from hibiscusspar.placement.system import PlacementSystem
-from measure.report import Table
+from measure.report import Table, line_plot
 
 __all__ = ["run"]
 
@@ -34,7 +34,21 @@
 def run(quick):
     """Return the tables of the configuration and of the systems' state."""
     sizes = SIZES[:2] if quick else SIZES
-    return [_configuration_table(sizes), _state_table(sizes)]
+    tables = [_configuration_table(sizes), _state_table(sizes)]
+    if not quick:
+        _plot(*tables)
+    return tables
+
+
+def _plot(configuration, state):
+    adapters = [row[0] for row in configuration.rows]
+    megabytes = [row[10] for row in configuration.rows]
+    placement = [row[5] / KB for row in state.rows]
+    series = {
+        "configuration": (adapters, megabytes),
+        "placement": (adapters, placement),
+    }
+    line_plot("capacity", "Memory of one node", "adapters", "MB", series)
 
 
 def _configuration_table(sizes):
