Use the one rendezvous hash for collecting zones; drop a dead key parser

Cause: limits.loans repeated membership.rendezvous.first line for line, and callers kept a bearer_key that admission replaced by that of limits.keys. Behaviour is the same.

--- a/packages/hibiscusspar/hibiscusspar/limits/loans.py
+++ b/packages/hibiscusspar/hibiscusspar/limits/loans.py
@@ -2,10 +2,9 @@
 
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from hibiscusspar.limits.home import POOL_DEMAND, Loan
 from hibiscusspar.limits.messages import Ask
+from hibiscusspar.membership.rendezvous import first
 
 __all__ = ["Borrower"]
 
@@ -108,15 +107,10 @@
         An account whose part in a zone holds few requests is better served from
         one place; when zones are cut off, the loans end and each has its part.
         """
-        if self._pool_zone(lines) != self._zone:
+        if first(self._account, [self._zone, *lines]) != self._zone:
             return False
         return home.part[1] < MAX_POOLED_REQUESTS * home.typical()
 
-    def _pool_zone(self, lines):
-        """Return the zone that collects the tokens of the account, if any does."""
-        zones = [self._zone, *lines]
-        return max(zones, key=lambda z: (_weight(self._account, z), z))
-
     def take_grant(self, now, home, grant):
         """Take a loan if it answers the latest ask; return the zone, or None."""
         for zone, line in self._lines.items():
@@ -185,7 +179,3 @@
     if missing == POOL_DEMAND:
         return POOL_RENEW_S
     return RENEW_S if held and held.rate > 0.0 else RETRY_S
-
-
-def _weight(account, zone):
-    return xxh3_64_intdigest(f"{account}\0{zone}".encode())
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/callers.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/callers.py
@@ -12,7 +12,6 @@
     "CallerApp",
     "CallerRequest",
     "Gateway",
-    "bearer_key",
     "error_answer",
 ]
 
@@ -91,12 +90,6 @@
     return Answer(status, tuple(headers), to_json({"error": error}))
 
 
-def bearer_key(call):
-    """Return the key of the ``Authorization: Bearer`` header; empty if none."""
-    scheme, _, key = call.header("authorization").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
-
 class CallerApp:
     """CherryPy controller of the callers' port.
 
