--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -15,7 +15,9 @@
 class PlannerPolicy(NamedTuple):
     """Settings of the planner; times in seconds.
 
-    The load times are those of the users' sheets; ``transit`` and
+    The load times are those of the users' sheets with the way of the order;
+    ``store_cost_s`` is the backlog worth bearing to spare the weight store a load.
+    ``transit`` and
     ``fleet_transit`` are the numbers of loads on their way to one target and to all
     targets at which a load still takes its usual time. ``idle_s`` is how long an
     adapter must have been unused before it is evicted, longer than the reports of
@@ -23,8 +25,9 @@
     ``copy_backlog_s`` is the backlog beyond which a further copy pays.
     """
 
-    cold_load_s: float = 0.25
-    warm_load_s: float = 0.025
+    cold_load_s: float = 0.27
+    warm_load_s: float = 0.035
+    store_cost_s: float = 0.3
     transit: int = 4
     fleet_transit: int = 8
     idle_s: float = 0.35
@@ -247,6 +250,8 @@
                 if victim is None:
                     continue
             cost = backlogs.get(target_id, 0.0) + self._load_s(held, key)
+            if key not in held.warm:
+                cost += self._policy.store_cost_s
             if victim is not None and victim in held.last_used:
                 # Of equal targets, the one whose victim is longest unused.
                 cost += 0.05 / (1.0 + now - held.last_used[victim])
@@ -287,7 +292,9 @@
     def _room_in_transit(self, now, held, key):
         if key in held.warm:
             return True
-        flying = sum(self._in_transit(now, row) for row in self._held.values())
+        flying = sum(
+            self._in_transit(now, row) + row.ordering for row in self._held.values()
+        )
         return flying < self._policy.fleet_transit
 
     def _load_s(self, held, key):
--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -10,25 +10,42 @@
 
 from typing import NamedTuple
 
-__all__ = ["AccountLevels", "NodeQuota", "QuotaPolicy"]
+__all__ = ["AccountLevels", "Granted", "Later", "NodeQuota", "Over", "QuotaPolicy"]
+
+
+# Shortest time to come back, in seconds: that of one view.
+_MIN_RETRY_S = 0.1
 
 
 class QuotaPolicy(NamedTuple):
     """Settings of shared limits; times in seconds.
 
-    ``burst_share`` keeps a part of the burst back for what nodes take between two
-    views; ``take_share`` times the level, over the number of nodes, is what one
-    node takes meanwhile. ``stale_s`` is the age of a view or report beyond which
+    ``take_share`` times the level, over the number of nodes, is what one node takes
+    between two views; with all nodes at it they take the burst once more, which
+    the platform's slack allows. ``stale_s`` is the age of a view or report beyond which
     its sender counts as not heard; ``forget_s`` the silence after which a node no
     longer counts.
     """
 
-    burst_share: float = 0.8
     take_share: float = 2.0
     stale_s: float = 1.0
     forget_s: float = 30.0
 
 
+class Granted(NamedTuple):
+    """The request may run; its tokens are counted."""
+
+
+class Later(NamedTuple):
+    """The account has tokens, but this node must wait for the next view."""
+
+
+class Over(NamedTuple):
+    """The account is over its limit; it may come back after some seconds."""
+
+    retry_after_s: float
+
+
 class AccountLevels:
     """The coordinator's buckets, one an account.
 
@@ -70,9 +87,8 @@
         for name, rule in accounts.items():
             if rule.rate <= 0:
                 continue
-            cap = rule.burst * self._policy.burst_share
             level = self._levels.get(name, 0.0) + rule.rate * elapsed_s * share
-            self._levels[name] = min(cap, level)
+            self._levels[name] = min(rule.burst, level)
         return self._levels
 
     def report(self, now, node, start, used):
@@ -134,27 +150,32 @@
         self._acked = acked_used
         self._viewed_at = now
 
-    def wait_s(self, now, rule, tokens):
-        """Return 0 if a request may run, else the seconds until it probably may.
+    def take(self, now, rule, tokens):
+        """Take the tokens of a request if the account has them.
 
         Parameters
         ----------
         now : float
         rule : AccountRule
         tokens : float
+
+        Returns
+        -------
+        Granted, Later or Over
         """
+        heard = self._heard(now)
         if rule.rate <= 0:
-            return 0.0
-        if self._heard(now):
-            return self._wait_by_level(rule, tokens)
-        return self._wait_by_share(now, rule, tokens)
-
-    def take(self, now, rule, tokens):
-        """Count a request that is let through."""
-        self._used[rule.name] = self._used.get(rule.name, 0.0) + tokens
-        if not self._heard(now) and rule.rate > 0:
-            level, at = self._own_level(now, rule)
-            self._own[rule.name] = (level - tokens, at)
+            found = Granted()
+        elif heard:
+            found = self._ask_level(rule, tokens)
+        else:
+            found = self._ask_share(now, rule, tokens)
+        if isinstance(found, Granted):
+            self._used[rule.name] = self._used.get(rule.name, 0.0) + tokens
+            if not heard and rule.rate > 0:
+                level, at = self._own_level(now, rule)
+                self._own[rule.name] = (level - tokens, at)
+        return found
 
     def give_back(self, rule, tokens):
         """Count that a request did not run after all."""
@@ -165,19 +186,19 @@
             now <= self._viewed_at + self._policy.stale_s
         )
 
-    def _wait_by_level(self, rule, tokens):
+    def _ask_level(self, rule, tokens):
         level = self._levels.get(rule.name, 0.0)
         pending = self._used.get(rule.name, 0.0) - self._acked.get(rule.name, 0.0)
+        if level - pending < tokens:
+            return Over(max(_MIN_RETRY_S, (tokens + pending - level) / rule.rate))
         left = level * min(1.0, self._policy.take_share / self._nodes) - pending
-        if left >= tokens or (pending <= 0 and level >= tokens):
-            return 0.0
-        return max(0.1, (tokens + pending - level) / rule.rate)
+        return Granted() if left >= tokens or pending <= 0 else Later()
 
-    def _wait_by_share(self, now, rule, tokens):
+    def _ask_share(self, now, rule, tokens):
         level, _ = self._own_level(now, rule)
         if level >= tokens:
-            return 0.0
-        return max(0.1, (tokens - level) / (rule.rate / self._nodes))
+            return Granted()
+        return Over(max(_MIN_RETRY_S, (tokens - level) / (rule.rate / self._nodes)))
 
     def _own_level(self, now, rule):
         rate = rule.rate / self._nodes
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
@@ -0,0 +1,174 @@
+"""Tests of the coordinator's lease."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hibiscusspar.fleet.lease import (
+    Election,
+    LeaseRecord,
+    LeaseTiming,
+    ReadLease,
+    WriteLease,
+)
+
+TIMING = LeaseTiming(renew_s=0.5, valid_s=1.5, order_gap_s=3.3, follow_s=0.4)
+
+
+def election(machine="vm-1", start="a"):
+    return Election(machine, start, "10.0.0.1:7000", TIMING)
+
+
+def record(machine="vm-2", start="b", fence=4, released=False, nonce=1):
+    return LeaseRecord(machine, start, "10.0.0.2:7000", fence, released, nonce)
+
+
+class TestFollowing(unittest.TestCase):
+    def test_reads_before_it_writes(self):
+        self.assertEqual(election().action(10.0, False), ReadLease())
+
+    def test_missing_lease_is_created_with_the_first_fence(self):
+        subject = election()
+        subject.read(10.0, None, 0)
+        action = subject.action(10.1, False)
+        self.assertIsInstance(action, WriteLease)
+        self.assertEqual((action.record.fence, action.revision), (1, 0))
+
+    def test_nothing_is_read_while_the_coordinator_is_heard(self):
+        subject = election()
+        subject.read(10.0, record(), 7)
+        self.assertIsNone(subject.action(20.0, True))
+
+    def test_live_lease_is_not_taken(self):
+        subject = election()
+        subject.read(10.0, record(nonce=1), 7)
+        self.assertEqual(subject.action(11.0, False), ReadLease())
+        subject.read(11.0, record(nonce=2), 8)
+        self.assertEqual(subject.action(12.0, False), ReadLease())
+
+    def test_silent_lease_is_taken_with_a_higher_fence(self):
+        subject = election()
+        subject.read(10.0, record(fence=4), 7)
+        action = subject.action(11.6, False)
+        self.assertEqual((action.record.fence, action.revision), (5, 7))
+
+    def test_conflict_is_answered_by_reading(self):
+        subject = election()
+        subject.read(10.0, None, 0)
+        subject.action(10.1, False)
+        subject.failed(10.2)
+        self.assertEqual(subject.action(10.2, False), ReadLease())
+
+
+class TestHolding(unittest.TestCase):
+    def test_lease_is_counted_from_before_the_write(self):
+        subject = election()
+        subject.read(10.0, None, 0)
+        action = subject.action(10.0, False)
+        subject.written(10.0, 11.4, action.record, 1)
+        self.assertTrue(subject.holds(11.45))
+        self.assertFalse(subject.holds(11.5))
+
+    def test_successor_waits_out_the_last_order_of_its_predecessor(self):
+        subject = election()
+        subject.read(10.0, record(), 7)
+        action = subject.action(11.6, False)
+        subject.written(11.6, 11.61, action.record, 8)
+        # The predecessor may order until 11.5; the gap is 3.3 s.
+        subject.written(14.0, 14.0, subject.action(14.0, False).record, 9)
+        self.assertFalse(subject.may_order(14.7))
+        self.assertTrue(subject.may_order(14.85))
+
+    def test_released_lease_is_taken_at_once_but_orders_wait(self):
+        subject = election()
+        subject.read(10.0, record(released=True), 7)
+        action = subject.action(10.1, False)
+        subject.written(10.1, 10.1, action.record, 8)
+        self.assertTrue(subject.holds(10.2))
+        self.assertFalse(subject.may_order(10.2))
+
+    def test_same_machine_may_order_at_once_after_a_restart(self):
+        subject = election("vm-2", "c")
+        subject.read(10.0, record("vm-2", "b"), 7)
+        action = subject.action(10.0, False)
+        subject.written(10.0, 10.0, action.record, 8)
+        self.assertEqual(action.record.fence, 5)
+        self.assertTrue(subject.may_order(10.1))
+
+    def test_lost_answer_of_the_taking_write_still_waits_the_gap(self):
+        subject = election()
+        subject.read(10.0, record(), 7)
+        action = subject.action(11.6, False)
+        subject.failed(12.2)
+        subject.read(12.3, action.record, 8)
+        self.assertFalse(subject.holds(12.3))
+        renewal = subject.action(12.8, False)
+        subject.written(12.8, 12.8, renewal.record, 9)
+        self.assertTrue(subject.holds(12.9))
+        self.assertFalse(subject.may_order(12.9))
+
+    def test_holder_that_leaves_gives_no_more_orders(self):
+        subject = election()
+        subject.read(10.0, None, 0)
+        action = subject.action(10.0, False)
+        subject.written(10.0, 10.0, action.record, 1)
+        release = subject.release(10.2)
+        self.assertTrue(release.record.released)
+        self.assertFalse(subject.may_order(10.2))
+
+
+class LeaseModel(RuleBasedStateMachine):
+    """Three processes, one store, lost answers and pauses of any length."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.stored = (None, 0)
+        self.nodes = [election(f"vm-{i}", "s") for i in range(3)]
+        self.orders = []
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def passes(self, seconds):
+        self.now += seconds
+
+    @rule(index=st.integers(0, 2), delay=st.floats(0.0, 1.0), answered=st.booleans())
+    def acts(self, index, delay, answered):
+        node = self.nodes[index]
+        sent_at = self.now
+        action = node.action(sent_at, False)
+        if action is None:
+            return
+        if isinstance(action, ReadLease):
+            node.read(self.now, *self.stored)
+            return
+        self.now += delay
+        found, revision = self.stored
+        if action.revision != revision:
+            node.failed(self.now)
+            return
+        self.stored = (action.record, revision + 1)
+        if answered:
+            node.written(sent_at, self.now, action.record, revision + 1)
+        else:
+            node.failed(self.now)
+        del found
+
+    @rule(index=st.integers(0, 2))
+    def orders_if_allowed(self, index):
+        if self.nodes[index].may_order(self.now):
+            self.orders.append((self.now, index, self.nodes[index].fence))
+
+    @invariant()
+    def orders_of_two_holders_lie_apart(self):
+        for (at, node, fence), (later, other, newer) in zip(
+            self.orders, self.orders[1:], strict=False
+        ):
+            if node != other:
+                assert later - at >= 3.0
+                assert newer > fence
+
+
+LeaseModel.TestCase.settings = settings(max_examples=200, stateful_step_count=40)
+TestLeaseModel = LeaseModel.TestCase
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -0,0 +1,201 @@
+"""Tests of where adapters are loaded, each replaying a load pattern."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusspar.fleet.messages import Want
+from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
+from hibiscusspar.fleet.targets import Target
+
+MODEL = "base"
+
+
+def target(name, adapters=(), born=1, zone="z1"):
+    return Target(
+        target_id=name,
+        service="draft",
+        address="10.0.0.9:80",
+        zone=zone,
+        slots=8,
+        draining=False,
+        born=born,
+        orders_accepted=0,
+        models={MODEL: 1},
+        adapters={(MODEL, adapter): 1 for adapter in adapters},
+    )
+
+
+def want(adapter, waiting=1, more=False):
+    return Want("draft", MODEL, adapter, waiting, 1000 * waiting, 1, more)
+
+
+class Fleet:
+    """A planner with targets that carry out what they are told."""
+
+    def __init__(self, *targets, places=2):
+        self.planner = AdapterPlanner()
+        self.targets = {t.target_id: (t, places) for t in targets}
+        self.planner.sync(targets)
+        self.resident = {t.target_id: dict(t.adapters) for t in targets}
+        for name in self.planner.to_ask(0.0):
+            self.planner.reported(0.0, name, 0, self.resident[name], {})
+
+    def plan(self, now, wants, backlogs=None, in_use=None):
+        return self.planner.next_orders(
+            now, self.targets, wants, backlogs or {}, in_use or {}
+        )
+
+    def carry_out(self, now, orders, result="accepted"):
+        for order in orders:
+            self.planner.finished(now, OrderOutcome(order, result))
+
+
+class TestLoads(unittest.TestCase):
+    def test_wanted_adapter_goes_where_its_requests_wait_least(self):
+        fleet = Fleet(target("t1"), target("t2"))
+        (order,) = fleet.plan(1.0, [want("a")], {"t1": 0.5})
+        self.assertEqual((order.target_id, order.operation), ("t2", "load"))
+        self.assertEqual(order.expected, 0)
+
+    def test_one_load_serves_all_who_wait(self):
+        fleet = Fleet(target("t1"), target("t2"))
+        fleet.carry_out(1.0, fleet.plan(1.0, [want("a")]))
+        self.assertEqual(fleet.plan(1.01, [want("a", waiting=9)]), [])
+
+    def test_orders_of_one_target_follow_one_another(self):
+        fleet = Fleet(target("t1"))
+        (first,) = fleet.plan(1.0, [want("a"), want("b")])
+        self.assertEqual(fleet.plan(1.0, [want("b")]), [])
+        fleet.carry_out(1.0, [first])
+        (second,) = fleet.plan(1.0, [want("b")])
+        self.assertEqual(second.expected, first.expected + 1)
+
+    def test_silent_target_does_not_hold_up_the_others(self):
+        fleet = Fleet(target("t1"), target("t2"))
+        (stuck,) = fleet.plan(1.0, [want("a")])
+        (other,) = fleet.plan(1.0, [want("b")])
+        self.assertNotEqual(stuck.target_id, other.target_id)
+
+    def test_further_copy_only_beyond_the_backlog_that_pays(self):
+        fleet = Fleet(target("t1", ["a"]), target("t2"))
+        calm = fleet.plan(1.0, [want("a", more=True)], {"t1": 0.3})
+        self.assertEqual(calm, [])
+        (order,) = fleet.plan(1.0, [want("a", more=True)], {"t1": 2.0})
+        self.assertEqual(order.target_id, "t2")
+
+    def test_adapter_returns_to_the_target_that_held_it_lately(self):
+        fleet = Fleet(target("t1", ["x", "y"]), target("t2", ["u", "v"]))
+        busy = {"t2": {(MODEL, "u"), (MODEL, "v")}}
+        self.assertEqual(_load(fleet, 1.0, "a", busy), "t1")
+        self.assertEqual(_load(fleet, 2.0, "b", busy), "t1")
+        self.assertEqual(_load(fleet, 3.0, "c", busy), "t1")
+        self.assertEqual(_load(fleet, 4.0, "a", {}), "t1")
+
+
+def _load(fleet, now, adapter, in_use):
+    while True:
+        (order,) = fleet.plan(now, [want(adapter)], {}, in_use)
+        fleet.carry_out(now, [order], "done" if order.operation == "unload" else "")
+        if order.operation == "load":
+            return order.target_id
+
+
+class TestEviction(unittest.TestCase):
+    def test_adapter_in_use_is_never_evicted(self):
+        fleet = Fleet(target("t1", ["x", "y"]))
+        in_use = {"t1": {(MODEL, "x"), (MODEL, "y")}}
+        self.assertEqual(fleet.plan(1.0, [want("a")], {}, in_use), [])
+
+    def test_longest_unused_goes_first(self):
+        fleet = Fleet(target("t1", ["x", "y"]))
+        fleet.planner.used(1.0, "t1", [(MODEL, "x")])
+        fleet.planner.used(2.0, "t1", [(MODEL, "y")])
+        (order,) = fleet.plan(5.0, [want("a")])
+        self.assertEqual((order.operation, order.adapter), ("unload", "x"))
+
+    def test_just_used_adapter_is_kept(self):
+        fleet = Fleet(target("t1", ["x", "y"]))
+        fleet.planner.used(5.0, "t1", [(MODEL, "x"), (MODEL, "y")])
+        self.assertEqual(fleet.plan(5.1, [want("a")]), [])
+
+
+class TestUnansweredOrders(unittest.TestCase):
+    def test_target_is_asked_before_the_next_order(self):
+        fleet = Fleet(target("t1"))
+        fleet.carry_out(1.0, fleet.plan(1.0, [want("a")]), "lost")
+        self.assertEqual(fleet.plan(1.0, [want("a")]), [])
+        self.assertEqual(fleet.planner.to_ask(1.1), [])
+        self.assertEqual(fleet.planner.to_ask(1.4), ["t1"])
+        fleet.planner.reported(1.5, "t1", 0, {}, {})
+        (order,) = fleet.plan(1.6, [want("a")])
+        # The late order fails its condition once this one is carried out.
+        self.assertEqual(order.expected, 0)
+
+    def test_order_carried_out_late_is_seen_in_the_report(self):
+        fleet = Fleet(target("t1"))
+        fleet.carry_out(1.0, fleet.plan(1.0, [want("a")]), "lost")
+        fleet.planner.to_ask(1.4)
+        fleet.planner.reported(1.5, "t1", 1, {}, {(MODEL, "a"): 1})
+        self.assertEqual(fleet.plan(1.6, [want("a")]), [])
+
+    def test_restarted_target_starts_empty(self):
+        fleet = Fleet(target("t1", ["x", "y"]))
+        restarted = target("t1", [], born=2)
+        fleet.planner.sync([restarted])
+        self.assertEqual(fleet.planner.held["t1"].copies, {})
+        self.assertEqual(fleet.planner.to_ask(2.0), ["t1"])
+
+
+class TestVersions(unittest.TestCase):
+    def test_older_copy_is_replaced_when_it_is_wanted(self):
+        fleet = Fleet(target("t1", ["a"]))
+        fleet.planner.announce(MODEL, "a", 2)
+        (order,) = fleet.plan(1.0, [want("a")])
+        self.assertEqual((order.operation, order.version), ("load", 2))
+
+
+class TestPlaces(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abcdefgh"),
+                st.sampled_from(["accepted", "done", "refused", "lost"]),
+                st.booleans(),
+            ),
+            max_size=60,
+        )
+    )
+    def test_never_more_adapters_than_places(self, steps):
+        fleet = Fleet(target("t1"), places=3)
+        resident, accepted, late = set(), 0, []
+        now = 0.0
+        for adapter, result, runs_late in steps:
+            now += 0.5
+            for name in fleet.planner.to_ask(now):
+                state = {(MODEL, a): 1 for a in resident}
+                fleet.planner.reported(now, name, accepted, state, {})
+            for order in fleet.plan(now, [want(adapter)]):
+                if order.expected != accepted:
+                    # A late order came first; the target refuses this one.
+                    result = "refused"
+                if result in ("accepted", "done"):
+                    accepted += 1
+                    _apply(resident, order)
+                elif result == "lost":
+                    late.append(order)
+                fleet.carry_out(now, [order], result)
+            if runs_late and late:
+                order = late.pop(0)
+                if order.expected == accepted:
+                    accepted += 1
+                    _apply(resident, order)
+            self.assertLessEqual(len(resident), 3)
+
+
+def _apply(resident, order):
+    if order.operation == "load":
+        resident.add(order.adapter)
+    else:
+        resident.discard(order.adapter)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
@@ -0,0 +1,110 @@
+"""Tests of limits over all nodes, each replaying a load pattern."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusspar.fleet.quota import AccountLevels, Granted, Later, NodeQuota, Over
+from hibiscusspar.fleet.rules import AccountRule
+
+RATE, BURST, COST = 33_000.0, 33_000.0, 1600.0
+RULE = AccountRule("acme", RATE, BURST, True, 200, None)
+VIEW_S = 0.1
+WINDOW_S = 8.0
+ALLOWED = (RATE * WINDOW_S + BURST) * 1.1 + 11_000
+
+
+class Nodes:
+    """Nodes and a coordinator that exchange reports and views every 0.1 s."""
+
+    def __init__(self, count):
+        self.now = 100.0
+        self.levels = AccountLevels()
+        self.levels.reset(self.now - 12.0, {})
+        self.nodes = [NodeQuota(16) for _ in range(count)]
+        self.granted = []
+        self.exchange(range(count))
+
+    def exchange(self, heard):
+        for index in heard:
+            used = dict(self.nodes[index].used)
+            self.levels.report(self.now, f"n{index}", "s", used)
+        levels = dict(self.levels.advance(self.now, {"acme": RULE}))
+        for index in heard:
+            node = self.nodes[index]
+            node.view(self.now, self.levels.nodes, levels, dict(node.used))
+
+    def offer(self, index, requests):
+        for _ in range(requests):
+            found = self.nodes[index].take(self.now, RULE, COST)
+            if isinstance(found, Granted):
+                self.granted.append((self.now, COST))
+
+    def most_in_a_window(self):
+        return max(
+            sum(cost for at, cost in self.granted if start <= at < start + WINDOW_S)
+            for start, _ in self.granted
+        )
+
+
+class TestHotAccount(unittest.TestCase):
+    def test_many_times_its_rate_through_all_nodes_stays_within_the_slack(self):
+        fleet = Nodes(9)
+        for _ in range(160):
+            for index in range(9):
+                fleet.offer(index, 2)
+            fleet.now += VIEW_S
+            fleet.exchange(range(9))
+        self.assertLessEqual(fleet.most_in_a_window(), ALLOWED)
+
+    def test_it_still_gets_its_rate(self):
+        fleet = Nodes(9)
+        for _ in range(160):
+            fleet.offer(3, 20)
+            fleet.now += VIEW_S
+            fleet.exchange(range(9))
+        total = sum(cost for _, cost in fleet.granted)
+        self.assertGreater(total, RATE * 16 * 0.95)
+
+    def test_zone_that_is_cut_off_takes_its_share_only(self):
+        fleet = Nodes(9)
+        for step in range(200):
+            for index in range(9):
+                fleet.offer(index, 2)
+            fleet.now += VIEW_S
+            fleet.exchange(range(9) if step < 60 or step > 140 else range(6))
+        self.assertLessEqual(fleet.most_in_a_window(), ALLOWED)
+
+
+class TestLevels(unittest.TestCase):
+    def test_clump_waits_for_the_next_view_instead_of_being_refused(self):
+        fleet = Nodes(9)
+        found = [fleet.nodes[0].take(fleet.now, RULE, COST) for _ in range(10)]
+        self.assertIsInstance(found[0], Granted)
+        self.assertIsInstance(found[-1], Later)
+
+    def test_account_beyond_its_level_is_told_when_to_come_back(self):
+        node = NodeQuota(9)
+        node.view(10.0, 9, {"acme": 100.0}, {})
+        found = node.take(10.0, RULE, COST)
+        self.assertIsInstance(found, Over)
+        self.assertGreaterEqual(found.retry_after_s, 0.1)
+
+    def test_new_coordinator_does_not_count_old_use_again(self):
+        levels = AccountLevels()
+        levels.reset(10.0, {"acme": 5000.0})
+        levels.report(10.0, "n1", "s", {"acme": 1e6})
+        levels.report(10.1, "n1", "s", {"acme": 1e6 + 1600})
+        found = levels.advance(10.1, {"acme": RULE})
+        self.assertAlmostEqual(found["acme"], 5000 - 1600 + RATE * 0.1)
+
+    @given(st.lists(st.floats(0.0, 5000.0), max_size=30))
+    def test_node_alone_never_takes_more_than_its_share(self, costs):
+        node = NodeQuota(10)
+        now, taken = 50.0, 0.0
+        for cost in costs:
+            now += 0.05
+            if isinstance(node.take(now, RULE, cost), Granted):
+                taken += cost
+        self.assertLessEqual(taken, max(RATE, BURST) / 10 + RATE / 10 * (now - 50))
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_targets.py
@@ -0,0 +1,48 @@
+"""Tests of the directory of targets."""
+
+import unittest
+
+from hibiscusspar.fleet.targets import Target, TargetDirectory
+
+
+def target(name, draining=False):
+    return Target(name, "s", "10.0.0.1:80", "z", 8, draining, 1, 0, {}, {})
+
+
+class TestTargetDirectory(unittest.TestCase):
+    def test_deleted_entry_is_gone_at_once_while_the_store_is_well(self):
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a"), target("b")])
+        directory.remove(2.0, "a")
+        self.assertEqual(list(directory.rows), ["b"])
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_until_the_grace_ends(self):
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a"), target("b")])
+        directory.store_returned(10.0)
+        directory.replace(10.0, [target("a")])
+        self.assertEqual(sorted(directory.rows), ["a", "b"])
+        directory.expire(12.6)
+        self.assertEqual(sorted(directory.rows), ["a"])
+
+    def test_entry_that_comes_back_stays(self):
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a")])
+        directory.store_returned(10.0)
+        directory.replace(10.0, [])
+        directory.put(target("a"))
+        directory.expire(13.0)
+        self.assertEqual(list(directory.rows), ["a"])
+
+    def test_entry_deleted_after_the_grace_is_gone_at_once(self):
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a")])
+        directory.store_returned(10.0)
+        directory.remove(13.0, "a")
+        self.assertEqual(directory.rows, {})
+
+    def test_draining_entry_is_known_as_such(self):
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a")])
+        directory.put(target("a", draining=True))
+        self.assertTrue(directory.rows["a"].draining)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -0,0 +1,92 @@
+"""Tests of sending, waiting and refusing, each replaying a load pattern."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, choose_target
+from hibiscusspar.fleet.waiting import Job, Refuse, Send, Wait, decide, job_order
+
+
+def candidate(name="t1", running=0, unread=0, zone="z1", slots=128):
+    return Candidate(name, zone, slots, running, unread)
+
+
+def job(arrived=10.0, aim_s=1.0, give_up_at=11.5, fraction=0.5, priority=1):
+    return Job(
+        "r1", "draft", ("m", "a"), priority, 1460, arrived, aim_s, give_up_at, fraction
+    )
+
+
+class TestDecide(unittest.TestCase):
+    def test_free_target_takes_the_request_at_once(self):
+        found = decide(10.0, job(), [candidate()], "z1")
+        self.assertIsInstance(found, Send)
+
+    def test_crowd_beyond_what_engines_read_in_time_is_refused_at_once(self):
+        backlog = [candidate("t1", 40, 60_000), candidate("t2", 40, 70_000)]
+        found = decide(10.0, job(), backlog, "z1")
+        self.assertIsInstance(found, Refuse)
+        self.assertGreater(found.retry_after_s, 1.0)
+
+    def test_short_backlog_is_waited_for(self):
+        found = decide(10.0, job(), [candidate("t1", 10, 18_000)], "z1")
+        self.assertEqual(found, Wait("busy"))
+
+    def test_adapter_on_its_way_is_waited_for_until_the_wait_is_over(self):
+        self.assertIsInstance(decide(10.0, job(), [], "z1"), Wait)
+        self.assertIsInstance(decide(11.5, job(), [], "z1"), Refuse)
+
+    def test_late_request_is_served_where_it_makes_nobody_late(self):
+        found = decide(11.4, job(), [candidate()], "z1")
+        self.assertIsInstance(found, Send)
+
+    def test_returners_are_spread(self):
+        backlog = [candidate("t1", 40, 90_000)]
+        times = {
+            decide(10.0, job(fraction=f / 10), backlog, "z1").retry_after_s
+            for f in range(10)
+        }
+        self.assertEqual(len(times), 10)
+
+    def test_full_batch_takes_no_more(self):
+        found = decide(10.0, job(), [candidate(running=128)], "z1")
+        self.assertEqual(found, Wait("busy"))
+
+    def test_urgent_jobs_come_first(self):
+        jobs = [job(10.0, priority=2), job(10.2, priority=0), job(10.1, priority=0)]
+        ordered = sorted(jobs, key=job_order)
+        self.assertEqual([j.arrived for j in ordered], [10.1, 10.2, 10.0])
+
+
+class TestChooseTarget(unittest.TestCase):
+    def test_shortest_backlog_wins_over_the_own_zone(self):
+        found = choose_target(
+            ChoicePolicy(),
+            [candidate("t1", 9, 9000, "z1"), candidate("t2", 1, 0, "z2")],
+            "z1",
+            1000,
+        )
+        self.assertEqual(found[0].target_id, "t2")
+
+    def test_own_zone_wins_among_equals(self):
+        found = choose_target(
+            ChoicePolicy(), [candidate("t1", zone="z2"), candidate("t2")], "z1", 10
+        )
+        self.assertEqual(found[0].target_id, "t2")
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 12), st.integers(0, 50_000)), max_size=8),
+        st.integers(0, 4000),
+    )
+    def test_no_other_candidate_is_clearly_better(self, loads, tokens):
+        policy = ChoicePolicy()
+        rows = [candidate(f"t{i}", r, u, slots=10) for i, (r, u) in enumerate(loads)]
+        found = choose_target(policy, rows, "z1", tokens)
+        free = [row for row in rows if row.running < row.slots]
+        self.assertEqual(found is None, not free)
+        if found is not None:
+            least = min(r.unread_tokens / 19_200 + r.running * 0.002 for r in free)
+            best = found[0].unread_tokens / 19_200 + found[0].running * 0.002
+            self.assertAlmostEqual(best, least)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -6,6 +6,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from hibiscusspar.fleet.quota import Granted, Over
 from hibiscusspar.fleet.rules import RouteRule, find_route, route_service
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar.limits.keys import digest_key
@@ -40,6 +41,8 @@
     ``wait_aims`` times the aim is how long a generation waits for a place;
     ``plain_wait_aims`` is the same for plain calls. ``unsafe_idle_s`` is the
     longest idle time of a connection that a request uses which can't be repeated.
+    ``quota_wait_s`` is the longest wait for a view that shows tokens;
+    ``quota_spread_s`` spreads those refused for a limit.
     ``starting_retry_s`` is told to callers before the first configuration.
     """
 
@@ -48,6 +51,8 @@
     plain_wait_aims: float = 0.6
     unsafe_idle_s: float = 2.0
     safe_idle_s: float = 10.0
+    quota_wait_s: float = 0.3
+    quota_spread_s: float = 0.5
     starting_retry_s: float = 0.5
     draining_retry_s: float = 0.05
 
@@ -83,6 +88,7 @@
         self.connection = None
         self.ticket = None
         self.may_have_run = False
+        self.granted = False
         self.splitter = None
         self.begun = False
         self.first_byte_at = None
@@ -222,7 +228,8 @@
 
     def _run(self, inbound, admitted, attempt):
         parts = self._parts
-        self._take_tokens(admitted)
+        self._take_tokens(admitted, attempt)
+        attempt.granted = True
         parts.budgets.request(admitted.service, self._clock())
         parts.metrics.started.inc()
         try:
@@ -233,21 +240,35 @@
                     return
                 self._after_failure(admitted, attempt, failure)
         except RefusedError:
-            parts.quota.give_back(admitted.rule, admitted.cost)
+            if attempt.granted:
+                self._give_tokens_back(admitted)
             raise
 
-    def _take_tokens(self, admitted):
+    def _take_tokens(self, admitted, attempt):
         rule = admitted.rule
         if rule is None:
             return
-        quota, now = self._parts.quota, self._clock()
-        with self._parts.quota_lock:
-            wait_s = quota.wait_s(now, rule, admitted.cost)
-            if wait_s <= 0:
-                quota.take(now, rule, admitted.cost)
-                return
+        parts = self._parts
+        until = self._clock() + self._policy.quota_wait_s
+        with parts.quota_changed:
+            while True:
+                found = parts.quota.take(self._clock(), rule, admitted.cost)
+                if isinstance(found, Granted):
+                    return
+                left_s = until - self._clock()
+                if isinstance(found, Over) or left_s <= 0 or attempt.left.is_set():
+                    break
+                parts.board.on_want()
+                parts.quota_changed.wait(left_s)
+        wait_s = found.retry_after_s if isinstance(found, Over) else 0.0
+        wait_s += self._policy.quota_spread_s * admitted.fraction
         raise RefusedError(429, "over the account's limit", wait_s)
 
+    def _give_tokens_back(self, admitted):
+        if admitted.rule is not None:
+            with self._parts.quota_changed:
+                self._parts.quota.give_back(admitted.rule, admitted.cost)
+
     def _place(self, admitted, attempt):
         """Wait for a target; raise if none is to be had."""
         policy, route = self._policy, admitted.route
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -50,7 +50,7 @@
     watches: tuple
     board: Any
     quota: Any
-    quota_lock: Any
+    quota_changed: Any
     budgets: Any
     connections: Any
     close_watch: Any
@@ -204,8 +204,9 @@
         self._coordinator_address = address
         self._lost_logged = False
         acked = parts.board.take_view(view)
-        with parts.quota_lock:
+        with parts.quota_changed:
             parts.quota.view(parts.clock(), view.nodes, view.levels, acked)
+            parts.quota_changed.notify_all()
 
     def _run_lease(self):
         while not self._stopping.wait(_TICK_S):
@@ -265,7 +266,7 @@
 
     def _change_role(self, holds):
         if holds:
-            with self._parts.quota_lock:
+            with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
             self._coordinator.take_over(levels)
             self._log_coordinator(self._parts.election.record, True)
@@ -305,7 +306,7 @@
 
     def _send_report(self):
         parts = self._parts
-        with parts.quota_lock:
+        with parts.quota_changed:
             used = dict(parts.quota.used)
         report = parts.board.report(used)
         if parts.election.holds(parts.clock()):
