--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -19,10 +19,10 @@
     that must pass between the orders of two holders.
     """
 
-    renew_s: float = 0.7
-    valid_s: float = 2.0
+    renew_s: float = 0.4
+    valid_s: float = 1.2
     order_gap_s: float = 3.3
-    follow_s: float = 0.4
+    follow_s: float = 0.3
 
 
 class LeaseRecord(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-__all__ = ["FleetView", "NodeReport", "TargetLoad", "Want"]
+__all__ = ["FleetView", "NodeReport", "TargetLoad", "TargetRow", "Want"]
 
 
 class Want(Struct, array_like=True):
@@ -30,6 +30,22 @@
     unread_tokens: int
 
 
+class TargetRow(Struct, array_like=True):
+    """A target of the directory as the coordinator passes it on.
+
+    What it holds is told by the residency of the view.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+    born: int
+    models: dict[str, int]
+
+
 class NodeReport(Struct, tag="report"):
     """What one node does now.
 
@@ -54,7 +70,10 @@
     ``residency`` holds, for some targets, a number that grows with each change and
     the adapters as ``[model/adapter, version, seconds until it is ready]``.
     ``acked`` holds the number of the last report of each node; ``levels`` are the
-    tokens left of each account.
+    tokens left of each account. ``config_age_s`` and ``directory_age_s`` are the
+    seconds since the sender surely knew the newest configuration and directory.
+    ``directory`` names all targets, ``rows`` tells some of them. ``versions`` holds
+    the announced versions of adapters and the seconds since they were heard of.
     """
 
     node: str
@@ -66,3 +85,9 @@
     loads: dict[str, TargetLoad]
     residency: dict[str, tuple[int, list[tuple[str, int, float]]]]
     levels: dict[str, float]
+    config_version: int
+    config_age_s: float
+    directory_age_s: float
+    directory: list[str]
+    rows: list[TargetRow]
+    versions: dict[str, tuple[int, float]]
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -66,7 +66,8 @@
     """What the coordinator knows of one target's adapters.
 
     ``accepted`` is the number of orders the target has carried out, None if it
-    must be asked. ``ordering`` is whether an order is on its way.
+    must be asked. ``ordering`` is whether an order is on its way, ``known`` whether
+    the target was ever asked.
     """
 
     def __init__(self, born):
@@ -74,6 +75,7 @@
         self.copies = {}
         self.accepted = None
         self.ordering = False
+        self.known = False
         self.ask_at = 0.0
         self.warm = OrderedDict()
         self.last_used = {}
@@ -158,6 +160,7 @@
         held.copies = {key: Copy(v, 0.0) for key, v in adapters.items()}
         held.copies.update({key: Copy(v, ready_at) for key, v in pending.items()})
         held.accepted = accepted
+        held.known = True
         held.changed()
 
     def used(self, now, target_id, keys):
--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -58,6 +58,11 @@
             self._missing_since.pop(target_id, None)
         self.expire(now)
 
+    def relay(self, targets):
+        """Take in the rows of another directory that has its own grace."""
+        self._rows = {target.target_id: target for target in targets}
+        self._missing_since = {}
+
     def put(self, target):
         """Take in one new or changed entry."""
         self._rows[target.target_id] = target
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -42,6 +42,13 @@
         found = decide(11.4, job(), [candidate()], "z1")
         self.assertIsInstance(found, Send)
 
+    def test_large_requests_get_in_as_often_as_small_ones(self):
+        busy = [candidate("t1", 20, 13_000)]
+        small = job()._replace(prompt_tokens=200)
+        large = job()._replace(prompt_tokens=4000)
+        self.assertIsInstance(decide(10.0, small, busy, "z1"), Send)
+        self.assertIsInstance(decide(10.0, large, busy, "z1"), Send)
+
     def test_returners_are_spread(self):
         backlog = [candidate("t1", 40, 90_000)]
         times = {
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -20,13 +20,14 @@
     take by estimate; the rest is for errors of the estimate. ``late_s`` is the
     estimate up to which a request past its aim is still sent. ``retry_s`` is the
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
-    together.
+    together. Each request is judged as if its prompt had ``usual_prompt_tokens``.
     """
 
     aim_share: float = 0.85
     late_s: float = 0.25
     retry_s: float = 0.3
     retry_spread_s: float = 0.7
+    usual_prompt_tokens: int = 1200
 
 
 class Job(NamedTuple):
@@ -99,6 +100,10 @@
     wait_s = job.give_up_at - now
     if best is not None:
         candidate, time_s = best
+        # Large requests earn more; they get the same part of the engines as others.
+        time_s += (policy.usual_prompt_tokens - job.prompt_tokens) / (
+            choice.prompt_tokens_s
+        )
         if time_s <= max(left_s * policy.aim_share, policy.late_s):
             return Send(candidate.target_id, time_s)
         # A backlog shrinks by at most a second in a second.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -17,6 +17,8 @@
 # How long a target that denied an adapter is not asked for it again.
 _DENIED_S = 0.15
 _KEPT_REPORTS = 64
+# Fence and number of the state of a target that was never told.
+_NO_STATE = (0, -1)
 # Requests beyond its slots that a plain target may queue.
 _PLAIN_QUEUE = 2
 
@@ -110,25 +112,24 @@
             self._ejection.keep(targets)
             self._drain(self._clock())
 
-    def announce(self, key, version):
-        """Take in that a version of an adapter was announced."""
+    def announce(self, key, version, age_s=0.0):
+        """Take in that a version of an adapter was announced some time ago."""
         with self.lock:
             known, _ = self._newest.get(key, (0, 0.0))
             if version > known:
-                self._newest[key] = (version, self._clock())
+                self._newest[key] = (version, self._clock() - age_s)
 
     def take_view(self, view):
         """Take in a view; return the tokens that its sender knew of this node."""
         with self.lock:
             now = self._clock()
-            if self._view is None or self._view.start != view.start:
-                self._residency = {}
             self._view = view
             self._viewed_at = now
             for target_id, (number, rows) in view.residency.items():
-                known, _ = self._residency.get(target_id, (-1, None))
-                if number > known:
-                    self._residency[target_id] = (number, _copies(now, rows))
+                state = (view.fence, number)
+                known, _ = self._residency.get(target_id, (_NO_STATE, None))
+                if state > known:
+                    self._residency[target_id] = (state, _copies(now, rows))
             self._drain(now)
             return self._acked()
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -6,7 +6,7 @@
 
 from msgspec.json import encode as to_json
 
-from hibiscusspar.fleet.messages import FleetView, TargetLoad
+from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar_entry.event_log import write_records
@@ -21,6 +21,8 @@
 # Views that repeat a target's adapters after a change, against lost datagrams.
 _REPEATS = 3
 _ORDER_THREADS = 8
+# Ages beyond this are told as this, in seconds.
+_MAX_AGE_S = 1e6
 _PROMPT_TOKENS_S = 19_200.0
 
 
@@ -32,6 +34,37 @@
     address: tuple[str, int]
 
 
+class _Turns:
+    """Chooses what a view shows: a state that changed several times, others by turns.
+
+    Views that are lost are made up for by the next ones.
+    """
+
+    def __init__(self):
+        self._shown = {}
+        self._left = {}
+
+    def due(self, states, number):
+        """Return the names to show in the view of a number.
+
+        Parameters
+        ----------
+        states : dict of str to object
+            What would be shown, by name.
+        number : int
+        """
+        names = sorted(states)
+        if names:
+            self._left.setdefault(names[number % len(names)], 1)
+        for name, state in states.items():
+            if self._shown.get(name) != state:
+                self._shown[name] = state
+                self._left[name] = _REPEATS
+        found = [name for name in self._left if name in states]
+        self._left = {name: left - 1 for name, left in self._left.items() if left > 1}
+        return found
+
+
 class Coordinator:
     """Work of the node that holds the lease.
 
@@ -43,9 +76,11 @@
     orders : TargetOrders
     send : callable
         Sends a body to an address.
+    ages : callable
+        Returns the ages of configuration and directory in seconds.
     """
 
-    def __init__(self, node, machine, start, clock, election, orders, send):
+    def __init__(self, node, machine, start, clock, election, orders, send, ages):
         self._node = node
         self._machine = machine
         self._start = start
@@ -53,6 +88,8 @@
         self._election = election
         self._orders = orders
         self._send = send
+        self._ages = ages
+        self._announced = {}
         self._lock = threading.Lock()
         self._planner = AdapterPlanner()
         self._levels = AccountLevels()
@@ -60,8 +97,8 @@
         self._targets = {}
         self._ruleset = None
         self._number = 0
-        self._views_left = {}
-        self._shown = {}
+        self._held_turns = _Turns()
+        self._row_turns = _Turns()
         self._active = False
         self._viewed_at = 0.0
         self._pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -83,6 +120,7 @@
         """Take in a new version of an adapter."""
         with self._lock:
             self._planner.announce(*key, version)
+            self._announced[_label(key)] = (version, self._clock())
 
     def take_over(self, levels):
         """Begin to coordinate, with the levels of the last view."""
@@ -124,14 +162,19 @@
     def plan(self):
         """Choose orders and give them in the threads of the pool."""
         now = self._clock()
-        if not self._election.may_order(now):
+        if not self._election.holds(now):
             return
         with self._lock:
             asks = [self._targets[t] for t in self._planner.to_ask(now)]
-            targets = self._orderable()
-            orders = self._planner.next_orders(
-                now, targets, self._wants(now), self._backlogs(now), self._in_use(now)
-            )
+            orders = []
+            if self._election.may_order(now):
+                orders = self._planner.next_orders(
+                    now,
+                    self._orderable(),
+                    self._wants(now),
+                    self._backlogs(now),
+                    self._in_use(now),
+                )
             self.planned += len(orders)
         for target in asks:
             self._pool.submit(self._ask, target)
@@ -151,6 +194,7 @@
         self._number += 1
         accounts = self._ruleset.accounts if self._ruleset else {}
         levels = self._levels.advance(now, accounts)
+        config_age_s, directory_age_s = self._ages()
         view = FleetView(
             node=self._node,
             start=self._start,
@@ -161,28 +205,29 @@
             loads=self._loads(now),
             residency=self._residency(now),
             levels={name: round(level, 1) for name, level in levels.items()},
+            config_version=self._ruleset.version if self._ruleset else 0,
+            config_age_s=min(config_age_s, _MAX_AGE_S),
+            directory_age_s=min(directory_age_s, _MAX_AGE_S),
+            directory=sorted(self._targets),
+            rows=self._rows_to_show(),
+            versions={
+                label: (version, round(now - at, 3))
+                for label, (version, at) in self._announced.items()
+            },
         )
         return view, [row.address for row in self._heard.values()]
 
     def _residency(self, now):
-        """Return the rows to show: what changed lately, and a few by turns."""
-        held = self._planner.held
-        turn = sorted(held)
-        if turn:
-            self._views_left.setdefault(turn[self._number % len(turn)], 1)
-        for target_id, row in held.items():
-            if self._shown.get(target_id) != row.number:
-                self._shown[target_id] = row.number
-                self._views_left[target_id] = _REPEATS
-        shown = {}
-        for target_id in list(self._views_left):
-            row = held.get(target_id)
-            if row is not None:
-                shown[target_id] = (row.number, _rows(now, row))
-            self._views_left[target_id] -= 1
-            if self._views_left[target_id] <= 0:
-                del self._views_left[target_id]
-        return shown
+        """Return what some targets hold: what changed lately, others by turns."""
+        held = {t: row for t, row in self._planner.held.items() if row.known}
+        numbers = {target_id: row.number for target_id, row in held.items()}
+        due = self._held_turns.due(numbers, self._number)
+        return {t: (held[t].number, _rows(now, held[t])) for t in due}
+
+    def _rows_to_show(self):
+        rows = {t: _target_row(target) for t, target in self._targets.items()}
+        due = self._row_turns.due(rows, self._number)
+        return [rows[target_id] for target_id in due]
 
     def _engines(self):
         if self._ruleset is None:
@@ -274,10 +319,23 @@
             self.send_views()
 
 
+def _target_row(target):
+    return TargetRow(
+        target.target_id,
+        target.service,
+        target.address,
+        target.zone,
+        target.slots,
+        target.draining,
+        target.born,
+        target.models,
+    )
+
+
 def _rows(now, held):
     return [
-        (f"{model}/{adapter}", copy.version, round(max(0.0, copy.ready_at - now), 3))
-        for (model, adapter), copy in held.copies.items()
+        (_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
+        for key, copy in held.copies.items()
     ]
 
 
@@ -285,6 +343,10 @@
     return report.start == known.start and report.number <= known.number
 
 
+def _label(key):
+    return f"{key[0]}/{key[1]}"
+
+
 def _key(label):
     model, _, adapter = label.partition("/")
     return model, adapter
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -31,6 +31,7 @@
 __all__ = ["Forwarder", "ForwardPolicy"]
 
 _EVENT_STREAM = "text/event-stream"
+_ANY_BODY = 2**62
 _HASH_RANGE = float(2**64)
 
 
@@ -43,7 +44,10 @@
     longest idle time of a connection that a request uses which can't be repeated.
     ``quota_wait_s`` is the longest wait for a view that shows tokens;
     ``quota_spread_s`` spreads those refused for a limit.
-    ``starting_retry_s`` is told to callers before the first configuration.
+    ``starting_retry_s`` is told to callers before the first configuration. After
+    ``leave_s`` of a graceful stop no request is taken, because the platform sends
+    none and what still comes could not be ended; it exceeds two missed questions
+    for readiness and the rest of the platform's three seconds is kept.
     """
 
     answer_margin_s: float = 0.05
@@ -55,6 +59,7 @@
     quota_spread_s: float = 0.5
     starting_retry_s: float = 0.5
     draining_retry_s: float = 0.05
+    leave_s: float = 2.6
 
 
 class _Admitted(NamedTuple):
@@ -127,6 +132,11 @@
         """Number of requests that are being answered."""
         return len(self._open)
 
+    def has_left(self, now):
+        """Whether a graceful stop is so far that no request is taken."""
+        since = self.draining_since
+        return since is not None and now > since + self._policy.leave_s
+
     def handle(self, inbound):
         """Answer one request."""
         arrived = self._clock()
@@ -160,6 +170,9 @@
 
     def _admit(self, inbound, arrived):
         parts, policy = self._parts, self._policy
+        if self.has_left(arrived):
+            inbound.read_body(_ANY_BODY)
+            raise RefusedError(503, "this VM has left", policy.draining_retry_s)
         ruleset = parts.config.ruleset
         if ruleset is None:
             raise RefusedError(503, "no configuration yet", policy.starting_retry_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -32,8 +32,6 @@
 # A coordinator that was silent for this long may be gone.
 _COORDINATOR_SILENT_S = 0.7
 _READY_VIEW_S = 1.5
-# Time in which the platform notices that this VM is not ready, and its callers.
-_LEAVE_S = 2.6
 _GRACE_MARGIN_S = 0.6
 
 
@@ -57,6 +55,7 @@
     metrics: Any
     election: Any
     log: Any
+    relayed: Any
     key_age_limit_s: float
 
 
@@ -186,8 +185,9 @@
         fields = {"open": self._forwarder.open_requests, "grace_s": grace_s}
         write_records([(NODE_DRAINING, fields)])
         self._release_lease()
-        while (passed_s := parts.clock() - began) < grace_s:
-            if passed_s > _LEAVE_S and not self._forwarder.open_requests:
+        while parts.clock() - began < grace_s:
+            left = self._forwarder.has_left(parts.clock())
+            if left and not self._forwarder.open_requests:
                 break
             sleep(_TICK_S)
         fields = {
@@ -203,6 +203,9 @@
             return
         self._coordinator_address = address
         self._lost_logged = False
+        if parts.relayed.take(view, parts.settings.node):
+            for watch in parts.watches:
+                watch.wake()
         acked = parts.board.take_view(view)
         with parts.quota_changed:
             parts.quota.view(parts.clock(), view.nodes, view.levels, acked)
@@ -265,6 +268,7 @@
             self._log_coordinator(record, False)
 
     def _change_role(self, holds):
+        self._parts.relayed.set_source(holds)
         if holds:
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
@@ -309,6 +313,7 @@
         with parts.quota_changed:
             used = dict(parts.quota.used)
         report = parts.board.report(used)
+        parts.relayed.report_sent(report.number)
         if parts.election.holds(parts.clock()):
             ip, _, port = self._channel.address.rpartition(":")
             self._coordinator.take_report(report, (ip, int(port)))
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -0,0 +1,126 @@
+"""What a node takes from the coordinator's views instead of reading the store.
+
+Calls of the store must not grow with the nodes, so one reads it for all as long as
+the others hear it and it hears the store.
+"""
+
+import threading
+
+from hibiscusspar.fleet.targets import Target
+
+__all__ = ["RelayedState"]
+
+# Ages up to which views, and what their sender read, are relied on, in seconds.
+_MAX_VIEW_AGE_S = 0.6
+_MAX_READ_AGE_S = 1.6
+_KEPT_REPORTS = 128
+
+
+class RelayedState:
+    """The relayed part of one node's knowledge.
+
+    Parameters
+    ----------
+    clock : callable
+    config : ConfigSync
+    targets : TargetSync
+    announce : callable
+        Called with an adapter's key, a version and its age in seconds.
+    """
+
+    def __init__(self, clock, config, targets, announce):
+        self._clock = clock
+        self._config = config
+        self._targets = targets
+        self._announce = announce
+        self._lock = threading.Lock()
+        self._sent = {}
+        self._rows = {}
+        self._view = None
+        self._viewed_at = None
+        self._is_source = False
+
+    def set_source(self, is_source):
+        """Say whether this node is the one that reads the store for all."""
+        self._is_source = is_source
+
+    def report_sent(self, number):
+        """Note when a report was sent."""
+        with self._lock:
+            self._sent[number] = self._clock()
+            self._sent.pop(number - _KEPT_REPORTS, None)
+
+    def take(self, view, node):
+        """Take in a view that answers one of this node's reports.
+
+        Returns
+        -------
+        bool
+            Whether there is a configuration to read.
+        """
+        now = self._clock()
+        with self._lock:
+            if self._view is None or self._view.start != view.start:
+                self._rows = {}
+            self._view = view
+            sent_at = self._sent.get(view.acked.get(node, 0))
+            # The view was made after that report had come.
+            self._viewed_at = sent_at
+            for row in view.rows:
+                self._rows[row.target_id] = _target(row)
+            rows = [self._rows.get(name) for name in view.directory]
+        if self._is_source or sent_at is None:
+            return False
+        for label, (version, age_s) in view.versions.items():
+            model, _, adapter = label.partition("/")
+            self._announce((model, adapter), version, age_s)
+        if view.directory_age_s < _MAX_READ_AGE_S and None not in rows:
+            self._targets.relayed(rows)
+        ruleset = self._config.ruleset
+        known = ruleset.version if ruleset is not None else 0
+        if known == view.config_version:
+            self._config.confirm(min(now, sent_at) - view.config_age_s)
+        return known < view.config_version
+
+    def config_is_told(self):
+        """Whether the configuration need not be read."""
+        view = self._fresh_view()
+        ruleset = self._config.ruleset
+        return (
+            view is not None
+            and ruleset is not None
+            and view.config_age_s < _MAX_READ_AGE_S
+            and ruleset.version >= view.config_version
+        )
+
+    def directory_is_told(self):
+        """Whether targets and versions need not be read."""
+        view = self._fresh_view()
+        return (
+            view is not None
+            and view.directory_age_s < _MAX_READ_AGE_S
+            and all(name in self._rows for name in view.directory)
+        )
+
+    def _fresh_view(self):
+        with self._lock:
+            if self._is_source or self._viewed_at is None:
+                return None
+            if self._clock() > self._viewed_at + _MAX_VIEW_AGE_S:
+                return None
+            return self._view
+
+
+def _target(row):
+    return Target(
+        target_id=row.target_id,
+        service=row.service,
+        address=row.address,
+        zone=row.zone,
+        slots=row.slots,
+        draining=row.draining,
+        born=row.born,
+        orders_accepted=0,
+        models=row.models,
+        adapters={},
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -19,6 +19,8 @@
 __all__ = ["ConfigSync", "KindWatch", "TargetSync"]
 
 _RETRY_S = 0.25
+# How often a watch that need not read looks whether that is still so, in seconds.
+_IDLE_S = 0.25
 
 
 class KindWatch:
@@ -36,26 +38,40 @@
     taker : object
         Has ``listed(objects, sent_at)``, ``changed(events, sent_at)`` and
         ``returned()``, called after an outage.
+    is_idle : callable
+        Whether the coordinator tells what is in the store, so that nothing is read.
     """
 
-    def __init__(self, store, kind, clock, wait_s, gap_s, taker):
+    def __init__(self, store, kind, clock, wait_s, gap_s, taker, is_idle):
         self._store = store
         self._kind = kind
         self._clock = clock
         self._wait_s = wait_s
         self._gap_s = gap_s
         self._taker = taker
+        self._is_idle = is_idle
         self._revision = None
         self._lost_at = None
+        self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self):
         """Follow in a thread of its own."""
         self._thread.start()
 
+    def wake(self):
+        """Look at once whether there is something to read."""
+        self._wake.set()
+
     def _run(self):
         pause = threading.Event()
         while True:
+            if self._is_idle():
+                # What changes meanwhile comes with the next listing.
+                self._revision = None
+                self._wake.wait(_IDLE_S)
+                self._wake.clear()
+                continue
             try:
                 self._step()
                 pause.wait(self._gap_s)
@@ -124,14 +140,19 @@
         """Take in a listing."""
         for stored in objects:
             self._take(stored)
-        self._confirmed_at = sent_at
+        self.confirm(sent_at)
 
     def changed(self, events, sent_at):
         """Take in changes; none confirms the configuration in force."""
         for deleted, stored in events:
             if not deleted:
                 self._take(stored)
-        self._confirmed_at = sent_at
+        self.confirm(sent_at)
+
+    def confirm(self, at):
+        """Note that the configuration in force was the newest at a time."""
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
 
     def returned(self):
         """Nothing to do: the next answer confirms the configuration."""
@@ -175,11 +196,27 @@
         self._clock = clock
         self._directory = directory
         self._publish = publish
+        self._confirmed_at = None
         self._lock = threading.Lock()
 
+    @property
+    def age_s(self):
+        """Seconds since the directory was surely the newest."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return self._clock() - self._confirmed_at
+
+    def relayed(self, targets):
+        """Take in the whole directory as the coordinator told it."""
+        with self._lock:
+            before = dict(self._directory.rows)
+            self._directory.relay(targets)
+            self._finish(before, "relayed")
+
     def listed(self, objects, sent_at):
         """Take in a listing."""
         with self._lock:
+            self._confirmed_at = sent_at
             before = dict(self._directory.rows)
             decoded = (self._codec.target(s.name, s.value) for s in objects)
             found = [target for target in decoded if target is not None]
@@ -189,6 +226,7 @@
     def changed(self, events, sent_at):
         """Take in changes."""
         with self._lock:
+            self._confirmed_at = sent_at
             before = dict(self._directory.rows)
             for deleted, stored in events:
                 target = None
