Load base models on targets that came empty; bound running requests

Now an empty target gets a model first; a target takes at most as many requests as end in time; jobs that can be in time go before late ones; an unreachable target is left at once.

--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -9,6 +9,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from hibiscusspar.fleet.model_loads import LoadPace, ModelNeed, choose_model
+
 __all__ = ["AdapterPlanner", "Held", "LoadOrder", "OrderOutcome", "PlannerPolicy"]
 
 
@@ -66,13 +68,15 @@
     """What the coordinator knows of one target's adapters.
 
     ``accepted`` is the number of orders the target has carried out, None if it
-    must be asked. ``ordering`` is whether an order is on its way, ``known`` whether
+    must be asked. ``models`` maps the models it holds to the time from which they are
+    ready. ``ordering`` is whether an order is on its way, ``known`` whether
     the target was ever asked.
     """
 
     def __init__(self, born):
         self.born = born
         self.copies = {}
+        self.models = {}
         self.accepted = None
         self.ordering = False
         self.known = False
@@ -98,6 +102,7 @@
         self._policy = policy or PlannerPolicy()
         self._held = {}
         self._newest = {}
+        self._pace = LoadPace()
 
     @property
     def held(self):
@@ -131,6 +136,8 @@
                     key: Copy(version, 0.0) for key, version in target.adapters.items()
                 }
                 held.changed()
+            for model in target.models:
+                held.models[model] = 0.0
 
     def to_ask(self, now):
         """Return the targets whose state must be asked for, and note it."""
@@ -141,7 +148,7 @@
                 found.append(target_id)
         return found
 
-    def reported(self, now, target_id, accepted, adapters, pending):
+    def reported(self, now, target_id, accepted, adapters, pending, models=None):
         """Take in a target's own report.
 
         Parameters
@@ -152,6 +159,8 @@
             Orders it has carried out.
         adapters, pending : dict
             Versions by ``(model, adapter)``, resident and on their way.
+        models : collection of str, optional
+            Models that it holds.
         """
         held = self._held.get(target_id)
         if held is None or held.accepted is not None or held.ordering:
@@ -160,6 +169,8 @@
         held.copies = {key: Copy(v, 0.0) for key, v in adapters.items()}
         held.copies.update({key: Copy(v, ready_at) for key, v in pending.items()})
         held.accepted = accepted
+        if models is not None:
+            held.models = dict.fromkeys(models, 0.0)
         held.known = True
         held.changed()
 
@@ -176,8 +187,8 @@
         Parameters
         ----------
         now : float
-        targets : dict of str to tuple of (Target, int)
-            Targets that may be ordered, with their adapter places.
+        targets : dict of str to tuple of (Target, EngineRule)
+            Targets that may be ordered.
         wants : list of Want
             Most urgent first.
         backlogs : dict of str to float
@@ -197,6 +208,12 @@
             and self._held[target_id].accepted is not None
             and not self._held[target_id].ordering
         }
+        for target_id in sorted(free):
+            order = self._model_order(now, target_id, targets, wants)
+            if order is not None:
+                free.pop(target_id)
+                self._held[target_id].ordering = True
+                orders.append(order)
         for want in wants:
             if not free:
                 break
@@ -207,6 +224,34 @@
                 orders.append(order)
         return orders
 
+    def _model_order(self, now, target_id, targets, wants):
+        """Return the order that gives a target a model it should hold, or None."""
+        target, engine = targets[target_id]
+        held = self._held[target_id]
+        if held.models:
+            return None
+        needs = self._needs(target.service, targets, wants)
+        model = choose_model(engine, held.models, needs)
+        if model is None or not self._pace.allow(now, engine.loads_per_s):
+            return None
+        held.models[model.name] = now + model.load_s + self._policy.confirm_s
+        return LoadOrder(target_id, "load", model.name, "", 0, held.accepted)
+
+    def _needs(self, service, targets, wants):
+        needs = {}
+        for target_id, (target, engine) in targets.items():
+            if target.service != service or target_id not in self._held:
+                continue
+            for model in engine.models:
+                need = needs.get(model.name, ModelNeed(0, 0))
+                copies = need.copies + (model.name in self._held[target_id].models)
+                needs[model.name] = ModelNeed(copies, 0)
+        for want in wants:
+            if want.service == service and want.model in needs:
+                need = needs[want.model]
+                needs[want.model] = need._replace(waiting=need.waiting + want.waiting)
+        return needs
+
     def finished(self, now, outcome):
         """Take in what became of an order."""
         order = outcome.order
@@ -217,8 +262,12 @@
         if outcome.result in ("lost", "refused"):
             held.accepted = None
             held.ask_at = now + self._policy.confirm_s
+            if not order.adapter:
+                held.models.pop(order.model, None)
             return
         held.accepted = order.expected + 1
+        if not order.adapter:
+            return
         key = (order.model, order.adapter)
         if order.operation == "unload":
             held.copies.pop(key, None)
@@ -239,8 +288,10 @@
             return None
         best = None
         for target_id, held in free.items():
-            target, places = targets[target_id]
-            if target.service != want.service or want.model not in target.models:
+            target, engine = targets[target_id]
+            places = engine.adapter_places
+            ready_at = held.models.get(want.model)
+            if target.service != want.service or ready_at is None or ready_at > now:
                 continue
             copy = held.copies.get(key)
             if copy is not None and copy.version >= newest:
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -16,14 +16,16 @@
     ``prompt_tokens_s`` is how fast an engine reads prompts, ``step_s`` the time of
     one decoding step and ``request_s`` the share of it that each running request
     adds, all from the users' sheets. ``zone_s`` is what crossing to another zone
-    must save.
+    must save. ``most_running`` is the number of running requests at which an engine
+    that reads prompts all the while still ends the longest streams of the sheets
+    in time.
     """
 
     prompt_tokens_s: float = 19_200.0
     step_s: float = 0.0095
     request_s: float = 0.002
     zone_s: float = 0.005
-    kept_token_share: float = 0.24
+    most_running: int = 44
 
 
 class Candidate(NamedTuple):
@@ -60,7 +62,7 @@
     """
     best = None
     for candidate in candidates:
-        if candidate.running >= candidate.slots:
+        if candidate.running >= min(candidate.slots, policy.most_running):
             continue
         time_s = first_byte_s(policy, candidate, prompt_tokens)
         cost = time_s if candidate.zone == zone else time_s + policy.zone_s
--- a/packages/hibiscusspar/hibiscusspar/fleet/rules.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rules.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AccountRule",
     "EngineRule",
+    "ModelRule",
     "RouteRule",
     "Ruleset",
     "ServiceRule",
@@ -39,17 +40,29 @@
         return self.kind == "safe" or (self.kind == "stream" and self.resumable)
 
 
+class ModelRule(NamedTuple):
+    """A base model: megabytes of its weights and seconds to load them."""
+
+    name: str
+    weights_mb: float
+    load_s: float
+
+
 class EngineRule(NamedTuple):
     """What one engine of a service can hold.
 
     ``batch`` is the number of requests at once, ``kv_tokens`` the memory for tokens,
-    ``adapter_places`` the number of adapters that may be resident or in transit.
+    ``adapter_places`` the number of adapters that may be resident or in transit,
+    ``weights_mb`` the memory for models. The weight store allows ``loads_per_s``
+    loads of models over all engines.
     """
 
     batch: int
     kv_tokens: int
     adapter_places: int
-    models: tuple[str, ...]
+    weights_mb: float
+    loads_per_s: float
+    models: tuple[ModelRule, ...]
 
 
 class ServiceRule(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -7,11 +7,19 @@
 
 from hibiscusspar.fleet.messages import Want
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
+from hibiscusspar.fleet.rules import EngineRule, ModelRule
 from hibiscusspar.fleet.targets import Target
 
 MODEL = "base"
 
 
+MODELS = (ModelRule(MODEL, 16_100.0, 0.95),)
+
+
+def engine(places):
+    return EngineRule(128, 100_000, places, 17_000.0, 2.9, MODELS)
+
+
 def target(name, adapters=(), born=1, zone="z1"):
     return Target(
         target_id=name,
@@ -36,7 +44,7 @@
 
     def __init__(self, *targets, places=2):
         self.planner = AdapterPlanner()
-        self.targets = {t.target_id: (t, places) for t in targets}
+        self.targets = {t.target_id: (t, engine(places)) for t in targets}
         self.planner.sync(targets)
         self.resident = {t.target_id: dict(t.adapters) for t in targets}
         for name in self.planner.to_ask(0.0):
@@ -148,6 +156,31 @@
         self.assertEqual(fleet.planner.to_ask(2.0), ["t1"])
 
 
+class TestModels(unittest.TestCase):
+    def test_target_that_restarted_empty_gets_its_model_before_adapters(self):
+        fleet = Fleet(target("t1")._replace(models={}))
+        (order,) = fleet.plan(1.0, [want("a")])
+        self.assertEqual(
+            (order.operation, order.model, order.adapter), ("load", MODEL, "")
+        )
+        fleet.carry_out(1.0, [order])
+        self.assertEqual(fleet.plan(1.1, [want("a")]), [])
+        (order,) = fleet.plan(2.5, [want("a")])
+        self.assertEqual(order.adapter, "a")
+
+    def test_model_is_ordered_again_if_the_order_was_lost(self):
+        fleet = Fleet(target("t1")._replace(models={}))
+        fleet.carry_out(1.0, fleet.plan(1.0, []), "lost")
+        fleet.planner.to_ask(1.4)
+        fleet.planner.reported(1.5, "t1", 0, {}, {}, ())
+        (order,) = fleet.plan(1.6, [])
+        self.assertEqual(order.model, MODEL)
+
+    def test_many_empty_targets_do_not_outrun_the_weight_store(self):
+        rows = [target(f"t{i}")._replace(models={}) for i in range(30)]
+        self.assertLessEqual(len(Fleet(*rows).plan(1.0, [])), 2.9 * 5 * 1.1 + 3)
+
+
 class TestVersions(unittest.TestCase):
     def test_older_copy_is_replaced_when_it_is_wanted(self):
         fleet = Fleet(target("t1", ["a"]))
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -57,15 +57,24 @@
         }
         self.assertEqual(len(times), 10)
 
+    def test_batch_that_would_end_streams_late_takes_no_more(self):
+        found = decide(10.0, job(), [candidate(running=60)], "z1")
+        self.assertEqual(found, Wait("busy"))
+
     def test_full_batch_takes_no_more(self):
         found = decide(10.0, job(), [candidate(running=128)], "z1")
         self.assertEqual(found, Wait("busy"))
 
     def test_urgent_jobs_come_first(self):
         jobs = [job(10.0, priority=2), job(10.2, priority=0), job(10.1, priority=0)]
-        ordered = sorted(jobs, key=job_order)
+        ordered = sorted(jobs, key=lambda row: job_order(10.3, row))
         self.assertEqual([j.arrived for j in ordered], [10.1, 10.2, 10.0])
 
+    def test_jobs_that_can_be_in_time_go_before_late_ones(self):
+        jobs = [job(10.0, priority=0), job(10.9, priority=1)]
+        ordered = sorted(jobs, key=lambda row: job_order(11.0, row))
+        self.assertEqual([j.arrived for j in ordered], [10.9, 10.0])
+
 
 class TestChooseTarget(unittest.TestCase):
     def test_shortest_backlog_wins_over_the_own_zone(self):
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -70,9 +70,16 @@
     retry_after_s: float
 
 
-def job_order(job):
-    """Return the sorting key of waiting jobs: priority, then arrival."""
-    return (job.priority, job.arrived)
+def job_order(now, job, policy=None):
+    """Return the sorting key of waiting jobs, the next one first.
+
+    Load pattern: when more comes than can be served, first come first served makes
+    all late. Jobs that can still be in time go first, by priority and arrival;
+    the others take what is left.
+    """
+    policy = policy or WaitPolicy()
+    is_late = now > job.arrived + job.aim_s * policy.aim_share
+    return (is_late, job.priority, job.arrived)
 
 
 def decide(now, job, candidates, zone, choice=None, policy=None):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -19,6 +19,8 @@
 _KEPT_REPORTS = 64
 # Fence and number of the state of a target that was never told.
 _NO_STATE = (0, -1)
+# Failures that a refused connection counts as: enough to leave the target.
+_UNREACHABLE_FAILURES = 3
 # Requests beyond its slots that a plain target may queue.
 _PLAIN_QUEUE = 2
 
@@ -140,7 +142,6 @@
             now = self._clock()
             if not self._decide(now, ticket):
                 self._waiting.append(ticket)
-                self._waiting.sort(key=lambda row: job_order(row.job))
         if not ticket.decided.is_set():
             self.on_want()
         return ticket
@@ -188,11 +189,12 @@
             self._ejection.succeeded(target_id, out)
         write_records(out.records)
 
-    def failed(self, target_id):
-        """Note that a target failed a request."""
+    def failed(self, target_id, unreachable=False):
+        """Note that a target failed a request, or can't be reached at all."""
         with self.lock:
             out = Outbox()
-            self._ejection.failed(self._clock(), target_id, out)
+            for _ in range(_UNREACHABLE_FAILURES if unreachable else 1):
+                self._ejection.failed(self._clock(), target_id, out)
             self._faults[target_id] += 1
         write_records(out.records)
 
@@ -246,6 +248,7 @@
 
     def _drain(self, now):
         if self._waiting:
+            self._waiting.sort(key=lambda ticket: job_order(now, ticket.job))
             self._waiting = [t for t in self._waiting if not self._decide(now, t)]
 
     def _decide(self, now, ticket):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -243,7 +243,7 @@
         return {
             target.target_id: (
                 target,
-                self._ruleset.services[target.service].engine.adapter_places,
+                self._ruleset.services[target.service].engine,
             )
             for target in self._engines()
             if not target.draining
@@ -293,6 +293,7 @@
                 state.orders_accepted,
                 state.adapters,
                 state.pending,
+                None if state.busy else state.models,
             )
         self.plan()
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -79,6 +79,7 @@
     priority: int
     fraction: float
     arrived: float
+    first_arrived: float
     ends_at: float
     version: int
 
@@ -216,6 +217,7 @@
             priority=priority,
             fraction=fraction,
             arrived=arrived,
+            first_arrived=_first_arrival(arrived, route, call),
             ends_at=arrived + timeout_s - policy.answer_margin_s,
             version=ruleset.version,
         )
@@ -287,16 +289,15 @@
         policy, route = self._policy, admitted.route
         aims = policy.wait_aims if admitted.is_engine else policy.plain_wait_aims
         now = self._clock()
-        since = admitted.arrived if attempt.number == 0 else now
         job = Job(
             request_id=admitted.call.request_id,
             service=admitted.service,
             key=(admitted.call.model, admitted.call.adapter),
             priority=admitted.priority,
             prompt_tokens=admitted.prompt_tokens,
-            arrived=admitted.arrived,
+            arrived=admitted.first_arrived,
             aim_s=route.aim_s,
-            give_up_at=min(since + aims * route.aim_s, admitted.ends_at),
+            give_up_at=min(now + aims * route.aim_s, admitted.ends_at),
             fraction=admitted.fraction,
             excluded=attempt.excluded,
         )
@@ -348,7 +349,7 @@
         except CallFailedError as error:
             if attempt.left.is_set():
                 raise CallerLeftError from error
-            self._parts.board.failed(target_id)
+            self._parts.board.failed(target_id, error.step == "connect")
             return _Failure(error.step, error.reason, error.step == "connect", False)
         finally:
             connection, attempt.connection = attempt.connection, None
@@ -592,6 +593,16 @@
     return None
 
 
+def _first_arrival(arrived, route, call):
+    """Return when a caller first sent a request that it may have sent before.
+
+    A caller that comes back tells what is left of the time that it had.
+    """
+    if route.kind != "stream" or call.deadline_s is None:
+        return arrived
+    return arrived - max(0.0, route.timeout_s - call.deadline_s)
+
+
 def _cost(rule, call):
     if rule is None or not rule.counts_tokens:
         return 1.0
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -47,11 +47,16 @@
 
 
 class TargetState(NamedTuple):
-    """What a target reports; versions by ``(model, adapter)``."""
+    """What a target reports; versions by ``(model, adapter)``.
+
+    ``busy`` is whether it carries out an order about a model.
+    """
 
     orders_accepted: int
     adapters: dict[tuple[str, str], int]
     pending: dict[tuple[str, str], int]
+    models: tuple[str, ...]
+    busy: bool
 
 
 class TargetOrders(Protocol):
