--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -65,6 +65,7 @@
         self._record = None
         self._revision = 0
         self._seen_at = None
+        self._silent_since = None
         self._renewed_at = None
         self._orders_from = 0.0
         self._next_at = 0.0
@@ -90,6 +91,15 @@
             and now < self._renewed_at + self._timing.valid_s
         )
 
+    @property
+    def leads(self):
+        """Whether this process was the last known holder, its lease valid or not.
+
+        It goes on sharing what it knows until another holder is known; only its
+        orders need a valid lease.
+        """
+        return self._renewed_at is not None and self._is_mine()
+
     def may_order(self, now):
         """Whether this process may give orders to targets."""
         return self.holds(now) and now >= self._orders_from and not self._leaving
@@ -129,6 +139,8 @@
     def read(self, now, record, revision):
         """Take in the lease as read; ``record`` is None if there is no object."""
         self._known = True
+        if self._silent_since is None:
+            self._silent_since = now
         if revision == self._revision and self._seen_at is not None:
             return
         if not (record and self._same_process(record)):
@@ -150,8 +162,12 @@
         self._see(now, record, revision)
 
     def failed(self, now):
-        """Take in that a write was refused or its answer lost: read the lease next."""
+        """Take in that a call failed: read the lease next.
+
+        An outage proves nothing about the holder, so its silence counts anew.
+        """
         self._known = False
+        self._silent_since = None
         if not self.holds(now):
             self._next_at = now
 
@@ -159,6 +175,7 @@
         self._record = record
         self._revision = revision
         self._seen_at = now
+        self._silent_since = now
 
     def _take_over(self, now):
         earlier = self._record
@@ -175,7 +192,7 @@
         record = self._record
         if record is None or record.released or record.machine == self._machine:
             return True
-        return now >= self._seen_at + self._timing.valid_s
+        return now >= self._silent_since + self._timing.valid_s
 
     def _is_mine(self):
         return self._record is not None and (
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -67,6 +67,7 @@
 class FleetView(Struct, tag="view"):
     """What the coordinator knows of the fleet.
 
+    ``leased`` is whether its lease is valid, so that it may order loads.
     ``residency`` holds, for some targets, a number that grows with each change and
     the adapters as ``[model/adapter, version, seconds until it is ready]``.
     ``acked`` holds the number of the last report of each node; ``levels`` are the
@@ -79,6 +80,7 @@
     node: str
     start: str
     fence: int
+    leased: bool
     number: int
     nodes: int
     acked: dict[str, int]
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
@@ -61,6 +61,27 @@
         subject.failed(10.2)
         self.assertEqual(subject.action(10.2, False), ReadLease())
 
+    def test_live_holder_keeps_its_lease_over_an_outage_of_the_store(self):
+        subject = election()
+        subject.read(10.0, record(nonce=1), 7)
+        for at in (10.5, 13.0, 15.0):
+            subject.failed(at)
+        # The store is back; the holder has not renewed yet.
+        subject.read(15.4, record(nonce=1), 7)
+        self.assertEqual(subject.action(15.9, False), ReadLease())
+        subject.read(16.0, record(nonce=2), 8)
+        self.assertEqual(subject.action(17.0, False), ReadLease())
+
+    def test_holder_without_a_valid_lease_leads_until_another_is_known(self):
+        subject = election()
+        subject.read(10.0, None, 0)
+        subject.written(10.0, 10.0, subject.action(10.0, False).record, 1)
+        subject.failed(12.0)
+        self.assertTrue(subject.leads)
+        self.assertFalse(subject.may_order(12.0))
+        subject.read(13.0, record(fence=2), 2)
+        self.assertFalse(subject.leads)
+
 
 class TestHolding(unittest.TestCase):
     def test_lease_is_counted_from_before_the_write(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -199,6 +199,7 @@
             node=self._node,
             start=self._start,
             fence=self._election.fence,
+            leased=self._election.holds(now),
             number=self._number,
             nodes=max(1, self._levels.nodes),
             acked={node: row.report.number for node, row in self._heard.items()},
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -25,7 +25,7 @@
 )
 from hibiscusspar_wire.dialect import Forwarding
 from hibiscusspar_wire.event_stream import EventSplitter
-from hibiscusspar_wire.front_server import BadRequestError
+from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
 from hibiscusspar_wire.target_connections import CallFailedError
 
 __all__ = ["Forwarder", "ForwardPolicy"]
@@ -44,7 +44,9 @@
     longest idle time of a connection that a request uses which can't be repeated.
     ``quota_wait_s`` is the longest wait for a view that shows tokens;
     ``quota_spread_s`` spreads those refused for a limit.
-    ``starting_retry_s`` is told to callers before the first configuration. After
+    ``starting_retry_s`` is told to callers before the first configuration,
+    ``failed_retry_s`` after targets that did not run the request. ``most_attempts``
+    bounds attempts at targets that can't be reached. After
     ``leave_s`` of a graceful stop no request is taken, because the platform sends
     none and what still comes could not be ended; it exceeds two missed questions
     for readiness and the rest of the platform's three seconds is kept.
@@ -59,6 +61,8 @@
     quota_spread_s: float = 0.5
     starting_retry_s: float = 0.5
     draining_retry_s: float = 0.05
+    failed_retry_s: float = 0.3
+    most_attempts: int = 6
     leave_s: float = 2.6
 
 
@@ -151,7 +155,11 @@
             admitted = self._admit(inbound, arrived)
             self._run(inbound, admitted, attempt)
         except RefusedError as error:
-            self._refuse(inbound, admitted, error, arrived)
+            if attempt.may_have_run:
+                failure = FailedError(502, error.reason)
+                self._fail(inbound, admitted, attempt, failure)
+            else:
+                self._refuse(inbound, admitted, error, arrived)
         except BadRequestError as error:
             inbound.close_after()
             self._refuse(
@@ -159,9 +167,13 @@
             )
         except FailedError as error:
             self._fail(inbound, admitted, attempt, error)
-        except (CallerLeftError, OSError) as error:
+        except (CallerLeftError, CallerGoneError) as error:
             inbound.abort()
             self._log_broken(admitted, attempt, 0, f"caller left: {error!r}")
+        except Exception as error:  # noqa: BLE001
+            # Whatever went wrong, nothing is promised about the run.
+            failure = FailedError(502, f"internal: {error!r}")
+            self._fail(inbound, admitted, attempt, failure)
         finally:
             watch.remove(handle)
             with self._lock:
@@ -317,14 +329,9 @@
         attempt.ticket = None
         if isinstance(ticket.decision, Refuse):
             found = ticket.decision
-            raise self._no_place(admitted, attempt, found.reason, found.retry_after_s)
+            raise RefusedError(503, found.reason, found.retry_after_s)
         return ticket.placement
 
-    def _no_place(self, admitted, attempt, reason, retry_after_s):
-        if attempt.may_have_run:
-            return FailedError(502, reason)
-        return RefusedError(503, reason, retry_after_s)
-
     def _attempt(self, inbound, admitted, attempt, placement):
         """Make one attempt; return its failure, None if the request is answered."""
         target_id = attempt.target_id = placement.target.target_id
@@ -335,7 +342,7 @@
         try:
             connection, response = self._send(admitted, attempt, placement)
             found = self._parts.dialect.answer_head(response.status, response.headers)
-            failure = _head_failure(admitted, found, response)
+            failure = _head_failure(admitted, attempt, found, response)
             if failure is not None:
                 connection.close()
                 if failure.denied:
@@ -400,12 +407,7 @@
         self._check_freshness()
         keys = self._parts.config.ruleset.keys
         if keys.get(admitted.key_digest) != admitted.account:
-            raise self._withdrawn(attempt)
-
-    def _withdrawn(self, attempt):
-        if attempt.may_have_run:
-            return FailedError(502, "the key was withdrawn")
-        return RefusedError(401, "the key was withdrawn")
+            raise RefusedError(401, "the key was withdrawn")
 
     def _relay(self, inbound, admitted, attempt, connection, response):
         headers = self._parts.dialect.answer_headers(response.headers)
@@ -471,7 +473,10 @@
             allowed = False
         if now >= admitted.ends_at:
             allowed = False
-        if allowed:
+        if allowed and failure.step == "connect":
+            # Nothing arrived, so it is no repeat for the budget.
+            allowed = attempt.number < self._policy.most_attempts
+        elif allowed:
             allowed = self._parts.budgets.allow(
                 admitted.service, now, self._parts.board.nodes
             )
@@ -482,14 +487,14 @@
             return
         if attempt.may_have_run:
             raise FailedError(504 if now >= admitted.ends_at else 502, reason)
-        raise RefusedError(503, reason, self._policy.starting_retry_s)
+        raise RefusedError(503, reason, self._policy.failed_retry_s)
 
     def _refuse(self, inbound, admitted, error, arrived):
         self._parts.metrics.refused.labels(str(error.status), error.reason[:40]).inc()
         headers = error.headers()
         if self.draining_since is not None:
             headers.append(("Connection", "close"))
-        with suppress(OSError):
+        with suppress(CallerGoneError):
             inbound.answer(error.status, headers, error.body())
         fields = {
             "request": admitted.call.request_id if admitted else "",
@@ -508,7 +513,7 @@
         if attempt.begun:
             inbound.abort()
         else:
-            with suppress(OSError):
+            with suppress(CallerGoneError):
                 inbound.answer(error.status, error.headers(), error.body())
         self._log_broken(admitted, attempt, error.status, error.reason)
 
@@ -580,7 +585,7 @@
     denied: bool
 
 
-def _head_failure(admitted, found, response):
+def _head_failure(admitted, attempt, found, response):
     """Return why the head of an answer can't be passed on, or None."""
     if found.not_run:
         denied = response.status == 421
@@ -588,6 +593,10 @@
     if found.request_id != admitted.call.request_id:
         reason = f"answer to request {found.request_id!r}"
         return _Failure("answer", reason, False, False)
+    is_stream = response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
+    if attempt.begun and not (is_stream and response.status == 200):
+        # The caller has the head of an answer; only its stream may go on.
+        return _Failure("answer", f"status {response.status}", False, False)
     if response.status >= 500 and admitted.route.idempotent:
         return _Failure("answer", f"status {response.status}", False, False)
     return None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -116,7 +116,9 @@
         self._coordinator = coordinator
         self._forwarder = forwarder
         self._want = threading.Event()
-        self._was_holder = False
+        self._was_leader = False
+        self._leased = False
+        self._fence = 0
         self._lost_logged = False
         self._stopping = threading.Event()
         self._coordinator_address = None
@@ -199,8 +201,11 @@
 
     def _take_view(self, view, address):
         parts = self._parts
-        if view.fence < parts.election.fence:
+        self._fence = max(self._fence, parts.election.fence)
+        if view.fence < self._fence:
             return
+        self._fence = view.fence
+        self._leased = view.leased
         self._coordinator_address = address
         self._lost_logged = False
         if parts.relayed.take(view, parts.settings.node):
@@ -226,14 +231,13 @@
         action = election.action(parts.clock(), self._hears_coordinator())
         if action is not None:
             self._act(action)
-        holds = election.holds(parts.clock())
-        if holds != self._was_holder:
-            self._was_holder = holds
-            self._change_role(holds)
+        if election.leads != self._was_leader:
+            self._was_leader = election.leads
+            self._change_role(election.leads)
 
     def _hears_coordinator(self):
         age_s = self._parts.board.view_age_s
-        return age_s is not None and age_s < _COORDINATOR_SILENT_S
+        return age_s is not None and age_s < _COORDINATOR_SILENT_S and self._leased
 
     def _act(self, action):
         parts = self._parts
@@ -267,9 +271,9 @@
         if before is None or before.fence != record.fence:
             self._log_coordinator(record, False)
 
-    def _change_role(self, holds):
-        self._parts.relayed.set_source(holds)
-        if holds:
+    def _change_role(self, leads):
+        self._parts.relayed.set_source(leads)
+        if leads:
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
             self._coordinator.take_over(levels)
@@ -314,7 +318,7 @@
             used = dict(parts.quota.used)
         report = parts.board.report(used)
         parts.relayed.report_sent(report.number)
-        if parts.election.holds(parts.clock()):
+        if parts.election.leads:
             ip, _, port = self._channel.address.rpartition(":")
             self._coordinator.take_report(report, (ip, int(port)))
         elif self._coordinator_address is not None:
@@ -331,7 +335,7 @@
     def _tick(self):
         self._parts.board.tick()
         self._front.grow()
-        if self._parts.election.holds(self._parts.clock()):
+        if self._parts.election.leads:
             self._coordinator.tick()
         age_s = self._parts.board.view_age_s
         if age_s is not None and age_s > _READY_VIEW_S and not self._lost_logged:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -10,7 +10,13 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HeaderReader, HTTPServer
 
-__all__ = ["BadRequestError", "FrontServer", "Inbound", "InboundHead"]
+__all__ = [
+    "BadRequestError",
+    "CallerGoneError",
+    "FrontServer",
+    "Inbound",
+    "InboundHead",
+]
 
 # Frames of a request's thread need far less than the usual 8 MB.
 _STACK_BYTES = 256 * 1024
@@ -42,6 +48,10 @@
         self.reason = reason
 
 
+class CallerGoneError(Exception):
+    """The caller's connection can't be written to."""
+
+
 class InboundHead(NamedTuple):
     """Head of a request; header names as the caller sent them."""
 
@@ -122,12 +132,19 @@
         ]
         if length is not None:
             request.outheaders.append((b"Content-Length", str(length).encode()))
-        request.ensure_headers_sent()
+        try:
+            request.ensure_headers_sent()
+        except OSError as error:
+            raise CallerGoneError(repr(error)) from error
 
     def write(self, data):
         """Send a part of the body."""
-        if data and not self._bodiless:
+        if not data or self._bodiless:
+            return
+        try:
             self._request.write(data)
+        except OSError as error:
+            raise CallerGoneError(repr(error)) from error
 
     def answer(self, status, headers, body):
         """Send a whole answer."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -130,8 +130,10 @@
 
     def read(self, response, timeout_s):
         """Return the next bytes of a body; empty at its end."""
-        self._sock.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
+            if self._sock.fileno() >= 0:
+                # The socket of a last answer that was read whole is closed already.
+                self._sock.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
             return response.raw.read1(_READ_BYTES)
         except (TimeoutError, ReadTimeoutError) as error:
             raise CallFailedError("silent", self.address, repr(error)) from error
