--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -3,7 +3,8 @@
 import select
 import threading
 from contextlib import suppress
-from http.client import HTTPException
+from http.client import HTTPException, HTTPResponse
+from io import BufferedReader
 from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT
 from typing import Any, NamedTuple
 
@@ -49,6 +50,43 @@
     raw: Any
 
 
+class _Reader(BufferedReader):
+    """Reads one answer and notices bytes that came after it."""
+
+    def __init__(self, raw, sock):
+        super().__init__(raw)
+        self._sock = sock
+        self.has_more = False
+
+    def close(self):
+        """Look for bytes beyond the answer, then close."""
+        if not self.closed:
+            with suppress(OSError, ValueError):
+                self._sock.settimeout(0.0)
+                self.has_more = bool(self.peek(1))
+        super().close()
+
+
+class _OneAnswer(HTTPResponse):
+    """An answer whose reader can tell whether more bytes came with it."""
+
+    def __init__(self, sock, *arguments, **options):
+        super().__init__(sock, *arguments, **options)
+        self.fp = self.reader = _Reader(self.fp.detach(), sock)
+
+
+class _Connection(HTTPConnection):
+    """A connection that keeps the reader of its last answer."""
+
+    reader = None
+
+    def response_class(self, *arguments, **options):
+        """Make the answer; called by ``http.client``."""
+        found = _OneAnswer(*arguments, **options)
+        self.reader = found.reader
+        return found
+
+
 class TargetConnection:
     """One connection, in use by one request at a time.
 
@@ -67,12 +105,16 @@
         self._cancelled = False
         self._connect_timeout_s = connect_timeout_s
         self._sock = None
-        self._http = HTTPConnection(host, int(port), timeout=connect_timeout_s)
+        self._http = _Connection(host, int(port), timeout=connect_timeout_s)
 
     @property
     def is_open(self):
-        """Whether the connection can take another request."""
-        return self._http.sock is not None
+        """Whether the connection can take another request.
+
+        An answer that was followed by bytes nobody asked for was its last.
+        """
+        reader = self._http.reader
+        return self._http.sock is not None and reader.closed and not reader.has_more
 
     @property
     def cancelled(self):
