--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -79,6 +79,7 @@
         self.models = {}
         self.accepted = None
         self.ordering = False
+        self.purpose = None
         self.known = False
         self.ask_at = 0.0
         self.warm = OrderedDict()
@@ -219,8 +220,9 @@
                 break
             order = self._order_for(now, want, free, targets, backlogs, in_use)
             if order is not None:
-                free.pop(order.target_id)
-                self._held[order.target_id].ordering = True
+                held = free.pop(order.target_id)
+                held.ordering = True
+                held.purpose = (want.model, want.adapter)
                 orders.append(order)
         return orders
 
@@ -259,6 +261,7 @@
         if held is None:
             return
         held.ordering = False
+        held.purpose = None
         if outcome.result in ("lost", "refused"):
             held.accepted = None
             held.ask_at = now + self._policy.confirm_s
@@ -284,7 +287,9 @@
     def _order_for(self, now, want, free, targets, backlogs, in_use):
         key = (want.model, want.adapter)
         newest = self._newest.get(key, 0)
-        if not want.more and self._on_its_way(now, key, newest):
+        if any(held.purpose == key for held in self._held.values()):
+            return None
+        if not want.more and self._is_held(key, newest):
             return None
         best = None
         for target_id, held in free.items():
@@ -333,7 +338,7 @@
         ]
         return min(waits, default=float("inf"))
 
-    def _on_its_way(self, now, key, newest):
+    def _is_held(self, key, newest):
         return any(
             held.copies[key].version >= newest
             for held in self._held.values()
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -72,6 +72,17 @@
         fleet.carry_out(1.0, fleet.plan(1.0, [want("a")]))
         self.assertEqual(fleet.plan(1.01, [want("a", waiting=9)]), [])
 
+    def test_load_whose_order_is_on_its_way_is_not_ordered_elsewhere(self):
+        fleet = Fleet(target("t1"), target("t2"))
+        self.assertEqual(len(fleet.plan(1.0, [want("a")])), 1)
+        self.assertEqual(fleet.plan(1.001, [want("a")]), [])
+
+    def test_place_made_for_an_adapter_is_not_made_twice(self):
+        fleet = Fleet(target("t1", ["x", "y"]), target("t2", ["u", "v"]))
+        (order,) = fleet.plan(1.0, [want("a")])
+        self.assertEqual(order.operation, "unload")
+        self.assertEqual(fleet.plan(1.001, [want("a")]), [])
+
     def test_orders_of_one_target_follow_one_another(self):
         fleet = Fleet(target("t1"))
         (first,) = fleet.plan(1.0, [want("a"), want("b")])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -46,7 +46,10 @@
     ``quota_spread_s`` spreads those refused for a limit.
     ``starting_retry_s`` is told to callers before the first configuration,
     ``failed_retry_s`` after targets that did not run the request. ``most_attempts``
-    bounds attempts at targets that can't be reached. After
+    bounds attempts at targets that can't be reached. What may be repeated is taken
+    from a target that is silent for ``first_event_silence_s`` before a stream, for
+    ``stream_silence_s`` in it (callers leave after two seconds), or for
+    ``plain_silence_share`` of the time left of a plain call. After
     ``leave_s`` of a graceful stop no request is taken, because the platform sends
     none and what still comes could not be ended; it exceeds two missed questions
     for readiness and the rest of the platform's three seconds is kept.
@@ -63,6 +66,9 @@
     draining_retry_s: float = 0.05
     failed_retry_s: float = 0.3
     most_attempts: int = 6
+    stream_silence_s: float = 1.2
+    first_event_silence_s: float = 2.0
+    plain_silence_share: float = 0.5
     leave_s: float = 2.6
 
 
@@ -398,7 +404,27 @@
         )
         head = admitted.head
         connection.send(head.method, head.uri, headers, admitted.body, left_s)
-        return connection, connection.response(admitted.ends_at - self._clock())
+        return connection, connection.response(self._answer_wait_s(admitted, attempt))
+
+    def _answer_wait_s(self, admitted, attempt):
+        """Return how long a target may be silent before its answer."""
+        left_s = admitted.ends_at - self._clock()
+        if not self._may_move(admitted, attempt):
+            return left_s
+        if admitted.is_engine:
+            return min(left_s, self._policy.first_event_silence_s)
+        return left_s * self._policy.plain_silence_share
+
+    def _event_wait_s(self, admitted, attempt):
+        """Return how long a target may be silent in a stream."""
+        left_s = admitted.ends_at - self._clock()
+        if not self._may_move(admitted, attempt):
+            return left_s
+        return min(left_s, self._policy.stream_silence_s)
+
+    def _may_move(self, admitted, attempt):
+        route = admitted.route
+        return route.idempotent and attempt.number < route.max_attempts
 
     def _check_before_send(self, admitted, attempt):
         """Refuse a request whose key was withdrawn while it waited."""
@@ -434,7 +460,7 @@
             attempt.splitter = EventSplitter(admitted.call.last_event)
         splitter = attempt.splitter
         splitter.restart()
-        while data := connection.read(response, admitted.ends_at - self._clock()):
+        while data := connection.read(response, self._event_wait_s(admitted, attempt)):
             try:
                 events = splitter.feed(data)
             except ValueError as error:
