--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -63,6 +63,19 @@
         """Look at once whether there is something to read."""
         self._wake.set()
 
+    def step_once(self):
+        """Make one call and return the seconds to pause after it."""
+        try:
+            self._step()
+        except CompactedError:
+            # The history is gone; the listing replaces it.
+            self._revision = None
+            return 0.0
+        except StepError as error:
+            self._note_lost(error)
+            return _RETRY_S
+        return self._gap_s
+
     def _run(self):
         pause = threading.Event()
         while True:
@@ -72,15 +85,7 @@
                 self._wake.wait(_IDLE_S)
                 self._wake.clear()
                 continue
-            try:
-                self._step()
-                pause.wait(self._gap_s)
-            except CompactedError:
-                # The history is gone; the listing replaces it.
-                self._revision = None
-            except StepError as error:
-                self._note_lost(error)
-                pause.wait(_RETRY_S)
+            pause.wait(self.step_once())
 
     def _step(self):
         sent_at = self._clock()
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -0,0 +1,207 @@
+"""Tests of what one node knows and decides."""
+
+import unittest
+from types import SimpleNamespace
+
+from hibiscusspar.fleet.messages import FleetView, TargetLoad
+from hibiscusspar.fleet.targets import Target
+from hibiscusspar.fleet.waiting import Job, Refuse, Send
+from hibiscusspar.requests.ejection import EjectionPolicy, EjectionTable
+from hibiscusspar_entry.fleet.board import Board
+
+KEY = ("m", "a1")
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def target(name, adapters=(), draining=False, zone="z1", born=1):
+    return Target(
+        name,
+        "draft",
+        "10.0.0.1:80",
+        zone,
+        128,
+        draining,
+        born,
+        0,
+        {"m": 1},
+        {("m", a): 1 for a in adapters},
+    )
+
+
+def view(residency=None, loads=None, acked=None, fence=1, number=1, levels=None):
+    return FleetView(
+        node="c",
+        start="s",
+        fence=fence,
+        leased=True,
+        number=number,
+        nodes=3,
+        acked=acked or {},
+        loads=loads or {},
+        residency=residency or {},
+        levels=levels or {},
+        config_version=1,
+        config_age_s=0.0,
+        directory_age_s=0.0,
+        directory=[],
+        rows=[],
+        versions={},
+    )
+
+
+def engine_rules():
+    service = SimpleNamespace(name="draft", engine=object())
+    return SimpleNamespace(services={"draft": service})
+
+
+class BoardTestCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        ejection = EjectionTable(EjectionPolicy())
+        self.board = Board("n1", "s", "z1", self.clock, ejection, 3.0)
+        self.board.configure(engine_rules())
+
+    def job(self, key=KEY, priority=1, prompt_tokens=1000):
+        now = self.clock.now
+        return Job("r", "draft", key, priority, prompt_tokens, now, 1.0, now + 1.5, 0.5)
+
+    def targets(self, *rows):
+        self.board.set_targets({row.target_id: row for row in rows})
+
+
+class TestResidency(BoardTestCase):
+    def test_directory_is_believed_before_the_first_view(self):
+        self.targets(target("t1", ["a1"]), target("t2"))
+        ticket = self.board.submit(self.job())
+        self.assertEqual(ticket.placement.target.target_id, "t1")
+
+    def test_view_is_believed_over_the_directory(self):
+        self.targets(target("t1", ["a1"]), target("t2"))
+        self.board.take_view(view({"t1": (1, []), "t2": (1, [("m/a1", 1, 0.0)])}))
+        ticket = self.board.submit(self.job())
+        self.assertEqual(ticket.placement.target.target_id, "t2")
+
+    def test_request_waits_for_a_load_and_starts_when_it_is_ready(self):
+        self.targets(target("t1"))
+        self.board.take_view(view({"t1": (1, [("m/a1", 1, 0.2)])}))
+        ticket = self.board.submit(self.job())
+        self.assertFalse(ticket.decided.is_set())
+        self.clock.now += 0.25
+        self.board.tick()
+        self.assertIsInstance(ticket.decision, Send)
+
+    def test_older_state_of_a_target_is_ignored(self):
+        self.targets(target("t1"))
+        self.board.take_view(view({"t1": (5, [("m/a1", 1, 0.0)])}))
+        self.board.take_view(view({"t1": (4, [])}, number=2))
+        self.assertIsNotNone(self.board.submit(self.job()).placement)
+
+    def test_next_coordinator_counts_from_the_beginning(self):
+        self.targets(target("t1"))
+        self.board.take_view(view({"t1": (50, [("m/a1", 1, 0.0)])}, fence=1))
+        self.board.take_view(view({"t1": (1, [])}, fence=2))
+        self.assertIsNone(self.board.submit(self.job()).placement)
+
+    def test_target_that_denied_an_adapter_is_not_asked_again_at_once(self):
+        self.targets(target("t1", ["a1"]))
+        ticket = self.board.submit(self.job())
+        self.board.denied(ticket.placement)
+        self.board.finish(ticket.placement, first_byte=False)
+        again = self.board.submit(self.job())
+        self.assertFalse(again.decided.is_set())
+        self.clock.now += 0.3
+        self.board.tick()
+        self.assertTrue(again.decided.is_set())
+
+
+class TestVersions(BoardTestCase):
+    def test_older_copy_serves_only_within_the_grace(self):
+        self.targets(target("t1", ["a1"]))
+        self.board.announce(KEY, 2)
+        self.clock.now += 2.9
+        self.assertIsNotNone(self.board.submit(self.job()).placement)
+        self.clock.now += 0.2
+        self.assertIsNone(self.board.submit(self.job()).placement)
+
+    def test_age_of_a_relayed_announcement_counts(self):
+        self.targets(target("t1", ["a1"]))
+        self.board.announce(KEY, 2, age_s=3.5)
+        self.assertIsNone(self.board.submit(self.job()).placement)
+
+
+class TestTargets(BoardTestCase):
+    def test_draining_target_gets_nothing_new(self):
+        self.targets(target("t1", ["a1"], draining=True))
+        self.assertIsNone(self.board.submit(self.job()).placement)
+
+    def test_unreachable_target_is_left_at_once(self):
+        self.targets(target("t1", ["a1"]), target("t2", ["a1"], zone="z2"))
+        self.board.failed("t1", unreachable=True)
+        for _ in range(3):
+            ticket = self.board.submit(self.job())
+            self.assertEqual(ticket.placement.target.target_id, "t2")
+
+    def test_last_target_is_never_left(self):
+        self.targets(target("t1", ["a1"]))
+        self.board.failed("t1", unreachable=True)
+        self.assertIsNotNone(self.board.submit(self.job()).placement)
+
+
+class TestLoads(BoardTestCase):
+    def test_load_of_other_nodes_counts_without_the_own_part(self):
+        self.targets(target("t1", ["a1"]), target("t2", ["a1"]))
+        first = self.board.submit(self.job())
+        self.assertEqual(first.placement.target.target_id, "t1")
+        report = self.board.report({})
+        # The view tells this node's own request back, and others at t2.
+        loads = {"t1": TargetLoad(1, 1000), "t2": TargetLoad(2, 4000)}
+        self.board.take_view(view(loads=loads, acked={"n1": report.number}))
+        second = self.board.submit(self.job())
+        self.assertEqual(second.placement.target.target_id, "t1")
+
+    def test_what_is_given_back_is_counted_no_more(self):
+        self.targets(target("t1", ["a1"]))
+        ticket = self.board.submit(self.job())
+        self.board.first_byte(ticket.placement)
+        self.assertEqual(self.board.report({}).loads["t1"], TargetLoad(1, 0))
+        self.board.finish(ticket.placement, first_byte=True)
+        self.assertEqual(self.board.report({}).loads, {})
+        self.assertEqual(self.board.report({}).in_use, {})
+
+
+class TestWants(BoardTestCase):
+    def test_waiting_requests_of_one_adapter_are_one_want(self):
+        self.targets(target("t1"))
+        for _ in range(3):
+            self.board.submit(self.job())
+        (want,) = self.board.report({}).wants
+        self.assertEqual((want.adapter, want.waiting, want.more), ("a1", 3, False))
+
+    def test_busy_copies_are_told_apart(self):
+        self.targets(target("t1", ["a1"]))
+        for _ in range(44):
+            self.board.submit(self.job(prompt_tokens=0))
+        self.board.submit(self.job(prompt_tokens=0))
+        (want,) = self.board.report({}).wants
+        self.assertTrue(want.more)
+
+    def test_refused_request_wants_nothing(self):
+        self.targets(target("t1"))
+        ticket = self.board.submit(self.job())
+        self.clock.now += 1.6
+        self.board.tick()
+        self.assertIsInstance(ticket.decision, Refuse)
+        self.assertEqual(self.board.report({}).wants, [])
+
+    def test_withdrawn_request_gives_back_the_place_it_just_got(self):
+        self.targets(target("t1", ["a1"]))
+        ticket = self.board.submit(self.job())
+        self.board.withdraw(ticket)
+        self.assertEqual(self.board.report({}).loads, {})
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed.py
@@ -0,0 +1,100 @@
+"""Tests of what a node takes from views instead of reading the store."""
+
+import unittest
+
+from hibiscusspar.fleet.messages import TargetRow
+from hibiscusspar.fleet.targets import TargetDirectory
+from hibiscusspar_entry.fleet.relayed import RelayedState
+from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
+from hibiscusspar_entry.fleet.tests.test_board import Clock, view
+
+ROW = TargetRow("t1", "draft", "10.0.0.1:80", "z1", 8, False, 1, {"m": 1})
+
+
+class Codec:
+    config_name = "main"
+
+
+class Rules:
+    version = 1
+
+
+class RelayedTestCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.published = {}
+        self.announced = []
+        self.config = ConfigSync(Codec(), self.clock, lambda ruleset: None)
+        self.config.ruleset = Rules()
+        targets = TargetSync(Codec(), self.clock, TargetDirectory(), self._publish)
+        self.relayed = RelayedState(
+            self.clock,
+            self.config,
+            targets,
+            lambda *found: self.announced.append(found),
+        )
+
+    def _publish(self, rows):
+        self.published = rows
+
+    def take(self, sent_ago_s=0.0, **changes):
+        self.clock.now -= sent_ago_s
+        self.relayed.report_sent(1)
+        self.clock.now += sent_ago_s
+        found = view(acked={"n1": 1})
+        for name, value in changes.items():
+            setattr(found, name, value)
+        return self.relayed.take(found, "n1")
+
+
+class TestConfiguration(RelayedTestCase):
+    def test_age_counts_from_the_report_that_the_view_answers(self):
+        self.take(sent_ago_s=0.3, config_age_s=0.4)
+        self.assertAlmostEqual(self.config.age_s, 0.7)
+
+    def test_view_that_answers_no_report_confirms_nothing(self):
+        found = view(acked={"n1": 77})
+        self.relayed.take(found, "n1")
+        self.assertEqual(self.config.age_s, float("inf"))
+        self.assertFalse(self.relayed.config_is_told())
+
+    def test_newer_version_is_to_be_read(self):
+        self.assertTrue(self.take(config_version=2))
+        self.assertFalse(self.relayed.config_is_told())
+        self.assertEqual(self.config.age_s, float("inf"))
+
+    def test_old_view_is_not_relied_on(self):
+        self.take()
+        self.assertTrue(self.relayed.config_is_told())
+        self.clock.now += 0.7
+        self.assertFalse(self.relayed.config_is_told())
+
+    def test_coordinator_that_lost_the_store_is_not_relied_on(self):
+        self.take(config_age_s=3.0, directory_age_s=3.0)
+        self.assertFalse(self.relayed.config_is_told())
+        self.assertFalse(self.relayed.directory_is_told())
+
+    def test_the_source_reads_the_store_itself(self):
+        self.relayed.set_source(True)
+        self.take()
+        self.assertFalse(self.relayed.config_is_told())
+
+
+class TestDirectory(RelayedTestCase):
+    def test_rows_come_by_turns_and_count_once_all_are_known(self):
+        self.take(directory=["t1", "t2"], rows=[ROW])
+        self.assertEqual(self.published, {})
+        self.assertFalse(self.relayed.directory_is_told())
+        other = TargetRow("t2", "draft", "10.0.0.2:80", "z2", 8, True, 1, {})
+        self.take(directory=["t1", "t2"], rows=[other])
+        self.assertEqual(sorted(self.published), ["t1", "t2"])
+        self.assertTrue(self.published["t2"].draining)
+
+    def test_target_that_left_the_directory_is_gone(self):
+        self.take(directory=["t1"], rows=[ROW])
+        self.take(directory=[])
+        self.assertEqual(self.published, {})
+
+    def test_versions_are_told_with_their_age(self):
+        self.take(versions={"m/a1": (4, 0.5)})
+        self.assertEqual(self.announced, [(("m", "a1"), 4, 0.5)])
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -0,0 +1,157 @@
+"""Tests of following the store."""
+
+import unittest
+from types import SimpleNamespace
+
+from hibiscusspar.fleet.targets import Target, TargetDirectory
+from hibiscusspar_entry.fleet.store_sync import ConfigSync, KindWatch, TargetSync
+from hibiscusspar_entry.fleet.tests.test_board import Clock
+from hibiscusspar_wire.platform_errors import CompactedError, RefusedError
+
+
+def stored(name, value, revision=1):
+    return SimpleNamespace(name=name, value=value, revision=revision)
+
+
+def rules(version):
+    return SimpleNamespace(version=version, routes={}, accounts={})
+
+
+class Codec:
+    config_name = "main"
+
+    def ruleset(self, value):
+        if value == "bad":
+            raise ValueError("can't be read")
+        return rules(value)
+
+    def target(self, name, value):
+        if value is None:
+            return None
+        return Target(name, "s", "10.0.0.1:80", "z", 8, value, 1, 0, {}, {})
+
+
+class TestConfigSync(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.applied = []
+        self.sync = ConfigSync(Codec(), self.clock, self.applied.append)
+
+    def versions(self):
+        return [ruleset.version for ruleset in self.applied]
+
+    def test_older_versions_are_never_applied(self):
+        for version in (3, 5, 4, 5, 9):
+            self.sync.changed([(False, stored("main", version))], self.clock.now)
+        self.assertEqual(self.versions(), [3, 5, 9])
+
+    def test_unreadable_configuration_leaves_the_one_before(self):
+        self.sync.listed([stored("main", 3)], self.clock.now)
+        self.sync.changed([(False, stored("main", "bad"))], self.clock.now)
+        self.assertEqual(self.sync.ruleset.version, 3)
+
+    def test_age_counts_from_when_the_call_was_sent(self):
+        sent_at = self.clock.now
+        self.clock.now += 0.8
+        self.sync.changed([], sent_at)
+        self.assertAlmostEqual(self.sync.age_s, 0.8)
+
+    def test_deleted_configuration_stays_in_force(self):
+        self.sync.listed([stored("main", 3)], self.clock.now)
+        self.sync.changed([(True, stored("main", None))], self.clock.now)
+        self.assertEqual(self.sync.ruleset.version, 3)
+
+
+class TestTargetSync(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.rows = {}
+        self.sync = TargetSync(Codec(), self.clock, TargetDirectory(), self._publish)
+
+    def _publish(self, rows):
+        self.rows = rows
+
+    def test_entry_that_becomes_unreadable_names_no_target(self):
+        self.sync.listed([stored("a", False), stored("b", False)], self.clock.now)
+        self.sync.changed([(False, stored("a", None))], self.clock.now)
+        self.assertEqual(sorted(self.rows), ["b"])
+
+    def test_entries_that_lapsed_in_an_outage_stay_until_their_targets_are_back(self):
+        self.sync.listed([stored("a", False), stored("b", False)], self.clock.now)
+        self.sync.returned()
+        self.sync.listed([], self.clock.now)
+        self.assertEqual(sorted(self.rows), ["a", "b"])
+        self.clock.now += 1.0
+        self.sync.changed([(False, stored("a", False))], self.clock.now)
+        self.clock.now += 2.0
+        self.sync.changed([], self.clock.now)
+        self.assertEqual(sorted(self.rows), ["a"])
+
+
+class Store:
+    """Answers from a list; raises what is an error."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    def list(self, kind):
+        return self._next(("list",))
+
+    def watch(self, kind, since, wait_s):
+        return self._next(("watch", since))
+
+    def _next(self, call):
+        self.calls.append(call)
+        found = self.answers.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+class Taker:
+    def __init__(self):
+        self.seen = []
+
+    def listed(self, objects, sent_at):
+        self.seen.append(("listed", len(objects)))
+
+    def changed(self, events, sent_at):
+        self.seen.append(("changed", len(events)))
+
+    def returned(self):
+        self.seen.append(("returned",))
+
+
+LISTING = SimpleNamespace(objects=[1, 2], revision=10)
+CHANGES = SimpleNamespace(events=[1], revision=12)
+
+
+class TestKindWatch(unittest.TestCase):
+    def watch(self, *answers):
+        self.taker = Taker()
+        self.store = Store(*answers)
+        return KindWatch(
+            self.store, "servers", Clock(), 1.0, 0.0, self.taker, lambda: False
+        )
+
+    def steps(self, watch, count):
+        for _ in range(count):
+            watch.step_once()
+
+    def test_lists_then_watches_from_the_listing(self):
+        watch = self.watch(LISTING, CHANGES, CHANGES)
+        self.steps(watch, 3)
+        self.assertEqual(self.store.calls, [("list",), ("watch", 10), ("watch", 12)])
+
+    def test_history_that_is_gone_is_replaced_by_a_listing(self):
+        watch = self.watch(LISTING, CompactedError("s", "p", "gone"), LISTING)
+        self.steps(watch, 3)
+        self.assertEqual(self.store.calls[-1], ("list",))
+
+    def test_outage_is_told_once_it_is_over(self):
+        watch = self.watch(LISTING, RefusedError("s", "p", "503"), CHANGES)
+        self.steps(watch, 3)
+        self.assertEqual(
+            self.taker.seen, [("listed", 2), ("returned",), ("changed", 1)]
+        )
