--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -1,4 +1,4 @@
-"""Election of the coordinator by a lease in the platform's store.
+"""Election of the holder of a duty by a lease in the platform's store.
 
 The lease is one object that its holder rewrites under a condition. Times are
 seconds of a clock that also counts suspension. A holder counts its lease from
@@ -55,13 +55,17 @@
     machine, start, address : str
         Identify this process and its peer address.
     timing : LeaseTiming
+    patience_s : callable, optional
+        Returns for how long this process lets others go first when the lease is
+        free, in seconds.
     """
 
-    def __init__(self, machine, start, address, timing):
+    def __init__(self, machine, start, address, timing, patience_s=lambda: 0.0):
         self._machine = machine
         self._start = start
         self._address = address
         self._timing = timing
+        self._patience_s = patience_s
         self._record = None
         self._revision = 0
         self._seen_at = None
@@ -84,7 +88,7 @@
         return self._record.fence if self._record else 0
 
     def holds(self, now):
-        """Whether this process is the coordinator and may act as one."""
+        """Whether this process has the duty under a valid lease."""
         return (
             self._is_mine()
             and self._renewed_at is not None
@@ -95,8 +99,8 @@
     def leads(self):
         """Whether this process was the last known holder, its lease valid or not.
 
-        It goes on sharing what it knows until another holder is known; only its
-        orders need a valid lease.
+        Until another holder is known, a coordinator goes on sharing what it knows;
+        only orders need a valid lease.
         """
         return self._renewed_at is not None and self._is_mine()
 
@@ -108,21 +112,21 @@
         """Return the seconds until this process may give orders if it holds on."""
         return max(0.0, self._orders_from - now)
 
-    def action(self, now, coordinator_heard):
+    def action(self, now, holder_heard):
         """Return what to do with the store now, or None.
 
         Parameters
         ----------
         now : float
-        coordinator_heard : bool
-            Whether the coordinator was heard from lately; then nothing is read.
+        holder_heard : bool
+            Whether the holder was heard of lately; then nothing is read.
         """
         if now < self._next_at:
             return None
         if self._known and self._is_mine():
             self._next_at = now + self._timing.renew_s
             return self._write(self._record.fence)
-        if self._leaving or (self._known and coordinator_heard):
+        if self._leaving or (self._known and holder_heard):
             return None
         self._next_at = now + self._timing.follow_s
         if self._known and self._lapsed(now):
@@ -190,9 +194,12 @@
 
     def _lapsed(self, now):
         record = self._record
-        if record is None or record.released or record.machine == self._machine:
+        if record is not None and record.machine == self._machine:
             return True
-        return now >= self._silent_since + self._timing.valid_s
+        free_at = self._silent_since + self._patience_s()
+        if record is not None and not record.released:
+            free_at += self._timing.valid_s
+        return now >= free_at
 
     def _is_mine(self):
         return self._record is not None and (
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -1,11 +1,20 @@
-"""Messages between an entry VM and the coordinator.
+"""Messages between entry VMs.
 
-Both carry state, not changes, so a lost or doubled datagram does no harm.
+Reports and views carry state, not changes, so a lost or doubled datagram does no
+harm. A lost order or result is one without an answer.
 """
 
 from msgspec import Struct
 
-__all__ = ["FleetView", "NodeReport", "TargetLoad", "TargetRow", "Want"]
+__all__ = [
+    "FleetView",
+    "NodeReport",
+    "OrderRequest",
+    "OrderResult",
+    "TargetLoad",
+    "TargetRow",
+    "Want",
+]
 
 
 class Want(Struct, array_like=True):
@@ -52,6 +61,8 @@
     ``in_use`` holds, for each target, the adapters of its running requests as
     ``model/adapter``. ``used`` counts the tokens that each account took since the
     start of the process, ``faults`` the failures of each target since then.
+    ``duties`` holds the zones whose duty this node has, with its fence and whether
+    it may order already.
     """
 
     node: str
@@ -62,6 +73,7 @@
     wants: list[Want]
     used: dict[str, float]
     faults: dict[str, int]
+    duties: dict[str, tuple[int, bool]]
 
 
 class FleetView(Struct, tag="view"):
@@ -74,7 +86,8 @@
     tokens left of each account. ``config_age_s`` and ``directory_age_s`` are the
     seconds since the sender surely knew the newest configuration and directory.
     ``directory`` names all targets, ``rows`` tells some of them. ``versions`` holds
-    the announced versions of adapters and the seconds since they were heard of.
+    the announced versions of adapters and the seconds since they were heard of,
+    ``held`` the zones whose duty some node has.
     """
 
     node: str
@@ -93,3 +106,30 @@
     directory: list[str]
     rows: list[TargetRow]
     versions: dict[str, tuple[int, float]]
+    held: list[str]
+
+
+class OrderRequest(Struct, tag="order"):
+    """An order that the coordinator asks the holder of a zone's duty to give.
+
+    ``fence`` is that of the coordinator.
+    """
+
+    number: int
+    start: str
+    fence: int
+    zone: str
+    target_id: str
+    operation: str
+    model: str
+    adapter: str
+    version: int
+    expected: int
+
+
+class OrderResult(Struct, tag="result"):
+    """What became of an order: that of ``OrderOutcome``."""
+
+    number: int
+    start: str
+    result: str
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -205,7 +205,7 @@
             self._denied = {row: at for row, at in self._denied.items() if at > now}
             self._drain(now)
 
-    def report(self, used):
+    def report(self, used, duties=None):
         """Return this node's report to the coordinator."""
         with self.lock:
             self._number += 1
@@ -228,6 +228,7 @@
                 wants=self._wants(),
                 used=dict(used),
                 faults=dict(self._faults),
+                duties=duties or {},
             )
 
     def status(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -11,14 +11,19 @@
 from msgspec.json import Decoder
 from msgspec.json import encode as to_json
 
-from hibiscusspar.fleet.messages import FleetView, NodeReport
+from hibiscusspar.fleet.messages import (
+    FleetView,
+    NodeReport,
+    OrderRequest,
+    OrderResult,
+)
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
 __all__ = ["Channel"]
 
 _MAX_BYTES = 65_507
-_DECODER = Decoder(NodeReport | FleetView)
+_DECODER = Decoder(NodeReport | FleetView | OrderRequest | OrderResult)
 
 
 class Channel:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -9,8 +9,6 @@
 from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
-from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import ADAPTER_ORDERED
 
 __all__ = ["Coordinator"]
 
@@ -70,7 +68,7 @@
 
     Parameters
     ----------
-    node, machine, start : str
+    node, start : str
     clock : callable
     election : Election
     orders : TargetOrders
@@ -80,9 +78,10 @@
         Returns the ages of configuration and directory in seconds.
     """
 
-    def __init__(self, node, machine, start, clock, election, orders, send, ages):
+    def __init__(self, node, start, clock, election, desk, orders, zones, send, ages):
         self._node = node
-        self._machine = machine
+        self._desk = desk
+        self._zones = zones
         self._start = start
         self._clock = clock
         self._election = election
@@ -162,19 +161,17 @@
     def plan(self):
         """Choose orders and give them in the threads of the pool."""
         now = self._clock()
-        if not self._election.holds(now):
+        if not self._election.leads:
             return
         with self._lock:
             asks = [self._targets[t] for t in self._planner.to_ask(now)]
-            orders = []
-            if self._election.may_order(now):
-                orders = self._planner.next_orders(
-                    now,
-                    self._orderable(),
-                    self._wants(now),
-                    self._backlogs(now),
-                    self._in_use(now),
-                )
+            orders = self._planner.next_orders(
+                now,
+                self._orderable(now),
+                self._wants(now),
+                self._backlogs(now),
+                self._in_use(now),
+            )
             self.planned += len(orders)
         for target in asks:
             self._pool.submit(self._ask, target)
@@ -215,6 +212,7 @@
                 label: (version, round(now - at, 3))
                 for label, (version, at) in self._announced.items()
             },
+            held=sorted(self._duties(now)),
         )
         return view, [row.address for row in self._heard.values()]
 
@@ -240,14 +238,38 @@
             if target.service in services and services[target.service].engine
         ]
 
-    def _orderable(self):
+    def _holders(self, now):
+        """Return the address of the holder of each zone's duty that may order."""
+        return {
+            zone: None if row.report.node == self._node else row.address
+            for zone, (_, may_order, row) in self._duties(now).items()
+            if may_order
+        }
+
+    def _duties(self, now):
+        """Return fence, whether it may order, and holder of each zone's duty."""
+        found = {}
+        for row in self._heard.values():
+            if now > row.at + _REPORT_STALE_S:
+                continue
+            for zone, (fence, may_order) in row.report.duties.items():
+                if zone not in found or fence > found[zone][0]:
+                    found[zone] = (fence, may_order, row)
+        return found
+
+    def _order_zone(self, target):
+        """Return the zone whose holder orders a target."""
+        return target.zone if target.zone in self._zones else self._zones[0]
+
+    def _orderable(self, now):
+        holders = self._holders(now)
         return {
             target.target_id: (
                 target,
                 self._ruleset.services[target.service].engine,
             )
             for target in self._engines()
-            if not target.draining
+            if not target.draining and self._order_zone(target) in holders
         }
 
     def _reports(self, now):
@@ -299,23 +321,16 @@
         self.plan()
 
     def _give(self, order):
-        target = self._targets.get(order.target_id)
-        result = "lost"
-        fence = self._election.fence
-        if target is not None and self._election.may_order(self._clock()):
-            result = self._orders.order(target, order, self._machine, fence)
+        result = "refused"
+        with self._lock:
+            target = self._targets.get(order.target_id)
+            zone = self._order_zone(target) if target else ""
+            holders = self._holders(self._clock())
+        if zone in holders:
+            fence = self._election.fence
+            result = self._desk.give(order, zone, holders[zone], fence)
         with self._lock:
             self._planner.finished(self._clock(), OrderOutcome(order, result))
-        fields = {
-            "target": order.target_id,
-            "operation": order.operation,
-            "adapter": f"{order.model}/{order.adapter}",
-            "version": order.version,
-            "expected": order.expected,
-            "fence": fence,
-            "result": result,
-        }
-        write_records([(ADAPTER_ORDERED, fields)])
         self.plan()
         if order.operation == "load":
             self.send_views()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -13,8 +13,8 @@
     "CALL_SENT",
     "CONFIGURATION_BAD",
     "CONFIGURATION_TAKEN",
-    "COORDINATOR_CHANGED",
     "COORDINATOR_LOST",
+    "DUTY_CHANGED",
     "LINES_DROPPED",
     "NODE_DRAINING",
     "NODE_STARTED",
@@ -77,11 +77,11 @@
 TARGET_GONE = declare(
     615, "node.target_gone", ("target", "reason"), "A target is no longer used."
 )
-COORDINATOR_CHANGED = declare(
+DUTY_CHANGED = declare(
     616,
-    "node.coordinator",
-    ("machine", "fence", "own", "orders_in_s"),
-    "The lease of the coordinator changed hands.",
+    "node.duty",
+    ("duty", "machine", "fence", "own", "orders_in_s"),
+    "A lease changed hands: that of the coordinator, or of the orders of a zone.",
 )
 COORDINATOR_LOST = declare(
     617,
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -0,0 +1,108 @@
+"""Keeps the leases of duties in the platform's store."""
+
+from msgspec import MsgspecError, convert
+
+from hibiscusspar.errors import StepError
+from hibiscusspar.fleet.lease import LeaseRecord, ReadLease
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED, DUTY_CHANGED
+from hibiscusspar_wire.platform_errors import ConflictError
+
+__all__ = ["LeaseKeeper"]
+
+LEASE_KIND = "hibiscusspar-leases"
+
+
+class LeaseKeeper:
+    """Carries out what one election asks of the store.
+
+    Parameters
+    ----------
+    name : str
+        Name of the lease object, that of the duty.
+    election : Election
+    store : ObjectStore
+    clock : callable
+    is_heard : callable
+        Whether the holder of the duty was heard of lately.
+    """
+
+    def __init__(self, name, election, store, clock, is_heard):
+        self._name = name
+        self.election = election
+        self._store = store
+        self._clock = clock
+        self._is_heard = is_heard
+        self._logged = None
+
+    def step(self):
+        """Make the call that is due, if one is."""
+        action = self.election.action(self._clock(), self._is_heard())
+        if action is None:
+            return
+        try:
+            self._act(action)
+        except StepError as error:
+            self.election.failed(self._clock())
+            fields = {"task": f"lease {self._name}", "reason": str(error)}
+            write_records([(BACKGROUND_FAILED, fields)])
+        self._log_change()
+
+    def release(self):
+        """Give the lease up if it is held."""
+        action = self.election.release(self._clock())
+        if action is None:
+            return
+        try:
+            self._act(action)
+        except StepError as error:
+            fields = {"task": f"release {self._name}", "reason": str(error)}
+            write_records([(BACKGROUND_FAILED, fields)])
+
+    def _act(self, action):
+        election = self.election
+        if isinstance(action, ReadLease):
+            stored = self._store.get(LEASE_KIND, self._name)
+            record, revision = None, 0
+            if stored is not None:
+                record, revision = _record(stored.value), stored.revision
+            election.read(self._clock(), record, revision)
+            return
+        sent_at = self._clock()
+        try:
+            revision = self._write(action)
+        except ConflictError:
+            election.failed(self._clock())
+            return
+        election.written(sent_at, self._clock(), action.record, revision)
+
+    def _write(self, action):
+        value = action.record._asdict()
+        if action.revision:
+            return self._store.update(LEASE_KIND, self._name, value, action.revision)
+        return self._store.create(LEASE_KIND, self._name, value)
+
+    def _log_change(self):
+        record = self.election.record
+        state = record and (record.machine, record.start, record.fence)
+        if record is None or state == self._logged:
+            return
+        self._logged = state
+        fields = {
+            "duty": self._name,
+            "machine": record.machine,
+            "fence": record.fence,
+            "own": self.election.leads,
+            "orders_in_s": round(self.election.orders_in_s(self._clock()), 3),
+        }
+        write_records([(DUTY_CHANGED, fields)])
+
+
+def _record(value):
+    try:
+        return LeaseRecord(**convert(value, dict))
+    except (MsgspecError, TypeError) as error:
+        # Another writer's object; it is replaced under its revision.
+        fields = {"task": "lease.read", "reason": repr(error)}
+        write_records([(BACKGROUND_FAILED, fields)])
+        return None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -4,33 +4,25 @@
 from time import sleep
 from typing import Any, NamedTuple
 
-from msgspec import MsgspecError, convert
-
-from hibiscusspar.errors import StepError
-from hibiscusspar.fleet.lease import LeaseRecord, ReadLease
-from hibiscusspar.fleet.messages import FleetView
+from hibiscusspar.fleet.messages import FleetView, NodeReport, OrderRequest
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
     ADAPTER_VERSION,
     BACKGROUND_FAILED,
-    COORDINATOR_CHANGED,
     COORDINATOR_LOST,
     NODE_DRAINING,
     NODE_STARTED,
     NODE_STOPPED,
 )
-from hibiscusspar_wire.platform_errors import ConflictError
 
 __all__ = ["FleetNode", "FleetParts", "VersionSync"]
 
-LEASE_KIND = "hibiscusspar-leases"
-LEASE_NAME = "coordinator"
 _TICK_S = 0.02
 _REPORT_S = 0.1
 # Shortest time between reports that carry new wants.
 _WANT_GAP_S = 0.004
 # A coordinator that was silent for this long may be gone.
-_COORDINATOR_SILENT_S = 0.7
+_COORDINATOR_SILENT_S = 0.5
 _READY_VIEW_S = 1.5
 _GRACE_MARGIN_S = 0.6
 
@@ -54,6 +46,8 @@
     close_watch: Any
     metrics: Any
     election: Any
+    keepers: tuple
+    desk: Any
     log: Any
     relayed: Any
     key_age_limit_s: float
@@ -118,6 +112,7 @@
         self._want = threading.Event()
         self._was_leader = False
         self._leased = False
+        self._held = frozenset()
         self._fence = 0
         self._lost_logged = False
         self._stopping = threading.Event()
@@ -132,7 +127,7 @@
         self._channel.start()
         for watch in parts.watches:
             watch.start()
-        for target in (self._run_lease, self._run_reports, self._run_ticks):
+        for target in (self._run_leases, self._run_reports, self._run_ticks):
             threading.Thread(target=target, daemon=True).start()
         self._front.start()
         fields = {
@@ -155,12 +150,26 @@
         limit_s = parts.key_age_limit_s
         return not limit_s or parts.config.age_s <= limit_s
 
+    @property
+    def hears_coordinator(self):
+        """Whether a coordinator with a valid lease was heard lately."""
+        age_s = self._parts.board.view_age_s
+        return age_s is not None and age_s < _COORDINATOR_SILENT_S and self._leased
+
+    def hears_holder(self, zone):
+        """Whether the coordinator hears the holder of a zone's duty."""
+        return self.hears_coordinator and zone in self._held
+
     def receive(self, message, address):
         """Take in a message of another node."""
         if isinstance(message, FleetView):
             self._take_view(message, address)
-        else:
+        elif isinstance(message, NodeReport):
             self._coordinator.take_report(message, address)
+        elif isinstance(message, OrderRequest):
+            self._parts.desk.take_request(message, address)
+        else:
+            self._parts.desk.take_result(message)
 
     def metrics_text(self):
         """Return the metrics."""
@@ -186,7 +195,8 @@
         grace_s = parts.settings.bounds.grace_s - _GRACE_MARGIN_S
         fields = {"open": self._forwarder.open_requests, "grace_s": grace_s}
         write_records([(NODE_DRAINING, fields)])
-        self._release_lease()
+        for keeper in parts.keepers:
+            keeper.release()
         while parts.clock() - began < grace_s:
             left = self._forwarder.has_left(parts.clock())
             if left and not self._forwarder.open_requests:
@@ -206,6 +216,7 @@
             return
         self._fence = view.fence
         self._leased = view.leased
+        self._held = frozenset(view.held)
         self._coordinator_address = address
         self._lost_logged = False
         if parts.relayed.take(view, parts.settings.node):
@@ -216,60 +227,26 @@
             parts.quota.view(parts.clock(), view.nodes, view.levels, acked)
             parts.quota_changed.notify_all()
 
-    def _run_lease(self):
+    def _run_leases(self):
         while not self._stopping.wait(_TICK_S):
             try:
                 self._lease_step()
-            except StepError as error:
-                self._parts.election.failed(self._parts.clock())
+            except Exception as error:  # noqa: BLE001
                 _log_failure("lease", error)
-                sleep(_TICK_S)
 
     def _lease_step(self):
         parts = self._parts
+        for keeper in parts.keepers:
+            keeper.step()
         election = parts.election
-        action = election.action(parts.clock(), self._hears_coordinator())
-        if action is not None:
-            self._act(action)
         if election.leads != self._was_leader:
             self._was_leader = election.leads
             self._change_role(election.leads)
-
-    def _hears_coordinator(self):
-        age_s = self._parts.board.view_age_s
-        return age_s is not None and age_s < _COORDINATOR_SILENT_S and self._leased
-
-    def _act(self, action):
-        parts = self._parts
-        if isinstance(action, ReadLease):
-            stored = parts.store.get(LEASE_KIND, LEASE_NAME)
-            record, revision = None, 0
-            if stored is not None:
-                record, revision = _lease_record(stored.value), stored.revision
-            before = parts.election.record
-            parts.election.read(parts.clock(), record, revision)
-            if record is not None:
-                self._follow(record, before)
-            return
-        sent_at = parts.clock()
-        try:
-            revision = self._write_lease(action)
-        except ConflictError:
-            parts.election.failed(parts.clock())
-            return
-        parts.election.written(sent_at, parts.clock(), action.record, revision)
-
-    def _write_lease(self, action):
-        store, value = self._parts.store, action.record._asdict()
-        if action.revision:
-            return store.update(LEASE_KIND, LEASE_NAME, value, action.revision)
-        return store.create(LEASE_KIND, LEASE_NAME, value)
-
-    def _follow(self, record, before):
-        ip, _, port = record.address.rpartition(":")
-        self._coordinator_address = (ip, int(port))
-        if before is None or before.fence != record.fence:
-            self._log_coordinator(record, False)
+        elif not election.leads and not self.hears_coordinator:
+            record = election.record
+            if record is not None and record.fence >= self._fence:
+                ip, _, port = record.address.rpartition(":")
+                self._coordinator_address = (ip, int(port))
 
     def _change_role(self, leads):
         self._parts.relayed.set_source(leads)
@@ -277,30 +254,9 @@
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
             self._coordinator.take_over(levels)
-            self._log_coordinator(self._parts.election.record, True)
         else:
             self._coordinator.give_up()
 
-    def _log_coordinator(self, record, own):
-        fields = {
-            "machine": record.machine,
-            "fence": record.fence,
-            "own": own,
-            "orders_in_s": round(
-                self._parts.election.orders_in_s(self._parts.clock()), 3
-            ),
-        }
-        write_records([(COORDINATOR_CHANGED, fields)])
-
-    def _release_lease(self):
-        action = self._parts.election.release(self._parts.clock())
-        if action is None:
-            return
-        try:
-            self._act(action)
-        except StepError as error:
-            _log_failure("lease.release", error)
-
     def _run_reports(self):
         while True:
             urgent = self._want.wait(_REPORT_S)
@@ -316,7 +272,7 @@
         parts = self._parts
         with parts.quota_changed:
             used = dict(parts.quota.used)
-        report = parts.board.report(used)
+        report = parts.board.report(used, parts.desk.duties())
         parts.relayed.report_sent(report.number)
         if parts.election.leads:
             ip, _, port = self._channel.address.rpartition(":")
@@ -348,14 +304,5 @@
             write_records([(COORDINATOR_LOST, fields)])
 
 
-def _lease_record(value):
-    try:
-        return LeaseRecord(**convert(value, dict[str, Any]))
-    except (MsgspecError, TypeError) as error:
-        # Another writer's object; it is replaced under its revision.
-        _log_failure("lease.read", error)
-        return None
-
-
 def _log_failure(task, error):
     write_records([(BACKGROUND_FAILED, {"task": task, "reason": repr(error)})])
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/order_desk.py
@@ -0,0 +1,145 @@
+"""Orders to targets: given by the holder of their zone's duty, for the coordinator.
+
+The duty is divided by zones so that the loss of one holder stops the loads of one
+zone's targets only, while its successor waits out the gap between two holders.
+"""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+
+from hibiscusspar.fleet.messages import OrderRequest, OrderResult
+from hibiscusspar.fleet.planner import LoadOrder
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import ADAPTER_ORDERED
+
+__all__ = ["OrderDesk"]
+
+_THREADS = 8
+# Longest wait for another node's result: its own time-out and the way there.
+_RESULT_TIMEOUT_S = 0.6
+
+
+class OrderDesk:
+    """Gives orders of the zones whose duty this node holds.
+
+    Parameters
+    ----------
+    machine, start : str
+    clock : callable
+    elections : dict of str to Election
+        The duties by zone.
+    orders : TargetOrders
+    send : callable
+        Sends a message to an address.
+    """
+
+    def __init__(self, machine, start, clock, elections, orders, send):
+        self._machine = machine
+        self._start = start
+        self._clock = clock
+        self._elections = elections
+        self._orders = orders
+        self._send = send
+        self._targets = {}
+        self._waiting = {}
+        self._numbers = count(1)
+        self._fence = 0
+        self._pool = ThreadPoolExecutor(_THREADS)
+
+    def set_targets(self, targets):
+        """Take in the directory."""
+        self._targets = targets
+
+    def duties(self):
+        """Return this node's zones with its fence and whether it may order now."""
+        now = self._clock()
+        return {
+            zone: (election.fence, election.may_order(now))
+            for zone, election in self._elections.items()
+            if election.holds(now)
+        }
+
+    def give(self, order, zone, address, fence):
+        """Give an order of this node's coordinator, itself or through another node.
+
+        Parameters
+        ----------
+        order : LoadOrder
+        zone : str
+        address : tuple or None
+            Where the holder of the duty is; None if it is this node.
+        fence : int
+            Fence of the coordinator.
+
+        Returns
+        -------
+        str
+            The result of ``OrderOutcome``.
+        """
+        request = OrderRequest(
+            number=next(self._numbers),
+            start=self._start,
+            fence=fence,
+            zone=zone,
+            target_id=order.target_id,
+            operation=order.operation,
+            model=order.model,
+            adapter=order.adapter,
+            version=order.version,
+            expected=order.expected,
+        )
+        if address is None:
+            return self._execute(request)
+        answered = threading.Event()
+        self._waiting[request.number] = slot = [answered, "lost"]
+        self._send(address, request)
+        answered.wait(_RESULT_TIMEOUT_S)
+        self._waiting.pop(request.number, None)
+        return slot[1]
+
+    def take_request(self, request, address):
+        """Carry out another node's request and answer it."""
+        if request.fence < self._fence:
+            return
+        self._fence = request.fence
+        self._pool.submit(self._answer, request, address)
+
+    def take_result(self, message):
+        """Take in the answer to a request of this node."""
+        slot = self._waiting.get(message.number)
+        if slot is not None and message.start == self._start:
+            slot[1] = message.result
+            slot[0].set()
+
+    def _answer(self, request, address):
+        result = self._execute(request)
+        self._send(address, OrderResult(request.number, request.start, result))
+
+    def _execute(self, request):
+        election = self._elections.get(request.zone)
+        target = self._targets.get(request.target_id)
+        result, fence = "refused", 0
+        if target is not None and election is not None:
+            fence = election.fence
+            if election.may_order(self._clock()):
+                order = LoadOrder(
+                    request.target_id,
+                    request.operation,
+                    request.model,
+                    request.adapter,
+                    request.version,
+                    request.expected,
+                )
+                result = self._orders.order(target, order, self._machine, fence)
+        fields = {
+            "target": request.target_id,
+            "operation": request.operation,
+            "adapter": f"{request.model}/{request.adapter}",
+            "version": request.version,
+            "expected": request.expected,
+            "fence": fence,
+            "result": result,
+        }
+        write_records([(ADAPTER_ORDERED, fields)])
+        return result
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -53,6 +53,7 @@
         directory=[],
         rows=[],
         versions={},
+        held=[],
     )
 
 
