--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -115,11 +115,14 @@
             self._targets = targets
             self._planner.sync(self._engines())
 
-    def announce(self, key, version):
-        """Take in a new version of an adapter."""
+    def announce(self, key, version, age_s):
+        """Take in a new version of an adapter that was announced some time ago."""
         with self._lock:
             self._planner.announce(*key, version)
-            self._announced[_label(key)] = (version, self._clock())
+            known, _ = self._announced.get(_label(key), (0, 0.0))
+            if version > known:
+                at = self._clock() - min(age_s, _MAX_AGE_S)
+                self._announced[_label(key)] = (version, at)
 
     def take_over(self, levels):
         """Begin to coordinate, with the levels of the last view."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -7,7 +7,6 @@
 from hibiscusspar.fleet.messages import FleetView, NodeReport, OrderRequest
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
-    ADAPTER_VERSION,
     BACKGROUND_FAILED,
     COORDINATOR_LOST,
     NODE_DRAINING,
@@ -15,7 +14,7 @@
     NODE_STOPPED,
 )
 
-__all__ = ["FleetNode", "FleetParts", "VersionSync"]
+__all__ = ["FleetNode", "FleetParts"]
 
 _TICK_S = 0.02
 _REPORT_S = 0.1
@@ -53,44 +52,6 @@
     key_age_limit_s: float
 
 
-class VersionSync:
-    """Takes in announcements of adapter versions.
-
-    Parameters
-    ----------
-    codec : PlatformCodec
-    announce : callable
-        Called with the adapter's key and the version.
-    """
-
-    def __init__(self, codec, announce):
-        self._codec = codec
-        self._announce = announce
-
-    def listed(self, objects, sent_at):
-        """Take in a listing."""
-        for stored in objects:
-            self._take(stored)
-
-    def changed(self, events, sent_at):
-        """Take in changes."""
-        for deleted, stored in events:
-            if not deleted:
-                self._take(stored)
-
-    def returned(self):
-        """Nothing to do: versions only grow."""
-
-    def _take(self, stored):
-        found = self._codec.version(stored.value)
-        if found is None:
-            return
-        model, adapter, version = found
-        self._announce((model, adapter), version)
-        fields = {"adapter": f"{model}/{adapter}", "version": version}
-        write_records([(ADAPTER_VERSION, fields)])
-
-
 class FleetNode:
     """The running process.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -7,6 +7,7 @@
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
+    ADAPTER_VERSION,
     CONFIGURATION_BAD,
     CONFIGURATION_TAKEN,
     STORE_LOST,
@@ -16,7 +17,7 @@
 )
 from hibiscusspar_wire.platform_errors import CompactedError
 
-__all__ = ["ConfigSync", "KindWatch", "TargetSync"]
+__all__ = ["ConfigSync", "KindWatch", "TargetSync", "VersionSync"]
 
 _RETRY_S = 0.25
 # How often a watch that need not read looks whether that is still so, in seconds.
@@ -98,7 +99,11 @@
         changes = self._store.watch(self._kind, self._revision, self._wait_s)
         self._note_answer()
         self._taker.changed(changes.events, sent_at)
-        self._revision = max(self._revision, changes.revision)
+        if changes.events:
+            # A watch that was deaf for a while may tell a revision beyond changes
+            # that it did not deliver, so only delivered ones count.
+            newest = max(stored.revision for _, stored in changes.events)
+            self._revision = max(self._revision, newest)
 
     def _note_lost(self, error):
         if self._lost_at is not None:
@@ -270,5 +275,46 @@
         write_records(records)
 
 
+class VersionSync:
+    """Takes in announcements of adapter versions.
+
+    Parameters
+    ----------
+    codec : PlatformCodec
+    clock : callable
+    announce : callable
+        Called with the adapter's key, the version and the seconds since it was
+        announced.
+    """
+
+    def __init__(self, codec, clock, announce):
+        self._codec = codec
+        self._clock = clock
+        self._announce = announce
+
+    def listed(self, objects, sent_at):
+        """Take in a listing, which does not tell how old its entries are."""
+        for stored in objects:
+            self._take(stored, float("inf"))
+
+    def changed(self, events, sent_at):
+        """Take in changes, which came after the call was sent."""
+        for deleted, stored in events:
+            if not deleted:
+                self._take(stored, self._clock() - sent_at)
+
+    def returned(self):
+        """Nothing to do: versions only grow."""
+
+    def _take(self, stored, age_s):
+        found = self._codec.version(stored.value)
+        if found is None:
+            return
+        model, adapter, version = found
+        self._announce((model, adapter), version, age_s)
+        fields = {"adapter": f"{model}/{adapter}", "version": version}
+        write_records([(ADAPTER_VERSION, fields)])
+
+
 def _state(target):
     return (target.address, target.draining, target.born, target.service)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -131,6 +131,11 @@
         self.clock.now += 0.2
         self.assertIsNone(self.board.submit(self.job()).placement)
 
+    def test_version_of_unknown_age_leaves_no_grace(self):
+        self.targets(target("t1", ["a1"]))
+        self.board.announce(KEY, 2, age_s=float("inf"))
+        self.assertIsNone(self.board.submit(self.job()).placement)
+
     def test_age_of_a_relayed_announcement_counts(self):
         self.targets(target("t1", ["a1"]))
         self.board.announce(KEY, 2, age_s=3.5)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -4,7 +4,12 @@
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.targets import Target, TargetDirectory
-from hibiscusspar_entry.fleet.store_sync import ConfigSync, KindWatch, TargetSync
+from hibiscusspar_entry.fleet.store_sync import (
+    ConfigSync,
+    KindWatch,
+    TargetSync,
+    VersionSync,
+)
 from hibiscusspar_entry.fleet.tests.test_board import Clock
 from hibiscusspar_wire.platform_errors import CompactedError, RefusedError
 
@@ -124,7 +129,28 @@
 
 
 LISTING = SimpleNamespace(objects=[1, 2], revision=10)
-CHANGES = SimpleNamespace(events=[1], revision=12)
+CHANGES = SimpleNamespace(events=[(False, stored("x", 1, 12))], revision=15)
+DEAF = SimpleNamespace(events=[], revision=30)
+
+
+class TestVersionSync(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.announced = []
+        codec = SimpleNamespace(version=lambda value: value)
+        self.sync = VersionSync(
+            codec, self.clock, lambda *found: self.announced.append(found)
+        )
+
+    def test_listed_version_may_be_of_any_age(self):
+        self.sync.listed([stored("m.a1", ("m", "a1", 2))], self.clock.now)
+        self.assertEqual(self.announced, [(("m", "a1"), 2, float("inf"))])
+
+    def test_changed_version_is_younger_than_the_call(self):
+        sent_at = self.clock.now
+        self.clock.now += 0.7
+        self.sync.changed([(False, stored("m.a1", ("m", "a1", 2)))], sent_at)
+        self.assertAlmostEqual(self.announced[0][2], 0.7)
 
 
 class TestKindWatch(unittest.TestCase):
@@ -144,6 +170,13 @@
         self.steps(watch, 3)
         self.assertEqual(self.store.calls, [("list",), ("watch", 10), ("watch", 12)])
 
+    def test_watch_goes_on_from_the_last_change_that_it_delivered(self):
+        watch = self.watch(LISTING, DEAF, CHANGES, CHANGES)
+        self.steps(watch, 4)
+        self.assertEqual(
+            self.store.calls, [("list",), ("watch", 10), ("watch", 10), ("watch", 12)]
+        )
+
     def test_history_that_is_gone_is_replaced_by_a_listing(self):
         watch = self.watch(LISTING, CompactedError("s", "p", "gone"), LISTING)
         self.steps(watch, 3)
