--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -1,13 +1,14 @@
 """Limits of client accounts over all nodes, by levels that the coordinator keeps.
 
 Load pattern: one account sends many times its rate through a few nodes at once.
-The coordinator keeps one bucket for each account from the nodes' reports and tells
-the level to all. Between two views a node takes at most a part of the level, so
-that all nodes together take little more than there is. A node that does not hear
-the coordinator falls back to an equal share of the rate, which the coordinator
-takes off the bucket for every node that it does not hear.
+The coordinator counts what each account took in the last window from the nodes'
+reports and tells all what is left, the level. Between two views a node takes at most
+a part of the level, so that all nodes together take little more than there is. A node
+that does not hear the coordinator falls back to an equal share of the rate, which the
+coordinator counts as taken for every node that it does not hear.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 __all__ = ["AccountLevels", "Granted", "Later", "NodeQuota", "Over", "QuotaPolicy"]
@@ -15,6 +16,8 @@
 
 # Shortest time to come back, in seconds: that of one view.
 _MIN_RETRY_S = 0.1
+# Steps of a window; what a step holds leaves the window at once.
+_WINDOW_STEPS = 16
 
 
 class QuotaPolicy(NamedTuple):
@@ -47,16 +50,25 @@
 
 
 class AccountLevels:
-    """The coordinator's buckets, one an account.
+    """The coordinator's count of each account's tokens in the last window.
+
+    The platform bounds what an account takes in any window to its rate times the
+    window plus its burst. The level is what is left of that now, and no more than a
+    bucket of the burst holds that refills as fast as the window allows, so that an
+    account beyond its limit is served evenly.
 
     Parameters
     ----------
+    window_s : float
     policy : QuotaPolicy, optional
     """
 
-    def __init__(self, policy=None):
+    def __init__(self, window_s, policy=None):
         self._policy = policy or QuotaPolicy()
-        self._levels = {}
+        self._window_s = window_s
+        self._earlier = {}
+        self._windows = {}
+        self._buckets = {}
         self._at = None
         self._used = {}
         self._heard = {}
@@ -67,13 +79,15 @@
         return len(self._heard)
 
     def reset(self, now, levels):
-        """Start from the levels that the last view told."""
-        self._levels = dict(levels)
+        """Start from the levels that the last view told; the others are empty."""
+        self._earlier = dict(levels)
+        self._windows = {}
+        self._buckets = {}
         self._at = now
         self._used = {}
 
     def advance(self, now, accounts):
-        """Refill up to ``now``; return the levels.
+        """Move the windows up to ``now``; return the levels.
 
         Parameters
         ----------
@@ -82,14 +96,23 @@
         """
         elapsed_s = now - self._at if self._at is not None else 0.0
         self._at = now
-        silent = self._silent(now)
-        share = 1.0 - silent / max(1, len(self._heard))
+        silent_share = self._silent(now) / max(1, len(self._heard))
+        levels = {}
         for name, rule in accounts.items():
             if rule.rate <= 0:
                 continue
-            level = self._levels.get(name, 0.0) + rule.rate * elapsed_s * share
-            self._levels[name] = min(rule.burst, level)
-        return self._levels
+            allowed = rule.rate * self._window_s + rule.burst
+            taken = allowed - self._earlier.get(name, 0.0)
+            window = self._windows.get(name)
+            if window is None:
+                window = self._windows[name] = _Window(self._window_s, now, taken)
+            reserved = rule.rate * elapsed_s * silent_share
+            window.add(now, reserved)
+            refill = allowed / self._window_s * elapsed_s - reserved
+            earlier = self._buckets.get(name, min(rule.burst, allowed - taken))
+            self._buckets[name] = min(rule.burst, earlier + refill)
+            levels[name] = min(allowed - window.total(now), self._buckets[name])
+        return levels
 
     def report(self, now, node, start, used):
         """Take in the tokens that a node has taken since its start."""
@@ -102,8 +125,9 @@
             earlier = {}
         for account, amount in used.items():
             taken = amount - earlier.get(account, 0.0)
-            if taken > 0 and account in self._levels:
-                self._levels[account] -= taken
+            if account in self._windows:
+                self._windows[account].add(now, taken)
+                self._buckets[account] -= taken
         self._used[node] = (start, dict(used))
 
     def _silent(self, now):
@@ -114,6 +138,39 @@
         return sum(now > at + policy.stale_s for at in self._heard.values())
 
 
+class _Window:
+    """Tokens taken in the last seconds, in steps of a sixteenth of the window.
+
+    Parameters
+    ----------
+    length_s : float
+    now : float
+    taken : float
+        Tokens taken before, as if evenly over the window.
+    """
+
+    def __init__(self, length_s, now, taken):
+        self._step_s = length_s / _WINDOW_STEPS
+        self._steps = deque()
+        step = int(now / self._step_s)
+        for age in range(_WINDOW_STEPS, 0, -1):
+            self._steps.append([step - age, taken / _WINDOW_STEPS])
+
+    def add(self, now, tokens):
+        """Count tokens; negative ones were given back."""
+        step = int(now / self._step_s)
+        if not self._steps or self._steps[-1][0] != step:
+            self._steps.append([step, 0.0])
+        self._steps[-1][1] += tokens
+
+    def total(self, now):
+        """Return the tokens of the window that ends now."""
+        oldest = int(now / self._step_s) - _WINDOW_STEPS
+        while self._steps and self._steps[0][0] < oldest:
+            self._steps.popleft()
+        return sum(tokens for _, tokens in self._steps)
+
+
 class NodeQuota:
     """One node's part in the limits.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -74,11 +74,25 @@
     orders : TargetOrders
     send : callable
         Sends a body to an address.
+    quota_window_s : float
+        Window of the limits of accounts.
     ages : callable
         Returns the ages of configuration and directory in seconds.
     """
 
-    def __init__(self, node, start, clock, election, desk, orders, zones, send, ages):
+    def __init__(
+        self,
+        node,
+        start,
+        clock,
+        election,
+        desk,
+        orders,
+        zones,
+        send,
+        quota_window_s,
+        ages,
+    ):
         self._node = node
         self._desk = desk
         self._zones = zones
@@ -91,7 +105,7 @@
         self._announced = {}
         self._lock = threading.Lock()
         self._planner = AdapterPlanner()
-        self._levels = AccountLevels()
+        self._levels = AccountLevels(quota_window_s)
         self._heard = {}
         self._targets = {}
         self._ruleset = None
