--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -21,6 +21,7 @@
     """Requests of one node that wait for an adapter.
 
     ``more`` asks for a further copy because those that are resident are busy.
+    ``avoid`` names the targets that the node can't use.
     """
 
     service: str
@@ -30,6 +31,7 @@
     tokens: int
     priority: int
     more: bool
+    avoid: list[str] = []
 
 
 class TargetLoad(Struct, array_like=True):
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -310,7 +310,7 @@
         newest = self._newest.get(key, 0)
         if any(held.purpose == key for held in self._held.values()):
             return None
-        if not want.more and self._is_held(key, newest):
+        if not want.more and self._is_held(key, newest, want.avoid):
             return None
         best = None
         for target_id, held in free.items():
@@ -319,6 +319,8 @@
             ready_at = held.models.get(want.model)
             if target.service != want.service or ready_at is None or ready_at > now:
                 continue
+            if target_id in want.avoid:
+                continue
             copy = held.copies.get(key)
             if copy is not None and copy.version >= newest:
                 continue
@@ -362,11 +364,13 @@
         ]
         return min(waits, default=float("inf"))
 
-    def _is_held(self, key, newest):
+    def _is_held(self, key, newest, avoid=()):
         return any(
             held.copies[key].version >= newest
-            for held in self._held.values()
-            if key in held.copies and held.accepted is not None
+            for target_id, held in self._held.items()
+            if key in held.copies
+            and held.accepted is not None
+            and target_id not in avoid
         )
 
     def _in_transit(self, now, held):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -97,6 +97,13 @@
         (other,) = fleet.plan(1.0, [want("b")])
         self.assertNotEqual(stuck.target_id, other.target_id)
 
+    def test_adapter_held_only_where_the_asker_can_not_go_is_loaded_elsewhere(self):
+        fleet = Fleet(target("t1", ["a"]), target("t2"), target("t3"))
+        asked = want("a")
+        asked.avoid = ["t1", "t2"]
+        (order,) = fleet.plan(1.0, [asked])
+        self.assertEqual((order.target_id, order.adapter), ("t3", "a"))
+
     def test_further_copy_only_beyond_the_backlog_that_pays(self):
         fleet = Fleet(target("t1", ["a"]), target("t2"))
         calm = fleet.plan(1.0, [want("a", more=True)], {"t1": 0.3})
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -280,23 +280,31 @@
 
     def _candidates(self, now, job):
         """Return the targets that can run a job, and the version each has."""
+        barred = self._barred(now, job.service)
         versions = {}
         for target in self._targets.values():
             if target.service != job.service or target.draining:
                 continue
             version = self._version_at(now, target, job.key)
-            if version is not None:
+            if version is not None and target.target_id not in barred:
                 versions[target.target_id] = version
         newest = max(versions.values(), default=0)
         if job.key[1]:
             versions = {t: v for t, v in versions.items() if v == newest or not v}
         usable = versions.keys() - job.excluded or versions.keys()
-        barred = self._ejection.excluded(now, sorted(usable))
         return [
-            self._candidate(self._targets[target_id])
-            for target_id in sorted(usable - barred)
+            self._candidate(self._targets[target_id]) for target_id in sorted(usable)
         ], versions
 
+    def _barred(self, now, service):
+        """Return the targets of a service that get no new request now."""
+        found = [
+            target.target_id
+            for target in self._targets.values()
+            if target.service == service and not target.draining
+        ]
+        return self._ejection.excluded(now, sorted(found))
+
     def _candidate(self, target):
         target_id = target.target_id
         own = self._loads.get(target_id)
@@ -368,6 +376,7 @@
                     tokens,
                     priority,
                     bool(candidates),
+                    sorted(self._barred(now, service)),
                 )
             )
         return wants
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -36,17 +36,19 @@
         self._logged = None
 
     def step(self):
-        """Make the call that is due, if one is."""
+        """Make the call that is due, if one is; return whether the store answered."""
         action = self.election.action(self._clock(), self._is_heard())
         if action is None:
-            return
+            return True
         try:
             self._act(action)
         except StepError as error:
             self.election.failed(self._clock())
             fields = {"task": f"lease {self._name}", "reason": str(error)}
             write_records([(BACKGROUND_FAILED, fields)])
+            return False
         self._log_change()
+        return True
 
     def release(self):
         """Give the lease up if it is held."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -23,6 +23,8 @@
 # A coordinator that was silent for this long may be gone.
 _COORDINATOR_SILENT_S = 0.5
 _READY_VIEW_S = 1.5
+# Pause after a call of the store without an answer: far shorter than its outages.
+_STORE_PAUSE_S = 0.3
 _GRACE_MARGIN_S = 0.6
 
 
@@ -76,6 +78,7 @@
         self._leased = False
         self._held = frozenset()
         self._fence = 0
+        self._store_from = 0.0
         self._lost_logged = False
         self._stopping = threading.Event()
         self._coordinator_address = None
@@ -125,6 +128,13 @@
         limit_s = parts.key_age_limit_s
         return not limit_s or parts.config.age_s <= limit_s
 
+    def _step_keepers(self):
+        """Make the calls that are due; leave a store alone that doesn't answer."""
+        for keeper in self._parts.keepers:
+            if not keeper.step():
+                self._store_from = self._parts.clock() + _STORE_PAUSE_S
+                return
+
     @property
     def hears_coordinator(self):
         """Whether a coordinator with a valid lease was heard lately."""
@@ -211,8 +221,8 @@
 
     def _lease_step(self):
         parts = self._parts
-        for keeper in parts.keepers:
-            keeper.step()
+        if parts.clock() >= self._store_from:
+            self._step_keepers()
         election = parts.election
         if election.leads != self._was_leader:
             self._was_leader = election.leads
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -207,6 +207,14 @@
         (want,) = self.board.report({}).wants
         self.assertTrue(want.more)
 
+    def test_adapter_held_only_by_a_target_that_was_left_is_wanted_elsewhere(self):
+        self.targets(target("t1", ["a1"]), target("t2"), target("t3"))
+        self.board.failed("t1", unreachable=True)
+        ticket = self.board.submit(self.job())
+        self.assertFalse(ticket.decided.is_set())
+        (want,) = self.board.report({}).wants
+        self.assertEqual((want.more, want.avoid), (False, ["t1"]))
+
     def test_refused_request_wants_nothing(self):
         self.targets(target("t1"))
         ticket = self.board.submit(self.job())
