--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -4,7 +4,7 @@
 harm. A lost order or result is one without an answer.
 """
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 
 __all__ = [
     "FleetView",
@@ -13,6 +13,7 @@
     "OrderResult",
     "TargetLoad",
     "TargetRow",
+    "ViewRelay",
     "Want",
 ]
 
@@ -79,7 +80,7 @@
 
 
 class FleetView(Struct, tag="view"):
-    """What the coordinator knows of the fleet.
+    """What the coordinator at ``address`` knows of the fleet.
 
     ``leased`` is whether its lease is valid, so that it may order loads.
     ``residency`` holds, for some targets, a number that grows with each change and
@@ -94,6 +95,7 @@
 
     node: str
     start: str
+    address: str
     fence: int
     leased: bool
     number: int
@@ -135,3 +137,10 @@
     number: int
     start: str
     result: str
+
+
+class ViewRelay(Struct, tag="relay"):
+    """An encoded view for a node, which passes it on to the addresses."""
+
+    addresses: list[tuple[str, int]]
+    view: Raw
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -15,6 +15,10 @@
 __all__ = ["AdapterPlanner", "Held", "LoadOrder", "OrderOutcome", "PlannerPolicy"]
 
 
+# Cost of evicting what was used just now; it falls as the adapter stays unused.
+_VICTIM_COST_S = 0.05
+
+
 class PlannerPolicy(NamedTuple):
     """Settings of the planner; times in seconds.
 
@@ -218,14 +222,16 @@
                 free.pop(target_id)
                 self._held[target_id].ordering = True
                 orders.append(order)
+        plan = _Round(self._policy, now, self._held, in_use)
         for want in wants:
             if not free:
                 break
-            order = self._order_for(now, want, free, targets, backlogs, in_use)
+            order = self._order_for(plan, want, free, targets, backlogs)
             if order is not None:
                 held = free.pop(order.target_id)
                 held.ordering = True
                 held.purpose = (want.model, want.adapter)
+                plan.note(held, order)
                 orders.append(order)
         return orders
 
@@ -305,95 +311,150 @@
             held.warm.popitem(last=False)
         held.changed()
 
-    def _order_for(self, now, want, free, targets, backlogs, in_use):
+    def _order_for(self, plan, want, free, targets, backlogs):
         key = (want.model, want.adapter)
         newest = self._newest.get(key, 0)
-        if any(held.purpose == key for held in self._held.values()):
+        if key in plan.purposes:
             return None
-        if not want.more and self._is_held(key, newest, want.avoid):
+        if not want.more and plan.is_held(key, newest, want.avoid):
             return None
         best = None
         for target_id, held in free.items():
-            target, engine = targets[target_id]
-            places = engine.adapter_places
-            ready_at = held.models.get(want.model)
-            if target.service != want.service or ready_at is None or ready_at > now:
-                continue
-            if target_id in want.avoid:
+            if target_id in want.avoid or not _can_take(plan, want, targets, target_id):
                 continue
             copy = held.copies.get(key)
             if copy is not None and copy.version >= newest:
                 continue
-            if copy is not None and key in in_use.get(target_id, ()):
+            if copy is not None and key in plan.in_use(target_id):
                 # A replacement waits for the runs, and new ones are refused.
                 continue
-            if self._in_transit(now, held) >= self._policy.transit:
-                continue
             victim = None
-            if copy is None and len(held.copies) >= places:
-                victim = self._victim(now, held, in_use.get(target_id, ()))
+            if (
+                copy is None
+                and len(held.copies) >= targets[target_id][1].adapter_places
+            ):
+                victim = plan.victim(target_id)
                 if victim is None:
                     continue
-            cost = backlogs.get(target_id, 0.0) + self._load_s(held, key)
-            if key not in held.warm:
-                cost += self._policy.store_cost_s
-            if victim is not None and victim in held.last_used:
-                # Of equal targets, the one whose victim is longest unused.
-                cost += 0.05 / (1.0 + now - held.last_used[victim])
+            cost = backlogs.get(target_id, 0.0) + self._load_cost(
+                plan, held, key, victim
+            )
             if best is None or cost < best[0]:
                 best = (cost, target_id, victim)
         if best is None:
             return None
         cost, target_id, victim = best
-        if want.more and cost > self._least_backlog(key, backlogs):
+        if want.more and cost > self._least_backlog(plan, key, backlogs):
             return None
         held = free[target_id]
         if victim is not None:
-            model, adapter = victim
-            return LoadOrder(target_id, "unload", model, adapter, 0, held.accepted)
-        if not self._room_in_transit(now, held, key):
+            return LoadOrder(target_id, "unload", *victim, 0, held.accepted)
+        if key not in held.warm and plan.flying >= self._policy.fleet_transit:
             return None
-        model, adapter = key
-        return LoadOrder(target_id, "load", model, adapter, newest, held.accepted)
-
-    def _least_backlog(self, key, backlogs):
+        return LoadOrder(target_id, "load", *key, newest, held.accepted)
+
+    def _load_cost(self, plan, held, key, victim):
+        """Return the seconds that a load costs beside the backlog."""
+        cost = self._load_s(held, key)
+        if key not in held.warm:
+            cost += self._policy.store_cost_s
+        if victim is not None and victim in held.last_used:
+            # Of equal targets, the one whose victim is longest unused.
+            cost += _VICTIM_COST_S / (1.0 + plan.now - held.last_used[victim])
+        return cost
+
+    def _least_backlog(self, plan, key, backlogs):
         waits = [
             backlogs.get(target_id, 0.0) - self._policy.copy_backlog_s
-            for target_id, held in self._held.items()
-            if key in held.copies
+            for target_id, _ in plan.holders.get(key, ())
         ]
         return min(waits, default=float("inf"))
 
-    def _is_held(self, key, newest, avoid=()):
+    def _is_held(self, key, newest):
         return any(
             held.copies[key].version >= newest
-            for target_id, held in self._held.items()
-            if key in held.copies
-            and held.accepted is not None
-            and target_id not in avoid
-        )
-
-    def _in_transit(self, now, held):
-        return sum(copy.ready_at > now for copy in held.copies.values())
-
-    def _room_in_transit(self, now, held, key):
-        if key in held.warm:
-            return True
-        flying = sum(
-            self._in_transit(now, row) + row.ordering for row in self._held.values()
+            for held in self._held.values()
+            if key in held.copies and held.accepted is not None
         )
-        return flying < self._policy.fleet_transit
 
     def _load_s(self, held, key):
         policy = self._policy
         return policy.warm_load_s if key in held.warm else policy.cold_load_s
 
-    def _victim(self, now, held, in_use):
+
+class _Round:
+    """What one round of planning looks up again and again."""
+
+    def __init__(self, policy, now, held, in_use):
+        self.now = now
+        self.flying = 0
+        self.holders = {}
+        self.purposes = set()
+        self._policy = policy
+        self._held = held
+        self._in_use = in_use
+        self._victims = {}
+        self._transit = {}
+        for target_id, row in held.items():
+            transit = sum(copy.ready_at > now for copy in row.copies.values())
+            self._transit[target_id] = transit
+            self.flying += transit + row.ordering
+            if row.purpose is not None:
+                self.purposes.add(row.purpose)
+            if row.accepted is not None:
+                for key, copy in row.copies.items():
+                    self.holders.setdefault(key, []).append((target_id, copy.version))
+
+    def note(self, held, order):
+        """Count an order of this round."""
+        self.purposes.add(held.purpose)
+        self.flying += order.operation == "load"
+
+    def is_held(self, key, newest, avoid):
+        """Whether a usable target holds an adapter in its newest version."""
+        return any(
+            version >= newest and target_id not in avoid
+            for target_id, version in self.holders.get(key, ())
+        )
+
+    def models(self, target_id):
+        """Return the models of a target and when they are ready."""
+        return self._held[target_id].models
+
+    def in_use(self, target_id):
+        """Return the adapters of running requests at a target."""
+        return self._in_use.get(target_id, ())
+
+    def has_room_in_transit(self, target_id):
+        """Whether one more load may be on its way to a target."""
+        return self._transit[target_id] < self._policy.transit
+
+    def victim(self, target_id):
+        """Return the adapter that has been unused the longest, or None."""
+        if target_id not in self._victims:
+            self._victims[target_id] = self._find_victim(target_id)
+        return self._victims[target_id]
+
+    def _find_victim(self, target_id):
+        held, in_use = self._held[target_id], self.in_use(target_id)
+        latest = self.now - self._policy.idle_s
         idle = [
             (held.last_used.get(key, 0.0), key)
             for key, copy in held.copies.items()
             if key not in in_use
-            and copy.ready_at <= now
-            and held.last_used.get(key, 0.0) + self._policy.idle_s <= now
+            and copy.ready_at <= self.now
+            and held.last_used.get(key, 0.0) <= latest
         ]
         return min(idle)[1] if idle else None
+
+
+def _can_take(plan, want, targets, target_id):
+    """Return whether a target serves a want's model and has room in transit."""
+    target, _ = targets[target_id]
+    ready_at = plan.models(target_id).get(want.model)
+    return (
+        target.service == want.service
+        and ready_at is not None
+        and ready_at <= plan.now
+        and plan.has_room_in_transit(target_id)
+    )
--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -17,7 +17,7 @@
 # Shortest time to come back, in seconds: that of one view.
 _MIN_RETRY_S = 0.1
 # Steps of a window; what a step holds leaves the window at once.
-_WINDOW_STEPS = 16
+_WINDOW_STEPS = 64
 
 
 class QuotaPolicy(NamedTuple):
@@ -139,7 +139,7 @@
 
 
 class _Window:
-    """Tokens taken in the last seconds, in steps of a sixteenth of the window.
+    """Tokens taken in the last seconds, in steps of a small part of the window.
 
     Parameters
     ----------
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_fanout.py
@@ -0,0 +1,34 @@
+"""Tests of the way of views to many nodes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusspar.fleet.fanout import exchange_interval_s, view_groups
+
+
+class TestViewGroups(unittest.TestCase):
+    @given(st.integers(0, 400))
+    def test_each_node_is_in_one_group(self, count):
+        nodes = list(range(count))
+        groups = view_groups(nodes)
+        self.assertEqual(sorted(n for group in groups for n in group), nodes)
+
+    def test_small_fleet_is_told_directly(self):
+        self.assertEqual(view_groups([1, 2, 3]), [[1], [2], [3]])
+
+    def test_messages_of_the_sender_grow_with_the_root_of_the_fleet(self):
+        groups = view_groups(list(range(360)))
+        self.assertLessEqual(len(groups), 19)
+        self.assertLessEqual(max(map(len, groups)), 19)
+
+    def test_nodes_heard_most_lately_pass_views_on(self):
+        groups = view_groups(list(range(100)))
+        self.assertEqual([group[0] for group in groups], list(range(10)))
+
+
+class TestInterval(unittest.TestCase):
+    def test_reports_to_the_coordinator_are_bounded(self):
+        for nodes in (9, 78, 360):
+            self.assertLessEqual(nodes / exchange_interval_s(nodes), 501)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -16,6 +16,7 @@
     NodeReport,
     OrderRequest,
     OrderResult,
+    ViewRelay,
 )
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
@@ -23,7 +24,7 @@
 __all__ = ["Channel"]
 
 _MAX_BYTES = 65_507
-_DECODER = Decoder(NodeReport | FleetView | OrderRequest | OrderResult)
+_DECODER = Decoder(NodeReport | FleetView | OrderRequest | OrderResult | ViewRelay)
 
 
 class Channel:
@@ -64,12 +65,20 @@
             fields = {"task": "channel.send", "reason": repr(error)}
             write_records([(BACKGROUND_FAILED, fields)])
 
+    def _take(self, message, address):
+        if isinstance(message, ViewRelay):
+            view = bytes(message.view)
+            for other in message.addresses:
+                self.send(other, view)
+            message = _DECODER.decode(view)
+        self._receive(message, address)
+
     def _run(self):
         while True:
             try:
                 body, address = self._socket.recvfrom(_MAX_BYTES)
                 self.received_bytes += len(body)
-                self._receive(_DECODER.decode(body), address)
+                self._take(_DECODER.decode(body), address)
             except MsgspecError as error:
                 _log_failure("channel.decode", error)
             except OSError as error:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -2,20 +2,25 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from time import sleep
 from typing import NamedTuple
 
+from msgspec import Raw
 from msgspec.json import encode as to_json
 
-from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow
+from hibiscusspar.fleet.fanout import exchange_interval_s, view_groups
+from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow, ViewRelay
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
 __all__ = ["Coordinator"]
 
 # A report older than this no longer counts.
 _REPORT_STALE_S = 1.5
-# Time between views; longer than the datagrams of one round take.
-_VIEW_S = 0.1
+# Pause after a round of planning: many wants come within some milliseconds.
+_PLAN_GAP_S = 0.004
 # Views that repeat a target's adapters after a change, against lost datagrams.
 _REPEATS = 3
 _ORDER_THREADS = 8
@@ -68,7 +73,8 @@
 
     Parameters
     ----------
-    node, start : str
+    node, start, address : str
+        The node, its process and its peer address.
     clock : callable
     election : Election
     orders : TargetOrders
@@ -84,6 +90,7 @@
         self,
         node,
         start,
+        address,
         clock,
         election,
         desk,
@@ -97,6 +104,7 @@
         self._desk = desk
         self._zones = zones
         self._start = start
+        self._address = address
         self._clock = clock
         self._election = election
         self._orders = orders
@@ -115,10 +123,16 @@
         self._active = False
         self._viewed_at = 0.0
         self._pool = ThreadPoolExecutor(_ORDER_THREADS)
+        self._work = threading.Event()
+        self._closed = False
+        self._changed = False
         self.planned = 0
+        threading.Thread(target=self._run_plans, daemon=True).start()
 
     def close(self):
-        """End the threads of the pool."""
+        """End the threads."""
+        self._closed = True
+        self._work.set()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def configure(self, ruleset):
@@ -169,20 +183,34 @@
             for target_id, labels in report.in_use.items():
                 self._planner.used(now, target_id, [_key(label) for label in labels])
         if report.wants:
-            self.plan()
+            self._work.set()
 
     def tick(self):
         """Plan, and send the views that are due."""
         if not self._active:
             return
-        self.plan()
-        if self._clock() >= self._viewed_at + _VIEW_S:
+        self._work.set()
+        interval_s = exchange_interval_s(self._levels.nodes)
+        if self._changed or self._clock() >= self._viewed_at + interval_s:
+            self._changed = False
             self.send_views()
 
+    def _run_plans(self):
+        """Plan when there is reason to, so that many reasons make one round."""
+        while not self._closed:
+            self._work.wait()
+            self._work.clear()
+            try:
+                self.plan()
+            except Exception as error:  # noqa: BLE001
+                fields = {"task": "plan", "reason": repr(error)}
+                write_records([(BACKGROUND_FAILED, fields)])
+            sleep(_PLAN_GAP_S)
+
     def plan(self):
         """Choose orders and give them in the threads of the pool."""
         now = self._clock()
-        if not self._election.leads:
+        if not self._active or not self._election.leads:
             return
         with self._lock:
             asks = [self._targets[t] for t in self._planner.to_ask(now)]
@@ -202,10 +230,14 @@
     def send_views(self):
         """Tell all nodes what is known."""
         with self._lock:
-            view, addresses = self._view()
-        body = to_json(view)
-        for address in addresses:
-            self._send(address, body)
+            view, rows = self._view()
+        for group in view_groups(rows):
+            view.acked = {row.report.node: row.report.number for row in group}
+            body = to_json(view)
+            first, *others = [row.address for row in group]
+            if others:
+                body = to_json(ViewRelay(others, Raw(body)))
+            self._send(first, body)
 
     def _view(self):
         now = self._viewed_at = self._clock()
@@ -216,11 +248,12 @@
         view = FleetView(
             node=self._node,
             start=self._start,
+            address=self._address,
             fence=self._election.fence,
             leased=self._election.holds(now),
             number=self._number,
             nodes=max(1, self._levels.nodes),
-            acked={node: row.report.number for node, row in self._heard.items()},
+            acked={},
             loads=self._loads(now),
             residency=self._residency(now),
             levels={name: round(level, 1) for name, level in levels.items()},
@@ -235,7 +268,12 @@
             },
             held=sorted(self._duties(now)),
         )
-        return view, [row.address for row in self._heard.values()]
+        # The own node is told directly, so it is the last to pass views on.
+        rows = sorted(
+            self._heard.values(),
+            key=lambda row: (row.report.node == self._node, -row.at),
+        )
+        return view, rows
 
     def _residency(self, now):
         """Return what some targets hold: what changed lately, others by turns."""
@@ -341,7 +379,7 @@
                 state.pending,
                 None if state.busy else state.models,
             )
-        self.plan()
+        self._work.set()
 
     def _give(self, order):
         result = "refused"
@@ -354,9 +392,9 @@
             result = self._desk.give(order, zone, holders[zone], fence)
         with self._lock:
             self._planner.finished(self._clock(), OrderOutcome(order, result))
-        self.plan()
+        self._work.set()
         if order.operation == "load":
-            self.send_views()
+            self._changed = True
 
 
 def _target_row(target):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -4,6 +4,7 @@
 from time import sleep
 from typing import Any, NamedTuple
 
+from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.messages import FleetView, NodeReport, OrderRequest
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
@@ -17,7 +18,6 @@
 __all__ = ["FleetNode", "FleetParts"]
 
 _TICK_S = 0.02
-_REPORT_S = 0.1
 # Shortest time between reports that carry new wants.
 _WANT_GAP_S = 0.004
 # A coordinator that was silent for this long may be gone.
@@ -148,7 +148,7 @@
     def receive(self, message, address):
         """Take in a message of another node."""
         if isinstance(message, FleetView):
-            self._take_view(message, address)
+            self._take_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.take_report(message, address)
         elif isinstance(message, OrderRequest):
@@ -194,7 +194,7 @@
         write_records([(NODE_STOPPED, fields)])
         parts.log.flush()
 
-    def _take_view(self, view, address):
+    def _take_view(self, view):
         parts = self._parts
         self._fence = max(self._fence, parts.election.fence)
         if view.fence < self._fence:
@@ -202,7 +202,7 @@
         self._fence = view.fence
         self._leased = view.leased
         self._held = frozenset(view.held)
-        self._coordinator_address = address
+        self._coordinator_address = _address(view.address)
         self._lost_logged = False
         if parts.relayed.take(view, parts.settings.node):
             for watch in parts.watches:
@@ -230,8 +230,7 @@
         elif not election.leads and not self.hears_coordinator:
             record = election.record
             if record is not None and record.fence >= self._fence:
-                ip, _, port = record.address.rpartition(":")
-                self._coordinator_address = (ip, int(port))
+                self._coordinator_address = _address(record.address)
 
     def _change_role(self, leads):
         self._parts.relayed.set_source(leads)
@@ -244,7 +243,8 @@
 
     def _run_reports(self):
         while not self._stopping.is_set():
-            urgent = self._want.wait(_REPORT_S)
+            interval_s = exchange_interval_s(self._parts.board.nodes)
+            urgent = self._want.wait(interval_s)
             self._want.clear()
             try:
                 self._send_report()
@@ -260,8 +260,7 @@
         report = parts.board.report(used, parts.desk.duties())
         parts.relayed.report_sent(report.number)
         if parts.election.leads:
-            ip, _, port = self._channel.address.rpartition(":")
-            self._coordinator.take_report(report, (ip, int(port)))
+            self._coordinator.take_report(report, _address(self._channel.address))
         elif self._coordinator_address is not None:
             self._channel.send(self._coordinator_address, report)
 
@@ -288,5 +287,10 @@
             write_records([(COORDINATOR_LOST, fields)])
 
 
+def _address(text):
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
 def _log_failure(task, error):
     write_records([(BACKGROUND_FAILED, {"task": task, "reason": repr(error)})])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -39,6 +39,7 @@
     return FleetView(
         node="c",
         start="s",
+        address="10.0.0.9:7000",
         fence=fence,
         leased=True,
         number=number,
