--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -41,7 +41,7 @@
     idle_s: float = 0.35
     warm_adapters: int = 100
     prompt_tokens_s: float = 19_200.0
-    copy_backlog_s: float = 0.15
+    copy_backlog_s: float = 0.05
     confirm_s: float = 0.3
     in_demand_s: float = 3.0
 
@@ -337,7 +337,7 @@
                 if victim is None:
                     continue
             cost = backlogs.get(target_id, 0.0) + self._load_cost(
-                plan, held, key, victim
+                plan, held, want, victim
             )
             if best is None or cost < best[0]:
                 best = (cost, target_id, victim)
@@ -353,11 +353,12 @@
             return None
         return LoadOrder(target_id, "load", *key, newest, held.accepted)
 
-    def _load_cost(self, plan, held, key, victim):
+    def _load_cost(self, plan, held, want, victim):
         """Return the seconds that a load costs beside the backlog."""
+        key = (want.model, want.adapter)
         cost = self._load_s(held, key)
         if key not in held.warm:
-            cost += self._policy.store_cost_s
+            cost += self._policy.store_cost_s / want.waiting
         if victim is not None and victim in held.last_used:
             # Of equal targets, the one whose victim is longest unused.
             cost += _VICTIM_COST_S / (1.0 + plan.now - held.last_used[victim])
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -7,24 +7,31 @@
 
 from typing import NamedTuple
 
-__all__ = ["Candidate", "ChoicePolicy", "choose_target", "first_byte_s"]
+__all__ = [
+    "Candidate",
+    "ChoicePolicy",
+    "backlog_s",
+    "choose_target",
+    "first_byte_s",
+]
 
 
 class ChoicePolicy(NamedTuple):
     """Settings of the choice.
 
     ``prompt_tokens_s`` is how fast an engine reads prompts, ``step_s`` the time of
-    one decoding step and ``request_s`` the share of it that each running request
-    adds, all from the users' sheets. ``zone_s`` is what crossing to another zone
-    must save. ``most_running`` is the number of running requests at which an engine
-    that reads prompts all the while still ends the longest streams of the sheets
-    in time. ``count_lag_s`` is how old counts are on average, a report and a view;
+    one decoding step; each running request adds ``request_s`` to a first byte and
+    ``step_request_s`` to a step. All are from the users' sheets. ``zone_s`` is what
+    crossing to another zone must save. ``most_running`` is the number of running
+    requests at which an engine that reads prompts all the while still ends the longest
+    streams of the sheets in time. ``count_lag_s`` is how old counts are on average, a report and a view;
     what an engine read meanwhile is still in them.
     """
 
     prompt_tokens_s: float = 19_200.0
     step_s: float = 0.0095
     request_s: float = 0.002
+    step_request_s: float = 0.00007
     zone_s: float = 0.005
     most_running: int = 44
     count_lag_s: float = 0.15
@@ -40,10 +47,15 @@
     unread_tokens: int
 
 
+def backlog_s(policy, candidate):
+    """Return the seconds in which a target reads the prompts that it has."""
+    read_s = candidate.unread_tokens / policy.prompt_tokens_s
+    return max(0.0, read_s - policy.count_lag_s)
+
+
 def first_byte_s(policy, candidate, prompt_tokens):
     """Return the seconds until a request's first byte at a target."""
-    backlog_s = candidate.unread_tokens / policy.prompt_tokens_s - policy.count_lag_s
-    read_s = max(0.0, backlog_s) + prompt_tokens / policy.prompt_tokens_s
+    read_s = backlog_s(policy, candidate) + prompt_tokens / policy.prompt_tokens_s
     return read_s + policy.step_s + policy.request_s * candidate.running
 
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/rules.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rules.py
@@ -17,6 +17,7 @@
 class RouteRule(NamedTuple):
     """One route; times in seconds.
 
+    ``gap_s`` is the longest pause of a stream that is still in time, 0 if not told.
     ``kind`` is ``"stream"``, ``"safe"`` or ``"unsafe"``. ``split`` holds pairs of a
     service and its weight. ``aim_s`` is the time to the first byte that earns the
     full credit. Priority 0 is the highest.
@@ -33,6 +34,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    gap_s: float = 0.0
 
     @property
     def idempotent(self):
@@ -53,7 +55,8 @@
 
     ``batch`` is the number of requests at once, ``kv_tokens`` the memory for tokens,
     ``adapter_places`` the number of adapters that may be resident or in transit,
-    ``weights_mb`` the memory for models. The weight store allows ``loads_per_s``
+    ``weights_mb`` the memory for models. ``event_steps`` is the number of decoding
+    steps that one event of a stream takes. The weight store allows ``loads_per_s``
     loads of models over all engines.
     """
 
@@ -63,6 +66,7 @@
     weights_mb: float
     loads_per_s: float
     models: tuple[ModelRule, ...]
+    event_steps: int = 1
 
 
 class ServiceRule(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -54,6 +54,14 @@
         self.assertIsInstance(decide(10.0, small, busy, "z1"), Send)
         self.assertIsInstance(decide(10.0, large, busy, "z1"), Send)
 
+    def test_prompts_are_not_piled_on_running_streams(self):
+        paced = job()._replace(gap_s=0.3, event_steps=4)
+        piled = candidate("t1", 12, 7_000)
+        free = candidate("t2", 12, 2_000, zone="z2")
+        self.assertEqual(decide(10.0, paced, [piled], "z1"), Wait("busy"))
+        self.assertEqual(decide(10.0, paced, [piled, free], "z1").target_id, "t2")
+        self.assertIsInstance(decide(10.0, job(), [piled], "z1"), Send)
+
     def test_returners_are_spread(self):
         backlog = [candidate("t1", 40, 90_000)]
         times = {
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.fleet.routing import ChoicePolicy, choose_target
+from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target
 
 __all__ = ["Job", "Refuse", "Send", "Wait", "WaitPolicy", "decide", "job_order"]
 
@@ -20,7 +20,9 @@
     take by estimate; the rest is for errors of the estimate. ``late_s`` is the
     estimate up to which a request past its aim is still sent. ``retry_s`` is the
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
-    together. Each request is judged as if its prompt had ``usual_prompt_tokens``.
+    together. ``gap_share`` is the part of the longest pause that waiting prompts and
+    the steps of one event may fill. Each request is judged as if its prompt had
+    ``usual_prompt_tokens``.
     """
 
     aim_share: float = 0.85
@@ -28,14 +30,17 @@
     retry_s: float = 0.3
     retry_spread_s: float = 0.7
     usual_prompt_tokens: int = 1200
+    gap_share: float = 0.7
 
 
 class Job(NamedTuple):
     """A request that needs a target.
 
     ``key`` is its model and adapter, empty texts if it names none. ``give_up_at``
-    is when it is refused if it found no target. ``excluded`` holds the targets it
-    must not go to again.
+    is when it is refused if it found no target. ``gap_s`` is the longest pause that
+    the streams of its service may make, 0 if they have none, and ``event_steps`` the
+    decoding steps of one event. ``excluded`` holds the targets it must not go to
+    again.
     """
 
     request_id: str
@@ -47,6 +52,8 @@
     aim_s: float
     give_up_at: float
     fraction: float
+    gap_s: float = 0.0
+    event_steps: int = 1
     excluded: frozenset[str] = frozenset()
 
 
@@ -102,7 +109,8 @@
     """
     choice = choice or ChoicePolicy()
     policy = policy or WaitPolicy()
-    best = choose_target(choice, candidates, zone, job.prompt_tokens)
+    gentle = [row for row in candidates if _keeps_pace(choice, policy, job, row)]
+    best = choose_target(choice, gentle, zone, job.prompt_tokens)
     left_s = job.arrived + job.aim_s - now
     wait_s = job.give_up_at - now
     if best is not None:
@@ -122,6 +130,20 @@
     return Wait("busy" if candidates else "adapter not resident")
 
 
+def _keeps_pace(choice, policy, job, candidate):
+    """Return whether the streams of a target still keep their pace beside a job.
+
+    Load pattern: prompts that come at once are read one after the other between the
+    steps of running streams, which all pause meanwhile.
+    """
+    if not job.gap_s or not candidate.running:
+        return True
+    steps_s = job.event_steps * (
+        choice.step_s + choice.step_request_s * candidate.running
+    )
+    return backlog_s(choice, candidate) <= job.gap_s * policy.gap_share - steps_s
+
+
 def _refuse(policy, job, reason, wait_s):
     spread_s = policy.retry_spread_s * job.fraction
     return Refuse(reason, max(policy.retry_s, wait_s) + spread_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -12,6 +12,7 @@
 from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow, ViewRelay
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
@@ -26,7 +27,9 @@
 _ORDER_THREADS = 8
 # Ages beyond this are told as this, in seconds.
 _MAX_AGE_S = 1e6
-_PROMPT_TOKENS_S = 19_200.0
+# Time until a place is free where all are taken, in seconds.
+_FULL_BACKLOG_S = 1.0
+_CHOICE = ChoicePolicy()
 
 
 class _Heard(NamedTuple):
@@ -349,10 +352,19 @@
 
     def _backlogs(self, now):
         return {
-            target_id: load.unread_tokens / _PROMPT_TOKENS_S + load.running * 0.002
+            target_id: self._backlog_s(target_id, load)
             for target_id, load in self._loads(now).items()
         }
 
+    def _backlog_s(self, target_id, load):
+        """Return the seconds of work before a new request at a target."""
+        row = Candidate(target_id, "", 0, load.running, load.unread_tokens)
+        target = self._targets.get(target_id)
+        most = _CHOICE.most_running
+        if target is not None and load.running >= min(most, target.slots):
+            return first_byte_s(_CHOICE, row, 0) + _FULL_BACKLOG_S
+        return first_byte_s(_CHOICE, row, 0)
+
     def _in_use(self, now):
         in_use = {}
         for report in self._reports(now):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -83,6 +83,7 @@
     route: RouteRule
     service: str
     is_engine: bool
+    event_steps: int
     rule: object
     account: str
     key_digest: str
@@ -229,6 +230,7 @@
             route=route,
             service=service,
             is_engine=rule.engine is not None,
+            event_steps=rule.engine.event_steps if rule.engine else 1,
             rule=account_rule,
             account=account,
             key_digest=digest,
@@ -319,6 +321,8 @@
             aim_s=route.aim_s,
             give_up_at=min(now + aims * route.aim_s, admitted.ends_at),
             fraction=admitted.fraction,
+            gap_s=route.gap_s if admitted.is_engine else 0.0,
+            event_steps=admitted.event_steps,
             excluded=attempt.excluded,
         )
         board = self._parts.board
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -19,7 +19,7 @@
 
 __all__ = ["ConfigSync", "KindWatch", "TargetSync", "VersionSync"]
 
-_RETRY_S = 0.25
+_RETRY_S = 0.15
 # How often a watch that need not read looks whether that is still so, in seconds.
 _IDLE_S = 0.25
 
@@ -74,6 +74,8 @@
             return 0.0
         except StepError as error:
             self._note_lost(error)
+            # A listing fails sooner than a watch, so the store's return is seen early.
+            self._revision = None
             return _RETRY_S
         return self._gap_s
 
