--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -24,8 +24,8 @@
     ``step_request_s`` to a step. All are from the users' sheets. ``zone_s`` is what
     crossing to another zone must save. ``most_running`` is the number of running
     requests at which an engine that reads prompts all the while still ends the longest
-    streams of the sheets in time. ``count_lag_s`` is how old counts are on average, a report and a view;
-    what an engine read meanwhile is still in them.
+    streams of the sheets in time. ``count_lag_s`` is how old counts are on average, a
+    report and a view; what an engine read meanwhile is still in them.
     """
 
     prompt_tokens_s: float = 19_200.0
