--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES)))
 export PYTHONDONTWRITEBYTECODE ?= 1
 
-.PHONY: demo docs experiment install lint measure measure-quick setup test format
+.PHONY: demo docs experiment install lint measure measure-quick setup soak test
+.PHONY: test-quick format
 
 setup: $(STAMP)
 
@@ -24,6 +25,13 @@
 test: setup
 	$(BIN)/python tools/run_tests.py $(TESTS)
 
+test-quick: setup
+	$(BIN)/python tools/run_tests.py --quick
+
+soak: export PYTHONPATH := $(PYTHONPATH):$(CURDIR)
+soak: setup
+	$(BIN)/python -m soak $(or $(SOAK),--seeds 1 2 --seconds 8)
+
 lint: setup
 	$(BIN)/ruff format --check --diff .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real node processes, faults injected from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,112 @@
+"""Callers that keep their connections and check each answer."""
+
+import threading
+from http.client import HTTPConnection, HTTPException
+from random import Random
+from time import monotonic, sleep
+from typing import NamedTuple
+
+from hibiscusspar_platform.tests.engine_stand_in import EVENTS
+from soak.deployment import MODEL
+
+__all__ = ["Caller", "Outcome"]
+
+_ADAPTERS = 9
+_PROMISES = (408, 421, 429, 503)
+
+
+class Outcome(NamedTuple):
+    """One request: when it was sent, with which key, and its status (0: none)."""
+
+    request_id: str
+    sent_at: float
+    key: str
+    status: int
+    retryable: bool
+
+
+class Caller(threading.Thread):
+    """One caller of one node.
+
+    Parameters
+    ----------
+    name : str
+    front : tuple of (str, int)
+    seed : int
+    keys : callable
+        Returns a key to use.
+    since : float
+        Start of the run on the steady clock.
+    """
+
+    def __init__(self, name, front, seed, keys, since):
+        super().__init__(name=name, daemon=True)
+        self._front = front
+        self._rng = Random(seed)
+        self._keys = keys
+        self._since = since
+        self._connection = None
+        self.stopping = threading.Event()
+        self.outcomes = []
+        self.faults = []
+
+    def run(self):
+        """Send one request after the other."""
+        number = 0
+        while not self.stopping.is_set():
+            number += 1
+            status = self.call(f"{self.name}-{number}")
+            sleep(0.2 if status == 0 else self._rng.uniform(0.0, 0.05))
+
+    def call(self, request_id):
+        """Send one request, check its answer and return its status."""
+        key = self._keys()
+        route = self._rng.choice(("draft", "once"))
+        sent_at = monotonic() - self._since
+        try:
+            status = self._exchange(request_id, key, route)
+        except (OSError, HTTPException):
+            self._close()
+            status = 0
+        self.outcomes.append(
+            Outcome(request_id, sent_at, key, status, route == "draft")
+        )
+        return status
+
+    def _exchange(self, request_id, key, route):
+        if self._connection is None:
+            self._connection = HTTPConnection(*self._front, timeout=9)
+        adapter = f"a{min(self._rng.randrange(_ADAPTERS), self._rng.randrange(9))}"
+        headers = {
+            "Host": "h.example",
+            "Authorization": f"Bearer {key}",
+            "X-Hibiscusspar-Request-Id": request_id,
+            "X-Hibiscusspar-Model": f"{MODEL}/{adapter}",
+            "X-Hibiscusspar-Token-Count": "100,10",
+            "X-Hibiscusspar-Deadline-Ms": "6000",
+        }
+        self._connection.request("POST", f"/{route}/x", body=b"{}", headers=headers)
+        response = self._connection.getresponse()
+        body = response.read()
+        if response.status == 200:
+            self._check(request_id, response, body)
+        if response.will_close:
+            self._close()
+        return response.status
+
+    def _check(self, request_id, response, body):
+        wanted = [f"id: {n}\ndata: {request_id}" for n in range(1, EVENTS + 1)]
+        if body.decode().strip().split("\n\n") != wanted:
+            self.faults.append(f"{request_id}: a whole answer reads {body!r}")
+        if response.headers.get("X-Hibiscusspar-Response-Seal") != "seal":
+            self.faults.append(f"{request_id}: an answer without its seal")
+
+    def _close(self):
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
+
+def promised_not_run(outcome):
+    """Whether a status promises that the request has not run."""
+    return outcome.status in _PROMISES
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,171 @@
+"""Node processes before stand-ins of store and engines, all through faulty proxies."""
+
+import os
+import signal
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
+from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
+from soak.proxy import FaultyProxy
+
+__all__ = ["LEASE_S", "MODEL", "Deployment", "config"]
+
+MODEL = "base"
+LEASE_S = 1.0
+PLACES = 3
+_STOP_S = 12.0
+_RESTART_S = 0.2
+_FIRST_HOST = 10
+
+
+def config(version, keys):
+    """Return a configuration whose one account has some keys."""
+    route = {
+        "host": "h.example",
+        "timeoutMs": 6000,
+        "targetLatencyMs": 2000,
+        "priority": 1,
+        "service": "draft",
+    }
+    engine = {
+        "slots": 16,
+        "kvCapacityTokens": 100_000,
+        "adapterSlots": PLACES,
+        "weightsMb": 17_000,
+        "loadsPerS": 3,
+        "models": [{"name": MODEL, "weightsMb": 16_000, "loadS": 0.2}],
+    }
+    draft = {"name": "draft", "pathPrefix": "/draft/", "kind": "streaming"}
+    once = {"name": "once", "pathPrefix": "/once/", "kind": "streaming"}
+    account = {"unit": "tokens", "ratePerS": 1_000_000, "burst": 1_000_000}
+    return {
+        "version": version,
+        "routes": [
+            {**route, **draft, "maxAttempts": 2, "resumable": True},
+            {**route, **once, "maxAttempts": 1},
+        ],
+        "services": [{"name": "draft", "engine": engine}],
+        "tenants": [{"name": "acme", "apiKeys": sorted(keys), **account}],
+    }
+
+
+class Node:
+    """One node process and its way to the store."""
+
+    def __init__(self, number, seed, store, folder):
+        self.number = number
+        self.proxy = FaultyProxy(store.address)
+        self.process = None
+        self.held_down = False
+        ip = f"127.0.{seed % 200 + 1}.{_FIRST_HOST + number}"
+        self.front = (ip, 18_000)
+        self._log = open(folder / f"node{number}.log", "ab")  # noqa: SIM115
+        self._settings = folder / f"node{number}.conf"
+        fields = {
+            "node": f"n{number}",
+            "ip": ip,
+            "zone": f"z{number % 2}",
+            "zones.z0": "r",
+            "zones.z1": "r",
+            "listen.front": f"{ip}:18000",
+            "listen.ready": f"{ip}:18001",
+            "internalPorts": "18002,18010",
+            "platform.address": self.proxy.address,
+            "bounds.strictRevoke": "true",
+            "bounds.revokeMs": "5000",
+            "bounds.leaseMs": str(int(LEASE_S * 1000)),
+        }
+        lines = [f"{name}={value}" for name, value in fields.items()]
+        self._settings.write_text("\n".join(lines) + "\n")
+
+    def start(self):
+        """Start the process if it does not run and is not held down."""
+        if self.held_down:
+            return
+        if self.process is not None and self.process.poll() is None:
+            return
+        self.process = subprocess.Popen(
+            [sys.executable, "-P", "-m", "hibiscusspar_platform"],
+            env={**os.environ, "HIBISCUSSPAR_CONFIG": str(self._settings)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def send(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def stop(self):
+        """End the process and close its files."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            self.process.wait(_STOP_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+        self.proxy.close()
+        self._log.close()
+
+
+class Deployment:
+    """Three nodes, two engines and a store of one seed.
+
+    Parameters
+    ----------
+    seed : int
+    logs : str or None
+        Folder for the logs of the nodes; a temporary one if not given.
+    """
+
+    def __init__(self, seed, logs=None):
+        self._temporary = TemporaryDirectory()
+        folder = Path(logs or self._temporary.name) / f"seed{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        self.store = StoreStandIn()
+        self.engines = [
+            EngineStandIn("127.0.0.1", f"t{i}", MODEL, PLACES, zone=f"z{i}")
+            for i in (0, 1)
+        ]
+        self.engine_proxies = [FaultyProxy(e.address) for e in self.engines]
+        self.store.put("config", "main", config(1, {"k0"}))
+        for engine, proxy in zip(self.engines, self.engine_proxies, strict=True):
+            entry = {**engine.entry(), "address": proxy.address}
+            self.store.put("servers", engine.target_id, entry)
+        self.nodes = [Node(n, seed, self.store, folder) for n in range(3)]
+        self._stopping = threading.Event()
+        self._supervisor = threading.Thread(target=self._supervise, daemon=True)
+        self._supervisor.start()
+
+    def _supervise(self):
+        """Start again what has ended, as the platform does."""
+        while not self._stopping.wait(_RESTART_S):
+            for node in self.nodes:
+                node.start()
+
+    def heal(self):
+        """End all faults and start what was killed."""
+        self.store.fail_with = None
+        for proxy in (*self.engine_proxies, *(n.proxy for n in self.nodes)):
+            proxy.heal()
+        for node in self.nodes:
+            node.held_down = False
+            node.send(signal.SIGCONT)
+
+    def stop(self):
+        """End everything that was started."""
+        self.heal()
+        self._stopping.set()
+        self._supervisor.join()
+        for node in self.nodes:
+            node.stop()
+        for proxy in self.engine_proxies:
+            proxy.close()
+        for part in (*self.engines, self.store):
+            part.stop()
+        self._temporary.cleanup()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,116 @@
+"""Faults drawn by a seed, in series and overlapping."""
+
+import signal
+from typing import NamedTuple
+
+from soak.deployment import config
+
+__all__ = ["FaultPlan", "Undo"]
+
+_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
+
+
+class Undo(NamedTuple):
+    """What ends a fault, and when, in seconds since the start."""
+
+    at: float
+    call: object
+
+
+class FaultPlan:
+    """Injects faults into a deployment.
+
+    ``withdrawn`` holds when each key was withdrawn.
+    """
+
+    def __init__(self, deployment, rng):
+        self._deployment = deployment
+        self._rng = rng
+        self._undos = []
+        self._version = 1
+        self.keys = {"k0"}
+        self.withdrawn = {}
+        self.log = []
+
+    def step(self, now):
+        """End what is due and begin one more fault."""
+        for undo in [u for u in self._undos if u.at <= now]:
+            undo.call()
+            self._undos.remove(undo)
+        kinds = (
+            self._signal,
+            self._signal,
+            self._store_link,
+            self._engine_link,
+            self._store,
+            self._configure,
+            self._mute_orders,
+        )
+        name = self._rng.choice(kinds)(now, self._rng.uniform(0.3, 3.0))
+        self.log.append(f"{now:.1f} {name}")
+
+    def _later(self, now, for_s, call):
+        self._undos.append(Undo(now + for_s, call))
+
+    def _signal(self, now, for_s):
+        node = self._rng.choice(self._deployment.nodes)
+        number = self._rng.choice(_SIGNALS)
+        node.send(number)
+        if number is signal.SIGSTOP:
+            self._later(now, for_s, lambda: node.send(signal.SIGCONT))
+        elif number is signal.SIGKILL:
+            node.held_down = True
+            self._later(now, for_s, lambda: setattr(node, "held_down", False))
+        return f"{number.name} to node {node.number}"
+
+    def _store_link(self, now, for_s):
+        node = self._rng.choice(self._deployment.nodes)
+        return f"store of node {node.number}: " + self._link(now, for_s, node.proxy)
+
+    def _engine_link(self, now, for_s):
+        proxies = self._deployment.engine_proxies
+        index = self._rng.randrange(len(proxies))
+        return f"engine {index}: " + self._link(now, for_s, proxies[index])
+
+    def _link(self, now, for_s, proxy):
+        kind = self._rng.choice(("delay", "reset", "to", "from", "both", "refuse"))
+        if kind == "delay":
+            proxy.delay_s = self._rng.uniform(0.01, 0.3)
+        elif kind == "reset":
+            proxy.reset_all()
+        elif kind == "refuse":
+            proxy.refuses = True
+            proxy.reset_all()
+        else:
+            ways = ("to", "from") if kind == "both" else (kind,)
+            proxy.silent = frozenset(ways)
+        self._later(now, for_s, proxy.heal)
+        return f"{kind} for {for_s:.1f} s"
+
+    def _store(self, now, for_s):
+        store = self._deployment.store
+        kind = self._rng.choice((503, 429, "compact"))
+        if kind == "compact":
+            store.compact()
+            return "store compacted"
+        store.fail_with = kind
+        self._later(now, for_s, lambda: setattr(store, "fail_with", None))
+        return f"store answers {kind} for {for_s:.1f} s"
+
+    def _configure(self, now, _for_s):
+        self._version += self._rng.randrange(1, 4)
+        spare = sorted(self.keys - {"k0"})
+        if spare and self._rng.random() < 0.5:
+            key = self._rng.choice(spare)
+            self.keys.discard(key)
+            self.withdrawn[key] = now
+        else:
+            self.keys.add(f"k{self._version}")
+        written = config(self._version, self.keys)
+        self._deployment.store.put("config", "main", written)
+        return f"configuration {self._version} with {sorted(self.keys)}"
+
+    def _mute_orders(self, _now, _for_s):
+        engine = self._rng.choice(self._deployment.engines)
+        engine.mute_orders = self._rng.randrange(1, 4)
+        return f"orders of {engine.target_id} unanswered"
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,6 +8,18 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+# Parts of the names of tests that take seconds each.
+SLOW = (
+    "hibiscusspar.limits.",
+    "hibiscusspar.membership.",
+    "hibiscusspar.placement.",
+    "hibiscusspar_ctl.",
+    "hibiscusspar_entry.tests.",
+    "hibiscusspar_platform.tests.test_fleet",
+    "hibiscusspar_platform.tests.test_whole_path",
+    "hibiscusspar_standins.",
+    "hibiscusspar_wire.",
+)
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -31,10 +43,22 @@
     return suite
 
 
+def quick(suite):
+    """Return the tests of a suite that start no server and explore no long model."""
+    found = unittest.TestSuite()
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            found.addTest(quick(test))
+        elif not any(part in test.id() for part in SLOW):
+            found.addTest(test)
+    return found
+
+
 def main(names):
     """Run the tests and return the exit code."""
     red = known_red()
-    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(load(names))
+    suite = quick(load([])) if names == ["--quick"] else load(names)
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
     bad = [test.id() for test, _ in result.failures + result.errors]
     for test_id in bad:
         if test_id in red:
