--- a/packages/hibiscusspar/hibiscusspar/fleet/fanout.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/fanout.py
@@ -26,13 +26,17 @@
     return max(_INTERVAL_S, nodes * _INTERVAL_A_NODE_S)
 
 
-def view_groups(nodes):
+def view_groups(nodes, zone_of):
     """Divide nodes into groups whose first member passes views on.
 
+    The nodes of a group are in one zone, so that a view crosses zones once a group.
+
     Parameters
     ----------
     nodes : list
         Those heard most lately first.
+    zone_of : callable
+        Returns the zone of a node.
 
     Returns
     -------
@@ -41,5 +45,12 @@
     """
     if len(nodes) <= DIRECT_NODES:
         return [[node] for node in nodes]
-    count = ceil(sqrt(len(nodes)))
-    return [nodes[index::count] for index in range(count)]
+    size = ceil(sqrt(len(nodes)))
+    zones = {}
+    for node in nodes:
+        zones.setdefault(zone_of(node), []).append(node)
+    groups = []
+    for members in zones.values():
+        count = ceil(len(members) / size)
+        groups += [members[index::count] for index in range(count)]
+    return groups
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -70,6 +70,7 @@
 
     node: str
     start: str
+    zone: str
     number: int
     loads: dict[str, TargetLoad]
     in_use: dict[str, list[str]]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -218,6 +218,7 @@
             return NodeReport(
                 node=self._node,
                 start=self._start,
+                zone=self.zone,
                 number=self._number,
                 loads=loads,
                 in_use={
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -24,6 +24,10 @@
 _PLAN_GAP_S = 0.004
 # Views that repeat a target's adapters after a change, against lost datagrams.
 _REPEATS = 3
+# Rows of the directory in a view while a node is new, so that it soon knows all and
+# leaves the store alone, and how long a node counts as new, in seconds.
+_ROWS_FOR_NEW_NODES = 8
+_NEW_NODE_S = 4.0
 _ORDER_THREADS = 8
 # Ages beyond this are told as this, in seconds.
 _MAX_AGE_S = 1e6
@@ -33,11 +37,12 @@
 
 
 class _Heard(NamedTuple):
-    """The last report of a node, when it came and where from."""
+    """The last report of a node, when it came, where from, and its first time."""
 
     report: object
     at: float
     address: tuple[str, int]
+    since: float
 
 
 class _Turns:
@@ -50,7 +55,7 @@
         self._shown = {}
         self._left = {}
 
-    def due(self, states, number):
+    def due(self, states, number, turns):
         """Return the names to show in the view of a number.
 
         Parameters
@@ -58,10 +63,12 @@
         states : dict of str to object
             What would be shown, by name.
         number : int
+        turns : int
+            Unchanged ones to show beside those that changed.
         """
         names = sorted(states)
-        if names:
-            self._left.setdefault(names[number % len(names)], 1)
+        for turn in range(min(turns, len(names))):
+            self._left.setdefault(names[(number * turns + turn) % len(names)], 1)
         for name, state in states.items():
             if self._shown.get(name) != state:
                 self._shown[name] = state
@@ -181,7 +188,9 @@
             known = self._heard.get(report.node)
             if known and _is_older(report, known.report):
                 return
-            self._heard[report.node] = _Heard(report, now, address)
+            same = known is not None and known.report.start == report.start
+            since = known.since if same else now
+            self._heard[report.node] = _Heard(report, now, address, since)
             self._levels.report(now, report.node, report.start, report.used)
             for target_id, labels in report.in_use.items():
                 self._planner.used(now, target_id, [_key(label) for label in labels])
@@ -234,7 +243,7 @@
         """Tell all nodes what is known."""
         with self._lock:
             view, rows = self._view()
-        for group in view_groups(rows):
+        for group in view_groups(rows, lambda row: row.report.zone):
             view.acked = {row.report.node: row.report.number for row in group}
             body = to_json(view)
             first, *others = [row.address for row in group]
@@ -282,12 +291,15 @@
         """Return what some targets hold: what changed lately, others by turns."""
         held = {t: row for t, row in self._planner.held.items() if row.known}
         numbers = {target_id: row.number for target_id, row in held.items()}
-        due = self._held_turns.due(numbers, self._number)
+        due = self._held_turns.due(numbers, self._number, 1)
         return {t: (held[t].number, _rows(now, held[t])) for t in due}
 
     def _rows_to_show(self):
         rows = {t: _target_row(target) for t, target in self._targets.items()}
-        due = self._row_turns.due(rows, self._number)
+        now = self._clock()
+        newest = max((row.since for row in self._heard.values()), default=0.0)
+        turns = _ROWS_FOR_NEW_NODES if now < newest + _NEW_NODE_S else 1
+        due = self._row_turns.due(rows, self._number, turns)
         return [rows[target_id] for target_id in due]
 
     def _engines(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -121,7 +121,16 @@
 CALL_ANSWERED = declare(
     631,
     "call.answered",
-    ("request", "target", "status", "first_byte_s", "seconds", "events", "late"),
+    (
+        "request",
+        "target",
+        "status",
+        "first_byte_s",
+        "seconds",
+        "events",
+        "longest_gap_s",
+        "late",
+    ),
     "A request got a target's whole answer.",
 )
 CALL_REFUSED = declare(
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -111,8 +111,16 @@
         self.splitter = None
         self.begun = False
         self.first_byte_at = None
+        self.event_at = None
+        self.longest_gap_s = 0.0
         self.target_id = ""
 
+    def note_event(self, now):
+        """Note when an event was passed on."""
+        if self.event_at is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.event_at)
+        self.event_at = now
+
     def caller_left(self):
         """End what is under way: the caller closed its connection."""
         self.left.set()
@@ -492,6 +500,7 @@
                 attempt.begun = True
                 inbound.begin(response.status, headers)
             inbound.write(events)
+            attempt.note_event(self._clock())
         if splitter.has_rest:
             raise CallFailedError("read", connection.address, "a part of an event")
         self._give_back(attempt, connection, response)
@@ -587,6 +596,7 @@
             "first_byte_s": round(first_s, 3),
             "seconds": round(self._clock() - admitted.arrived, 3),
             "events": attempt.splitter.count if attempt.splitter else 0,
+            "longest_gap_s": round(attempt.longest_gap_s, 3),
             "late": first_s > admitted.route.aim_s,
         }
         self._parts.metrics.answered.inc()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -10,9 +10,12 @@
 
 __all__ = ["RelayedState"]
 
-# Ages up to which views, and what their sender read, are relied on, in seconds.
+# Ages up to which views, and what their sender read, are relied on, in seconds. A
+# watch that ends without a change confirms what was true when it was sent, so ages
+# reach two waits and a pause while all is well.
 _MAX_VIEW_AGE_S = 0.6
-_MAX_READ_AGE_S = 1.6
+_MAX_CONFIG_AGE_S = 2.2
+_MAX_DIRECTORY_AGE_S = 3.0
 _KEPT_REPORTS = 128
 
 
@@ -74,7 +77,7 @@
         for label, (version, age_s) in view.versions.items():
             model, _, adapter = label.partition("/")
             self._announce((model, adapter), version, age_s)
-        if view.directory_age_s < _MAX_READ_AGE_S and None not in rows:
+        if view.directory_age_s < _MAX_DIRECTORY_AGE_S and None not in rows:
             self._targets.relayed(rows)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
@@ -89,7 +92,7 @@
         return (
             view is not None
             and ruleset is not None
-            and view.config_age_s < _MAX_READ_AGE_S
+            and view.config_age_s < _MAX_CONFIG_AGE_S
             and ruleset.version >= view.config_version
         )
 
@@ -98,7 +101,7 @@
         view = self._fresh_view()
         return (
             view is not None
-            and view.directory_age_s < _MAX_READ_AGE_S
+            and view.directory_age_s < _MAX_DIRECTORY_AGE_S
             and all(name in self._rows for name in view.directory)
         )
 
