--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/turns.py
@@ -0,0 +1,59 @@
+"""Who takes a free duty first.
+
+Load pattern: VMs of different sizes are stopped and started in turn. A duty goes to a
+large VM of its zone that has none yet and whose process started lately, because a
+rolling restart stops the older ones next.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["Applicant", "TurnPolicy", "patience_s"]
+
+
+class TurnPolicy(NamedTuple):
+    """Settings of turns; times in seconds.
+
+    An applicant waits ``small_s`` on a small VM, ``busy_s`` if it has a duty, ``away_s``
+    in another zone than the duty's, and ``age_share`` of its age up to ``old_s``. A VM is
+    small below ``cores`` or ``link_mbps``: the coordinator of a hundred nodes takes half
+    a core and sends and receives some Mbit/s.
+    """
+
+    small_s: float = 0.5
+    busy_s: float = 0.6
+    away_s: float = 1.0
+    age_share: float = 0.01
+    old_s: float = 0.4
+    cores: float = 1.0
+    link_mbps: float = 50.0
+
+
+class Applicant(NamedTuple):
+    """A process that could take a duty.
+
+    ``turn_s`` spreads equal ones, ``age_s`` is the time since its start.
+    """
+
+    turn_s: float
+    age_s: float
+    cores: float
+    link_mbps: float
+    is_busy: bool = False
+    is_away: bool = False
+
+
+def patience_s(applicant, policy=None):
+    """Return how long an applicant lets others go first, in seconds.
+
+    Parameters
+    ----------
+    applicant : Applicant
+    policy : TurnPolicy, optional
+    """
+    policy = policy or TurnPolicy()
+    is_small = applicant.cores < policy.cores or applicant.link_mbps < policy.link_mbps
+    wait_s = applicant.turn_s + min(policy.old_s, applicant.age_s * policy.age_share)
+    wait_s += policy.small_s if is_small else 0.0
+    wait_s += policy.busy_s if applicant.is_busy else 0.0
+    wait_s += policy.away_s if applicant.is_away else 0.0
+    return wait_s
