--- a/packages/hibiscusspar/hibiscusspar/fleet/turns.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/turns.py
@@ -13,10 +13,10 @@
 class TurnPolicy(NamedTuple):
     """Settings of turns; times in seconds.
 
-    An applicant waits ``small_s`` on a small VM, ``busy_s`` if it has a duty, ``away_s``
-    in another zone than the duty's, and ``age_share`` of its age up to ``old_s``. A VM is
-    small below ``cores`` or ``link_mbps``: the coordinator of a hundred nodes takes half
-    a core and sends and receives some Mbit/s.
+    An applicant waits ``small_s`` on a small VM, ``busy_s`` if it has a duty,
+    ``away_s`` in another zone than the duty's, and ``age_share`` of its age up to
+    ``old_s``. A VM is small below ``cores`` or ``link_mbps``: the coordinator of a
+    hundred nodes takes half a core and sends and receives some Mbit/s.
     """
 
     small_s: float = 0.5
