Split admission, log lines and the retry decision from the forwarder

Also mended: a request without a decision in time was answered 502 by an error inside the process; connections of targets that answered 5xx are kept.

--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -1,4 +1,4 @@
-"""The budget of repeated sends that all nodes share.
+"""Whether a failed attempt is made again, and the budget that all nodes share.
 
 Load pattern: targets that fail or refuse while traffic is high would otherwise
 get every request twice. Each node repeats at most its part of what the platform
@@ -6,8 +6,19 @@
 """
 
 from collections import deque
+from enum import Enum
+from typing import NamedTuple
 
-__all__ = ["RetryBudget", "RetryBudgets"]
+__all__ = [
+    "AttemptFailure",
+    "RetryBudget",
+    "RetryBudgets",
+    "RetryDecision",
+    "retry_decision",
+]
+
+# Bound on attempts at targets that can't be reached; each takes some milliseconds.
+MOST_UNREACHABLE = 6
 
 # Parts of the allowance that are used, so that windows that differ from those of
 # the platform stay within it.
@@ -15,6 +26,62 @@
 SLACK_SHARE = 0.6
 
 
+class AttemptFailure(NamedTuple):
+    """Why an attempt gave no answer.
+
+    ``step`` is ``"connect"`` if no byte of the request left. ``not_run`` is whether the
+    target surely did not run it, ``denied`` whether it does not hold what the request
+    needs, ``is_whole`` whether its answer was its own and can be read to the end.
+    """
+
+    step: str
+    reason: str
+    not_run: bool
+    denied: bool
+    is_whole: bool = False
+
+
+class RetryDecision(Enum):
+    """What follows a failed attempt."""
+
+    END = "end"
+    RETRY = "retry"
+    IF_BUDGET_ALLOWS = "if budget allows"
+
+
+def retry_decision(failure, idempotent, resumable, attempts, most_attempts, left_s):
+    """Decide what follows a failed attempt.
+
+    Load pattern: targets crash or refuse while many requests are under way. What
+    surely did not run may always go elsewhere; what may have run only if it may run
+    again, within the route's number of targets.
+
+    Parameters
+    ----------
+    failure : AttemptFailure
+    idempotent : bool
+        Whether the request may run more than once.
+    resumable : bool
+        Whether what the caller already has can be carried on.
+    attempts, most_attempts : int
+        Attempts made, and the most targets that may run the request.
+    left_s : float
+        Seconds until the request's end.
+
+    Returns
+    -------
+    RetryDecision
+    """
+    if left_s <= 0 or not resumable:
+        return RetryDecision.END
+    if failure.step == "connect":
+        # Nothing arrived, so it is no repeat for the budget.
+        return RetryDecision.RETRY if attempts < MOST_UNREACHABLE else RetryDecision.END
+    if failure.not_run or (idempotent and attempts < most_attempts):
+        return RetryDecision.IF_BUDGET_ALLOWS
+    return RetryDecision.END
+
+
 class RetryBudget:
     """Sends and repeats of one service in a sliding window.
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
@@ -2,7 +2,45 @@
 
 import unittest
 
-from hibiscusspar.fleet.retries import RetryBudget
+from hibiscusspar.fleet.retries import (
+    AttemptFailure,
+    RetryBudget,
+    RetryDecision,
+    retry_decision,
+)
+
+REFUSED_CONNECTION = AttemptFailure("connect", "refused", True, False)
+SHED = AttemptFailure("answer", "not run, status 503", True, False)
+RESET = AttemptFailure("wait", "reset", False, False)
+
+
+def decide(failure, idempotent=False, resumable=True, attempts=1, left_s=1.0):
+    return retry_decision(failure, idempotent, resumable, attempts, 2, left_s)
+
+
+class TestRetryDecision(unittest.TestCase):
+    def test_request_that_did_not_run_goes_elsewhere_within_the_budget(self):
+        self.assertEqual(decide(SHED), RetryDecision.IF_BUDGET_ALLOWS)
+
+    def test_request_that_may_have_run_and_may_not_run_again_ends(self):
+        self.assertEqual(decide(RESET), RetryDecision.END)
+
+    def test_idempotent_request_runs_at_no_more_targets_than_its_route_allows(self):
+        first = decide(RESET, idempotent=True)
+        second = decide(RESET, idempotent=True, attempts=2)
+        self.assertEqual(first, RetryDecision.IF_BUDGET_ALLOWS)
+        self.assertEqual(second, RetryDecision.END)
+
+    def test_target_that_is_down_costs_no_budget(self):
+        self.assertEqual(decide(REFUSED_CONNECTION), RetryDecision.RETRY)
+        self.assertEqual(decide(REFUSED_CONNECTION, attempts=6), RetryDecision.END)
+
+    def test_begun_stream_that_can_not_go_on_ends(self):
+        found = decide(RESET, idempotent=True, resumable=False)
+        self.assertEqual(found, RetryDecision.END)
+
+    def test_nothing_is_tried_after_the_end_of_the_request(self):
+        self.assertEqual(decide(SHED, left_s=0.0), RetryDecision.END)
 
 
 class TestRetryBudget(unittest.TestCase):
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -0,0 +1,169 @@
+"""What a request asks for, and whether its account may have it."""
+
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from hibiscusspar.fleet.rules import RouteRule, find_route, route_service
+from hibiscusspar.limits.keys import digest_key
+from hibiscusspar_entry.fleet.refusal import RefusedError
+
+__all__ = ["Admission", "AdmissionPolicy", "Admitted"]
+
+_HASH_RANGE = float(2**64)
+
+
+class AdmissionPolicy(NamedTuple):
+    """Settings of admission; times in seconds.
+
+    ``answer_margin_s`` is kept of a request's time for the way back.
+    ``starting_retry_s`` is told to callers while the configuration is missing or may
+    be outdated.
+    """
+
+    answer_margin_s: float = 0.05
+    starting_retry_s: float = 0.5
+
+
+class Admitted(NamedTuple):
+    """A request that may run."""
+
+    call: object
+    head: object
+    body: bytes
+    route: RouteRule
+    service: str
+    is_engine: bool
+    event_steps: int
+    rule: object
+    account: str
+    key_digest: str
+    cost: float
+    prompt_tokens: int
+    priority: int
+    fraction: float
+    arrived: float
+    first_arrived: float
+    ends_at: float
+    version: int
+
+
+class Admission:
+    """Checks requests against the configuration in force.
+
+    Parameters
+    ----------
+    config : ConfigSync
+    dialect : Dialect
+    key_age_limit_s : float
+        Age of the configuration from which keys are not trusted; 0 for none.
+    policy : AdmissionPolicy, optional
+    """
+
+    def __init__(self, config, dialect, key_age_limit_s, policy=None):
+        self._config = config
+        self._dialect = dialect
+        self._key_age_limit_s = key_age_limit_s
+        self._policy = policy or AdmissionPolicy()
+
+    def admit(self, inbound, arrived):
+        """Return what a request asks for.
+
+        Raises
+        ------
+        RefusedError, BadRequestError
+            If it may not run; it did not.
+        """
+        policy = self._policy
+        ruleset = self._config.ruleset
+        if ruleset is None:
+            raise RefusedError(503, "no configuration yet", policy.starting_retry_s)
+        body = inbound.read_body(ruleset.max_body_bytes)
+        head = inbound.head
+        try:
+            call = self._dialect.call_head(head)
+        except ValueError as error:
+            raise RefusedError(400, f"malformed header: {error}") from error
+        if not call.request_id:
+            raise RefusedError(400, "the request has no id")
+        route = find_route(ruleset, call.host, call.path)
+        if route is None:
+            raise RefusedError(404, "no route")
+        account, digest = self._account(ruleset, route, call)
+        fraction = xxh3_64_intdigest(call.request_id.encode()) / _HASH_RANGE
+        service = route_service(route, fraction)
+        rule = ruleset.services.get(service)
+        if rule is None:
+            raise RefusedError(503, "no such service", policy.starting_retry_s)
+        account_rule = ruleset.accounts.get(account)
+        tokens = call.tokens or (0, 0)
+        timeout_s = route.timeout_s
+        if call.deadline_s is not None:
+            timeout_s = min(timeout_s, call.deadline_s)
+        priority = route.priority
+        if account_rule is not None and account_rule.priority is not None:
+            priority = account_rule.priority
+        return Admitted(
+            call=call,
+            head=head,
+            body=body,
+            route=route,
+            service=service,
+            is_engine=rule.engine is not None,
+            event_steps=rule.engine.event_steps if rule.engine else 1,
+            rule=account_rule,
+            account=account,
+            key_digest=digest,
+            cost=_cost(account_rule, call),
+            prompt_tokens=tokens[0],
+            priority=priority,
+            fraction=fraction,
+            arrived=arrived,
+            first_arrived=_first_arrival(arrived, route, call),
+            ends_at=arrived + timeout_s - policy.answer_margin_s,
+            version=ruleset.version,
+        )
+
+    def _account(self, ruleset, route, call):
+        """Return the account of a request and the digest of its key."""
+        if route.public or not ruleset.keys:
+            return "", ""
+        self._check_freshness()
+        digest = digest_key(call.key)
+        account = ruleset.keys.get(digest) if call.key else None
+        if account is None:
+            raise RefusedError(401, "unknown key")
+        return account, digest
+
+    def _check_freshness(self):
+        """Refuse keys while their withdrawal could not have been noticed."""
+        limit_s = self._key_age_limit_s
+        if limit_s and self._config.age_s > limit_s:
+            raise RefusedError(
+                503, "the configuration may be outdated", self._policy.starting_retry_s
+            )
+
+    def check_again(self, admitted):
+        """Refuse a request whose key was withdrawn while it waited."""
+        if not admitted.key_digest:
+            return
+        self._check_freshness()
+        keys = self._config.ruleset.keys
+        if keys.get(admitted.key_digest) != admitted.account:
+            raise RefusedError(401, "the key was withdrawn")
+
+
+def _first_arrival(arrived, route, call):
+    """Return when a caller first sent a request that it may have sent before.
+
+    A caller that comes back tells what is left of the time that it had.
+    """
+    if route.kind != "stream" or call.deadline_s is None:
+        return arrived
+    return arrived - max(0.0, route.timeout_s - call.deadline_s)
+
+
+def _cost(rule, call):
+    if rule is None or not rule.counts_tokens:
+        return 1.0
+    return float(sum(call.tokens)) if call.tokens else float(rule.plain_tokens)
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -0,0 +1,113 @@
+"""One log line and one count for each decision about a request."""
+
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import (
+    CALL_ANSWERED,
+    CALL_BROKEN,
+    CALL_FAILED_AT_TARGET,
+    CALL_REFUSED,
+    CALL_SENT,
+)
+
+__all__ = ["CallLog"]
+
+# Reasons may end with an address or an error; the label keeps their beginning.
+_REASON_LABEL_CHARS = 40
+
+
+class CallLog:
+    """Writes the lines 630 to 634.
+
+    Parameters
+    ----------
+    clock : callable
+    board : Board
+        For the age of the shared counts.
+    metrics : FleetMetrics
+    """
+
+    def __init__(self, clock, board, metrics):
+        self._clock = clock
+        self._board = board
+        self._metrics = metrics
+
+    def refused(self, admitted, error, arrived):
+        """Log a refusal; the request has not run."""
+        reason = error.reason[:_REASON_LABEL_CHARS]
+        self._metrics.refused.labels(str(error.status), reason).inc()
+        fields = {
+            "request": admitted.call.request_id if admitted else "",
+            "account": admitted.account if admitted else "",
+            "route": admitted.route.name if admitted else "",
+            "status": error.status,
+            "reason": error.reason,
+            "waited_s": round(self._clock() - arrived, 3),
+            "retry_after_s": error.retry_after_s,
+            "view_age_s": _rounded(self._board.view_age_s),
+            "version": admitted.version if admitted else 0,
+        }
+        write_records([(CALL_REFUSED, fields)])
+
+    def sent(self, admitted, attempt, placement):
+        """Log that a request goes to a target."""
+        fields = {
+            "request": admitted.call.request_id,
+            "account": admitted.account,
+            "route": admitted.route.name,
+            "target": placement.target.target_id,
+            "attempt": attempt.number,
+            "adapter": admitted.call.adapter,
+            "waited_s": round(self._clock() - admitted.arrived, 3),
+            "estimate_s": round(placement.estimate_s, 3),
+            "view_age_s": _rounded(self._board.view_age_s),
+            "version": admitted.version,
+        }
+        write_records([(CALL_SENT, fields)])
+
+    def answered(self, admitted, attempt, status):
+        """Log a target's whole answer."""
+        first_s = attempt.first_byte_at - admitted.arrived
+        fields = {
+            "request": admitted.call.request_id,
+            "target": attempt.target_id,
+            "status": status,
+            "first_byte_s": round(first_s, 3),
+            "seconds": round(self._clock() - admitted.arrived, 3),
+            "events": attempt.splitter.count if attempt.splitter else 0,
+            "longest_gap_s": round(attempt.longest_gap_s, 3),
+            "late": first_s > admitted.route.aim_s,
+        }
+        self._metrics.answered.inc()
+        write_records([(CALL_ANSWERED, fields)])
+
+    def failed(self, admitted, attempt, failure, next_step):
+        """Log a failed attempt and what comes next."""
+        fields = {
+            "request": admitted.call.request_id,
+            "target": attempt.target_id,
+            "attempt": attempt.number,
+            "step": failure.step,
+            "reason": failure.reason,
+            "not_run": failure.not_run,
+            "next": next_step,
+        }
+        write_records([(CALL_FAILED_AT_TARGET, fields)])
+
+    def broken(self, admitted, attempt, status, reason):
+        """Log a request without a whole answer, which may have run."""
+        self._metrics.broken.inc()
+        arrived = admitted.arrived if admitted else self._clock()
+        fields = {
+            "request": admitted.call.request_id if admitted else "",
+            "account": admitted.account if admitted else "",
+            "target": attempt.target_id,
+            "status": status,
+            "reason": reason,
+            "events": attempt.splitter.count if attempt.splitter else 0,
+            "seconds": round(self._clock() - arrived, 3),
+        }
+        write_records([(CALL_BROKEN, fields)])
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -4,20 +4,11 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from hibiscusspar.fleet.quota import Granted, Over
-from hibiscusspar.fleet.rules import RouteRule, find_route, route_service
+from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
 from hibiscusspar.fleet.waiting import Job, Refuse
-from hibiscusspar.limits.keys import digest_key
-from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import (
-    CALL_ANSWERED,
-    CALL_BROKEN,
-    CALL_FAILED_AT_TARGET,
-    CALL_REFUSED,
-    CALL_SENT,
-)
+from hibiscusspar_entry.fleet.call_admission import Admission
+from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.refusal import (
     CallerLeftError,
     FailedError,
@@ -34,69 +25,40 @@
 # Longest wait for the rest of a refusal, in seconds: it is short and comes whole.
 _REFUSAL_READ_S = 0.2
 _ANY_BODY = 2**62
-_HASH_RANGE = float(2**64)
 
 
 class ForwardPolicy(NamedTuple):
     """Settings of the data path; times in seconds.
 
-    ``answer_margin_s`` is kept of a request's time for the way back.
     ``wait_aims`` times the aim is how long a generation waits for a place;
     ``plain_wait_aims`` is the same for plain calls. ``unsafe_idle_s`` is the
     longest idle time of a connection that a request uses which can't be repeated.
     ``quota_wait_s`` is the longest wait for a view that shows tokens;
     ``quota_spread_s`` spreads those refused for a limit.
-    ``starting_retry_s`` is told to callers before the first configuration,
-    ``failed_retry_s`` after targets that did not run the request. ``most_attempts``
-    bounds attempts at targets that can't be reached. What may be repeated is taken
-    from a target that is silent for ``first_event_silence_s`` before a stream, for
-    ``stream_silence_s`` in it (callers leave after two seconds), or for
-    ``plain_silence_share`` of the time left of a plain call. After
+    ``failed_retry_s`` is told to callers after targets that did not run the request.
+    What may be repeated is taken from a target that is silent for
+    ``first_event_silence_s`` before a stream, for ``stream_silence_s`` in it (callers
+    leave after two seconds), or for ``plain_silence_share`` of the time left of a plain
+    call. After
     ``leave_s`` of a graceful stop no request is taken, because the platform sends
     none and what still comes could not be ended; it exceeds two missed questions
     for readiness and the rest of the platform's three seconds is kept.
     """
 
-    answer_margin_s: float = 0.05
     wait_aims: float = 1.5
     plain_wait_aims: float = 0.6
     unsafe_idle_s: float = 2.0
     safe_idle_s: float = 10.0
     quota_wait_s: float = 0.3
     quota_spread_s: float = 0.5
-    starting_retry_s: float = 0.5
     draining_retry_s: float = 0.05
     failed_retry_s: float = 0.3
-    most_attempts: int = 6
     stream_silence_s: float = 1.2
     first_event_silence_s: float = 2.0
     plain_silence_share: float = 0.5
     leave_s: float = 2.6
 
 
-class _Admitted(NamedTuple):
-    """A request that may run."""
-
-    call: object
-    head: object
-    body: bytes
-    route: RouteRule
-    service: str
-    is_engine: bool
-    event_steps: int
-    rule: object
-    account: str
-    key_digest: str
-    cost: float
-    prompt_tokens: int
-    priority: int
-    fraction: float
-    arrived: float
-    first_arrived: float
-    ends_at: float
-    version: int
-
-
 class _Attempt:
     """State of one request over its attempts."""
 
@@ -145,6 +107,8 @@
         self._parts = parts
         self._policy = policy or ForwardPolicy()
         self._clock = parts.clock
+        self._admission = Admission(parts.config, parts.dialect, parts.key_age_limit_s)
+        self._log = CallLog(parts.clock, parts.board, parts.metrics)
         self._open = set()
         self._lock = threading.Lock()
         self.draining_since = None
@@ -169,7 +133,8 @@
         handle = watch.add(inbound.socket, attempt.caller_left)
         admitted = None
         try:
-            admitted = self._admit(inbound, arrived)
+            self._refuse_if_left(inbound, arrived)
+            admitted = self._admission.admit(inbound, arrived)
             self._run(inbound, admitted, attempt)
         except RefusedError as error:
             if attempt.may_have_run:
@@ -186,7 +151,7 @@
             self._fail(inbound, admitted, attempt, error)
         except (CallerLeftError, CallerGoneError) as error:
             inbound.abort()
-            self._log_broken(admitted, attempt, 0, f"caller left: {error!r}")
+            self._log.broken(admitted, attempt, 0, f"caller left: {error!r}")
         except Exception as error:  # noqa: BLE001
             # Whatever went wrong, nothing is promised about the run.
             failure = FailedError(502, f"internal: {error!r}")
@@ -198,78 +163,11 @@
             if self.draining_since is not None:
                 inbound.close_after()
 
-    def _admit(self, inbound, arrived):
-        parts, policy = self._parts, self._policy
+    def _refuse_if_left(self, inbound, arrived):
         if self.has_left(arrived):
             inbound.read_body(_ANY_BODY)
-            raise RefusedError(503, "this VM has left", policy.draining_retry_s)
-        ruleset = parts.config.ruleset
-        if ruleset is None:
-            raise RefusedError(503, "no configuration yet", policy.starting_retry_s)
-        body = inbound.read_body(ruleset.max_body_bytes)
-        head = inbound.head
-        try:
-            call = parts.dialect.call_head(head)
-        except ValueError as error:
-            raise RefusedError(400, f"malformed header: {error}") from error
-        if not call.request_id:
-            raise RefusedError(400, "the request has no id")
-        route = find_route(ruleset, call.host, call.path)
-        if route is None:
-            raise RefusedError(404, "no route")
-        account, digest = self._account(ruleset, route, call)
-        fraction = xxh3_64_intdigest(call.request_id.encode()) / _HASH_RANGE
-        service = route_service(route, fraction)
-        rule = ruleset.services.get(service)
-        if rule is None:
-            raise RefusedError(503, "no such service", policy.starting_retry_s)
-        account_rule = ruleset.accounts.get(account)
-        tokens = call.tokens or (0, 0)
-        timeout_s = route.timeout_s
-        if call.deadline_s is not None:
-            timeout_s = min(timeout_s, call.deadline_s)
-        priority = route.priority
-        if account_rule is not None and account_rule.priority is not None:
-            priority = account_rule.priority
-        return _Admitted(
-            call=call,
-            head=head,
-            body=body,
-            route=route,
-            service=service,
-            is_engine=rule.engine is not None,
-            event_steps=rule.engine.event_steps if rule.engine else 1,
-            rule=account_rule,
-            account=account,
-            key_digest=digest,
-            cost=_cost(account_rule, call),
-            prompt_tokens=tokens[0],
-            priority=priority,
-            fraction=fraction,
-            arrived=arrived,
-            first_arrived=_first_arrival(arrived, route, call),
-            ends_at=arrived + timeout_s - policy.answer_margin_s,
-            version=ruleset.version,
-        )
-
-    def _account(self, ruleset, route, call):
-        """Return the account of a request and the digest of its key."""
-        if route.public or not ruleset.keys:
-            return "", ""
-        self._check_freshness()
-        digest = digest_key(call.key)
-        account = ruleset.keys.get(digest) if call.key else None
-        if account is None:
-            raise RefusedError(401, "unknown key")
-        return account, digest
-
-    def _check_freshness(self):
-        """Refuse keys while their withdrawal could not have been noticed."""
-        parts = self._parts
-        if parts.key_age_limit_s and parts.config.age_s > parts.key_age_limit_s:
-            raise RefusedError(
-                503, "the configuration may be outdated", self._policy.starting_retry_s
-            )
+            reason = "this VM has left"
+            raise RefusedError(503, reason, self._policy.draining_retry_s)
 
     def _run(self, inbound, admitted, attempt):
         parts = self._parts
@@ -343,9 +241,7 @@
             attempt.ticket = None
             if attempt.left.is_set():
                 raise CallerLeftError
-            raise self._no_place(
-                admitted, attempt, "no decision", policy.starting_retry_s
-            )
+            raise RefusedError(503, "no decision", policy.failed_retry_s)
         attempt.ticket = None
         if isinstance(ticket.decision, Refuse):
             found = ticket.decision
@@ -357,7 +253,7 @@
         target_id = attempt.target_id = placement.target.target_id
         attempt.number += 1
         finished = False
-        self._log_sent(admitted, attempt, placement)
+        self._log.sent(admitted, attempt, placement)
         first = attempt.first_byte_at
         try:
             connection, response = self._send(admitted, attempt, placement)
@@ -377,7 +273,9 @@
             if attempt.left.is_set():
                 raise CallerLeftError from error
             self._parts.board.failed(target_id, error.step == "connect")
-            return _Failure(error.step, error.reason, error.step == "connect", False)
+            return AttemptFailure(
+                error.step, error.reason, error.step == "connect", False
+            )
         finally:
             connection, attempt.connection = attempt.connection, None
             self._parts.board.finish(placement, finished)
@@ -386,8 +284,8 @@
                 self._parts.metrics.first_byte.observe(seconds)
 
     def _end_refused(self, attempt, connection, response, failure):
-        """Keep the connection of a target that answered that it did not run."""
-        if not failure.not_run:
+        """Keep the connection of a target whose answer was its own but no success."""
+        if not failure.is_whole:
             connection.close()
             return
         try:
@@ -416,7 +314,7 @@
         if attempt.left.is_set():
             connection.close()
             raise CallerLeftError
-        self._check_before_send(admitted, attempt)
+        self._admission.check_again(admitted)
         left_s = admitted.ends_at - self._clock()
         last_event = attempt.splitter.last if attempt.splitter else None
         forwarding = Forwarding(
@@ -454,15 +352,6 @@
         route = admitted.route
         return route.idempotent and attempt.number < route.max_attempts
 
-    def _check_before_send(self, admitted, attempt):
-        """Refuse a request whose key was withdrawn while it waited."""
-        if not admitted.key_digest:
-            return
-        self._check_freshness()
-        keys = self._parts.config.ruleset.keys
-        if keys.get(admitted.key_digest) != admitted.account:
-            raise RefusedError(401, "the key was withdrawn")
-
     def _relay(self, inbound, admitted, attempt, connection, response):
         headers = self._parts.dialect.answer_headers(response.headers)
         if self.draining_since is not None:
@@ -481,7 +370,7 @@
             parts.append(data)
         self._give_back(attempt, connection, response)
         inbound.answer(response.status, headers, b"".join(parts))
-        self._log_answered(admitted, attempt, response.status)
+        self._log.answered(admitted, attempt, response.status)
 
     def _relay_stream(self, inbound, admitted, attempt, connection, response, headers):
         if attempt.splitter is None:
@@ -506,7 +395,7 @@
         self._give_back(attempt, connection, response)
         if not attempt.begun:
             inbound.begin(response.status, headers)
-        self._log_answered(admitted, attempt, response.status)
+        self._log.answered(admitted, attempt, response.status)
 
     def _give_back(self, attempt, connection, response):
         attempt.connection = None
@@ -520,22 +409,8 @@
         if not failure.not_run:
             attempt.may_have_run = True
         reason = f"{failure.step}: {failure.reason}"
-        route = admitted.route
-        allowed = failure.not_run or (
-            route.idempotent and attempt.number < route.max_attempts
-        )
-        if attempt.splitter is not None and attempt.begun and not route.resumable:
-            allowed = False
-        if now >= admitted.ends_at:
-            allowed = False
-        if allowed and failure.step == "connect":
-            # Nothing arrived, so it is no repeat for the budget.
-            allowed = attempt.number < self._policy.most_attempts
-        elif allowed:
-            allowed = self._parts.budgets.allow(
-                admitted.service, now, self._parts.board.nodes
-            )
-        self._log_failed(admitted, attempt, failure, "retry" if allowed else "end")
+        allowed = self._may_retry(admitted, attempt, failure, now)
+        self._log.failed(admitted, attempt, failure, "retry" if allowed else "end")
         if allowed:
             if not failure.denied:
                 attempt.excluded |= {attempt.target_id}
@@ -544,25 +419,28 @@
             raise FailedError(504 if now >= admitted.ends_at else 502, reason)
         raise RefusedError(503, reason, self._policy.failed_retry_s)
 
+    def _may_retry(self, admitted, attempt, failure, now):
+        route = admitted.route
+        decision = retry_decision(
+            failure,
+            idempotent=route.idempotent,
+            resumable=route.resumable or not attempt.begun,
+            attempts=attempt.number,
+            most_attempts=route.max_attempts,
+            left_s=admitted.ends_at - now,
+        )
+        if decision is not RetryDecision.IF_BUDGET_ALLOWS:
+            return decision is RetryDecision.RETRY
+        nodes = self._parts.board.nodes
+        return self._parts.budgets.allow(admitted.service, now, nodes)
+
     def _refuse(self, inbound, admitted, error, arrived):
-        self._parts.metrics.refused.labels(str(error.status), error.reason[:40]).inc()
         headers = error.headers()
         if self.draining_since is not None:
             headers.append(("Connection", "close"))
         with suppress(CallerGoneError):
             inbound.answer(error.status, headers, error.body())
-        fields = {
-            "request": admitted.call.request_id if admitted else "",
-            "account": admitted.account if admitted else "",
-            "route": admitted.route.name if admitted else "",
-            "status": error.status,
-            "reason": error.reason,
-            "waited_s": round(self._clock() - arrived, 3),
-            "retry_after_s": error.retry_after_s,
-            "view_age_s": _rounded(self._parts.board.view_age_s),
-            "version": admitted.version if admitted else 0,
-        }
-        write_records([(CALL_REFUSED, fields)])
+        self._log.refused(admitted, error, arrived)
 
     def _fail(self, inbound, admitted, attempt, error):
         if attempt.begun:
@@ -570,109 +448,23 @@
         else:
             with suppress(CallerGoneError):
                 inbound.answer(error.status, error.headers(), error.body())
-        self._log_broken(admitted, attempt, error.status, error.reason)
-
-    def _log_sent(self, admitted, attempt, placement):
-        fields = {
-            "request": admitted.call.request_id,
-            "account": admitted.account,
-            "route": admitted.route.name,
-            "target": placement.target.target_id,
-            "attempt": attempt.number,
-            "adapter": admitted.call.adapter,
-            "waited_s": round(self._clock() - admitted.arrived, 3),
-            "estimate_s": round(placement.estimate_s, 3),
-            "view_age_s": _rounded(self._parts.board.view_age_s),
-            "version": admitted.version,
-        }
-        write_records([(CALL_SENT, fields)])
-
-    def _log_answered(self, admitted, attempt, status):
-        first_s = attempt.first_byte_at - admitted.arrived
-        fields = {
-            "request": admitted.call.request_id,
-            "target": attempt.target_id,
-            "status": status,
-            "first_byte_s": round(first_s, 3),
-            "seconds": round(self._clock() - admitted.arrived, 3),
-            "events": attempt.splitter.count if attempt.splitter else 0,
-            "longest_gap_s": round(attempt.longest_gap_s, 3),
-            "late": first_s > admitted.route.aim_s,
-        }
-        self._parts.metrics.answered.inc()
-        write_records([(CALL_ANSWERED, fields)])
-
-    def _log_failed(self, admitted, attempt, failure, next_step):
-        fields = {
-            "request": admitted.call.request_id,
-            "target": attempt.target_id,
-            "attempt": attempt.number,
-            "step": failure.step,
-            "reason": failure.reason,
-            "not_run": failure.not_run,
-            "next": next_step,
-        }
-        write_records([(CALL_FAILED_AT_TARGET, fields)])
-
-    def _log_broken(self, admitted, attempt, status, reason):
-        self._parts.metrics.broken.inc()
-        arrived = admitted.arrived if admitted else self._clock()
-        fields = {
-            "request": admitted.call.request_id if admitted else "",
-            "account": admitted.account if admitted else "",
-            "target": attempt.target_id,
-            "status": status,
-            "reason": reason,
-            "events": attempt.splitter.count if attempt.splitter else 0,
-            "seconds": round(self._clock() - arrived, 3),
-        }
-        write_records([(CALL_BROKEN, fields)])
-
-
-class _Failure(NamedTuple):
-    """Why an attempt gave no answer.
-
-    ``denied`` is whether the target does not hold what the request needs.
-    """
-
-    step: str
-    reason: str
-    not_run: bool
-    denied: bool
+        self._log.broken(admitted, attempt, error.status, error.reason)
 
 
 def _head_failure(admitted, attempt, found, response):
     """Return why the head of an answer can't be passed on, or None."""
     if found.not_run:
         denied = response.status == 421
-        return _Failure("answer", f"not run, status {response.status}", True, denied)
+        reason = f"not run, status {response.status}"
+        return AttemptFailure("answer", reason, True, denied, is_whole=True)
     if found.request_id != admitted.call.request_id:
         reason = f"answer to request {found.request_id!r}"
-        return _Failure("answer", reason, False, False)
+        return AttemptFailure("answer", reason, False, False)
     is_stream = response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
     if attempt.begun and not (is_stream and response.status == 200):
         # The caller has the head of an answer; only its stream may go on.
-        return _Failure("answer", f"status {response.status}", False, False)
+        return AttemptFailure("answer", f"status {response.status}", False, False)
     if response.status >= 500 and admitted.route.idempotent:
-        return _Failure("answer", f"status {response.status}", False, False)
+        reason = f"status {response.status}"
+        return AttemptFailure("answer", reason, False, False, is_whole=True)
     return None
-
-
-def _first_arrival(arrived, route, call):
-    """Return when a caller first sent a request that it may have sent before.
-
-    A caller that comes back tells what is left of the time that it had.
-    """
-    if route.kind != "stream" or call.deadline_s is None:
-        return arrived
-    return arrived - max(0.0, route.timeout_s - call.deadline_s)
-
-
-def _cost(rule, call):
-    if rule is None or not rule.counts_tokens:
-        return 1.0
-    return float(sum(call.tokens)) if call.tokens else float(rule.plain_tokens)
-
-
-def _rounded(seconds):
-    return None if seconds is None else round(seconds, 3)
