--- a/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/node.py
@@ -97,15 +97,17 @@
     def stop(self):
         """Shut down gracefully.
 
-        New requests are refused, running ones end within the bound of the
-        settings, roles are handed over, a last tick tells the successors what the
-        roles leave to them, the ends of claimed requests are written to the
-        platform, then the ports close.
+        Balancers notice that the process is not ready, then new requests are
+        refused, running ones end within the bound of the settings, roles are
+        handed over, a last tick tells the successors what the roles leave to them,
+        the ends of claimed requests are written to the platform, then the ports
+        close.
         """
         parts = self._parts
         self._draining.set()
-        parts.gateway.close()
         write_records([(DRAINING, {"reason": "stop requested"})])
+        sleep(parts.settings.lame_duck_s)
+        parts.gateway.close()
         bound_s = parts.settings.shutdown_timeout_s
         self._wait(lambda: not len(parts.open_requests), bound_s)
         self._hand_over()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/settings.py
@@ -35,6 +35,7 @@
     silence_timeout_s: float
     queue_timeout_s: float
     token_wait_s: float
+    lame_duck_s: float
     shutdown_timeout_s: float
     max_body_bytes: int
     max_header_bytes: int
@@ -143,6 +144,9 @@
     SettingSpec("silence_timeout_s", _seconds, "10", "Longest silence of a target."),
     SettingSpec("queue_timeout_s", _seconds, "20", "Longest wait for a target."),
     SettingSpec("token_wait_s", _seconds, "1", "Longest wait for tokens of a limit."),
+    SettingSpec(
+        "lame_duck_s", _seconds, "0.5", "Requests are taken so long at a stop."
+    ),
     SettingSpec("shutdown_timeout_s", _seconds, "60", "Bound of a graceful stop."),
     SettingSpec("max_body_bytes", _bytes, "4194304", "Longest request body."),
     SettingSpec("max_header_bytes", _bytes, "32768", "Longest request header."),
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/deployment.py
@@ -82,6 +82,7 @@
             "platform": self.platform.address,
             "peer_secret": SECRET,
             "caller_threads": "24",
+            "lame_duck_s": "0.000001",
             "seed": "7",
             **{f"{port}_port": "0" for port in ("caller", "peer", "operator")},
             **raw,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_requests.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_requests.py
@@ -135,6 +135,17 @@
         self.key = self.deployment.issue("anwen", "anwen-1")
         self.node = add_node(self.deployment, 0)
 
+    def test_request_on_its_way_to_a_stopping_vm_is_answered(self):
+        node = self.deployment.add_node("vm-duck", lame_duck_s="3")
+        stopper = threading.Thread(target=node.stop)
+        stopper.start()
+        self.deployment.until(lambda: not node.ready())
+        answer = self.deployment.complete(node, self.key)
+        self.assertEqual(answer.status, 200)
+        answer.read()
+        stopper.join()
+        del self.deployment.nodes["vm-duck"]
+
     def test_running_stream_ends_whole_and_new_ones_are_refused(self):
         caller = self.open_stream(100)
         data = caller.recv(4096)
