--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
@@ -165,7 +165,7 @@
             node.read(self.now, *self.stored)
             return
         self.now += delay
-        found, revision = self.stored
+        _, revision = self.stored
         if action.revision != revision:
             node.failed(self.now)
             return
@@ -174,7 +174,6 @@
             node.written(sent_at, self.now, action.record, revision + 1)
         else:
             node.failed(self.now)
-        del found
 
     @rule(index=st.integers(0, 2))
     def orders_if_allowed(self, index):
