--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -5,20 +5,28 @@
 """
 
 import threading
+from typing import NamedTuple
 
 from hibiscusspar.fleet.targets import Target
 
-__all__ = ["RelayedState"]
+__all__ = ["AgeLimits", "RelayedState"]
 
-# Ages up to which views, and what their sender read, are relied on, in seconds. A
-# watch that ends without a change confirms what was true when it was sent, so ages
-# reach two waits and a pause while all is well.
+# Age up to which a view is relied on, in seconds: several intervals.
 _MAX_VIEW_AGE_S = 0.6
-_MAX_CONFIG_AGE_S = 2.2
-_MAX_DIRECTORY_AGE_S = 3.0
 _KEPT_REPORTS = 128
 
 
+class AgeLimits(NamedTuple):
+    """Ages up to which what the coordinator read is relied on, in seconds.
+
+    The coordinator may be cut off from the store while this node is not, and is
+    then bound by what it could have read itself: so they leave time for that.
+    """
+
+    config_s: float
+    directory_s: float
+
+
 class RelayedState:
     """The relayed part of one node's knowledge.
 
@@ -29,13 +37,15 @@
     targets : TargetSync
     announce : callable
         Called with an adapter's key, a version and its age in seconds.
+    limits : AgeLimits
     """
 
-    def __init__(self, clock, config, targets, announce):
+    def __init__(self, clock, config, targets, announce, limits):
         self._clock = clock
         self._config = config
         self._targets = targets
         self._announce = announce
+        self._limits = limits
         self._lock = threading.Lock()
         self._sent = {}
         self._rows = {}
@@ -43,6 +53,10 @@
         self._viewed_at = None
         self._is_source = False
 
+    @property
+    def _view_age_s(self):
+        return self._clock() - self._viewed_at
+
     def set_source(self, is_source):
         """Say whether this node is the one that reads the store for all."""
         self._is_source = is_source
@@ -77,7 +91,8 @@
         for label, (version, age_s) in view.versions.items():
             model, _, adapter = label.partition("/")
             self._announce((model, adapter), version, age_s)
-        if view.directory_age_s < _MAX_DIRECTORY_AGE_S and None not in rows:
+        age_s = view.directory_age_s + now - sent_at
+        if age_s < self._limits.directory_s and None not in rows:
             self._targets.relayed(rows)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
@@ -92,7 +107,7 @@
         return (
             view is not None
             and ruleset is not None
-            and view.config_age_s < _MAX_CONFIG_AGE_S
+            and view.config_age_s + self._view_age_s < self._limits.config_s
             and ruleset.version >= view.config_version
         )
 
@@ -101,7 +116,7 @@
         view = self._fresh_view()
         return (
             view is not None
-            and view.directory_age_s < _MAX_DIRECTORY_AGE_S
+            and view.directory_age_s + self._view_age_s < self._limits.directory_s
             and all(name in self._rows for name in view.directory)
         )
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -21,7 +21,7 @@
 
 _RETRY_S = 0.15
 # How often a watch that need not read looks whether that is still so, in seconds.
-_IDLE_S = 0.25
+_IDLE_S = 0.12
 
 
 class KindWatch:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed.py
@@ -4,7 +4,7 @@
 
 from hibiscusspar.fleet.messages import TargetRow
 from hibiscusspar.fleet.targets import TargetDirectory
-from hibiscusspar_entry.fleet.relayed import RelayedState
+from hibiscusspar_entry.fleet.relayed import AgeLimits, RelayedState
 from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
 from hibiscusspar_entry.fleet.tests.test_board import Clock, view
 
@@ -32,6 +32,7 @@
             self.config,
             targets,
             lambda *found: self.announced.append(found),
+            AgeLimits(config_s=1.4, directory_s=1.4),
         )
 
     def _publish(self, rows):
@@ -74,6 +75,16 @@
         self.assertFalse(self.relayed.config_is_told())
         self.assertFalse(self.relayed.directory_is_told())
 
+    def test_age_of_the_view_counts_with_what_it_tells(self):
+        self.take(sent_ago_s=0.3, config_age_s=1.2, directory_age_s=1.2)
+        self.assertFalse(self.relayed.config_is_told())
+        self.assertFalse(self.relayed.directory_is_told())
+        self.take(sent_ago_s=0.1, config_age_s=1.2, directory_age_s=1.2)
+        self.assertTrue(self.relayed.config_is_told())
+        self.clock.now += 0.15
+        self.assertFalse(self.relayed.config_is_told())
+        self.assertFalse(self.relayed.directory_is_told())
+
     def test_the_source_reads_the_store_itself(self):
         self.relayed.set_source(True)
         self.take()
