--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -15,6 +15,8 @@
     "TargetRow",
     "ViewRelay",
     "Want",
+    "adapter_key",
+    "adapter_label",
 ]
 
 
@@ -63,7 +65,7 @@
 
     ``in_use`` holds, for each target, the adapters of its running requests as
     ``model/adapter``. ``used`` counts the tokens that each account took since the
-    start of the process, ``faults`` the failures of each target since then.
+    start of the process.
     ``duties`` holds the zones whose duty this node has, with its fence and whether
     it may order already.
     """
@@ -76,7 +78,6 @@
     in_use: dict[str, list[str]]
     wants: list[Want]
     used: dict[str, float]
-    faults: dict[str, int]
     duties: dict[str, tuple[int, bool]]
 
 
@@ -145,3 +146,14 @@
 
     addresses: list[tuple[str, int]]
     view: Raw
+
+
+def adapter_label(key):
+    """Return the text that names a model and adapter in messages."""
+    return f"{key[0]}/{key[1]}"
+
+
+def adapter_key(label):
+    """Return the model and adapter that a text of a message names."""
+    model, _, adapter = label.partition("/")
+    return model, adapter
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -4,7 +4,13 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
-from hibiscusspar.fleet.messages import NodeReport, TargetLoad, Want
+from hibiscusspar.fleet.messages import (
+    NodeReport,
+    TargetLoad,
+    Want,
+    adapter_key,
+    adapter_label,
+)
 from hibiscusspar.fleet.routing import Candidate
 from hibiscusspar.fleet.waiting import Send, Wait, decide, job_order
 from hibiscusspar.outbox import Outbox
@@ -77,7 +83,6 @@
         self._waiting = []
         self._loads = {}
         self._in_use = {}
-        self._faults = Counter()
         self._residency = {}
         self._view = None
         self._viewed_at = None
@@ -133,7 +138,8 @@
                 if state > known:
                     self._residency[target_id] = (state, _copies(now, rows))
             self._drain(now)
-            return self._acked()
+            _, used = self._acked()
+            return used
 
     def submit(self, job):
         """Return the ticket of a request, decided or waiting."""
@@ -195,7 +201,6 @@
             out = Outbox()
             for _ in range(_UNREACHABLE_FAILURES if unreachable else 1):
                 self._ejection.failed(self._clock(), target_id, out)
-            self._faults[target_id] += 1
         write_records(out.records)
 
     def tick(self):
@@ -222,13 +227,12 @@
                 number=self._number,
                 loads=loads,
                 in_use={
-                    target_id: [_label(key) for key in keys if key[0]]
+                    target_id: [adapter_label(key) for key in keys if key[0]]
                     for target_id, keys in self._in_use.items()
                     if keys
                 },
                 wants=self._wants(),
                 used=dict(used),
-                faults=dict(self._faults),
                 duties=duties or {},
             )
 
@@ -242,11 +246,12 @@
         return self._loads.setdefault(target_id, TargetLoad(0, 0))
 
     def _acked(self):
+        """Return loads and tokens of the report that the last view answers."""
         number = self._view.acked.get(self._node, 0)
-        for sent, _, used in self._reports:
+        for sent, loads, used in self._reports:
             if sent == number:
-                return used
-        return {}
+                return loads, used
+        return {}, {}
 
     def _drain(self, now):
         if self._waiting:
@@ -322,11 +327,8 @@
 
     def _told(self, target_id):
         """Return this node's part in the loads of the last view."""
-        number = self._view.acked.get(self._node, 0)
-        for sent, loads, _ in self._reports:
-            if sent == number:
-                return loads.get(target_id) or TargetLoad(0, 0)
-        return TargetLoad(0, 0)
+        loads, _ = self._acked()
+        return loads.get(target_id) or TargetLoad(0, 0)
 
     def _version_at(self, now, target, key):
         """Return the version of what a job needs at a target, None if absent."""
@@ -386,10 +388,5 @@
 def _copies(now, rows):
     copies = {}
     for label, version, in_s in rows:
-        model, _, adapter = label.partition("/")
-        copies[model, adapter] = (version, now + in_s)
+        copies[adapter_key(label)] = (version, now + in_s)
     return copies
-
-
-def _label(key):
-    return f"{key[0]}/{key[1]}"
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -9,7 +9,14 @@
 from msgspec.json import encode as to_json
 
 from hibiscusspar.fleet.fanout import exchange_interval_s, view_groups
-from hibiscusspar.fleet.messages import FleetView, TargetLoad, TargetRow, ViewRelay
+from hibiscusspar.fleet.messages import (
+    FleetView,
+    TargetLoad,
+    TargetRow,
+    ViewRelay,
+    adapter_key,
+    adapter_label,
+)
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
@@ -161,10 +168,10 @@
         """Take in a new version of an adapter that was announced some time ago."""
         with self._lock:
             self._planner.announce(*key, version)
-            known, _ = self._announced.get(_label(key), (0, 0.0))
+            known, _ = self._announced.get(adapter_label(key), (0, 0.0))
             if version > known:
                 at = self._clock() - min(age_s, _MAX_AGE_S)
-                self._announced[_label(key)] = (version, at)
+                self._announced[adapter_label(key)] = (version, at)
 
     def take_over(self, levels):
         """Begin to coordinate, with the levels of the last view."""
@@ -193,7 +200,9 @@
             self._heard[report.node] = _Heard(report, now, address, since)
             self._levels.report(now, report.node, report.start, report.used)
             for target_id, labels in report.in_use.items():
-                self._planner.used(now, target_id, [_key(label) for label in labels])
+                self._planner.used(
+                    now, target_id, [adapter_key(label) for label in labels]
+                )
         if report.wants:
             self._work.set()
 
@@ -381,7 +390,7 @@
         in_use = {}
         for report in self._reports(now):
             for target_id, labels in report.in_use.items():
-                in_use.setdefault(target_id, set()).update(map(_key, labels))
+                in_use.setdefault(target_id, set()).update(map(adapter_key, labels))
         return in_use
 
     def _wants(self, now):
@@ -436,19 +445,10 @@
 
 def _rows(now, held):
     return [
-        (_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
+        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
         for key, copy in held.copies.items()
     ]
 
 
 def _is_older(report, known):
     return report.start == known.start and report.number <= known.number
-
-
-def _label(key):
-    return f"{key[0]}/{key[1]}"
-
-
-def _key(label):
-    model, _, adapter = label.partition("/")
-    return model, adapter
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -22,7 +22,8 @@
 _WANT_GAP_S = 0.004
 # A coordinator that was silent for this long may be gone.
 _COORDINATOR_SILENT_S = 0.5
-_READY_VIEW_S = 1.5
+# A coordinator that was silent for this long is logged as lost.
+_LOST_S = 1.5
 # Pause after a call of the store without an answer: far shorter than its outages.
 _STORE_PAUSE_S = 0.3
 _GRACE_MARGIN_S = 0.6
@@ -277,7 +278,7 @@
         if self._parts.election.leads:
             self._coordinator.tick()
         age_s = self._parts.board.view_age_s
-        if age_s is not None and age_s > _READY_VIEW_S and not self._lost_logged:
+        if age_s is not None and age_s > _LOST_S and not self._lost_logged:
             self._lost_logged = True
             record = self._parts.election.record
             fields = {
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -7,6 +7,7 @@
 import threading
 from typing import NamedTuple
 
+from hibiscusspar.fleet.messages import adapter_key
 from hibiscusspar.fleet.targets import Target
 
 __all__ = ["AgeLimits", "RelayedState"]
@@ -89,8 +90,7 @@
         if self._is_source or sent_at is None:
             return False
         for label, (version, age_s) in view.versions.items():
-            model, _, adapter = label.partition("/")
-            self._announce((model, adapter), version, age_s)
+            self._announce(adapter_key(label), version, age_s)
         age_s = view.directory_age_s + now - sent_at
         if age_s < self._limits.directory_s and None not in rows:
             self._targets.relayed(rows)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import Gateway, HeaderReader, HTTPServer
+from cheroot.server import Gateway, HTTPServer
 
 __all__ = [
     "BadRequestError",
@@ -163,15 +163,6 @@
         request.sent_headers = True
 
 
-class _AllHeaders(HeaderReader):
-    """Keeps the last value of a repeated header, as cheroot does, and no others."""
-
-    def _allow_header(self, key_name):
-        if not key_name or key_name != key_name.strip():
-            raise ValueError("malformed header name")
-        return True
-
-
 class FrontServer:
     """Server of the callers' port.
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -99,7 +99,6 @@
     def __init__(self, address, connect_timeout_s):
         host, _, port = address.rpartition(":")
         self.address = address
-        self.used = False
         self.idle_since = 0.0
         self.keep_s = _DEFAULT_KEEP_ALIVE_S
         self._cancelled = False
@@ -185,10 +184,6 @@
     def cancel(self):
         """End the call from another thread; its reads and writes fail at once."""
         self._cancelled = True
-        self.shut()
-
-    def shut(self):
-        """Shut the socket down without freeing it."""
         if self._sock is not None:
             with suppress(OSError):
                 self._sock.shutdown(SHUT_RDWR)
@@ -238,7 +233,6 @@
             if now <= connection.idle_since + max_idle_s and not connection.is_stale(
                 now
             ):
-                connection.used = True
                 return connection
             connection.close()
         connection = TargetConnection(address, self._connect_timeout_s)
