Let a coordinator without levels grant one step of the window

Cause: a coordinator that starts without levels (all processes restarted) told 0 tokens for its first eighth of a second, and nodes refused accounts below their limit with 429. The same happened to an account that the coordinator's configuration lacked yet: a node now takes its own share of the rate until a view tells the account.

--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -79,7 +79,11 @@
         return len(self._heard)
 
     def reset(self, now, levels):
-        """Start from the levels that the last view told; the others are empty."""
+        """Start from the levels that the last view told.
+
+        Accounts that no view told have one step of the window: what they took
+        before is unknown, and one step more is within the platform's slack.
+        """
         self._earlier = dict(levels)
         self._windows = {}
         self._buckets = {}
@@ -102,7 +106,7 @@
             if rule.rate <= 0:
                 continue
             allowed = rule.rate * self._window_s + rule.burst
-            taken = allowed - self._earlier.get(name, 0.0)
+            taken = allowed - self._earlier.get(name, allowed / _WINDOW_STEPS)
             window = self._windows.get(name)
             if window is None:
                 window = self._windows[name] = _Window(self._window_s, now, taken)
@@ -187,7 +191,7 @@
         self._policy = policy or QuotaPolicy()
         self._nodes = nodes
         self._levels = {}
-        self._viewed_at = None
+        self._told_at = {}
         self._started_at = now
         self._used = {}
         self._acked = {}
@@ -208,7 +212,7 @@
         self._nodes = max(1, nodes)
         self._levels = levels
         self._acked = acked_used
-        self._viewed_at = now
+        self._told_at.update(dict.fromkeys(levels, now))
 
     def take(self, now, rule, tokens):
         """Take the tokens of a request if the account has them.
@@ -223,7 +227,7 @@
         -------
         Granted, Later or Over
         """
-        heard = self._heard(now)
+        heard = self._heard(now, rule.name)
         if rule.rate <= 0:
             found = Granted()
         elif heard:
@@ -241,10 +245,9 @@
         """Count that a request did not run after all."""
         self._used[rule.name] = self._used.get(rule.name, 0.0) - tokens
 
-    def _heard(self, now):
-        return self._viewed_at is not None and (
-            now <= self._viewed_at + self._policy.stale_s
-        )
+    def _heard(self, now, account):
+        told_at = self._told_at.get(account)
+        return told_at is not None and now <= told_at + self._policy.stale_s
 
     def _ask_level(self, rule, tokens):
         level = self._levels.get(rule.name, 0.0)
@@ -262,7 +265,8 @@
 
     def _own_level(self, now, rule):
         rate = rule.rate / self._nodes
-        level, at = self._own.get(rule.name, (0.0, self._viewed_at or self._started_at))
+        since = self._told_at.get(rule.name, self._started_at)
+        level, at = self._own.get(rule.name, (0.0, since))
         cap = max(rate, rule.burst / self._nodes)
         level = min(cap, level + rate * max(0.0, now - at))
         self._own[rule.name] = (level, now)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
@@ -106,6 +106,29 @@
             found = levels.advance(tenths / 10, {"acme": RULE})
         self.assertEqual(found["acme"], BURST)
 
+    def test_coordinator_without_levels_grants_one_step_of_the_window_at_once(self):
+        # Load pattern: all processes restart and callers come back at once.
+        levels = AccountLevels(WINDOW_S)
+        levels.reset(50.0, {})
+        found = levels.advance(50.0, {"acme": RULE})
+        node = NodeQuota(9, 50.0)
+        node.view(50.0, 1, found, {})
+        self.assertIsInstance(node.take(50.0, RULE, COST), Granted)
+        self.assertLessEqual(found["acme"], (RATE * WINDOW_S + BURST) / 64)
+
+    def test_account_at_its_limit_gains_nothing_by_a_new_coordinator(self):
+        levels = AccountLevels(WINDOW_S)
+        levels.reset(50.0, {"acme": 0.0})
+        found = levels.advance(50.0, {"acme": RULE})
+        self.assertEqual(found["acme"], 0.0)
+
+    def test_account_that_no_view_tells_yet_has_its_share(self):
+        # Load pattern: a new account's callers arrive before the coordinator has read
+        # the configuration that adds it.
+        node = NodeQuota(9, 50.0)
+        node.view(55.0, 9, {"other": 5.0}, {})
+        self.assertIsInstance(node.take(55.0, RULE, COST), Granted)
+
     def test_tokens_given_back_count_no_more(self):
         levels = AccountLevels(WINDOW_S)
         levels.reset(0.0, {})
