Serve accounts at once after the loss of all processes

The coordinator now keeps the levels in its lease object, which is written anyway; a successor that heard no view starts from half of them. A node waits for its first view instead of refusing.

--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -11,11 +11,21 @@
 from collections import deque
 from typing import NamedTuple
 
-__all__ = ["AccountLevels", "Granted", "Later", "NodeQuota", "Over", "QuotaPolicy"]
+__all__ = [
+    "AccountLevels",
+    "Granted",
+    "Later",
+    "NodeQuota",
+    "Over",
+    "QuotaPolicy",
+    "unseen_levels",
+]
 
 
 # Shortest time to come back, in seconds: that of one view.
 _MIN_RETRY_S = 0.1
+# Part of a kept level that is believed: the rest may have been taken since it was kept.
+_UNSEEN_SHARE = 0.5
 # Steps of a window; what a step holds leaves the window at once.
 _WINDOW_STEPS = 64
 
@@ -175,6 +185,21 @@
         return sum(tokens for _, tokens in self._steps)
 
 
+def unseen_levels(kept):
+    """Return the levels to start from when all that is known is what was kept.
+
+    Load pattern: all processes are killed at once while callers go on. The levels
+    that the lease keeps are some tenths of a second old, and what nodes took since
+    is lost with them.
+
+    Parameters
+    ----------
+    kept : dict of str to float
+        Levels by account.
+    """
+    return {name: level * _UNSEEN_SHARE for name, level in kept.items() if level > 0}
+
+
 class NodeQuota:
     """One node's part in the limits.
 
@@ -261,6 +286,9 @@
         level, _ = self._own_level(now, rule)
         if level >= tokens:
             return Granted()
+        if not self._told_at and now <= self._started_at + self._policy.stale_s:
+            # The first view comes some tenths of a second after the start.
+            return Later()
         return Over(max(_MIN_RETRY_S, (tokens - level) / (rule.rate / self._nodes)))
 
     def _own_level(self, now, rule):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
@@ -5,7 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscusspar.fleet.quota import AccountLevels, Granted, Later, NodeQuota, Over
+from hibiscusspar.fleet.quota import (
+    AccountLevels,
+    Granted,
+    Later,
+    NodeQuota,
+    Over,
+    unseen_levels,
+)
 from hibiscusspar.fleet.rules import AccountRule
 
 RATE, BURST, COST = 33_000.0, 33_000.0, 1600.0
@@ -78,6 +85,54 @@
         self.assertLessEqual(fleet.most_in_a_window(), ALLOWED)
 
 
+class TestRestartOfAll(unittest.TestCase):
+    """Load pattern: all processes are killed at once while callers go on."""
+
+    def granted_after_restart(self, requests_before, requests_after, views=20):
+        fleet = Nodes(9)
+        for step in range(100):
+            for index in range(9):
+                fleet.offer(index, requests_before(step))
+            fleet.now += VIEW_S
+            fleet.exchange(range(9))
+            if step == 95:
+                kept = dict(fleet.nodes[0].levels)
+        fleet.now += 1.0
+        fleet.nodes = [NodeQuota(16, fleet.now) for _ in range(9)]
+        fleet.levels = AccountLevels(WINDOW_S)
+        fleet.levels.reset(fleet.now, unseen_levels(kept))
+        fleet.exchange(range(9))
+        begin = len(fleet.granted)
+        for _ in range(views):
+            for index in range(9):
+                fleet.offer(index, requests_after)
+            fleet.now += VIEW_S
+            fleet.exchange(range(9))
+        return fleet, sum(cost for _, cost in fleet.granted[begin:])
+
+    def test_account_below_its_rate_gets_more_than_its_rate_at_once(self):
+        _, served = self.granted_after_restart(lambda step: step % 6 == 0, 2, views=5)
+        self.assertGreater(served, RATE * 5 * VIEW_S * 2)
+
+    def test_node_waits_for_its_first_view_instead_of_refusing(self):
+        node = NodeQuota(16, 50.0)
+        self.assertIsInstance(node.take(50.2, RULE, COST), Later)
+        node.view(50.3, 9, {"acme": 5 * COST}, {})
+        self.assertIsInstance(node.take(50.3, RULE, COST), Granted)
+
+    def test_node_that_hears_no_view_refuses_beyond_its_share(self):
+        node = NodeQuota(16, 50.0)
+        self.assertIsInstance(node.take(51.2, RULE, 2 * RATE), Over)
+
+    def test_account_beyond_its_rate_stays_within_the_slack(self):
+        fleet, _ = self.granted_after_restart(lambda step: 3, 3)
+        self.assertLessEqual(fleet.most_in_a_window(), ALLOWED)
+
+    def test_account_that_was_idle_when_levels_were_kept_stays_within_the_slack(self):
+        fleet, _ = self.granted_after_restart(lambda step: 4 * (step > 95), 3)
+        self.assertLessEqual(fleet.most_in_a_window(), ALLOWED)
+
+
 class TestLevels(unittest.TestCase):
     def test_clump_waits_for_the_next_view_instead_of_being_refused(self):
         fleet = Nodes(9)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -131,6 +131,7 @@
         self._lock = threading.Lock()
         self._planner = AdapterPlanner()
         self._levels = AccountLevels(quota_window_s)
+        self._told_levels = {}
         self._heard = {}
         self._targets = {}
         self._ruleset = None
@@ -152,6 +153,11 @@
         self._work.set()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
+    @property
+    def levels(self):
+        """Levels of accounts as told by the last view."""
+        return self._told_levels
+
     def configure(self, ruleset):
         """Take in a configuration."""
         with self._lock:
@@ -265,6 +271,7 @@
         self._number += 1
         accounts = self._ruleset.accounts if self._ruleset else {}
         levels = self._levels.advance(now, accounts)
+        self._told_levels = {name: round(level, 1) for name, level in levels.items()}
         config_age_s, directory_age_s = self._ages()
         view = FleetView(
             node=self._node,
@@ -277,7 +284,7 @@
             acked={},
             loads=self._loads(now),
             residency=self._residency(now),
-            levels={name: round(level, 1) for name, level in levels.items()},
+            levels=self._told_levels,
             config_version=self._ruleset.version if self._ruleset else 0,
             config_age_s=min(config_age_s, _MAX_AGE_S),
             directory_age_s=min(directory_age_s, _MAX_AGE_S),
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -11,6 +11,8 @@
 __all__ = ["LeaseKeeper"]
 
 LEASE_KIND = "hibiscusspar-leases"
+# Field of a lease object beside its record: the levels of accounts at the renewal.
+_LEVELS = "levels"
 
 
 class LeaseKeeper:
@@ -25,16 +27,25 @@
     clock : callable
     is_heard : callable
         Whether the holder of the duty was heard of lately.
+    levels : callable, optional
+        Returns the levels of accounts to keep in the lease.
     """
 
-    def __init__(self, name, election, store, clock, is_heard):
+    def __init__(self, name, election, store, clock, is_heard, levels=dict):
         self._name = name
         self.election = election
         self._store = store
         self._clock = clock
         self._is_heard = is_heard
+        self._levels = levels
+        self._found_levels = {}
         self._logged = None
 
+    @property
+    def found_levels(self):
+        """Levels of accounts in the lease when another holder's was last read."""
+        return self._found_levels
+
     def step(self):
         """Make the call that is due, if one is; return whether the store answered."""
         action = self.election.action(self._clock(), self._is_heard())
@@ -67,7 +78,9 @@
             stored = self._store.get(LEASE_KIND, self._name)
             record, revision = None, 0
             if stored is not None:
-                record, revision = _record(stored.value), stored.revision
+                record, levels = _decode(stored.value)
+                revision = stored.revision
+                self._found_levels = levels
             election.read(self._clock(), record, revision)
             return
         sent_at = self._clock()
@@ -79,7 +92,7 @@
         election.written(sent_at, self._clock(), action.record, revision)
 
     def _write(self, action):
-        value = action.record._asdict()
+        value = {**action.record._asdict(), _LEVELS: self._levels()}
         if action.revision:
             return self._store.update(LEASE_KIND, self._name, value, action.revision)
         return self._store.create(LEASE_KIND, self._name, value)
@@ -100,11 +113,14 @@
         write_records([(DUTY_CHANGED, fields)])
 
 
-def _record(value):
+def _decode(value):
+    """Return the record of a lease object and the levels beside it."""
     try:
-        return LeaseRecord(**convert(value, dict))
+        fields = convert(value, dict)
+        levels = convert(fields.pop(_LEVELS, {}), dict[str, float])
+        return LeaseRecord(**fields), levels
     except (MsgspecError, TypeError) as error:
         # Another writer's object; it is replaced under its revision.
         fields = {"task": "lease.read", "reason": repr(error)}
         write_records([(BACKGROUND_FAILED, fields)])
-        return None
+        return None, {}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -6,6 +6,7 @@
 
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.messages import FleetView, NodeReport, OrderRequest
+from hibiscusspar.fleet.quota import unseen_levels
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
     BACKGROUND_FAILED,
@@ -48,6 +49,7 @@
     close_watch: Any
     metrics: Any
     election: Any
+    # That of the coordinator first.
     keepers: tuple
     desk: Any
     log: Any
@@ -65,10 +67,13 @@
     channel : Channel
     coordinator : Coordinator
     forwarder : Forwarder
+    open_status : callable
+        Serves readiness and metrics; returns the servers.
     """
 
-    def __init__(self, parts, front, channel, coordinator, forwarder):
+    def __init__(self, parts, front, channel, coordinator, forwarder, open_status):
         self._parts = parts
+        self._open_status = open_status
         self._status_servers = ()
         self._front = front
         self._channel = channel
@@ -85,10 +90,6 @@
         self._coordinator_address = None
         parts.board.on_want = self._want.set
 
-    def serve_status(self, servers):
-        """Take over the servers of readiness and metrics, to close them."""
-        self._status_servers = tuple(servers)
-
     def close(self):
         """Close all ports and end the background work, whatever is open."""
         self._stopping.set()
@@ -117,6 +118,7 @@
             "store": parts.settings.store,
         }
         write_records([(NODE_STARTED, fields)])
+        self._status_servers = tuple(self._open_status())
 
     @property
     def is_ready(self):
@@ -238,7 +240,8 @@
         if leads:
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
-            self._coordinator.take_over(levels)
+            kept = self._parts.keepers[0].found_levels
+            self._coordinator.take_over(levels or unseen_levels(kept))
         else:
             self._coordinator.give_up()
 
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
@@ -0,0 +1,70 @@
+"""Tests of keeping leases in the store."""
+
+import unittest
+from types import SimpleNamespace
+
+from hibiscusspar.fleet.lease import Election, LeaseTiming
+from hibiscusspar_entry.fleet.lease_keeper import LeaseKeeper
+from hibiscusspar_entry.fleet.tests.test_board import Clock
+from hibiscusspar_wire.platform_errors import ConflictError
+
+
+class OneObjectStore:
+    """A store of one object, written under its revision."""
+
+    def __init__(self):
+        self.value = None
+        self.revision = 0
+
+    def get(self, _kind, name):
+        if self.value is None:
+            return None
+        return SimpleNamespace(name=name, value=self.value, revision=self.revision)
+
+    def create(self, kind, name, value):
+        return self.update(kind, name, value, 0)
+
+    def update(self, _kind, name, value, revision):
+        if revision != self.revision:
+            raise ConflictError("store.update", name, "answered 409", 0)
+        self.value = dict(value)
+        self.revision += 1
+        return self.revision
+
+
+class TestLevels(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.store = OneObjectStore()
+
+    def keeper(self, machine, levels):
+        election = Election(machine, "s1", f"{machine}:1", LeaseTiming())
+        return LeaseKeeper(
+            "coordinator", election, self.store, self.clock, lambda: False, levels
+        )
+
+    def run_for(self, keeper, seconds):
+        for _ in range(int(seconds / 0.1)):
+            keeper.step()
+            self.clock.now += 0.1
+
+    def test_successor_that_heard_no_view_finds_the_levels_of_the_last_renewal(self):
+        # Load pattern: all processes are killed at once while callers go on.
+        first = self.keeper("a", lambda: {"acme": 250.0})
+        self.run_for(first, 3.0)
+        self.assertTrue(first.election.leads)
+        second = self.keeper("b", dict)
+        self.run_for(second, 5.0)
+        self.assertTrue(second.election.leads)
+        self.assertEqual(second.found_levels, {"acme": 250.0})
+
+    def test_object_of_another_writer_is_replaced(self):
+        self.store.update("", "", {"levels": "many", "nonce": []}, 0)
+        keeper = self.keeper("a", dict)
+        self.run_for(keeper, 5.0)
+        self.assertTrue(keeper.election.leads)
+        self.assertEqual(keeper.found_levels, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
