--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -153,6 +153,9 @@
             # The answer of the write that took the lease was lost.
             self._take_over(now)
         self._see(now, record, revision)
+        if record is not None and record.machine == self._machine:
+            # Nobody else has the duty, so nothing is gained by waiting.
+            self._next_at = now
 
     def written(self, sent_at, now, record, revision):
         """Take in that a write of this process took effect."""
--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -50,7 +50,12 @@
 
 
 class Later(NamedTuple):
-    """The account has tokens, but this node must wait for the next view."""
+    """The account may have tokens, but this node must wait for the next view.
+
+    ``is_first`` is whether the node has heard no view since its start.
+    """
+
+    is_first: bool = False
 
 
 class Over(NamedTuple):
@@ -288,7 +293,7 @@
             return Granted()
         if not self._told_at and now <= self._started_at + self._policy.stale_s:
             # The first view comes some tenths of a second after the start.
-            return Later()
+            return Later(is_first=True)
         return Over(max(_MIN_RETRY_S, (tokens - level) / (rule.rate / self._nodes)))
 
     def _own_level(self, now, rule):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_lease.py
@@ -118,6 +118,13 @@
         self.assertEqual(action.record.fence, 5)
         self.assertTrue(subject.may_order(10.1))
 
+    def test_same_machine_takes_its_lease_as_soon_as_it_has_read_it(self):
+        # Load pattern: all processes are killed at once while callers go on.
+        subject = election(start="c")
+        self.assertEqual(subject.action(10.0, False), ReadLease())
+        subject.read(10.005, record(machine="vm-1", start="b"), 7)
+        self.assertIsInstance(subject.action(10.01, False), WriteLease)
+
     def test_lost_answer_of_the_taking_write_still_waits_the_gap(self):
         subject = election()
         subject.read(10.0, record(), 7)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from hibiscusspar.fleet.quota import Granted, Over
+from hibiscusspar.fleet.quota import Granted, Later, Over
 from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar_entry.fleet.call_admission import Admission
@@ -33,7 +33,9 @@
     ``wait_aims`` times the aim is how long a generation waits for a place;
     ``plain_wait_aims`` is the same for plain calls. ``unsafe_idle_s`` is the
     longest idle time of a connection that a request uses which can't be repeated.
-    ``quota_wait_s`` is the longest wait for a view that shows tokens;
+    ``quota_wait_s`` is the longest wait for a view that shows tokens, and
+    ``first_view_wait_s`` for the first one after the start: the time in which all
+    processes of a fleet that were killed at once elect a coordinator.
     ``quota_spread_s`` spreads those refused for a limit.
     ``failed_retry_s`` is told to callers after targets that did not run the request.
     What may be repeated is taken from a target that is silent for
@@ -50,6 +52,7 @@
     unsafe_idle_s: float = 2.0
     safe_idle_s: float = 10.0
     quota_wait_s: float = 0.3
+    first_view_wait_s: float = 0.8
     quota_spread_s: float = 0.5
     draining_retry_s: float = 0.05
     failed_retry_s: float = 0.3
@@ -192,13 +195,13 @@
         if rule is None:
             return
         parts = self._parts
-        until = self._clock() + self._policy.quota_wait_s
+        began = self._clock()
         with parts.quota_changed:
             while True:
                 found = parts.quota.take(self._clock(), rule, admitted.cost)
                 if isinstance(found, Granted):
                     return
-                left_s = until - self._clock()
+                left_s = began + self._longest_wait_s(found) - self._clock()
                 if isinstance(found, Over) or left_s <= 0 or attempt.left.is_set():
                     break
                 parts.board.on_want()
@@ -207,6 +210,12 @@
         wait_s += self._policy.quota_spread_s * admitted.fraction
         raise RefusedError(429, "over the account's limit", wait_s)
 
+    def _longest_wait_s(self, found):
+        """Return how long a request waits in all for a view that shows tokens."""
+        if isinstance(found, Later) and found.is_first:
+            return self._policy.first_view_wait_s
+        return self._policy.quota_wait_s
+
     def _give_tokens_back(self, admitted):
         if admitted.rule is not None:
             with self._parts.quota_changed:
