Evict the adapter with the least demand, sooner after its last use

The coordinator now counts requests by adapter (fading over 8 s) and evicts the copy with the least demand; the idle time follows the interval of reports (0.2 s at nine nodes).

--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -9,14 +9,17 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from hibiscusspar.fleet.demand import AdapterDemand
 from hibiscusspar.fleet.messages import Want
 from hibiscusspar.fleet.model_loads import LoadPace, ModelNeed, choose_model
 
 __all__ = ["AdapterPlanner", "Held", "LoadOrder", "OrderOutcome", "PlannerPolicy"]
 
 
-# Cost of evicting what was used just now; it falls as the adapter stays unused.
+# Backlog worth bearing to spare an adapter of one request in the time of the demand,
+# and the most for any adapter.
 _VICTIM_COST_S = 0.05
+_MAX_VICTIM_COST_S = 0.3
 
 
 class PlannerPolicy(NamedTuple):
@@ -27,8 +30,8 @@
     ``transit`` and
     ``fleet_transit`` are the numbers of loads on their way to one target and to all
     targets at which a load still takes its usual time. ``idle_s`` is how long an
-    adapter must have been unused before it is evicted, longer than the reports of
-    nodes take. ``prompt_tokens_s`` is how fast an engine reads prompts.
+    adapter must have been unused before it is evicted, beyond the time between the
+    reports of nodes. ``prompt_tokens_s`` is how fast an engine reads prompts.
     ``copy_backlog_s`` is the backlog beyond which a further copy pays. An adapter
     used within ``in_demand_s`` gets a new version before it is asked for.
     """
@@ -38,7 +41,7 @@
     store_cost_s: float = 0.3
     transit: int = 4
     fleet_transit: int = 8
-    idle_s: float = 0.35
+    idle_s: float = 0.1
     warm_adapters: int = 100
     prompt_tokens_s: float = 19_200.0
     copy_backlog_s: float = 0.05
@@ -110,6 +113,7 @@
         self._policy = policy or PlannerPolicy()
         self._held = {}
         self._newest = {}
+        self._demand = AdapterDemand()
         self._pace = LoadPace()
 
     @property
@@ -189,7 +193,11 @@
             for key in keys:
                 held.last_used[key] = now
 
-    def next_orders(self, now, targets, wants, backlogs, in_use):
+    def begun(self, now, keys):
+        """Note that requests began to use adapters, one for each key."""
+        self._demand.begun(now, keys)
+
+    def next_orders(self, now, targets, wants, backlogs, in_use, interval_s=0.1):
         """Choose orders, at most one a target, and mark them as on their way.
 
         Parameters
@@ -203,6 +211,8 @@
             Seconds of work before a new request at each target.
         in_use : dict of str to set
             Adapters of running requests by target.
+        interval_s : float, optional
+            Time between the reports of a node, in seconds.
 
         Returns
         -------
@@ -222,7 +232,8 @@
                 free.pop(target_id)
                 self._held[target_id].ordering = True
                 orders.append(order)
-        plan = _Round(self._policy, now, self._held, in_use)
+        idle_s = self._policy.idle_s + interval_s
+        plan = _Round(self._policy, now, self._held, in_use, self._demand, idle_s)
         for want in wants:
             if not free:
                 break
@@ -359,9 +370,8 @@
         cost = self._load_s(held, key)
         if key not in held.warm:
             cost += self._policy.store_cost_s / want.waiting
-        if victim is not None and victim in held.last_used:
-            # Of equal targets, the one whose victim is longest unused.
-            cost += _VICTIM_COST_S / (1.0 + plan.now - held.last_used[victim])
+        if victim is not None:
+            cost += min(_MAX_VICTIM_COST_S, _VICTIM_COST_S * plan.loss(victim))
         return cost
 
     def _least_backlog(self, plan, key, backlogs):
@@ -386,7 +396,7 @@
 class _Round:
     """What one round of planning looks up again and again."""
 
-    def __init__(self, policy, now, held, in_use):
+    def __init__(self, policy, now, held, in_use, demand, idle_s):
         self.now = now
         self.flying = 0
         self.holders = {}
@@ -394,6 +404,8 @@
         self._policy = policy
         self._held = held
         self._in_use = in_use
+        self._demand = demand
+        self._idle_s = idle_s
         self._victims = {}
         self._transit = {}
         for target_id, row in held.items():
@@ -430,23 +442,32 @@
         """Whether one more load may be on its way to a target."""
         return self._transit[target_id] < self._policy.transit
 
+    def loss(self, key):
+        """Return what evicting one copy costs: the demand that falls to it."""
+        copies = len(self.holders.get(key, ()))
+        return self._demand.of(self.now, key) / max(1, copies)
+
     def victim(self, target_id):
-        """Return the adapter that has been unused the longest, or None."""
+        """Return the adapter whose eviction costs least, or None if all are in use.
+
+        Load pattern: more adapters are asked for than there are places, so those
+        that are asked for again soon must stay.
+        """
         if target_id not in self._victims:
             self._victims[target_id] = self._find_victim(target_id)
         return self._victims[target_id]
 
     def _find_victim(self, target_id):
         held, in_use = self._held[target_id], self.in_use(target_id)
-        latest = self.now - self._policy.idle_s
+        latest = self.now - self._idle_s
         idle = [
-            (held.last_used.get(key, 0.0), key)
+            (self.loss(key), held.last_used.get(key, 0.0), key)
             for key, copy in held.copies.items()
             if key not in in_use
             and copy.ready_at <= self.now
             and held.last_used.get(key, 0.0) <= latest
         ]
-        return min(idle)[1] if idle else None
+        return min(idle)[-1] if idle else None
 
 
 def _can_take(plan, want, targets, target_id):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -141,6 +141,33 @@
         (order,) = fleet.plan(5.0, [want("a")])
         self.assertEqual((order.operation, order.adapter), ("unload", "x"))
 
+    def test_adapter_that_is_asked_for_often_stays(self):
+        # Load pattern: few adapters are asked for several times a second, others once.
+        fleet = Fleet(target("t1", ["hot", "rare"]))
+        for tenth in range(30):
+            fleet.planner.begun(tenth / 10, [(MODEL, "hot")])
+        fleet.planner.begun(3.0, [(MODEL, "rare")])
+        fleet.planner.used(3.0, "t1", [(MODEL, "hot")])
+        fleet.planner.used(4.0, "t1", [(MODEL, "rare")])
+        (order,) = fleet.plan(9.0, [want("b")])
+        self.assertEqual(order[1:4], ("unload", MODEL, "rare"))
+
+    def test_former_favourite_leaves_after_demand_has_moved(self):
+        fleet = Fleet(target("t1", ["old", "new"]))
+        fleet.planner.begun(0.0, [(MODEL, "old")] * 20)
+        for second in range(40, 46):
+            fleet.planner.begun(float(second), [(MODEL, "new")])
+        (order,) = fleet.plan(48.0, [want("b")])
+        self.assertEqual(order[1:4], ("unload", MODEL, "old"))
+
+    def test_copy_that_another_target_holds_too_goes_first(self):
+        fleet = Fleet(target("t1", ["x", "y"]), target("t2", ["x"]), places=2)
+        fleet.planner.begun(1.0, [(MODEL, "x"), (MODEL, "y")])
+        fleet.planner.used(1.0, "t1", [(MODEL, "y")])
+        fleet.planner.used(2.0, "t1", [(MODEL, "x")])
+        (order,) = fleet.plan(9.0, [want("b")], {"t2": 9.0})
+        self.assertEqual(order[1:4], ("unload", MODEL, "x"))
+
     def test_just_used_adapter_is_kept(self):
         fleet = Fleet(target("t1", ["x", "y"]))
         fleet.planner.used(5.0, "t1", [(MODEL, "x"), (MODEL, "y")])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -205,10 +205,13 @@
             since = known.since if same else now
             self._heard[report.node] = _Heard(report, now, address, since)
             self._levels.report(now, report.node, report.start, report.used)
+            earlier = known.report.in_use if same else {}
             for target_id, labels in report.in_use.items():
                 self._planner.used(
                     now, target_id, [adapter_key(label) for label in labels]
                 )
+                begun = set(labels).difference(earlier.get(target_id, ()))
+                self._planner.begun(now, [adapter_key(label) for label in begun])
         if report.wants:
             self._work.set()
 
@@ -247,6 +250,7 @@
                 self._wants(now),
                 self._backlogs(now),
                 self._in_use(now),
+                exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
         for target in asks:
