Tell other nodes of sends at once, and copy adapters in demand ahead

Each node now tells its peers of each send; each counts when a target will have read its prompts; adapters in demand get copies spread over the zones.

--- a/packages/hibiscusspar/hibiscusspar/fleet/demand.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/demand.py
@@ -21,10 +21,11 @@
     def __init__(self):
         self._rows = {}
 
-    def begun(self, now, keys):
-        """Count requests that began, one for each key."""
-        for key in keys:
-            self._rows[key] = (self.of(now, key) + 1.0, now)
+    def begun(self, now, counts):
+        """Count requests that began, by adapter."""
+        for key, count in counts.items():
+            if count:
+                self._rows[key] = (self.of(now, key) + count, now)
         if len(self._rows) > _MOST_ROWS:
             kept = {k: row for k, row in self._rows.items() if self.of(now, k) > _FADED}
             self._rows = kept
@@ -33,3 +34,8 @@
         """Return the faded number of requests for an adapter."""
         count, at = self._rows.get(key, (0.0, now))
         return count * exp(-max(0.0, now - at) / _FADE_S)
+
+    def rates(self, now, least):
+        """Return the requests a second by adapter, of those with ``least`` or more."""
+        found = {key: self.of(now, key) / _FADE_S for key in self._rows}
+        return {key: rate for key, rate in found.items() if rate >= least}
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -11,6 +11,7 @@
     "NodeReport",
     "OrderRequest",
     "OrderResult",
+    "SendNotice",
     "TargetLoad",
     "TargetRow",
     "ViewRelay",
@@ -64,7 +65,8 @@
     """What one node does now.
 
     ``in_use`` holds, for each target, the adapters of its running requests as
-    ``model/adapter``. ``used`` counts the tokens that each account took since the
+    ``model/adapter`` and the requests that began since the adapter was last idle.
+    ``used`` counts the tokens that each account took since the
     start of the process.
     ``duties`` holds the zones whose duty this node has, with its fence and whether
     it may order already.
@@ -75,7 +77,7 @@
     zone: str
     number: int
     loads: dict[str, TargetLoad]
-    in_use: dict[str, list[str]]
+    in_use: dict[str, dict[str, int]]
     wants: list[Want]
     used: dict[str, float]
     duties: dict[str, tuple[int, bool]]
@@ -92,7 +94,8 @@
     seconds since the sender surely knew the newest configuration and directory.
     ``directory`` names all targets, ``rows`` tells some of them. ``versions`` holds
     the announced versions of adapters and the seconds since they were heard of,
-    ``held`` the zones whose duty some node has.
+    ``held`` the zones whose duty some node has. ``peers`` tells zone and address of
+    some nodes.
     """
 
     node: str
@@ -113,6 +116,13 @@
     rows: list[TargetRow]
     versions: dict[str, tuple[int, float]]
     held: list[str]
+    peers: dict[str, tuple[str, str]] = {}
+
+
+class SendNotice(Struct, tag="sent"):
+    """What a node has just sent: targets and the prompt tokens of each request."""
+
+    sends: list[tuple[str, int]]
 
 
 class OrderRequest(Struct, tag="order"):
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -0,0 +1,63 @@
+"""Which nodes are told of sends.
+
+Load pattern: a fleet grows from nine nodes to hundreds, and what one node sends and
+receives must not grow with it.
+"""
+
+from typing import NamedTuple
+
+from hibiscusspar.fleet.fanout import DIRECT_NODES
+
+__all__ = ["Peer", "PeerTable", "notice_gap_s"]
+
+# A node that no view showed for this long is gone; views show each within some seconds.
+_FORGET_S = 20.0
+# Notices that a node sends and receives in a second, at most: some percent of a core.
+_NOTICES_PER_S = 250.0
+
+
+class Peer(NamedTuple):
+    """Another node: its zone and ``ip:port``."""
+
+    zone: str
+    address: str
+
+
+def notice_gap_s(peers):
+    """Return the shortest time between two notices of a node to so many peers."""
+    return peers / _NOTICES_PER_S
+
+
+class PeerTable:
+    """Nodes that views have shown lately.
+
+    Parameters
+    ----------
+    address : str
+        Address of this node, which is no peer of itself.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._rows = {}
+
+    def shown(self, now, peers):
+        """Take in the nodes that a view shows, by name."""
+        for name, peer in peers.items():
+            if peer.address != self._address:
+                self._rows[name] = (peer, now)
+
+    def near(self, now, zone):
+        """Return the addresses of the nodes that use the targets of a zone.
+
+        In a small fleet these are all nodes.
+        """
+        self._rows = {
+            name: row for name, row in self._rows.items() if now < row[1] + _FORGET_S
+        }
+        is_small = len(self._rows) < DIRECT_NODES
+        return [
+            peer.address
+            for peer, _ in self._rows.values()
+            if is_small or peer.zone == zone
+        ]
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -33,7 +33,10 @@
     adapter must have been unused before it is evicted, beyond the time between the
     reports of nodes. ``prompt_tokens_s`` is how fast an engine reads prompts.
     ``copy_backlog_s`` is the backlog beyond which a further copy pays. An adapter
-    used within ``in_demand_s`` gets a new version before it is asked for.
+    used within ``in_demand_s`` gets a new version before it is asked for. One copy
+    serves ``copy_requests_s`` requests a second: a third of the prompts that an engine
+    can read, so that those that come together make no stream pause. A copy in a zone
+    that has one already is worth ``zone_copy_s`` of backlog less.
     """
 
     cold_load_s: float = 0.27
@@ -47,6 +50,8 @@
     copy_backlog_s: float = 0.05
     confirm_s: float = 0.3
     in_demand_s: float = 3.0
+    copy_requests_s: float = 5.0
+    zone_copy_s: float = 0.2
 
 
 class LoadOrder(NamedTuple):
@@ -193,9 +198,9 @@
             for key in keys:
                 held.last_used[key] = now
 
-    def begun(self, now, keys):
-        """Note that requests began to use adapters, one for each key."""
-        self._demand.begun(now, keys)
+    def begun(self, now, counts):
+        """Note how many requests began to use each adapter."""
+        self._demand.begun(now, counts)
 
     def next_orders(self, now, targets, wants, backlogs, in_use, interval_s=0.1):
         """Choose orders, at most one a target, and mark them as on their way.
@@ -239,13 +244,42 @@
                 break
             order = self._order_for(plan, want, free, targets, backlogs)
             if order is not None:
-                held = free.pop(order.target_id)
-                held.ordering = True
-                held.purpose = (want.model, want.adapter)
-                plan.note(held, order)
-                orders.append(order)
+                orders.append(self._begin(plan, free, order, want))
+        for want in self._scarce(plan, free, targets):
+            order = self._order_for(plan, want, free, targets, backlogs, ahead=True)
+            if order is not None:
+                orders.append(self._begin(plan, free, order, want))
         return orders
 
+    def _begin(self, plan, free, order, want):
+        """Mark an order as on its way and return it."""
+        held = free.pop(order.target_id)
+        held.ordering = True
+        held.purpose = (want.model, want.adapter)
+        plan.note(held, order)
+        return order
+
+    def _scarce(self, plan, free, targets):
+        """Return wants for further copies of adapters that few targets serve.
+
+        Load pattern: many nodes send requests for one adapter to the one target that
+        holds it, within the time that their counts take to reach each other.
+        """
+        least = self._policy.copy_requests_s
+        rates = self._demand.rates(plan.now, least)
+        found = []
+        for service in sorted({targets[target_id][0].service for target_id in free}):
+            models = {
+                model.name
+                for target, engine in targets.values()
+                if target.service == service
+                for model in engine.models
+            }
+            for key, rate in sorted(rates.items(), key=lambda row: -row[1]):
+                if key[0] in models and len(plan.holders.get(key, ())) < rate / least:
+                    found.append(Want(service, *key, 1, 0, 0, True))
+        return found
+
     def _model_order(self, now, target_id, targets, wants):
         """Return the order that gives a target a model it should hold, or None."""
         target, engine = targets[target_id]
@@ -322,7 +356,11 @@
             held.warm.popitem(last=False)
         held.changed()
 
-    def _order_for(self, plan, want, free, targets, backlogs):
+    def _order_for(self, plan, want, free, targets, backlogs, ahead=False):
+        """Return the order that serves a want best, or None.
+
+        ``ahead`` is whether the copy is for requests that are still to come.
+        """
         key = (want.model, want.adapter)
         newest = self._newest.get(key, 0)
         if key in plan.purposes:
@@ -350,12 +388,17 @@
             cost = backlogs.get(target_id, 0.0) + self._load_cost(
                 plan, held, want, victim
             )
+            if ahead:
+                zone = targets[target_id][0].zone
+                cost += self._policy.zone_copy_s * plan.copies_in(zone, key, targets)
+                if victim is not None and plan.loss(victim) > plan.loss(key) / 2:
+                    continue
             if best is None or cost < best[0]:
                 best = (cost, target_id, victim)
         if best is None:
             return None
         cost, target_id, victim = best
-        if want.more and cost > self._least_backlog(plan, key, backlogs):
+        if want.more and not ahead and cost > self._least_backlog(plan, key, backlogs):
             return None
         held = free[target_id]
         if victim is not None:
@@ -442,6 +485,11 @@
         """Whether one more load may be on its way to a target."""
         return self._transit[target_id] < self._policy.transit
 
+    def copies_in(self, zone, key, targets):
+        """Return the number of a zone's targets that hold an adapter."""
+        holders = [targets.get(target_id) for target_id, _ in self.holders.get(key, ())]
+        return sum(row is not None and row[0].zone == zone for row in holders)
+
     def loss(self, key):
         """Return what evicting one copy costs: the demand that falls to it."""
         copies = len(self.holders.get(key, ()))
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -38,19 +38,27 @@
 
 
 class Candidate(NamedTuple):
-    """A target that could run a request, with the load counted for it."""
+    """A target that could run a request, with the load counted for it.
+
+    ``unread_tokens`` are from reports, ``queued_s`` is the time to read what all nodes
+    told that they sent.
+    """
 
     target_id: str
     zone: str
     slots: int
     running: int
     unread_tokens: int
+    queued_s: float = 0.0
 
 
 def backlog_s(policy, candidate):
-    """Return the seconds in which a target reads the prompts that it has."""
+    """Return the seconds in which a target reads the prompts that it has.
+
+    Reports tell of all nodes, but late; notices are soon there, but may be lost.
+    """
     read_s = candidate.unread_tokens / policy.prompt_tokens_s
-    return max(0.0, read_s - policy.count_lag_s)
+    return max(candidate.queued_s, read_s - policy.count_lag_s)
 
 
 def first_byte_s(policy, candidate, prompt_tokens):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -145,8 +145,8 @@
         # Load pattern: few adapters are asked for several times a second, others once.
         fleet = Fleet(target("t1", ["hot", "rare"]))
         for tenth in range(30):
-            fleet.planner.begun(tenth / 10, [(MODEL, "hot")])
-        fleet.planner.begun(3.0, [(MODEL, "rare")])
+            fleet.planner.begun(tenth / 10, {(MODEL, "hot"): 1})
+        fleet.planner.begun(3.0, {(MODEL, "rare"): 1})
         fleet.planner.used(3.0, "t1", [(MODEL, "hot")])
         fleet.planner.used(4.0, "t1", [(MODEL, "rare")])
         (order,) = fleet.plan(9.0, [want("b")])
@@ -154,20 +154,37 @@
 
     def test_former_favourite_leaves_after_demand_has_moved(self):
         fleet = Fleet(target("t1", ["old", "new"]))
-        fleet.planner.begun(0.0, [(MODEL, "old")] * 20)
+        fleet.planner.begun(0.0, {(MODEL, "old"): 20})
         for second in range(40, 46):
-            fleet.planner.begun(float(second), [(MODEL, "new")])
+            fleet.planner.begun(float(second), {(MODEL, "new"): 1})
         (order,) = fleet.plan(48.0, [want("b")])
         self.assertEqual(order[1:4], ("unload", MODEL, "old"))
 
     def test_copy_that_another_target_holds_too_goes_first(self):
         fleet = Fleet(target("t1", ["x", "y"]), target("t2", ["x"]), places=2)
-        fleet.planner.begun(1.0, [(MODEL, "x"), (MODEL, "y")])
+        fleet.planner.begun(1.0, {(MODEL, "x"): 1, (MODEL, "y"): 1})
         fleet.planner.used(1.0, "t1", [(MODEL, "y")])
         fleet.planner.used(2.0, "t1", [(MODEL, "x")])
         (order,) = fleet.plan(9.0, [want("b")], {"t2": 9.0})
         self.assertEqual(order[1:4], ("unload", MODEL, "x"))
 
+    def test_adapter_in_demand_gets_copies_before_requests_wait(self):
+        # Load pattern: many nodes send to the one target that holds an adapter.
+        rows = [target("t1", ["hot"], zone="z1"), target("t2", zone="z1")]
+        fleet = Fleet(*rows, target("t3", zone="z2"), places=4)
+        for tenth in range(100):
+            fleet.planner.begun(tenth / 10, {(MODEL, "hot"): 1})
+        (order,) = fleet.plan(10.0, [])
+        self.assertEqual((order.target_id, order.adapter), ("t3", "hot"))
+        fleet.carry_out(10.0, [order])
+        self.assertEqual(fleet.plan(10.1, []), [])
+
+    def test_copy_ahead_of_demand_takes_no_place_of_an_adapter_in_demand(self):
+        fleet = Fleet(target("t1", ["hot"]), target("t2", ["x"]), places=1)
+        for tenth in range(100):
+            fleet.planner.begun(tenth / 10, {(MODEL, "hot"): 1, (MODEL, "x"): 1})
+        self.assertEqual(fleet.plan(10.0, []), [])
+
     def test_just_used_adapter_is_kept(self):
         fleet = Fleet(target("t1", ["x", "y"]))
         fleet.planner.used(5.0, "t1", [(MODEL, "x"), (MODEL, "y")])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -11,7 +11,8 @@
     adapter_key,
     adapter_label,
 )
-from hibiscusspar.fleet.routing import Candidate
+from hibiscusspar.fleet.prompt_queue import PromptQueues
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
 from hibiscusspar.fleet.waiting import Send, Wait, decide, job_order
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
@@ -83,6 +84,7 @@
         self._waiting = []
         self._loads = {}
         self._in_use = {}
+        self._begun = {}
         self._residency = {}
         self._view = None
         self._viewed_at = None
@@ -90,7 +92,9 @@
         self._denied = {}
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
+        self._queues = PromptQueues(ChoicePolicy().prompt_tokens_s)
         self.on_want = lambda: None
+        self.on_sent = lambda target, tokens: None
 
     @property
     def view_age_s(self):
@@ -116,6 +120,7 @@
         """Take in the directory and decide about waiting requests."""
         with self.lock:
             self._targets = targets
+            self._queues.keep(targets)
             self._ejection.keep(targets)
             self._drain(self._clock())
 
@@ -141,6 +146,14 @@
             _, used = self._acked()
             return used
 
+    def take_notice(self, notice):
+        """Take in what another node has just sent."""
+        with self.lock:
+            now = self._clock()
+            for target_id, tokens in notice.sends:
+                if target_id in self._targets:
+                    self._queues.sent(now, target_id, tokens)
+
     def submit(self, job):
         """Return the ticket of a request, decided or waiting."""
         ticket = Ticket(job)
@@ -180,6 +193,7 @@
                 in_use[placement.key] -= 1
                 if in_use[placement.key] <= 0:
                     del in_use[placement.key]
+                    del self._begun[target_id][placement.key]
             self._drain(self._clock())
 
     def denied(self, placement):
@@ -227,8 +241,8 @@
                 number=self._number,
                 loads=loads,
                 in_use={
-                    target_id: [adapter_label(key) for key in keys if key[0]]
-                    for target_id, keys in self._in_use.items()
+                    target_id: {adapter_label(key): n for key, n in keys.items()}
+                    for target_id, keys in self._begun.items()
                     if keys
                 },
                 wants=self._wants(),
@@ -280,6 +294,10 @@
         load.unread_tokens += job.prompt_tokens
         if job.key[0]:
             self._in_use.setdefault(target.target_id, Counter())[job.key] += 1
+            self._begun.setdefault(target.target_id, Counter())[job.key] += 1
+        if self._engines.get(target.service):
+            self._queues.sent(now, target.target_id, job.prompt_tokens)
+            self.on_sent(target, job.prompt_tokens)
         self._ejection.begin(now, target.target_id, Outbox())
         ticket.settle(decision, placement)
         return True
@@ -299,7 +317,8 @@
             versions = {t: v for t, v in versions.items() if v == newest or not v}
         usable = versions.keys() - job.excluded or versions.keys()
         return [
-            self._candidate(self._targets[target_id]) for target_id in sorted(usable)
+            self._candidate(now, self._targets[target_id])
+            for target_id in sorted(usable)
         ], versions
 
     def _barred(self, now, service):
@@ -311,7 +330,7 @@
         ]
         return self._ejection.excluded(now, sorted(found))
 
-    def _candidate(self, target):
+    def _candidate(self, now, target):
         target_id = target.target_id
         own = self._loads.get(target_id)
         running, unread = (own.running, own.unread_tokens) if own else (0, 0)
@@ -323,7 +342,14 @@
         slots = target.slots
         if not self._engines.get(target.service):
             slots += _PLAIN_QUEUE
-        return Candidate(target_id, target.zone, slots, running, max(0, unread))
+        return Candidate(
+            target_id,
+            target.zone,
+            slots,
+            running,
+            max(0, unread),
+            self._queues.backlog_s(now, target_id),
+        )
 
     def _told(self, target_id):
         """Return this node's part in the loads of the last view."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -16,6 +16,7 @@
     NodeReport,
     OrderRequest,
     OrderResult,
+    SendNotice,
     ViewRelay,
 )
 from hibiscusspar_entry.event_log import write_records
@@ -24,7 +25,9 @@
 __all__ = ["Channel"]
 
 _MAX_BYTES = 65_507
-_DECODER = Decoder(NodeReport | FleetView | OrderRequest | OrderResult | ViewRelay)
+_DECODER = Decoder(
+    NodeReport | FleetView | OrderRequest | OrderResult | SendNotice | ViewRelay
+)
 
 
 class Channel:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -34,6 +34,8 @@
 # Rows of the directory in a view while a node is new, so that it soon knows all and
 # leaves the store alone, and how long a node counts as new, in seconds.
 _ROWS_FOR_NEW_NODES = 8
+# Nodes that a view shows by turns, so that all are shown within some seconds.
+_PEERS_SHOWN = 3
 _NEW_NODE_S = 4.0
 _ORDER_THREADS = 8
 # Ages beyond this are told as this, in seconds.
@@ -138,6 +140,7 @@
         self._number = 0
         self._held_turns = _Turns()
         self._row_turns = _Turns()
+        self._peer_turns = _Turns()
         self._active = False
         self._viewed_at = 0.0
         self._pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -206,12 +209,10 @@
             self._heard[report.node] = _Heard(report, now, address, since)
             self._levels.report(now, report.node, report.start, report.used)
             earlier = known.report.in_use if same else {}
-            for target_id, labels in report.in_use.items():
-                self._planner.used(
-                    now, target_id, [adapter_key(label) for label in labels]
-                )
-                begun = set(labels).difference(earlier.get(target_id, ()))
-                self._planner.begun(now, [adapter_key(label) for label in begun])
+            for target_id, counts in report.in_use.items():
+                begun = _begun(counts, earlier.get(target_id, {}))
+                self._planner.used(now, target_id, map(adapter_key, counts))
+                self._planner.begun(now, begun)
         if report.wants:
             self._work.set()
 
@@ -299,6 +300,7 @@
                 for label, (version, at) in self._announced.items()
             },
             held=sorted(self._duties(now)),
+            peers=self._peers_to_show(),
         )
         # The own node is told directly, so it is the last to pass views on.
         rows = sorted(
@@ -322,6 +324,14 @@
         due = self._row_turns.due(rows, self._number, turns)
         return [rows[target_id] for target_id in due]
 
+    def _peers_to_show(self):
+        peers = {
+            name: (row.report.zone, "{}:{}".format(*row.address))
+            for name, row in self._heard.items()
+        }
+        due = self._peer_turns.due(peers, self._number, _PEERS_SHOWN)
+        return {name: peers[name] for name in due}
+
     def _engines(self):
         if self._ruleset is None:
             return []
@@ -461,5 +471,15 @@
     ]
 
 
+def _begun(counts, earlier):
+    """Return the requests that began between two reports, by adapter."""
+    found = {}
+    for label, count in counts.items():
+        before = earlier.get(label, 0)
+        # A lower count began anew when the adapter was idle between the reports.
+        found[adapter_key(label)] = count - before if count >= before else count
+    return found
+
+
 def _is_older(report, known):
     return report.start == known.start and report.number <= known.number
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -5,9 +5,16 @@
 from typing import Any, NamedTuple
 
 from hibiscusspar.fleet.fanout import exchange_interval_s
-from hibiscusspar.fleet.messages import FleetView, NodeReport, OrderRequest
+from hibiscusspar.fleet.messages import (
+    FleetView,
+    NodeReport,
+    OrderRequest,
+    SendNotice,
+)
+from hibiscusspar.fleet.peers import Peer
 from hibiscusspar.fleet.quota import unseen_levels
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.events import (
     BACKGROUND_FAILED,
     COORDINATOR_LOST,
@@ -15,6 +22,7 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.notices import Notices
 
 __all__ = ["FleetNode", "FleetParts"]
 
@@ -54,6 +62,7 @@
     desk: Any
     log: Any
     relayed: Any
+    peers: Any
     key_age_limit_s: float
 
 
@@ -89,6 +98,8 @@
         self._stopping = threading.Event()
         self._coordinator_address = None
         parts.board.on_want = self._want.set
+        self._notices = Notices(parts.clock, parts.peers, channel)
+        parts.board.on_sent = self._notices.add
 
     def close(self):
         """Close all ports and end the background work, whatever is open."""
@@ -107,7 +118,13 @@
         self._channel.start()
         for watch in parts.watches:
             watch.start()
-        for target in (self._run_leases, self._run_reports, self._run_ticks):
+        runs = (
+            self._run_leases,
+            self._run_reports,
+            self._run_ticks,
+            self._notices.run,
+        )
+        for target in runs:
             threading.Thread(target=target, daemon=True).start()
         self._front.start()
         fields = {
@@ -154,6 +171,8 @@
             self._take_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.take_report(message, address)
+        elif isinstance(message, SendNotice):
+            self._parts.board.take_notice(message)
         elif isinstance(message, OrderRequest):
             self._parts.desk.take_request(message, address)
         else:
@@ -205,11 +224,13 @@
         self._fence = view.fence
         self._leased = view.leased
         self._held = frozenset(view.held)
-        self._coordinator_address = _address(view.address)
+        self._coordinator_address = parse_address(view.address)
         self._lost_logged = False
         if parts.relayed.take(view, parts.settings.node):
             for watch in parts.watches:
                 watch.wake()
+        peers = {name: Peer(*row) for name, row in view.peers.items()}
+        parts.peers.shown(parts.clock(), peers)
         acked = parts.board.take_view(view)
         with parts.quota_changed:
             parts.quota.view(parts.clock(), view.nodes, view.levels, acked)
@@ -233,7 +254,7 @@
         elif not election.leads and not self.hears_coordinator:
             record = election.record
             if record is not None and record.fence >= self._fence:
-                self._coordinator_address = _address(record.address)
+                self._coordinator_address = parse_address(record.address)
 
     def _change_role(self, leads):
         self._parts.relayed.set_source(leads)
@@ -264,7 +285,7 @@
         report = parts.board.report(used, parts.desk.duties())
         parts.relayed.report_sent(report.number)
         if parts.election.leads:
-            self._coordinator.take_report(report, _address(self._channel.address))
+            self._coordinator.take_report(report, parse_address(self._channel.address))
         elif self._coordinator_address is not None:
             self._channel.send(self._coordinator_address, report)
 
@@ -291,10 +312,5 @@
             write_records([(COORDINATOR_LOST, fields)])
 
 
-def _address(text):
-    ip, _, port = text.rpartition(":")
-    return ip, int(port)
-
-
 def _log_failure(task, error):
     write_records([(BACKGROUND_FAILED, {"task": task, "reason": repr(error)})])
