Let a large fleet have more loads on their way, in the zone of those who ask

The bound is now 0.9 for each target, 8 at least. Loads go to the zone that asks; idle nodes wake up less often.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -25,7 +25,7 @@
     """Requests of one node that wait for an adapter.
 
     ``more`` asks for a further copy because those that are resident are busy.
-    ``avoid`` names the targets that the node can't use.
+    ``avoid`` names the targets that the node can't use, ``zone`` is that of the node.
     """
 
     service: str
@@ -36,6 +36,7 @@
     priority: int
     more: bool
     avoid: list[str] = []
+    zone: str = ""
 
 
 class TargetLoad(Struct, array_like=True):
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -27,16 +27,17 @@
 
     The load times are those of the users' sheets with the way of the order;
     ``store_cost_s`` is the backlog worth bearing to spare the weight store a load.
-    ``transit`` and
-    ``fleet_transit`` are the numbers of loads on their way to one target and to all
-    targets at which a load still takes its usual time. ``idle_s`` is how long an
+    ``transit`` and ``fleet_transit`` are the numbers of loads on their way to one target
+    and to all targets at which a load still takes its usual time; large fleets may have
+    ``target_transit`` for each target, as the users' sheets give it. ``idle_s`` is how long an
     adapter must have been unused before it is evicted, beyond the time between the
     reports of nodes. ``prompt_tokens_s`` is how fast an engine reads prompts.
     ``copy_backlog_s`` is the backlog beyond which a further copy pays. An adapter
     used within ``in_demand_s`` gets a new version before it is asked for. One copy
     serves ``copy_requests_s`` requests a second: a third of the prompts that an engine
     can read, so that those that come together make no stream pause. A copy in a zone
-    that has one already is worth ``zone_copy_s`` of backlog less.
+    that has one already is worth ``zone_copy_s`` of backlog less, one outside the zone
+    of those who ask ``zone_want_s``.
     """
 
     cold_load_s: float = 0.27
@@ -44,6 +45,7 @@
     store_cost_s: float = 0.3
     transit: int = 4
     fleet_transit: int = 8
+    target_transit: float = 0.9
     idle_s: float = 0.1
     warm_adapters: int = 100
     prompt_tokens_s: float = 19_200.0
@@ -52,6 +54,7 @@
     in_demand_s: float = 3.0
     copy_requests_s: float = 5.0
     zone_copy_s: float = 0.2
+    zone_want_s: float = 0.05
 
 
 class LoadOrder(NamedTuple):
@@ -388,8 +391,10 @@
             cost = backlogs.get(target_id, 0.0) + self._load_cost(
                 plan, held, want, victim
             )
+            zone = targets[target_id][0].zone
+            if want.zone and zone != want.zone:
+                cost += self._policy.zone_want_s
             if ahead:
-                zone = targets[target_id][0].zone
                 cost += self._policy.zone_copy_s * plan.copies_in(zone, key, targets)
                 if victim is not None and plan.loss(victim) > plan.loss(key) / 2:
                     continue
@@ -403,7 +408,7 @@
         held = free[target_id]
         if victim is not None:
             return LoadOrder(target_id, "unload", *victim, 0, held.accepted)
-        if key not in held.warm and plan.flying >= self._policy.fleet_transit:
+        if key not in held.warm and plan.flying >= plan.most_flying:
             return None
         return LoadOrder(target_id, "load", *key, newest, held.accepted)
 
@@ -451,6 +456,10 @@
         self._idle_s = idle_s
         self._victims = {}
         self._transit = {}
+        # Beyond it all loads take longer, and none comes sooner.
+        self.most_flying = max(
+            policy.fleet_transit, round(policy.target_transit * len(held))
+        )
         for target_id, row in held.items():
             transit = sum(copy.ready_at > now for copy in row.copies.values())
             self._transit[target_id] = transit
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -35,8 +35,9 @@
     )
 
 
-def want(adapter, waiting=1, more=False):
-    return Want("draft", MODEL, adapter, waiting, 1000 * waiting, 1, more)
+def want(adapter, waiting=1, more=False, zone=""):
+    tokens = 1000 * waiting
+    return Want("draft", MODEL, adapter, waiting, tokens, 1, more, zone=zone)
 
 
 class Fleet:
@@ -168,6 +169,18 @@
         (order,) = fleet.plan(9.0, [want("b")], {"t2": 9.0})
         self.assertEqual(order[1:4], ("unload", MODEL, "x"))
 
+    def test_large_fleet_has_more_loads_on_their_way(self):
+        # Load pattern: a fleet of many targets is asked for many rare adapters.
+        rows = [target(f"t{i:02}") for i in range(45)]
+        fleet = Fleet(*rows, places=4)
+        orders = fleet.plan(1.0, [want(f"a{i}") for i in range(60)])
+        self.assertEqual(len(orders), 40)
+
+    def test_adapter_is_loaded_in_the_zone_of_those_who_ask(self):
+        fleet = Fleet(target("t1", zone="z1"), target("t2", zone="z2"))
+        (order,) = fleet.plan(1.0, [want("a", zone="z2")])
+        self.assertEqual(order.target_id, "t2")
+
     def test_adapter_in_demand_gets_copies_before_requests_wait(self):
         # Load pattern: many nodes send to the one target that holds an adapter.
         rows = [target("t1", ["hot"], zone="z1"), target("t2", zone="z1")]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -250,6 +250,11 @@
                 duties=duties or {},
             )
 
+    @property
+    def has_waiting(self):
+        """Whether requests wait for a target."""
+        return bool(self._waiting)
+
     def status(self):
         """Return counts for the metrics: waiting requests, targets, running."""
         with self.lock:
@@ -406,6 +411,7 @@
                     priority,
                     bool(candidates),
                     sorted(self._barred(now, service)),
+                    self.zone,
                 )
             )
         return wants
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -27,6 +27,10 @@
 __all__ = ["FleetNode", "FleetParts"]
 
 _TICK_S = 0.02
+# Time between ticks while no request waits and nothing is planned.
+_IDLE_TICK_S = 0.06
+# Time between looks at the leases, a part of what they are valid.
+_LEASE_TICK_S = 0.05
 # Shortest time between reports that carry new wants.
 _WANT_GAP_S = 0.004
 # A coordinator that was silent for this long may be gone.
@@ -237,7 +241,7 @@
             parts.quota_changed.notify_all()
 
     def _run_leases(self):
-        while not self._stopping.wait(_TICK_S):
+        while not self._stopping.wait(_LEASE_TICK_S):
             try:
                 self._lease_step()
             except Exception as error:  # noqa: BLE001
@@ -290,12 +294,17 @@
             self._channel.send(self._coordinator_address, report)
 
     def _run_ticks(self):
-        while not self._stopping.wait(_TICK_S):
+        while not self._stopping.wait(self._tick_s()):
             try:
                 self._tick()
             except Exception as error:  # noqa: BLE001
                 _log_failure("tick", error)
 
+    def _tick_s(self):
+        parts = self._parts
+        is_busy = parts.board.has_waiting or parts.election.leads
+        return _TICK_S if is_busy else _IDLE_TICK_S
+
     def _tick(self):
         self._parts.board.tick()
         self._front.grow()
