Spread decisions about waiting requests, and who follows a silent lease

Nodes now decide about waiting requests at different times, further apart than a notice takes. Each node that misses the coordinator called the store for four leases three times a second; in large fleets they now start one after the other.

--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -8,7 +8,7 @@
 
 from hibiscusspar.fleet.fanout import DIRECT_NODES
 
-__all__ = ["Peer", "PeerTable", "notice_gap_s"]
+__all__ = ["Peer", "PeerTable", "decision_gap_s", "notice_gap_s"]
 
 # A node that no view showed for this long is gone; views show each within some seconds.
 _FORGET_S = 20.0
@@ -16,6 +16,10 @@
 _NOTICES_PER_S = 250.0
 
 
+# Time in which a notice reaches a node and is taken in, in seconds.
+_NOTICE_S = 0.0025
+
+
 class Peer(NamedTuple):
     """Another node: its zone and ``ip:port``."""
 
@@ -28,6 +32,22 @@
     return peers / _NOTICES_PER_S
 
 
+def decision_gap_s(peers, fraction):
+    """Return the time until a node decides again about its waiting requests.
+
+    Load pattern: requests for one adapter wait on many nodes, and all would be sent
+    in the moment in which a copy is ready or a target has read its prompts. Nodes
+    decide at different times, so that most know what the others have just sent.
+
+    Parameters
+    ----------
+    peers : int
+    fraction : float
+        Random number, uniform in [0, 1).
+    """
+    return (peers + 1) * _NOTICE_S * (0.5 + fraction)
+
+
 class PeerTable:
     """Nodes that views have shown lately.
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -27,11 +27,12 @@
 
     The load times are those of the users' sheets with the way of the order;
     ``store_cost_s`` is the backlog worth bearing to spare the weight store a load.
-    ``transit`` and ``fleet_transit`` are the numbers of loads on their way to one target
-    and to all targets at which a load still takes its usual time; large fleets may have
-    ``target_transit`` for each target, as the users' sheets give it. ``idle_s`` is how long an
-    adapter must have been unused before it is evicted, beyond the time between the
-    reports of nodes. ``prompt_tokens_s`` is how fast an engine reads prompts.
+    ``transit`` and ``fleet_transit`` are the numbers of loads on their way to one
+    target and to all targets at which a load still takes its usual time; large fleets
+    may have ``target_transit`` for each target, as the users' sheets give it.
+    ``idle_s`` is how long an adapter must have been unused before it is evicted, beyond
+    the time between the reports of nodes. ``prompt_tokens_s`` is how fast an engine
+    reads prompts.
     ``copy_backlog_s`` is the backlog beyond which a further copy pays. An adapter
     used within ``in_demand_s`` gets a new version before it is asked for. One copy
     serves ``copy_requests_s`` requests a second: a third of the prompts that an engine
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_turns.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_turns.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hibiscusspar.fleet.turns import Applicant, patience_s
+from hibiscusspar.fleet.turns import Applicant, follow_delay_s, patience_s
 
 OLD = Applicant(turn_s=0.0, age_s=600.0, cores=2.0, link_mbps=200.0)
 
@@ -24,3 +24,28 @@
 
     def test_age_matters_only_so_far(self):
         self.assertEqual(patience_s(OLD), patience_s(OLD._replace(age_s=1e6)))
+
+
+class TestFollowing(unittest.TestCase):
+    """Load pattern: all nodes of a fleet miss the same holder at the same moment."""
+
+    def delays(self, nodes, **changes):
+        turns = [0.3 * index / nodes for index in range(nodes)]
+        return [
+            follow_delay_s(Applicant(turn, 5.0, 2.0, 100.0, **changes), nodes)
+            for turn in turns
+        ]
+
+    def test_small_fleet_looks_at_once(self):
+        self.assertEqual(max(self.delays(9)), 0.0)
+
+    def test_few_nodes_of_a_large_fleet_look_at_once(self):
+        for nodes in (78, 360):
+            soon = sum(delay < 0.3 for delay in self.delays(nodes))
+            self.assertGreater(soon, 1)
+            self.assertLess(soon, 16)
+
+    def test_nodes_of_other_zones_look_later(self):
+        here, away = self.delays(78), self.delays(78, is_away=True)
+        self.assertGreater(min(away), 0.9)
+        self.assertLess(min(here), 0.1)
--- a/packages/hibiscusspar/hibiscusspar/fleet/turns.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/turns.py
@@ -1,4 +1,4 @@
-"""Who takes a free duty first.
+"""Who follows a duty that may be free, and who takes it first.
 
 Load pattern: VMs of different sizes are stopped and started in turn. A duty goes to a
 large VM of its zone that has none yet and whose process started lately, because a
@@ -7,7 +7,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["Applicant", "TurnPolicy", "patience_s"]
+from hibiscusspar.fleet.fanout import DIRECT_NODES
+
+__all__ = ["Applicant", "TurnPolicy", "follow_delay_s", "patience_s"]
 
 
 class TurnPolicy(NamedTuple):
@@ -15,8 +17,9 @@
 
     An applicant waits ``small_s`` on a small VM, ``busy_s`` if it has a duty,
     ``away_s`` in another zone than the duty's, and ``age_share`` of its age up to
-    ``old_s``. A VM is small below ``cores`` or ``link_mbps``: the coordinator of a
-    hundred nodes takes half a core and sends and receives some Mbit/s.
+    ``old_s``. In large fleets equal ones are spread by ``fleet_turns`` turns for each
+    group of nodes beyond the first. A VM is small below ``cores`` or ``link_mbps``: the
+    coordinator of a hundred nodes takes half a core and sends and receives some Mbit/s.
     """
 
     small_s: float = 0.5
@@ -24,6 +27,7 @@
     away_s: float = 1.0
     age_share: float = 0.01
     old_s: float = 0.4
+    fleet_turns: float = 2.0
     cores: float = 1.0
     link_mbps: float = 50.0
 
@@ -42,6 +46,24 @@
     is_away: bool = False
 
 
+def follow_delay_s(applicant, nodes, policy=None):
+    """Return how long an applicant leaves a silent duty to others, in seconds.
+
+    Load pattern: hundreds of nodes miss the same holder at the same moment, and each
+    that follows its lease calls the store several times a second.
+
+    Parameters
+    ----------
+    applicant : Applicant
+    nodes : int
+    policy : TurnPolicy, optional
+    """
+    policy = policy or TurnPolicy()
+    groups = max(0.0, nodes / DIRECT_NODES - 1.0)
+    delay_s = applicant.turn_s * policy.fleet_turns * groups
+    return delay_s + (policy.away_s if applicant.is_away and groups else 0.0)
+
+
 def patience_s(applicant, policy=None):
     """Return how long an applicant lets others go first, in seconds.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -1,5 +1,6 @@
 """What one node knows of the fleet, and the requests that wait on it."""
 
+import random
 import threading
 from collections import Counter, deque
 from typing import NamedTuple
@@ -11,6 +12,7 @@
     adapter_key,
     adapter_label,
 )
+from hibiscusspar.fleet.peers import decision_gap_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
 from hibiscusspar.fleet.waiting import Send, Wait, decide, job_order
@@ -93,6 +95,9 @@
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._queues = PromptQueues(ChoicePolicy().prompt_tokens_s)
+        self._rng = random.Random(f"{node}/{start}")
+        self._decides_at = 0.0
+        self.peers_near = 0
         self.on_want = lambda: None
         self.on_sent = lambda target, tokens: None
 
@@ -273,7 +278,10 @@
         return {}, {}
 
     def _drain(self, now):
-        if self._waiting:
+        """Decide about waiting requests, unless that was done just now."""
+        if self._waiting and now >= self._decides_at:
+            gap_s = decision_gap_s(self.peers_near, self._rng.random())
+            self._decides_at = now + gap_s
             self._waiting.sort(key=lambda ticket: job_order(now, ticket.job))
             self._waiting = [t for t in self._waiting if not self._decide(now, t)]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -26,7 +26,7 @@
     store : ObjectStore
     clock : callable
     is_heard : callable
-        Whether the holder of the duty was heard of lately.
+        Whether the holder of the duty was heard of lately, or others look for it.
     levels : callable, optional
         Returns the levels of accounts to keep in the lease.
     """
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -13,6 +13,7 @@
 )
 from hibiscusspar.fleet.peers import Peer
 from hibiscusspar.fleet.quota import unseen_levels
+from hibiscusspar.fleet.turns import follow_delay_s
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.events import (
@@ -35,6 +36,11 @@
 _WANT_GAP_S = 0.004
 # A coordinator that was silent for this long may be gone.
 _COORDINATOR_SILENT_S = 0.5
+# The duties of zones are left to their holders while the coordinator was silent for
+# less than this: far longer than its successor takes.
+_DUTY_SILENT_S = 2.5
+# Time after the start in which the first view is awaited before duties are followed.
+_FIRST_VIEW_S = 1.5
 # A coordinator that was silent for this long is logged as lost.
 _LOST_S = 1.5
 # Pause after a call of the store without an answer: far shorter than its outages.
@@ -67,6 +73,7 @@
     log: Any
     relayed: Any
     peers: Any
+    applicant: Any
     key_age_limit_s: float
 
 
@@ -97,6 +104,8 @@
         self._leased = False
         self._held = frozenset()
         self._fence = 0
+        self._free_since = {}
+        self._started_at = parts.clock()
         self._store_from = 0.0
         self._lost_logged = False
         self._stopping = threading.Event()
@@ -165,9 +174,32 @@
         age_s = self._parts.board.view_age_s
         return age_s is not None and age_s < _COORDINATOR_SILENT_S and self._leased
 
-    def hears_holder(self, zone):
-        """Whether the coordinator hears the holder of a zone's duty."""
-        return self.hears_coordinator and zone in self._held
+    @property
+    def leaves_coordinator(self):
+        """Whether the coordinator's lease needn't be followed now."""
+        return self._is_others_turn("", self.hears_coordinator)
+
+    def leaves_duty(self, zone):
+        """Whether the lease of a zone's duty needn't be followed now."""
+        return self._is_others_turn(zone, self._is_held(zone))
+
+    def _is_held(self, zone):
+        parts = self._parts
+        age_s = parts.board.view_age_s
+        if age_s is None:
+            return parts.clock() < self._started_at + _FIRST_VIEW_S
+        return age_s < _DUTY_SILENT_S and zone in self._held
+
+    def _is_others_turn(self, zone, is_held):
+        """Whether a duty, that of a zone or the coordinator's, is left to others."""
+        parts = self._parts
+        now = parts.clock()
+        if is_held:
+            self._free_since.pop(zone, None)
+            return True
+        since = self._free_since.setdefault(zone, now)
+        applicant = parts.applicant(zone)
+        return now < since + follow_delay_s(applicant, parts.board.nodes)
 
     def receive(self, message, address):
         """Take in a message of another node."""
@@ -235,6 +267,8 @@
                 watch.wake()
         peers = {name: Peer(*row) for name, row in view.peers.items()}
         parts.peers.shown(parts.clock(), peers)
+        near = parts.peers.near(parts.clock(), parts.settings.zone)
+        parts.board.peers_near = len(near)
         acked = parts.board.take_view(view)
         with parts.quota_changed:
             parts.quota.view(parts.clock(), view.nodes, view.levels, acked)
