--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -285,11 +285,26 @@
             gap_s = decision_gap_s(self.peers_near, self._rng.random())
             self._decides_at = now + gap_s
             self._waiting.sort(key=lambda ticket: job_order(now, ticket.job))
-            self._waiting = [t for t in self._waiting if not self._decide(now, t)]
-
-    def _decide(self, now, ticket):
+            taken = set()
+            self._waiting = [
+                ticket
+                for ticket in self._waiting
+                if not self._decide(now, ticket, taken)
+            ]
+
+    def _decide(self, now, ticket, taken=None):
+        """Decide about a request; return whether it waits no longer.
+
+        ``taken`` holds the targets that got a stream in this round of decisions. Each
+        gets one, so that nodes that decide at the same moment send it no more.
+        """
         job = ticket.job
         candidates, versions = self._candidates(now, job)
+        if taken and job.gap_s and self.peers_near:
+            left = [row for row in candidates if row.target_id not in taken]
+            if candidates and not left:
+                return False
+            candidates = left
         decision = decide(now, job, candidates, self.zone)
         if isinstance(decision, Wait):
             return False
@@ -313,6 +328,8 @@
         if self._engines.get(target.service):
             self._queues.sent(now, target.target_id, job.prompt_tokens)
             self.on_sent(target, job.prompt_tokens)
+        if taken is not None:
+            taken.add(target.target_id)
         self._ejection.begin(now, target.target_id, Outbox())
         ticket.settle(decision, placement)
         return True
