--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -2,7 +2,7 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from time import sleep
+from time import monotonic, sleep
 from typing import NamedTuple
 
 from msgspec import Raw
@@ -27,8 +27,10 @@
 
 # A report older than this no longer counts.
 _REPORT_STALE_S = 1.5
-# Pause after a round of planning: many wants come within some milliseconds.
+# Pause after a round of planning: many wants come within some milliseconds. It lasts
+# twice as long as the round if that is longer, which leaves time for views.
 _PLAN_GAP_S = 0.004
+_PLAN_GAP_ROUNDS = 2.0
 # Views that repeat a target's adapters after a change, against lost datagrams.
 _REPEATS = 3
 # Rows of the directory in a view while a node is new, so that it soon knows all and
@@ -46,12 +48,16 @@
 
 
 class _Heard(NamedTuple):
-    """The last report of a node, when it came, where from, and its first time."""
+    """The last report of a node, when it came, where from, and its first time.
+
+    ``in_use`` are the adapters of its running requests by target.
+    """
 
     report: object
     at: float
     address: tuple[str, int]
     since: float
+    in_use: dict[str, set]
 
 
 class _Turns:
@@ -206,12 +212,16 @@
                 return
             same = known is not None and known.report.start == report.start
             since = known.since if same else now
-            self._heard[report.node] = _Heard(report, now, address, since)
+            in_use = {
+                target_id: set(map(adapter_key, counts))
+                for target_id, counts in report.in_use.items()
+            }
+            self._heard[report.node] = _Heard(report, now, address, since, in_use)
             self._levels.report(now, report.node, report.start, report.used)
             earlier = known.report.in_use if same else {}
             for target_id, counts in report.in_use.items():
                 begun = _begun(counts, earlier.get(target_id, {}))
-                self._planner.used(now, target_id, map(adapter_key, counts))
+                self._planner.used(now, target_id, in_use[target_id])
                 self._planner.begun(now, begun)
         if report.wants:
             self._work.set()
@@ -231,12 +241,13 @@
         while not self._closed:
             self._work.wait()
             self._work.clear()
+            began = monotonic()
             try:
                 self.plan()
             except Exception as error:  # noqa: BLE001
                 fields = {"task": "plan", "reason": repr(error)}
                 write_records([(BACKGROUND_FAILED, fields)])
-            sleep(_PLAN_GAP_S)
+            sleep(max(_PLAN_GAP_S, _PLAN_GAP_ROUNDS * (monotonic() - began)))
 
     def plan(self):
         """Choose orders and give them in the threads of the pool."""
@@ -408,11 +419,12 @@
         return first_byte_s(_CHOICE, row, 0)
 
     def _in_use(self, now):
-        in_use = {}
-        for report in self._reports(now):
-            for target_id, labels in report.in_use.items():
-                in_use.setdefault(target_id, set()).update(map(adapter_key, labels))
-        return in_use
+        found = {}
+        for row in self._heard.values():
+            if now <= row.at + _REPORT_STALE_S:
+                for target_id, keys in row.in_use.items():
+                    found.setdefault(target_id, set()).update(keys)
+        return found
 
     def _wants(self, now):
         wants = [want for report in self._reports(now) for want in report.wants]
