Count loads as targets do, and let ties share requests

Of equal targets all nodes took the first. One copy now serves 10 requests a second divided by the steps of an event.

--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -128,8 +128,11 @@
                 held.last_used[key] = now
 
     def begun(self, now, counts):
-        """Note how many requests began to use each adapter."""
-        self._demand.begun(now, counts)
+        """Note how many requests began to use each adapter.
+
+        Those that name none need only the base model.
+        """
+        self._demand.begun(now, {key: n for key, n in counts.items() if key[1]})
 
     def next_orders(self, now, targets, wants, backlogs, in_use, interval_s=0.1):
         """Choose orders, at most one a target, and mark them as on their way.
@@ -182,20 +185,18 @@
         Load pattern: many nodes send requests for one adapter to the one target that
         holds it, within the time that their counts take to reach each other.
         """
-        least = self._policy.copy_requests_s
-        rates = self._demand.rates(plan.now, least)
         found = []
-        for service in sorted(
-            {targets[target_id][0].service for target_id in plan.free}
-        ):
-            models = {
-                model.name
-                for target, engine in targets.values()
-                if target.service == service
-                for model in engine.models
-            }
+        engines = {
+            target.service: engine
+            for target, engine in targets.values()
+            if target.target_id in plan.free
+        }
+        for service, engine in sorted(engines.items()):
+            each = self._policy.copy_requests_s / engine.event_steps
+            models = {model.name for model in engine.models}
+            rates = self._demand.rates(plan.now, each)
             for key, rate in sorted(rates.items(), key=lambda row: -row[1]):
-                if key[0] in models and len(plan.holders.get(key, ())) < rate / least:
+                if key[0] in models and len(plan.holders.get(key, ())) < rate / each:
                     found.append(Want(service, *key, 1, 0, 0, True))
         return found
 
@@ -259,7 +260,9 @@
             if not order.adapter:
                 held.models.pop(order.model, None)
             return
-        held.accepted = order.expected + 1
+        # A load that the target answers with "holds already" is not counted there.
+        changes = order.operation == "unload" or outcome.result != "done"
+        held.accepted = order.expected + changes
         if not order.adapter:
             return
         key = (order.model, order.adapter)
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -27,10 +27,11 @@
     reads prompts.
     ``copy_backlog_s`` is the backlog beyond which a further copy pays. An adapter
     used within ``in_demand_s`` gets a new version before it is asked for. One copy
-    serves ``copy_requests_s`` requests a second: a third of the prompts that an engine
-    can read, so that those that come together make no stream pause. A copy in a zone
-    that has one already is worth ``zone_copy_s`` of backlog less, one outside the zone
-    of those who ask ``zone_want_s``.
+    serves ``copy_requests_s`` requests a second, divided by the steps of an event: at
+    two steps a third of the prompts that an engine can read, so that those that come
+    together make no stream pause. A copy in a zone that has one
+    already is worth ``zone_copy_s`` of backlog less, one outside the zone of those who
+    ask ``zone_want_s``.
     """
 
     cold_load_s: float = 0.27
@@ -45,7 +46,7 @@
     copy_backlog_s: float = 0.05
     confirm_s: float = 0.3
     in_demand_s: float = 3.0
-    copy_requests_s: float = 5.0
+    copy_requests_s: float = 10.0
     zone_copy_s: float = 0.2
     zone_want_s: float = 0.05
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -16,6 +16,10 @@
 ]
 
 
+# Multiples of it lie far apart modulo one.
+_GOLDEN_RATIO = 0.618
+
+
 class ChoicePolicy(NamedTuple):
     """Settings of the choice.
 
@@ -68,9 +72,11 @@
     return read_s + policy.step_s + policy.request_s * candidate.running
 
 
-def choose_target(policy, candidates, zone, prompt_tokens):
+def choose_target(policy, candidates, zone, prompt_tokens, turn=0.0):
     """Return the best candidate and its time to the first byte, or None.
 
+    Load pattern: many nodes see the same idle targets, and would all take the first.
+
     Parameters
     ----------
     policy : ChoicePolicy
@@ -78,6 +84,8 @@
     zone : str
         Zone of the node.
     prompt_tokens : int
+    turn : float, optional
+        Number in [0, 1) that spreads requests over targets that are equal.
 
     Returns
     -------
@@ -85,11 +93,12 @@
         None if there is no candidate with a free slot.
     """
     best = None
-    for candidate in candidates:
+    for index, candidate in enumerate(candidates):
         if candidate.running >= min(candidate.slots, policy.most_running):
             continue
         time_s = first_byte_s(policy, candidate, prompt_tokens)
         cost = time_s if candidate.zone == zone else time_s + policy.zone_s
-        if best is None or cost < best[0]:
-            best = (cost, candidate, time_s)
+        rank = (cost, (turn + index * _GOLDEN_RATIO) % 1.0)
+        if best is None or rank < best[0]:
+            best = (rank, candidate, time_s)
     return None if best is None else (best[1], best[2])
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -1,6 +1,7 @@
 """Tests of sending, waiting and refusing, each replaying a load pattern."""
 
 import unittest
+from collections import Counter
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -107,6 +108,16 @@
         )
         self.assertEqual(found[0].target_id, "t2")
 
+    def test_equal_targets_share_the_requests_of_many_nodes(self):
+        # Load pattern: many nodes see the same idle targets at the same moment.
+        rows = [candidate(f"t{index}") for index in range(4)]
+        counts = Counter(
+            choose_target(ChoicePolicy(), rows, "z1", 1000, turn / 100)[0].target_id
+            for turn in range(100)
+        )
+        self.assertEqual(len(counts), 4)
+        self.assertLess(max(counts.values()), 40)
+
     def test_own_zone_wins_among_equals(self):
         found = choose_target(
             ChoicePolicy(), [candidate("t1", zone="z2"), candidate("t2")], "z1", 10
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -110,7 +110,7 @@
     choice = choice or ChoicePolicy()
     policy = policy or WaitPolicy()
     gentle = [row for row in candidates if _keeps_pace(choice, policy, job, row)]
-    best = choose_target(choice, gentle, zone, job.prompt_tokens)
+    best = choose_target(choice, gentle, zone, job.prompt_tokens, job.fraction)
     left_s = job.arrived + job.aim_s - now
     wait_s = job.give_up_at - now
     if best is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -147,9 +147,6 @@
                 known, _ = self._residency.get(target_id, (_NO_STATE, None))
                 if state > known:
                     self._residency[target_id] = (state, _copies(now, rows))
-            # All nodes hear the same news at the same moment.
-            gap_s = decision_gap_s(self.peers_near, self._rng.random())
-            self._decides_at = max(self._decides_at, now + gap_s)
             _, used = self._acked()
             return used
 
