--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -121,9 +121,13 @@
 
 
 class SendNotice(Struct, tag="sent"):
-    """What a node has just sent: targets and the prompt tokens of each request."""
+    """What a node has just sent: targets and the prompt tokens of each request.
+
+    ``relay`` is whether the node that gets it passes it on within its zone.
+    """
 
     sends: list[tuple[str, int]]
+    relay: bool = False
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -8,12 +8,12 @@
 
 from hibiscusspar.fleet.fanout import DIRECT_NODES
 
-__all__ = ["Peer", "PeerTable", "decision_gap_s", "notice_gap_s"]
+__all__ = ["Audience", "Peer", "PeerTable", "decision_gap_s", "notice_gap_s"]
 
 # A node that no view showed for this long is gone; views show each within some seconds.
 _FORGET_S = 20.0
-# Notices that a node sends and receives in a second, at most: some percent of a core.
-_NOTICES_PER_S = 250.0
+# Notices that a node receives in a second, at most: some percent of a core.
+_NOTICES_PER_S = 400.0
 
 
 # Time in which a notice reaches a node of half a core and is taken in, in seconds.
@@ -27,9 +27,16 @@
     address: str
 
 
-def notice_gap_s(peers):
-    """Return the shortest time between two notices of a node to so many peers."""
-    return peers / _NOTICES_PER_S
+class Audience(NamedTuple):
+    """Addresses that a notice is sent to, and those that pass it on to their zones."""
+
+    direct: list[str]
+    relays: list[str]
+
+
+def notice_gap_s(nodes):
+    """Return the shortest time between two notices of a node in a fleet."""
+    return nodes / _NOTICES_PER_S
 
 
 def decision_gap_s(peers, fraction):
@@ -67,10 +74,15 @@
             if peer.address != self._address:
                 self._rows[name] = (peer, now)
 
+    @property
+    def count(self):
+        """Number of nodes shown lately."""
+        return len(self._rows)
+
     def near(self, now, zone):
-        """Return the addresses of the nodes that use the targets of a zone.
+        """Return the addresses of the nodes that are told directly.
 
-        In a small fleet these are all nodes.
+        In a small fleet these are all nodes, else those of a zone.
         """
         self._rows = {
             name: row for name, row in self._rows.items() if now < row[1] + _FORGET_S
@@ -81,3 +93,25 @@
             for peer, _ in self._rows.values()
             if is_small or peer.zone == zone
         ]
+
+    def audience(self, now, zone, rng):
+        """Return who is told of a send by a node of a zone.
+
+        A notice crosses to each other zone once, because bytes between zones are dear.
+
+        Parameters
+        ----------
+        now : float
+        zone : str
+        rng : random.Random
+
+        Returns
+        -------
+        Audience
+        """
+        direct = self.near(now, zone)
+        zones = {}
+        for peer, _ in self._rows.values():
+            if peer.zone != zone and len(self._rows) >= DIRECT_NODES:
+                zones.setdefault(peer.zone, []).append(peer.address)
+        return Audience(direct, [rng.choice(zones[name]) for name in sorted(zones)])
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -20,8 +20,8 @@
     take by estimate; the rest is for errors of the estimate. ``late_s`` is the
     estimate up to which a request past its aim is still sent. ``retry_s`` is the
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
-    together. ``gap_share`` is the part of the longest pause that waiting prompts and
-    the steps of one event may fill. Each request is judged as if its prompt had
+    together. ``gap_share`` is the part of the longest pause that prompts and the steps
+    of one event may fill. Each request is judged as if its prompt had
     ``usual_prompt_tokens``.
     """
 
@@ -30,7 +30,7 @@
     retry_s: float = 0.3
     retry_spread_s: float = 0.7
     usual_prompt_tokens: int = 1200
-    gap_share: float = 0.6
+    gap_share: float = 0.8
 
 
 class Job(NamedTuple):
@@ -134,14 +134,17 @@
     """Return whether the streams of a target still keep their pace beside a job.
 
     Load pattern: prompts that come at once are read one after the other between the
-    steps of running streams, which all pause meanwhile.
+    steps of running streams, which all pause meanwhile. A prompt that is too large by
+    itself goes where no other one waits.
     """
     if not job.gap_s or not candidate.running:
         return True
     steps_s = job.event_steps * (
         choice.step_s + choice.step_request_s * candidate.running
     )
-    return backlog_s(choice, candidate) <= job.gap_s * policy.gap_share - steps_s
+    room_s = job.gap_s * policy.gap_share - steps_s
+    own_s = job.prompt_tokens / choice.prompt_tokens_s
+    return backlog_s(choice, candidate) <= max(0.0, room_s - own_s)
 
 
 def _refuse(policy, job, reason, wait_s):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -1,6 +1,7 @@
 """One entry process of the fleet: its threads, its start and its end."""
 
 import threading
+from random import Random
 from time import sleep
 from typing import Any, NamedTuple
 
@@ -111,7 +112,9 @@
         self._stopping = threading.Event()
         self._coordinator_address = None
         parts.board.on_want = self._want.set
-        self._notices = Notices(parts.clock, parts.peers, channel)
+        self._notices = Notices(
+            parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
+        )
         parts.board.on_sent = self._notices.add
 
     def close(self):
@@ -208,6 +211,7 @@
         elif isinstance(message, NodeReport):
             self._coordinator.take_report(message, address)
         elif isinstance(message, SendNotice):
+            self._notices.pass_on(message)
             self._parts.board.take_notice(message)
         elif isinstance(message, OrderRequest):
             self._parts.desk.take_request(message, address)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
@@ -19,22 +19,26 @@
     Parameters
     ----------
     clock : callable
+    zone : str
     peers : PeerTable
     channel : Channel
+    rng : random.Random
     """
 
-    def __init__(self, clock, peers, channel):
+    def __init__(self, clock, zone, peers, channel, rng):
         self._clock = clock
+        self._zone = zone
         self._peers = peers
         self._channel = channel
+        self._rng = rng
         self._lock = threading.Lock()
-        self._pending = {}
+        self._pending = []
         self._added = threading.Event()
 
     def add(self, target, tokens):
         """Note a send; it is told from another thread."""
         with self._lock:
-            self._pending.setdefault(target.zone, []).append((target.target_id, tokens))
+            self._pending.append((target.target_id, tokens))
         self._added.set()
 
     def run(self):
@@ -43,18 +47,29 @@
             self._added.wait()
             self._added.clear()
             try:
-                sleep(notice_gap_s(self.send_pending()))
+                self.send_pending()
             except Exception as error:  # noqa: BLE001
                 log_failure("notices", error)
+            sleep(notice_gap_s(self._peers.count))
 
     def send_pending(self):
         """Tell of all pending sends; return the number of datagrams."""
         with self._lock:
-            pending, self._pending = self._pending, {}
-        count = 0
-        for zone, sends in pending.items():
-            body = to_json(SendNotice(sends))
-            for address in self._peers.near(self._clock(), zone):
-                self._channel.send(parse_address(address), body)
-                count += 1
-        return count
+            sends, self._pending = self._pending, []
+        if not sends:
+            return 0
+        audience = self._peers.audience(self._clock(), self._zone, self._rng)
+        self._send(audience.direct, SendNotice(sends))
+        self._send(audience.relays, SendNotice(sends, relay=True))
+        return len(audience.direct) + len(audience.relays)
+
+    def pass_on(self, notice):
+        """Tell the nodes of this zone what a node of another zone sent."""
+        if notice.relay:
+            near = self._peers.near(self._clock(), self._zone)
+            self._send(near, SendNotice(notice.sends))
+
+    def _send(self, addresses, notice):
+        body = to_json(notice)
+        for address in addresses:
+            self._channel.send(parse_address(address), body)
