--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -25,7 +25,9 @@
 
     ``prompt_tokens_s`` is how fast an engine reads prompts, ``step_s`` the time of
     one decoding step; each running request adds ``request_s`` to a first byte and
-    ``step_request_s`` to a step. All are from the users' sheets. ``zone_s`` is what
+    ``step_request_s`` to a step. All are from the users' sheets. ``piece_s`` is the
+    longest step that reads a piece of a prompt: in played days no stream of two steps
+    an event paused for longer than twice that. ``zone_s`` is what
     crossing to another zone must save: most of a prompt, because nodes are told at once
     only of what goes to the targets of their own zone. ``most_running`` is the number
     of running requests at which an engine that reads prompts all the while still ends
@@ -37,6 +39,7 @@
     step_s: float = 0.0095
     request_s: float = 0.002
     step_request_s: float = 0.00007
+    piece_s: float = 0.125
     zone_s: float = 0.06
     most_running: int = 44
     count_lag_s: float = 0.15
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -21,7 +21,8 @@
     estimate up to which a request past its aim is still sent. ``retry_s`` is the
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
     together. ``gap_share`` is the part of the longest pause that prompts and the steps
-    of one event may fill. Each request is judged as if its prompt had
+    of one event may fill; where the steps can't fill it, ``most_backlog_s`` is the
+    backlog that keeps an engine busy until the next view. Each request is judged as if its prompt had
     ``usual_prompt_tokens``.
     """
 
@@ -31,6 +32,7 @@
     retry_spread_s: float = 0.7
     usual_prompt_tokens: int = 1200
     gap_share: float = 0.8
+    most_backlog_s: float = 0.3
 
 
 class Job(NamedTuple):
@@ -139,12 +141,15 @@
     """
     if not job.gap_s or not candidate.running:
         return True
+    backlog = backlog_s(choice, candidate)
+    if job.event_steps * choice.piece_s < job.gap_s:
+        return backlog <= policy.most_backlog_s
     steps_s = job.event_steps * (
         choice.step_s + choice.step_request_s * candidate.running
     )
     room_s = job.gap_s * policy.gap_share - steps_s
     own_s = job.prompt_tokens / choice.prompt_tokens_s
-    return backlog_s(choice, candidate) <= max(0.0, room_s - own_s)
+    return backlog <= max(0.0, room_s - own_s)
 
 
 def _refuse(policy, job, reason, wait_s):
