--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -22,8 +22,8 @@
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
     together. ``gap_share`` is the part of the longest pause that prompts and the steps
     of one event may fill; where the steps can't fill it, ``most_backlog_s`` is the
-    backlog that keeps an engine busy until the next view. Each request is judged as if its prompt had
-    ``usual_prompt_tokens``.
+    backlog that keeps an engine busy until the next view. Each request is judged as if
+    its prompt had ``usual_prompt_tokens``.
     """
 
     aim_share: float = 0.85
