Rely on views up to the bounds they must keep; announce the end of a coordinator

Views are now relied on until what they tell may be too old, their own age included; a coordinator that stops says so in a last view.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -196,9 +196,11 @@
             self._levels.reset(self._clock(), levels)
 
     def give_up(self):
-        """Stop to coordinate."""
+        """Stop to coordinate; a last view says so, that a successor is found sooner."""
         with self._lock:
-            self._active = False
+            was_active, self._active = self._active, False
+        if was_active:
+            self.send_views()
 
     def take_report(self, report, address):
         """Take in a node's report."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -12,8 +12,6 @@
 
 __all__ = ["AgeLimits", "RelayedState"]
 
-# Age up to which a view is relied on, in seconds: several intervals.
-_MAX_VIEW_AGE_S = 0.6
 _KEPT_REPORTS = 128
 
 
@@ -102,7 +100,7 @@
 
     def config_is_told(self):
         """Whether the configuration need not be read."""
-        view = self._fresh_view()
+        view = self._told_view()
         ruleset = self._config.ruleset
         return (
             view is not None
@@ -113,19 +111,23 @@
 
     def directory_is_told(self):
         """Whether targets and versions need not be read."""
-        view = self._fresh_view()
+        view = self._told_view()
         return (
             view is not None
             and view.directory_age_s + self._view_age_s < self._limits.directory_s
             and all(name in self._rows for name in view.directory)
         )
 
-    def _fresh_view(self):
+    def _told_view(self):
+        """Return the last view that answered a report, unless this node reads itself.
+
+        Its age counts with the ages that it tells, so that the loss of a coordinator
+        makes nodes call the store only if its successor takes longer than they may
+        wait.
+        """
         with self._lock:
             if self._is_source or self._viewed_at is None:
                 return None
-            if self._clock() > self._viewed_at + _MAX_VIEW_AGE_S:
-                return None
             return self._view
 
 
