Count sends on top of what reports tell

Reports now lengthen the estimated queue, and sends add to it. The processor budget allows 1,000 notices a second.

--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -13,7 +13,7 @@
 # A node that no view showed for this long is gone; views show each within some seconds.
 _FORGET_S = 20.0
 # Notices that a node receives in a second, at most: some percent of a core.
-_NOTICES_PER_S = 400.0
+_NOTICES_PER_S = 1000.0
 
 
 # Time in which a notice reaches a node of half a core and is taken in, in seconds.
--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -7,6 +7,9 @@
 
 __all__ = ["PromptQueues"]
 
+# Part of its time in which a busy target reads; in the rest it makes decoding steps.
+_READING_SHARE = 0.85
+
 
 class PromptQueues:
     """Times at which targets will have read the prompts that they were sent.
@@ -14,11 +17,11 @@
     Parameters
     ----------
     tokens_per_s : float
-        How fast a target reads.
+        How fast a target reads between its decoding steps.
     """
 
     def __init__(self, tokens_per_s):
-        self._tokens_per_s = tokens_per_s
+        self._tokens_per_s = tokens_per_s * _READING_SHARE
         self._read_at = {}
 
     def sent(self, now, target_id, tokens):
@@ -26,6 +29,11 @@
         begin = max(now, self._read_at.get(target_id, now))
         self._read_at[target_id] = begin + tokens / self._tokens_per_s
 
+    def reported(self, now, target_id, backlog_s):
+        """Take in a backlog that is known from reports, if it is longer."""
+        if now + backlog_s > self._read_at.get(target_id, now):
+            self._read_at[target_id] = now + backlog_s
+
     def backlog_s(self, now, target_id):
         """Return the seconds until a target has read what it was sent."""
         return max(0.0, self._read_at.get(target_id, now) - now)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -14,13 +14,14 @@
 )
 from hibiscusspar.fleet.peers import decision_gap_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.waiting import Send, Wait, decide, job_order
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
 
 __all__ = ["Board", "Placement", "Ticket"]
 
+_CHOICE = ChoicePolicy()
 # Age of a view beyond which the directory's own entries are believed as well.
 _VIEW_STALE_S = 1.5
 # How long a target that denied an adapter is not asked for it again.
@@ -94,7 +95,7 @@
         self._denied = {}
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
-        self._queues = PromptQueues(ChoicePolicy().prompt_tokens_s)
+        self._queues = PromptQueues(_CHOICE.prompt_tokens_s)
         self._rng = random.Random(f"{node}/{start}")
         self._decides_at = 0.0
         self.peers_near = 0
@@ -147,6 +148,11 @@
                 known, _ = self._residency.get(target_id, (_NO_STATE, None))
                 if state > known:
                     self._residency[target_id] = (state, _copies(now, rows))
+            for target_id in view.loads:
+                if target_id in self._targets:
+                    candidate = self._candidate(now, self._targets[target_id])
+                    reported_s = backlog_s(_CHOICE, candidate)
+                    self._queues.reported(now, target_id, reported_s)
             _, used = self._acked()
             return used
 
