--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -231,6 +231,8 @@
                 "sent_bytes": self._channel.sent_bytes,
                 "received_bytes": self._channel.received_bytes,
                 "planned_orders": self._coordinator.planned,
+                "peers": self._parts.peers.count,
+                "notices_sent": self._notices.sent,
             }
         )
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
@@ -34,6 +34,8 @@
         self._lock = threading.Lock()
         self._pending = []
         self._added = threading.Event()
+        # Datagrams sent, those passed on included.
+        self.sent = 0
 
     def add(self, target, tokens):
         """Note a send; it is told from another thread."""
@@ -73,3 +75,4 @@
         body = to_json(notice)
         for address in addresses:
             self._channel.send(parse_address(address), body)
+            self.sent += 1
