--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/board.py
@@ -91,6 +91,7 @@
         self._residency = {}
         self._view = None
         self._viewed_at = None
+        self._acked_loads = {}
         self._newest = {}
         self._denied = {}
         self._reports = deque(maxlen=_KEPT_REPORTS)
@@ -143,6 +144,7 @@
             now = self._clock()
             self._view = view
             self._viewed_at = now
+            self._acked_loads, used = self._acked()
             for target_id, (number, rows) in view.residency.items():
                 state = (view.fence, number)
                 known, _ = self._residency.get(target_id, (_NO_STATE, None))
@@ -153,7 +155,6 @@
                     candidate = self._candidate(now, self._targets[target_id])
                     reported_s = backlog_s(_CHOICE, candidate)
                     self._queues.reported(now, target_id, reported_s)
-            _, used = self._acked()
             return used
 
     def take_notice(self, notice):
@@ -388,8 +389,7 @@
 
     def _told(self, target_id):
         """Return this node's part in the loads of the last view."""
-        loads, _ = self._acked()
-        return loads.get(target_id) or TargetLoad(0, 0)
+        return self._acked_loads.get(target_id) or TargetLoad(0, 0)
 
     def _version_at(self, now, target, key):
         """Return the version of what a job needs at a target, None if absent."""
