--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -5,10 +5,10 @@
 target will have read what it was sent.
 """
 
-__all__ = ["PromptQueues"]
+__all__ = ["READING_SHARE", "PromptQueues"]
 
 # Part of its time in which a busy target reads; in the rest it makes decoding steps.
-_READING_SHARE = 0.85
+READING_SHARE = 0.85
 
 
 class PromptQueues:
@@ -21,7 +21,7 @@
     """
 
     def __init__(self, tokens_per_s):
-        self._tokens_per_s = tokens_per_s * _READING_SHARE
+        self._tokens_per_s = tokens_per_s * READING_SHARE
         self._read_at = {}
 
     def sent(self, now, target_id, tokens):
