--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -288,6 +288,7 @@
             return []
         place = plan.best_place(want, newest, ahead)
         if place is None:
+            plan.is_short = True
             return []
         if want.more and not ahead and place.cost_s > plan.least_backlog_s(key):
             return []
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -89,6 +89,8 @@
         self.flying = 0
         self.holders = {}
         self.purposes = set()
+        # Whether a want of this round found no place.
+        self.is_short = False
         self.free = {
             target_id: held[target_id]
             for target_id in sorted(targets)
@@ -233,11 +235,18 @@
         if want.zone and zone != want.zone:
             cost_s += policy.zone_want_s
         if ahead:
-            if victim is not None and self.loss(victim) > self.loss(key) / 2:
+            if victim is not None and self._is_needed(victim, key):
                 return None
             cost_s += policy.zone_copy_s * self._copies_in(zone, key)
         return Place(cost_s, target_id, victim)
 
+    def _is_needed(self, victim, key):
+        """Return whether a copy ahead of demand may not take the place of another.
+
+        Load pattern: where requests wait for places, a second copy takes one of them.
+        """
+        return self.is_short or self.loss(victim) > self.loss(key) / 2
+
     def _can_take(self, service, model, target_id):
         """Return whether a target serves a model and has room in transit."""
         target, _ = self._targets[target_id]
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -169,6 +169,18 @@
         (order,) = fleet.plan(9.0, [want("b")], {"t2": 9.0})
         self.assertEqual(order[1:4], ("unload", MODEL, "x"))
 
+    def test_no_copy_ahead_of_demand_while_requests_wait_for_places(self):
+        # Load pattern: all places are taken, and more adapters are asked for.
+        fleet = Fleet(target("t1", ["hot"]), target("t2", ["x"]), places=1)
+        for tenth in range(100):
+            fleet.planner.begun(tenth / 10, {(MODEL, "hot"): 1})
+        self.assertEqual(len(fleet.plan(10.0, [])), 1)
+        fleet = Fleet(target("t1", ["hot"]), target("t2", ["x"]), places=1)
+        for tenth in range(100):
+            fleet.planner.begun(tenth / 10, {(MODEL, "hot"): 1})
+        waits = Want("draft", MODEL, "b", 1, 1000, 1, False, ["t1", "t2"])
+        self.assertEqual(fleet.plan(10.0, [waits]), [])
+
     def test_requests_without_an_adapter_need_no_copies(self):
         fleet = Fleet(target("t1"), target("t2"), places=4)
         for tenth in range(100):
