--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -5,10 +5,7 @@
 target will have read what it was sent.
 """
 
-__all__ = ["READING_SHARE", "PromptQueues"]
-
-# Part of its time in which a busy target reads; in the rest it makes decoding steps.
-READING_SHARE = 0.85
+__all__ = ["PromptQueues"]
 
 
 class PromptQueues:
@@ -17,11 +14,12 @@
     Parameters
     ----------
     tokens_per_s : float
-        How fast a target reads between its decoding steps.
+        How fast a target reads: what decoding steps take is about what it need not
+        read because it has kept it.
     """
 
     def __init__(self, tokens_per_s):
-        self._tokens_per_s = tokens_per_s * READING_SHARE
+        self._tokens_per_s = tokens_per_s
         self._read_at = {}
 
     def sent(self, now, target_id, tokens):
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -8,7 +8,6 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.fleet.prompt_queue import READING_SHARE
 from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target
 
 __all__ = ["Job", "Refuse", "Send", "Wait", "WaitPolicy", "decide", "job_order"]
@@ -149,7 +148,7 @@
         choice.step_s + choice.step_request_s * candidate.running
     )
     room_s = job.gap_s * policy.gap_share - steps_s
-    own_s = job.prompt_tokens / (choice.prompt_tokens_s * READING_SHARE)
+    own_s = job.prompt_tokens / choice.prompt_tokens_s
     return backlog <= max(0.0, room_s - own_s)
 
 
