--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -22,7 +22,7 @@
     shortest time to come back, ``retry_spread_s`` spreads those who were refused
     together. ``gap_share`` is the part of the longest pause that prompts and the steps
     of one event may fill; where the steps can't fill it, ``most_backlog_s`` is the
-    backlog that keeps an engine busy until the next view. Each request is judged as if
+    backlog up to which it gets more, about half an aim. Each request is judged as if
     its prompt had ``usual_prompt_tokens``.
     """
 
@@ -32,7 +32,7 @@
     retry_spread_s: float = 0.7
     usual_prompt_tokens: int = 1200
     gap_share: float = 0.75
-    most_backlog_s: float = 0.3
+    most_backlog_s: float = 0.45
 
 
 class Job(NamedTuple):
