--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_board.py
@@ -234,6 +234,22 @@
         self.assertEqual(self.board.report({}).loads, {})
 
 
+class TestWaitingForOneTarget(BoardTestCase):
+    def test_request_that_found_no_place_in_time_is_refused_then(self):
+        # Load pattern: more streams wait for the only copy than it is sent one by one.
+        self.board.peers_near = 25
+        self.targets(target("t1"))
+        streams = self.job()._replace(gap_s=0.3, event_steps=4)
+        tickets = [self.board.submit(streams) for _ in range(8)]
+        self.clock.now += 1.4
+        self.board.take_view(view({"t1": (1, [("m/a1", 1, 0.0)])}))
+        self.board.tick()
+        self.clock.now += 0.15
+        self.board.tick()
+        self.assertTrue(all(ticket.decided.is_set() for ticket in tickets))
+        self.assertIsInstance(tickets[-1].decision, Refuse)
+
+
 class TestStampede(unittest.TestCase):
     """Load pattern: requests for one adapter wait on all nodes of a zone.
 
