--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed.py
@@ -91,7 +91,7 @@
             self._announce(adapter_key(label), version, age_s)
         age_s = view.directory_age_s + now - sent_at
         if age_s < self._limits.directory_s and None not in rows:
-            self._targets.relayed(rows)
+            self._targets.relayed(rows, now - age_s)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
         if known == view.config_version:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -218,9 +218,14 @@
             return float("inf")
         return self._clock() - self._confirmed_at
 
-    def relayed(self, targets):
-        """Take in the whole directory as the coordinator told it."""
+    def relayed(self, targets, at):
+        """Take in the whole directory as the coordinator knew it at a time.
+
+        What this node has read itself since then is newer.
+        """
         with self._lock:
+            if self._confirmed_at is not None and at < self._confirmed_at:
+                return
             before = dict(self._directory.rows)
             self._directory.relay(targets)
             self._finish(before, "relayed")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed.py
@@ -27,6 +27,7 @@
         self.config = ConfigSync(Codec(), self.clock, lambda ruleset: None)
         self.config.ruleset = Rules()
         targets = TargetSync(Codec(), self.clock, TargetDirectory(), self._publish)
+        self.targets = targets
         self.relayed = RelayedState(
             self.clock,
             self.config,
@@ -48,6 +49,16 @@
         return self.relayed.take(found, "n1")
 
 
+class TestOwnReading(RelayedTestCase):
+    def test_older_view_does_not_bring_back_a_target_that_left(self):
+        self.targets.listed([], self.clock.now)
+        self.take(directory_age_s=0.5, directory=["t1"], rows=[ROW])
+        self.assertEqual(self.published, {})
+        self.clock.now += 1.0
+        self.take(directory_age_s=0.5, directory=["t1"], rows=[ROW])
+        self.assertEqual(list(self.published), ["t1"])
+
+
 class TestConfiguration(RelayedTestCase):
     def test_age_counts_from_the_report_that_the_view_answers(self):
         self.take(sent_ago_s=0.3, config_age_s=0.4)
