Log the limits that targets name in their answers

The header is decoded in the adapter; a node keeps the last statement of each target and logs each change (event 625, gauge limited_targets). Nothing is decided by it yet.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -27,6 +27,7 @@
     "STORE_REGAINED",
     "TARGET_CHANGED",
     "TARGET_GONE",
+    "TARGET_LIMIT",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
 ]
@@ -155,6 +156,13 @@
     "This coordinator sends changed rows of the directory, first in the view with this "
     "number.",
 )
+TARGET_LIMIT = declare(
+    625,
+    "node.target_limit",
+    ("target", "limit_per_s", "source", "age_s"),
+    "A target names another limit in its answers; null if it has none any more. "
+    "`source` is `answer`, or the node whose view told.",
+)
 ADAPTER_VERSION = declare(
     619,
     "node.adapter_version",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -26,6 +26,8 @@
 # one piece.
 _REFUSAL_READ_S = 0.2
 _UNLIMITED_BODY = 2**62
+# Status of a target that doesn't hold the adapter, or isn't the one that was meant.
+_MISDIRECTED = 421
 
 
 class ForwardPolicy(NamedTuple):
@@ -277,9 +279,14 @@
         first_byte_received = False
         self._log.sent(admitted, state, placement)
         earlier_first_byte_at = state.first_byte_at
+        sent_at = self._clock()
         try:
             connection, response = self._send(admitted, state, placement)
             answer = self._parts.dialect.answer_head(response.status, response.headers)
+            if _tells_limit(admitted, answer, response):
+                self._parts.request_scheduler.record_limit(
+                    target_id, answer.limit_per_s, sent_at
+                )
             failure = _head_failure(admitted, state, answer, response)
             if failure is not None:
                 self._drain_refusal(state, connection, response, failure)
@@ -471,10 +478,24 @@
         self._log.broken(admitted, state, error.status, error.reason)
 
 
+def _tells_limit(admitted, answer, response):
+    """Return whether an answer tells which limit its target names now.
+
+    An answer to another request may be old, and a misdirected request may have been
+    answered by another target, so neither ends a limit.
+    """
+    if answer.limit_per_s is not None:
+        return True
+    return (
+        answer.request_id == admitted.call.request_id
+        and response.status != _MISDIRECTED
+    )
+
+
 def _head_failure(admitted, state, answer, response):
     """Return the failure that the head of an answer shows, or None."""
     if answer.not_run:
-        adapter_missing = response.status == 421
+        adapter_missing = response.status == _MISDIRECTED
         reason = f"not run, status {response.status}"
         return AttemptFailure("answer", reason, True, adapter_missing, is_whole=True)
     if answer.request_id != admitted.call.request_id:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -253,6 +253,7 @@
                 "views_received": self._view_sequence.received,
                 "views_missed": self._view_sequence.missed,
                 "views_out_of_order": self._view_sequence.out_of_order,
+                "limited_targets": self._parts.request_scheduler.limited_targets,
                 "directory_differs": self._parts.relayed_state.directory_differs,
             }
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -16,9 +16,11 @@
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.residency_numbers import lacked_states
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
+from hibiscusspar.fleet.target_limits import LimitTable, NamedLimit
 from hibiscusspar.fleet.waiting import Send, Wait, decide, job_sort_key
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import TARGET_LIMIT
 
 __all__ = ["Placement", "RequestScheduler", "Ticket"]
 
@@ -108,6 +110,7 @@
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
+        self._limits = LimitTable()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
         self.direct_peers = 0
@@ -126,6 +129,11 @@
         """Number of nodes in the last view, 1 before the first."""
         return max(1, self._view.nodes) if self._view else 1
 
+    @property
+    def limited_targets(self):
+        """Number of targets that have named a limit."""
+        return len(self._limits.limited)
+
     def configure(self, ruleset):
         """Record which services run on engines."""
         with self.lock:
@@ -139,6 +147,7 @@
         with self.lock:
             self._targets = targets
             self._prompt_queues.retain(targets)
+            self._limits.retain(self._clock(), targets)
             self._ejection.retain(targets)
             self._retry_waiting(self._clock())
 
@@ -242,6 +251,29 @@
             row = (placement.target.target_id, placement.key)
             self._missing_until[row] = self._clock() + _MISSING_ADAPTER_S
 
+    def record_limit(self, target_id, per_s, sent_at):
+        """Record the limit that an answer of a target names.
+
+        Parameters
+        ----------
+        target_id : str
+        per_s : float or None
+            Requests a second of all nodes together, None if the answer names no limit.
+        sent_at : float
+            Time at which the request was sent.
+        """
+        with self.lock:
+            at = sent_at if per_s is None else self._clock()
+            changed = self._limits.record(target_id, NamedLimit(per_s, at))
+        if changed:
+            fields = {
+                "target": target_id,
+                "limit_per_s": per_s,
+                "source": "answer",
+                "age_s": 0.0,
+            }
+            write_records([(TARGET_LIMIT, fields)])
+
     def record_success(self, target_id):
         """Record that a target answered."""
         with self.lock:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -45,13 +45,16 @@
     """Decoded head of a target's answer.
 
     ``not_run`` is whether the target states that it did not run the request,
-    ``sealed`` whether the answer has the platform's seal.
+    ``sealed`` whether the answer has the platform's seal. ``limit_per_s`` is the
+    number of requests a second that the target takes from all nodes together, None if
+    it names no limit.
     """
 
     request_id: str
     target_id: str
     not_run: bool
     sealed: bool
+    limit_per_s: float | None = None
 
 
 class Dialect(Protocol):
