Keep to the limits that targets name, summed over all nodes

Class: a bound on the sum of all nodes that a node can neither see nor divide, since it is fewer than one request a second for each of them.

Change: nodes tell the coordinator of limits, and of their end, with their reports, and it tells all nodes with its views; the later statement counts. Each request to such a target, retries and resumed streams included, needs a permit. The coordinator issues permits at the rate of the limit to nodes whose requests wait for one, so the sum doesn't depend on the number of nodes. Without a coordinator a node has its equal share of the rate, which the coordinator leaves out for silent nodes. Adapters are loaded elsewhere; if no target without a limit remains, a request that can't get a permit in time is refused at once, with the wait as Retry-After.

Messages: reports and views have new fields with defaults; permits are sent only to nodes that asked for some. Older builds are understood, and don't see limits.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -13,6 +13,7 @@
     "NodeReport",
     "OrderRequest",
     "OrderResult",
+    "PermitGrant",
     "SendNotice",
     "TargetLoad",
     "TargetRow",
@@ -74,7 +75,9 @@
     started. ``duties`` maps the zones whose duty this node holds to its fence and
     whether it may order already. ``lacked_rows`` names targets whose rows the node's
     copy of the directory lacks or has in an older state, ``lacked_residency`` those
-    whose residency the node lacks.
+    whose residency the node lacks. ``limits`` holds what recent answers have told of
+    the limits of targets: requests a second, None if the limit has ended, and the age
+    in seconds. ``permit_demand`` counts by target the requests that wait for permits.
     """
 
     node: str
@@ -88,6 +91,8 @@
     duties: dict[str, tuple[int, bool]]
     lacked_rows: list[str] = []
     lacked_residency: list[str] = []
+    limits: dict[str, tuple[float | None, float]] = {}
+    permit_demand: dict[str, int] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -104,6 +109,8 @@
     holds the joined numbers of their residency. ``versions`` holds the announced
     versions of adapters and the seconds since their announcement, ``held`` the zones
     whose duty some node holds. ``peers`` gives the zone and address of some nodes.
+    ``limits`` holds the limits of some targets as in a report, and the requests of all
+    nodes that wait for permits; it is None if the sender issues no permits.
     """
 
     node: str
@@ -128,6 +135,19 @@
     # Nodes of older builds send none.
     row_digests: bytes = b""
     residency_numbers: bytes = b""
+    limits: dict[str, tuple[float | None, float, int]] | None = None
+
+
+class PermitGrant(Struct, tag="permits"):
+    """Permits for requests to targets with a limit, for a process of a node.
+
+    ``fence`` is the fencing token of the coordinator; ``target_ids`` names a target
+    once for each permit. A lost grant is not repeated.
+    """
+
+    start: str
+    fence: int
+    target_ids: list[str]
 
 
 class SendNotice(Struct, tag="sent"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -93,6 +93,10 @@
         """Number of known nodes, including those that are silent now."""
         return len(self._heard_at)
 
+    def available_share(self, now):
+        """Return the share of the nodes that reported lately."""
+        return 1.0 - self._count_silent(now) / max(1, len(self._heard_at))
+
     def reset(self, now, levels):
         """Start from the levels of the last view.
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/target_limits.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_limits.py
@@ -6,6 +6,8 @@
 
 # Time in seconds for which the end of a limit is kept, to tell other nodes of it.
 _END_KEPT_S = 10.0
+# Time in seconds after which a limit that no answer has named again may have ended.
+_CONFIRMED_S = 3.0
 
 
 class NamedLimit(NamedTuple):
@@ -39,11 +41,23 @@
             if row.per_s is not None
         }
 
+    def confirmed(self, now):
+        """Return the targets of which a recent answer has named a limit."""
+        return {
+            target_id
+            for target_id, row in self._rows.items()
+            if row.per_s is not None and now < row.at + _CONFIRMED_S
+        }
+
     def per_s(self, target_id):
         """Return the limit of a target in requests a second, or None."""
         row = self._rows.get(target_id)
         return None if row is None else row.per_s
 
+    def knows(self, target_id):
+        """Return whether a target has a limit, or had one some seconds ago."""
+        return target_id in self._rows
+
     def record(self, target_id, statement):
         """Record a statement unless a later one is known.
 
@@ -58,10 +72,10 @@
             Whether the limit of the target has changed.
         """
         known = self._rows.get(target_id)
-        if known is None:
-            if statement.per_s is None:
-                return False
-        elif statement.at <= known.at:
+        is_limited = known is not None and known.per_s is not None
+        if statement.per_s is None and not is_limited:
+            return False
+        if known is not None and statement.at <= known.at:
             return False
         self._rows[target_id] = statement
         return known is None or known.per_s != statement.per_s
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -10,7 +10,16 @@
 
 from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target
 
-__all__ = ["Job", "Refuse", "Send", "Wait", "WaitPolicy", "decide", "job_sort_key"]
+__all__ = [
+    "Job",
+    "Refuse",
+    "Send",
+    "Wait",
+    "WaitPolicy",
+    "decide",
+    "job_sort_key",
+    "refuse_for_limit",
+]
 
 
 class WaitPolicy(NamedTuple):
@@ -134,6 +143,28 @@
     return Wait("busy" if candidates else "adapter not resident")
 
 
+def refuse_for_limit(now, job, permit_wait_s, policy=None):
+    """Decide on a request for which only targets with a limit remain.
+
+    Parameters
+    ----------
+    now : float
+    job : Job
+    permit_wait_s : float or None
+        Expected seconds until one of them takes a further request; None if there are
+        other targets.
+    policy : WaitPolicy, optional
+
+    Returns
+    -------
+    Wait or Refuse
+        A refusal if the request could not be sent in time.
+    """
+    if permit_wait_s is None or now + permit_wait_s <= job.give_up_at:
+        return Wait("limited")
+    return _refuse(policy or WaitPolicy(), job, "limited", permit_wait_s)
+
+
 def _keeps_streams_in_time(choice, policy, job, candidate):
     """Return whether the streams of a target stay in time if it gets the job.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -16,6 +16,7 @@
     NodeReport,
     OrderRequest,
     OrderResult,
+    PermitGrant,
     SendNotice,
     ViewRelay,
 )
@@ -25,7 +26,13 @@
 
 _MAX_BYTES = 65_507
 _DECODER = Decoder(
-    NodeReport | FleetView | OrderRequest | OrderResult | SendNotice | ViewRelay
+    NodeReport
+    | FleetView
+    | OrderRequest
+    | OrderResult
+    | PermitGrant
+    | SendNotice
+    | ViewRelay
 )
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -1,6 +1,7 @@
 """Coordinator of the fleet: views to all nodes, account levels and load orders."""
 
 import threading
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic, sleep
 from typing import NamedTuple
@@ -17,11 +18,13 @@
 )
 from hibiscusspar.fleet.messages import (
     FleetView,
+    PermitGrant,
     TargetLoad,
     ViewRelay,
     adapter_key,
     adapter_label,
 )
+from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
@@ -44,12 +47,17 @@
 _ORDER_THREADS = 8
 # Most targets of a view whose adapters it lists, up to 1 KB each.
 _MAX_RESIDENCY = 16
+# Limits of targets that a view carries at most, and those of them in rotation.
+_MAX_LIMITS = 64
+_ROTATED_LIMITS = 8
 # Targets that a log line lists at most.
 _LOGGED_TARGETS = 8
 # Greatest age that a view carries, in seconds; older data is sent with this age.
 _MAX_AGE_S = 1e6
 # Assumed time in seconds until a target with no free slot has one.
 _FULL_TARGET_WAIT_S = 1.0
+# Assumed time in seconds until a target with a limit takes a further request.
+_LIMITED_TARGET_WAIT_S = 1.0
 _CHOICE_POLICY = ChoicePolicy()
 
 
@@ -86,6 +94,8 @@
         Window of the limits of accounts.
     ages : callable
         Returns the ages of configuration and directory in seconds.
+    limits : LimitExchange
+        Limits that targets have named.
     """
 
     def __init__(
@@ -101,6 +111,7 @@
         send,
         quota_window_s,
         ages,
+        limits,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -125,6 +136,10 @@
         self._residency_rotation = EntryRotation(_MAX_RESIDENCY)
         self._directory_rows = DirectoryRows()
         self._peer_rotation = EntryRotation()
+        self._limits = limits
+        self._limit_rotation = EntryRotation(_MAX_LIMITS)
+        self._permit_issuer = PermitIssuer()
+        self.permits_issued = 0
         self._active = False
         self._view_sent_at = 0.0
         self._pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -174,6 +189,7 @@
             self._planner.reset()
             self._planner.sync(self._engine_targets())
             self._levels.reset(self._clock(), levels)
+            self._permit_issuer.reset()
 
     def step_down(self):
         """Become inactive.
@@ -203,6 +219,7 @@
             self._directory_rows.request(report.lacked_rows)
             self._residency_rotation.request(report.lacked_residency)
             self._levels.report(now, report.node, report.start, report.used)
+            self._limits.apply_rows(report.limits, report.node)
             earlier = known.report.in_use if same else {}
             for target_id, counts in report.in_use.items():
                 started = _started_counts(counts, earlier.get(target_id, {}))
@@ -216,11 +233,33 @@
         if not self._active:
             return
         self._plan_requested.set()
+        self.issue_permits()
         interval_s = view_interval_s(self._levels.nodes, self._residency_changed)
         if self._clock() >= self._view_sent_at + interval_s:
             self._residency_changed = False
             self.send_views()
 
+    def issue_permits(self):
+        """Send the permits that are due to the nodes whose requests wait for them."""
+        limits = self._limits.limited
+        if not limits:
+            return
+        with self._lock:
+            now = self._clock()
+            records = {r.report.node: r for r in self._fresh_records(now)}
+            demands = [
+                PermitDemand(name, record.received_at, record.report.permit_demand)
+                for name, record in records.items()
+                if record.report.permit_demand
+            ]
+            share = self._levels.available_share(now)
+            issued = self._permit_issuer.issue(now, limits, demands, share)
+        for name, target_ids in issued.items():
+            self.permits_issued += len(target_ids)
+            record = records[name]
+            grant = PermitGrant(record.report.start, self._election.fence, target_ids)
+            self._send(record.address, to_json(grant))
+
     def hasten_view(self):
         """Send the next view sooner, since requests may wait for what it tells."""
         self._residency_changed = True
@@ -313,6 +352,7 @@
             },
             held=sorted(self._duties(now)),
             peers=self._due_peers(),
+            limits=self._due_limits(now),
         )
         # Nodes with the most recent reports come first, to pass the view on. This node
         # is the last choice for that, because it is reached directly.
@@ -336,6 +376,16 @@
         due = self._residency_rotation.due(numbers)
         return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
 
+    def _due_limits(self, now):
+        """Return limit, its age and the waiting requests, for some targets."""
+        rows = self._limits.rows()
+        states = {target_id: per_s for target_id, (per_s, _) in rows.items()}
+        due = self._limit_rotation.due(states, self._number, _ROTATED_LIMITS)
+        waiting = Counter()
+        for report in self._reports(now):
+            waiting.update(report.permit_demand)
+        return {t: (*rows[t], waiting[t]) for t in due}
+
     def _update_rows(self, directory_age_s):
         changed = self._directory_rows.update(self._targets)
         if changed:
@@ -420,10 +470,13 @@
         return loads
 
     def _backlogs(self, now):
-        return {
+        backlogs = {
             target_id: self._backlog_s(target_id, load)
             for target_id, load in self._loads(now).items()
         }
+        for target_id in self._limits.confirmed:
+            backlogs[target_id] = backlogs.get(target_id, 0.0) + _LIMITED_TARGET_WAIT_S
+        return backlogs
 
     def _backlog_s(self, target_id, load):
         """Return the seconds until a new request at a target would be served."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -284,9 +284,7 @@
             connection, response = self._send(admitted, state, placement)
             answer = self._parts.dialect.answer_head(response.status, response.headers)
             if _tells_limit(admitted, answer, response):
-                self._parts.request_scheduler.record_limit(
-                    target_id, answer.limit_per_s, sent_at
-                )
+                self._parts.limits.record_answer(target_id, answer.limit_per_s, sent_at)
             failure = _head_failure(admitted, state, answer, response)
             if failure is not None:
                 self._drain_refusal(state, connection, response, failure)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -10,6 +10,7 @@
     FleetView,
     NodeReport,
     OrderRequest,
+    PermitGrant,
     SendNotice,
 )
 from hibiscusspar.fleet.peers import Peer
@@ -65,6 +66,7 @@
     config: Any
     watches: tuple
     request_scheduler: Any
+    limits: Any
     quota: Any
     quota_changed: Any
     retry_budgets: Any
@@ -230,6 +232,8 @@
         elif isinstance(message, SendNotice):
             self._notice_sender.relay(message)
             self._parts.request_scheduler.apply_notice(message)
+        elif isinstance(message, PermitGrant):
+            self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
             self._parts.order_dispatcher.handle_request(message, address)
         else:
@@ -248,12 +252,13 @@
                 "sent_bytes": self._channel.sent_bytes,
                 "received_bytes": self._channel.received_bytes,
                 "planned_orders": self._coordinator.planned,
+                "permits_issued": self._coordinator.permits_issued,
                 "peers": self._parts.peers.count,
                 "notices_sent": self._notice_sender.sent_count,
                 "views_received": self._view_sequence.received,
                 "views_missed": self._view_sequence.missed,
                 "views_out_of_order": self._view_sequence.out_of_order,
-                "limited_targets": self._parts.request_scheduler.limited_targets,
+                "limited_targets": len(self._parts.limits.limited),
                 "directory_differs": self._parts.relayed_state.directory_differs,
             }
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -16,11 +16,15 @@
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.residency_numbers import lacked_states
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
-from hibiscusspar.fleet.target_limits import LimitTable, NamedLimit
-from hibiscusspar.fleet.waiting import Send, Wait, decide, job_sort_key
+from hibiscusspar.fleet.waiting import (
+    Send,
+    Wait,
+    decide,
+    job_sort_key,
+    refuse_for_limit,
+)
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import TARGET_LIMIT
 
 __all__ = ["Placement", "RequestScheduler", "Ticket"]
 
@@ -84,9 +88,10 @@
     version_grace_s : float
         Time for which an older version of an adapter may serve after a newer one was
         announced.
+    limit_gate : LimitGate
     """
 
-    def __init__(self, node, start, zone, clock, ejection, version_grace_s):
+    def __init__(self, node, start, zone, clock, ejection, version_grace_s, limit_gate):
         self.lock = threading.Lock()
         self.zone = zone
         self._node = node
@@ -110,7 +115,7 @@
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
-        self._limits = LimitTable()
+        self._limit_gate = limit_gate
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
         self.direct_peers = 0
@@ -129,11 +134,6 @@
         """Number of nodes in the last view, 1 before the first."""
         return max(1, self._view.nodes) if self._view else 1
 
-    @property
-    def limited_targets(self):
-        """Number of targets that have named a limit."""
-        return len(self._limits.limited)
-
     def configure(self, ruleset):
         """Record which services run on engines."""
         with self.lock:
@@ -147,7 +147,7 @@
         with self.lock:
             self._targets = targets
             self._prompt_queues.retain(targets)
-            self._limits.retain(self._clock(), targets)
+            self._limit_gate.retain(targets)
             self._ejection.retain(targets)
             self._retry_waiting(self._clock())
 
@@ -171,6 +171,7 @@
             self._view = view
             self._view_received_at = now
             self._acked_loads, used = self._acked_report()
+            self._limit_gate.apply_view(now, view)
             for target_id, (number, rows) in view.residency.items():
                 state = (view.fence, number)
                 known, _ = self._residency.get(target_id, (_NO_STATE, None))
@@ -251,28 +252,15 @@
             row = (placement.target.target_id, placement.key)
             self._missing_until[row] = self._clock() + _MISSING_ADAPTER_S
 
-    def record_limit(self, target_id, per_s, sent_at):
-        """Record the limit that an answer of a target names.
-
-        Parameters
-        ----------
-        target_id : str
-        per_s : float or None
-            Requests a second of all nodes together, None if the answer names no limit.
-        sent_at : float
-            Time at which the request was sent.
-        """
+    def apply_permits(self, grant):
+        """Add the permits that the coordinator has issued to this process."""
         with self.lock:
-            at = sent_at if per_s is None else self._clock()
-            changed = self._limits.record(target_id, NamedLimit(per_s, at))
-        if changed:
-            fields = {
-                "target": target_id,
-                "limit_per_s": per_s,
-                "source": "answer",
-                "age_s": 0.0,
-            }
-            write_records([(TARGET_LIMIT, fields)])
+            now = self._clock()
+            if grant.start != self._start or grant.fence < self._fence:
+                return
+            self._limit_gate.add_permits(now, grant.target_ids)
+            self._next_decision_at = now
+            self._retry_waiting(now)
 
     def record_success(self, target_id):
         """Record that a target answered."""
@@ -302,6 +290,8 @@
         """Return this node's report to the coordinator."""
         with self.lock:
             self._number += 1
+            now = self._clock()
+            self._limit_gate.retain(self._targets)
             loads = {
                 target_id: TargetLoad(load.running, load.queued_prompt_tokens)
                 for target_id, load in self._loads.items()
@@ -323,6 +313,12 @@
                 used=dict(used),
                 duties=duties or {},
                 lacked_residency=self._lacked_residency[:_MAX_REQUESTED],
+                limits=self._limit_gate.report_rows(),
+                permit_demand=self._limit_gate.take_demand(
+                    now,
+                    [ticket.job for ticket in self._waiting],
+                    lambda job: self._usable_versions(now, job),
+                ),
             )
 
     @property
@@ -336,6 +332,10 @@
             running = sum(load.running for load in self._loads.values())
             return len(self._waiting), len(self._targets), running
 
+    @property
+    def _fence(self):
+        return self._view.fence if self._view else 0
+
     def _load(self, target_id):
         return self._loads.setdefault(target_id, TargetLoad(0, 0))
 
@@ -383,6 +383,10 @@
                 return False
             candidates = remaining
         decision = decide(now, job, candidates, self.zone)
+        if isinstance(decision, Wait) and not candidates:
+            remaining = self._usable_targets(now, job.service)
+            permit_wait_s = self._limit_gate.wait_s(now, remaining)
+            decision = refuse_for_limit(now, job, permit_wait_s)
         if isinstance(decision, Wait):
             return False
         if not isinstance(decision, Send):
@@ -396,6 +400,7 @@
             job.prompt_tokens,
             decision.first_byte_s,
         )
+        self._limit_gate.record_send(target.target_id)
         load = self._load(target.target_id)
         load.running += 1
         load.queued_prompt_tokens += job.prompt_tokens
@@ -413,14 +418,9 @@
 
     def _candidates(self, now, job):
         """Return the targets that can run a job, and the version that each serves."""
-        ejected = self._ejected(now, job.service)
-        versions = {}
-        for target in self._targets.values():
-            if target.service != job.service or target.draining:
-                continue
-            version = self._usable_version(now, target, job.key)
-            if version is not None and target.target_id not in ejected:
-                versions[target.target_id] = version
+        versions = self._usable_versions(now, job)
+        open_targets = self._limit_gate.open_targets(now, versions.keys())
+        versions = {t: v for t, v in versions.items() if t in open_targets}
         newest = max(versions.values(), default=0)
         if job.key[1]:
             versions = {t: v for t, v in versions.items() if v == newest or not v}
@@ -430,14 +430,38 @@
             for target_id in sorted(usable)
         ], versions
 
+    def _usable_versions(self, now, job):
+        """Return the version of a job's adapter by target, whatever their limits."""
+        ejected = self._ejected(now, job.service)
+        versions = {}
+        for target in self._targets.values():
+            if target.service != job.service or target.draining:
+                continue
+            version = self._usable_version(now, target, job.key)
+            if version is not None and target.target_id not in ejected:
+                versions[target.target_id] = version
+        return versions
+
     def _ejected(self, now, service):
         """Return the targets of a service that are ejected now."""
-        target_ids = [
+        return self._ejection.excluded(now, sorted(self._service_targets(service)))
+
+    def _service_targets(self, service):
+        """Return the ids of the targets of a service that are not leaving."""
+        return {
             target.target_id
             for target in self._targets.values()
             if target.service == service and not target.draining
-        ]
-        return self._ejection.excluded(now, sorted(target_ids))
+        }
+
+    def _usable_targets(self, now, service):
+        """Return the ids of the targets of a service that are usable now."""
+        return self._service_targets(service) - self._ejected(now, service)
+
+    def _excluded_from_loads(self, now, service):
+        usable = self._usable_targets(now, service)
+        limited = self._limit_gate.excluded_from_loads(usable)
+        return sorted(self._ejected(now, service) | limited)
 
     def _candidate(self, now, target):
         target_id = target.target_id
@@ -521,7 +545,7 @@
                     tokens,
                     priority,
                     bool(candidates),
-                    sorted(self._ejected(now, service)),
+                    self._excluded_from_loads(now, service),
                     self.zone,
                 )
             )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
@@ -10,6 +10,7 @@
 from hibiscusspar.fleet.targets import Target, TargetDirectory
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.coordinator import Coordinator
+from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
 from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock
@@ -157,6 +158,7 @@
             self._send,
             8.0,
             lambda: (0.0, 0.0),
+            LimitExchange(self.clock),
         )
         coordinator.set_targets(dict(self.store))
         coordinator.take_over({})
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
@@ -9,6 +9,8 @@
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar.fleet.waiting import Job, Refuse, Send
 from hibiscusspar.requests.ejection import EjectionPolicy, EjectionTable
+from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
+from hibiscusspar_entry.fleet.limit_gate import LimitGate
 from hibiscusspar_entry.fleet.request_scheduler import RequestScheduler
 
 KEY = ("m", "a1")
@@ -81,7 +83,10 @@
     def setUp(self):
         self.clock = Clock()
         ejection = EjectionTable(EjectionPolicy())
-        self.scheduler = RequestScheduler("n1", "s", "z1", self.clock, ejection, 3.0)
+        self.limits = LimitExchange(self.clock)
+        self.scheduler = RequestScheduler(
+            "n1", "s", "z1", self.clock, ejection, 3.0, LimitGate(self.limits)
+        )
         self.scheduler.configure(engine_rules())
 
     def job(self, key=KEY, priority=1, prompt_tokens=1000):
@@ -309,7 +314,15 @@
 
     def make_scheduler(self, index):
         ejection = EjectionTable(EjectionPolicy())
-        scheduler = RequestScheduler(f"n{index}", "s", "z1", self.clock, ejection, 3.0)
+        scheduler = RequestScheduler(
+            f"n{index}",
+            "s",
+            "z1",
+            self.clock,
+            ejection,
+            3.0,
+            LimitGate(LimitExchange(self.clock)),
+        )
         scheduler.configure(engine_rules())
         scheduler.set_targets({"t1": target("t1")})
         scheduler.direct_peers = self.NODES - 1
