Log the software version of targets, and which streams requests take up

Views carry the versions apart from the rows (one byte a target), so that older builds still find the digests that they expect; under a coordinator of an older build a node reads the directory from the store. Nothing is decided by it yet.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -111,6 +111,10 @@
     whose duty some node holds. ``peers`` gives the zone and address of some nodes.
     ``limits`` holds the limits of some targets as in a report, and the requests of all
     nodes that wait for permits; it is None if the sender issues no permits.
+    ``software`` lists the versions of the targets' software, and ``software_index``
+    holds the position in that list of each target of ``directory``, one byte each. Both
+    are apart from the rows, so that nodes of older builds find the digests of the rows
+    that they expect. ``software`` is None if the sender doesn't know the versions.
     """
 
     node: str
@@ -136,6 +140,8 @@
     row_digests: bytes = b""
     residency_numbers: bytes = b""
     limits: dict[str, tuple[float | None, float, int]] | None = None
+    software: list[str] | None = None
+    software_index: bytes = b""
 
 
 class PermitGrant(Struct, tag="permits"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -15,7 +15,7 @@
     ``orders_accepted`` counts the orders that the target has carried out since its
     start at ``born`` (Unix milliseconds). ``adapters`` maps ``(model, adapter)`` to the
     version that was resident when the entry was written, ``models`` maps each model to
-    its version.
+    its version. ``software`` is the version of the target's own software.
     """
 
     target_id: str
@@ -28,6 +28,7 @@
     orders_accepted: int
     models: dict[str, int]
     adapters: dict[tuple[str, str], int]
+    software: str = ""
 
 
 class TargetDirectory:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -62,6 +62,9 @@
             "estimate_s": round(placement.estimate_s, 3),
             "view_age_s": _rounded(self._request_scheduler.view_age_s),
             "version": admitted.version,
+            "software": placement.target.software,
+            "resumes": admitted.call.resumes,
+            "last_event": state.last_event(admitted.call),
         }
         write_records([(CALL_SENT, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -29,6 +29,7 @@
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
+from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
@@ -325,6 +326,9 @@
         config_age_s, directory_age_s = self._ages()
         self._update_rows(directory_age_s)
         residency_numbers = self._residency_numbers()
+        software, software_index = join_software(
+            [self._targets[name].software for name in self._directory_rows.names]
+        )
         view = FleetView(
             node=self._node,
             start=self._start,
@@ -353,6 +357,8 @@
             held=sorted(self._duties(now)),
             peers=self._due_peers(),
             limits=self._due_limits(now),
+            software=software,
+            software_index=software_index,
         )
         # Nodes with the most recent reports come first, to pass the view on. This node
         # is the last choice for that, because it is reached directly.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -92,6 +92,7 @@
         "target_zone",
         "draining",
         "born",
+        "software",
         "reason",
         "sender",
         "view",
@@ -183,8 +184,12 @@
         "estimate_s",
         "view_age_s",
         "version",
+        "software",
+        "resumes",
+        "last_event",
     ),
-    "A request was sent to a target.",
+    "A request was sent to a target of the version `software`. `resumes` is the "
+    "request that began the stream, `last_event` the last event that the caller has.",
 )
 CALL_ANSWERED = declare(
     631,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -89,6 +89,10 @@
         self.longest_gap_s = 0.0
         self.target_id = ""
 
+    def last_event(self, call):
+        """Return the number of the last event that the caller has, or None."""
+        return self.splitter.last_event if self.splitter else call.last_event
+
     def record_event(self, now):
         """Record when an event was forwarded."""
         if self.last_event_at is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -10,6 +10,7 @@
 
 from hibiscusspar.fleet.directory_copy import DirectoryCopy
 from hibiscusspar.fleet.messages import adapter_key
+from hibiscusspar.fleet.software_index import split_software
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import DIRECTORY_AGREES, DIRECTORY_DIFFERS
@@ -97,7 +98,9 @@
             # The view was built after that report arrived, so it is no older than it.
             self._view_as_of = sent_at
             self._copy.apply_view(view)
-            rows = self._copy.rows
+            # Nodes of older builds don't send the software of targets, so the directory
+            # is read from the store while one of them coordinates.
+            rows = self._copy.rows if view.software is not None else None
             if rows is not None and sent_at is not None:
                 self._copy_as_of = sent_at - view.directory_age_s
             records = self._log_differences(now, view)
@@ -109,7 +112,11 @@
         age_s = view.directory_age_s + now - sent_at
         if age_s < self._limits.directory_s and rows is not None:
             origin = ViewOrigin(view.node, view.start, view.number)
-            targets = [_target(row) for row in rows]
+            software = split_software(view.software, view.software_index)
+            targets = [
+                _target(row, version)
+                for row, version in zip(rows, software, strict=True)
+            ]
             self._targets.apply_relayed(targets, now - age_s, origin)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
@@ -177,7 +184,7 @@
             return self._view
 
 
-def _target(row):
+def _target(row, software):
     return Target(
         target_id=row.target_id,
         service=row.service,
@@ -189,4 +196,5 @@
         orders_accepted=0,
         models=row.models,
         adapters={},
+        software=software,
     )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -325,6 +325,7 @@
                     "target_zone": target.zone,
                     "draining": target.draining,
                     "born": target.born,
+                    "software": target.software,
                     **source_fields,
                 }
                 records.append((TARGET_CHANGED, fields))
@@ -376,4 +377,10 @@
 
 
 def _logged_state(target):
-    return (target.address, target.draining, target.born, target.service)
+    return (
+        target.address,
+        target.draining,
+        target.born,
+        target.service,
+        target.software,
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
@@ -5,6 +5,7 @@
 
 from hibiscusspar.fleet.messages import NodeReport, TargetRow
 from hibiscusspar.fleet.row_digests import join_digests, row_digest
+from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar.fleet.targets import TargetDirectory
 from hibiscusspar_entry.fleet.events import DIRECTORY_AGREES, DIRECTORY_DIFFERS
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
@@ -49,6 +50,8 @@
         self.relayed_state.complete_report(report)
         self.clock.now += sent_ago_s
         received = view(acked={"n1": 1})
+        versions = ["v1"] * len(changes.get("directory", ()))
+        received.software, received.software_index = join_software(versions)
         for name, value in changes.items():
             setattr(received, name, value)
         self.coordinator_rows.update({row.target_id: row for row in received.rows})
@@ -170,3 +173,17 @@
         )
         self.assertEqual(self.records[0][1]["targets"], ["t1"])
         self.assertEqual(self.records[1][1]["differed_s"], 0.5)
+
+
+class TestSoftware(RelayedStateTestCase):
+    def test_software_of_targets_is_relayed(self):
+        names = ["", "v1", "v2"]
+        self.apply_view(
+            directory=["t1"], rows=[ROW], software=names, software_index=b"\x02"
+        )
+        self.assertEqual(self.published["t1"].software, "v2")
+
+    def test_directory_is_read_while_an_older_build_coordinates(self):
+        self.apply_view(directory=["t1"], rows=[ROW], software=None)
+        self.assertEqual(self.published, {})
+        self.assertFalse(self.relayed_state.directory_is_current())
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -12,7 +12,8 @@
     tokens and the maximum output tokens, None if not given. ``prefix`` lists the
     parts of the prompt in order, each with its tokens. ``deadline_s`` is how long
     the caller waits, None if not given. ``last_event`` is the number of the last
-    event that the caller received, None if not given.
+    event that the caller received, None if not given. ``resumes`` is the id of the
+    request that brought the first event of the stream, empty if not given.
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     tokens: tuple[int, int] | None
     prefix: tuple[tuple[str, int], ...]
     last_event: int | None
+    resumes: str = ""
 
 
 class Forwarding(NamedTuple):
