Continue streams only at the software version that began them

A broken stream went on at any target, within one answer as well as after its caller came back. Class: state of a request that only the node and the target of its first attempt had, and that later attempts elsewhere were decided without.

Change: a job names the software that its stream began with, and only targets of that version can run it; a target at which the stream broke is left out, as it may have restarted with other software. Before the first event is passed on, the node sends the origin of the stream to the nodes that would be asked for it: all nodes of a small fleet, three by a hash of the request id in a large one. A node that a caller comes back to asks them. If the origin stays unknown and more than one version served lately, the request is refused; if no target of the version remains, at once. A caller that comes back is hashed by the request that began the stream, so a split route leads to the same service.

Messages: origins and queries are optional fields of the notices of sent requests, which older builds ignore.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -15,6 +15,7 @@
     "OrderResult",
     "PermitGrant",
     "SendNotice",
+    "StreamBegan",
     "TargetLoad",
     "TargetRow",
     "ViewRelay",
@@ -156,14 +157,29 @@
     target_ids: list[str]
 
 
+class StreamBegan(Struct, array_like=True):
+    """Origin of a stream: the service and software version that began it.
+
+    ``request`` is the id of the request that brought its first event.
+    """
+
+    request: str
+    service: str
+    software: str
+
+
 class SendNotice(Struct, tag="sent"):
     """Requests that a node has just sent, as targets and prompt tokens.
 
-    ``relay`` is whether the receiver forwards the notice within its zone.
+    ``relay`` is whether the receiver forwards the notice within its zone. ``began``
+    holds origins of streams; ``asked`` names streams whose origins the sender needs,
+    and the receiver answers with those that it knows. Older builds ignore both.
     """
 
     sends: list[tuple[str, int]]
     relay: bool = False
+    began: list[StreamBegan] = []
+    asked: list[str] = []
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -86,6 +86,11 @@
         """Number of nodes in the table."""
         return len(self._rows)
 
+    @property
+    def addresses(self):
+        """Address of each node in the table by name."""
+        return {name: peer.address for name, (peer, _) in self._rows.copy().items()}
+
     def direct_addresses(self, now, zone):
         """Return the addresses of the nodes that receive notices directly.
 
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -0,0 +1,80 @@
+"""Origins of streams: the service and software version that began each of them.
+
+Events of two software versions of a target don't fit together, so a stream may go on
+only at the version that began it. The node that began a stream may be the one that
+fails, and its caller comes back at any other. So each origin is copied to other nodes
+before the first event of its stream is passed on.
+"""
+
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
+
+__all__ = ["StreamOrigin", "StreamOrigins", "origin_holders"]
+
+# Nodes that hold a copy of an origin in a large fleet. In a small one all do.
+_COPIES = 3
+# Time in seconds for which an origin is kept; callers wait for no stream that long.
+_KEPT_S = 40.0
+# Most origins that a node keeps, the newest ones.
+_MAX_ORIGINS = 20_000
+
+
+class StreamOrigin(NamedTuple):
+    """Service, and version of its software, that began a stream."""
+
+    service: str
+    software: str
+
+
+class StreamOrigins:
+    """Origins by the id of the request that brought the first event of a stream."""
+
+    def __init__(self):
+        self._rows = {}
+
+    def __len__(self):
+        return len(self._rows)
+
+    def record(self, now, request_id, origin):
+        """Keep an origin; the first one of a stream is never replaced."""
+        self._expire(now)
+        self._rows.setdefault(request_id, (origin, now))
+
+    def find(self, now, request_id):
+        """Return the origin of a stream, or None if it isn't known."""
+        self._expire(now)
+        row = self._rows.get(request_id)
+        return None if row is None else row[0]
+
+    def _expire(self, now):
+        # Rows are in the order of their times, so only the first ones can be too old.
+        while self._rows:
+            request_id, (_, at) = next(iter(self._rows.items()))
+            if now < at + _KEPT_S and len(self._rows) < _MAX_ORIGINS:
+                return
+            del self._rows[request_id]
+
+
+def origin_holders(request_id, names):
+    """Return the nodes that hold copies of an origin (rendezvous hashing).
+
+    Nodes that know slightly different fleets still choose mostly the same holders.
+
+    Parameters
+    ----------
+    request_id : str
+    names : iterable of str
+        Names of the other nodes.
+
+    Returns
+    -------
+    list of str
+        All nodes in a small fleet.
+    """
+    ranked = sorted(
+        names, key=lambda name: xxh3_64_intdigest(f"{request_id}/{name}".encode())
+    )
+    return ranked if len(ranked) < MAX_DIRECT_NODES else ranked[:_COPIES]
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -51,7 +51,10 @@
     the time at which it is refused if it found no target. ``max_gap_s`` is the longest
     pause that the streams of its service may have, 0 if there is no limit, and
     ``event_steps`` the number of decoding steps per event. ``excluded`` holds the
-    targets that it must not be sent to again.
+    targets that it must not be sent to again. ``software`` is the version of the
+    target's software that began its stream, None if any target may run the job.
+    ``broken_at`` holds the targets at which that stream broke off; they may have
+    restarted with other software than the directory shows.
     """
 
     request_id: str
@@ -66,6 +69,8 @@
     max_gap_s: float = 0.0
     event_steps: int = 1
     excluded: frozenset[str] = frozenset()
+    software: str | None = None
+    broken_at: frozenset[str] = frozenset()
 
 
 class Send(NamedTuple):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -47,6 +47,11 @@
     ends_at: float
     version: int
 
+    @property
+    def resumes_stream(self):
+        """Whether the request takes up a stream of which the caller has events."""
+        return self.route.resumable and self.call.last_event is not None
+
 
 class Admission:
     """Check of requests against the configuration in force.
@@ -91,7 +96,9 @@
         if route is None:
             raise RefusedError(404, "no route")
         account, digest = self._account(ruleset, route, call)
-        fraction = xxh3_64_intdigest(call.request_id.encode()) / _HASH_RANGE
+        # A request that takes up a stream goes to the service that began it.
+        first_id = call.resumes or call.request_id
+        fraction = xxh3_64_intdigest(first_id.encode()) / _HASH_RANGE
         service = route_service(route, fraction)
         rule = ruleset.services.get(service)
         if rule is None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -6,6 +6,7 @@
 
 from hibiscusspar.fleet.quota import Deferred, Granted, OverLimit
 from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
+from hibiscusspar.fleet.stream_origins import StreamOrigin
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
@@ -28,6 +29,8 @@
 _UNLIMITED_BODY = 2**62
 # Status of a target that doesn't hold the adapter, or isn't the one that was meant.
 _MISDIRECTED = 421
+# Origin of a stream that no target may continue.
+_UNKNOWN_ORIGIN = StreamOrigin("", "")
 
 
 class ForwardPolicy(NamedTuple):
@@ -88,6 +91,9 @@
         self.last_event_at = None
         self.longest_gap_s = 0.0
         self.target_id = ""
+        # Origin of the stream, once the caller has an event of it.
+        self.origin = None
+        self.broken_at = frozenset()
 
     def last_event(self, call):
         """Return the number of the last event that the caller has, or None."""
@@ -187,6 +193,8 @@
 
     def _run(self, inbound, admitted, state):
         parts = self._parts
+        if admitted.resumes_stream:
+            self._find_origin(admitted, state)
         self._take_tokens(admitted, state)
         state.tokens_taken = True
         parts.retry_budgets.request(admitted.service, self._clock())
@@ -203,6 +211,29 @@
                 self._return_tokens(admitted)
             raise
 
+    def _find_origin(self, admitted, state):
+        """Determine which software may continue the stream that a caller takes up."""
+        parts, call = self._parts, admitted.call
+        origin = parts.origins.find(call.resumes) if call.resumes else None
+        if origin is not None and origin.service != admitted.service:
+            raise RefusedError(503, "the stream began at another service")
+        if origin is None:
+            versions = parts.request_scheduler.software_versions(admitted.service)
+            if len(versions) > 1:
+                # Another node may know the origin.
+                wait_s = self._policy.failed_retry_s
+                raise RefusedError(503, "unknown origin of the stream", wait_s)
+        state.origin = origin
+        self._check_origin(state)
+
+    def _check_origin(self, state):
+        """Refuse to continue a stream if no target of its software remains."""
+        origin = state.origin
+        if origin is None:
+            return
+        if not self._parts.request_scheduler.serves(origin, state.broken_at):
+            raise RefusedError(503, "no target of the stream's software remains")
+
     def _take_tokens(self, admitted, state):
         rule = admitted.rule
         if rule is None:
@@ -242,6 +273,7 @@
 
     def _wait_for_placement(self, admitted, state):
         """Wait for a target and return it; raise ``RefusedError`` if none is found."""
+        self._check_origin(state)
         policy, route = self._policy, admitted.route
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         now = self._clock()
@@ -258,6 +290,8 @@
             max_gap_s=route.max_gap_s if admitted.is_engine else 0.0,
             event_steps=admitted.event_steps,
             excluded=state.excluded,
+            software=state.origin.software if state.origin else None,
+            broken_at=state.broken_at,
         )
         request_scheduler = self._parts.request_scheduler
         ticket = state.ticket = request_scheduler.submit(job)
@@ -297,7 +331,7 @@
                 return failure
             self._record_first_byte(state, placement)
             first_byte_received = True
-            self._relay(inbound, admitted, state, connection, response)
+            self._relay(inbound, admitted, state, placement, connection, response)
             self._parts.request_scheduler.record_success(target_id)
             return None
         except CallFailedError as error:
@@ -385,13 +419,15 @@
         route = admitted.route
         return route.idempotent and state.attempts < route.max_attempts
 
-    def _relay(self, inbound, admitted, state, connection, response):
+    def _relay(self, inbound, admitted, state, placement, connection, response):
         headers = self._parts.dialect.answer_headers(response.headers)
         if self.draining_since is not None:
             headers.append(("Connection", "close"))
         is_stream = response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
         if is_stream and response.status == 200:
-            self._relay_stream(inbound, admitted, state, connection, response, headers)
+            self._relay_stream(
+                inbound, admitted, state, placement, connection, response, headers
+            )
         else:
             self._relay_whole(inbound, admitted, state, connection, response, headers)
 
@@ -403,7 +439,9 @@
         inbound.answer(response.status, headers, b"".join(chunks))
         self._log.answered(admitted, state, response.status)
 
-    def _relay_stream(self, inbound, admitted, state, connection, response, headers):
+    def _relay_stream(
+        self, inbound, admitted, state, placement, connection, response, headers
+    ):
         if state.splitter is None:
             state.splitter = EventSplitter(admitted.call.last_event)
         splitter = state.splitter
@@ -417,6 +455,7 @@
             if not events:
                 continue
             if not state.answer_begun:
+                self._record_origin(admitted, state, placement)
                 state.answer_begun = True
                 inbound.send_head(response.status, headers)
             inbound.write(events)
@@ -428,6 +467,19 @@
             inbound.send_head(response.status, headers)
         self._log.answered(admitted, state, response.status)
 
+    def _record_origin(self, admitted, state, placement):
+        """Record the software of a stream, before its caller gets an event of it."""
+        if state.origin is not None or not admitted.route.resumable:
+            return
+        target, call = placement.target, admitted.call
+        if not self._parts.request_scheduler.is_current(target):
+            # The target may have restarted with other software, so the stream can't be
+            # continued.
+            state.origin = _UNKNOWN_ORIGIN
+            return
+        state.origin = StreamOrigin(admitted.service, target.software)
+        self._parts.origins.announce(call.resumes or call.request_id, state.origin)
+
     def _return_connection(self, state, connection, response):
         state.connection = None
         self._parts.connections.release(state.target_id, connection, response.headers)
@@ -437,6 +489,8 @@
         now = self._clock()
         if not failure.not_run:
             state.may_have_run = True
+            if state.origin is not None:
+                state.broken_at |= {state.target_id}
         reason = f"{failure.step}: {failure.reason}"
         allowed = self._may_retry(admitted, state, failure, now)
         self._log.failed(admitted, state, failure, "retry" if allowed else "end")
@@ -450,10 +504,13 @@
 
     def _may_retry(self, admitted, state, failure, now):
         route = admitted.route
+        can_continue = route.resumable and self._parts.request_scheduler.serves(
+            state.origin or _UNKNOWN_ORIGIN, state.broken_at
+        )
         decision = retry_decision(
             failure,
             idempotent=route.idempotent,
-            resumable=route.resumable or not state.answer_begun,
+            resumable=can_continue or not state.answer_begun,
             attempts=state.attempts,
             max_attempts=route.max_attempts,
             remaining_s=admitted.ends_at - now,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -67,6 +67,7 @@
     watches: tuple
     request_scheduler: Any
     limits: Any
+    origins: Any
     quota: Any
     quota_changed: Any
     retry_budgets: Any
@@ -232,6 +233,7 @@
         elif isinstance(message, SendNotice):
             self._notice_sender.relay(message)
             self._parts.request_scheduler.apply_notice(message)
+            self._parts.origins.apply_notice(message, address)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
@@ -253,6 +255,9 @@
                 "received_bytes": self._channel.received_bytes,
                 "planned_orders": self._coordinator.planned,
                 "permits_issued": self._coordinator.permits_issued,
+                "origins_held": self._parts.origins.held_count,
+                "origin_queries": self._parts.origins.query_count,
+                "origins_found": self._parts.origins.found_count,
                 "peers": self._parts.peers.count,
                 "notices_sent": self._notice_sender.sent_count,
                 "views_received": self._view_sequence.received,
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_exchange.py
@@ -0,0 +1,97 @@
+"""Exchange of the origins of streams between nodes."""
+
+import threading
+
+from msgspec.json import encode as to_json
+
+from hibiscusspar.fleet.messages import SendNotice, StreamBegan
+from hibiscusspar.fleet.stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    origin_holders,
+)
+from hibiscusspar_entry.fleet.address import parse_address
+
+__all__ = ["OriginExchange"]
+
+# Longest wait for the origin of a stream from other nodes, in seconds: some round trips
+# between zones and the time until a busy node answers.
+_ANSWER_WAIT_S = 0.15
+
+
+class OriginExchange:
+    """Origins that this node knows, and those that it requests from other nodes.
+
+    Parameters
+    ----------
+    clock : callable
+    peers : PeerTable
+    channel : Channel
+    """
+
+    def __init__(self, clock, peers, channel):
+        self._clock = clock
+        self._peers = peers
+        self._channel = channel
+        self._origins = StreamOrigins()
+        self._changed = threading.Condition()
+        # Number of queries sent to other nodes, and of those that found an origin.
+        self.query_count = 0
+        self.found_count = 0
+
+    @property
+    def held_count(self):
+        """Number of origins that this node holds."""
+        return len(self._origins)
+
+    def announce(self, request_id, origin):
+        """Record the origin of a stream here and at the nodes that hold its copies."""
+        self._record(request_id, origin)
+        self._send_to_holders(
+            request_id, SendNotice([], began=[_row(request_id, origin)])
+        )
+
+    def find(self, request_id):
+        """Return the origin of a stream, or None if no node tells it in time."""
+        origin = self._find_here(request_id)
+        if origin is not None:
+            return origin
+        self.query_count += 1
+        self._send_to_holders(request_id, SendNotice([], asked=[request_id]))
+        ends_at = self._clock() + _ANSWER_WAIT_S
+        with self._changed:
+            while (origin := self._origins.find(self._clock(), request_id)) is None:
+                remaining_s = ends_at - self._clock()
+                if remaining_s <= 0:
+                    return None
+                self._changed.wait(remaining_s)
+        self.found_count += 1
+        return origin
+
+    def apply_notice(self, notice, address):
+        """Record the origins of a notice, and answer with those that it asks for."""
+        for row in notice.began:
+            self._record(row.request, StreamOrigin(row.service, row.software))
+        known = [(name, self._find_here(name)) for name in notice.asked]
+        rows = [_row(name, origin) for name, origin in known if origin is not None]
+        if rows:
+            self._channel.send(address, SendNotice([], began=rows))
+
+    def _find_here(self, request_id):
+        with self._changed:
+            return self._origins.find(self._clock(), request_id)
+
+    def _record(self, request_id, origin):
+        with self._changed:
+            self._origins.record(self._clock(), request_id, origin)
+            self._changed.notify_all()
+
+    def _send_to_holders(self, request_id, notice):
+        body = to_json(notice)
+        addresses = self._peers.addresses
+        for name in origin_holders(request_id, addresses):
+            self._channel.send(parse_address(addresses[name]), body)
+
+
+def _row(request_id, origin):
+    return StreamBegan(request_id, origin.service, origin.software)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -40,6 +40,9 @@
 _NO_STATE = (0, -1)
 # Targets whose residency a node requests with one report.
 _MAX_REQUESTED = 16
+# Time in seconds for which a stream may go on after the last target of its software has
+# left the directory: longer than callers wait for a stream.
+_SOFTWARE_KEPT_S = 40.0
 # Failures that a refused connection counts as: enough to eject the target.
 _UNREACHABLE_FAILURES = 3
 # Requests beyond its slots that may queue at a target without an engine.
@@ -116,6 +119,7 @@
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._limit_gate = limit_gate
+        self._software_seen_at = {}
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
         self.direct_peers = 0
@@ -145,12 +149,50 @@
     def set_targets(self, targets):
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
+            self._record_software(self._clock())
             self._targets = targets
             self._prompt_queues.retain(targets)
             self._limit_gate.retain(targets)
             self._ejection.retain(targets)
             self._retry_waiting(self._clock())
 
+    def software_versions(self, service):
+        """Return the software versions that may have begun a stream of a service.
+
+        These are the versions of its targets now and some time ago.
+        """
+        with self.lock:
+            self._record_software(self._clock())
+            return {
+                software for name, software in self._software_seen_at if name == service
+            }
+
+    def serves(self, origin, excluded=frozenset()):
+        """Return whether a target remains that may continue a stream.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+        excluded : frozenset of str, optional
+            Targets that must not continue it.
+        """
+        with self.lock:
+            return any(
+                target.target_id not in excluded
+                and not target.draining
+                and target.software
+                and (target.service, target.software) == origin
+                for target in self._targets.values()
+            )
+
+    def is_current(self, target):
+        """Return whether the directory still shows a target as it was."""
+        with self.lock:
+            known = self._targets.get(target.target_id)
+            return known is not None and (
+                (known.born, known.software) == (target.born, target.software)
+            )
+
     def announce(self, key, version, age_s=0.0):
         """Record that a version of an adapter was announced ``age_s`` ago."""
         with self.lock:
@@ -332,6 +374,16 @@
             running = sum(load.running for load in self._loads.values())
             return len(self._waiting), len(self._targets), running
 
+    def _record_software(self, now):
+        """Record which software versions the directory has shown until now."""
+        for target in self._targets.values():
+            self._software_seen_at[target.service, target.software] = now
+        self._software_seen_at = {
+            row: at
+            for row, at in self._software_seen_at.items()
+            if now < at + _SOFTWARE_KEPT_S
+        }
+
     @property
     def _fence(self):
         return self._view.fence if self._view else 0
@@ -384,7 +436,7 @@
             candidates = remaining
         decision = decide(now, job, candidates, self.zone)
         if isinstance(decision, Wait) and not candidates:
-            remaining = self._usable_targets(now, job.service)
+            remaining = self._usable_targets(now, job)
             permit_wait_s = self._limit_gate.wait_s(now, remaining)
             decision = refuse_for_limit(now, job, permit_wait_s)
         if isinstance(decision, Wait):
@@ -435,7 +487,7 @@
         ejected = self._ejected(now, job.service)
         versions = {}
         for target in self._targets.values():
-            if target.service != job.service or target.draining:
+            if target.draining or not _may_run(target, job):
                 continue
             version = self._usable_version(now, target, job.key)
             if version is not None and target.target_id not in ejected:
@@ -454,14 +506,20 @@
             if target.service == service and not target.draining
         }
 
-    def _usable_targets(self, now, service):
-        """Return the ids of the targets of a service that are usable now."""
-        return self._service_targets(service) - self._ejected(now, service)
+    def _usable_targets(self, now, job):
+        """Return the ids of the targets that can be used for a job now."""
+        ejected = self._ejected(now, job.service)
+        return {
+            target_id
+            for target_id in self._service_targets(job.service) - ejected
+            if _may_run(self._targets[target_id], job)
+        }
 
-    def _excluded_from_loads(self, now, service):
-        usable = self._usable_targets(now, service)
+    def _excluded_from_loads(self, now, job):
+        """Return the targets at which no adapter should be loaded for a job."""
+        usable = self._usable_targets(now, job)
         limited = self._limit_gate.excluded_from_loads(usable)
-        return sorted(self._ejected(now, service) | limited)
+        return sorted(self._service_targets(job.service) - usable | limited)
 
     def _candidate(self, now, target):
         target_id = target.target_id
@@ -529,9 +587,10 @@
         for ticket in self._waiting:
             job = ticket.job
             if job.key[1]:
-                groups.setdefault((job.service, job.key), []).append(job)
+                group = (job.service, job.key, job.software)
+                groups.setdefault(group, []).append(job)
         wants = []
-        for (service, key), jobs in groups.items():
+        for (service, key, _), jobs in groups.items():
             candidates, _ = self._candidates(now, jobs[0])
             tokens = sum(job.prompt_tokens for job in jobs)
             priority = min(job.priority for job in jobs)
@@ -545,13 +604,23 @@
                     tokens,
                     priority,
                     bool(candidates),
-                    self._excluded_from_loads(now, service),
+                    self._excluded_from_loads(now, jobs[0]),
                     self.zone,
                 )
             )
         return wants
 
 
+def _may_run(target, job):
+    """Return whether a target is one of the service and software that a job needs."""
+    if target.service != job.service:
+        return False
+    if job.software is None:
+        return True
+    is_same = bool(job.software) and target.software == job.software
+    return is_same and target.target_id not in job.broken_at
+
+
 def _copies(now, rows):
     copies = {}
     for label, version, ready_in_s in rows:
