Bound answers without end in time and in memory

Cause: the time of an answer was the timeout of single reads, which starts again with each byte; a read after the deadline succeeded as long as bytes were there; bodies, events and refusals had no size at which they were passed on or given up.

Change: all reads of a head, and of each piece of a body, share one time limit that is checked below the parser, so interim answers, chunk lines and trailers count as well. A stream's silence ends with a whole event, not with a byte.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -26,6 +26,10 @@
 # Longest wait for the rest of a refusal, in seconds. Refusals are short and arrive in
 # one piece.
 _REFUSAL_READ_S = 0.2
+_MAX_REFUSAL_BYTES = 65_536
+# Size up to which a plain answer is read whole before it is passed on. A node holds one
+# such buffer for each of some hundred open requests.
+_WHOLE_ANSWER_BYTES = 262_144
 _UNLIMITED_BODY = 2**62
 # Status of a target that doesn't hold the adapter, or isn't the one that was meant.
 _MISDIRECTED = 421
@@ -89,6 +93,8 @@
         self.answer_begun = False
         self.first_byte_at = None
         self.last_event_at = None
+        # Time of the head of the current attempt, or of its last event.
+        self.progress_at = None
         self.longest_gap_s = 0.0
         self.target_id = ""
         # Origin of the stream, once the caller has an event of it.
@@ -103,7 +109,7 @@
         """Record when an event was forwarded."""
         if self.last_event_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
-        self.last_event_at = now
+        self.last_event_at = self.progress_at = now
 
     def cancel(self):
         """Cancel the request because the caller closed its connection."""
@@ -330,6 +336,7 @@
                     self._parts.request_scheduler.record_missing_adapter(placement)
                 return failure
             self._record_first_byte(state, placement)
+            state.progress_at = self._clock()
             first_byte_received = True
             self._relay(inbound, admitted, state, placement, connection, response)
             self._parts.request_scheduler.record_success(target_id)
@@ -356,8 +363,7 @@
             connection.close()
             return
         try:
-            while connection.read(response, _REFUSAL_READ_S):
-                continue
+            connection.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
         except CallFailedError:
             # The head is enough to decide; the rest of the refusal isn't needed.
             connection.close()
@@ -409,11 +415,13 @@
         return remaining_s * self._policy.plain_silence_share
 
     def _event_wait_s(self, admitted, state):
-        """Return how long a target may be silent within a stream, in seconds."""
-        remaining_s = admitted.ends_at - self._clock()
+        """Return how long the next whole event of a stream may take, in seconds."""
+        now = self._clock()
+        remaining_s = admitted.ends_at - now
         if not self._can_switch_target(admitted, state):
             return remaining_s
-        return min(remaining_s, self._policy.stream_silence_s)
+        silence_ends_at = state.progress_at + self._policy.stream_silence_s
+        return min(remaining_s, silence_ends_at - now)
 
     def _can_switch_target(self, admitted, state):
         route = admitted.route
@@ -432,11 +440,21 @@
             self._relay_whole(inbound, admitted, state, connection, response, headers)
 
     def _relay_whole(self, inbound, admitted, state, connection, response, headers):
-        chunks = []
+        """Pass on a plain answer, as a whole unless it is long."""
+        body = bytearray()
         while data := connection.read(response, admitted.ends_at - self._clock()):
-            chunks.append(data)
+            body += data
+            if len(body) > _WHOLE_ANSWER_BYTES:
+                if not state.answer_begun:
+                    state.answer_begun = True
+                    inbound.send_head(response.status, headers)
+                inbound.write(bytes(body))
+                body.clear()
         self._return_connection(state, connection, response)
-        inbound.answer(response.status, headers, b"".join(chunks))
+        if state.answer_begun:
+            inbound.write(bytes(body))
+        else:
+            inbound.answer(response.status, headers, bytes(body))
         self._log.answered(admitted, state, response.status)
 
     def _relay_stream(
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
@@ -4,6 +4,8 @@
 
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
+# Longest event; those of engines have some hundred bytes.
+_MAX_EVENT_BYTES = 262_144
 
 
 class EventSplitter:
@@ -43,9 +45,11 @@
         Raises
         ------
         ValueError
-            If an event is missing or repeated.
+            If an event is missing, repeated or too long.
         """
         *events, self._partial_event = (self._partial_event + data).split(_EVENT_END)
+        if len(self._partial_event) > _MAX_EVENT_BYTES:
+            raise ValueError(f"an event of more than {_MAX_EVENT_BYTES} bytes")
         for event in events:
             self._count_event(event)
         return b"".join(event + _EVENT_END for event in events)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -4,8 +4,9 @@
 import threading
 from contextlib import suppress
 from http.client import HTTPException, HTTPResponse
-from io import BufferedReader
+from io import BufferedReader, RawIOBase
 from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT
+from time import monotonic
 from typing import Any, NamedTuple
 
 from urllib3 import HTTPHeaderDict
@@ -26,6 +27,8 @@
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _MAX_IDLE = 64
 _READ_BYTES = 65_536
+# Longest head of an answer, with the interim answers before it.
+_MAX_HEAD_BYTES = 262_144
 
 
 class CallFailedError(Exception):
@@ -50,19 +53,71 @@
     raw: Any
 
 
+class _AnswerTooLongError(HTTPException):
+    """The head of an answer has no end."""
+
+
+class _TimedSocket(RawIOBase):
+    """Stream of received bytes with one time limit for any number of reads.
+
+    The timeout of a socket starts again with each byte that arrives.
+
+    Parameters
+    ----------
+    raw : io.RawIOBase
+    sock : socket.socket
+    ends_at : float
+        Monotonic time after which reads fail.
+    """
+
+    def __init__(self, raw, sock, ends_at):
+        self._raw = raw
+        self._sock = sock
+        self.ends_at = ends_at
+        self.remaining_bytes = _MAX_HEAD_BYTES
+
+    def readable(self):
+        """Return True, as for all streams that can be read."""
+        return True
+
+    def readinto(self, buffer):
+        """Read bytes before the time limit."""
+        if self.ends_at is not None:
+            remaining_s = self.ends_at - monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError("the time for the answer has passed")
+            self._sock.settimeout(remaining_s)
+        count = self._raw.readinto(buffer)
+        if count and self.remaining_bytes is not None:
+            self.remaining_bytes -= count
+            if self.remaining_bytes < 0:
+                raise _AnswerTooLongError("head of an answer")
+        return count
+
+    def poll_only(self):
+        """Let reads return what has been received already."""
+        self.ends_at = None
+        self._sock.settimeout(0.0)
+
+    def close(self):
+        """Close the stream."""
+        self._raw.close()
+        super().close()
+
+
 class _CheckedReader(BufferedReader):
     """Reader of one answer that detects bytes received after the answer."""
 
-    def __init__(self, raw, sock):
-        super().__init__(raw)
-        self._sock = sock
+    def __init__(self, raw, sock, ends_at):
+        self.timed = _TimedSocket(raw, sock, ends_at)
+        super().__init__(self.timed)
         self.has_extra_bytes = False
 
     def close(self):
         """Check for bytes after the answer, then close."""
         if not self.closed:
             with suppress(OSError, ValueError):
-                self._sock.settimeout(0.0)
+                self.timed.poll_only()
                 self.has_extra_bytes = bool(self.peek(1))
         super().close()
 
@@ -70,19 +125,20 @@
 class _CheckedResponse(HTTPResponse):
     """Answer whose reader detects bytes received after the answer."""
 
-    def __init__(self, sock, *arguments, **options):
+    def __init__(self, sock, ends_at, *arguments, **options):
         super().__init__(sock, *arguments, **options)
-        self.fp = self.reader = _CheckedReader(self.fp.detach(), sock)
+        self.fp = self.reader = _CheckedReader(self.fp.detach(), sock, ends_at)
 
 
 class _Connection(HTTPConnection):
     """Connection that keeps the reader of its last answer."""
 
     reader = None
+    ends_at = None
 
-    def response_class(self, *arguments, **options):
+    def response_class(self, sock, *arguments, **options):
         """Create the answer; called by ``http.client``."""
-        response = _CheckedResponse(*arguments, **options)
+        response = _CheckedResponse(sock, self.ends_at, *arguments, **options)
         self.reader = response.reader
         return response
 
@@ -161,10 +217,12 @@
             raise CallFailedError("send", self.address, repr(error)) from error
 
     def response(self, timeout_s):
-        """Wait for the head of the answer."""
+        """Wait for the head of the answer, which must be complete in time."""
         self._http.timeout = max(_MIN_TIMEOUT_S, timeout_s)
+        self._http.ends_at = monotonic() + self._http.timeout
         try:
             raw = self._http.getresponse()
+            self._http.reader.timed.remaining_bytes = None
         except TimeoutError as error:
             raise CallFailedError("silent", self.address, repr(error)) from error
         except (HTTPError, HTTPException, OSError, AttributeError) as error:
@@ -172,17 +230,37 @@
         return Response(raw.status, raw.headers, raw)
 
     def read(self, response, timeout_s):
-        """Return the next bytes of a body; empty bytes at its end."""
+        """Return the next bytes of a body; empty bytes at its end.
+
+        It fails if ``timeout_s`` has passed, even if more bytes are there.
+        """
+        if timeout_s <= 0:
+            raise CallFailedError("silent", self.address, "no time left for the answer")
         try:
-            if self._sock.fileno() >= 0:
-                # Once the last answer of a connection is read, its socket is closed.
-                self._sock.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
+            self._http.reader.timed.ends_at = monotonic() + timeout_s
             return response.raw.read1(_READ_BYTES)
         except (TimeoutError, ReadTimeoutError) as error:
             raise CallFailedError("silent", self.address, repr(error)) from error
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise CallFailedError("read", self.address, repr(error)) from error
 
+    def read_whole(self, response, timeout_s, max_bytes):
+        """Return the rest of a body.
+
+        Raises
+        ------
+        CallFailedError
+            If the body doesn't end within the time or has more than ``max_bytes``.
+        """
+        ends_at = monotonic() + timeout_s
+        body = bytearray()
+        while data := self.read(response, ends_at - monotonic()):
+            body += data
+            if len(body) > max_bytes:
+                reason = f"more than {max_bytes} bytes"
+                raise CallFailedError("read", self.address, reason)
+        return bytes(body)
+
     def cancel(self):
         """Abort the call from another thread; its reads and writes fail at once."""
         self._cancelled = True
