Keep the peers of a large fleet until views have shown all of them

Seen while origins of streams were placed at nodes chosen by a hash: at 360 nodes a view carries three peers in rotation, so all are shown in 86 s, but a node that no view showed for 20 s was dropped. A table held 81 of 359 peers (new test, fails before), a window that moves, so holders of an origin were no longer found and notices reached a quarter of the zone.

The time until a peer is dropped grows with the time of a rotation; at up to 78 nodes it stays at 20 s.

--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -6,9 +6,10 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
+from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES, exchange_interval_s
 
 __all__ = [
+    "ROTATED_PEERS",
     "NoticeRecipients",
     "Peer",
     "PeerTable",
@@ -16,9 +17,12 @@
     "notice_interval_s",
 ]
 
-# A node that no view showed for this long is dropped; views show each node every few
-# seconds.
-_FORGET_S = 20.0
+# Peers that a view carries in rotation, so that each is sent again and again.
+ROTATED_PEERS = 3
+# A node that no view showed for this long is dropped, at the earliest.
+_MIN_FORGET_S = 20.0
+# Rotations through all nodes that views may miss a node before it is dropped.
+_FORGET_ROTATIONS = 2.5
 # Most notices that a node receives per second: some percent of a core.
 _NOTICES_PER_S = 1000.0
 
@@ -74,9 +78,21 @@
     def __init__(self, address):
         self._address = address
         self._rows = {}
+        self._forget_s = _MIN_FORGET_S
 
-    def update(self, now, peers):
-        """Add the nodes that a view shows, by name."""
+    def update(self, now, peers, nodes=1):
+        """Add the nodes that a view shows.
+
+        Parameters
+        ----------
+        now : float
+        peers : dict of str to Peer
+            Some nodes by name.
+        nodes : int, optional
+            Number of all nodes.
+        """
+        rotation_s = nodes / ROTATED_PEERS * exchange_interval_s(nodes)
+        self._forget_s = max(_MIN_FORGET_S, _FORGET_ROTATIONS * rotation_s)
         for name, peer in peers.items():
             if peer.address != self._address:
                 self._rows[name] = (peer, now)
@@ -97,7 +113,9 @@
         In a small fleet these are all nodes, otherwise the nodes of a zone.
         """
         self._rows = {
-            name: row for name, row in self._rows.items() if now < row[1] + _FORGET_S
+            name: row
+            for name, row in self._rows.items()
+            if now < row[1] + self._forget_s
         }
         is_small = len(self._rows) < MAX_DIRECT_NODES
         return [
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_peers.py
@@ -5,7 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscusspar.fleet.entry_rotation import EntryRotation
+from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.peers import (
+    ROTATED_PEERS,
     Peer,
     PeerTable,
     decision_interval_s,
@@ -27,6 +30,18 @@
         table.update(1.0, peers(9))
         self.assertEqual(len(table.direct_addresses(1.0, "z1")), 8)
 
+    def test_views_of_a_large_fleet_show_all_nodes_before_any_is_dropped(self):
+        for count in (9, 78, 360):
+            table, rotation, now = PeerTable("10.0.0.0:7000"), EntryRotation(), 100.0
+            rows = peers(count)
+            # The first views carry all nodes, as new ones.
+            for number in range(400):
+                due = rotation.due(rows, number, ROTATED_PEERS)
+                table.update(now, {name: rows[name] for name in due}, count)
+                now += exchange_interval_s(count)
+                table.direct_addresses(now, "z1")
+            self.assertEqual(table.count, count - 1)
+
     def test_large_fleet_notifies_the_nodes_of_the_own_zone(self):
         table = PeerTable("10.0.0.0:7000")
         table.update(1.0, peers(78))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -24,6 +24,7 @@
     adapter_key,
     adapter_label,
 )
+from hibiscusspar.fleet.peers import ROTATED_PEERS
 from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
@@ -43,8 +44,6 @@
 # leaves time for views.
 _PLAN_PAUSE_S = 0.004
 _PLAN_PAUSE_ROUNDS = 2.0
-# Peers that a view carries in rotation, so that each is sent within some seconds.
-_ROTATED_PEERS = 3
 _ORDER_THREADS = 8
 # Most targets of a view whose adapters it lists, up to 1 KB each.
 _MAX_RESIDENCY = 16
@@ -408,7 +407,7 @@
             name: (record.report.zone, "{}:{}".format(*record.address))
             for name, record in self._node_records.items()
         }
-        due = self._peer_rotation.due(peers, self._number, _ROTATED_PEERS)
+        due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
     def _engine_targets(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -304,7 +304,7 @@
             for watch in parts.watches:
                 watch.wake()
         peers = {name: Peer(*row) for name, row in view.peers.items()}
-        parts.peers.update(parts.clock(), peers)
+        parts.peers.update(parts.clock(), peers, view.nodes)
         addresses = parts.peers.direct_addresses(parts.clock(), parts.settings.zone)
         parts.request_scheduler.direct_peers = len(addresses)
         acked_used = parts.request_scheduler.apply_view(view)
