Soak: name limits, mix software versions, take up broken streams

Three engines of two software versions name limits at random; callers read streams piece by piece and take broken ones up again at any node. Checked: no engine gets more than its limit allows from nodes that it told and that got no signal, and no stream has events of two versions, missing ones or those of another request. Beside an older build neither limits nor versions are mixed, as it doesn't know them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 from soak.callers import Caller, guarantees_not_run
 from soak.deployment import Deployment
 from soak.faults import FaultPlan
+from soak.limits import limit_violations
 
 # A withdrawn key must be refused after this time, bounds.revokeMs of the nodes.
 REVOCATION_BOUND_S = 5.0
@@ -28,7 +29,14 @@
 
 
 def run_seed(seed, seconds, logs=None, old_build=None):
-    """Run one seed; return the violations, the injected faults and the statuses."""
+    """Run one seed.
+
+    Returns
+    -------
+    tuple
+        Violations, injected faults, number of answers by status, and the numbers of
+        broken and of continued streams.
+    """
     rng = Random(seed)
     deployment = Deployment(seed, logs, old_build)
     started_at = monotonic()
@@ -37,7 +45,7 @@
     callers = [
         Caller(
             f"s{seed}n{node.number}c{index}",
-            node.front,
+            deployment.fronts_from(node),
             seed * 100 + node.number * 10 + index,
             lambda: Random().choice(known_keys),
             started_at,
@@ -67,6 +75,7 @@
             violations += _switch_builds(deployment, probes)
         inject_faults(seconds)
         deployment.heal()
+        plan.end_limits()
         for caller in callers:
             caller.stopping.set()
         for caller in callers:
@@ -78,7 +87,12 @@
         deployment.stop()
     callers += probes
     statuses = Counter(o.status for caller in callers for o in caller.outcomes)
-    return violations + _find_violations(deployment, callers, plan), plan.log, statuses
+    streams = (
+        sum(caller.broken_count for caller in callers),
+        sum(caller.continued_count for caller in callers),
+    )
+    violations += _find_violations(deployment, callers, plan)
+    return violations, plan.log, statuses, streams
 
 
 def _make_probes(deployment, seed, started_at):
@@ -86,7 +100,7 @@
     return [
         Caller(
             f"s{seed}n{node.number}probe",
-            node.front,
+            deployment.fronts_from(node),
             seed * 100 + node.number * 10 + CALLERS_PER_NODE,
             lambda: "k0",
             started_at,
@@ -126,6 +140,9 @@
 def _find_violations(deployment, callers, plan):
     """Return the violations that callers and engines recorded."""
     violations = [violation for caller in callers for violation in caller.violations]
+    violations += limit_violations(
+        plan.limits, plan.signalled, plan.limit_ends, _node_of
+    )
     runs = {}
     for engine in deployment.engines:
         violations += [
@@ -153,6 +170,13 @@
     return violations
 
 
+def _node_of(request_id):
+    """Return the node that a caller sent a request to; None for a resumed stream."""
+    if request_id.endswith("-again"):
+        return None
+    return int(request_id.partition("n")[2].partition("c")[0].partition("p")[0])
+
+
 def main(arguments=None):
     """Run the seeds and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -166,11 +190,12 @@
     seeds += [secrets.randbelow(10**6) for _ in range(options.fresh)]
     failed = 0
     for seed in seeds:
-        violations, log, statuses = run_seed(
+        violations, log, statuses, (broken, continued) = run_seed(
             seed, options.seconds, options.logs, options.old_build
         )
         counts = ", ".join(f"{status}: {n}" for status, n in sorted(statuses.items()))
         print(f"seed {seed}: {len(log)} faults, {len(violations)} violations; {counts}")
+        print(f"  broken streams: {broken}, continued by their callers: {continued}")
         for line in violations[:10]:
             print(f"  {line}")
         if violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,8 +31,9 @@
     Parameters
     ----------
     name : str
-    front : tuple of (str, int)
-        IP and port for callers.
+    fronts : list of tuple of (str, int)
+        IP and port of each node. Requests go to the first one; a broken stream is taken
+        up again at any of them.
     seed : int
     choose_key : callable
         Returns a key to use.
@@ -40,9 +41,9 @@
         Start of the run on the monotonic clock.
     """
 
-    def __init__(self, name, front, seed, choose_key, started_at):
+    def __init__(self, name, fronts, seed, choose_key, started_at):
         super().__init__(name=name, daemon=True)
-        self._front = front
+        self._fronts = fronts
         self._rng = Random(seed)
         self._choose_key = choose_key
         self._started_at = started_at
@@ -50,6 +51,9 @@
         self.stopping = threading.Event()
         self.outcomes = []
         self.violations = []
+        # Broken streams, and those of them that went on.
+        self.broken_count = 0
+        self.continued_count = 0
 
     def run(self):
         """Send requests one at a time until ``stopping`` is set."""
@@ -76,7 +80,7 @@
 
     def _send_request(self, request_id, key, route):
         if self._connection is None:
-            self._connection = HTTPConnection(*self._front, timeout=9)
+            self._connection = HTTPConnection(*self._fronts[0], timeout=9)
         adapter = f"a{min(self._rng.randrange(_ADAPTERS), self._rng.randrange(9))}"
         headers = {
             "Host": "h.example",
@@ -88,17 +92,51 @@
         }
         self._connection.request("POST", f"/{route}/x", body=b"{}", headers=headers)
         response = self._connection.getresponse()
-        body = response.read()
+        body = b""
+        try:
+            while data := response.read1():
+                body += data
+        except (OSError, HTTPException):
+            if response.status == 200 and route == "draft":
+                self._take_up(request_id, headers, _events(body))
+            raise
         if response.status == 200:
-            self._check(request_id, response, body)
+            self._check(request_id, response, _events(body))
         if response.will_close:
             self._close()
         return response.status
 
-    def _check(self, request_id, response, body):
-        expected = [f"id: {n}\ndata: {request_id}" for n in range(1, EVENT_COUNT + 1)]
-        if body.decode().strip().split("\n\n") != expected:
-            self.violations.append(f"{request_id}: wrong or incomplete answer {body!r}")
+    def _take_up(self, request_id, headers, events):
+        """Take up a broken stream at some node and check that it fits together."""
+        if not events:
+            return
+        self.broken_count += 1
+        connection = HTTPConnection(*self._rng.choice(self._fronts), timeout=9)
+        new_headers = {
+            "X-Hibiscusspar-Request-Id": f"{request_id}-again",
+            "Resumes": request_id,
+            "Last-Event-Id": str(len(events)),
+        }
+        try:
+            connection.request("POST", "/draft/x", b"{}", {**headers, **new_headers})
+            response = connection.getresponse()
+            body = response.read()
+        finally:
+            connection.close()
+        if response.status == 200:
+            self.continued_count += 1
+            self._check(request_id, response, events + _events(body))
+
+    def _check(self, request_id, response, events):
+        numbers = [event.partition("\n")[0] for event in events]
+        if numbers != [f"id: {n}" for n in range(1, EVENT_COUNT + 1)]:
+            self.violations.append(f"{request_id}: wrong or incomplete answer {events}")
+        parts = [event.rpartition("data: ")[2].split(" ") for event in events]
+        ids = {name.removesuffix("-again") for name, *_ in parts}
+        if ids != {request_id}:
+            self.violations.append(f"{request_id}: events of other requests {events}")
+        if len({software for *_, software in parts}) > 1:
+            self.violations.append(f"{request_id}: events of two versions {events}")
         if response.headers.get("X-Hibiscusspar-Response-Seal") != "seal":
             self.violations.append(f"{request_id}: answer without its seal")
 
@@ -108,6 +146,11 @@
         self._connection = None
 
 
+def _events(body):
+    """Return the complete events of a body."""
+    return body.decode().split("\n\n")[:-1]
+
+
 def guarantees_not_run(outcome):
     """Return whether the status guarantees that the request has not run."""
     return outcome.status in _NOT_RUN_STATUSES
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -18,6 +18,12 @@
 MODEL = "base"
 LEASE_S = 1.0
 ADAPTER_SLOTS = 3
+# Software version of each engine.
+ENGINE_SOFTWARE = ("v1", "v2", "v1")
+# The same beside nodes of an older build.
+OLD_SOFTWARE = ("v1", "v1", "v1")
+# Time between the events of a stream, in which faults can break it.
+EVENT_GAP_S = 0.15
 _STOP_TIMEOUT_S = 12.0
 _RESTART_INTERVAL_S = 0.2
 _FIRST_HOST = 10  # last part of the IP address of node 0
@@ -144,7 +150,7 @@
 
 
 class Deployment:
-    """Three nodes, two engines and a store.
+    """Three nodes, three engines and a store.
 
     Parameters
     ----------
@@ -162,9 +168,19 @@
         folder.mkdir(parents=True, exist_ok=True)
         self.store = StoreStandIn()
         self.engines = [
-            EngineStandIn("127.0.0.1", f"t{i}", MODEL, ADAPTER_SLOTS, zone=f"z{i}")
-            for i in (0, 1)
+            EngineStandIn(
+                "127.0.0.1",
+                f"t{i}",
+                MODEL,
+                ADAPTER_SLOTS,
+                zone=f"z{i % 2}",
+                software=software,
+            )
+            # Older builds continue streams at any version.
+            for i, software in enumerate(OLD_SOFTWARE if old_build else ENGINE_SOFTWARE)
         ]
+        for engine in self.engines:
+            engine.event_gap_s = EVENT_GAP_S
         self.engine_proxies = [FaultyProxy(e.address) for e in self.engines]
         self.store.put("config", "main", config(1, {"k0"}))
         for engine, proxy in zip(self.engines, self.engine_proxies, strict=True):
@@ -185,6 +201,10 @@
             for node in self.nodes:
                 node.start()
 
+    def fronts_from(self, first):
+        """Return the addresses for callers of all nodes, beginning with one node."""
+        return [first.front, *(n.front for n in self.nodes if n is not first)]
+
     def heal(self):
         """End all faults and let killed nodes start again."""
         self.store.fail_with = None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,9 +1,11 @@
 """Random faults, which may overlap in time."""
 
 import signal
+from time import monotonic
 from typing import NamedTuple
 
 from soak.deployment import config
+from soak.limits import LIMIT_MIN_S, NamedLimit
 
 __all__ = ["FaultPlan", "Undo"]
 
@@ -21,7 +23,9 @@
     """Generator of random faults for a deployment.
 
     ``withdrawn`` maps each withdrawn key to the time of its withdrawal, and ``log``
-    holds a line for each injected fault.
+    holds a line for each injected fault. ``limits`` holds the limits that engines
+    named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
+    a node and the time for each signal.
     """
 
     def __init__(self, deployment, rng):
@@ -32,13 +36,22 @@
         self.keys = {"k0"}
         self.withdrawn = {}
         self.log = []
+        self.limits = []
+        self.limit_ends = {}
+        self.signalled = []
+
+    def end_limits(self):
+        """End all limits that engines name."""
+        for engine in self._deployment.engines:
+            if engine.limit_per_s is not None:
+                self._end_limit(engine)
 
     def step(self, now):
         """End the faults that are due and start another one."""
         for undo in [u for u in self._undos if u.at <= now]:
             undo.call()
             self._undos.remove(undo)
-        kinds = (
+        kinds = [
             self._signal,
             self._signal,
             self._store_link,
@@ -46,7 +59,10 @@
             self._store,
             self._configure,
             self._leave_orders_unanswered,
-        )
+        ]
+        if self._deployment.old_path is None:
+            # Builds before the limits of targets don't keep to them.
+            kinds.append(self._name_limit)
         description = self._rng.choice(kinds)(now, self._rng.uniform(0.3, 3.0))
         self.log.append(f"{now:.1f} {description}")
 
@@ -57,10 +73,9 @@
         node = self._rng.choice(self._deployment.nodes)
         number = self._rng.choice(_SIGNALS)
         node.send_signal(number)
+        self.signalled.append((node.number, monotonic()))
         if number is signal.SIGSTOP:
-            self._schedule_undo(
-                now, duration_s, lambda: node.send_signal(signal.SIGCONT)
-            )
+            self._schedule_undo(now, duration_s, lambda: self._wake(node))
         elif number is signal.SIGKILL:
             node.held_down = True
             self._schedule_undo(
@@ -68,6 +83,26 @@
             )
         return f"{number.name} to node {node.number}"
 
+    def _wake(self, node):
+        node.send_signal(signal.SIGCONT)
+        self.signalled.append((node.number, monotonic()))
+
+    def _name_limit(self, now, duration_s):
+        engine = self._rng.choice(self._deployment.engines)
+        if engine.limit_per_s is not None:
+            return f"{engine.target_id} keeps its limit"
+        engine.limit_per_s = self._rng.choice((0.5, 1.0, 3.0))
+        limit = NamedLimit(engine, engine.limit_per_s, monotonic())
+        self.limits.append(limit)
+        # The platform holds nodes to a limit some seconds after it was named.
+        duration_s += LIMIT_MIN_S
+        self._schedule_undo(now, duration_s, lambda: self._end_limit(engine))
+        return f"limit of {engine.target_id} for {duration_s:.1f} s"
+
+    def _end_limit(self, engine):
+        engine.limit_per_s = None
+        self.limit_ends.setdefault(engine.target_id, []).append(monotonic())
+
     def _store_link(self, now, duration_s):
         node = self._rng.choice(self._deployment.nodes)
         return f"store of node {node.number}: " + self._fault_link(
