--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,7 +23,7 @@
 # Every node must serve within these times, after the faults and after the start.
 RECOVERY_TIMEOUT_S = 12.0
 START_TIMEOUT_S = 15.0
-CALLERS_PER_NODE = 2
+CALLERS_PER_NODE = 4
 # Seeds that have failed before, each with its cause.
 REGRESSIONS = ()
 
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -7,7 +7,7 @@
 __all__ = ["LIMIT_MIN_S", "NamedLimit", "limit_violations"]
 
 # Shortest time for which an engine names a limit.
-LIMIT_MIN_S = 4.0
+LIMIT_MIN_S = 6.0
 # Nodes are held to a limit from this time after it was first named.
 _STABLE_WINDOW_S = 3.0
 _WINDOW_S = 4.0
