Key the origins of streams by a digest of the request id

Callers choose request ids, up to the size of a head (16 KB). 20,000 such origins could take 320 MB of a node, and each was sent to the other nodes. Origins are kept and sent by a digest of 16 characters; logs show 64 characters of the id that a request names. The new test failed before with a notice of 16 KB.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -160,10 +160,10 @@
 class StreamBegan(Struct, array_like=True):
     """Origin of a stream: the service and software version that began it.
 
-    ``request`` is the id of the request that brought its first event.
+    ``stream`` is a digest of the id of the request that brought its first event.
     """
 
-    request: str
+    stream: str
     service: str
     software: str
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -30,7 +30,10 @@
 
 
 class StreamOrigins:
-    """Origins by the id of the request that brought the first event of a stream."""
+    """Origins of streams by key.
+
+    The key stands for the request that brought the first event of a stream.
+    """
 
     def __init__(self):
         self._rows = {}
@@ -38,34 +41,35 @@
     def __len__(self):
         return len(self._rows)
 
-    def record(self, now, request_id, origin):
+    def record(self, now, key, origin):
         """Keep an origin; the first one of a stream is never replaced."""
         self._expire(now)
-        self._rows.setdefault(request_id, (origin, now))
+        self._rows.setdefault(key, (origin, now))
 
-    def find(self, now, request_id):
+    def find(self, now, key):
         """Return the origin of a stream, or None if it isn't known."""
         self._expire(now)
-        row = self._rows.get(request_id)
+        row = self._rows.get(key)
         return None if row is None else row[0]
 
     def _expire(self, now):
         # Rows are in the order of their times, so only the first ones can be too old.
         while self._rows:
-            request_id, (_, at) = next(iter(self._rows.items()))
+            key, (_, at) = next(iter(self._rows.items()))
             if now < at + _KEPT_S and len(self._rows) < _MAX_ORIGINS:
                 return
-            del self._rows[request_id]
+            del self._rows[key]
 
 
-def origin_holders(request_id, names):
+def origin_holders(key, names):
     """Return the nodes that hold copies of an origin (rendezvous hashing).
 
     Nodes that know slightly different fleets still choose mostly the same holders.
 
     Parameters
     ----------
-    request_id : str
+    key : str
+        Key of the stream.
     names : iterable of str
         Names of the other nodes.
 
@@ -74,7 +78,5 @@
     list of str
         All nodes in a small fleet.
     """
-    ranked = sorted(
-        names, key=lambda name: xxh3_64_intdigest(f"{request_id}/{name}".encode())
-    )
+    ranked = sorted(names, key=lambda name: xxh3_64_intdigest(f"{key}/{name}".encode()))
     return ranked if len(ranked) < MAX_DIRECT_NODES else ranked[:_COPIES]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -14,6 +14,8 @@
 # Reasons may end with an address or an error, so the metric label is cut to this
 # length.
 _REASON_LABEL_CHARS = 40
+# Longest id of another request that a line shows; callers choose it.
+_ID_CHARS = 64
 
 
 class CallLog:
@@ -63,7 +65,7 @@
             "view_age_s": _rounded(self._request_scheduler.view_age_s),
             "version": admitted.version,
             "software": placement.target.software,
-            "resumes": admitted.call.resumes,
+            "resumes": admitted.call.resumes[:_ID_CHARS],
             "last_event": state.last_event(admitted.call),
         }
         write_records([(CALL_SENT, fields)])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_exchange.py
@@ -3,6 +3,7 @@
 import threading
 
 from msgspec.json import encode as to_json
+from xxhash import xxh3_64_hexdigest
 
 from hibiscusspar.fleet.messages import SendNotice, StreamBegan
 from hibiscusspar.fleet.stream_origins import (
@@ -46,21 +47,21 @@
 
     def announce(self, request_id, origin):
         """Record the origin of a stream here and at the nodes that hold its copies."""
-        self._record(request_id, origin)
-        self._send_to_holders(
-            request_id, SendNotice([], began=[_row(request_id, origin)])
-        )
+        key = _key(request_id)
+        self._record(key, origin)
+        self._send_to_holders(key, SendNotice([], began=[_row(key, origin)]))
 
     def find(self, request_id):
         """Return the origin of a stream, or None if no node tells it in time."""
-        origin = self._find_here(request_id)
+        key = _key(request_id)
+        origin = self._find_here(key)
         if origin is not None:
             return origin
         self.query_count += 1
-        self._send_to_holders(request_id, SendNotice([], asked=[request_id]))
+        self._send_to_holders(key, SendNotice([], asked=[key]))
         ends_at = self._clock() + _ANSWER_WAIT_S
         with self._changed:
-            while (origin := self._origins.find(self._clock(), request_id)) is None:
+            while (origin := self._origins.find(self._clock(), key)) is None:
                 remaining_s = ends_at - self._clock()
                 if remaining_s <= 0:
                     return None
@@ -71,27 +72,32 @@
     def apply_notice(self, notice, address):
         """Record the origins of a notice, and answer with those that it asks for."""
         for row in notice.began:
-            self._record(row.request, StreamOrigin(row.service, row.software))
+            self._record(row.stream, StreamOrigin(row.service, row.software))
         known = [(name, self._find_here(name)) for name in notice.asked]
         rows = [_row(name, origin) for name, origin in known if origin is not None]
         if rows:
             self._channel.send(address, SendNotice([], began=rows))
 
-    def _find_here(self, request_id):
+    def _find_here(self, key):
         with self._changed:
-            return self._origins.find(self._clock(), request_id)
+            return self._origins.find(self._clock(), key)
 
-    def _record(self, request_id, origin):
+    def _record(self, key, origin):
         with self._changed:
-            self._origins.record(self._clock(), request_id, origin)
+            self._origins.record(self._clock(), key, origin)
             self._changed.notify_all()
 
-    def _send_to_holders(self, request_id, notice):
+    def _send_to_holders(self, key, notice):
         body = to_json(notice)
         addresses = self._peers.addresses
-        for name in origin_holders(request_id, addresses):
+        for name in origin_holders(key, addresses):
             self._channel.send(parse_address(addresses[name]), body)
 
 
-def _row(request_id, origin):
-    return StreamBegan(request_id, origin.service, origin.software)
+def _key(request_id):
+    """Return the key of a stream; ids are chosen by callers and may be long."""
+    return xxh3_64_hexdigest(request_id.encode())
+
+
+def _row(key, origin):
+    return StreamBegan(key, origin.service, origin.software)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_origin_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_origin_exchange.py
@@ -3,7 +3,7 @@
 import unittest
 from time import monotonic
 
-from msgspec.json import decode
+from msgspec.json import decode, encode
 
 from hibiscusspar.fleet.messages import SendNotice
 from hibiscusspar.fleet.peers import Peer, PeerTable
@@ -19,6 +19,7 @@
 
     def __init__(self, count):
         self.sent = 0
+        self.largest = 0
         self.down = set()
         self._nodes = {}
         addresses = {f"n{n}": f"10.0.0.{n}:7000" for n in range(count)}
@@ -35,8 +36,9 @@
         self.sent += 1
         if sender in self.down or address in self.down:
             return
-        body = message if isinstance(message, bytes) else None
-        notice = decode(body, type=SendNotice) if body else message
+        body = message if isinstance(message, bytes) else encode(message)
+        self.largest = max(self.largest, len(body))
+        notice = decode(body, type=SendNotice)
         self._nodes[address].apply_notice(notice, sender)
 
     def stop(self, index):
@@ -85,6 +87,14 @@
         self.assertEqual(network.nodes[3].found_count, 1)
 
 
+class TestLongIds(unittest.TestCase):
+    def test_long_id_of_a_caller_takes_no_more_room_than_others(self):
+        network = Network(4)
+        network.nodes[0].announce("r" * 16_000, V1)
+        self.assertLess(network.largest, 100)
+        self.assertEqual(network.nodes[1].find("r" * 16_000), V1)
+
+
 class TestOlderBuilds(unittest.TestCase):
     def test_notice_of_an_older_build_is_understood(self):
         notice = decode(b'{"type":"sent","sends":[["t1",5]]}', type=SendNotice)
