--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -0,0 +1,47 @@
+"""Checks of the heads of targets' answers."""
+
+from hibiscusspar.fleet.retries import AttemptFailure
+
+__all__ = ["head_failure", "is_event_stream", "tells_limit"]
+
+_EVENT_STREAM = "text/event-stream"
+# Status of a target that doesn't hold the adapter, or isn't the one that was meant.
+_MISDIRECTED = 421
+
+
+def is_event_stream(response):
+    """Return whether the body of an answer is an event stream."""
+    return response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
+
+
+def tells_limit(admitted, answer, response):
+    """Return whether an answer tells which limit its target names now.
+
+    An answer to another request may be old, and a misdirected request may have been
+    answered by another target, so neither ends a limit.
+    """
+    if answer.limit_per_s is not None:
+        return True
+    return (
+        answer.request_id == admitted.call.request_id
+        and response.status != _MISDIRECTED
+    )
+
+
+def head_failure(admitted, state, answer, response):
+    """Return the failure that the head of an answer shows, or None."""
+    if answer.not_run:
+        adapter_missing = response.status == _MISDIRECTED
+        reason = f"not run, status {response.status}"
+        return AttemptFailure("answer", reason, True, adapter_missing, is_whole=True)
+    if answer.request_id != admitted.call.request_id:
+        reason = f"answer to request {answer.request_id!r}"
+        return AttemptFailure("answer", reason, False, False)
+    is_stream = is_event_stream(response) and response.status == 200
+    if state.answer_begun and not is_stream:
+        # The caller already has the head of an answer, so only a stream can follow.
+        return AttemptFailure("answer", f"status {response.status}", False, False)
+    if response.status >= 500 and admitted.route.idempotent:
+        reason = f"status {response.status}"
+        return AttemptFailure("answer", reason, False, False, is_whole=True)
+    return None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -6,8 +6,12 @@
 
 from hibiscusspar.fleet.quota import Deferred, Granted, OverLimit
 from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
-from hibiscusspar.fleet.stream_origins import StreamOrigin
 from hibiscusspar.fleet.waiting import Job, Refuse
+from hibiscusspar_entry.fleet.answer_checks import (
+    head_failure,
+    is_event_stream,
+    tells_limit,
+)
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.refusal import (
@@ -15,6 +19,8 @@
     FailedError,
     RefusedError,
 )
+from hibiscusspar_entry.fleet.request_state import RequestState
+from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
 from hibiscusspar_wire.dialect import Forwarding
 from hibiscusspar_wire.event_stream import EventSplitter
 from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
@@ -22,7 +28,6 @@
 
 __all__ = ["ForwardPolicy", "Forwarder"]
 
-_EVENT_STREAM = "text/event-stream"
 # Longest wait for the rest of a refusal, in seconds. Refusals are short and arrive in
 # one piece.
 _REFUSAL_READ_S = 0.2
@@ -31,10 +36,6 @@
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
 _UNLIMITED_BODY = 2**62
-# Status of a target that doesn't hold the adapter, or isn't the one that was meant.
-_MISDIRECTED = 421
-# Origin of a stream that no target may continue.
-_UNKNOWN_ORIGIN = StreamOrigin("", "")
 
 
 class ForwardPolicy(NamedTuple):
@@ -78,49 +79,6 @@
     accept_s: float = 2.6
 
 
-class _RequestState:
-    """State of one request across its attempts."""
-
-    def __init__(self):
-        self.caller_gone = threading.Event()
-        self.attempts = 0
-        self.excluded = frozenset()
-        self.connection = None
-        self.ticket = None
-        self.may_have_run = False
-        self.tokens_taken = False
-        self.splitter = None
-        self.answer_begun = False
-        self.first_byte_at = None
-        self.last_event_at = None
-        # Time of the head of the current attempt, or of its last event.
-        self.progress_at = None
-        self.longest_gap_s = 0.0
-        self.target_id = ""
-        # Origin of the stream, once the caller has an event of it.
-        self.origin = None
-        self.broken_at = frozenset()
-
-    def last_event(self, call):
-        """Return the number of the last event that the caller has, or None."""
-        return self.splitter.last_event if self.splitter else call.last_event
-
-    def record_event(self, now):
-        """Record when an event was forwarded."""
-        if self.last_event_at is not None:
-            self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
-        self.last_event_at = self.progress_at = now
-
-    def cancel(self):
-        """Cancel the request because the caller closed its connection."""
-        self.caller_gone.set()
-        connection, ticket = self.connection, self.ticket
-        if connection is not None:
-            connection.cancel()
-        if ticket is not None:
-            ticket.decided.set()
-
-
 class Forwarder:
     """Handler of the requests that callers send to one node.
 
@@ -137,6 +95,9 @@
         self._clock = parts.clock
         self._admission = Admission(parts.config, parts.dialect, parts.key_age_limit_s)
         self._log = CallLog(parts.clock, parts.request_scheduler, parts.metrics)
+        self._streams = StreamContinuation(
+            parts.origins, parts.request_scheduler, self._policy.failed_retry_s
+        )
         self._open = set()
         self._lock = threading.Lock()
         self.draining_since = None
@@ -154,7 +115,7 @@
     def handle(self, inbound):
         """Answer one request of a caller."""
         arrived = self._clock()
-        state = _RequestState()
+        state = RequestState()
         with self._lock:
             self._open.add(state)
         watch = self._parts.disconnect_watch
@@ -200,7 +161,7 @@
     def _run(self, inbound, admitted, state):
         parts = self._parts
         if admitted.resumes_stream:
-            self._find_origin(admitted, state)
+            self._streams.find_origin(admitted, state)
         self._take_tokens(admitted, state)
         state.tokens_taken = True
         parts.retry_budgets.request(admitted.service, self._clock())
@@ -217,29 +178,6 @@
                 self._return_tokens(admitted)
             raise
 
-    def _find_origin(self, admitted, state):
-        """Determine which software may continue the stream that a caller takes up."""
-        parts, call = self._parts, admitted.call
-        origin = parts.origins.find(call.resumes) if call.resumes else None
-        if origin is not None and origin.service != admitted.service:
-            raise RefusedError(503, "the stream began at another service")
-        if origin is None:
-            versions = parts.request_scheduler.software_versions(admitted.service)
-            if len(versions) > 1:
-                # Another node may know the origin.
-                wait_s = self._policy.failed_retry_s
-                raise RefusedError(503, "unknown origin of the stream", wait_s)
-        state.origin = origin
-        self._check_origin(state)
-
-    def _check_origin(self, state):
-        """Refuse to continue a stream if no target of its software remains."""
-        origin = state.origin
-        if origin is None:
-            return
-        if not self._parts.request_scheduler.serves(origin, state.broken_at):
-            raise RefusedError(503, "no target of the stream's software remains")
-
     def _take_tokens(self, admitted, state):
         rule = admitted.rule
         if rule is None:
@@ -279,7 +217,7 @@
 
     def _wait_for_placement(self, admitted, state):
         """Wait for a target and return it; raise ``RefusedError`` if none is found."""
-        self._check_origin(state)
+        self._streams.check_origin(state)
         policy, route = self._policy, admitted.route
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         now = self._clock()
@@ -327,9 +265,9 @@
         try:
             connection, response = self._send(admitted, state, placement)
             answer = self._parts.dialect.answer_head(response.status, response.headers)
-            if _tells_limit(admitted, answer, response):
+            if tells_limit(admitted, answer, response):
                 self._parts.limits.record_answer(target_id, answer.limit_per_s, sent_at)
-            failure = _head_failure(admitted, state, answer, response)
+            failure = head_failure(admitted, state, answer, response)
             if failure is not None:
                 self._drain_refusal(state, connection, response, failure)
                 if failure.adapter_missing:
@@ -431,8 +369,7 @@
         headers = self._parts.dialect.answer_headers(response.headers)
         if self.draining_since is not None:
             headers.append(("Connection", "close"))
-        is_stream = response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
-        if is_stream and response.status == 200:
+        if is_event_stream(response) and response.status == 200:
             self._relay_stream(
                 inbound, admitted, state, placement, connection, response, headers
             )
@@ -473,7 +410,7 @@
             if not events:
                 continue
             if not state.answer_begun:
-                self._record_origin(admitted, state, placement)
+                self._streams.record_origin(admitted, state, placement.target)
                 state.answer_begun = True
                 inbound.send_head(response.status, headers)
             inbound.write(events)
@@ -485,19 +422,6 @@
             inbound.send_head(response.status, headers)
         self._log.answered(admitted, state, response.status)
 
-    def _record_origin(self, admitted, state, placement):
-        """Record the software of a stream, before its caller gets an event of it."""
-        if state.origin is not None or not admitted.route.resumable:
-            return
-        target, call = placement.target, admitted.call
-        if not self._parts.request_scheduler.is_current(target):
-            # The target may have restarted with other software, so the stream can't be
-            # continued.
-            state.origin = _UNKNOWN_ORIGIN
-            return
-        state.origin = StreamOrigin(admitted.service, target.software)
-        self._parts.origins.announce(call.resumes or call.request_id, state.origin)
-
     def _return_connection(self, state, connection, response):
         state.connection = None
         self._parts.connections.release(state.target_id, connection, response.headers)
@@ -522,9 +446,7 @@
 
     def _may_retry(self, admitted, state, failure, now):
         route = admitted.route
-        can_continue = route.resumable and self._parts.request_scheduler.serves(
-            state.origin or _UNKNOWN_ORIGIN, state.broken_at
-        )
+        can_continue = route.resumable and self._streams.can_continue(state)
         decision = retry_decision(
             failure,
             idempotent=route.idempotent,
@@ -553,36 +475,3 @@
             with suppress(CallerGoneError):
                 inbound.answer(error.status, error.headers(), error.body())
         self._log.broken(admitted, state, error.status, error.reason)
-
-
-def _tells_limit(admitted, answer, response):
-    """Return whether an answer tells which limit its target names now.
-
-    An answer to another request may be old, and a misdirected request may have been
-    answered by another target, so neither ends a limit.
-    """
-    if answer.limit_per_s is not None:
-        return True
-    return (
-        answer.request_id == admitted.call.request_id
-        and response.status != _MISDIRECTED
-    )
-
-
-def _head_failure(admitted, state, answer, response):
-    """Return the failure that the head of an answer shows, or None."""
-    if answer.not_run:
-        adapter_missing = response.status == _MISDIRECTED
-        reason = f"not run, status {response.status}"
-        return AttemptFailure("answer", reason, True, adapter_missing, is_whole=True)
-    if answer.request_id != admitted.call.request_id:
-        reason = f"answer to request {answer.request_id!r}"
-        return AttemptFailure("answer", reason, False, False)
-    is_stream = response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
-    if state.answer_begun and not (is_stream and response.status == 200):
-        # The caller already has the head of an answer, so only a stream can follow.
-        return AttemptFailure("answer", f"status {response.status}", False, False)
-    if response.status >= 500 and admitted.route.idempotent:
-        reason = f"status {response.status}"
-        return AttemptFailure("answer", reason, False, False, is_whole=True)
-    return None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -16,6 +16,7 @@
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.residency_numbers import lacked_states
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
+from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.waiting import (
     Send,
     Wait,
@@ -40,9 +41,6 @@
 _NO_STATE = (0, -1)
 # Targets whose residency a node requests with one report.
 _MAX_REQUESTED = 16
-# Time in seconds for which a stream may go on after the last target of its software has
-# left the directory: longer than callers wait for a stream.
-_SOFTWARE_KEPT_S = 40.0
 # Failures that a refused connection counts as: enough to eject the target.
 _UNREACHABLE_FAILURES = 3
 # Requests beyond its slots that may queue at a target without an engine.
@@ -119,7 +117,7 @@
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._limit_gate = limit_gate
-        self._software_seen_at = {}
+        self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
         self.direct_peers = 0
@@ -149,12 +147,13 @@
     def set_targets(self, targets):
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
-            self._record_software(self._clock())
+            now = self._clock()
+            self._software_history.record(now, self._targets)
             self._targets = targets
             self._prompt_queues.retain(targets)
             self._limit_gate.retain(targets)
             self._ejection.retain(targets)
-            self._retry_waiting(self._clock())
+            self._retry_waiting(now)
 
     def software_versions(self, service):
         """Return the software versions that may have begun a stream of a service.
@@ -162,10 +161,8 @@
         These are the versions of its targets now and some time ago.
         """
         with self.lock:
-            self._record_software(self._clock())
-            return {
-                software for name, software in self._software_seen_at if name == service
-            }
+            self._software_history.record(self._clock(), self._targets)
+            return self._software_history.versions(service)
 
     def serves(self, origin, excluded=frozenset()):
         """Return whether a target remains that may continue a stream.
@@ -374,16 +371,6 @@
             running = sum(load.running for load in self._loads.values())
             return len(self._waiting), len(self._targets), running
 
-    def _record_software(self, now):
-        """Record which software versions the directory has shown until now."""
-        for target in self._targets.values():
-            self._software_seen_at[target.service, target.software] = now
-        self._software_seen_at = {
-            row: at
-            for row, at in self._software_seen_at.items()
-            if now < at + _SOFTWARE_KEPT_S
-        }
-
     @property
     def _fence(self):
         return self._view.fence if self._view else 0
