Issue permits without looking at all nodes for each target

With 30 limited targets and 360 nodes the coordinator looked at all nodes for each target in each tick and copied all rows: 1.8 of a core in a loop of 250 ticks.

--- a/packages/hibiscusspar/hibiscusspar/fleet/permits.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/permits.py
@@ -73,28 +73,46 @@
             Targets of the permits by node.
         """
         policy = self._policy
-        self._levels = {t: row for t, row in self._levels.items() if t in limits}
-        self._last_issues = {
-            key: row for key, row in self._last_issues.items() if key[0] in limits
-        }
+        if self._levels.keys() - limits.keys():
+            self._forget_others(limits)
         issued = {}
         for target_id, per_s in limits.items():
             rate = max(per_s, policy.min_per_s) * available_share
             level, at = self._levels.get(target_id, (0.0, now))
             level = min(level + rate * (now - at), max(1.0, rate * policy.burst_s))
-            waiting = {d.node: self._unmet(d, target_id) for d in demands}
-            while level >= 1.0:
-                candidates = [node for node, count in waiting.items() if count > 0]
-                if not candidates:
-                    break
-                node = min(candidates, key=lambda n: self._rank(target_id, n))
-                self._record_issue(now, target_id, node)
-                waiting[node] -= 1
-                level -= 1.0
-                issued.setdefault(node, []).append(target_id)
+            if level >= 1.0:
+                nodes = self._issue_for_target(now, target_id, int(level), demands)
+                level -= len(nodes)
+                for node in nodes:
+                    issued.setdefault(node, []).append(target_id)
             self._levels[target_id] = (level, now)
         return issued
 
+    def _issue_for_target(self, now, target_id, most, demands):
+        """Issue up to ``most`` permits to nodes in turn; return the nodes."""
+        waiting = {
+            demand.node: self._unmet(demand, target_id)
+            for demand in demands
+            if target_id in demand.counts
+        }
+        nodes = []
+        while len(nodes) < most:
+            candidates = [node for node, count in waiting.items() if count > 0]
+            if not candidates:
+                break
+            node = min(candidates, key=lambda name: self._rank(target_id, name))
+            self._record_issue(now, target_id, node)
+            waiting[node] -= 1
+            nodes.append(node)
+        return nodes
+
+    def _forget_others(self, limits):
+        """Forget the targets that have no limit any more."""
+        self._levels = {t: row for t, row in self._levels.items() if t in limits}
+        self._last_issues = {
+            key: row for key, row in self._last_issues.items() if key[0] in limits
+        }
+
     def _unmet(self, demand, target_id):
         """Return the requests that had no permit when their node reported them."""
         _, times = self._last_issues.get((target_id, demand.node), (0, []))
