--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -423,6 +423,7 @@
             candidates = remaining
         decision = decide(now, job, candidates, self.zone)
         if isinstance(decision, Wait) and not candidates:
+            # Targets that lack the adapter can load it.
             remaining = self._usable_targets(now, job)
             permit_wait_s = self._limit_gate.wait_s(now, remaining)
             decision = refuse_for_limit(now, job, permit_wait_s)
