Wait for the end of the lame duck period in the test of the shutdown

Traced: after a stop request the process isn't ready at once, but accepts requests for lame_duck_s, a microsecond in the test; the test sent its request as soon as the process wasn't ready. With a lame duck period of 0.3 s the test fails in the same way each time; it now waits until the gateway has closed, and passes with 0.3 s too. What is checked after that is unchanged.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_requests.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/tests/test_requests.py
@@ -155,6 +155,8 @@
         stop_thread = threading.Thread(target=self.node.stop)
         stop_thread.start()
         self.deployment.wait_until(lambda: not self.node.ready())
+        # Requests are accepted for the lame duck period after that.
+        self.deployment.wait_until(self.node._parts.gateway._closed.is_set)
         refused = self.deployment.complete(self.node, self.key)
         self.assertEqual(refused.status, 503)
         self.assertEqual(refused.headers["Hibiscusspar-Run"], "not-run")
