Serve below the limits of targets when all of them have one

Cause, by two tests that failed before: a request whose adapter no target held was refused at once, so no node asked for a load of it; and each node's request for a spare permit counted as a request that waits, so the expected wait was a permit's time for each node though nothing waited (16 s at 0.5 a second), and everything was refused.

Change: such a request waits for its adapter; spare permits are asked for with a count of 0, come after the nodes whose requests wait, and are no queue.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -78,7 +78,8 @@
     copy of the directory lacks or has in an older state, ``lacked_residency`` those
     whose residency the node lacks. ``limits`` holds what recent answers have told of
     the limits of targets: requests a second, None if the limit has ended, and the age
-    in seconds. ``permit_demand`` counts by target the requests that wait for permits.
+    in seconds. ``permit_demand`` counts by target the requests that wait for permits; 0
+    asks for a permit for a later request.
     """
 
     node: str
--- a/packages/hibiscusspar/hibiscusspar/fleet/permits.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/permits.py
@@ -29,7 +29,10 @@
 
 
 class PermitDemand(NamedTuple):
-    """Requests of a node that wait for permits: count by target, as of a time."""
+    """Requests of a node that wait for permits: count by target, as of a time.
+
+    A count of 0 asks for one permit, after the nodes whose requests wait.
+    """
 
     node: str
     at: float
@@ -90,17 +93,18 @@
 
     def _issue_for_target(self, now, target_id, most, demands):
         """Issue up to ``most`` permits to nodes in turn; return the nodes."""
-        waiting = {
-            demand.node: self._unmet(demand, target_id)
-            for demand in demands
-            if target_id in demand.counts
-        }
+        rows = [demand for demand in demands if target_id in demand.counts]
+        waiting = {demand.node: self._unmet(demand, target_id) for demand in rows}
+        idle = {demand.node for demand in rows if not demand.counts[target_id]}
         nodes = []
         while len(nodes) < most:
             candidates = [node for node, count in waiting.items() if count > 0]
             if not candidates:
                 break
-            node = min(candidates, key=lambda name: self._rank(target_id, name))
+            node = min(
+                candidates,
+                key=lambda name: (name in idle, *self._rank(target_id, name)),
+            )
             self._record_issue(now, target_id, node)
             waiting[node] -= 1
             nodes.append(node)
@@ -117,7 +121,7 @@
         """Return the requests that had no permit when their node reported them."""
         _, times = self._last_issues.get((target_id, demand.node), (0, []))
         later = sum(at >= demand.at for at in times)
-        return demand.counts.get(target_id, 0) - later
+        return max(1, demand.counts[target_id]) - later
 
     def _rank(self, target_id, node):
         serial, _ = self._last_issues.get((target_id, node), (0, []))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
@@ -88,8 +88,8 @@
         """Return the requests that need a permit by target, for one report.
 
         A waiting request counts for one target, so that no other gets a permit for it
-        in vain. A target that was passed over counts for one request, so that it is
-        used below its limit and tells when the limit ends.
+        in vain. A target that was passed over is listed with 0, so that it gets a
+        permit for a later request, is used below its limit and tells when that ends.
 
         Parameters
         ----------
@@ -108,5 +108,5 @@
             if closed:
                 counts[closed[int(job.fraction * len(closed))]] += 1
         for target_id in passed_over:
-            counts.setdefault(target_id, 1)
+            counts.setdefault(target_id, 0)
         return dict(counts)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -422,8 +422,13 @@
                 return False
             candidates = remaining
         decision = decide(now, job, candidates, self.zone)
-        if isinstance(decision, Wait) and not candidates:
-            # Targets that lack the adapter can load it.
+        # A request whose adapter no target holds waits, so that one loads it.
+        if (
+            isinstance(decision, Wait)
+            and not candidates
+            and self._usable_versions(now, job)
+        ):
+            # Targets without a limit can load the adapter.
             remaining = self._usable_targets(now, job)
             permit_wait_s = self._limit_gate.wait_s(now, remaining)
             decision = refuse_for_limit(now, job, permit_wait_s)
