--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
@@ -65,8 +65,12 @@
         if changed:
             write_records([_record(target_id, per_s, "answer", now - statement.at)])
 
-    def report_rows(self):
-        """Return what recent answers have told: limit and its age by target."""
+    def report_rows(self, target_ids=()):
+        """Return what recent answers have told: limit and its age by target.
+
+        The named targets are included whenever their limits were told, as the
+        coordinator may have started since then.
+        """
         with self._lock:
             now = self._clock()
             self._answered = {
@@ -74,9 +78,12 @@
                 for target_id, row in self._answered.items()
                 if now < row[1] + _REPORTED_S
             }
+            known = self._table.rows
+            reported = {t: known[t] for t in target_ids if t in known}
+            reported |= {t: statement for t, (statement, _) in self._answered.items()}
             return {
                 target_id: (statement.per_s, round(now - statement.at, 3))
-                for target_id, (statement, _) in self._answered.items()
+                for target_id, statement in reported.items()
             }
 
     def rows(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
@@ -34,9 +34,9 @@
             self._limits.apply_rows({target_id: (per_s, age_s)}, view.node)
             self._waiting_of_all[target_id] = waiting
 
-    def report_rows(self):
-        """Return what recent answers have told: limit and its age by target."""
-        return self._limits.report_rows()
+    def report_rows(self, target_ids):
+        """Return the limits to report: of recent answers, and of the named targets."""
+        return self._limits.report_rows(target_ids)
 
     def add_permits(self, now, target_ids):
         """Add permits, one for each name of a target."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -337,6 +337,11 @@
                 if load.running or load.queued_prompt_tokens
             }
             self._reports.append((self._number, loads, dict(used)))
+            permit_demand = self._limit_gate.take_demand(
+                now,
+                [ticket.job for ticket in self._waiting],
+                lambda job: self._usable_versions(now, job),
+            )
             return NodeReport(
                 node=self._node,
                 start=self._start,
@@ -352,12 +357,8 @@
                 used=dict(used),
                 duties=duties or {},
                 lacked_residency=self._lacked_residency[:_MAX_REQUESTED],
-                limits=self._limit_gate.report_rows(),
-                permit_demand=self._limit_gate.take_demand(
-                    now,
-                    [ticket.job for ticket in self._waiting],
-                    lambda job: self._usable_versions(now, job),
-                ),
+                limits=self._limit_gate.report_rows(permit_demand),
+                permit_demand=permit_demand,
             )
 
     @property
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_target_limits.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_target_limits.py
@@ -83,6 +83,13 @@
         self.assertEqual(self.scheduler.report({}).permit_demand, {"t1": 0})
         self.assertEqual(self.scheduler.report({}).permit_demand, {})
 
+    def test_limit_is_reported_again_while_requests_need_a_permit(self):
+        # The coordinator may be a process that has started since the limit was named.
+        self.targets(target("t1", ["a1"]), target("t2"))
+        self.clock.now += 60.0
+        self.scheduler.submit(self.job())
+        self.assertEqual(self.scheduler.report({}).limits, {"t1": (1.0, 60.0)})
+
     def test_adapter_is_wanted_at_a_target_without_a_limit(self):
         self.targets(target("t1", ["a1"]), target("t2"))
         self.limits.record_answer("t1", 1.0, self.clock.now)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,10 @@
 START_TIMEOUT_S = 15.0
 CALLERS_PER_NODE = 4
 # Seeds that have failed before, each with its cause.
-REGRESSIONS = ()
+REGRESSIONS = (
+    # A coordinator that had started after the limits were named issued no permits.
+    410,
+)
 
 
 def run_seed(seed, seconds, logs=None, old_build=None):
