Decide about waiting requests as fast as before when no target has a limit

Cause of a part of it: each waiting request without a usable target was checked for permits and software versions target by target, though there were neither.

The checks run only while a target has a limit, or for a stream that goes on.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
@@ -26,6 +26,11 @@
         self._table = LimitTable()
         self._answered = {}
 
+    @property
+    def is_empty(self):
+        """Whether no target has a limit, as on most days."""
+        return not self._table.rows
+
     @property
     def limited(self):
         """Requests a second by target, for the targets that have a limit."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
@@ -23,6 +23,11 @@
         self._waiting_of_all = {}
         self._passed_over = set()
 
+    @property
+    def is_idle(self):
+        """Whether no target has a limit."""
+        return self._limits.is_empty
+
     def retain(self, target_ids):
         """Drop what is known of other targets."""
         self._limits.retain(target_ids)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -427,6 +427,7 @@
         if (
             isinstance(decision, Wait)
             and not candidates
+            and not self._limit_gate.is_idle
             and self._usable_versions(now, job)
         ):
             # Targets without a limit can load the adapter.
@@ -465,8 +466,9 @@
     def _candidates(self, now, job):
         """Return the targets that can run a job, and the version that each serves."""
         versions = self._usable_versions(now, job)
-        open_targets = self._limit_gate.open_targets(now, versions.keys())
-        versions = {t: v for t, v in versions.items() if t in open_targets}
+        if not self._limit_gate.is_idle:
+            open_targets = self._limit_gate.open_targets(now, versions.keys())
+            versions = {t: v for t, v in versions.items() if t in open_targets}
         newest = max(versions.values(), default=0)
         if job.key[1]:
             versions = {t: v for t, v in versions.items() if v == newest or not v}
@@ -481,7 +483,9 @@
         ejected = self._ejected(now, job.service)
         versions = {}
         for target in self._targets.values():
-            if target.draining or not _may_run(target, job):
+            if target.service != job.service or target.draining:
+                continue
+            if job.software is not None and not _may_continue(target, job):
                 continue
             version = self._usable_version(now, target, job.key)
             if version is not None and target.target_id not in ejected:
@@ -506,7 +510,7 @@
         return {
             target_id
             for target_id in self._service_targets(job.service) - ejected
-            if _may_run(self._targets[target_id], job)
+            if job.software is None or _may_continue(self._targets[target_id], job)
         }
 
     def _excluded_from_loads(self, now, job):
@@ -605,12 +609,8 @@
         return wants
 
 
-def _may_run(target, job):
-    """Return whether a target is one of the service and software that a job needs."""
-    if target.service != job.service:
-        return False
-    if job.software is None:
-        return True
+def _may_continue(target, job):
+    """Return whether a target may continue the stream of a job."""
     is_same = bool(job.software) and target.software == job.software
     return is_same and target.target_id not in job.broken_at
 
