--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_exchange.py
@@ -28,7 +28,7 @@
 
     @property
     def is_empty(self):
-        """Whether no target has a limit, as on most days."""
+        """Whether no target has a limit, or had one some seconds ago."""
         return not self._table.rows
 
     @property
