--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -8,6 +8,8 @@
 from hashlib import sha256
 from typing import NamedTuple
 
+from xxhash import xxh3_64_hexdigest, xxh3_128_hexdigest
+
 from hibiscusspar.requests.events import (
     BODY_QUARANTINED,
     BODY_SUSPECTED,
@@ -15,9 +17,10 @@
 )
 from hibiscusspar.requests.messages import BodyCrash
 
-__all__ = ["Quarantine", "QuarantinePolicy", "body_digest"]
+__all__ = ["Quarantine", "QuarantinePolicy", "body_digest", "request_digest"]
 
 _DIGEST_CHARACTERS = 32
+_ACCOUNT_CHARACTERS = 8
 
 
 def body_digest(body):
@@ -25,6 +28,22 @@
     return sha256(body).hexdigest()[:_DIGEST_CHARACTERS]
 
 
+def request_digest(account, method, uri, body):
+    """Return a digest of a request that doesn't depend on its id.
+
+    It begins with a digest of the account, so that no account can choose a request
+    with the digest of another account's request.
+
+    Parameters
+    ----------
+    account, method, uri : str
+    body : bytes
+    """
+    fields = "\0".join((account, method, uri)).encode() + b"\0" + body
+    account_digest = xxh3_64_hexdigest(account.encode())[:_ACCOUNT_CHARACTERS]
+    return f"{account_digest}-{xxh3_128_hexdigest(fields)}"
+
+
 class QuarantinePolicy(NamedTuple):
     """Settings of the quarantine; times are in seconds.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -6,6 +6,7 @@
 
 from hibiscusspar.fleet.rules import RouteRule, find_route, route_service
 from hibiscusspar.limits.keys import digest_key
+from hibiscusspar.requests.quarantine import request_digest
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["Admission", "AdmissionPolicy", "Admitted"]
@@ -26,7 +27,10 @@
 
 
 class Admitted(NamedTuple):
-    """Request that may run, with the rules that apply to it."""
+    """Request that may run, with the rules that apply to it.
+
+    ``digest`` is the same for repetitions of a request under other ids.
+    """
 
     call: object
     head: object
@@ -46,6 +50,7 @@
     first_arrived: float
     ends_at: float
     version: int
+    digest: str = ""
 
     @property
     def resumes_stream(self):
@@ -130,6 +135,7 @@
             first_arrived=_first_arrival(arrived, route, call),
             ends_at=arrived + timeout_s - policy.answer_margin_s,
             version=ruleset.version,
+            digest=request_digest(account, head.method, head.uri, body),
         )
 
     def _account(self, ruleset, route, call):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -67,6 +67,7 @@
             "software": placement.target.software,
             "resumes": admitted.call.resumes[:_ID_CHARS],
             "last_event": state.last_event(admitted.call),
+            "digest": admitted.digest,
         }
         write_records([(CALL_SENT, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -187,9 +187,11 @@
         "software",
         "resumes",
         "last_event",
+        "digest",
     ),
     "A request was sent to a target of the version `software`. `resumes` is the "
-    "request that began the stream, `last_event` the last event that the caller has.",
+    "request that began the stream, `last_event` the last event that the caller has, "
+    "`digest` the same for repetitions of the request under other ids.",
 )
 CALL_ANSWERED = declare(
     631,
