Separate the quarantine from the gossip that spreads crashes

Both forms of the product need the decision, only one of them gossips. Quarantine holds evidence of crashes by suspect and decides; CrashGossip is what the first form had around it.

A body that ran beside another one at all of its crashes is no longer refused once the other one crashes a target without it.

--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -1,26 +1,29 @@
-"""Quarantine of request bodies that crashed two targets.
+"""Quarantine of requests that crash the targets that run them.
 
-Crashes are spread by rumour mongering (push gossip): a VM that first learns of a
-crash forwards it to a few random peers. So crashes seen by different VMs are
-counted together, and a body is refused on all VMs.
+A crash alone doesn't tell which of the requests at the target caused it, so all of them
+are suspects. What tells them apart are further crashes, and answers: a request that was
+answered once doesn't crash targets.
 """
 
+from collections import Counter
 from hashlib import sha256
 from typing import NamedTuple
 
 from xxhash import xxh3_64_hexdigest, xxh3_128_hexdigest
 
-from hibiscusspar.requests.events import (
-    BODY_QUARANTINED,
-    BODY_SUSPECTED,
-    QUARANTINE_EXPIRED,
-)
-from hibiscusspar.requests.messages import BodyCrash
-
-__all__ = ["Quarantine", "QuarantinePolicy", "body_digest", "request_digest"]
+__all__ = [
+    "Quarantine",
+    "QuarantinePolicy",
+    "Verdict",
+    "body_digest",
+    "request_digest",
+]
 
 _DIGEST_CHARACTERS = 32
 _ACCOUNT_CHARACTERS = 8
+# Difference in seconds up to which two VMs may place the same crash, as its age
+# doesn't contain the time that a message took.
+_AGE_TOLERANCE_S = 1.0
 
 
 def body_digest(body):
@@ -47,92 +50,203 @@
 class QuarantinePolicy(NamedTuple):
     """Settings of the quarantine; times are in seconds.
 
-    A crash counts for ``retention_s``. A body is refused while at least ``targets``
-    targets have a crash that counts. ``fanout`` is the number of peers to which a
-    crash is forwarded, ``max_digests`` the maximum number of stored digests.
+    A suspect is quarantined after ``crashes`` crashes if all other suspects of one of
+    them have fewer, and after ``shared_crashes`` unless a suspect that ran at all of
+    them has more. It is refused for ``refusal_s`` since its last crash: the first entry
+    holds after ``crashes`` crashes, the next ones after each further crash. Then a
+    request may try again.
+
+    Crashes count for ``retention_s``, those of a quarantined suspect until
+    ``probation_s`` after its refusal has ended. At most ``max_suspects`` suspects are
+    kept, and the times of the last ``max_answers`` answers.
     """
 
-    targets: int = 2
-    retention_s: float = 300.0
-    fanout: int = 4
-    max_digests: int = 1000
+    crashes: int = 2
+    shared_crashes: int = 3
+    refusal_s: tuple[float, ...] = (30.0, 3600.0, 86_400.0)
+    retention_s: float = 600.0
+    probation_s: float = 600.0
+    max_suspects: int = 2000
+    max_answers: int = 4096
+
+
+class Verdict(NamedTuple):
+    """Quarantine of a suspect; ``first_at`` and ``last_at`` are times of crashes."""
+
+    suspect: str
+    crashes: int
+    first_at: float
+    last_at: float
 
 
 class Quarantine:
-    """Digests of bodies, with the targets that crashed while running them."""
+    """Suspects with the crashes of targets that ran them.
 
-    def __init__(self, members, rng, policy=None):
-        self._members = members
-        self._rng = rng
-        self._policy = policy or QuarantinePolicy()
-        self._crashes = {}
+    A suspect is a string, such as a digest of a request. The part of it before the
+    first hyphen names who sent it: if there are too many suspects, the oldest one of
+    the sender with most suspects is forgotten.
 
-    def refused_for(self, now, digest):
-        """Return for how many more seconds requests with a body are refused, or 0."""
-        crashes = self._crashes.get(digest)
-        if crashes is None:
-            return 0.0
-        recent = [at for at in crashes.values() if now < at + self._policy.retention_s]
-        if len(recent) < self._policy.targets:
+    Parameters
+    ----------
+    policy : QuarantinePolicy, optional
+    """
+
+    def __init__(self, policy=None):
+        self._policy = policy or QuarantinePolicy()
+        # Times of crashes by suspect, and suspects by crash.
+        self._rows = {}
+        self._suspects = {}
+        # Verdicts of other VMs by suspect.
+        self._adopted = {}
+        self._answered_at = {}
+
+    def __len__(self):
+        return len(self._rows.keys() | self._adopted.keys())
+
+    def record_crash(self, now, crash, suspects, age_s=0.0):
+        """Record a crash of a target.
+
+        Parameters
+        ----------
+        now : float
+        crash : hashable
+            Identifies the crash at all VMs that saw it, such as the incarnation.
+        suspects : iterable of str
+            Requests that ran at the target.
+        age_s : float, optional
+
+        Returns
+        -------
+        list of Verdict
+            Suspects that are quarantined since this crash.
+        """
+        at = now - age_s
+        suspects = [s for s in suspects if self._answered_at.get(s, at - 1.0) < at]
+        before = {s for s in suspects if self.refused_for(now, s)}
+        for suspect in suspects:
+            crashes = self._rows.setdefault(suspect, {})
+            crashes[crash] = max(at, crashes.get(crash, at))
+            self._suspects.setdefault(crash, set()).add(suspect)
+        self._evict()
+        verdicts = (self.verdict(s) for s in suspects if s not in before)
+        return [v for v in verdicts if v is not None and self._until(v) > now]
+
+    def record_answer(self, now, suspect):
+        """Record that a request was answered, and return whether it was a suspect.
+
+        Its earlier crashes had another cause.
+        """
+        self._answered_at.pop(suspect, None)
+        self._answered_at[suspect] = now
+        if len(self._answered_at) > self._policy.max_answers:
+            del self._answered_at[next(iter(self._answered_at))]
+        was_suspect = suspect in self._rows or suspect in self._adopted
+        self._remove(suspect)
+        return was_suspect
+
+    def adopt(self, now, verdict):
+        """Record the verdict of another VM unless an answer has disproved it.
+
+        Returns
+        -------
+        bool
+            False if the suspect was answered after its first crash.
+        """
+        suspect = verdict.suspect
+        if self._answered_at.get(suspect, verdict.first_at) > verdict.first_at:
+            return False
+        known = self._adopted.get(suspect)
+        if known is None or known.crashes < verdict.crashes:
+            self._adopted[suspect] = verdict
+            self._evict()
+        return True
+
+    def count(self, suspect):
+        """Return the number of crashes of a suspect."""
+        crashes = self._rows.get(suspect, {})
+        adopted = self._adopted.get(suspect)
+        if adopted is None:
+            return len(crashes)
+        later = adopted.last_at + _AGE_TOLERANCE_S
+        added = adopted.crashes + sum(at > later for at in crashes.values())
+        return max(len(crashes), added)
+
+    def verdict(self, suspect):
+        """Return the verdict on a suspect, or None if it isn't quarantined.
+
+        It may have expired.
+        """
+        crashes = self._rows.get(suspect, {})
+        adopted = self._adopted.get(suspect)
+        if adopted is None and not self._is_to_blame(suspect, crashes):
+            return None
+        times = list(crashes.values())
+        if adopted is not None:
+            times += adopted.first_at, adopted.last_at
+        return Verdict(suspect, self.count(suspect), min(times), max(times))
+
+    def refused_for(self, now, suspect):
+        """Return for how many more seconds a suspect is refused, or 0."""
+        if suspect not in self._rows and suspect not in self._adopted:
             return 0.0
-        # The quarantine ends when this crash expires: fewer than `targets` remain.
-        oldest_needed = sorted(recent)[-self._policy.targets]
-        return oldest_needed + self._policy.retention_s - now
+        verdict = self.verdict(suspect)
+        return 0.0 if verdict is None else max(0.0, self._until(verdict) - now)
 
     def quarantined(self, now):
-        """Return (digest, seconds left) of each quarantined body, for operators."""
-        left = ((digest, self.refused_for(now, digest)) for digest in self._crashes)
-        return [(digest, left_s) for digest, left_s in left if left_s > 0]
-
-    def crashed(self, now, digest, target, out):
-        """Record that a target crashed while running a body, and tell some peers."""
-        self._record(now, digest, target, 0.0, out)
-
-    def receive(self, now, message, out):
-        """Record a :class:`BodyCrash` from a peer, and forward it if it is new."""
-        self._record(now, message.digest, message.target, message.age_s, out)
-
-    def tick(self, now, out):
-        """Remove the crashes that no longer count."""
-        for digest, crashes in list(self._crashes.items()):
-            self._expire(now, digest, crashes, out)
-
-    def _record(self, now, digest, target, age_s, out):
-        if age_s >= self._policy.retention_s:
-            return
-        at = now - age_s
-        crashes = self._crashes.setdefault(digest, {})
-        known_at = crashes.get(target)
-        if known_at is not None and at < known_at + self._policy.retention_s / 2:
-            return
-        crashes[target] = at
-        out.log(BODY_SUSPECTED, digest=digest, target=target)
-        self._log_if_quarantined(now, digest, out)
-        self._forward(BodyCrash(digest, target, age_s), out)
-        self._evict_oldest()
-
-    def _log_if_quarantined(self, now, digest, out):
-        left_s = self.refused_for(now, digest)
-        if left_s > 0:
-            targets = sorted(self._crashes[digest])
-            out.log(BODY_QUARANTINED, digest=digest, targets=targets, duration_s=left_s)
-
-    def _forward(self, message, out):
-        peers = [m.vm for m in self._members.live() if m.vm != self._members.vm]
-        for peer in self._rng.sample(peers, min(self._policy.fanout, len(peers))):
-            out.send(peer, message)
-
-    def _evict_oldest(self):
-        while len(self._crashes) > self._policy.max_digests:
-            self._crashes.pop(next(iter(self._crashes)))
-
-    def _expire(self, now, digest, crashes, out):
-        recent = {
-            t: at for t, at in crashes.items() if now < at + self._policy.retention_s
-        }
-        if len(crashes) >= self._policy.targets > len(recent):
-            out.log(QUARANTINE_EXPIRED, digest=digest)
-        if recent:
-            self._crashes[digest] = recent
-        else:
-            del self._crashes[digest]
+        """Return the verdicts in force."""
+        verdicts = map(self.verdict, sorted(self._rows.keys() | self._adopted.keys()))
+        return [v for v in verdicts if v is not None and now < self._until(v)]
+
+    def crashes_of(self, suspect):
+        """Return the times of the crashes of a suspect that this VM was told of."""
+        return dict(self._rows.get(suspect, {}))
+
+    def expire(self, now):
+        """Remove what no longer counts; return the suspects that were quarantined."""
+        known = self._rows.keys() | self._adopted.keys()
+        removed = sorted(s for s in known if self._ends_at(s) <= now)
+        quarantined = [s for s in removed if self.verdict(s) is not None]
+        for suspect in removed:
+            self._remove(suspect)
+        return quarantined
+
+    def _is_to_blame(self, suspect, crashes):
+        count = len(crashes)
+        if count < self._policy.crashes:
+            return False
+        others = [self._suspects[crash] - {suspect} for crash in crashes]
+        if any(all(len(self._rows[o]) < count for o in beside) for beside in others):
+            return True
+        if count < self._policy.shared_crashes:
+            return False
+        # One that ran at all of its crashes and at others explains them.
+        always_beside = set.intersection(*others)
+        return all(len(self._rows[o]) <= count for o in always_beside)
+
+    def _until(self, verdict):
+        refusals = self._policy.refusal_s
+        index = min(verdict.crashes - self._policy.crashes, len(refusals) - 1)
+        return verdict.last_at + refusals[max(0, index)]
+
+    def _ends_at(self, suspect):
+        verdict = self.verdict(suspect)
+        if verdict is not None:
+            return self._until(verdict) + self._policy.probation_s
+        last_at = max(self._rows.get(suspect, {}).values(), default=0.0)
+        return last_at + self._policy.retention_s
+
+    def _remove(self, suspect):
+        self._adopted.pop(suspect, None)
+        for crash in self._rows.pop(suspect, ()):
+            self._suspects[crash].discard(suspect)
+            if not self._suspects[crash]:
+                del self._suspects[crash]
+
+    def _evict(self):
+        while len(self) > self._policy.max_suspects:
+            known = [*self._rows, *self._adopted]
+            senders = Counter(suspect.partition("-")[0] for suspect in known)
+            sender, _ = senders.most_common(1)[0]
+            of_sender = [s for s in known if s.partition("-")[0] == sender]
+            spared = [s for s in of_sender if self.verdict(s) is None]
+            self._remove((spared or of_sender)[0])
--- a/packages/hibiscusspar/hibiscusspar/requests/system.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/system.py
@@ -1,6 +1,7 @@
 """System of requests: lifecycle, retries, ejection, quarantine and claims of a VM."""
 
 from hibiscusspar.requests.claims import Claims
+from hibiscusspar.requests.crash_gossip import CrashGossip
 from hibiscusspar.requests.ejection import EjectionTable
 from hibiscusspar.requests.events import (
     REQUEST_ATTEMPT_FAILED,
@@ -9,7 +10,6 @@
 )
 from hibiscusspar.requests.lifecycle import Phase, Step, advance, initial_state
 from hibiscusspar.requests.messages import BodyCrash
-from hibiscusspar.requests.quarantine import Quarantine
 from hibiscusspar.requests.retry import RULES, Retry, RetryBudget, RetryPolicy, decide
 
 __all__ = ["RequestSystem"]
@@ -33,7 +33,7 @@
     ----------
     claims : Claims
     ejection : EjectionTable
-    quarantine : Quarantine
+    quarantine : CrashGossip
     budget : RetryBudget
     """
 
@@ -53,7 +53,7 @@
             members, rng, process_id, claim_policy, self.name, on_verdict
         )
         self.ejection = EjectionTable(rng=rng)
-        self.quarantine = Quarantine(members, rng)
+        self.quarantine = CrashGossip(members, rng)
         self.budget = RetryBudget(self.retry_policy)
         self._rng = rng
         self._states = {}
