Refuse requests that crash the targets that run them, on all nodes

Cause: what a node keeps of a failed attempt is about the target, never about the request. A request that crashed its target was retried at the next one, and was sent again each time that it came back under another id.

Now a request is known by a digest of path, account and body. Nodes report confirmed crashes with the digests that ran there to the coordinator, and its views carry the verdicts. It works because a sound request is answered sooner or later, which clears it everywhere, and a fatal one never is. The comparison of reports moves out of the coordinator, which gets shorter.

--- a/measure/part_views.py
+++ b/measure/part_views.py
@@ -11,6 +11,7 @@
 from hibiscusspar.fleet.messages import NodeReport, TargetLoad
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.fleet.coordinator import Coordinator
+from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from measure.report import Table
 
@@ -84,6 +85,7 @@
         8.0,
         lambda: (0.1, 0.1),
         LimitExchange(clock),
+        CrashExchange(clock, lambda address: False, None),
     )
     rows = {f"i-{n:010x}": _target(f"i-{n:010x}", n) for n in range(targets)}
     coordinator.set_targets(rows)
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -9,11 +9,13 @@
 from msgspec import Raw, Struct
 
 __all__ = [
+    "CrashRow",
     "FleetView",
     "NodeReport",
     "OrderRequest",
     "OrderResult",
     "PermitGrant",
+    "QuarantineRow",
     "SendNotice",
     "StreamBegan",
     "TargetLoad",
@@ -67,6 +69,31 @@
     models: dict[str, int]
 
 
+class CrashRow(Struct, array_like=True):
+    """Crash of an incarnation of a target, with the requests that it ran.
+
+    ``suspects`` holds digests of the requests of the reporting node, ``age_s`` is the
+    time since the crash.
+    """
+
+    target_id: str
+    born: int
+    age_s: float
+    suspects: list[str]
+
+
+class QuarantineRow(Struct, array_like=True):
+    """Verdict on a suspect after a number of crashes, the first and last of given ages.
+
+    With 0 crashes the suspect was answered, so an earlier verdict is lifted.
+    """
+
+    suspect: str
+    crashes: int
+    first_age_s: float
+    last_age_s: float
+
+
 class NodeReport(Struct, tag="report"):
     """Current state of one node.
 
@@ -79,7 +106,9 @@
     whose residency the node lacks. ``limits`` holds what recent answers have told of
     the limits of targets: requests a second, None if the limit has ended, and the age
     in seconds. ``permit_demand`` counts by target the requests that wait for permits; 0
-    asks for a permit for a later request.
+    asks for a permit for a later request. ``crashes`` holds crashes that the node saw
+    and the coordinator may not know, ``answered`` suspects that were answered since,
+    with the age of the answer.
     """
 
     node: str
@@ -95,6 +124,8 @@
     lacked_residency: list[str] = []
     limits: dict[str, tuple[float | None, float]] = {}
     permit_demand: dict[str, int] = {}
+    crashes: list[CrashRow] = []
+    answered: dict[str, float] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -117,6 +148,7 @@
     holds the position in that list of each target of ``directory``, one byte each. Both
     are apart from the rows, so that nodes of older builds find the digests of the rows
     that they expect. ``software`` is None if the sender doesn't know the versions.
+    ``quarantined`` tells of some of the requests that crash targets.
     """
 
     node: str
@@ -144,6 +176,7 @@
     limits: dict[str, tuple[float | None, float, int]] | None = None
     software: list[str] | None = None
     software_index: bytes = b""
+    quarantined: list[QuarantineRow] = []
 
 
 class PermitGrant(Struct, tag="permits"):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
@@ -1,10 +1,13 @@
-"""Logging of failures of background work."""
+"""Background work and the logging of its failures."""
+
+from concurrent.futures import ThreadPoolExecutor
+from time import sleep
 
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
-__all__ = ["log_failure"]
+__all__ = ["DelayedCalls", "log_failure"]
 
 
 def log_failure(task, error):
@@ -17,3 +20,33 @@
     """
     reason = str(error) if isinstance(error, StepError) else repr(error)
     write_records([(BACKGROUND_FAILED, {"task": task, "reason": reason})])
+
+
+class DelayedCalls:
+    """Calls of functions after a delay, by a few threads.
+
+    Parameters
+    ----------
+    task : str
+        Name of the work in the log.
+    threads : int, optional
+    """
+
+    def __init__(self, task, threads=2):
+        self._task = task
+        self._pool = ThreadPoolExecutor(threads)
+
+    def __call__(self, delay_s, function):
+        """Call a function after a delay in seconds, or later if many calls wait."""
+        self._pool.submit(self._run, delay_s, function)
+
+    def close(self):
+        """Drop the calls that wait."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self, delay_s, function):
+        try:
+            sleep(delay_s)
+            function()
+        except Exception as error:  # noqa: BLE001
+            log_failure(self._task, error)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -28,6 +28,7 @@
 from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
+from hibiscusspar.fleet.report_changes import is_older, started_counts
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
@@ -96,6 +97,8 @@
         Returns the ages of configuration and directory in seconds.
     limits : LimitExchange
         Limits that targets have named.
+    crashes : CrashExchange
+        Requests that crash targets.
     """
 
     def __init__(
@@ -112,6 +115,7 @@
         quota_window_s,
         ages,
         limits,
+        crashes,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -137,6 +141,7 @@
         self._directory_rows = DirectoryRows()
         self._peer_rotation = EntryRotation()
         self._limits = limits
+        self._crashes = crashes
         self._limit_rotation = EntryRotation(_MAX_LIMITS)
         self._permit_issuer = PermitIssuer()
         self.permits_issued = 0
@@ -208,7 +213,7 @@
                 return
             now = self._clock()
             known = self._node_records.get(report.node)
-            if known and _is_older(report, known.report):
+            if known and is_older(report, known.report):
                 return
             same = known is not None and known.report.start == report.start
             in_use = {
@@ -222,7 +227,7 @@
             self._limits.apply_rows(report.limits, report.node)
             earlier = known.report.in_use if same else {}
             for target_id, counts in report.in_use.items():
-                started = _started_counts(counts, earlier.get(target_id, {}))
+                started = started_counts(counts, earlier.get(target_id, {}))
                 self._planner.used(now, target_id, in_use[target_id])
                 self._planner.record_starts(now, started)
         if report.wants:
@@ -358,6 +363,7 @@
             limits=self._due_limits(now),
             software=software,
             software_index=software_index,
+            quarantined=self._crashes.due_verdicts(self._number),
         )
         # Nodes with the most recent reports come first, to pass the view on. This node
         # is the last choice for that, because it is reached directly.
@@ -543,17 +549,3 @@
         (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
         for key, copy in held.copies.items()
     ]
-
-
-def _started_counts(counts, earlier):
-    """Return the number of requests that began between two reports, by adapter."""
-    started = {}
-    for label, count in counts.items():
-        before = earlier.get(label, 0)
-        # A lower count means that the adapter was idle in between, which resets it.
-        started[adapter_key(label)] = count - before if count >= before else count
-    return started
-
-
-def _is_older(report, known):
-    return report.start == known.start and report.number <= known.number
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -0,0 +1,335 @@
+"""Crashes of targets, and the quarantine of the requests that cause them.
+
+Nodes report the crashes that they see to the coordinator, and its views carry the
+verdicts to all nodes.
+"""
+
+import threading
+from contextlib import contextmanager
+
+from hibiscusspar.fleet.entry_rotation import EntryRotation
+from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
+from hibiscusspar.requests.quarantine import Quarantine, Verdict
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.events import (
+    QUARANTINE_LIFTED,
+    REQUEST_QUARANTINED,
+    TARGET_CRASHED,
+)
+
+__all__ = ["CrashExchange"]
+
+# Time after a broken connection at which the target is called again. A target that has
+# crashed refuses connections by then.
+_CHECK_DELAY_S = 0.03
+# Time for which a broken connection may turn out to have been a crash.
+_PENDING_S = 8.0
+# Suspects of a crash that a node reports at most, those sent last.
+_MAX_SUSPECTS = 32
+# Crashes that a node keeps for the next coordinator, and those of a report.
+_MAX_OWN_CRASHES = 64
+_MAX_REPORTED = 16
+# Time in seconds for which reports and views repeat that a suspect was answered.
+_ANSWERS_REPEATED_S = 3.0
+# Verdicts that a view carries at most.
+_MAX_VERDICTS = 16
+# Interval between removals of what no longer counts, in seconds.
+_EXPIRE_S = 1.0
+# Crashes of a verdict that a log line lists at most.
+_LOGGED_CRASHES = 8
+
+
+class _OwnCrash:
+    """Crash that this node saw, with the report that first told the coordinator."""
+
+    def __init__(self, target, at, suspects):
+        self.target = target
+        self.at = at
+        self.suspects = suspects
+        self.is_confirmed = False
+        self.report_number = None
+        self.is_acked = False
+
+
+class CrashExchange:
+    """Crashes that this node sees, and the verdicts of the whole fleet.
+
+    Parameters
+    ----------
+    clock : callable
+    refuses_connections : callable
+        Returns whether nothing listens at an address.
+    call_later : callable
+        Calls a function after a delay in seconds.
+    quarantine : Quarantine, optional
+    """
+
+    def __init__(self, clock, refuses_connections, call_later, quarantine=None):
+        self._clock = clock
+        self._refuses_connections = refuses_connections
+        self._quarantine = quarantine or Quarantine()
+        self._lock = threading.Lock()
+        # Callbacks to call once the lock is free.
+        self._due_calls = []
+        self._call_later = call_later
+        self._own = {}
+        self._reporters = {}
+        self._answered = {}
+        self._coordinator = None
+        self._rotation = EntryRotation(_MAX_VERDICTS)
+        self._expired_at = clock()
+        # Number of crashes that this node saw, and of requests that it refused.
+        self.crash_count = 0
+        self.refused_count = 0
+        self.on_quarantined = lambda: None
+        self.on_verdict = lambda: None
+        self.request_report = lambda: None
+
+    @property
+    def quarantined_count(self):
+        """Number of quarantined suspects."""
+        with self._lock:
+            return len(self._quarantine.quarantined(self._clock()))
+
+    def refused_for(self, suspects):
+        """Return for how many more seconds a request is refused, or 0.
+
+        Parameters
+        ----------
+        suspects : iterable of str
+        """
+        with self._locked() as now:
+            return max(self._quarantine.refused_for(now, s) for s in suspects)
+
+    def was_quarantined(self, suspects):
+        """Return whether a request is or was quarantined lately."""
+        with self._lock:
+            return any(self._quarantine.verdict(s) is not None for s in suspects)
+
+    def record_break(self, target, suspects):
+        """Record that a connection ended while a target ran a request.
+
+        Parameters
+        ----------
+        target : Target
+        suspects : iterable of str
+        """
+        if target.draining:
+            return
+        crash = _crash_id(target)
+        with self._locked() as now:
+            own = self._own.get(crash)
+            if own is not None:
+                own.suspects = [*own.suspects, *suspects][-_MAX_SUSPECTS:]
+                if own.is_confirmed:
+                    self._confirm(now, own, "known")
+                return
+            own = self._own[crash] = _OwnCrash(target, now, [*suspects])
+        self._call_later(_CHECK_DELAY_S, lambda: self._check(own))
+
+    def record_refused_connection(self, target):
+        """Record that a target refuses connections."""
+        with self._locked() as now:
+            own = self._own.get(_crash_id(target))
+            if own is not None and not own.is_confirmed:
+                self._confirm(now, own, "refused")
+
+    def set_targets(self, targets):
+        """Check broken connections against the directory of targets."""
+        with self._locked() as now:
+            for own in self._own.values():
+                known = targets.get(own.target.target_id)
+                is_gone = known is None or known.born != own.target.born
+                if is_gone and not own.is_confirmed:
+                    self._confirm(now, own, "directory")
+
+    def record_answer(self, suspects):
+        """Record that a target answered a request."""
+        with self._locked() as now:
+            for suspect in suspects:
+                if self._quarantine.record_answer(now, suspect):
+                    self._lift(now, suspect, "answer")
+
+    def complete_report(self, report):
+        """Add what the coordinator doesn't know yet to a report of this node."""
+        with self._locked() as now:
+            self._expire(now)
+            unacked = [
+                own
+                for own in self._own.values()
+                if own.is_confirmed and not own.is_acked
+            ]
+            for own in unacked[:_MAX_REPORTED]:
+                if own.report_number is None:
+                    own.report_number = report.number
+                row = CrashRow(
+                    own.target.target_id,
+                    own.target.born,
+                    round(now - own.at, 3),
+                    own.suspects,
+                )
+                report.crashes.append(row)
+            report.answered = self._recent_answers(now)
+
+    def apply_report(self, report):
+        """Record the crashes that another node reports to this coordinator."""
+        with self._locked() as now:
+            for row in report.crashes:
+                crash = (row.target_id, row.born)
+                self._record(now, crash, row.suspects, row.age_s, report.node)
+            for suspect, age_s in report.answered.items():
+                if self._quarantine.record_answer(now - age_s, suspect):
+                    self._lift(now, suspect, report.node)
+
+    def due_verdicts(self, number):
+        """Return the verdicts that the view with a number carries."""
+        with self._locked() as now:
+            verdicts = {v.suspect: v for v in self._quarantine.quarantined(now)}
+            states = {suspect: v.crashes for suspect, v in verdicts.items()}
+            answers = self._recent_answers(now)
+            states |= dict.fromkeys(answers, 0)
+            due = self._rotation.due(states, number, _MAX_VERDICTS)
+            rows = []
+            for suspect in due:
+                if suspect in answers:
+                    row = QuarantineRow(suspect, 0, answers[suspect], answers[suspect])
+                else:
+                    row = _row(now, verdicts[suspect])
+                rows.append(row)
+            return rows
+
+    def apply_view(self, view, node):
+        """Record the verdicts of a view, and which crashes its sender knows."""
+        with self._locked() as now:
+            coordinator = (view.node, view.start)
+            if coordinator != self._coordinator:
+                self._coordinator = coordinator
+                for own in self._own.values():
+                    own.report_number, own.is_acked = None, False
+            acked = view.acked.get(node, 0)
+            for own in self._own.values():
+                if own.report_number is not None and own.report_number <= acked:
+                    own.is_acked = True
+            for row in view.quarantined:
+                self._apply_row(now, row, view.node)
+
+    @contextmanager
+    def _locked(self):
+        """Hold the lock and yield the time, then make the callbacks that are due."""
+        with self._lock:
+            yield self._clock()
+            calls, self._due_calls = self._due_calls, []
+        for call in dict.fromkeys(calls):
+            call()
+
+    def _apply_row(self, now, row, source):
+        if row.crashes == 0:
+            if self._quarantine.record_answer(now - row.last_age_s, row.suspect):
+                write_records([(QUARANTINE_LIFTED, _lifted(row.suspect, source))])
+            return
+        verdict = Verdict(
+            row.suspect, row.crashes, now - row.first_age_s, now - row.last_age_s
+        )
+        was_refused = self._quarantine.refused_for(now, row.suspect) > 0
+        if not self._quarantine.adopt(now, verdict):
+            self._lift(now, row.suspect, "answer")
+            return
+        if not was_refused and self._quarantine.refused_for(now, row.suspect) > 0:
+            self._announce(now, row.suspect, source)
+
+    def _check(self, own):
+        """Find out whether a target whose connection ended still listens."""
+        is_refused = self._refuses_connections(own.target.address)
+        with self._locked() as now:
+            if is_refused and not own.is_confirmed:
+                self._confirm(now, own, "refused")
+
+    def _confirm(self, now, own, evidence):
+        """Record that a broken connection was a crash of its target."""
+        if not own.is_confirmed:
+            self.crash_count += 1
+            fields = {
+                "target": own.target.target_id,
+                "born": own.target.born,
+                "evidence": evidence,
+                "age_s": round(now - own.at, 3),
+                "suspects": own.suspects[:_LOGGED_CRASHES],
+            }
+            write_records([(TARGET_CRASHED, fields)])
+        own.is_confirmed = True
+        own.report_number, own.is_acked = None, False
+        crash = _crash_id(own.target)
+        self._record(now, crash, own.suspects, now - own.at, "")
+        self._due_calls.append(self.request_report)
+
+    def _record(self, now, crash, suspects, age_s, node):
+        self._reporters.setdefault(crash, set()).add(node)
+        verdicts = self._quarantine.record_crash(now, crash, suspects, age_s)
+        for verdict in verdicts:
+            self._announce(now, verdict.suspect, node or "answer")
+        if verdicts:
+            self._due_calls.append(self.on_verdict)
+
+    def _announce(self, now, suspect, source):
+        """Log a verdict and wake the requests that wait."""
+        verdict = self._quarantine.verdict(suspect)
+        crashes = sorted(self._quarantine.crashes_of(suspect).items())
+        fields = {
+            "suspect": suspect,
+            "crashes": verdict.crashes,
+            "seen": [
+                (target_id, round(now - at, 3), sorted(self._reporters.get(key, ())))
+                for key, at in crashes[:_LOGGED_CRASHES]
+                for target_id in key[:1]
+            ],
+            "source": source,
+            "refused_s": round(self._quarantine.refused_for(now, suspect), 1),
+        }
+        write_records([(REQUEST_QUARANTINED, fields)])
+        self._due_calls.append(self.on_quarantined)
+
+    def _lift(self, now, suspect, source):
+        self._answered[suspect] = now
+        write_records([(QUARANTINE_LIFTED, _lifted(suspect, source))])
+        self._due_calls.append(self.request_report)
+
+    def _recent_answers(self, now):
+        """Return the suspects that were answered lately, with the age in seconds."""
+        self._answered = {
+            suspect: at
+            for suspect, at in self._answered.items()
+            if now < at + _ANSWERS_REPEATED_S
+        }
+        return {s: round(now - at, 3) for s, at in self._answered.items()}
+
+    def _expire(self, now):
+        if now < self._expired_at + _EXPIRE_S:
+            return
+        self._expired_at = now
+        self._quarantine.expire(now)
+        self._own = {
+            crash: own
+            for crash, own in self._own.items()
+            if own.is_confirmed or now < own.at + _PENDING_S
+        }
+        while len(self._own) > _MAX_OWN_CRASHES:
+            del self._own[next(iter(self._own))]
+        while len(self._reporters) > _MAX_OWN_CRASHES:
+            del self._reporters[next(iter(self._reporters))]
+
+
+def _crash_id(target):
+    return (target.target_id, target.born)
+
+
+def _lifted(suspect, source):
+    return {"suspect": suspect, "source": source}
+
+
+def _row(now, verdict):
+    return QuarantineRow(
+        verdict.suspect,
+        verdict.crashes,
+        round(now - verdict.first_at, 3),
+        round(now - verdict.last_at, 3),
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -21,11 +21,14 @@
     "NODE_DRAINING",
     "NODE_STARTED",
     "NODE_STOPPED",
+    "QUARANTINE_LIFTED",
+    "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
     "STORE_LOST",
     "STORE_REGAINED",
     "TARGET_CHANGED",
+    "TARGET_CRASHED",
     "TARGET_GONE",
     "TARGET_LIMIT",
     "VIEWS_MISSED",
@@ -164,6 +167,27 @@
     "A target names another limit in its answers; null if it has none any more. "
     "`source` is `answer`, or the node whose view told.",
 )
+TARGET_CRASHED = declare(
+    626,
+    "node.target_crashed",
+    ("target", "born", "evidence", "age_s", "suspects"),
+    "A target ended while it ran requests of this VM, some of whose digests are given. "
+    "`evidence` tells how it was confirmed: by refused connections or the directory.",
+)
+REQUEST_QUARANTINED = declare(
+    627,
+    "node.request_quarantined",
+    ("suspect", "crashes", "seen", "source", "refused_s"),
+    "Requests with this digest are refused, as they crash targets. `seen` lists the "
+    "targets of the crashes known here, their ages and the VMs that told, `source` is "
+    "the VM whose view or report decided, or `answer` for an observation of this one.",
+)
+QUARANTINE_LIFTED = declare(
+    628,
+    "node.quarantine_lifted",
+    ("suspect", "source"),
+    "A request that was suspected of crashing targets was answered.",
+)
 ADAPTER_VERSION = declare(
     619,
     "node.adapter_version",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -14,6 +14,7 @@
 )
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
+from hibiscusspar_entry.fleet.crash_guard import CrashGuard
 from hibiscusspar_entry.fleet.refusal import (
     CallerLeftError,
     FailedError,
@@ -98,6 +99,8 @@
         self._streams = StreamContinuation(
             parts.origins, parts.request_scheduler, self._policy.failed_retry_s
         )
+        self._crash_guard = CrashGuard(parts.clock, parts.crashes)
+        parts.crashes.on_quarantined = self._recheck_waiting
         self._open = set()
         self._lock = threading.Lock()
         self.draining_since = None
@@ -123,7 +126,7 @@
         admitted = None
         try:
             self._refuse_if_closed(inbound, arrived)
-            admitted = self._admission.admit(inbound, arrived)
+            admitted = state.admitted = self._admission.admit(inbound, arrived)
             self._run(inbound, admitted, state)
         except RefusedError as error:
             if state.may_have_run:
@@ -160,6 +163,7 @@
 
     def _run(self, inbound, admitted, state):
         parts = self._parts
+        self._crash_guard.check(admitted)
         if admitted.resumes_stream:
             self._streams.find_origin(admitted, state)
         self._take_tokens(admitted, state)
@@ -178,6 +182,14 @@
                 self._return_tokens(admitted)
             raise
 
+    def _recheck_waiting(self):
+        """Wake the waiting requests, as some of them may be quarantined now."""
+        with self._lock:
+            waiting = [state for state in self._open if state.ticket is not None]
+        for state in waiting:
+            if self._crash_guard.refuses(state.admitted):
+                state.stop_waiting()
+
     def _take_tokens(self, admitted, state):
         rule = admitted.rule
         if rule is None:
@@ -247,6 +259,7 @@
             state.ticket = None
             if state.caller_gone.is_set():
                 raise CallerLeftError
+            self._crash_guard.check(admitted)
             raise RefusedError(503, "no decision", policy.failed_retry_s)
         state.ticket = None
         if isinstance(ticket.decision, Refuse):
@@ -256,8 +269,8 @@
 
     def _try_target(self, inbound, admitted, state, placement):
         """Make one attempt; return its failure, or None if it was answered."""
-        target_id = state.target_id = placement.target.target_id
-        state.attempts += 1
+        target_id = placement.target.target_id
+        state.begin_attempt(target_id)
         first_byte_received = False
         self._log.sent(admitted, state, placement)
         earlier_first_byte_at = state.first_byte_at
@@ -278,6 +291,7 @@
             first_byte_received = True
             self._relay(inbound, admitted, state, placement, connection, response)
             self._parts.request_scheduler.record_success(target_id)
+            self._crash_guard.record_answer(admitted, response.status)
             return None
         except CallFailedError as error:
             if state.caller_gone.is_set():
@@ -285,6 +299,7 @@
             self._parts.request_scheduler.record_failure(
                 target_id, error.step == "connect"
             )
+            self._crash_guard.record_failure(admitted, state, placement.target, error)
             return AttemptFailure(
                 error.step, error.reason, error.step == "connect", False
             )
@@ -315,6 +330,7 @@
 
     def _send(self, admitted, state, placement):
         policy, target = self._policy, placement.target
+        self._crash_guard.check(admitted)
         idle_s = policy.safe_idle_s
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
@@ -455,6 +471,8 @@
             max_attempts=route.max_attempts,
             remaining_s=admitted.ends_at - now,
         )
+        if not failure.not_run and not self._crash_guard.may_retry(admitted):
+            return False
         if decision is not RetryDecision.IF_BUDGET_ALLOWS:
             return decision is RetryDecision.RETRY
         nodes = self._parts.request_scheduler.nodes
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -68,6 +68,8 @@
     request_scheduler: Any
     limits: Any
     origins: Any
+    crashes: Any
+    call_later: Any
     quota: Any
     quota_changed: Any
     retry_budgets: Any
@@ -124,6 +126,8 @@
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
         parts.request_scheduler.on_sent = self._notice_sender.add
+        parts.crashes.request_report = self._report_requested.set
+        parts.crashes.on_verdict = self._hasten_view
 
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
@@ -132,6 +136,7 @@
         for server in self._status_servers:
             server.stop()
         self._coordinator.close()
+        self._parts.call_later.close()
         self._parts.order_dispatcher.close()
 
     def start(self):
@@ -230,6 +235,7 @@
             self._apply_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.handle_report(message, address)
+            self._parts.crashes.apply_report(message)
         elif isinstance(message, SendNotice):
             self._notice_sender.relay(message)
             self._parts.request_scheduler.apply_notice(message)
@@ -264,6 +270,9 @@
                 "views_missed": self._view_sequence.missed,
                 "views_out_of_order": self._view_sequence.out_of_order,
                 "limited_targets": len(self._parts.limits.limited),
+                "crashes_seen": self._parts.crashes.crash_count,
+                "quarantined": self._parts.crashes.quarantined_count,
+                "quarantine_refusals": self._parts.crashes.refused_count,
                 "directory_differs": self._parts.relayed_state.directory_differs,
             }
         )
@@ -307,11 +316,17 @@
         parts.peers.update(parts.clock(), peers, view.nodes)
         addresses = parts.peers.direct_addresses(parts.clock(), parts.settings.zone)
         parts.request_scheduler.direct_peers = len(addresses)
+        parts.crashes.apply_view(view, parts.settings.node)
         acked_used = parts.request_scheduler.apply_view(view)
         with parts.quota_changed:
             parts.quota.apply_view(parts.clock(), view.nodes, view.levels, acked_used)
             parts.quota_changed.notify_all()
 
+    def _hasten_view(self):
+        """Tell all nodes of a new verdict at once if this node coordinates."""
+        if self._parts.election.leads:
+            self._coordinator.send_views()
+
     def _run_leases(self):
         while not self._stopping.wait(_LEASE_TICK_S):
             try:
@@ -360,6 +375,7 @@
             used = dict(parts.quota.used)
         report = parts.request_scheduler.report(used, parts.order_dispatcher.duties())
         parts.relayed_state.complete_report(report)
+        parts.crashes.complete_report(report)
         if parts.election.leads:
             self._coordinator.handle_report(
                 report, parse_address(self._channel.address)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -10,6 +10,8 @@
 
     def __init__(self):
         self.caller_gone = threading.Event()
+        # Admitted request, once it is.
+        self.admitted = None
         self.attempts = 0
         self.excluded = frozenset()
         self.connection = None
@@ -20,6 +22,8 @@
         self.answer_begun = False
         self.first_byte_at = None
         self.last_event_at = None
+        # Time of the first event of the current attempt.
+        self.attempt_event_at = None
         # Time of the head of the current attempt, or of its last event.
         self.progress_at = None
         self.longest_gap_s = 0.0
@@ -37,12 +41,25 @@
         if self.last_event_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
         self.last_event_at = self.progress_at = now
+        if self.attempt_event_at is None:
+            self.attempt_event_at = now
+
+    def begin_attempt(self, target_id):
+        """Record that the request is sent to a target."""
+        self.attempts += 1
+        self.target_id = target_id
+        self.attempt_event_at = None
+
+    def stop_waiting(self):
+        """Wake the request if it waits for a target."""
+        ticket = self.ticket
+        if ticket is not None:
+            ticket.decided.set()
 
     def cancel(self):
         """Cancel the request because the caller closed its connection."""
         self.caller_gone.set()
-        connection, ticket = self.connection, self.ticket
+        connection = self.connection
         if connection is not None:
             connection.cancel()
-        if ticket is not None:
-            ticket.decided.set()
+        self.stop_waiting()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -8,6 +8,7 @@
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.messages import FleetView, NodeReport, ViewRelay
 from hibiscusspar_entry.fleet.coordinator import Coordinator
+from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_entry.fleet.ports import TargetState
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
@@ -56,6 +57,7 @@
             8.0,
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
+            CrashExchange(self.clock, lambda address: False, None),
         )
         self.addCleanup(self.coordinator.close)
         rules = engine_rules()
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -0,0 +1,214 @@
+"""Tests of the exchange of crashes and verdicts between nodes."""
+
+import unittest
+
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from hibiscusspar.fleet.messages import CrashRow, FleetView, NodeReport, QuarantineRow
+from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
+from hibiscusspar_entry.fleet.tests.crash_network import CrashNetwork, NetworkFaults
+from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock, target, view
+
+STABLE_WINDOW_S = 3.0
+# Attempts allowed later than the stable window after the third crash.
+MAX_LATER_ATTEMPTS = 3
+FATAL = ["acme-fatal"]
+SOUND = ["acme-sound"]
+POOR_NETWORK = NetworkFaults(lost=0.4, doubled=0.1, late=0.2)
+
+
+class TestRequestCrashesTargetsOfAFleet(unittest.TestCase):
+    def run_day(self, size, faults, seed):
+        network = CrashNetwork(size, faults, seed)
+        network.run(2.0)
+        for _ in range(100):
+            network.request(FATAL)
+            network.run(network.rng.uniform(0.1, 1.2))
+        return network
+
+    def check(self, size, faults):
+        for seed in range(3):
+            with self.subTest(size=size, seed=seed):
+                network = self.run_day(size, faults, seed)
+                late = network.late_attempts(3, STABLE_WINDOW_S)
+                self.assertGreaterEqual(len(network.crashed_at), 2)
+                self.assertLessEqual(len(late), MAX_LATER_ATTEMPTS)
+                self.assertEqual(network.refusing(FATAL), size)
+                self.assertEqual(network.refusing(SOUND), 0)
+
+    def test_nine_nodes(self):
+        self.check(9, NetworkFaults())
+
+    def test_nine_nodes_on_a_poor_network(self):
+        self.check(9, POOR_NETWORK)
+
+    def test_seventy_eight_nodes_on_a_poor_network(self):
+        self.check(78, POOR_NETWORK)
+
+    def test_360_nodes_on_a_poor_network(self):
+        network = self.run_day(360, POOR_NETWORK, 1)
+        late = network.late_attempts(3, STABLE_WINDOW_S)
+        self.assertLessEqual(len(late), MAX_LATER_ATTEMPTS)
+        self.assertEqual(network.refusing(FATAL), 360)
+
+    def test_coordinators_that_follow_each_other(self):
+        network = CrashNetwork(9, POOR_NETWORK)
+        for _ in range(40):
+            network.request(FATAL)
+            network.run(1.0)
+            network.replace_coordinator()
+        late = network.late_attempts(3, STABLE_WINDOW_S)
+        self.assertLessEqual(len(late), MAX_LATER_ATTEMPTS)
+
+
+class ExchangeTestCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.refuses = True
+        self.later = []
+        self.exchange = self.make()
+
+    def make(self):
+        return CrashExchange(
+            self.clock,
+            lambda address: self.refuses,
+            lambda delay_s, function: self.later.append(function),
+        )
+
+    def break_at(self, name, suspects, **fields):
+        self.exchange.record_break(target(name, **fields), suspects)
+        while self.later:
+            self.later.pop()()
+
+    def report(self, number, exchange=None):
+        report = NodeReport("n1", "s", "z", number, {}, {}, [], {}, {})
+        (exchange or self.exchange).complete_report(report)
+        return report
+
+    def view(self, rows=(), acked=0, node="c"):
+        message = view(acked={"n1": acked})
+        message.node, message.quarantined = node, list(rows)
+        return message
+
+
+class TestEvidence(ExchangeTestCase):
+    def crash_twice(self):
+        self.break_at("t1", FATAL)
+        self.break_at("t2", FATAL)
+
+    def test_two_crashes_refuse_a_request(self):
+        self.break_at("t1", FATAL)
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.break_at("t2", FATAL)
+        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(SOUND), 0.0)
+
+    def test_broken_connection_alone_is_no_crash(self):
+        self.refuses = False
+        self.crash_twice()
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.report(1).crashes, [])
+
+    def test_directory_confirms_a_crash(self):
+        self.refuses = False
+        self.crash_twice()
+        restarted = {"t1": target("t1", born=2), "t2": target("t2", born=2)}
+        self.exchange.set_targets(restarted)
+        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+
+    def test_refused_connection_of_another_request_confirms_a_crash(self):
+        self.refuses = False
+        self.crash_twice()
+        for name in ("t1", "t2"):
+            self.exchange.record_refused_connection(target(name))
+        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+
+    def test_target_that_leaves_accuses_nobody(self):
+        self.break_at("t1", FATAL, draining=True)
+        self.break_at("t2", FATAL, draining=True)
+        self.exchange.set_targets({})
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+
+    def test_requests_that_break_off_together_are_one_crash(self):
+        for _ in range(5):
+            self.break_at("t1", FATAL)
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.crash_count, 1)
+
+    def test_answer_lifts_the_quarantine_at_all_nodes(self):
+        self.crash_twice()
+        other = self.make()
+        other.apply_report(self.report(1))
+        self.assertGreater(other.refused_for(FATAL), 0.0)
+        self.clock.now += 1.0
+        self.exchange.record_answer(FATAL)
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        other.apply_report(self.report(2))
+        self.assertEqual(other.refused_for(FATAL), 0.0)
+        (row,) = other.due_verdicts(1)
+        self.assertEqual((row.suspect, row.crashes), (FATAL[0], 0))
+
+    def test_verdict_of_others_is_disputed_with_an_own_answer(self):
+        self.exchange.record_answer(FATAL)
+        self.exchange.apply_view(
+            self.view([QuarantineRow(FATAL[0], 2, 5.0, 1.0)]), "n1"
+        )
+        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertIn(FATAL[0], self.report(1).answered)
+
+
+class TestReports(ExchangeTestCase):
+    def setUp(self):
+        super().setUp()
+        self.break_at("t1", FATAL)
+
+    def test_crash_is_reported_until_a_view_answers(self):
+        self.exchange.apply_view(self.view(), "n1")
+        for number in (1, 2, 3):
+            (row,) = self.report(number).crashes
+            self.assertEqual((row.target_id, row.suspects), ("t1", FATAL))
+            self.exchange.apply_view(self.view(), "n1")
+        self.exchange.apply_view(self.view(acked=1), "n1")
+        self.assertEqual(self.report(4).crashes, [])
+
+    def test_crash_is_reported_again_to_the_next_coordinator(self):
+        self.report(1)
+        self.exchange.apply_view(self.view(acked=1), "n1")
+        self.exchange.apply_view(self.view(acked=1, node="d"), "n1")
+        self.assertEqual(len(self.report(2).crashes), 1)
+
+    def test_repeated_report_counts_once(self):
+        other = self.make()
+        for number in (1, 2, 3):
+            other.apply_report(self.report(number))
+        self.assertEqual(other.refused_for(FATAL), 0.0)
+
+    def test_verdict_of_a_view_is_kept_and_passed_on(self):
+        row = QuarantineRow(FATAL[0], 2, 5.0, 1.0)
+        self.exchange.apply_view(self.view([row]), "n1")
+        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(
+            self.exchange.due_verdicts(1), [QuarantineRow(FATAL[0], 2, 5.0, 0.0)]
+        )
+
+
+class TestOlderBuilds(unittest.TestCase):
+    def test_messages_without_crashes_are_understood(self):
+        report = decode(
+            b'{"type":"report","node":"n","start":"s","zone":"z","number":1,'
+            b'"loads":{},"in_use":{},"wants":[],"used":{},"duties":{}}',
+            type=NodeReport,
+        )
+        self.assertEqual((report.crashes, report.answered), ([], {}))
+        fields = decode(encode(view()))
+        del fields["quarantined"]
+        self.assertEqual(decode(encode(fields), type=FleetView).quarantined, [])
+
+    def test_older_builds_ignore_crashes(self):
+        class OldReport(Struct, tag="report"):
+            node: str
+
+        report = NodeReport("n", "s", "z", 1, {}, {}, [], {}, {})
+        report.crashes = [CrashRow("t1", 1, 0.5, FATAL)]
+        self.assertEqual(decode(encode(report), type=OldReport).node, "n")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
@@ -10,6 +10,7 @@
 from hibiscusspar.fleet.targets import Target, TargetDirectory
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.coordinator import Coordinator
+from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
 from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
@@ -159,6 +160,7 @@
             8.0,
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
+            CrashExchange(self.clock, lambda address: False, None),
         )
         coordinator.set_targets(dict(self.store))
         coordinator.take_over({})
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader, RawIOBase
-from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT
+from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT, create_connection
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -14,7 +14,13 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.util import SKIP_HEADER
 
-__all__ = ["CallFailedError", "Response", "TargetConnection", "TargetConnections"]
+__all__ = [
+    "CallFailedError",
+    "Response",
+    "TargetConnection",
+    "TargetConnections",
+    "refuses_connections",
+]
 
 # Headers that urllib3 would add by itself.
 _DEFAULT_HEADERS = ("accept-encoding", "host", "user-agent")
@@ -27,6 +33,8 @@
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _MAX_IDLE = 64
 _READ_BYTES = 65_536
+# Time in which a host answers whether a port is open.
+_CHECK_TIMEOUT_S = 0.3
 # Longest head of an answer, with the interim answers before it.
 _MAX_HEAD_BYTES = 262_144
 
@@ -362,6 +370,18 @@
             return idle.pop() if idle else None
 
 
+def refuses_connections(address):
+    """Return whether a host is reachable and nothing listens at its port."""
+    host, _, port = address.rpartition(":")
+    try:
+        create_connection((host, int(port)), _CHECK_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def keep_alive_s(headers):
     """Return the seconds that the target announces to keep an idle connection."""
     for part in headers.get("Keep-Alive", "").split(","):
