--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -52,6 +52,14 @@
     version: int
     digest: str = ""
 
+    @property
+    def shared_parts(self):
+        """Ids of the parts of the prompt that other requests may share.
+
+        The last part belongs to the request or to its session.
+        """
+        return tuple(name for name, _ in self.call.prefix[:-1])
+
     @property
     def resumes_stream(self):
         """Whether the request takes up a stream of which the caller has events."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -14,6 +14,8 @@
 # Reasons may end with an address or an error, so the metric label is cut to this
 # length.
 _REASON_LABEL_CHARS = 40
+# Parts of a prompt that a line lists at most.
+_LOGGED_PARTS = 4
 # Longest id of another request that a line shows; callers choose it.
 _ID_CHARS = 64
 
@@ -68,6 +70,7 @@
             "resumes": admitted.call.resumes[:_ID_CHARS],
             "last_event": state.last_event(admitted.call),
             "digest": admitted.digest,
+            "parts": admitted.shared_parts[:_LOGGED_PARTS],
         }
         write_records([(CALL_SENT, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -212,10 +212,12 @@
         "resumes",
         "last_event",
         "digest",
+        "parts",
     ),
     "A request was sent to a target of the version `software`. `resumes` is the "
     "request that began the stream, `last_event` the last event that the caller has, "
-    "`digest` the same for repetitions of the request under other ids.",
+    "`digest` the same for repetitions of the request under other ids, `parts` those of "
+    "its prompt that others may share.",
 )
 CALL_ANSWERED = declare(
     631,
