--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -216,8 +216,8 @@
     ),
     "A request was sent to a target of the version `software`. `resumes` is the "
     "request that began the stream, `last_event` the last event that the caller has, "
-    "`digest` the same for repetitions of the request under other ids, `parts` those of "
-    "its prompt that others may share.",
+    "`digest` the same for repetitions of the request under other ids, `parts` some of "
+    "those of its prompt that others may share.",
 )
 CALL_ANSWERED = declare(
     631,
