Refuse requests with a part of the prompt that crashes targets, on all nodes

Each crash broke off up to 35 streams.

Cause: parts of prompts were decoded and used for nothing. The requests had one part in common and no digest, so the quarantine of requests knew none of them.

Now the parts of the prompts that ran at a crash are suspects as well, except the last ones. Sound requests share parts, so views tell the suspects, and nodes that have begun an answer on one say so, which clears it. It works because only the fatal part is at all crashes and never answered.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -72,8 +72,8 @@
 class CrashRow(Struct, array_like=True):
     """Crash of an incarnation of a target, with the requests that it ran.
 
-    ``suspects`` holds digests of the requests of the reporting node, ``age_s`` is the
-    time since the crash.
+    ``suspects`` holds digests of the requests of the reporting node and of the parts of
+    their prompts, ``age_s`` is the time since the crash.
     """
 
     target_id: str
@@ -85,13 +85,15 @@
 class QuarantineRow(Struct, array_like=True):
     """Verdict on a suspect after a number of crashes, the first and last of given ages.
 
-    With 0 crashes the suspect was answered, so an earlier verdict is lifted.
+    With 0 crashes an earlier verdict is lifted. A suspect that isn't ``refused`` is
+    told to nodes that may have answered it.
     """
 
     suspect: str
     crashes: int
     first_age_s: float
     last_age_s: float
+    refused: bool = True
 
 
 class NodeReport(Struct, tag="report"):
@@ -148,7 +150,8 @@
     holds the position in that list of each target of ``directory``, one byte each. Both
     are apart from the rows, so that nodes of older builds find the digests of the rows
     that they expect. ``software`` is None if the sender doesn't know the versions.
-    ``quarantined`` tells of some of the requests that crash targets.
+    ``quarantined`` tells of some of the requests and parts of prompts that crash
+    targets.
     """
 
     node: str
--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -1,8 +1,8 @@
 """Quarantine of requests that crash the targets that run them.
 
 A crash alone doesn't tell which of the requests at the target caused it, so all of them
-are suspects. What tells them apart are further crashes, and answers: a request that was
-answered once doesn't crash targets.
+are suspects, and so are the parts of their prompts. What tells them apart are further
+crashes, and answers: what was answered once doesn't crash targets.
 """
 
 from collections import Counter
@@ -12,15 +12,20 @@
 from xxhash import xxh3_64_hexdigest, xxh3_128_hexdigest
 
 __all__ = [
+    "PART_POLICY",
+    "PART_SENDER",
     "Quarantine",
     "QuarantinePolicy",
     "Verdict",
     "body_digest",
+    "part_suspect",
     "request_digest",
 ]
 
 _DIGEST_CHARACTERS = 32
 _ACCOUNT_CHARACTERS = 8
+# Sender of all parts of prompts, which accounts may share.
+PART_SENDER = "part"
 # Difference in seconds up to which two VMs may place the same crash, as its age
 # doesn't contain the time that a message took.
 _AGE_TOLERANCE_S = 1.0
@@ -47,6 +52,11 @@
     return f"{account_digest}-{xxh3_128_hexdigest(fields)}"
 
 
+def part_suspect(name):
+    """Return the suspect that stands for a part of prompts with an id."""
+    return f"{PART_SENDER}-{xxh3_128_hexdigest(name.encode())}"
+
+
 class QuarantinePolicy(NamedTuple):
     """Settings of the quarantine; times are in seconds.
 
@@ -56,6 +66,7 @@
     holds after ``crashes`` crashes, the next ones after each further crash. Then a
     request may try again.
 
+    A crash doesn't count if the suspect was answered later than ``answer_s`` before it.
     Crashes count for ``retention_s``, those of a quarantined suspect until
     ``probation_s`` after its refusal has ended. At most ``max_suspects`` suspects are
     kept, and the times of the last ``max_answers`` answers.
@@ -66,17 +77,27 @@
     refusal_s: tuple[float, ...] = (30.0, 3600.0, 86_400.0)
     retention_s: float = 600.0
     probation_s: float = 600.0
+    answer_s: float = 0.0
     max_suspects: int = 2000
     max_answers: int = 4096
 
 
+# Sound requests share parts and are answered all the time, so a part needs more
+# crashes, and an answer shortly before one speaks for it as well.
+PART_POLICY = QuarantinePolicy(crashes=3, shared_crashes=4, answer_s=10.0)
+
+
 class Verdict(NamedTuple):
-    """Quarantine of a suspect; ``first_at`` and ``last_at`` are times of crashes."""
+    """Crashes of a suspect, the first and the last of them, and whether it is refused.
+
+    A suspect that isn't refused is told to other VMs that may have answered it.
+    """
 
     suspect: str
     crashes: int
     first_at: float
     last_at: float
+    is_refused: bool = True
 
 
 class Quarantine:
@@ -121,7 +142,7 @@
             Suspects that are quarantined since this crash.
         """
         at = now - age_s
-        suspects = [s for s in suspects if self._answered_at.get(s, at - 1.0) < at]
+        suspects = [s for s in suspects if not self._was_answered(s, at)]
         before = {s for s in suspects if self.refused_for(now, s)}
         for suspect in suspects:
             crashes = self._rows.setdefault(suspect, {})
@@ -153,10 +174,13 @@
             False if the suspect was answered after its first crash.
         """
         suspect = verdict.suspect
-        if self._answered_at.get(suspect, verdict.first_at) > verdict.first_at:
+        if self._was_answered(suspect, verdict.first_at):
             return False
         known = self._adopted.get(suspect)
-        if known is None or known.crashes < verdict.crashes:
+        if known is None or (known.crashes, known.is_refused) < (
+            verdict.crashes,
+            verdict.is_refused,
+        ):
             self._adopted[suspect] = verdict
             self._evict()
         return True
@@ -178,11 +202,10 @@
         """
         crashes = self._rows.get(suspect, {})
         adopted = self._adopted.get(suspect)
-        if adopted is None and not self._is_to_blame(suspect, crashes):
+        is_adopted = adopted is not None and adopted.is_refused
+        if not is_adopted and not self._is_to_blame(suspect, crashes):
             return None
-        times = list(crashes.values())
-        if adopted is not None:
-            times += adopted.first_at, adopted.last_at
+        times = self._times(suspect)
         return Verdict(suspect, self.count(suspect), min(times), max(times))
 
     def refused_for(self, now, suspect):
@@ -192,6 +215,32 @@
         verdict = self.verdict(suspect)
         return 0.0 if verdict is None else max(0.0, self._until(verdict) - now)
 
+    def refused_together(self, now, suspects):
+        """Return for how many more seconds a request with some suspects is refused.
+
+        Suspects that ran at the same crashes can't be told apart, so they are refused
+        only together. A request with one of them then tells whether it is to blame.
+        """
+        verdicts = [self.verdict(s) for s in suspects if self.refused_for(now, s) > 0]
+        if not verdicts:
+            return 0.0
+        others = [v for v in self.quarantined(now) if v.suspect not in suspects]
+        left_s = [
+            self._until(verdict) - now
+            for verdict in verdicts
+            if not any(_are_alike(verdict, other) for other in others)
+        ]
+        return max(left_s, default=0.0)
+
+    def suspected(self):
+        """Return the suspects of known crashes that aren't quarantined."""
+        return [
+            Verdict(s, len(crashes), min(times), max(times), is_refused=False)
+            for s, crashes in self._rows.items()
+            if self.verdict(s) is None
+            for times in [crashes.values()]
+        ]
+
     def quarantined(self, now):
         """Return the verdicts in force."""
         verdicts = map(self.verdict, sorted(self._rows.keys() | self._adopted.keys()))
@@ -232,8 +281,21 @@
         verdict = self.verdict(suspect)
         if verdict is not None:
             return self._until(verdict) + self._policy.probation_s
-        last_at = max(self._rows.get(suspect, {}).values(), default=0.0)
-        return last_at + self._policy.retention_s
+        return max(self._times(suspect)) + self._policy.retention_s
+
+    def _times(self, suspect):
+        times = list(self._rows.get(suspect, {}).values())
+        adopted = self._adopted.get(suspect)
+        if adopted is not None:
+            times += adopted.first_at, adopted.last_at
+        return times
+
+    def _was_answered(self, suspect, crashed_at):
+        answered_at = self._answered_at.get(suspect)
+        return (
+            answered_at is not None
+            and answered_at >= crashed_at - self._policy.answer_s
+        )
 
     def _remove(self, suspect):
         self._adopted.pop(suspect, None)
@@ -250,3 +312,12 @@
             of_sender = [s for s in known if s.partition("-")[0] == sender]
             spared = [s for s in of_sender if self.verdict(s) is None]
             self._remove((spared or of_sender)[0])
+
+
+def _are_alike(verdict, other):
+    """Return whether two suspects seem to have run at the same crashes."""
+    return (
+        verdict.crashes == other.crashes
+        and abs(verdict.first_at - other.first_at) < _AGE_TOLERANCE_S
+        and abs(verdict.last_at - other.last_at) < _AGE_TOLERANCE_S
+    )
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from hibiscusspar.requests.quarantine import (
+    PART_POLICY,
     Quarantine,
     QuarantinePolicy,
     Verdict,
@@ -157,6 +158,66 @@
         self.assertFalse(self.table.adopt(10.0, Verdict("a", 2, 1.0, 5.0)))
         self.assertEqual(self.refused("a", now=10.0), [False])
 
+    def test_suspect_that_isnt_refused_is_only_known(self):
+        self.table.adopt(10.0, Verdict("a", 2, 1.0, 5.0, is_refused=False))
+        self.assertEqual(self.refused("a", now=10.0), [False])
+        self.assertTrue(self.table.record_answer(11.0, "a"))
+
+
+class TestParts(unittest.TestCase):
+    def setUp(self):
+        self.table = Quarantine(PART_POLICY)
+
+    def crash(self, name, *parts, now=0.0):
+        self.table.record_crash(now, name, parts)
+
+    def refused(self, *parts, now=0.0):
+        return self.table.refused_together(now, parts) > 0
+
+    def test_part_that_all_crashes_have_in_common_is_refused(self):
+        self.crash("t1", "first", "bad", "x")
+        self.crash("t2", "first", "bad", "y")
+        self.table.record_answer(1.0, "first")
+        self.assertFalse(self.refused("first", "bad", now=1.0))
+        self.crash("t3", "first", "bad", "z", now=2.0)
+        self.assertTrue(self.refused("first", "bad", "own", now=2.0))
+        self.assertFalse(self.refused("first", "x", now=2.0))
+
+    def test_answer_shortly_before_the_crashes_speaks_for_a_part(self):
+        self.table.record_answer(0.0, "good")
+        for number in range(5):
+            self.crash(f"t{number}", "good", now=PART_POLICY.answer_s - 1.0)
+        self.assertEqual(self.table.count("good"), 0)
+
+    def test_parts_that_always_came_together_are_refused_only_together(self):
+        for number in range(4):
+            self.crash(f"t{number}", "one", "two", now=float(number))
+        self.assertTrue(self.refused("one", "two", "own", now=4.0))
+        self.assertFalse(self.refused("one", "own", now=4.0))
+        self.assertFalse(self.refused("two", "own", now=4.0))
+
+    def test_request_with_one_of_them_tells_them_apart(self):
+        for number in range(4):
+            self.crash(f"t{number}", "one", "two", now=float(number))
+        self.crash("t4", "one", now=5.0)
+        self.assertTrue(self.refused("one", "own", now=5.0))
+        self.assertFalse(self.refused("two", "own", now=5.0))
+
+    def test_answer_of_one_of_them_leaves_the_other(self):
+        for number in range(4):
+            self.crash(f"t{number}", "one", "two", now=float(number))
+        self.table.record_answer(5.0, "two")
+        self.assertTrue(self.refused("one", "own", now=5.0))
+        self.assertFalse(self.refused("two", "own", now=5.0))
+
+    def test_suspects_are_told_until_they_are_refused(self):
+        self.crash("t1", "bad", "good")
+        told = {v.suspect: v.is_refused for v in self.table.suspected()}
+        self.assertEqual(told, {"bad": False, "good": False})
+        self.crash("t2", "bad")
+        self.crash("t3", "bad")
+        self.assertEqual([v.suspect for v in self.table.suspected()], ["good"])
+
 
 class TestBounds(QuarantineTestCase):
     def test_one_sender_pushes_out_only_its_own_suspects(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -1,4 +1,4 @@
-"""Crashes of targets, and the quarantine of the requests that cause them.
+"""Crashes of targets, and the quarantine of what causes them.
 
 Nodes report the crashes that they see to the coordinator, and its views carry the
 verdicts to all nodes.
@@ -9,7 +9,12 @@
 
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
-from hibiscusspar.requests.quarantine import Quarantine, Verdict
+from hibiscusspar.requests.quarantine import (
+    PART_POLICY,
+    PART_SENDER,
+    Quarantine,
+    Verdict,
+)
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
     QUARANTINE_LIFTED,
@@ -31,8 +36,9 @@
 _MAX_REPORTED = 16
 # Time in seconds for which reports and views repeat that a suspect was answered.
 _ANSWERS_REPEATED_S = 3.0
-# Verdicts that a view carries at most.
+# Verdicts that a view carries at most, and suspects that may have been answered.
 _MAX_VERDICTS = 16
+_MAX_TOLD_SUSPECTS = 16
 # Interval between removals of what no longer counts, in seconds.
 _EXPIRE_S = 1.0
 # Crashes of a verdict that a log line lists at most.
@@ -61,13 +67,15 @@
         Returns whether nothing listens at an address.
     call_later : callable
         Calls a function after a delay in seconds.
-    quarantine : Quarantine, optional
     """
 
-    def __init__(self, clock, refuses_connections, call_later, quarantine=None):
+    def __init__(self, clock, refuses_connections, call_later):
         self._clock = clock
         self._refuses_connections = refuses_connections
-        self._quarantine = quarantine or Quarantine()
+        self._requests = Quarantine()
+        self._parts = Quarantine(PART_POLICY)
+        # Suspects that views have told to be refused.
+        self._told = set()
         self._lock = threading.Lock()
         # Callbacks to call once the lock is free.
         self._due_calls = []
@@ -76,7 +84,8 @@
         self._reporters = {}
         self._answered = {}
         self._coordinator = None
-        self._rotation = EntryRotation(_MAX_VERDICTS)
+        self._verdict_rotation = EntryRotation(_MAX_VERDICTS)
+        self._suspect_rotation = EntryRotation(_MAX_TOLD_SUSPECTS)
         self._expired_at = clock()
         # Number of crashes that this node saw, and of requests that it refused.
         self.crash_count = 0
@@ -89,22 +98,28 @@
     def quarantined_count(self):
         """Number of quarantined suspects."""
         with self._lock:
-            return len(self._quarantine.quarantined(self._clock()))
+            return len(self._quarantined(self._clock()))
 
-    def refused_for(self, suspects):
+    def refused_for(self, request, parts=()):
         """Return for how many more seconds a request is refused, or 0.
 
         Parameters
         ----------
-        suspects : iterable of str
+        request : str
+            Its digest.
+        parts : sequence of str, optional
+            Suspects that stand for parts of its prompt.
         """
         with self._locked() as now:
-            return max(self._quarantine.refused_for(now, s) for s in suspects)
+            return max(
+                self._requests.refused_for(now, request),
+                self._parts.refused_together(now, parts),
+            )
 
     def was_quarantined(self, suspects):
-        """Return whether a request is or was quarantined lately."""
+        """Return whether one of some suspects is or was quarantined lately."""
         with self._lock:
-            return any(self._quarantine.verdict(s) is not None for s in suspects)
+            return any(self._table(s).verdict(s) is not None for s in suspects)
 
     def record_break(self, target, suspects):
         """Record that a connection ended while a target ran a request.
@@ -144,11 +159,10 @@
                     self._confirm(now, own, "directory")
 
     def record_answer(self, suspects):
-        """Record that a target answered a request."""
+        """Record that a target answered a request, or began to."""
         with self._locked() as now:
             for suspect in suspects:
-                if self._quarantine.record_answer(now, suspect):
-                    self._lift(now, suspect, "answer")
+                self._record_answer(now, suspect, "answer", 0.0)
 
     def complete_report(self, report):
         """Add what the coordinator doesn't know yet to a report of this node."""
@@ -178,25 +192,34 @@
                 crash = (row.target_id, row.born)
                 self._record(now, crash, row.suspects, row.age_s, report.node)
             for suspect, age_s in report.answered.items():
-                if self._quarantine.record_answer(now - age_s, suspect):
-                    self._lift(now, suspect, report.node)
+                self._record_answer(now, suspect, report.node, age_s)
 
     def due_verdicts(self, number):
         """Return the verdicts that the view with a number carries."""
         with self._locked() as now:
-            verdicts = {v.suspect: v for v in self._quarantine.quarantined(now)}
-            states = {suspect: v.crashes for suspect, v in verdicts.items()}
-            answers = self._recent_answers(now)
-            states |= dict.fromkeys(answers, 0)
-            due = self._rotation.due(states, number, _MAX_VERDICTS)
-            rows = []
-            for suspect in due:
-                if suspect in answers:
-                    row = QuarantineRow(suspect, 0, answers[suspect], answers[suspect])
-                else:
-                    row = _row(now, verdicts[suspect])
-                rows.append(row)
-            return rows
+            verdicts = {v.suspect: v for v in self._quarantined(now)}
+            self._lift_explained(now, verdicts)
+            lifted = self._recent_answers(now)
+            states = {s: v.crashes for s, v in verdicts.items() if s not in lifted}
+            states |= dict.fromkeys(lifted, 0)
+            due = self._verdict_rotation.due(states, number, _MAX_VERDICTS)
+            suspected = {v.suspect: v for v in self._parts.suspected()}
+            states = {s: v.crashes for s, v in suspected.items() if s not in lifted}
+            due += self._suspect_rotation.due(states, number, _MAX_TOLD_SUSPECTS)
+            verdicts |= suspected
+            return [
+                QuarantineRow(suspect, 0, lifted[suspect], lifted[suspect])
+                if suspect in lifted
+                else _row(now, verdicts[suspect])
+                for suspect in due
+            ]
+
+    def _lift_explained(self, now, verdicts):
+        """Lift the verdicts that later crashes explain otherwise."""
+        for suspect in self._told - verdicts.keys():
+            if self._table(suspect).verdict(suspect) is None:
+                self._answered.setdefault(suspect, now)
+        self._told = set(verdicts)
 
     def apply_view(self, view, node):
         """Record the verdicts of a view, and which crashes its sender knows."""
@@ -223,18 +246,23 @@
             call()
 
     def _apply_row(self, now, row, source):
+        table = self._table(row.suspect)
+        was_refused = table.refused_for(now, row.suspect) > 0
         if row.crashes == 0:
-            if self._quarantine.record_answer(now - row.last_age_s, row.suspect):
+            table.record_answer(now - row.last_age_s, row.suspect)
+            if was_refused:
                 write_records([(QUARANTINE_LIFTED, _lifted(row.suspect, source))])
             return
         verdict = Verdict(
-            row.suspect, row.crashes, now - row.first_age_s, now - row.last_age_s
+            row.suspect,
+            row.crashes,
+            now - row.first_age_s,
+            now - row.last_age_s,
+            row.refused,
         )
-        was_refused = self._quarantine.refused_for(now, row.suspect) > 0
-        if not self._quarantine.adopt(now, verdict):
-            self._lift(now, row.suspect, "answer")
-            return
-        if not was_refused and self._quarantine.refused_for(now, row.suspect) > 0:
+        if not table.adopt(now, verdict):
+            self._tell_answer(now, row.suspect)
+        elif not was_refused and table.refused_for(now, row.suspect) > 0:
             self._announce(now, row.suspect, source)
 
     def _check(self, own):
@@ -262,37 +290,53 @@
         self._record(now, crash, own.suspects, now - own.at, "")
         self._due_calls.append(self.request_report)
 
+    def _table(self, suspect):
+        is_part = suspect.partition("-")[0] == PART_SENDER
+        return self._parts if is_part else self._requests
+
+    def _quarantined(self, now):
+        return self._requests.quarantined(now) + self._parts.quarantined(now)
+
     def _record(self, now, crash, suspects, age_s, node):
         self._reporters.setdefault(crash, set()).add(node)
-        verdicts = self._quarantine.record_crash(now, crash, suspects, age_s)
+        verdicts = []
+        for table in (self._requests, self._parts):
+            accused = [s for s in suspects if self._table(s) is table]
+            verdicts += table.record_crash(now, crash, accused, age_s)
         for verdict in verdicts:
             self._announce(now, verdict.suspect, node or "answer")
         if verdicts:
             self._due_calls.append(self.on_verdict)
 
+    def _record_answer(self, now, suspect, source, age_s):
+        table = self._table(suspect)
+        was_refused = table.refused_for(now, suspect) > 0
+        if table.record_answer(now - age_s, suspect):
+            self._tell_answer(now, suspect)
+            if was_refused:
+                write_records([(QUARANTINE_LIFTED, _lifted(suspect, source))])
+
+    def _tell_answer(self, now, suspect):
+        self._answered[suspect] = now
+        self._due_calls.append(self.request_report)
+
     def _announce(self, now, suspect, source):
         """Log a verdict and wake the requests that wait."""
-        verdict = self._quarantine.verdict(suspect)
-        crashes = sorted(self._quarantine.crashes_of(suspect).items())
+        table = self._table(suspect)
+        crashes = sorted(table.crashes_of(suspect).items())
         fields = {
             "suspect": suspect,
-            "crashes": verdict.crashes,
+            "crashes": table.count(suspect),
             "seen": [
-                (target_id, round(now - at, 3), sorted(self._reporters.get(key, ())))
+                (key[0], round(now - at, 3), sorted(self._reporters.get(key, ())))
                 for key, at in crashes[:_LOGGED_CRASHES]
-                for target_id in key[:1]
             ],
             "source": source,
-            "refused_s": round(self._quarantine.refused_for(now, suspect), 1),
+            "refused_s": round(table.refused_for(now, suspect), 1),
         }
         write_records([(REQUEST_QUARANTINED, fields)])
         self._due_calls.append(self.on_quarantined)
 
-    def _lift(self, now, suspect, source):
-        self._answered[suspect] = now
-        write_records([(QUARANTINE_LIFTED, _lifted(suspect, source))])
-        self._due_calls.append(self.request_report)
-
     def _recent_answers(self, now):
         """Return the suspects that were answered lately, with the age in seconds."""
         self._answered = {
@@ -306,7 +350,8 @@
         if now < self._expired_at + _EXPIRE_S:
             return
         self._expired_at = now
-        self._quarantine.expire(now)
+        for table in (self._requests, self._parts):
+            table.expire(now)
         self._own = {
             crash: own
             for crash, own in self._own.items()
@@ -332,4 +377,5 @@
         verdict.crashes,
         round(now - verdict.first_at, 3),
         round(now - verdict.last_at, 3),
+        verdict.is_refused,
     )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -1,11 +1,14 @@
 """Guard of targets against requests that crash them."""
 
+from hibiscusspar.requests.quarantine import part_suspect
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["CrashGuard"]
 
 # Failed steps that a crash of the target looks like.
 _CRASH_STEPS = ("wait", "read")
+# Parts of a prompt that are considered at most; callers choose them.
+_MAX_PARTS = 8
 # Time since its first event for which a stream may have caused a crash, in seconds.
 _BEGINNING_S = 1.0
 
@@ -24,39 +27,57 @@
         self._crashes = crashes
 
     def check(self, admitted):
-        """Refuse a request that is quarantined.
+        """Refuse a request that is quarantined, or whose prompt has such parts.
 
         Raises
         ------
         RefusedError
         """
-        refused_s = self._crashes.refused_for([admitted.digest])
+        refused_s = self._refused_for(admitted)
         if refused_s > 0:
             self._crashes.refused_count += 1
             raise RefusedError(503, "it crashed targets", refused_s)
 
     def refuses(self, admitted):
         """Return whether a request is quarantined."""
-        return self._crashes.refused_for([admitted.digest]) > 0
+        return self._refused_for(admitted) > 0
 
     def may_retry(self, admitted):
         """Return whether a request may be sent again after a failure.
 
         One that tries again after a quarantine has a single attempt.
         """
-        return not self._crashes.was_quarantined([admitted.digest])
+        suspects = [admitted.digest, *_part_suspects(admitted)]
+        return not self._crashes.was_quarantined(suspects)
 
     def record_failure(self, admitted, state, target, error):
         """Record a failed attempt, which the request may have caused."""
         if error.step == "connect":
             self._crashes.record_refused_connection(target)
             return
+        if error.step not in _CRASH_STEPS:
+            return
+        suspects = []
         began_at = state.attempt_event_at
-        is_beginning = began_at is None or self._clock() < began_at + _BEGINNING_S
-        if error.step in _CRASH_STEPS and is_beginning:
-            self._crashes.record_break(target, [admitted.digest])
+        if began_at is None or self._clock() < began_at + _BEGINNING_S:
+            suspects.append(admitted.digest)
+        if state.last_event(admitted.call) is None:
+            suspects += _part_suspects(admitted)
+        if suspects:
+            self._crashes.record_break(target, suspects)
+
+    def record_begin(self, admitted):
+        """Record the first event of a stream, which speaks for all of its prompt."""
+        self._crashes.record_answer(_part_suspects(admitted))
 
     def record_answer(self, admitted, status):
         """Record a complete answer."""
         if status < 500:
             self._crashes.record_answer([admitted.digest])
+
+    def _refused_for(self, admitted):
+        return self._crashes.refused_for(admitted.digest, _part_suspects(admitted))
+
+
+def _part_suspects(admitted):
+    return [part_suspect(name) for name in admitted.shared_parts[:_MAX_PARTS]]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -430,6 +430,8 @@
                 state.answer_begun = True
                 inbound.send_head(response.status, headers)
             inbound.write(events)
+            if state.attempt_event_at is None:
+                self._crash_guard.record_begin(admitted)
             state.record_event(self._clock())
         if splitter.has_partial_event:
             raise CallFailedError("read", connection.address, "a part of an event")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -111,6 +111,7 @@
         self._forwarder = forwarder
         self._view_sequence = ViewSequence(parts.clock)
         self._report_requested = threading.Event()
+        self._view_requested = threading.Event()
         self._was_leader = False
         self._is_coordinator_leased = False
         self._held_duties = frozenset()
@@ -127,7 +128,7 @@
         )
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.crashes.request_report = self._report_requested.set
-        parts.crashes.on_verdict = self._hasten_view
+        parts.crashes.on_verdict = self._view_requested.set
 
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
@@ -322,11 +323,6 @@
             parts.quota.apply_view(parts.clock(), view.nodes, view.levels, acked_used)
             parts.quota_changed.notify_all()
 
-    def _hasten_view(self):
-        """Tell all nodes of a new verdict at once if this node coordinates."""
-        if self._parts.election.leads:
-            self._coordinator.send_views()
-
     def _run_leases(self):
         while not self._stopping.wait(_LEASE_TICK_S):
             try:
@@ -399,6 +395,9 @@
         self._parts.request_scheduler.tick()
         self._front.grow()
         if self._parts.election.leads:
+            if self._view_requested.is_set():
+                self._view_requested.clear()
+                self._coordinator.send_views()
             self._coordinator.tick()
         age_s = self._parts.request_scheduler.view_age_s
         if age_s is not None and age_s > _COORDINATOR_LOST_S and not self._loss_logged:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
@@ -86,6 +86,8 @@
         self.sent = []
         self.crashed_at = []
         self.cut = set()
+        # Suspects of sound requests that run at the targets that crash.
+        self.beside = list
         self.report_bytes = 0
         self.view_bytes = 0
         self.fence = 1
@@ -121,10 +123,20 @@
         self.fence += 1
         self._acked = {}
 
-    def request(self, suspects, node=None, seed=None):
-        """Send a fatal request to a node; it is retried once after a crash."""
-        node = node or self.rng.choice(self.nodes)
-        self._attempt(node, suspects, 1)
+    def request(self, suspects, node=None):
+        """Send a fatal request to a node; it is retried once after a crash.
+
+        The first suspect is its digest, the others stand for parts of its prompt.
+        """
+        self._attempt(node or self.rng.choice(self.nodes), suspects, 1)
+
+    def sound_request(self, suspects):
+        """Send a sound request to a node and return whether it is answered."""
+        exchange = self.rng.choice(self.nodes).exchange
+        if exchange.refused_for(suspects[0], suspects[1:]) > 0:
+            return False
+        exchange.record_answer(suspects)
+        return True
 
     def late_attempts(self, crashes, window_s):
         """Return the attempts sent a window after a number of crashes, or later."""
@@ -135,11 +147,14 @@
 
     def refusing(self, suspects):
         """Return the number of nodes that refuse a request."""
-        return sum(node.exchange.refused_for(suspects) > 0 for node in self.nodes)
+        return sum(
+            node.exchange.refused_for(suspects[0], suspects[1:]) > 0
+            for node in self.nodes
+        )
 
     def _attempt(self, node, suspects, number):
         exchange = node.exchange
-        if exchange.refused_for(suspects) > 0:
+        if exchange.refused_for(suspects[0], suspects[1:]) > 0:
             return
         self.sent.append(Sent(self.clock.now, node.name))
         target = _target(f"t{len(self.sent)}")
@@ -147,6 +162,8 @@
         def crash():
             self.crashed_at.append(self.clock.now)
             exchange.record_break(target, suspects)
+            for others in self.beside():
+                self.rng.choice(self.nodes).exchange.record_break(target, others)
             if number < _MAX_ATTEMPTS and not exchange.was_quarantined(suspects):
                 self._attempt(node, suspects, number + 1)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -62,6 +62,61 @@
         self.assertLessEqual(len(late), MAX_LATER_ATTEMPTS)
 
 
+class TestPromptPartCrashesTargetsOfAFleet(unittest.TestCase):
+    def run_day(self, size, faults, seed, parts=("part-first", "part-bad")):
+        """Send fatal requests, no two alike, beside sound ones.
+
+        Returns
+        -------
+        tuple
+            The network, and the shares of sound requests that were answered before and
+            later than two stable windows after the fifth crash.
+        """
+        network = CrashNetwork(size, faults, seed)
+        rng = network.rng
+        sound = lambda: [  # noqa: E731
+            f"acme-{rng.random()}",
+            "part-first",
+            f"part-{rng.randrange(30)}",
+        ]
+        network.beside = lambda: [sound() for _ in range(rng.randrange(12))]
+        network.run(2.0)
+        answered = {False: [], True: []}
+        for number in range(400):
+            if number % 5 == 0:
+                network.request([f"acme-f{number}", *parts])
+            crashes = sorted(network.crashed_at)
+            last_at = crashes[:5][-1] if crashes else network.clock.now
+            is_late = network.clock.now > last_at + 2 * STABLE_WINDOW_S
+            for _ in range(4):
+                answered[is_late].append(network.sound_request(sound()))
+            network.run(rng.uniform(0.05, 0.2))
+        shares = [sum(values) / len(values) for _, values in sorted(answered.items())]
+        return network, *shares
+
+    def check(self, size, faults, seed=1):
+        network, early, late = self.run_day(size, faults, seed)
+        sent = network.late_attempts(5, STABLE_WINDOW_S)
+        self.assertGreaterEqual(len(network.crashed_at), 3)
+        self.assertLessEqual(len(sent), MAX_LATER_ATTEMPTS)
+        self.assertGreater(early, 0.8)
+        self.assertGreater(late, 0.95)
+
+    def test_nine_nodes(self):
+        for seed in range(3):
+            self.check(9, NetworkFaults(), seed)
+
+    def test_nine_nodes_on_a_poor_network(self):
+        for seed in range(3):
+            self.check(9, POOR_NETWORK, seed)
+
+    def test_seventy_eight_nodes_on_a_poor_network(self):
+        self.check(78, POOR_NETWORK)
+
+    def test_360_nodes_on_a_poor_network(self):
+        self.check(360, POOR_NETWORK)
+
+
 class ExchangeTestCase(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
@@ -99,15 +154,15 @@
 
     def test_two_crashes_refuse_a_request(self):
         self.break_at("t1", FATAL)
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
         self.break_at("t2", FATAL)
-        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
-        self.assertEqual(self.exchange.refused_for(SOUND), 0.0)
+        self.assertGreater(self.exchange.refused_for(*FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*SOUND), 0.0)
 
     def test_broken_connection_alone_is_no_crash(self):
         self.refuses = False
         self.crash_twice()
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
         self.assertEqual(self.report(1).crashes, [])
 
     def test_directory_confirms_a_crash(self):
@@ -115,37 +170,37 @@
         self.crash_twice()
         restarted = {"t1": target("t1", born=2), "t2": target("t2", born=2)}
         self.exchange.set_targets(restarted)
-        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+        self.assertGreater(self.exchange.refused_for(*FATAL), 0.0)
 
     def test_refused_connection_of_another_request_confirms_a_crash(self):
         self.refuses = False
         self.crash_twice()
         for name in ("t1", "t2"):
             self.exchange.record_refused_connection(target(name))
-        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+        self.assertGreater(self.exchange.refused_for(*FATAL), 0.0)
 
     def test_target_that_leaves_accuses_nobody(self):
         self.break_at("t1", FATAL, draining=True)
         self.break_at("t2", FATAL, draining=True)
         self.exchange.set_targets({})
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
 
     def test_requests_that_break_off_together_are_one_crash(self):
         for _ in range(5):
             self.break_at("t1", FATAL)
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
         self.assertEqual(self.exchange.crash_count, 1)
 
     def test_answer_lifts_the_quarantine_at_all_nodes(self):
         self.crash_twice()
         other = self.make()
         other.apply_report(self.report(1))
-        self.assertGreater(other.refused_for(FATAL), 0.0)
+        self.assertGreater(other.refused_for(*FATAL), 0.0)
         self.clock.now += 1.0
         self.exchange.record_answer(FATAL)
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
         other.apply_report(self.report(2))
-        self.assertEqual(other.refused_for(FATAL), 0.0)
+        self.assertEqual(other.refused_for(*FATAL), 0.0)
         (row,) = other.due_verdicts(1)
         self.assertEqual((row.suspect, row.crashes), (FATAL[0], 0))
 
@@ -154,7 +209,7 @@
         self.exchange.apply_view(
             self.view([QuarantineRow(FATAL[0], 2, 5.0, 1.0)]), "n1"
         )
-        self.assertEqual(self.exchange.refused_for(FATAL), 0.0)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
         self.assertIn(FATAL[0], self.report(1).answered)
 
 
@@ -182,12 +237,12 @@
         other = self.make()
         for number in (1, 2, 3):
             other.apply_report(self.report(number))
-        self.assertEqual(other.refused_for(FATAL), 0.0)
+        self.assertEqual(other.refused_for(*FATAL), 0.0)
 
     def test_verdict_of_a_view_is_kept_and_passed_on(self):
         row = QuarantineRow(FATAL[0], 2, 5.0, 1.0)
         self.exchange.apply_view(self.view([row]), "n1")
-        self.assertGreater(self.exchange.refused_for(FATAL), 0.0)
+        self.assertGreater(self.exchange.refused_for(*FATAL), 0.0)
         self.assertEqual(
             self.exchange.due_verdicts(1), [QuarantineRow(FATAL[0], 2, 5.0, 0.0)]
         )
