Keep the quarantine in the store over a restart of all processes

Verdicts lived in the memory of the nodes only. After a restart of all of them a fatal request crashed its targets anew, and nodes cut off from the coordinator, but not from the store, decided by themselves: the same cause as the quarantine that each node would keep for itself.

The coordinator now writes the verdicts to one object when they change. The calls have a thread of their own, so a slow answer delays no lease.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -236,6 +236,19 @@
             for row in view.quarantined:
                 self._apply_row(now, row, view.node)
 
+    def apply_verdicts(self, rows, source):
+        """Record verdicts that were stored."""
+        with self._locked() as now:
+            for row in rows:
+                self._apply_row(now, row, source)
+
+    def verdict_rows(self):
+        """Return the verdicts in force, the latest ones last."""
+        with self._lock:
+            now = self._clock()
+            rows = [_row(now, verdict) for verdict in self._quarantined(now)]
+        return sorted(rows, key=lambda row: -row.last_age_s)
+
     @contextmanager
     def _locked(self):
         """Hold the lock and yield the time, then make the callbacks that are due."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -48,6 +48,8 @@
 _FIRST_VIEW_S = 1.5
 # Silence after which the coordinator is logged as lost.
 _COORDINATOR_LOST_S = 1.5
+# Time between looks whether the stored quarantine differs, in seconds.
+_QUARANTINE_STEP_S = 0.1
 # Pause after a store call without an answer, far shorter than the store's outages.
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
@@ -79,6 +81,7 @@
     election: Any
     # The keeper of the coordinator's lease comes first.
     lease_keepers: tuple
+    quarantine_store: Any
     order_dispatcher: Any
     log_sink: Any
     relayed_state: Any
@@ -150,6 +153,7 @@
             watch.start()
         tasks = (
             self._run_leases,
+            self._run_quarantine_store,
             self._run_reports,
             self._run_ticks,
             self._notice_sender.run,
@@ -353,6 +357,16 @@
         else:
             self._coordinator.step_down()
 
+    def _run_quarantine_store(self):
+        pause_s = 0.0
+        while not self._stopping.wait(pause_s):
+            pause_s = _STORE_RETRY_S
+            try:
+                if self._parts.quarantine_store.step():
+                    pause_s = _QUARANTINE_STEP_S
+            except Exception as error:  # noqa: BLE001
+                log_failure("quarantine store", error)
+
     def _run_reports(self):
         while not self._stopping.is_set():
             interval_s = exchange_interval_s(self._parts.request_scheduler.nodes)
