Send requests that crash engines in the soak test

Engines of the soak crash under one body and one part of prompts and restart under new ids; their proxies refuse connections meanwhile. After the third crash of the body, or the fifth of the part, and 3 s, nodes that were not disturbed send at most 3 more. Sound requests share the first part and are checked as before, at the end while fatal ones still come.

--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -142,7 +142,7 @@
             Suspects that are quarantined since this crash.
         """
         at = now - age_s
-        suspects = [s for s in suspects if not self._was_answered(s, at)]
+        suspects = [s for s in dict.fromkeys(suspects) if not self._was_answered(s, at)]
         before = {s for s in suspects if self.refused_for(now, s)}
         for suspect in suspects:
             crashes = self._rows.setdefault(suspect, {})
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -135,7 +135,8 @@
         with self._locked() as now:
             own = self._own.get(crash)
             if own is not None:
-                own.suspects = [*own.suspects, *suspects][-_MAX_SUSPECTS:]
+                known = dict.fromkeys([*own.suspects, *suspects])
+                own.suspects = list(known)[-_MAX_SUSPECTS:]
                 if own.is_confirmed:
                     self._confirm(now, own, "known")
                 return
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,14 @@
 from time import monotonic, sleep
 
 from soak.callers import Caller, guarantees_not_run
+from soak.crashes import (
+    BODY,
+    FATAL_BODY,
+    FATAL_PART,
+    PART,
+    FatalCaller,
+    crash_violations,
+)
 from soak.deployment import Deployment
 from soak.faults import FaultPlan
 from soak.limits import limit_violations
@@ -38,7 +46,7 @@
     -------
     tuple
         Violations, injected faults, number of answers by status, and the numbers of
-        broken and of continued streams.
+        broken streams, of continued ones and of crashes.
     """
     rng = Random(seed)
     deployment = Deployment(seed, logs, old_build)
@@ -57,6 +65,15 @@
         for index in range(CALLERS_PER_NODE)
     ]
     probes = []
+    fatal_callers = []
+    if not old_build:
+        # Builds before the quarantine send fatal requests again and again.
+        for engine in deployment.engines:
+            engine.fatal_bodies.add(FATAL_BODY)
+            engine.fatal_parts.add(FATAL_PART)
+        fatal_callers = [
+            FatalCaller(kind, deployment.nodes, seed) for kind in (BODY, PART)
+        ]
 
     def inject_faults(seconds):
         end = monotonic() + seconds
@@ -69,7 +86,7 @@
         violations = _check_serving(
             callers[::CALLERS_PER_NODE], START_TIMEOUT_S, "start"
         )
-        for caller in callers:
+        for caller in (*callers, *fatal_callers):
             caller.start()
         if old_build:
             seconds /= 2
@@ -86,6 +103,10 @@
         violations += _check_serving(
             callers[::CALLERS_PER_NODE], RECOVERY_TIMEOUT_S, "recovery"
         )
+        for caller in fatal_callers:
+            caller.stopping.set()
+        for caller in fatal_callers:
+            caller.join()
     finally:
         deployment.stop()
     callers += probes
@@ -95,7 +116,10 @@
         sum(caller.continued_count for caller in callers),
     )
     violations += _find_violations(deployment, callers, plan)
-    return violations, plan.log, statuses, streams
+    for caller in fatal_callers:
+        statuses.update({f"fatal {s}": n for s, n in caller.statuses.items()})
+    crashes = sum(len(engine.crashed_by) for engine in deployment.engines)
+    return violations, plan.log, statuses, (*streams, crashes)
 
 
 def _make_probes(deployment, seed, started_at):
@@ -146,6 +170,8 @@
     violations += limit_violations(
         plan.limits, plan.signalled, plan.limit_ends, _node_of
     )
+    for kind in (BODY, PART):
+        violations += crash_violations(kind, deployment.engines, plan.disturbances)
     runs = {}
     for engine in deployment.engines:
         violations += [
@@ -177,6 +203,8 @@
     """Return the node that a caller sent a request to; None for a resumed stream."""
     if request_id.endswith("-again"):
         return None
+    if request_id.startswith("fatal-"):
+        return int(request_id.split("-")[2])
     return int(request_id.partition("n")[2].partition("c")[0].partition("p")[0])
 
 
@@ -193,12 +221,17 @@
     seeds += [secrets.randbelow(10**6) for _ in range(options.fresh)]
     failed = 0
     for seed in seeds:
-        violations, log, statuses, (broken, continued) = run_seed(
+        violations, log, statuses, (broken, continued, crashes) = run_seed(
             seed, options.seconds, options.logs, options.old_build
         )
-        counts = ", ".join(f"{status}: {n}" for status, n in sorted(statuses.items()))
+        counts = ", ".join(
+            f"{status}: {n}" for status, n in sorted(statuses.items(), key=str)
+        )
         print(f"seed {seed}: {len(log)} faults, {len(violations)} violations; {counts}")
-        print(f"  broken streams: {broken}, continued by their callers: {continued}")
+        print(
+            f"  broken streams: {broken}, continued by their callers: {continued}, "
+            f"crashes of engines: {crashes}"
+        )
         for line in violations[:10]:
             print(f"  {line}")
         if violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -88,6 +88,7 @@
             "X-Hibiscusspar-Request-Id": request_id,
             "X-Hibiscusspar-Model": f"{MODEL}/{adapter}",
             "X-Hibiscusspar-Token-Count": "100,10",
+            "X-Hibiscusspar-Prompt-Prefix": f"system:50,{adapter}:30,{request_id}:20",
             "X-Hibiscusspar-Deadline-Ms": "6000",
         }
         self._connection.request("POST", f"/{route}/x", body=b"{}", headers=headers)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -183,9 +183,12 @@
             engine.event_gap_s = EVENT_GAP_S
         self.engine_proxies = [FaultyProxy(e.address) for e in self.engines]
         self.store.put("config", "main", config(1, {"k0"}))
-        for engine, proxy in zip(self.engines, self.engine_proxies, strict=True):
-            entry = {**engine.entry(), "address": proxy.address}
-            self.store.put("servers", engine.target_id, entry)
+        # Called with an engine that has crashed.
+        self.on_crash = lambda engine: None
+        for engine in self.engines:
+            engine.on_crash = self._end_engine
+            engine.on_restart = self._register_engine
+            self._register_engine(engine, is_restart=False)
         self.old_path = python_path(old_build) if old_build else None
         self.nodes = [
             Node(n, seed, self.store, folder, self.old_path if n % 2 else None)
@@ -195,6 +198,21 @@
         self._supervisor = threading.Thread(target=self._supervise, daemon=True)
         self._supervisor.start()
 
+    def _proxy_of(self, engine):
+        return self.engine_proxies[self.engines.index(engine)]
+
+    def _end_engine(self, engine):
+        self._proxy_of(engine).close_port()
+        self.store.delete("servers", engine.target_id)
+        self.on_crash(engine)
+
+    def _register_engine(self, engine, is_restart=True):
+        proxy = self._proxy_of(engine)
+        if is_restart:
+            proxy.open_port()
+        entry = {**engine.entry(), "address": proxy.address}
+        self.store.put("servers", engine.target_id, entry)
+
     def _supervise(self):
         """Restart nodes that have exited, as the platform does."""
         while not self._stopping.wait(_RESTART_INTERVAL_S):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 from time import monotonic
 from typing import NamedTuple
 
+from soak.crashes import Disturbance
 from soak.deployment import config
 from soak.limits import LIMIT_MIN_S, NamedLimit
 
@@ -25,7 +26,8 @@
     ``withdrawn`` maps each withdrawn key to the time of its withdrawal, and ``log``
     holds a line for each injected fault. ``limits`` holds the limits that engines
     named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
-    a node and the time for each signal.
+    a node and the time for each signal, ``disturbances`` the faults of nodes and of
+    their paths to the store.
     """
 
     def __init__(self, deployment, rng):
@@ -39,6 +41,8 @@
         self.limits = []
         self.limit_ends = {}
         self.signalled = []
+        self.disturbances = []
+        deployment.on_crash = self._forget_limit
 
     def end_limits(self):
         """End all limits that engines name."""
@@ -74,6 +78,7 @@
         number = self._rng.choice(_SIGNALS)
         node.send_signal(number)
         self.signalled.append((node.number, monotonic()))
+        self._disturb(node.number, duration_s)
         if number is signal.SIGSTOP:
             self._schedule_undo(now, duration_s, lambda: self._wake(node))
         elif number is signal.SIGKILL:
@@ -83,6 +88,15 @@
             )
         return f"{number.name} to node {node.number}"
 
+    def _disturb(self, node, duration_s):
+        now = monotonic()
+        self.disturbances.append(Disturbance(node, now, now + duration_s))
+
+    def _forget_limit(self, engine):
+        """End the limit of an engine that crashed; the next incarnation names none."""
+        if engine.limit_per_s is not None:
+            self._end_limit(engine)
+
     def _wake(self, node):
         node.send_signal(signal.SIGCONT)
         self.signalled.append((node.number, monotonic()))
@@ -105,6 +119,7 @@
 
     def _store_link(self, now, duration_s):
         node = self._rng.choice(self._deployment.nodes)
+        self._disturb(node.number, duration_s)
         return f"store of node {node.number}: " + self._fault_link(
             now, duration_s, node.proxy
         )
@@ -136,6 +151,7 @@
             store.compact()
             return "store compacted"
         store.fail_with = kind
+        self._disturb(None, duration_s)
         self._schedule_undo(now, duration_s, lambda: setattr(store, "fail_with", None))
         return f"store answers {kind} for {duration_s:.1f} s"
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -28,13 +28,13 @@
         self._connections = []
         self._lock = threading.Lock()
         self._listener = socket.create_server((ip, 0))
+        self._listener_address = self._listener.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self):
         """``IP:port`` of the proxy."""
-        ip, port = self._listener.getsockname()
-        return f"{ip}:{port}"
+        return "{}:{}".format(*self._listener_address)
 
     def heal(self):
         """End all faults; bytes that were held back are then forwarded."""
@@ -49,6 +49,17 @@
         for connection in (c for pair in connections for c in pair):
             _reset(connection)
 
+    def close_port(self):
+        """Refuse new connections and reset the open ones, as a host does."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.reset_all()
+
+    def open_port(self):
+        """Accept connections again at the same address."""
+        self._listener = socket.create_server(self._listener_address)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def close(self):
         """Close the port and all connections."""
         self._listener.close()
