Don't accuse a request of two crashes at which many ran

Two crashes now suffice only if one of them had at most eight other suspects; else a third one decides. Test: two crashes of four requests each, one common (policy with two), fail without it.

--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -60,11 +60,11 @@
 class QuarantinePolicy(NamedTuple):
     """Settings of the quarantine; times are in seconds.
 
-    A suspect is quarantined after ``crashes`` crashes if all other suspects of one of
-    them have fewer, and after ``shared_crashes`` unless a suspect that ran at all of
-    them has more. It is refused for ``refusal_s`` since its last crash: the first entry
-    holds after ``crashes`` crashes, the next ones after each further crash. Then a
-    request may try again.
+    A suspect is quarantined after ``crashes`` crashes if one of them had at most
+    ``few_suspects`` others, all with fewer crashes, and after ``shared_crashes`` unless
+    a suspect that ran at all of them has more. It is refused for ``refusal_s`` since
+    its last crash: the first entry holds after ``crashes`` crashes, the next ones after
+    each further crash. Then a request may try again.
 
     A crash doesn't count if the suspect was answered later than ``answer_s`` before it.
     Crashes count for ``retention_s``, those of a quarantined suspect until
@@ -74,6 +74,7 @@
 
     crashes: int = 2
     shared_crashes: int = 3
+    few_suspects: int = 8
     refusal_s: tuple[float, ...] = (30.0, 3600.0, 86_400.0)
     retention_s: float = 600.0
     probation_s: float = 600.0
@@ -84,7 +85,9 @@
 
 # Sound requests share parts and are answered all the time, so a part needs more
 # crashes, and an answer shortly before one speaks for it as well.
-PART_POLICY = QuarantinePolicy(crashes=3, shared_crashes=4, answer_s=10.0)
+PART_POLICY = QuarantinePolicy(
+    crashes=3, shared_crashes=4, few_suspects=1000, answer_s=10.0
+)
 
 
 class Verdict(NamedTuple):
@@ -264,7 +267,11 @@
         if count < self._policy.crashes:
             return False
         others = [self._suspects[crash] - {suspect} for crash in crashes]
-        if any(all(len(self._rows[o]) < count for o in beside) for beside in others):
+        if any(
+            len(beside) <= self._policy.few_suspects
+            and all(len(self._rows[o]) < count for o in beside)
+            for beside in others
+        ):
             return True
         if count < self._policy.shared_crashes:
             return False
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
@@ -15,7 +15,11 @@
 
 FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=200)
 POLICY = QuarantinePolicy(
-    refusal_s=(30.0, 100.0), retention_s=50.0, probation_s=40.0, max_suspects=10
+    refusal_s=(30.0, 100.0),
+    retention_s=50.0,
+    probation_s=40.0,
+    few_suspects=2,
+    max_suspects=10,
 )
 
 
@@ -59,6 +63,14 @@
         self.assertEqual([(v.suspect, v.crashes) for v in verdicts], [("a", 2)])
         self.assertEqual(self.refused("a", "b", "c"), [True, False, False])
 
+    def test_two_crashes_of_many_requests_accuse_nobody(self):
+        others = [f"o{number}" for number in range(POLICY.few_suspects + 1)]
+        for name in ("t1", "t2"):
+            self.crash(name, "a", *(f"{name}-{other}" for other in others))
+        self.assertEqual(self.refused("a"), [False])
+        self.crash("t3", "a", "b")
+        self.assertEqual(self.refused("a", "b"), [True, False])
+
     def test_two_that_always_ran_together_need_a_third_crash(self):
         self.crash("t1", "a", "b")
         self.crash("t2", "a", "b")
