--- a/soak/faults.py
+++ b/soak/faults.py
@@ -115,7 +115,7 @@
 
     def _end_limit(self, engine):
         engine.limit_per_s = None
-        self.limit_ends.setdefault(engine.target_id, []).append(monotonic())
+        self.limit_ends.setdefault(engine, []).append(monotonic())
 
     def _store_link(self, now, duration_s):
         node = self._rng.choice(self._deployment.nodes)
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -33,7 +33,7 @@
     limits : list of NamedLimit
     signalled : list of tuple of (int, float)
         Node and time of each signal.
-    ended_at : dict of str to list of float
+    ended_at : dict of EngineStandIn to list of float
         Times at which each engine stopped to name a limit.
     node_of : callable
         Returns the number of the node that a request was sent to, or None if that
@@ -42,7 +42,7 @@
     violations = []
     for limit in limits:
         engine = limit.engine
-        ends = [at for at in ended_at.get(engine.target_id, ()) if at > limit.at]
+        ends = [at for at in ended_at.get(engine, ()) if at > limit.at]
         arrivals = [
             (at, node_of(request_id))
             for at, request_id in zip(engine.arrivals, engine.arrived_ids, strict=False)
