Treat a stream without events that ends with its connection as broken off

The end of such a stream can't be told from a crash, but a stream without any event isn't one. It is retried like other broken streams, else answered 502.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -2,7 +2,7 @@
 
 from hibiscusspar.fleet.retries import AttemptFailure
 
-__all__ = ["head_failure", "is_event_stream", "tells_limit"]
+__all__ = ["ends_with_connection", "head_failure", "is_event_stream", "tells_limit"]
 
 _EVENT_STREAM = "text/event-stream"
 # Status of a target that doesn't hold the adapter, or isn't the one that was meant.
@@ -14,6 +14,12 @@
     return response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
 
 
+def ends_with_connection(response):
+    """Return whether only the end of its connection ends the body of an answer."""
+    headers = response.headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
 def tells_limit(admitted, answer, response):
     """Return whether an answer tells which limit its target names now.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -8,6 +8,7 @@
 from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar_entry.fleet.answer_checks import (
+    ends_with_connection,
     head_failure,
     is_event_stream,
     tells_limit,
@@ -435,6 +436,8 @@
             state.record_event(self._clock())
         if splitter.has_partial_event:
             raise CallFailedError("read", connection.address, "a part of an event")
+        if state.attempt_event_at is None and ends_with_connection(response):
+            raise CallFailedError("read", connection.address, "no event")
         self._return_connection(state, connection, response)
         if not state.answer_begun:
             inbound.send_head(response.status, headers)
