Don't let an answer that ends with its connection clear a suspect

A target that crashes after the head of an answer with neither a length nor chunks looks as if it had answered, so the request under which it ended was cleared and sent on and on. Only answers with a visible end clear a request; parts of prompts are cleared by the first event as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -1,6 +1,7 @@
 """Guard of targets against requests that crash them."""
 
 from hibiscusspar.requests.quarantine import part_suspect
+from hibiscusspar_entry.fleet.answer_checks import ends_with_connection
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["CrashGuard"]
@@ -70,9 +71,12 @@
         """Record the first event of a stream, which speaks for all of its prompt."""
         self._crashes.record_answer(_part_suspects(admitted))
 
-    def record_answer(self, admitted, status):
-        """Record a complete answer."""
-        if status < 500:
+    def record_answer(self, admitted, response):
+        """Record an answer that was read to its end.
+
+        One that ends with its connection may have been ended by a crash.
+        """
+        if response.status < 500 and not ends_with_connection(response):
             self._crashes.record_answer([admitted.digest])
 
     def _refused_for(self, admitted):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -292,7 +292,7 @@
             first_byte_received = True
             self._relay(inbound, admitted, state, placement, connection, response)
             self._parts.request_scheduler.record_success(target_id)
-            self._crash_guard.record_answer(admitted, response.status)
+            self._crash_guard.record_answer(admitted, response)
             return None
         except CallFailedError as error:
             if state.caller_gone.is_set():
