Bound what views tell of suspects and verdicts

Up to 16 suspects of each crash were repeated in every view for ten minutes, some 13 KB a second for each node of a small fleet (calculated: 80 bytes a row, 10 views a second). A view now repeats four suspects and four verdicts besides what has changed, and suspects for 30 s.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -39,6 +39,10 @@
 # Verdicts that a view carries at most, and suspects that may have been answered.
 _MAX_VERDICTS = 16
 _MAX_TOLD_SUSPECTS = 16
+# Those of them that a view repeats in rotation, besides what has changed.
+_ROTATED = 4
+# Age of a suspect's last crash beyond which it isn't told any more, in seconds.
+_TOLD_S = 30.0
 # Interval between removals of what no longer counts, in seconds.
 _EXPIRE_S = 1.0
 # Crashes of a verdict that a log line lists at most.
@@ -203,10 +207,14 @@
             lifted = self._recent_answers(now)
             states = {s: v.crashes for s, v in verdicts.items() if s not in lifted}
             states |= dict.fromkeys(lifted, 0)
-            due = self._verdict_rotation.due(states, number, _MAX_VERDICTS)
-            suspected = {v.suspect: v for v in self._parts.suspected()}
+            due = self._verdict_rotation.due(states, number, _ROTATED)
+            suspected = {
+                v.suspect: v
+                for v in self._parts.suspected()
+                if now < v.last_at + _TOLD_S
+            }
             states = {s: v.crashes for s, v in suspected.items() if s not in lifted}
-            due += self._suspect_rotation.due(states, number, _MAX_TOLD_SUSPECTS)
+            due += self._suspect_rotation.due(states, number, _ROTATED)
             verdicts |= suspected
             return [
                 QuarantineRow(suspect, 0, lifted[suspect], lifted[suspect])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -248,6 +248,32 @@
         )
 
 
+class TestViews(ExchangeTestCase):
+    def sizes(self, views):
+        return [len(self.exchange.due_verdicts(number)) for number in range(views)]
+
+    def test_many_suspects_dont_fill_the_views(self):
+        self.break_at("t1", [f"part-{n}" for n in range(30)])
+        sizes = self.sizes(30)
+        self.assertLessEqual(max(sizes), 16)
+        self.assertLessEqual(max(sizes[10:]), 4)
+        self.clock.now += 30.0
+        self.assertEqual(self.sizes(3), [0, 0, 0])
+
+    def test_many_verdicts_are_all_repeated(self):
+        names = [f"acme-{n}" for n in range(40)]
+        for name in names:
+            self.break_at(f"t1{name}", [name])
+            self.break_at(f"t2{name}", [name])
+        self.sizes(20)
+        repeated = {
+            row.suspect
+            for number in range(10)
+            for row in self.exchange.due_verdicts(number)
+        }
+        self.assertEqual(repeated, set(names))
+
+
 class TestOlderBuilds(unittest.TestCase):
     def test_messages_without_crashes_are_understood(self):
         report = decode(
