Share the slack of the retry budget by the largest fleet of a window

A node divided the slack of the budget by the nodes of its last view, 1 before the first. The first views of a new coordinator count only the nodes that have reported to it so far, so for some tenths of a second many nodes took the share of a small fleet, or all.

The share now follows the largest fleet that a node was told of within the window, and a node that knows none takes no slack.

--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -105,22 +105,43 @@
         self._window_s = window_s
         self._requests = deque()
         self._retries = deque()
+        self._fleet_sizes = deque()
 
     def request(self, now):
         """Count a client request."""
         self._requests.append(now)
 
     def allow(self, now, nodes):
-        """Return whether one more retry is within the budget, and count it if so."""
+        """Return whether one more retry is within the budget, and count it if so.
+
+        Parameters
+        ----------
+        now : float
+        nodes : int or None
+            Size of the fleet, None if it isn't known yet. A new coordinator first
+            knows a part of the nodes, so the largest size of a window counts.
+        """
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._window_s:
                 times.popleft()
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, nodes)
+        allowed = self._ratio * len(self._requests)
+        if nodes is not None:
+            allowed += self._slack / self._largest_fleet(now, max(1, nodes))
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
 
+    def _largest_fleet(self, now, nodes):
+        """Return the largest fleet of a window; sizes decrease from left to right."""
+        sizes = self._fleet_sizes
+        while sizes and sizes[-1][1] <= nodes:
+            sizes.pop()
+        sizes.append((now, nodes))
+        while sizes[0][0] < now - self._window_s:
+            sizes.popleft()
+        return sizes[0][1]
+
 
 class RetryBudgets:
     """Retry budgets by service, each created on first use.
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
@@ -61,3 +61,26 @@
             pass
         self.assertFalse(budget.allow(5.0, 1) and budget.allow(5.0, 9))
         self.assertTrue(budget.allow(20.0, 1))
+
+    def test_node_that_knows_no_fleet_yet_takes_no_slack(self):
+        budget = RetryBudget(0.2, 400.0, 10.0)
+        self.assertFalse(budget.allow(1.0, None))
+        for _ in range(50):
+            budget.request(1.0)
+        self.assertTrue(budget.allow(1.0, None))
+
+    def test_first_views_of_a_coordinator_dont_enlarge_the_shares(self):
+        nodes = [RetryBudget(0.2, 400.0, 10.0) for _ in range(84)]
+        retries = 0
+        # A successor hears the nodes one after the other.
+        for known in (84, 1, 5, 20, 60, 84):
+            for node in nodes:
+                while node.allow(1.0, known):
+                    retries += 1
+        self.assertLessEqual(retries, 400)
+
+    def test_share_grows_after_the_fleet_has_shrunk_for_a_window(self):
+        budget = RetryBudget(0.2, 100.0, 10.0)
+        budget.allow(1.0, 1000)
+        self.assertFalse(budget.allow(5.0, 10))
+        self.assertTrue(budget.allow(12.0, 10))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -219,9 +219,8 @@
 
     def _max_token_wait_s(self, verdict):
         """Return the longest total wait for a view with enough tokens, in seconds."""
-        if isinstance(verdict, Deferred) and verdict.is_first:
-            return self._policy.first_view_wait_s
-        return self._policy.quota_wait_s
+        is_first = isinstance(verdict, Deferred) and verdict.is_first
+        return self._policy.first_view_wait_s if is_first else self._policy.quota_wait_s
 
     def _return_tokens(self, admitted):
         if admitted.rule is not None:
@@ -480,7 +479,8 @@
             return False
         if decision is not RetryDecision.IF_BUDGET_ALLOWS:
             return decision is RetryDecision.RETRY
-        nodes = self._parts.request_scheduler.nodes
+        scheduler = self._parts.request_scheduler
+        nodes = None if scheduler.view_age_s is None else scheduler.nodes
         return self._parts.retry_budgets.allow(admitted.service, now, nodes)
 
     def _refuse(self, inbound, admitted, error, arrived):
