Bound reports of answers, and tell only those of suspects that views told

Every suspect of a crash that was answered later was repeated in reports and in views for 3 s, also those that no other node knew. Hundreds of them at a crash of several targets would have exceeded a datagram (calculated: 50 bytes each) and delayed verdicts.

A broken connection waits 4 s for evidence instead of 8: a crash is in the directory within three heartbeats, and a later one accused the wrong requests.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -28,14 +28,16 @@
 # crashed refuses connections by then.
 _CHECK_DELAY_S = 0.03
 # Time for which a broken connection may turn out to have been a crash.
-_PENDING_S = 8.0
+_PENDING_S = 4.0
 # Suspects of a crash that a node reports at most, those sent last.
-_MAX_SUSPECTS = 32
+_MAX_SUSPECTS = 64
 # Crashes that a node keeps for the next coordinator, and those of a report.
 _MAX_OWN_CRASHES = 64
-_MAX_REPORTED = 16
-# Time in seconds for which reports and views repeat that a suspect was answered.
+_MAX_REPORTED = 8
+# Time in seconds for which reports and views repeat that a suspect was answered, and
+# answers of a report, the latest ones.
 _ANSWERS_REPEATED_S = 3.0
+_MAX_ANSWERS = 64
 # Verdicts that a view carries at most, and suspects that may have been answered.
 _MAX_VERDICTS = 16
 _MAX_TOLD_SUSPECTS = 16
@@ -78,8 +80,9 @@
         self._refuses_connections = refuses_connections
         self._requests = Quarantine()
         self._parts = Quarantine(PART_POLICY)
-        # Suspects that views have told to be refused.
+        # Suspects that views have told, and those of them that were to be refused.
         self._told = set()
+        self._told_refused = set()
         self._lock = threading.Lock()
         # Callbacks to call once the lock is free.
         self._due_calls = []
@@ -188,7 +191,8 @@
                     own.suspects,
                 )
                 report.crashes.append(row)
-            report.answered = self._recent_answers(now)
+            answers = list(self._recent_answers(now).items())
+            report.answered = dict(answers[-_MAX_ANSWERS:])
 
     def apply_report(self, report):
         """Record the crashes that another node reports to this coordinator."""
@@ -204,7 +208,8 @@
         with self._locked() as now:
             verdicts = {v.suspect: v for v in self._quarantined(now)}
             self._lift_explained(now, verdicts)
-            lifted = self._recent_answers(now)
+            answers = self._recent_answers(now)
+            lifted = {s: age_s for s, age_s in answers.items() if s in self._told}
             states = {s: v.crashes for s, v in verdicts.items() if s not in lifted}
             states |= dict.fromkeys(lifted, 0)
             due = self._verdict_rotation.due(states, number, _ROTATED)
@@ -216,6 +221,8 @@
             states = {s: v.crashes for s, v in suspected.items() if s not in lifted}
             due += self._suspect_rotation.due(states, number, _ROTATED)
             verdicts |= suspected
+            self._told &= verdicts.keys() | lifted.keys()
+            self._told |= set(due)
             return [
                 QuarantineRow(suspect, 0, lifted[suspect], lifted[suspect])
                 if suspect in lifted
@@ -223,13 +230,6 @@
                 for suspect in due
             ]
 
-    def _lift_explained(self, now, verdicts):
-        """Lift the verdicts that later crashes explain otherwise."""
-        for suspect in self._told - verdicts.keys():
-            if self._table(suspect).verdict(suspect) is None:
-                self._answered.setdefault(suspect, now)
-        self._told = set(verdicts)
-
     def apply_view(self, view, node):
         """Record the verdicts of a view, and which crashes its sender knows."""
         with self._locked() as now:
@@ -338,7 +338,15 @@
             if was_refused:
                 write_records([(QUARANTINE_LIFTED, _lifted(suspect, source))])
 
+    def _lift_explained(self, now, verdicts):
+        """Lift the verdicts that later crashes explain otherwise."""
+        for suspect in self._told_refused - verdicts.keys():
+            if self._table(suspect).verdict(suspect) is None:
+                self._answered.setdefault(suspect, now)
+        self._told_refused = set(verdicts)
+
     def _tell_answer(self, now, suspect):
+        self._answered.pop(suspect, None)
         self._answered[suspect] = now
         self._due_calls.append(self.request_report)
 
