Take only a refused connection as evidence of a crash

A connection that could not be opened for any reason confirmed an earlier broken one as a crash, also where the link to the host was cut, and accused the requests that had run there. Only a refusal counts now. Tests: a host that can't be reached (fails before), a closed port, a broken connection.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -53,9 +53,8 @@
 
     def record_failure(self, admitted, state, target, error):
         """Record a failed attempt, which the request may have caused."""
-        if error.step == "connect":
+        if error.is_refused:
             self._crashes.record_refused_connection(target)
-            return
         if error.step not in _CRASH_STEPS:
             return
         suspects = []
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
@@ -53,8 +53,9 @@
             digest=DIGEST, shared_parts=("system", "shared"), call=call
         )
 
-    def fail(self, step, last_event=None):
+    def fail(self, step, last_event=None, cause=None):
         error = CallFailedError(step, "a:1", "")
+        error.__cause__ = cause
         self.guard.record_failure(
             self.admitted(last_event), self.state, target("t1"), error
         )
@@ -72,9 +73,13 @@
         self.assertEqual(self.crashes.breaks, [])
 
     def test_refused_connection_is_evidence_and_accuses_nobody(self):
-        self.fail("connect")
+        self.fail("connect", cause=ConnectionRefusedError())
         self.assertEqual((self.crashes.breaks, self.crashes.refused), ([], ["t1"]))
 
+    def test_host_that_cant_be_reached_is_no_evidence(self):
+        self.fail("connect", cause=TimeoutError())
+        self.assertEqual((self.crashes.breaks, self.crashes.refused), ([], []))
+
     def test_stream_with_an_event_no_longer_accuses_its_parts(self):
         self.state.splitter = SimpleNamespace(last_event=1)
         self.state.record_event(self.clock.now)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -52,6 +52,14 @@
         self.address = address
         self.reason = reason
 
+    @property
+    def is_refused(self):
+        """Whether the target's host refused the connection, as nothing listens."""
+        cause = self.__cause__
+        while cause is not None and not isinstance(cause, ConnectionRefusedError):
+            cause = cause.__cause__
+        return cause is not None
+
 
 class Response(NamedTuple):
     """Status and headers of an answer; its body is read from ``raw``."""
