--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
@@ -53,7 +53,7 @@
             digest=DIGEST, shared_parts=("system", "shared"), call=call
         )
 
-    def fail(self, step, last_event=None, cause=None):
+    def break_attempt(self, step, last_event=None, cause=None):
         error = CallFailedError(step, "a:1", "")
         error.__cause__ = cause
         self.guard.record_failure(
@@ -64,44 +64,44 @@
 class TestFailures(GuardTestCase):
     def test_connection_that_ends_without_an_answer_accuses_request_and_parts(self):
         for step in ("wait", "read"):
-            self.fail(step)
+            self.break_attempt(step)
         self.assertEqual(self.crashes.breaks, [("t1", [DIGEST, *PARTS])] * 2)
 
     def test_silence_and_lost_sends_accuse_nobody(self):
         for step in ("silent", "send"):
-            self.fail(step)
+            self.break_attempt(step)
         self.assertEqual(self.crashes.breaks, [])
 
     def test_refused_connection_is_evidence_and_accuses_nobody(self):
-        self.fail("connect", cause=ConnectionRefusedError())
+        self.break_attempt("connect", cause=ConnectionRefusedError())
         self.assertEqual((self.crashes.breaks, self.crashes.refused), ([], ["t1"]))
 
     def test_host_that_cant_be_reached_is_no_evidence(self):
-        self.fail("connect", cause=TimeoutError())
+        self.break_attempt("connect", cause=TimeoutError())
         self.assertEqual((self.crashes.breaks, self.crashes.refused), ([], []))
 
     def test_stream_with_an_event_no_longer_accuses_its_parts(self):
         self.state.splitter = SimpleNamespace(last_event=1)
         self.state.record_event(self.clock.now)
-        self.fail("read")
+        self.break_attempt("read")
         self.assertEqual(self.crashes.breaks, [("t1", [DIGEST])])
 
     def test_stream_that_has_run_for_long_accuses_nobody(self):
         self.state.splitter = SimpleNamespace(last_event=9)
         self.state.record_event(self.clock.now)
         self.clock.now += 1.5
-        self.fail("read")
+        self.break_attempt("read")
         self.assertEqual(self.crashes.breaks, [])
 
     def test_next_attempt_counts_from_its_own_first_event(self):
         self.state.record_event(self.clock.now)
         self.clock.now += 1.5
         self.state.begin_attempt("t2")
-        self.fail("wait")
+        self.break_attempt("wait")
         self.assertEqual(self.crashes.breaks, [("t1", [DIGEST, *PARTS])])
 
     def test_stream_that_is_taken_up_has_begun_before(self):
-        self.fail("wait", last_event=3)
+        self.break_attempt("wait", last_event=3)
         self.assertEqual(self.crashes.breaks, [("t1", [DIGEST])])
 
 
