Let the coordinator's node try whether a quarantined request is sound

A sound request that is refused on all nodes has no way to be answered, so only time ended a wrong verdict, after three crashes an hour.

An answer up to 10 s before a crash speaks for a request, as it did for parts, so one that many callers send is rarely accused at all. Tests of the probes; the first fails without them.

Sound callers of the soak send bodies of their own now, as callers do; fatal ones repeat theirs.

--- a/measure/part_views.py
+++ b/measure/part_views.py
@@ -85,7 +85,7 @@
         8.0,
         lambda: (0.1, 0.1),
         LimitExchange(clock),
-        CrashExchange(clock, lambda address: False, None),
+        CrashExchange(clock, lambda address: False, None, lambda: False),
     )
     rows = {f"i-{n:010x}": _target(f"i-{n:010x}", n) for n in range(targets)}
     coordinator.set_targets(rows)
--- a/packages/hibiscusspar/hibiscusspar/requests/crash_gossip.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/crash_gossip.py
@@ -52,6 +52,7 @@
                 refusal_s=(policy.retention_s,),
                 retention_s=policy.retention_s,
                 probation_s=0.0,
+                answer_s=0.0,
                 max_suspects=policy.max_digests,
             )
         )
--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -64,7 +64,8 @@
     ``few_suspects`` others, all with fewer crashes, and after ``shared_crashes`` unless
     a suspect that ran at all of them has more. It is refused for ``refusal_s`` since
     its last crash: the first entry holds after ``crashes`` crashes, the next ones after
-    each further crash. Then a request may try again.
+    each further crash. Meanwhile one VM may let a single request try again, ``probe_s``
+    since the last crash, as a sound request has no other way to be answered.
 
     A crash doesn't count if the suspect was answered later than ``answer_s`` before it.
     Crashes count for ``retention_s``, those of a quarantined suspect until
@@ -75,19 +76,17 @@
     crashes: int = 2
     shared_crashes: int = 3
     few_suspects: int = 8
-    refusal_s: tuple[float, ...] = (30.0, 3600.0, 86_400.0)
+    refusal_s: tuple[float, ...] = (600.0, 3600.0, 86_400.0)
+    probe_s: tuple[float, ...] = (10.0, 20.0, 3600.0, 86_400.0)
     retention_s: float = 600.0
     probation_s: float = 600.0
-    answer_s: float = 0.0
+    answer_s: float = 10.0
     max_suspects: int = 2000
     max_answers: int = 4096
 
 
-# Sound requests share parts and are answered all the time, so a part needs more
-# crashes, and an answer shortly before one speaks for it as well.
-PART_POLICY = QuarantinePolicy(
-    crashes=3, shared_crashes=4, few_suspects=1000, answer_s=10.0
-)
+# Sound requests share parts, which run at many crashes, so a part needs more of them.
+PART_POLICY = QuarantinePolicy(crashes=3, shared_crashes=4, few_suspects=1000)
 
 
 class Verdict(NamedTuple):
@@ -218,6 +217,19 @@
         verdict = self.verdict(suspect)
         return 0.0 if verdict is None else max(0.0, self._until(verdict) - now)
 
+    def probe_in_s(self, now, suspect):
+        """Return the seconds until one request may try again, 0 if it may now.
+
+        Parameters
+        ----------
+        now : float
+        suspect : str
+            A quarantined suspect.
+        """
+        verdict = self.verdict(suspect)
+        probe_s = _entry(self._policy.probe_s, verdict.crashes - self._policy.crashes)
+        return max(0.0, verdict.last_at + probe_s - now)
+
     def refused_together(self, now, suspects):
         """Return for how many more seconds a request with some suspects is refused.
 
@@ -280,9 +292,8 @@
         return all(len(self._rows[o]) <= count for o in always_beside)
 
     def _until(self, verdict):
-        refusals = self._policy.refusal_s
-        index = min(verdict.crashes - self._policy.crashes, len(refusals) - 1)
-        return verdict.last_at + refusals[max(0, index)]
+        index = verdict.crashes - self._policy.crashes
+        return verdict.last_at + _entry(self._policy.refusal_s, index)
 
     def _ends_at(self, suspect):
         verdict = self.verdict(suspect)
@@ -321,6 +332,11 @@
             self._remove((spared or of_sender)[0])
 
 
+def _entry(values, index):
+    """Return the entry of a tuple, the first or the last one if the index is beyond."""
+    return values[max(0, min(index, len(values) - 1))]
+
+
 def _are_alike(verdict, other):
     """Return whether two suspects seem to have run at the same crashes."""
     return (
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_quarantine.py
@@ -19,6 +19,7 @@
     retention_s=50.0,
     probation_s=40.0,
     few_suspects=2,
+    answer_s=0.0,
     max_suspects=10,
 )
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -18,12 +18,15 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
     QUARANTINE_LIFTED,
+    QUARANTINE_PROBED,
     REQUEST_QUARANTINED,
     TARGET_CRASHED,
 )
 
 __all__ = ["CrashExchange"]
 
+# Time for which a probe may take, in seconds; then the next one may start.
+_PROBE_S = 10.0
 # Time after a broken connection at which the target is called again. A target that has
 # crashed refuses connections by then.
 _CHECK_DELAY_S = 0.03
@@ -73,9 +76,11 @@
         Returns whether nothing listens at an address.
     call_later : callable
         Calls a function after a delay in seconds.
+    may_probe : callable
+        Returns whether this node is the one that may send a quarantined request.
     """
 
-    def __init__(self, clock, refuses_connections, call_later):
+    def __init__(self, clock, refuses_connections, call_later, may_probe):
         self._clock = clock
         self._refuses_connections = refuses_connections
         self._requests = Quarantine()
@@ -87,6 +92,9 @@
         # Callbacks to call once the lock is free.
         self._due_calls = []
         self._call_later = call_later
+        self._may_probe = may_probe
+        # Start of the probe in progress by suspect.
+        self._probed_at = {}
         self._own = {}
         self._reporters = {}
         self._answered = {}
@@ -123,6 +131,39 @@
                 self._parts.refused_together(now, parts),
             )
 
+    def retry_in_s(self, request, parts=()):
+        """Return the seconds after which a refused request may come again."""
+        with self._locked() as now:
+            left_s = max(
+                self._requests.refused_for(now, request),
+                self._parts.refused_together(now, parts),
+            )
+            probes = [
+                self._table(s).probe_in_s(now, s)
+                for s in self._refused(now, request, parts)
+            ]
+            return min(left_s, max([_PROBE_S, *probes]))
+
+    def start_probe(self, request, parts=()):
+        """Return whether a quarantined request may be sent to see if it is sound.
+
+        Only one node may send it, and one request at a time.
+        """
+        if not self._may_probe():
+            return False
+        with self._locked() as now:
+            refused = self._refused(now, request, parts)
+            for suspect in refused:
+                probed_at = self._probed_at.get(suspect, now - _PROBE_S)
+                if now < probed_at + _PROBE_S:
+                    return False
+                if self._table(suspect).probe_in_s(now, suspect) > 0:
+                    return False
+            self._probed_at |= dict.fromkeys(refused, now)
+            fields = {"suspects": refused}
+            write_records([(QUARANTINE_PROBED, fields)])
+            return True
+
     def was_quarantined(self, suspects):
         """Return whether one of some suspects is or was quarantined lately."""
         with self._lock:
@@ -316,6 +357,14 @@
         is_part = suspect.partition("-")[0] == PART_SENDER
         return self._parts if is_part else self._requests
 
+    def _refused(self, now, request, parts):
+        """Return the suspects for which a request is refused."""
+        return [
+            suspect
+            for suspect in (request, *parts)
+            if self._table(suspect).refused_for(now, suspect) > 0
+        ]
+
     def _quarantined(self, now):
         return self._requests.quarantined(now) + self._parts.quarantined(now)
 
@@ -387,6 +436,11 @@
             for crash, own in self._own.items()
             if own.is_confirmed or now < own.at + _PENDING_S
         }
+        self._probed_at = {
+            suspect: at
+            for suspect, at in self._probed_at.items()
+            if now < at + _PROBE_S
+        }
         while len(self._own) > _MAX_OWN_CRASHES:
             del self._own[next(iter(self._own))]
         while len(self._reporters) > _MAX_OWN_CRASHES:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -27,21 +27,29 @@
         self._clock = clock
         self._crashes = crashes
 
-    def check(self, admitted):
+    def check(self, admitted, state):
         """Refuse a request that is quarantined, or whose prompt has such parts.
 
         Raises
         ------
         RefusedError
         """
-        refused_s = self._refused_for(admitted)
-        if refused_s > 0:
-            self._crashes.refused_count += 1
-            raise RefusedError(503, "it crashed targets", refused_s)
+        if not self.refuses(admitted, state):
+            return
+        parts = _part_suspects(admitted)
+        if state.attempts == 0 and self._crashes.start_probe(admitted.digest, parts):
+            state.is_probe = True
+            return
+        self._crashes.refused_count += 1
+        retry_s = self._crashes.retry_in_s(admitted.digest, parts)
+        raise RefusedError(503, "it crashed targets", retry_s)
 
-    def refuses(self, admitted):
+    def refuses(self, admitted, state):
         """Return whether a request is quarantined."""
-        return self._refused_for(admitted) > 0
+        if state.is_probe:
+            return False
+        parts = _part_suspects(admitted)
+        return self._crashes.refused_for(admitted.digest, parts) > 0
 
     def may_retry(self, admitted):
         """Return whether a request may be sent again after a failure.
@@ -78,9 +86,6 @@
         if response.status < 500 and not ends_with_connection(response):
             self._crashes.record_answer([admitted.digest])
 
-    def _refused_for(self, admitted):
-        return self._crashes.refused_for(admitted.digest, _part_suspects(admitted))
-
 
 def _part_suspects(admitted):
     return [part_suspect(name) for name in admitted.shared_parts[:_MAX_PARTS]]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -22,6 +22,7 @@
     "NODE_STARTED",
     "NODE_STOPPED",
     "QUARANTINE_LIFTED",
+    "QUARANTINE_PROBED",
     "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
@@ -188,6 +189,12 @@
     ("suspect", "source"),
     "A request that was suspected of crashing targets was answered.",
 )
+QUARANTINE_PROBED = declare(
+    629,
+    "node.quarantine_probed",
+    ("suspects",),
+    "One quarantined request is sent, to see whether it is sound.",
+)
 ADAPTER_VERSION = declare(
     619,
     "node.adapter_version",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -164,7 +164,7 @@
 
     def _run(self, inbound, admitted, state):
         parts = self._parts
-        self._crash_guard.check(admitted)
+        self._crash_guard.check(admitted, state)
         if admitted.resumes_stream:
             self._streams.find_origin(admitted, state)
         self._take_tokens(admitted, state)
@@ -188,7 +188,7 @@
         with self._lock:
             waiting = [state for state in self._open if state.ticket is not None]
         for state in waiting:
-            if self._crash_guard.refuses(state.admitted):
+            if self._crash_guard.refuses(state.admitted, state):
                 state.stop_waiting()
 
     def _take_tokens(self, admitted, state):
@@ -259,7 +259,7 @@
             state.ticket = None
             if state.caller_gone.is_set():
                 raise CallerLeftError
-            self._crash_guard.check(admitted)
+            self._crash_guard.check(admitted, state)
             raise RefusedError(503, "no decision", policy.failed_retry_s)
         state.ticket = None
         if isinstance(ticket.decision, Refuse):
@@ -330,7 +330,7 @@
 
     def _send(self, admitted, state, placement):
         policy, target = self._policy, placement.target
-        self._crash_guard.check(admitted)
+        self._crash_guard.check(admitted, state)
         idle_s = policy.safe_idle_s
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -12,6 +12,8 @@
         self.caller_gone = threading.Event()
         # Admitted request, once it is.
         self.admitted = None
+        # Whether it tries whether a quarantined request is sound.
+        self.is_probe = False
         self.attempts = 0
         self.excluded = frozenset()
         self.connection = None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
@@ -50,7 +50,10 @@
         self.newest_view = (0, 0)
         self.reported_at = 0.0
         self.exchange = CrashExchange(
-            network.clock, lambda address: True, network.call_later
+            network.clock,
+            lambda address: True,
+            network.call_later,
+            lambda: network.coordinator is self,
         )
         self.exchange.request_report = lambda: network.call_later(
             _REPORT_GAP_S, self.send_report
@@ -156,7 +159,11 @@
 
     def _attempt(self, node, suspects, number):
         exchange = node.exchange
-        if exchange.refused_for(suspects[0], suspects[1:]) > 0:
+        is_refused = exchange.refused_for(suspects[0], suspects[1:]) > 0
+        is_probe = is_refused and number == 1
+        if is_probe and not exchange.start_probe(suspects[0], suspects[1:]):
+            return
+        if is_refused and not is_probe:
             return
         self.sent.append(Sent(self.clock.now, node.name))
         target = _target(f"t{len(self.sent)}")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -57,7 +57,7 @@
             8.0,
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
-            CrashExchange(self.clock, lambda address: False, None),
+            CrashExchange(self.clock, lambda address: False, None, lambda: False),
         )
         self.addCleanup(self.coordinator.close)
         rules = engine_rules()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -94,6 +94,7 @@
     def setUp(self):
         self.clock = Clock()
         self.refuses = True
+        self.leads = False
         self.later = []
         self.exchange = self.make()
 
@@ -102,6 +103,7 @@
             self.clock,
             lambda address: self.refuses,
             lambda delay_s, function: self.later.append(function),
+            lambda: self.leads,
         )
 
     def break_at(self, name, suspects, **fields):
@@ -187,6 +189,52 @@
         self.assertIn(FATAL[0], self.report(1).answered)
 
 
+class TestProbes(ExchangeTestCase):
+    def setUp(self):
+        super().setUp()
+        self.leads = True
+        self.break_at("t1", FATAL)
+        self.break_at("t2", FATAL)
+
+    def test_sound_request_is_cleared_by_a_probe(self):
+        self.assertFalse(self.exchange.start_probe(*FATAL))
+        self.clock.now += 10.0
+        self.assertGreater(self.exchange.refused_for(*FATAL), 0.0)
+        self.assertTrue(self.exchange.start_probe(*FATAL))
+        self.exchange.record_answer(FATAL)
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
+
+    def test_only_one_request_of_one_node_tries(self):
+        self.clock.now += 10.0
+        self.leads = False
+        self.assertFalse(self.exchange.start_probe(*FATAL))
+        self.leads = True
+        tried = [self.exchange.start_probe(*FATAL) for _ in range(5)]
+        self.assertEqual(tried, [True, False, False, False, False])
+
+    def test_probe_that_got_no_target_is_repeated(self):
+        self.clock.now += 10.0
+        self.assertTrue(self.exchange.start_probe(*FATAL))
+        self.clock.now += 10.0
+        self.assertTrue(self.exchange.start_probe(*FATAL))
+
+    def test_probe_that_crashes_its_target_is_repeated_ever_later(self):
+        waits = []
+        for number in range(4):
+            before = self.clock.now
+            while not self.exchange.start_probe(*FATAL):
+                self.clock.now += 10.0
+            waits.append(self.clock.now - before)
+            self.break_at(f"p{number}", FATAL)
+        self.assertEqual(waits, [10.0, 20.0, 3600.0, 86_400.0])
+
+    def test_retry_delay_is_the_time_until_the_next_probe(self):
+        self.assertEqual(self.exchange.retry_in_s(*FATAL), 10.0)
+        self.break_at("t3", FATAL)
+        self.clock.now += 5.0
+        self.assertEqual(self.exchange.retry_in_s(*FATAL), 15.0)
+
+
 class TestReports(ExchangeTestCase):
     def setUp(self):
         super().setUp()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_guard.py
@@ -22,11 +22,18 @@
         self.refused = []
         self.answers = []
         self.refused_s = 0.0
+        self.may_probe = False
         self.refused_count = 0
 
     def refused_for(self, request, parts):
         return self.refused_s if (request, parts) == (DIGEST, PARTS) else 0.0
 
+    def retry_in_s(self, request, parts):
+        return self.refused_s
+
+    def start_probe(self, request, parts):
+        return self.may_probe
+
     def was_quarantined(self, suspects):
         return self.refused_s > 0 and DIGEST in suspects
 
@@ -129,15 +136,30 @@
     def test_quarantined_request_is_refused_with_the_time_left(self):
         self.crashes.refused_s = 25.0
         with self.assertRaises(RefusedError) as caught:
-            self.guard.check(self.admitted())
+            self.guard.check(self.admitted(), self.state)
         error = caught.exception
         self.assertEqual((error.status, error.retry_after_s), (503, 25.0))
         self.assertEqual(self.crashes.refused_count, 1)
-        self.assertTrue(self.guard.refuses(self.admitted()))
+        self.assertTrue(self.guard.refuses(self.admitted(), self.state))
         self.assertFalse(self.guard.may_retry(self.admitted()))
 
+    def test_probe_passes_all_checks_and_has_one_attempt(self):
+        self.crashes.refused_s = 25.0
+        self.crashes.may_probe = True
+        self.guard.check(self.admitted(), self.state)
+        self.crashes.may_probe = False
+        self.guard.check(self.admitted(), self.state)
+        self.assertFalse(self.guard.may_retry(self.admitted()))
+
+    def test_retry_is_no_probe(self):
+        self.crashes.refused_s = 25.0
+        self.crashes.may_probe = True
+        self.state.begin_attempt("t1")
+        with self.assertRaises(RefusedError):
+            self.guard.check(self.admitted(), self.state)
+
     def test_other_requests_pass(self):
-        self.guard.check(self.admitted())
+        self.guard.check(self.admitted(), self.state)
         self.assertTrue(self.guard.may_retry(self.admitted()))
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
@@ -160,7 +160,7 @@
             8.0,
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
-            CrashExchange(self.clock, lambda address: False, None),
+            CrashExchange(self.clock, lambda address: False, None, lambda: False),
         )
         coordinator.set_targets(dict(self.store))
         coordinator.take_over({})
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
@@ -45,6 +45,7 @@
             clock,
             lambda address: True,
             lambda delay_s, function: self.later.append(function),
+            lambda: False,
         )
         self.copy = QuarantineStore(
             store, self.crashes, clock, lambda: self.leads, lambda: self.view_age_s
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -91,7 +91,7 @@
             "X-Hibiscusspar-Prompt-Prefix": f"system:50,{adapter}:30,{request_id}:20",
             "X-Hibiscusspar-Deadline-Ms": "6000",
         }
-        self._connection.request("POST", f"/{route}/x", body=b"{}", headers=headers)
+        self._connection.request("POST", f"/{route}/x", request_id.encode(), headers)
         response = self._connection.getresponse()
         body = b""
         try:
@@ -119,7 +119,9 @@
             "Last-Event-Id": str(len(events)),
         }
         try:
-            connection.request("POST", "/draft/x", b"{}", {**headers, **new_headers})
+            connection.request(
+                "POST", "/draft/x", request_id.encode(), {**headers, **new_headers}
+            )
             response = connection.getresponse()
             body = response.read()
         finally:
