Pause for two seconds after a failed call for the stored quarantine

While the store is away, a process that had not read the quarantine yet, or had no coordinator, tried again every 0.3 s. A failed call is repeated after 2 s now, and nodes without a coordinator read every 2 s instead of each second.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -360,10 +360,9 @@
     def _run_quarantine_store(self):
         pause_s = 0.0
         while not self._stopping.wait(pause_s):
-            pause_s = _STORE_RETRY_S
+            pause_s = _QUARANTINE_STEP_S
             try:
-                if self._parts.quarantine_store.step():
-                    pause_s = _QUARANTINE_STEP_S
+                self._parts.quarantine_store.step()
             except Exception as error:  # noqa: BLE001
                 log_failure("quarantine store", error)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
@@ -15,9 +15,9 @@
 
 QUARANTINE_KIND = "hibiscusspar-quarantine"
 _NAME = "verdicts"
-# Interval of the coordinator's reads, in seconds, and of those of a node without one.
-_COORDINATOR_READ_S = 2.0
-_ALONE_READ_S = 1.0
+# Interval of reads by the coordinator and by nodes without one, and the pause after a
+# call that failed, in seconds.
+_READ_S = 2.0
 # Age in seconds of the last view beyond which a node reads and writes by itself.
 _VIEW_SILENT_S = 1.5
 # Verdicts that are stored at most, the latest ones.
@@ -45,37 +45,30 @@
         self._leads = leads
         self._view_age_s = view_age_s
         self._read_at = None
+        self._retry_at = 0.0
         self._revision = 0
         self._stored = {}
 
     def step(self):
-        """Make the store call that is due, if any.
-
-        Returns
-        -------
-        bool
-            False if the store did not answer.
-        """
+        """Make the store call that is due, if any."""
         now = self._clock()
         if self._read_at is not None and not self._is_responsible():
-            return True
+            return
+        if now < self._retry_at:
+            return
         try:
-            if self._read_at is None or now >= self._read_at + self._read_interval_s():
+            if self._read_at is None or now >= self._read_at + _READ_S:
                 self._read(now)
             elif self._crash_counts() != self._stored:
                 self._write()
         except StepError as error:
+            self._retry_at = now + _READ_S
             log_failure("quarantine store", error)
-            return False
-        return True
 
     def _is_responsible(self):
         age_s = self._view_age_s()
         return self._leads() or age_s is None or age_s > _VIEW_SILENT_S
 
-    def _read_interval_s(self):
-        return _COORDINATOR_READ_S if self._leads() else _ALONE_READ_S
-
     def _crash_counts(self):
         """Return the number of crashes of each suspect that should be stored."""
         rows = self._crashes.verdict_rows()[-_MAX_ROWS:]
