--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -92,6 +92,7 @@
 
     def failed(self, admitted, state, failure, next_step):
         """Log a failed attempt and the next step."""
+        self._metrics.failed_attempts.labels(failure.step).inc()
         fields = {
             "request": admitted.call.request_id,
             "target": state.target_id,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -27,6 +27,12 @@
             ("status", "reason"),
             registry=registry,
         )
+        self.failed_attempts = Counter(
+            "hibiscusspar_attempts_failed",
+            "Attempts at targets that failed, by the step that failed.",
+            ("step",),
+            registry=registry,
+        )
         self.broken = Counter(
             "hibiscusspar_calls_broken",
             "Requests that got no whole answer and may have run.",
