Let tests cut the links of one node to all targets

Connections to targets come from a factory, which tests replace by one whose connections hang, are reset, or live on while new ones are refused.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -312,11 +312,14 @@
     ----------
     clock : callable
     connect_timeout_s : float
+    connection_type : callable, optional
+        Creates a connection from its address and the timeout.
     """
 
-    def __init__(self, clock, connect_timeout_s):
+    def __init__(self, clock, connect_timeout_s, connection_type=TargetConnection):
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
+        self._connection_type = connection_type
         self._lock = threading.Lock()
         self._idle = {}
         self.opened = 0
@@ -342,11 +345,25 @@
             ):
                 return connection
             connection.close()
-        connection = TargetConnection(address, self._connect_timeout_s)
+        connection = self._connection_type(address, self._connect_timeout_s)
         self.opened += 1
         connection.connect()
         return connection
 
+    def check(self, address):
+        """Open and close a connection, to find out whether a host can be reached.
+
+        Raises
+        ------
+        CallFailedError
+        """
+        connection = self._connection_type(address, _CHECK_TIMEOUT_S)
+        self.opened += 1
+        try:
+            connection.connect()
+        finally:
+            connection.close()
+
     def release(self, target_id, connection, headers):
         """Return a connection to the pool after its answer was read to the end.
 
