Send requests through a peer while a node's own links to targets are cut

Cause: a node could send a request only over its own links. 734 of 734 new connections of the cut nodes were refused, at nine targets of nine, while the others reached all of them.

Change: a failed attempt, or a second without any answer, makes a node connect to up to three targets of the service. If none accepts, it asks its peers, and those that were lately answered by the service offer to be its proxy, each with a token. The node keeps all that it decides (key, tokens, target, permits, retries, stream origins); the proxy sends the request once over its own links and passes on the answer. Until two targets accept connections again, nothing is sent directly. Nothing is exchanged while no path is cut. Messages of older builds are understood, and they ignore the new fields of a notice.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -15,6 +15,7 @@
     "OrderRequest",
     "OrderResult",
     "PermitGrant",
+    "ProxyOffer",
     "QuarantineRow",
     "SendNotice",
     "StreamBegan",
@@ -205,18 +206,35 @@
     software: str
 
 
-class SendNotice(Struct, tag="sent"):
+class ProxyOffer(Struct, array_like=True):
+    """Offer to send requests for some services as the proxy of one node.
+
+    ``token`` must come with each request, ``port`` is the TCP port of the sender that
+    takes them, ``load`` the number of its open requests.
+    """
+
+    services: list[str]
+    token: str
+    port: int
+    load: int
+
+
+class SendNotice(Struct, tag="sent", omit_defaults=True):
     """Requests that a node has just sent, as targets and prompt tokens.
 
     ``relay`` is whether the receiver forwards the notice within its zone. ``began``
     holds origins of streams; ``asked`` names streams whose origins the sender needs,
-    and the receiver answers with those that it knows. Older builds ignore both.
+    and the receiver answers with those that it knows. ``proxy_asked`` names services
+    whose targets the sender can't reach; a receiver that can answers with a
+    ``proxy_offer``. Older builds ignore these four.
     """
 
     sends: list[tuple[str, int]]
     relay: bool = False
     began: list[StreamBegan] = []
     asked: list[str] = []
+    proxy_asked: list[str] = []
+    proxy_offer: ProxyOffer | None = None
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/peers.py
@@ -102,10 +102,15 @@
         """Number of nodes in the table."""
         return len(self._rows)
 
+    @property
+    def peers(self):
+        """Nodes in the table by name."""
+        return {name: peer for name, (peer, _) in self._rows.copy().items()}
+
     @property
     def addresses(self):
         """Address of each node in the table by name."""
-        return {name: peer.address for name, (peer, _) in self._rows.copy().items()}
+        return {name: peer.address for name, peer in self.peers.items()}
 
     def direct_addresses(self, now, zone):
         """Return the addresses of the nodes that receive notices directly.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -63,16 +63,19 @@
         """Record a failed attempt, which the request may have caused."""
         if error.is_refused:
             self._crashes.record_refused_connection(target)
-        if error.step not in _CRASH_STEPS:
-            return
+        suspects = self.suspects(admitted, state)
+        if error.step in _CRASH_STEPS and suspects:
+            self._crashes.record_break(target, suspects)
+
+    def suspects(self, admitted, state):
+        """Return what a crash of the target would be blamed on now."""
         suspects = []
         began_at = state.attempt_event_at
         if began_at is None or self._clock() < began_at + _BEGINNING_S:
             suspects.append(admitted.digest)
         if state.last_event(admitted.call) is None:
             suspects += _part_suspects(admitted)
-        if suspects:
-            self._crashes.record_break(target, suspects)
+        return suspects
 
     def record_begin(self, admitted):
         """Record the first event of a stream, which speaks for all of its prompt."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -9,6 +9,8 @@
     "CALL_ANSWERED",
     "CALL_BROKEN",
     "CALL_FAILED_AT_TARGET",
+    "CALL_PROXIED",
+    "CALL_SENT_FOR_PEER",
     "CALL_REFUSED",
     "CALL_SENT",
     "CONFIGURATION_BAD",
@@ -21,6 +23,7 @@
     "NODE_DRAINING",
     "NODE_STARTED",
     "NODE_STOPPED",
+    "PATH_CHANGED",
     "QUARANTINE_LIFTED",
     "QUARANTINE_PROBED",
     "REQUEST_QUARANTINED",
@@ -269,3 +272,23 @@
     ("request", "account", "target", "status", "reason", "events", "seconds"),
     "A request got no complete answer and may have run, or its caller disconnected.",
 )
+PATH_CHANGED = declare(
+    635,
+    "node.path_changed",
+    ("service", "is_cut", "tried"),
+    "The node has lost its path to the targets of a service, or has it again; `tried` "
+    "lists the targets that it tried to connect to.",
+)
+CALL_PROXIED = declare(
+    636,
+    "call.proxied",
+    ("request", "target", "peer", "refused"),
+    "Another node sends a request to its target, as this one has no path; `refused` "
+    "lists the nodes that did not, with their reasons.",
+)
+CALL_SENT_FOR_PEER = declare(
+    637,
+    "call.sent_for_peer",
+    ("request", "target", "status", "reason", "seconds"),
+    "A request of another node was sent to its target, or refused (`status` 0).",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -334,8 +334,9 @@
         idle_s = policy.safe_idle_s
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
-        connection = self._parts.connections.acquire(
-            target.target_id, target.address, idle_s
+        suspects = self._crash_guard.suspects(admitted, state)
+        connection = self._parts.paths.acquire(
+            target, idle_s, admitted.call.request_id, suspects
         )
         state.connection = connection
         if state.caller_gone.is_set():
@@ -352,10 +353,8 @@
             last_event,
             placement.version if admitted.call.adapter else 0,
         )
-        headers = self._parts.dialect.target_headers(
-            admitted.head, admitted.call, forwarding
-        )
         head = admitted.head
+        headers = self._parts.dialect.target_headers(head, admitted.call, forwarding)
         connection.send(head.method, head.uri, headers, admitted.body, remaining_s)
         return connection, connection.response(self._answer_wait_s(admitted, state))
 
@@ -444,7 +443,7 @@
 
     def _return_connection(self, state, connection, response):
         state.connection = None
-        self._parts.connections.release(state.target_id, connection, response.headers)
+        connection.release(response.headers)
 
     def _handle_failure(self, admitted, state, failure):
         """Prepare another attempt, or raise if the failure is final."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -76,6 +76,9 @@
     quota_changed: Any
     retry_budgets: Any
     connections: Any
+    paths: Any
+    path_watch: Any
+    peer_proxy: Any
     disconnect_watch: Any
     metrics: Any
     election: Any
@@ -140,6 +143,7 @@
         for server in self._status_servers:
             server.stop()
         self._coordinator.close()
+        self._parts.peer_proxy.stop()
         self._parts.call_later.close()
         self._parts.order_dispatcher.close()
 
@@ -245,6 +249,7 @@
             self._notice_sender.relay(message)
             self._parts.request_scheduler.apply_notice(message)
             self._parts.origins.apply_notice(message, address)
+            self._parts.path_watch.apply_notice(message, address)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
@@ -262,6 +267,8 @@
                 "running": running,
                 "open": self._forwarder.open_requests,
                 "connections_opened": self._parts.connections.opened,
+                "services_cut_off": len(self._parts.path_watch.cut_services),
+                "sent_for_peers": self._parts.peer_proxy.sent_count,
                 "sent_bytes": self._channel.sent_bytes,
                 "received_bytes": self._channel.received_bytes,
                 "planned_orders": self._coordinator.planned,
@@ -287,6 +294,7 @@
         parts = self._parts
         started_at = parts.clock()
         self._forwarder.draining_since = started_at
+        parts.peer_proxy.is_closing = True
         grace_s = parts.settings.bounds.grace_s - _GRACE_MARGIN_S
         fields = {"open": self._forwarder.open_requests, "grace_s": grace_s}
         write_records([(NODE_DRAINING, fields)])
@@ -294,7 +302,7 @@
             lease_keeper.release()
         while parts.clock() - started_at < grace_s:
             is_closed = self._forwarder.is_closed(parts.clock())
-            if is_closed and not self._forwarder.open_requests:
+            if is_closed and not self._open_requests:
                 break
             sleep(_TICK_S)
         fields = {
@@ -304,6 +312,11 @@
         write_records([(NODE_STOPPED, fields)])
         parts.log_sink.flush()
 
+    @property
+    def _open_requests(self):
+        proxy = self._parts.peer_proxy
+        return self._forwarder.open_requests + proxy.open_requests
+
     def _apply_view(self, view):
         parts = self._parts
         self._fence = max(self._fence, parts.election.fence)
@@ -406,6 +419,8 @@
 
     def _tick(self):
         self._parts.request_scheduler.tick()
+        self._parts.path_watch.tick()
+        self._parts.peer_proxy.grow()
         self._front.grow()
         if self._parts.election.leads:
             if self._view_requested.is_set():
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxy_messages.py
@@ -0,0 +1,77 @@
+"""Requests that a node without a path sends to its proxy, and the answers.
+
+The body of the request for the target is the body of the request to the proxy; all else
+is in one header. The answer of the target comes back in the same way, so no header of
+callers or targets can be taken for one of the proxy.
+"""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from typing import NamedTuple
+
+from msgspec import MsgspecError
+from msgspec.json import decode as from_json
+from msgspec.json import encode as to_json
+
+__all__ = [
+    "ANSWER_HEADER",
+    "CALL_HEADER",
+    "PROXY_URI",
+    "REFUSAL_HEADER",
+    "UNREACHABLE",
+    "ProxyAnswer",
+    "ProxyCall",
+    "decode_header",
+    "encode_header",
+]
+
+PROXY_URI = "/proxy"
+CALL_HEADER = "Proxy-Call"
+ANSWER_HEADER = "Proxy-Answer"
+# Reason for which the proxy has not sent the request.
+REFUSAL_HEADER = "Proxy-Refusal"
+# Reason of a proxy that can't connect to the target.
+UNREACHABLE = "unreachable"
+
+
+class ProxyCall(NamedTuple):
+    """Head of a request that a proxy sends.
+
+    ``token`` is that of the proxy's offer, ``remaining_s`` the time until the deadline.
+    ``suspects`` holds what is reported as the cause if the target crashes.
+    """
+
+    token: str
+    target_id: str
+    request_id: str
+    method: str
+    uri: str
+    headers: list[tuple[str, str]]
+    remaining_s: float
+    suspects: list[str]
+
+
+class ProxyAnswer(NamedTuple):
+    """Head of a target's answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+
+def encode_header(message):
+    """Return a message as the value of a header."""
+    return b64encode(to_json(message)).decode("ascii")
+
+
+def decode_header(text, message_type):
+    """Return the message in a header.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed.
+    """
+    try:
+        return from_json(b64decode(text, validate=True), type=message_type)
+    except (Base64Error, MsgspecError) as error:
+        raise ValueError(str(error)) from error
