Hand over the duty to order loads while a node can't reach the engines

An order counts for the machine that sends it, so a peer can't send it instead.

Change: a node whose path to the engines of a zone is cut while a peer reaches them releases that zone's lease, and applies again once it has a path.

--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -145,6 +145,10 @@
             return None
         return self._write(self._record.fence, released=True)
 
+    def resume(self):
+        """Apply for the lease again after a release."""
+        self._is_releasing = False
+
     def on_read(self, now, record, revision):
         """Handle the result of a read; ``record`` is None if there is no object."""
         self._is_current = True
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -31,15 +31,28 @@
         lately or other nodes look for a successor.
     levels : callable, optional
         Returns the levels of accounts to store with the lease.
+    is_able : callable, optional
+        Returns whether this process can do the duty. Otherwise it hands it over.
     """
 
-    def __init__(self, name, election, store, clock, skips_read, levels=dict):
+    def __init__(
+        self,
+        name,
+        election,
+        store,
+        clock,
+        skips_read,
+        levels=dict,
+        is_able=lambda: True,
+    ):
         self._name = name
         self.election = election
         self._store = store
         self._clock = clock
         self._skips_read = skips_read
         self._levels = levels
+        self._is_able = is_able
+        self._was_able = True
         self._stored_levels = {}
         self._logged_state = None
 
@@ -56,6 +69,13 @@
         bool
             False if the store did not answer.
         """
+        if not self._is_able():
+            self._was_able = False
+            self.release()
+            return True
+        if not self._was_able:
+            self._was_able = True
+            self.election.resume()
         action = self.election.action(self._clock(), self._skips_read())
         if action is None:
             return True
@@ -75,6 +95,7 @@
             return
         try:
             self._execute(action)
+            self._log_change()
         except StepError as error:
             log_failure(f"release {self._name}", error)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/path_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/path_watch.py
@@ -90,6 +90,20 @@
         with self._lock:
             self._paths.record_failure(service)
 
+    def reaches_engines(self, zone):
+        """Return whether this node, or else no peer, reaches the engines of a zone."""
+        with self._lock:
+            now = self._clock()
+            cut = {
+                service
+                for service in self._paths.cut_services
+                if self._offers.has_offer(now, service)
+            }
+            return not cut or not any(
+                target.service in cut and target.zone == zone and target.models
+                for target in self._targets.values()
+            )
+
     def has_offer(self, service):
         """Return whether a peer offers to be the proxy for a service."""
         with self._lock:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
@@ -69,3 +69,46 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestDutyOfANodeThatCannotDoIt(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.store = OneObjectStore()
+        self.able = {"a": True, "b": True}
+
+    def lease_keeper(self, machine):
+        election = Election(machine, "s1", f"{machine}:1", LeaseTiming())
+        return LeaseKeeper(
+            "orders-z",
+            election,
+            self.store,
+            self.clock,
+            lambda: False,
+            is_able=lambda: self.able[machine],
+        )
+
+    def run_for(self, seconds, *lease_keepers):
+        for _ in range(int(seconds / 0.1)):
+            for lease_keeper in lease_keepers:
+                lease_keeper.step()
+            self.clock.now += 0.1
+
+    def test_another_node_takes_the_duty_over(self):
+        first, second = self.lease_keeper("a"), self.lease_keeper("b")
+        self.run_for(3.0, first)
+        self.assertTrue(first.election.may_order(self.clock()))
+        self.able["a"] = False
+        self.run_for(1.0, first, second)
+        self.assertFalse(first.election.may_order(self.clock()))
+        self.assertTrue(second.election.leads)
+
+    def test_node_applies_again_once_it_can(self):
+        keeper = self.lease_keeper("a")
+        self.run_for(1.0, keeper)
+        self.able["a"] = False
+        self.run_for(1.0, keeper)
+        self.assertFalse(keeper.election.leads)
+        self.able["a"] = True
+        self.run_for(1.0, keeper)
+        self.assertTrue(keeper.election.may_order(self.clock()))
