Blame no request for connections that a cut path has ended

Cause: a connection that ends, followed by a refused one, counted as a crash of the target. A cut path resets connections and refuses new ones as well.

Change: a refusal confirms a crash only if this node reaches another target of the service then.

What remains: a path that is cut to one target only still looks like a crash of it.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -6,6 +6,7 @@
 
 import threading
 from contextlib import contextmanager
+from functools import partial
 
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
@@ -22,6 +23,8 @@
     REQUEST_QUARANTINED,
     TARGET_CRASHED,
 )
+from hibiscusspar_entry.fleet.own_crash import OwnCrash
+from hibiscusspar_entry.fleet.refusal_check import RefusalCheck
 
 __all__ = ["CrashExchange"]
 
@@ -54,18 +57,6 @@
 _LOGGED_CRASHES = 8
 
 
-class _OwnCrash:
-    """Crash that this node saw, with the report that first told the coordinator."""
-
-    def __init__(self, target, at, suspects):
-        self.target = target
-        self.at = at
-        self.suspects = suspects
-        self.is_confirmed = False
-        self.report_number = None
-        self.is_acked = False
-
-
 class CrashExchange:
     """Crashes that this node sees, and the verdicts of the whole fleet.
 
@@ -73,7 +64,7 @@
     ----------
     clock : callable
     refuses_connections : callable
-        Returns whether nothing listens at an address.
+        Returns whether a target, and not the path to it, refuses connections.
     call_later : callable
         Calls a function after a delay in seconds.
     may_probe : callable
@@ -82,7 +73,7 @@
 
     def __init__(self, clock, refuses_connections, call_later, may_probe):
         self._clock = clock
-        self._refuses_connections = refuses_connections
+        self._refusal_check = RefusalCheck(refuses_connections, call_later)
         self._requests = Quarantine()
         self._parts = Quarantine(PART_POLICY)
         # Suspects that views have told, and those of them that were to be refused.
@@ -91,7 +82,6 @@
         self._lock = threading.Lock()
         # Callbacks to call once the lock is free.
         self._due_calls = []
-        self._call_later = call_later
         self._may_probe = may_probe
         # Start of the probe in progress by suspect.
         self._probed_at = {}
@@ -188,15 +178,15 @@
                 if own.is_confirmed:
                     self._confirm(now, own, "known")
                 return
-            own = self._own[crash] = _OwnCrash(target, now, [*suspects])
-        self._call_later(_CHECK_DELAY_S, lambda: self._check(own))
+            own = self._own[crash] = OwnCrash(target, now, [*suspects])
+        self._check(_CHECK_DELAY_S, own)
 
     def record_refused_connection(self, target):
-        """Record that a target refuses connections."""
-        with self._locked() as now:
+        """Record that a target refused a connection, perhaps because it crashed."""
+        with self._lock:
             own = self._own.get(_crash_id(target))
-            if own is not None and not own.is_confirmed:
-                self._confirm(now, own, "refused")
+        if own is not None and not own.is_confirmed:
+            self._check(0.0, own)
 
     def set_targets(self, targets):
         """Check broken connections against the directory of targets."""
@@ -328,11 +318,14 @@
         elif not was_refused and table.refused_for(now, row.suspect) > 0:
             self._announce(now, row.suspect, source)
 
-    def _check(self, own):
+    def _check(self, delay_s, own):
         """Find out whether a target whose connection ended still listens."""
-        is_refused = self._refuses_connections(own.target.address)
+        on_refused = partial(self._confirm_refused, own)
+        self._refusal_check.request(delay_s, own.target, on_refused)
+
+    def _confirm_refused(self, own):
         with self._locked() as now:
-            if is_refused and not own.is_confirmed:
+            if not own.is_confirmed:
                 self._confirm(now, own, "refused")
 
     def _confirm(self, now, own, evidence):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader, RawIOBase
-from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT, create_connection
+from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -19,7 +19,6 @@
     "Response",
     "TargetConnection",
     "TargetConnections",
-    "refuses_connections",
 ]
 
 # Headers that urllib3 would add by itself.
@@ -395,18 +394,6 @@
             return idle.pop() if idle else None
 
 
-def refuses_connections(address):
-    """Return whether a host is reachable and nothing listens at its port."""
-    host, _, port = address.rpartition(":")
-    try:
-        create_connection((host, int(port)), _CHECK_TIMEOUT_S).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def keep_alive_s(headers):
     """Return the seconds that the target announces to keep an idle connection."""
     for part in headers.get("Keep-Alive", "").split(","):
