Send a target nothing while it wants rest from this node

Cause: Retry-After of a target was dropped where answers are decoded, so no choice of a target knew of it.

Change: answer heads carry the rest; TargetStatements keeps it by incarnation for the node that was answered, a proxy included; TargetGate, until now for limits only, leaves out targets that rest. A request that finds only resting targets waits if the first rest ends in time, else it is refused at once with that time as Retry-After, spread. A rest is no failure of the target. Connections that are opened while the answer comes send nothing.

--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -14,9 +14,13 @@
     "RetryBudget",
     "RetryBudgets",
     "RetryDecision",
+    "UNSENT_STEPS",
     "retry_decision",
 ]
 
+# Steps that fail before a byte of the request is sent: the target can't be connected
+# to, or has closed itself to this node.
+UNSENT_STEPS = ("connect", "closed")
 # Most attempts at unreachable targets; each takes some milliseconds.
 MAX_UNREACHABLE_ATTEMPTS = 6
 
@@ -29,10 +33,10 @@
 class AttemptFailure(NamedTuple):
     """Failure of an attempt.
 
-    ``step`` is ``"connect"`` if no byte of the request was sent. ``not_run`` is whether
-    the target certainly did not run it, ``adapter_missing`` whether the target does not
-    hold the model or adapter that the request needs, ``is_whole`` whether its answer
-    belongs to the request and can be read to the end.
+    ``step`` is one of ``UNSENT_STEPS`` if no byte of the request was sent. ``not_run``
+    is whether the target certainly did not run it, ``adapter_missing`` whether the
+    target does not hold the model or adapter that the request needs, ``is_whole``
+    whether its answer belongs to the request and can be read to the end.
     """
 
     step: str
@@ -75,7 +79,7 @@
     """
     if remaining_s <= 0 or not resumable:
         return RetryDecision.END
-    if failure.step == "connect":
+    if failure.step in UNSENT_STEPS:
         # Nothing arrived at the target, so this doesn't count as a retry.
         return (
             RetryDecision.RETRY
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -18,7 +18,7 @@
     "WaitPolicy",
     "decide",
     "job_sort_key",
-    "refuse_for_limit",
+    "wait_for_open_target",
 ]
 
 
@@ -148,14 +148,14 @@
     return Wait("busy" if candidates else "adapter not resident")
 
 
-def refuse_for_limit(now, job, permit_wait_s, policy=None):
-    """Decide on a request for which only targets with a limit remain.
+def wait_for_open_target(now, job, open_in_s, policy=None):
+    """Decide on a request whose targets all have a limit or rest.
 
     Parameters
     ----------
     now : float
     job : Job
-    permit_wait_s : float or None
+    open_in_s : float or None
         Expected seconds until one of them takes a further request; None if there are
         other targets.
     policy : WaitPolicy, optional
@@ -165,9 +165,9 @@
     Wait or Refuse
         A refusal if the request could not be sent in time.
     """
-    if permit_wait_s is None or now + permit_wait_s <= job.give_up_at:
+    if open_in_s is None or now + open_in_s <= job.give_up_at:
         return Wait("limited")
-    return _refuse(policy or WaitPolicy(), job, "limited", permit_wait_s)
+    return _refuse(policy or WaitPolicy(), job, "limited", open_in_s)
 
 
 def _keeps_streams_in_time(choice, policy, job, candidate):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -20,7 +20,7 @@
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
-def tells_limit(admitted, answer, response):
+def tells_limit(request_id, answer, status):
     """Return whether an answer tells which limit its target names now.
 
     An answer to another request may be old, and a misdirected request may have been
@@ -28,10 +28,7 @@
     """
     if answer.limit_per_s is not None:
         return True
-    return (
-        answer.request_id == admitted.call.request_id
-        and response.status != _MISDIRECTED
-    )
+    return answer.request_id == request_id and status != _MISDIRECTED
 
 
 def head_failure(admitted, state, answer, response):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -35,6 +35,7 @@
     "TARGET_CRASHED",
     "TARGET_GONE",
     "TARGET_LIMIT",
+    "TARGET_RESTS",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
 ]
@@ -292,3 +293,9 @@
     ("request", "target", "status", "reason", "seconds"),
     "A request of another node was sent to its target, or refused (`status` 0).",
 )
+TARGET_RESTS = declare(
+    638,
+    "node.target_rests",
+    ("target", "rest_s"),
+    "A target turned a request away and wants none of this VM for so long.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -5,13 +5,17 @@
 from typing import NamedTuple
 
 from hibiscusspar.fleet.quota import Deferred, Granted, OverLimit
-from hibiscusspar.fleet.retries import AttemptFailure, RetryDecision, retry_decision
+from hibiscusspar.fleet.retries import (
+    UNSENT_STEPS,
+    AttemptFailure,
+    RetryDecision,
+    retry_decision,
+)
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar_entry.fleet.answer_checks import (
     ends_with_connection,
     head_failure,
     is_event_stream,
-    tells_limit,
 )
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
@@ -23,6 +27,7 @@
 )
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
+from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_wire.dialect import Forwarding
 from hibiscusspar_wire.event_stream import EventSplitter
 from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
@@ -278,8 +283,10 @@
         try:
             connection, response = self._send(admitted, state, placement)
             answer = self._parts.dialect.answer_head(response.status, response.headers)
-            if tells_limit(admitted, answer, response):
-                self._parts.limits.record_answer(target_id, answer.limit_per_s, sent_at)
+            origin = AnswerOrigin(placement.target, sent_at, connection.is_own)
+            self._parts.statements.record(
+                origin, answer, response.status, admitted.call.request_id
+            )
             failure = head_failure(admitted, state, answer, response)
             if failure is not None:
                 self._drain_refusal(state, connection, response, failure)
@@ -296,15 +303,13 @@
         except CallFailedError as error:
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
-            self._parts.request_scheduler.record_failure(
-                target_id, error.step == "connect"
-            )
+            is_unsent = error.step in UNSENT_STEPS
+            if error.step != "closed":
+                self._parts.request_scheduler.record_failure(target_id, is_unsent)
             self._crash_guard.record_failure(admitted, state, placement.target, error)
-            return AttemptFailure(
-                error.step, error.reason, error.step == "connect", False
-            )
+            return AttemptFailure(error.step, error.reason, is_unsent, False)
         finally:
-            connection, state.connection = state.connection, None
+            state.close_connection()
             self._parts.request_scheduler.release(placement, first_byte_received)
             if earlier_first_byte_at is None and state.first_byte_at is not None:
                 seconds = state.first_byte_at - admitted.arrived
@@ -321,7 +326,7 @@
             # The head is enough to decide; the rest of the refusal isn't needed.
             connection.close()
             return
-        self._return_connection(state, connection, response)
+        state.release_connection(response.headers)
 
     def _record_first_byte(self, state, placement):
         if state.first_byte_at is None:
@@ -402,7 +407,7 @@
                     inbound.send_head(response.status, headers)
                 inbound.write(bytes(body))
                 body.clear()
-        self._return_connection(state, connection, response)
+        state.release_connection(response.headers)
         if state.answer_begun:
             inbound.write(bytes(body))
         else:
@@ -436,15 +441,11 @@
             raise CallFailedError("read", connection.address, "a part of an event")
         if state.attempt_event_at is None and ends_with_connection(response):
             raise CallFailedError("read", connection.address, "no event")
-        self._return_connection(state, connection, response)
+        state.release_connection(response.headers)
         if not state.answer_begun:
             inbound.send_head(response.status, headers)
         self._log.answered(admitted, state, response.status)
 
-    def _return_connection(self, state, connection, response):
-        state.connection = None
-        connection.release(response.headers)
-
     def _handle_failure(self, admitted, state, failure):
         """Prepare another attempt, or raise if the failure is final."""
         now = self._clock()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -69,6 +69,7 @@
     watches: tuple
     request_scheduler: Any
     limits: Any
+    statements: Any
     origins: Any
     crashes: Any
     call_later: Any
@@ -282,6 +283,7 @@
                 "views_missed": self._view_sequence.missed,
                 "views_out_of_order": self._view_sequence.out_of_order,
                 "limited_targets": len(self._parts.limits.limited),
+                "resting_targets": self._parts.statements.resting_count,
                 "crashes_seen": self._parts.crashes.crash_count,
                 "quarantined": self._parts.crashes.quarantined_count,
                 "quarantine_refusals": self._parts.crashes.refused_count,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -23,6 +23,7 @@
     decode_header,
     encode_header,
 )
+from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_wire.front_server import (
     BadRequestError,
     CallerGoneError,
@@ -106,7 +107,7 @@
     paths : TargetPaths
     watch : PathWatch
     crashes : CrashExchange
-    limits : LimitExchange
+    statements : TargetStatements
     disconnect_watch : DisconnectWatch
     own_load : callable
         Returns the number of open requests of this node's callers.
@@ -120,7 +121,7 @@
         paths,
         watch,
         crashes,
-        limits,
+        statements,
         disconnect_watch,
         own_load,
     ):
@@ -130,7 +131,7 @@
         self._paths = paths
         self._watch = watch
         self._crashes = crashes
-        self._target_limits = limits
+        self._statements = statements
         self._disconnect_watch = disconnect_watch
         self._own_load = own_load
         self._tokens = ProxyTokens(clock)
@@ -234,20 +235,20 @@
         try:
             path = self._paths.acquire_own(target, _IDLE_S)
         except CallFailedError as error:
-            raise _NotSentError(UNREACHABLE) from error
+            reason = UNREACHABLE if error.step == "connect" else error.reason
+            raise _NotSentError(reason) from error
         watch = self._disconnect_watch
         handle = watch.add(inbound.socket, path.cancel)
         try:
             path.send(
                 call.method, call.uri, call.headers, body, ends_at - self._clock()
             )
+            sent_at = self._clock()
             self.sent_count += 1
             response = path.response(ends_at - self._clock())
             answer = self._dialect.answer_head(response.status, response.headers)
-            if answer.limit_per_s is not None:
-                self._target_limits.record_answer(
-                    target.target_id, answer.limit_per_s, self._clock()
-                )
+            origin = AnswerOrigin(target, sent_at)
+            self._statements.record(origin, answer, response.status, call.request_id)
             head = ProxyAnswer(response.status, list(response.headers.items()))
             inbound.send_head(200, [(ANSWER_HEADER, encode_header(head))])
             while data := path.read(response, ends_at - self._clock()):
@@ -277,6 +278,8 @@
             raise _NotSentError("busy")
         if target is None or target.draining:
             raise _NotSentError("the target leaves or is unknown")
+        if self._statements.is_closed(target):
+            raise _NotSentError("the target rests")
         if self._watch.is_cut(target.service):
             raise _NotSentError("no path")
         return target
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -22,7 +22,7 @@
     Wait,
     decide,
     job_sort_key,
-    refuse_for_limit,
+    wait_for_open_target,
 )
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
@@ -89,10 +89,10 @@
     version_grace_s : float
         Time for which an older version of an adapter may serve after a newer one was
         announced.
-    limit_gate : LimitGate
+    gate : TargetGate
     """
 
-    def __init__(self, node, start, zone, clock, ejection, version_grace_s, limit_gate):
+    def __init__(self, node, start, zone, clock, ejection, version_grace_s, gate):
         self.lock = threading.Lock()
         self.zone = zone
         self._node = node
@@ -116,7 +116,7 @@
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
-        self._limit_gate = limit_gate
+        self._gate = gate
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
@@ -151,7 +151,7 @@
             self._software_history.record(now, self._targets)
             self._targets = targets
             self._prompt_queues.retain(targets)
-            self._limit_gate.retain(targets)
+            self._gate.retain(targets)
             self._ejection.retain(targets)
             self._retry_waiting(now)
 
@@ -210,7 +210,7 @@
             self._view = view
             self._view_received_at = now
             self._acked_loads, used = self._acked_report()
-            self._limit_gate.apply_view(now, view)
+            self._gate.apply_view(now, view)
             for target_id, (number, rows) in view.residency.items():
                 state = (view.fence, number)
                 known, _ = self._residency.get(target_id, (_NO_STATE, None))
@@ -297,7 +297,7 @@
             now = self._clock()
             if grant.start != self._start or grant.fence < self._fence:
                 return
-            self._limit_gate.add_permits(now, grant.target_ids)
+            self._gate.add_permits(now, grant.target_ids)
             self._next_decision_at = now
             self._retry_waiting(now)
 
@@ -330,14 +330,14 @@
         with self.lock:
             self._number += 1
             now = self._clock()
-            self._limit_gate.retain(self._targets)
+            self._gate.retain(self._targets)
             loads = {
                 target_id: TargetLoad(load.running, load.queued_prompt_tokens)
                 for target_id, load in self._loads.items()
                 if load.running or load.queued_prompt_tokens
             }
             self._reports.append((self._number, loads, dict(used)))
-            permit_demand = self._limit_gate.take_demand(
+            permit_demand = self._gate.take_demand(
                 now,
                 [ticket.job for ticket in self._waiting],
                 lambda job: self._usable_versions(now, job),
@@ -357,7 +357,7 @@
                 used=dict(used),
                 duties=duties or {},
                 lacked_residency=self._lacked_residency[:_MAX_REQUESTED],
-                limits=self._limit_gate.report_rows(permit_demand),
+                limits=self._gate.report_rows(permit_demand),
                 permit_demand=permit_demand,
             )
 
@@ -427,13 +427,13 @@
         if (
             isinstance(decision, Wait)
             and not candidates
-            and not self._limit_gate.is_idle
+            and not self._gate.is_idle
             and self._usable_versions(now, job)
         ):
-            # Targets without a limit can load the adapter.
+            # Open targets can load the adapter.
             remaining = self._usable_targets(now, job)
-            permit_wait_s = self._limit_gate.wait_s(now, remaining)
-            decision = refuse_for_limit(now, job, permit_wait_s)
+            wait_s = self._gate.wait_s(now, remaining)
+            decision = wait_for_open_target(now, job, wait_s)
         if isinstance(decision, Wait):
             return False
         if not isinstance(decision, Send):
@@ -447,7 +447,7 @@
             job.prompt_tokens,
             decision.first_byte_s,
         )
-        self._limit_gate.record_send(target.target_id)
+        self._gate.record_send(target.target_id)
         load = self._load(target.target_id)
         load.running += 1
         load.queued_prompt_tokens += job.prompt_tokens
@@ -466,8 +466,8 @@
     def _candidates(self, now, job):
         """Return the targets that can run a job, and the version that each serves."""
         versions = self._usable_versions(now, job)
-        if not self._limit_gate.is_idle:
-            open_targets = self._limit_gate.open_targets(now, versions.keys())
+        if not self._gate.is_idle:
+            open_targets = self._gate.open_targets(now, versions.keys())
             versions = {t: v for t, v in versions.items() if t in open_targets}
         newest = max(versions.values(), default=0)
         if job.key[1]:
@@ -516,8 +516,8 @@
     def _excluded_from_loads(self, now, job):
         """Return the targets at which no adapter should be loaded for a job."""
         usable = self._usable_targets(now, job)
-        limited = self._limit_gate.excluded_from_loads(usable)
-        return sorted(self._service_targets(job.service) - usable | limited)
+        closed = self._gate.excluded_from_loads(now, usable)
+        return sorted(self._service_targets(job.service) - usable | closed)
 
     def _candidate(self, now, target):
         target_id = target.target_id
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -52,6 +52,17 @@
         self.target_id = target_id
         self.attempt_event_at = None
 
+    def release_connection(self, headers):
+        """Return the connection of the attempt, whose answer was read to the end."""
+        connection, self.connection = self.connection, None
+        connection.release(headers)
+
+    def close_connection(self):
+        """Close the connection of the attempt unless it was returned."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+
     def stop_waiting(self):
         """Wake the request if it waits for a target."""
         ticket = self.ticket
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/limit_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -1,36 +1,38 @@
-"""Gate in front of the targets that have named a limit."""
+"""Gate in front of the targets that have named a limit or asked for rest."""
 
 from collections import Counter
 
 from hibiscusspar.fleet.permits import NodePermits
 
-__all__ = ["LimitGate"]
+__all__ = ["TargetGate"]
 
 
-class LimitGate:
-    """Permits of one node, and the requests that need some.
+class TargetGate:
+    """Targets to which one node may send requests, and its permits for some of them.
 
     It is guarded by the lock of the scheduler that uses it.
 
     Parameters
     ----------
     limits : LimitExchange
+    statements : TargetStatements
     """
 
-    def __init__(self, limits):
+    def __init__(self, limits, statements):
         self._limits = limits
+        self._statements = statements
         self._permits = NodePermits()
         self._waiting_of_all = {}
         self._passed_over = set()
 
     @property
     def is_idle(self):
-        """Whether no target has a limit."""
-        return self._limits.is_empty
+        """Whether no target has a limit or rests."""
+        return self._limits.is_empty and self._statements.is_empty
 
-    def retain(self, target_ids):
-        """Drop what is known of other targets."""
-        self._limits.retain(target_ids)
+    def retain(self, targets):
+        """Drop what is known of other targets, given as a dict by id."""
+        self._statements.retain(targets)
 
     def apply_view(self, now, view):
         """Record the limits of a view, and how many requests wait for permits."""
@@ -47,11 +49,6 @@
         """Add permits, one for each name of a target."""
         self._permits.add(now, target_ids)
 
-    def is_open(self, now, target_id):
-        """Return whether a request may be sent to a target now."""
-        per_s = self._limits.per_s(target_id)
-        return per_s is None or self._permits.count(now, target_id, per_s) > 0
-
     def record_send(self, target_id):
         """Use a permit if the target needs one."""
         if self._limits.per_s(target_id) is not None:
@@ -60,34 +57,28 @@
     def open_targets(self, now, target_ids):
         """Return the targets to which a request may be sent now.
 
-        The others are counted as passed over until the next report.
+        Those that lack a permit are counted as passed over until the next report.
         """
-        closed = {t for t in target_ids if not self.is_open(now, t)}
-        self._passed_over |= closed
-        return target_ids - closed
+        awake = target_ids - self._statements.resting(now)
+        without_permit = {t for t in awake if not self._has_permit(now, t)}
+        self._passed_over |= without_permit
+        return awake - without_permit
 
     def wait_s(self, now, target_ids):
-        """Return the shortest wait for a permit, in seconds.
+        """Return the shortest wait for a permit or the end of a rest, in seconds.
 
-        It is None if one of the targets has no limit, or if there are no targets.
+        It is None if one of the targets is open, or if there are no targets.
         """
-        limits = {target_id: self._limits.per_s(target_id) for target_id in target_ids}
-        if not limits or None in limits.values():
-            return None
-        return min(
-            self._permits.wait_s(
-                now, target_id, per_s, self._waiting_of_all.get(target_id, 0)
-            )
-            for target_id, per_s in limits.items()
-        )
-
-    def excluded_from_loads(self, target_ids):
+        waits = [self._target_wait_s(now, target_id) for target_id in target_ids]
+        return None if not waits or None in waits else min(waits)
+
+    def excluded_from_loads(self, now, target_ids):
         """Return the targets at which no adapter should be loaded.
 
-        These are the ones with a limit, unless all have one.
+        These are the ones with a limit and those that rest, unless all are.
         """
-        limited = self._limits.confirmed & target_ids
-        return set() if limited == target_ids else limited
+        closed = (self._limits.confirmed | self._statements.resting(now)) & target_ids
+        return set() if closed == target_ids else closed
 
     def take_demand(self, now, jobs, usable_targets):
         """Return the requests that need a permit by target, for one report.
@@ -109,9 +100,24 @@
             return {}
         counts = Counter()
         for job in jobs:
-            closed = sorted(t for t in usable_targets(job) if not self.is_open(now, t))
+            usable = usable_targets(job)
+            closed = sorted(t for t in usable if not self._has_permit(now, t))
             if closed:
                 counts[closed[int(job.fraction * len(closed))]] += 1
         for target_id in passed_over:
             counts.setdefault(target_id, 0)
         return dict(counts)
+
+    def _has_permit(self, now, target_id):
+        """Return whether a target has no limit, or there is a permit for it."""
+        per_s = self._limits.per_s(target_id)
+        return per_s is None or self._permits.count(now, target_id, per_s) > 0
+
+    def _target_wait_s(self, now, target_id):
+        """Return the wait for one target in seconds, or None if it is open."""
+        rest_s = self._statements.remaining_s(now, target_id)
+        per_s = self._limits.per_s(target_id)
+        if per_s is None:
+            return rest_s or None
+        waiting = self._waiting_of_all.get(target_id, 0)
+        return max(rest_s, self._permits.wait_s(now, target_id, per_s, waiting))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -33,7 +33,12 @@
 
 
 class TargetPath(Protocol):
-    """Way to one target, for one attempt."""
+    """Way to one target, for one attempt.
+
+    ``is_own`` is whether it leads over this node's own links.
+    """
+
+    is_own: bool
 
     def send(self, method, uri, headers, body, timeout_s):
         """Send the request."""
@@ -66,9 +71,11 @@
     peer_connections : TargetConnections
         Connections to peers.
     watch : PathWatch
+    statements : TargetStatements
     """
 
-    def __init__(self, connections, peer_connections, watch):
+    def __init__(self, connections, peer_connections, watch, statements):
+        self._statements = statements
         self._connections = connections
         self._peer_connections = peer_connections
         self._watch = watch
@@ -115,12 +122,18 @@
         except CallFailedError:
             self._watch.record_failure(target.service)
             raise
+        if self._statements.is_closed(target):
+            # An answer that came meanwhile has closed it.
+            self._connections.release(target.target_id, connection, {})
+            raise CallFailedError("closed", target.address, "it rests")
         return _OwnPath(self._connections, self._watch, target, connection)
 
 
 class _OwnPath:
     """Connection over this node's own links, whose outcome tells about the path."""
 
+    is_own = True
+
     def __init__(self, connections, watch, target, connection):
         self._connections = connections
         self._watch = watch
@@ -186,6 +199,8 @@
     A peer that refuses has not sent the request, so the next one is tried.
     """
 
+    is_own = False
+
     def __init__(self, connections, watch, target, request_id, suspects):
         self._connections = connections
         self._watch = watch
@@ -225,7 +240,7 @@
                 self._hop.cancel()
             return
         reason = f"no peer sends it: {self._refused}"
-        raise CallFailedError("connect", self.address, reason)
+        raise CallFailedError("closed", self.address, reason)
 
     def send(self, method, uri, headers, body, timeout_s):
         self._call = (method, uri, list(headers), body, monotonic() + timeout_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_answer_checks.py
@@ -1,7 +1,6 @@
 """Tests of the checks of answers' heads."""
 
 import unittest
-from types import SimpleNamespace
 
 from hibiscusspar_entry.fleet.answer_checks import tells_limit
 from hibiscusspar_wire.dialect import AnswerHead
@@ -9,9 +8,8 @@
 
 class TestTellsLimit(unittest.TestCase):
     def tells(self, status=200, request_id="r1", limit=None):
-        admitted = SimpleNamespace(call=SimpleNamespace(request_id="r1"))
         answer = AnswerHead(request_id, "t1", False, True, limit)
-        return tells_limit(admitted, answer, SimpleNamespace(status=status))
+        return tells_limit("r1", answer, status)
 
     def test_answer_without_a_limit_ends_it(self):
         self.assertTrue(self.tells())
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
@@ -10,13 +10,19 @@
 from hibiscusspar.fleet.waiting import Job, Refuse, Send
 from hibiscusspar.requests.ejection import EjectionPolicy, EjectionTable
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
-from hibiscusspar_entry.fleet.limit_gate import LimitGate
 from hibiscusspar_entry.fleet.request_scheduler import RequestScheduler
+from hibiscusspar_entry.fleet.target_gate import TargetGate
+from hibiscusspar_entry.fleet.target_statements import TargetStatements
 
 KEY = ("m", "a1")
 PROMPT_TOKENS_S = 19_200.0
 
 
+def make_gate(clock, limits):
+    """Return a gate for targets that have said nothing but the limits given."""
+    return TargetGate(limits, TargetStatements(clock, limits))
+
+
 class Clock:
     def __init__(self):
         self.now = 100.0
@@ -85,7 +91,13 @@
         ejection = EjectionTable(EjectionPolicy())
         self.limits = LimitExchange(self.clock)
         self.scheduler = RequestScheduler(
-            "n1", "s", "z1", self.clock, ejection, 3.0, LimitGate(self.limits)
+            "n1",
+            "s",
+            "z1",
+            self.clock,
+            ejection,
+            3.0,
+            make_gate(self.clock, self.limits),
         )
         self.scheduler.configure(engine_rules())
 
@@ -321,7 +333,7 @@
             self.clock,
             ejection,
             3.0,
-            LimitGate(LimitExchange(self.clock)),
+            make_gate(self.clock, LimitExchange(self.clock)),
         )
         scheduler.configure(engine_rules())
         scheduler.set_targets({"t1": target("t1")})
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -49,7 +49,8 @@
     ``not_run`` is whether the target states that it did not run the request,
     ``sealed`` whether the answer has the platform's seal. ``limit_per_s`` is the
     number of requests a second that the target takes from all nodes together, None if
-    it names no limit.
+    it names no limit. ``rest_s`` is for how many seconds it wants no requests of the
+    node that it answers, None if it doesn't say so.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     not_run: bool
     sealed: bool
     limit_per_s: float | None = None
+    rest_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -41,8 +41,8 @@
 class CallFailedError(Exception):
     """A call to a target failed.
 
-    ``step`` is ``"connect"``, ``"send"``, ``"wait"``, ``"read"`` or ``"silent"``;
-    only ``"connect"`` guarantees that no byte of the request was sent.
+    ``step`` is ``"connect"``, ``"closed"``, ``"send"``, ``"wait"``, ``"read"`` or
+    ``"silent"``; only the first two guarantee that no byte of the request was sent.
     """
 
     def __init__(self, step, address, reason):
