Stop using a target that says in its answers that it leaves

Cause: the header was not decoded.

Change: TargetStatements keeps who has said so by incarnation; such targets get no request, and no adapter, of this node.

Evidence: test_resting_targets.TestTargetThatSaysItLeavesGetsNoRequests failed on both cases before and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -36,6 +36,7 @@
     "TARGET_GONE",
     "TARGET_LIMIT",
     "TARGET_RESTS",
+    "TARGET_SAYS_IT_LEAVES",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
 ]
@@ -299,3 +300,9 @@
     ("target", "rest_s"),
     "A target turned a request away and wants none of this VM for so long.",
 )
+TARGET_SAYS_IT_LEAVES = declare(
+    639,
+    "node.target_says_it_leaves",
+    ("target", "born"),
+    "A target has said in an answer that it leaves; it gets no further requests.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -279,7 +279,7 @@
         if target is None or target.draining:
             raise _NotSentError("the target leaves or is unknown")
         if self._statements.is_closed(target):
-            raise _NotSentError("the target rests")
+            raise _NotSentError("the target rests or leaves")
         if self._watch.is_cut(target.service):
             raise _NotSentError("no path")
         return target
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -6,6 +6,9 @@
 
 __all__ = ["TargetGate"]
 
+# Assumed time in seconds until there is a successor if all targets leave.
+_SUCCESSOR_S = 1.0
+
 
 class TargetGate:
     """Targets to which one node may send requests, and its permits for some of them.
@@ -27,7 +30,7 @@
 
     @property
     def is_idle(self):
-        """Whether no target has a limit or rests."""
+        """Whether no target has a limit, rests or has said that it leaves."""
         return self._limits.is_empty and self._statements.is_empty
 
     def retain(self, targets):
@@ -59,25 +62,28 @@
 
         Those that lack a permit are counted as passed over until the next report.
         """
-        awake = target_ids - self._statements.resting(now)
-        without_permit = {t for t in awake if not self._has_permit(now, t)}
+        willing = target_ids - self._statements.closed(now)
+        without_permit = {t for t in willing if not self._has_permit(now, t)}
         self._passed_over |= without_permit
-        return awake - without_permit
+        return willing - without_permit
 
     def wait_s(self, now, target_ids):
         """Return the shortest wait for a permit or the end of a rest, in seconds.
 
         It is None if one of the targets is open, or if there are no targets.
         """
-        waits = [self._target_wait_s(now, target_id) for target_id in target_ids]
-        return None if not waits or None in waits else min(waits)
+        if not target_ids:
+            return None
+        staying = target_ids - self._statements.leaving()
+        waits = [self._target_wait_s(now, target_id) for target_id in staying]
+        return None if None in waits else min(waits, default=_SUCCESSOR_S)
 
     def excluded_from_loads(self, now, target_ids):
         """Return the targets at which no adapter should be loaded.
 
-        These are the ones with a limit and those that rest, unless all are.
+        These are the ones with a limit and those that rest or leave, unless all do.
         """
-        closed = (self._limits.confirmed | self._statements.resting(now)) & target_ids
+        closed = (self._limits.confirmed | self._statements.closed(now)) & target_ids
         return set() if closed == target_ids else closed
 
     def take_demand(self, now, jobs, usable_targets):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -125,7 +125,7 @@
         if self._statements.is_closed(target):
             # An answer that came meanwhile has closed it.
             self._connections.release(target.target_id, connection, {})
-            raise CallFailedError("closed", target.address, "it rests")
+            raise CallFailedError("closed", target.address, "it rests or leaves")
         return _OwnPath(self._connections, self._watch, target, connection)
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -7,7 +7,7 @@
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.answer_checks import tells_limit
-from hibiscusspar_entry.fleet.events import TARGET_RESTS
+from hibiscusspar_entry.fleet.events import TARGET_RESTS, TARGET_SAYS_IT_LEAVES
 
 __all__ = ["AnswerOrigin", "TargetStatements"]
 
@@ -42,16 +42,19 @@
         self._limits = limits
         self._lock = threading.Lock()
         self._rests = RestTable()
+        # Start of the incarnation by target.
+        self._leaving = {}
 
     @property
     def is_empty(self):
-        """Whether no target rests."""
-        return self._rests.is_empty
+        """Whether no target rests or has said that it leaves."""
+        return self._rests.is_empty and not self._leaving
 
     @property
     def resting_count(self):
         """Number of targets that have asked this node for rest."""
-        return len(self.resting(self._clock()))
+        with self._lock:
+            return len(self._rests.resting(self._clock()))
 
     def record(self, origin, answer, status, request_id):
         """Record what the head of an answer says about its target.
@@ -71,13 +74,20 @@
             )
         if status == _MISDIRECTED:
             return
+        if answer.leaving:
+            self._record_leaving(target)
         if origin.is_own and answer.rest_s is not None:
             self._record_rest(target, answer.rest_s)
 
-    def resting(self, now):
-        """Return the ids of the targets that rest now."""
+    def closed(self, now):
+        """Return the ids of the targets that want no requests of this node now."""
+        with self._lock:
+            return self._rests.resting(now) | self._leaving.keys()
+
+    def leaving(self):
+        """Return the ids of the targets that have said that they leave."""
         with self._lock:
-            return self._rests.resting(now)
+            return set(self._leaving)
 
     def remaining_s(self, now, target_id):
         """Return the seconds for which a target still rests, or 0."""
@@ -86,7 +96,7 @@
 
     def is_closed(self, target):
         """Return whether a target wants no requests of this node now."""
-        return self.remaining_s(self._clock(), target.target_id) > 0
+        return target.target_id in self.closed(self._clock())
 
     def retain(self, targets):
         """Drop what other targets, or other incarnations, have said.
@@ -99,6 +109,19 @@
         if not self.is_empty:
             with self._lock:
                 self._rests.retain(self._clock(), targets)
+                self._leaving = {
+                    target_id: born
+                    for target_id, born in self._leaving.items()
+                    if target_id in targets and targets[target_id].born == born
+                }
+
+    def _record_leaving(self, target):
+        with self._lock:
+            is_known = self._leaving.get(target.target_id) == target.born
+            self._leaving[target.target_id] = target.born
+        if not is_known:
+            fields = {"target": target.target_id, "born": target.born}
+            write_records([(TARGET_SAYS_IT_LEAVES, fields)])
 
     def _record_rest(self, target, rest_s):
         with self._lock:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -50,7 +50,8 @@
     ``sealed`` whether the answer has the platform's seal. ``limit_per_s`` is the
     number of requests a second that the target takes from all nodes together, None if
     it names no limit. ``rest_s`` is for how many seconds it wants no requests of the
-    node that it answers, None if it doesn't say so.
+    node that it answers, None if it doesn't say so. ``leaving`` is whether it says that
+    it leaves.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     sealed: bool
     limit_per_s: float | None = None
     rest_s: float | None = None
+    leaving: bool = False
 
 
 class Dialect(Protocol):
