--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -161,7 +161,8 @@
 
     def offer(self, address):
         """Return token, port and load of an offer to a node, or None for no offer."""
-        if self.is_closing or self._open >= _MAX_OPEN:
+        is_configured = self._server_limits is not None
+        if self.is_closing or not is_configured or self._open >= _MAX_OPEN:
             return None
         try:
             port = self._start()
@@ -172,14 +173,16 @@
 
     def grow(self):
         """Add threads if few are idle; must be called periodically."""
-        if self._server is not None:
-            self._server.grow()
+        server = self._server
+        if server is not None:
+            server.grow()
 
     def stop(self):
         """Close the port."""
         with self._lock:
-            if self._server is not None:
-                self._server.stop()
+            server, self._server = self._server, None
+        if server is not None:
+            server.stop()
 
     def handle(self, inbound):
         """Send one request of another node and pass on its answer."""
@@ -220,8 +223,7 @@
         with self._lock:
             if self._server is None:
                 server = FrontServer(self._address, self.handle, _THREADS)
-                if self._server_limits is not None:
-                    server.set_limits(*self._server_limits)
+                server.set_limits(*self._server_limits)
                 server.start()
                 self._server = server
             return self._server.port
@@ -230,7 +232,7 @@
         """Send a request and pass on its answer; return the status of the answer."""
         if not self._tokens.is_valid(call.token):
             raise _NotSentError("no valid token")
-        body = inbound.read_body(_body_limit(self._server_limits))
+        body = inbound.read_body(self._server_limits.body_bytes)
         target = self._sendable_target(call)
         try:
             path = self._paths.acquire_own(target, _IDLE_S)
@@ -293,10 +295,6 @@
         raise BadRequestError(400, "malformed call") from error
 
 
-def _body_limit(limits):
-    return limits.body_bytes if limits is not None else 0
-
-
 def _refuse(inbound, reason):
     try:
         inbound.answer(503, [(REFUSAL_HEADER, reason)], b"")
