Don't offer a path that was just lost together with others

What callers saw in the simulation of a zone that loses its silent links: up to 3.3 s passed until each cut node had a proxy at 78 nodes, 3.2 at 360.

Cause: an answer proved a path for 1.5 s, longer than detecting a cut takes, so nodes that had lost their paths at the same moment offered them to each other; an offer of a node that said 'no path' stayed in force.

Change: an answer proves a path for 0.6 s; a refusal that concerns the peer ends its offer.

--- a/packages/hibiscusspar/hibiscusspar/fleet/paths.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/paths.py
@@ -17,14 +17,16 @@
     ``silence_s`` is the time without any answer of a service, while requests wait for
     some, after which its path is checked. ``check_gap_s`` is the shortest time between
     two checks of a service, and ``recheck_s`` that while its path is cut. ``fresh_s``
-    is the time for which an answer proves a path. ``tries`` is the number of targets
-    that a check tries, and ``tries_to_return`` that of those that end a cut.
+    is the time for which an answer proves a path to other nodes. It is shorter than the
+    detection takes, so that nodes that lose their paths together don't offer them to
+    each other. ``tries`` is the number of targets that a check tries, and
+    ``tries_to_return`` that of those that end a cut.
     """
 
     silence_s: float = 1.0
     check_gap_s: float = 0.5
     recheck_s: float = 0.4
-    fresh_s: float = 1.5
+    fresh_s: float = 0.6
     tries: int = 3
     tries_to_return: int = 2
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -15,7 +15,11 @@
 from hibiscusspar_entry.fleet.events import CALL_SENT_FOR_PEER
 from hibiscusspar_entry.fleet.proxy_messages import (
     ANSWER_HEADER,
+    BAD_TOKEN,
+    BUSY,
     CALL_HEADER,
+    LEAVING,
+    NO_PATH,
     REFUSAL_HEADER,
     UNREACHABLE,
     ProxyAnswer,
@@ -231,7 +235,7 @@
     def _send(self, inbound, call, ends_at):
         """Send a request and pass on its answer; return the status of the answer."""
         if not self._tokens.is_valid(call.token):
-            raise _NotSentError("no valid token")
+            raise _NotSentError(BAD_TOKEN)
         body = inbound.read_body(self._server_limits.body_bytes)
         target = self._sendable_target(call)
         try:
@@ -275,15 +279,15 @@
         """Return the target of a request if this node may send it there."""
         target = self._watch.target(call.target_id)
         if self.is_closing:
-            raise _NotSentError("this VM leaves")
+            raise _NotSentError(LEAVING)
         if self._open > _MAX_OPEN:
-            raise _NotSentError("busy")
+            raise _NotSentError(BUSY)
         if target is None or target.draining:
             raise _NotSentError("the target leaves or is unknown")
         if self._statements.is_closed(target):
             raise _NotSentError("the target rests or leaves")
         if self._watch.is_cut(target.service):
-            raise _NotSentError("no path")
+            raise _NotSentError(NO_PATH)
         return target
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxy_messages.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxy_messages.py
@@ -15,7 +15,12 @@
 
 __all__ = [
     "ANSWER_HEADER",
+    "BAD_TOKEN",
+    "BUSY",
     "CALL_HEADER",
+    "LEAVING",
+    "NO_PATH",
+    "PEER_REASONS",
     "PROXY_URI",
     "REFUSAL_HEADER",
     "UNREACHABLE",
@@ -30,6 +35,12 @@
 ANSWER_HEADER = "Proxy-Answer"
 # Reason for which the proxy has not sent the request.
 REFUSAL_HEADER = "Proxy-Refusal"
+# Reasons that concern the proxy, and not only the target of the request.
+BAD_TOKEN = "no valid token"
+BUSY = "busy"
+LEAVING = "this VM leaves"
+NO_PATH = "no path"
+PEER_REASONS = frozenset({BAD_TOKEN, BUSY, LEAVING, NO_PATH})
 # Reason of a proxy that can't connect to the target.
 UNREACHABLE = "unreachable"
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -11,6 +11,7 @@
 from hibiscusspar_entry.fleet.proxy_messages import (
     ANSWER_HEADER,
     CALL_HEADER,
+    PEER_REASONS,
     PROXY_URI,
     REFUSAL_HEADER,
     UNREACHABLE,
@@ -257,6 +258,8 @@
             if reason is None:
                 raise CallFailedError("wait", self.address, "no answer of a proxy")
             self._finish_refusal(response)
+            if reason in PEER_REASONS:
+                self._watch.withdraw_offer(self._peer)
             self._give_up_peer(reason)
             if reason == UNREACHABLE:
                 raise CallFailedError("connect", self.address, reason)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/path_network.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/path_network.py
@@ -199,6 +199,7 @@
                 # A proxy that doesn't know yet of its own cut loses the request.
                 return None if proxy.is_cut else chosen[0]
             refused.add(chosen[0])
+            watch.withdraw_offer(chosen[0])
             watch.end_proxied(chosen[0])
         return None
 
