Reset connections of abandoned calls

The node had given the request up after 2 s of silence, but the kernel delivered its bytes when the cut had ended. The same bytes can break a rest.

Cause: a connection whose call was given up was closed, and a closed connection still delivers what it holds.

Change: a connection that carries a call is reset when it is closed; one whose answer was read whole is closed as before. What a sound target still writes is lost, but nobody reads it.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -1,11 +1,12 @@
 """Pool of connections to targets."""
 
 import select
+import struct
 import threading
 from contextlib import suppress
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader, RawIOBase
-from socket import IPPROTO_TCP, SHUT_RDWR, TCP_USER_TIMEOUT
+from socket import IPPROTO_TCP, SHUT_RDWR, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -25,6 +26,8 @@
 _DEFAULT_HEADERS = ("accept-encoding", "host", "user-agent")
 _BODILESS_METHODS = ("GET", "HEAD")
 _MIN_TIMEOUT_S = 0.001
+# Reset a connection when it is closed, and drop the bytes that were not sent.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # The kernel drops a connection whose sent bytes are unacknowledged for this long.
 _USER_TIMEOUT_MS = 3000
 # An idle connection is not reused in the last second before the target closes it.
@@ -173,6 +176,8 @@
         self.idle_since = 0.0
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._cancelled = False
+        # Whether a call was sent and no whole answer was read since.
+        self._is_calling = False
         self._connect_timeout_s = connect_timeout_s
         self._sock = None
         self._http = _Connection(host, int(port), timeout=connect_timeout_s)
@@ -219,6 +224,7 @@
         if body or method not in _BODILESS_METHODS:
             fields["Content-Length"] = str(len(body))
         self._http.timeout = max(_MIN_TIMEOUT_S, timeout_s)
+        self._is_calling = True
         try:
             self._http.request(
                 method,
@@ -284,9 +290,20 @@
                 self._sock.shutdown(SHUT_RDWR)
 
     def close(self):
-        """Close the connection."""
+        """Close the connection.
+
+        One that carries a call is reset, so that bytes of the call that a broken link
+        holds back are not delivered later.
+        """
+        if self._is_calling and self._sock is not None:
+            with suppress(OSError):
+                self._sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
         self._http.close()
 
+    def end_call(self):
+        """Record that the answer was read to its end."""
+        self._is_calling = False
+
     def is_stale(self, now):
         """Return whether an idle connection must not be reused.
 
@@ -371,6 +388,7 @@
         if connection.cancelled or not connection.is_open:
             connection.close()
             return
+        connection.end_call()
         connection.idle_since = self._clock()
         connection.keep_alive_s = keep_alive_s(headers)
         with self._lock:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
@@ -40,5 +40,50 @@
         self.assertFalse(caught.exception.is_refused)
 
 
+class TestAbandonedCalls(unittest.TestCase):
+    def setUp(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.connections = TargetConnections(monotonic, 0.5)
+
+    def call(self):
+        """Send a request and return both ends of its connection."""
+        address = "{}:{}".format(*self.listener.getsockname())
+        connection = self.connections.acquire("t1", address, 1.0)
+        accepted, _ = self.listener.accept()
+        accepted.settimeout(2.0)
+        self.addCleanup(accepted.close)
+        connection.send("GET", "/", [], b"", 1.0)
+        self.assertIn(b"GET", accepted.recv(1000))
+        return connection, accepted
+
+    def test_connection_of_an_abandoned_call_is_reset(self):
+        connection, accepted = self.call()
+        with self.assertRaises(CallFailedError):
+            connection.response(0.1)
+        connection.close()
+        with self.assertRaises(ConnectionResetError):
+            accepted.recv(1000)
+
+    def test_connection_of_a_cancelled_call_is_reset(self):
+        connection, accepted = self.call()
+        connection.cancel()
+        connection.close()
+        with self.assertRaises(ConnectionError):
+            accepted.recv(1000)
+            accepted.sendall(b"x")
+            accepted.recv(1000)
+
+    def test_connection_is_closed_after_a_whole_answer(self):
+        connection, accepted = self.call()
+        accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        response = connection.response(1.0)
+        while connection.read(response, 1.0):
+            pass
+        self.connections.release("t1", connection, response.headers)
+        self.connections.close_all_except(())
+        self.assertEqual(accepted.recv(1000), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
