Soak with nodes cut off from all targets and targets that ask for rest

Node processes run with links that a file cuts: silent, reset, or with open connections that live on; one or two of three nodes at a time. Engines turn requests away and ask for rest. In a rest, at most two requests of a node may reach an engine.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
 from soak.deployment import Deployment
 from soak.faults import FaultPlan
 from soak.limits import limit_violations
+from soak.rests import rest_violations
 
 # A withdrawn key must be refused after this time, bounds.revokeMs of the nodes.
 REVOCATION_BOUND_S = 5.0
@@ -95,7 +96,7 @@
             violations += _switch_builds(deployment, probes)
         inject_faults(seconds)
         deployment.heal()
-        plan.end_limits()
+        plan.end_statements()
         for caller in callers:
             caller.stopping.set()
         for caller in callers:
@@ -170,6 +171,9 @@
     violations += limit_violations(
         plan.limits, plan.signalled, plan.limit_ends, _node_of
     )
+    violations += rest_violations(
+        deployment.engines, plan.engine_faults, plan.signalled, _node_of
+    )
     for kind in (BODY, PART):
         violations += crash_violations(kind, deployment.engines, plan.disturbances)
     runs = {}
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
 from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
 from hibiscusspar_standins.builds import python_path
+from soak.node_process import LINKS_VARIABLE
 from soak.proxy import FaultyProxy
 
 __all__ = ["LEASE_S", "MODEL", "Deployment", "config"]
@@ -77,6 +78,7 @@
         ip = f"127.0.{seed % 200 + 1}.{_FIRST_HOST + number}"
         self.front = (ip, 18_000)
         self._log = open(folder / f"node{number}.log", "ab")  # noqa: SIM115
+        self._links = folder / f"node{number}.links"
         self._settings = folder / f"node{number}.conf"
         fields = {
             "node": f"n{number}",
@@ -106,15 +108,24 @@
         if self.process is not None and self.process.poll() is None:
             return
         env = {**os.environ, "HIBISCUSSPAR_CONFIG": str(self._settings)}
+        module = "soak.node_process"
         if self.python_path is not None:
             env["PYTHONPATH"] = self.python_path
+            module = "hibiscusspar_platform"
+        env[LINKS_VARIABLE] = str(self._links)
         self.process = subprocess.Popen(
-            [sys.executable, "-P", "-m", "hibiscusspar_platform"],
+            [sys.executable, "-P", "-m", module],
             env=env,
             stdout=self._log,
             stderr=self._log,
         )
 
+    def cut_links(self, kind=""):
+        """Cut the links to all targets, or heal them if no kind is given."""
+        written = self._links.with_suffix(".new")
+        written.write_text(kind, encoding="utf-8")
+        written.replace(self._links)
+
     def send_signal(self, number):
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -230,6 +241,7 @@
             proxy.heal()
         for node in self.nodes:
             node.held_down = False
+            node.cut_links()
             node.send_signal(signal.SIGCONT)
 
     def stop(self):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,9 +4,11 @@
 from time import monotonic
 from typing import NamedTuple
 
+from hibiscusspar_platform.tests.cut_links import CutKind
 from soak.crashes import Disturbance
 from soak.deployment import config
 from soak.limits import LIMIT_MIN_S, NamedLimit
+from soak.rests import EngineFault
 
 __all__ = ["FaultPlan", "Undo"]
 
@@ -27,7 +29,7 @@
     holds a line for each injected fault. ``limits`` holds the limits that engines
     named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
     a node and the time for each signal, ``disturbances`` the faults of nodes and of
-    their paths to the store.
+    their paths to the store, ``engine_faults`` those of their paths to engines.
     """
 
     def __init__(self, deployment, rng):
@@ -42,11 +44,13 @@
         self.limit_ends = {}
         self.signalled = []
         self.disturbances = []
+        self.engine_faults = []
         deployment.on_crash = self._forget_limit
 
-    def end_limits(self):
-        """End all limits that engines name."""
+    def end_statements(self):
+        """End all limits that engines name, and ask for no more rest."""
         for engine in self._deployment.engines:
+            engine.rest_s = None
             if engine.limit_per_s is not None:
                 self._end_limit(engine)
 
@@ -65,8 +69,8 @@
             self._leave_orders_unanswered,
         ]
         if self._deployment.old_path is None:
-            # Builds before the limits of targets don't keep to them.
-            kinds.append(self._name_limit)
+            # Older builds keep neither to limits nor to rests, and have no proxies.
+            kinds += [self._name_limit, self._cut_links, self._rest]
         description = self._rng.choice(kinds)(now, self._rng.uniform(0.3, 3.0))
         self.log.append(f"{now:.1f} {description}")
 
@@ -113,6 +117,31 @@
         self._schedule_undo(now, duration_s, lambda: self._end_limit(engine))
         return f"limit of {engine.target_id} for {duration_s:.1f} s"
 
+    def _cut_links(self, now, duration_s):
+        rng = self._rng
+        nodes = rng.sample(self._deployment.nodes, rng.choice((1, 1, 2)))
+        kind = rng.choice((CutKind.SILENT, CutKind.RESET, CutKind.LIVING))
+        duration_s *= 2.0
+        for node in nodes:
+            node.cut_links(kind)
+            self._schedule_undo(now, duration_s, node.cut_links)
+        # Requests of these nodes come through others.
+        self._fault_engines(None, duration_s)
+        numbers = sorted(node.number for node in nodes)
+        return (
+            f"nodes {numbers} cut off from all engines ({kind}) for {duration_s:.1f} s"
+        )
+
+    def _rest(self, now, duration_s):
+        engine = self._rng.choice(self._deployment.engines)
+        engine.rest_s = self._rng.choice((0.4, 1.5, 3.0))
+        self._schedule_undo(now, duration_s, lambda: setattr(engine, "rest_s", None))
+        return f"{engine.target_id} asks for {engine.rest_s} s of rest"
+
+    def _fault_engines(self, engine, duration_s):
+        now = monotonic()
+        self.engine_faults.append(EngineFault(engine, now, now + duration_s))
+
     def _end_limit(self, engine):
         engine.limit_per_s = None
         self.limit_ends.setdefault(engine, []).append(monotonic())
@@ -127,6 +156,7 @@
     def _engine_link(self, now, duration_s):
         proxies = self._deployment.engine_proxies
         index = self._rng.randrange(len(proxies))
+        self._fault_engines(self._deployment.engines[index], duration_s)
         return f"engine {index}: " + self._fault_link(now, duration_s, proxies[index])
 
     def _fault_link(self, now, duration_s, proxy):
