--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -71,8 +71,7 @@
         """
         if not self._is_able():
             self._was_able = False
-            self.release()
-            return True
+            return self.release()
         if not self._was_able:
             self._was_able = True
             self.election.resume()
@@ -89,15 +88,17 @@
         return True
 
     def release(self):
-        """Release the lease if it is held."""
+        """Release the lease if it is held; return False if the store did not answer."""
         action = self.election.release(self._clock())
         if action is None:
-            return
+            return True
         try:
             self._execute(action)
-            self._log_change()
         except StepError as error:
             log_failure(f"release {self._name}", error)
+            return False
+        self._log_change()
+        return True
 
     def _execute(self, action):
         election = self.election
