--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/path_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/path_watch.py
@@ -49,8 +49,8 @@
         self._targets = {}
         self._ask_at = 0.0
         self._ask_gap_s = _FIRST_ASK_S
-        # Called with the targets of a service whose path was cut or is back: what failed
-        # on a cut path says nothing about them.
+        # Called with the targets of a service whose path was cut or is back. What
+        # failed on a cut path says nothing about them.
         self.on_changed = lambda targets: None
         # Returns token, port and load of an offer to an address, or None.
         self.make_offer = lambda address: None
