Limits: share a level by demand, so that hundreds of nodes neither exceed nor miss it

And a node with one request pending made the next one wait for a view, 0.3 s at most, while views take 0.39 s at 195 nodes: half of the requests of an account at 0.6 of its rate weren't granted at once when they came in pairs on one connection (188 of 376 at 78 nodes, 180 of 360 at 195, 178 of 356 at 360).

Change: reports carry the tokens denied to each account and views the tokens a second that all nodes are asked for. If the level covers that, a node takes up to a quarter of it; otherwise it grants with the probability that makes all nodes together take the level, and refuses the rest at once with the time in which the rate refills what is missing. The wait for a view grows with the interval of views. Older builds ignore both fields; without them nodes decide as before.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -111,7 +111,8 @@
     in seconds. ``permit_demand`` counts by target the requests that wait for permits; 0
     asks for a permit for a later request. ``crashes`` holds crashes that the node saw
     and the coordinator may not know, ``answered`` suspects that were answered since,
-    with the age of the answer.
+    with the age of the answer. ``denied`` holds the tokens that each account was denied
+    since the process started.
     """
 
     node: str
@@ -129,6 +130,7 @@
     permit_demand: dict[str, int] = {}
     crashes: list[CrashRow] = []
     answered: dict[str, float] = {}
+    denied: dict[str, float] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -152,7 +154,8 @@
     are apart from the rows, so that nodes of older builds find the digests of the rows
     that they expect. ``software`` is None if the sender doesn't know the versions.
     ``quarantined`` tells of some of the requests and parts of prompts that crash
-    targets.
+    targets. ``asked`` holds the tokens a second that all nodes are asked for by
+    account, None if the sender doesn't know them.
     """
 
     node: str
@@ -181,6 +184,7 @@
     software: list[str] | None = None
     software_index: bytes = b""
     quarantined: list[QuarantineRow] = []
+    asked: dict[str, int] | None = None
 
 
 class PermitGrant(Struct, tag="permits"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -9,8 +9,11 @@
 """
 
 from collections import deque
+from random import Random
 from typing import NamedTuple
 
+from hibiscusspar.fleet.account_demand import AccountDemand, grant_probability
+
 __all__ = [
     "AccountLevels",
     "Deferred",
@@ -24,6 +27,8 @@
 
 # Shortest retry delay in seconds: the interval of views in a small fleet.
 _MIN_RETRY_S = 0.1
+# Probability of a grant from which the retry delay no longer grows.
+_MIN_PROBABILITY = 0.01
 # Share of a stored level that is used; the rest may have been taken since.
 _STORED_LEVEL_SHARE = 0.5
 # Steps of a window. The tokens of a step leave the window together.
@@ -35,12 +40,14 @@
 
     ``take_share`` times the level, divided by the number of nodes, is the most that one
     node takes between two views; if all nodes do, they take the burst once more, which
-    the platform's slack allows. ``stale_s`` is the age of a view or report beyond which
-    its sender counts as silent, ``forget_s`` the time without reports after which a
-    node is no longer counted.
+    the platform's slack allows. A node takes up to ``calm_share`` of the level if all
+    requests of the account fit into it. ``stale_s`` is the age of a view or report
+    beyond which its sender counts as silent, ``forget_s`` the time without reports
+    after which a node is no longer counted.
     """
 
     take_share: float = 2.0
+    calm_share: float = 0.25
     stale_s: float = 1.0
     forget_s: float = 30.0
 
@@ -86,6 +93,8 @@
         self._buckets = {}
         self._advanced_at = None
         self._used = {}
+        self._denied = {}
+        self._demand = AccountDemand()
         self._heard_at = {}
 
     @property
@@ -93,6 +102,10 @@
         """Number of known nodes, including those that are silent now."""
         return len(self._heard_at)
 
+    def asked_rates(self, now):
+        """Return the tokens a second that all nodes are asked for, by account."""
+        return self._demand.rates(now)
+
     def available_share(self, now):
         """Return the share of the nodes that reported lately."""
         return 1.0 - self._count_silent(now) / max(1, len(self._heard_at))
@@ -108,6 +121,7 @@
         self._buckets = {}
         self._advanced_at = now
         self._used = {}
+        self._denied = {}
 
     def advance(self, now, accounts):
         """Move the windows up to ``now``; return the levels.
@@ -139,9 +153,10 @@
             levels[name] = min(allowed - window.total(now), self._buckets[name])
         return levels
 
-    def report(self, now, node, start, used):
-        """Record the tokens that a node has taken since its start."""
+    def report(self, now, node, start, used, denied=None):
+        """Record the tokens that a node has taken and denied since its start."""
         self._heard_at[node] = now
+        self._record_denied(now, node, start, denied or {})
         earlier_start, earlier = self._used.get(node, (None, {}))
         if earlier_start is None:
             # Earlier tokens were counted by the previous coordinator.
@@ -153,8 +168,17 @@
             if account in self._windows:
                 self._windows[account].add(now, taken)
                 self._buckets[account] -= taken
+                self._demand.record(now, account, taken)
         self._used[node] = (start, dict(used))
 
+    def _record_denied(self, now, node, start, denied):
+        earlier_start, earlier = self._denied.get(node, (start, denied))
+        if earlier_start != start:
+            earlier = {}
+        for account, amount in denied.items():
+            self._demand.record(now, account, amount - earlier.get(account, 0.0))
+        self._denied[node] = (start, dict(denied))
+
     def _count_silent(self, now):
         policy = self._policy
         for node, heard_at in list(self._heard_at.items()):
@@ -222,12 +246,17 @@
     now : float
         Start time of the node, from which its own share accrues.
     policy : QuotaPolicy, optional
+    rng : random.Random, optional
+        Nodes must not use the same seed.
     """
 
-    def __init__(self, nodes, now, policy=None):
+    def __init__(self, nodes, now, policy=None, rng=None):
         self._policy = policy or QuotaPolicy()
+        self._rng = rng or Random(0)
         self._nodes = nodes
         self._levels = {}
+        self._asked = None
+        self._denied = {}
         self._levels_at = {}
         self._started_at = now
         self._used = {}
@@ -239,15 +268,33 @@
         """Tokens taken by each account since the start."""
         return self._used
 
+    @property
+    def denied(self):
+        """Tokens denied to each account since the start."""
+        return self._denied
+
     @property
     def levels(self):
         """Levels of the last view."""
         return self._levels
 
-    def apply_view(self, now, nodes, levels, acked_used):
-        """Apply a view; ``acked_used`` are the tokens that its sender had counted."""
+    def apply_view(self, now, nodes, levels, acked_used, asked=None):
+        """Apply a view.
+
+        Parameters
+        ----------
+        now : float
+        nodes : int
+        levels : dict of str to float
+        acked_used : dict of str to float
+            Tokens of this node that the sender had counted.
+        asked : dict of str to float, optional
+            Tokens a second that all nodes are asked for, None if the sender is an older
+            build that doesn't know them.
+        """
         self._nodes = max(1, nodes)
         self._levels = levels
+        self._asked = asked
         self._acked = acked_used
         self._levels_at.update(dict.fromkeys(levels, now))
 
@@ -278,6 +325,10 @@
                 self._share_levels[rule.name] = (level - tokens, at)
         return found
 
+    def deny(self, rule, tokens):
+        """Record the tokens of a request that was refused for lack of tokens."""
+        self._denied[rule.name] = self._denied.get(rule.name, 0.0) + tokens
+
     def give_back(self, rule, tokens):
         """Refund the tokens of a request that did not run."""
         self._used[rule.name] = self._used.get(rule.name, 0.0) - tokens
@@ -291,8 +342,23 @@
         pending = self._used.get(rule.name, 0.0) - self._acked.get(rule.name, 0.0)
         if level - pending < tokens:
             return OverLimit(max(_MIN_RETRY_S, (tokens + pending - level) / rule.rate))
-        left = level * min(1.0, self._policy.take_share / self._nodes) - pending
-        return Granted() if left >= tokens or pending <= 0 else Deferred()
+        share = level * min(1.0, self._policy.take_share / self._nodes)
+        if pending + tokens <= share:
+            return Granted()
+        if self._asked is None:
+            return Granted() if pending <= 0 else Deferred()
+        asked_per_s = self._asked.get(rule.name, 0.0)
+        available = level * self._policy.take_share
+        probability = grant_probability(available, asked_per_s, self._nodes)
+        if probability >= 1.0 and pending + tokens <= level * self._policy.calm_share:
+            return Granted()
+        if pending > 0:
+            return Deferred()
+        if self._rng.random() < probability:
+            return Granted()
+        # The rate refills what all nodes are asked for beyond the level.
+        missing = available / max(probability, _MIN_PROBABILITY) - level
+        return OverLimit(max(_MIN_RETRY_S, missing / rule.rate))
 
     def _check_share(self, now, rule, tokens):
         level, _ = self._share_level(now, rule)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_quota.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.quota import (
     AccountLevels,
     Deferred,
@@ -33,24 +34,33 @@
         self.levels = AccountLevels(WINDOW_S)
         self.levels.reset(self.now - 12.0, {})
         self.levels.advance(self.now - 12.0, {"acme": rule})
-        self.nodes = [NodeQuota(16, self.now) for _ in range(count)]
+        self.nodes = self.started(count)
         self.granted = []
         self.exchange(range(count))
 
+    def started(self, count):
+        """Return the limits of nodes that have just started."""
+        return [NodeQuota(16, self.now, rng=Random(index)) for index in range(count)]
+
     def exchange(self, heard):
         for index in heard:
-            used = dict(self.nodes[index].used)
-            self.levels.report(self.now, f"n{index}", "s", used)
+            node = self.nodes[index]
+            used, denied = dict(node.used), dict(node.denied)
+            self.levels.report(self.now, f"n{index}", "s", used, denied)
+        asked = self.levels.asked_rates(self.now)
         levels = dict(self.levels.advance(self.now, {"acme": self.rule}))
         for index in heard:
             node = self.nodes[index]
-            node.apply_view(self.now, self.levels.nodes, levels, dict(node.used))
+            used = dict(node.used)
+            node.apply_view(self.now, self.levels.nodes, levels, used, asked)
 
     def offer(self, index, requests, cost=COST):
         for _ in range(requests):
             found = self.nodes[index].take(self.now, self.rule, cost)
             if isinstance(found, Granted):
                 self.granted.append((self.now, cost))
+            else:
+                self.nodes[index].deny(self.rule, cost)
 
     def max_per_window(self):
         return max(
@@ -81,6 +91,23 @@
         allowed = (rule.rate * WINDOW_S + rule.burst) * 1.1 + 11_000
         self.assertLessEqual(fleet.max_per_window(), allowed)
 
+    def test_hundreds_of_nodes_do_not_each_exceed_their_share(self):
+        rule = AccountRule("acme", 107_000.0, 107_000.0, True, 200, None)
+        for count in (195, 360):
+            with self.subTest(nodes=count):
+                fleet = Nodes(count, rule)
+                interval_s = exchange_interval_s(count)
+                rng = Random(12)
+                for _ in range(int(24.0 / interval_s)):
+                    for index in range(count):
+                        fleet.offer(index, 1, rng.choice((700.0, 2000.0, 4300.0)))
+                    fleet.now += interval_s
+                    fleet.exchange(range(count))
+                allowed = (rule.rate * WINDOW_S + rule.burst) * 1.1 + 11_000
+                self.assertLessEqual(fleet.max_per_window(), allowed)
+                total = sum(cost for _, cost in fleet.granted)
+                self.assertGreater(total, rule.rate * 24.0 * 0.9)
+
     def test_account_over_its_limit_still_gets_its_rate(self):
         fleet = Nodes(9)
         for _ in range(160):
@@ -100,6 +127,25 @@
         self.assertLessEqual(fleet.max_per_window(), ALLOWED)
 
 
+class TestLargeFleet(unittest.TestCase):
+    def test_clumps_below_the_rate_are_granted_without_waiting(self):
+        # A connection's requests all reach one node, two within an interval of views.
+        for count in (78, 195, 360):
+            with self.subTest(nodes=count):
+                fleet = Nodes(count)
+                interval_s = exchange_interval_s(count)
+                rng = Random(7)
+                offered = 0
+                for _ in range(int(30.0 / interval_s)):
+                    clumps = RATE * 0.6 * interval_s / (2 * COST) + rng.random()
+                    for _ in range(int(clumps)):
+                        fleet.offer(rng.randrange(count), 2)
+                        offered += 2
+                    fleet.now += interval_s
+                    fleet.exchange(range(count))
+                self.assertGreater(len(fleet.granted), 0.97 * offered)
+
+
 class TestRestartOfAll(unittest.TestCase):
     """All processes are killed at once while callers go on."""
 
@@ -113,7 +159,7 @@
             if step == 95:
                 stored = dict(fleet.nodes[0].levels)
         fleet.now += 1.0
-        fleet.nodes = [NodeQuota(16, fleet.now) for _ in range(9)]
+        fleet.nodes = fleet.started(9)
         fleet.levels = AccountLevels(WINDOW_S)
         fleet.levels.reset(fleet.now, discounted_levels(stored))
         fleet.exchange(range(9))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -223,7 +223,9 @@
             self._node_records[report.node] = _NodeRecord(report, now, address, in_use)
             self._directory_rows.request(report.lacked_rows)
             self._residency_rotation.request(report.lacked_residency)
-            self._levels.report(now, report.node, report.start, report.used)
+            self._levels.report(
+                now, report.node, report.start, report.used, report.denied
+            )
             self._limits.apply_rows(report.limits, report.node)
             earlier = known.report.in_use if same else {}
             for target_id, counts in report.in_use.items():
@@ -364,6 +366,10 @@
             software=software,
             software_index=software_index,
             quarantined=self._crashes.due_verdicts(self._number),
+            asked={
+                name: round(rate)
+                for name, rate in self._levels.asked_rates(now).items()
+            },
         )
         # Nodes with the most recent reports come first, to pass the view on. This node
         # is the last choice for that, because it is reached directly.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 from typing import NamedTuple
 
+from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.quota import Deferred, Granted, OverLimit
 from hibiscusspar.fleet.retries import (
     UNSENT_STEPS,
@@ -43,6 +44,8 @@
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
 _UNLIMITED_BODY = 2**62
+# Intervals of views for which a request waits for one with enough tokens, at least.
+_WAITED_VIEWS = 1.25
 
 
 class ForwardPolicy(NamedTuple):
@@ -53,9 +56,9 @@
     one. ``unsafe_idle_s`` is the longest idle time of a connection that carries a
     request which can't be repeated, ``safe_idle_s`` that for other requests.
 
-    ``quota_wait_s`` is the longest wait for a view with enough tokens, and
-    ``first_view_wait_s`` that for the first view after the start: processes of a fleet
-    that were all killed at once elect a coordinator in this time.
+    ``quota_wait_s`` is the longest wait for a view with enough tokens in a small
+    fleet, and ``first_view_wait_s`` that for the first view after the start: processes
+    of a fleet that were all killed at once elect a coordinator in this time.
     ``quota_spread_s`` spreads the retries of callers over their limit,
     ``draining_retry_s`` and ``failed_retry_s`` are sent as ``Retry-After`` by a node
     that is stopping and after attempts that did not run.
@@ -218,14 +221,18 @@
                     break
                 parts.request_scheduler.request_report()
                 parts.quota_changed.wait(remaining_s)
+            if not state.caller_gone.is_set():
+                parts.quota.deny(rule, admitted.cost)
         wait_s = verdict.retry_after_s if isinstance(verdict, OverLimit) else 0.0
         wait_s += self._policy.quota_spread_s * admitted.fraction
         raise RefusedError(429, "over the account's limit", wait_s)
 
     def _max_token_wait_s(self, verdict):
         """Return the longest total wait for a view with enough tokens, in seconds."""
-        is_first = isinstance(verdict, Deferred) and verdict.is_first
-        return self._policy.first_view_wait_s if is_first else self._policy.quota_wait_s
+        if isinstance(verdict, Deferred) and verdict.is_first:
+            return self._policy.first_view_wait_s
+        interval_s = exchange_interval_s(self._parts.request_scheduler.nodes)
+        return max(self._policy.quota_wait_s, _WAITED_VIEWS * interval_s)
 
     def _return_tokens(self, admitted):
         if admitted.rule is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -339,7 +339,9 @@
         parts.crashes.apply_view(view, parts.settings.node)
         acked_used = parts.request_scheduler.apply_view(view)
         with parts.quota_changed:
-            parts.quota.apply_view(parts.clock(), view.nodes, view.levels, acked_used)
+            parts.quota.apply_view(
+                parts.clock(), view.nodes, view.levels, acked_used, view.asked
+            )
             parts.quota_changed.notify_all()
 
     def _run_leases(self):
@@ -396,8 +398,9 @@
     def _send_report(self):
         parts = self._parts
         with parts.quota_changed:
-            used = dict(parts.quota.used)
+            used, denied = dict(parts.quota.used), dict(parts.quota.denied)
         report = parts.request_scheduler.report(used, parts.order_dispatcher.duties())
+        report.denied = denied
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
         if parts.election.leads:
