Store: back off together from a store that doesn't answer, as one fleet

Change: the clients of the store on a node share a backoff. Its pauses double from 0.15 s up to that with which the whole fleet makes 40 attempts a second (3 s at most), with jitter; one client makes the attempt for the others. The holder of a lease and the coordinator, which reads for all, are never held back. Calls are counted by kind, call and outcome.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -29,6 +29,8 @@
     skips_read : callable
         Returns whether the lease need not be read now, because its holder was active
         lately or other nodes look for a successor.
+    backoff : StoreBackoff
+        Holds back the calls of a process that doesn't hold the lease.
     levels : callable, optional
         Returns the levels of accounts to store with the lease.
     is_able : callable, optional
@@ -42,6 +44,7 @@
         store,
         clock,
         skips_read,
+        backoff,
         levels=dict,
         is_able=lambda: True,
     ):
@@ -50,6 +53,7 @@
         self._store = store
         self._clock = clock
         self._skips_read = skips_read
+        self._backoff = backoff
         self._levels = levels
         self._is_able = is_able
         self._was_able = True
@@ -76,14 +80,16 @@
             self._was_able = True
             self.election.resume()
         action = self.election.action(self._clock(), self._skips_read())
-        if action is None:
+        if action is None or (not self.election.leads and self._backoff.wait_s() > 0):
             return True
         try:
             self._execute(action)
         except StepError as error:
+            self._backoff.record_failure()
             self.election.on_failed(self._clock())
             log_failure(f"lease {self._name}", error)
             return False
+        self._backoff.record_answer()
         self._log_change()
         return True
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -46,8 +46,8 @@
         )
         self.store_calls = Counter(
             "hibiscusspar_store_calls",
-            "Calls of the platform's store by call and outcome.",
-            ("call", "outcome"),
+            "Calls of the platform's store by call, kind of object and outcome.",
+            ("call", "kind", "outcome"),
             registry=registry,
         )
         self.gauges = Gauge(
@@ -57,9 +57,9 @@
             registry=registry,
         )
 
-    def count_store_call(self, call, outcome):
+    def count_store_call(self, call, kind, outcome):
         """Count one call to the store."""
-        self.store_calls.labels(call, outcome).inc()
+        self.store_calls.labels(call, kind, outcome).inc()
 
     def render(self, fields):
         """Return all metrics as text.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -86,6 +86,7 @@
     # The keeper of the coordinator's lease comes first.
     lease_keepers: tuple
     quarantine_store: Any
+    store_backoff: Any
     order_dispatcher: Any
     log_sink: Any
     relayed_state: Any
@@ -287,6 +288,7 @@
                 "crashes_seen": self._parts.crashes.crash_count,
                 "quarantined": self._parts.crashes.quarantined_count,
                 "quarantine_refusals": self._parts.crashes.refused_count,
+                "store_failures": self._parts.store_backoff.failures,
                 "directory_differs": self._parts.relayed_state.directory_differs,
             }
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
@@ -36,14 +36,16 @@
         Returns whether this node coordinates.
     view_age_s : callable
         Returns the age of the last view, None before the first.
+    backoff : StoreBackoff
     """
 
-    def __init__(self, store, crashes, clock, leads, view_age_s):
+    def __init__(self, store, crashes, clock, leads, view_age_s, backoff):
         self._store = store
         self._crashes = crashes
         self._clock = clock
         self._leads = leads
         self._view_age_s = view_age_s
+        self._backoff = backoff
         self._read_at = None
         self._retry_at = 0.0
         self._revision = 0
@@ -56,14 +58,19 @@
             return
         if now < self._retry_at:
             return
+        is_read_due = self._read_at is None or now >= self._read_at + _READ_S
+        if not is_read_due and self._crash_counts() == self._stored:
+            return
+        if self._backoff.wait_s() > 0:
+            return
         try:
-            if self._read_at is None or now >= self._read_at + _READ_S:
-                self._read(now)
-            elif self._crash_counts() != self._stored:
-                self._write()
+            self._read(now) if is_read_due else self._write()
         except StepError as error:
+            self._backoff.record_failure()
             self._retry_at = now + _READ_S
             log_failure("quarantine store", error)
+        else:
+            self._backoff.record_answer()
 
     def _is_responsible(self):
         age_s = self._view_age_s()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -20,7 +20,7 @@
 
 __all__ = ["ConfigSync", "StoreWatch", "TargetSync", "VersionSync", "ViewOrigin"]
 
-# Pause after a failed call, in seconds.
+# Shortest pause after a failed call, in seconds.
 _RETRY_S = 0.15
 # Time in seconds after which a suspended watch checks whether it must read again.
 _RELAYED_POLL_S = 0.12
@@ -52,9 +52,10 @@
     is_relayed : callable
         Returns whether the coordinator's views relay these objects, so that the store
         need not be read.
+    backoff : StoreBackoff
     """
 
-    def __init__(self, store, kind, clock, wait_s, gap_s, handler, is_relayed):
+    def __init__(self, store, kind, clock, wait_s, gap_s, handler, is_relayed, backoff):
         self._store = store
         self._kind = kind
         self._clock = clock
@@ -62,6 +63,7 @@
         self._gap_s = gap_s
         self._handler = handler
         self._is_relayed = is_relayed
+        self._backoff = backoff
         self._revision = None
         self._outage_since = None
         self._wake = threading.Event()
@@ -81,9 +83,11 @@
             self._poll()
         except CompactedError:
             # The history was compacted, so a listing replaces it.
+            self._backoff.record_answer()
             self._revision = None
             return 0.0
         except StepError as error:
+            self._backoff.record_failure()
             self._record_outage(error)
             # A listing fails sooner than a watch call, so that the end of the outage is
             # noticed early.
@@ -100,6 +104,11 @@
                 self._wake.wait(_RELAYED_POLL_S)
                 self._wake.clear()
                 continue
+            held_s = self._backoff.wait_s()
+            if held_s > 0:
+                self._wake.wait(min(held_s, _RELAYED_POLL_S))
+                self._wake.clear()
+                continue
             pause.wait(self.poll_once())
 
     def _poll(self):
@@ -127,6 +136,7 @@
         write_records([(STORE_LOST, fields)])
 
     def _record_answer(self):
+        self._backoff.record_answer()
         if self._outage_since is None:
             return
         away_s = round(self._clock() - self._outage_since, 3)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
@@ -1,12 +1,14 @@
 """Tests of the leases in the store."""
 
 import unittest
+from random import Random
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.lease import Election, LeaseTiming
 from hibiscusspar_entry.fleet.lease_keeper import LeaseKeeper
+from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock
-from hibiscusspar_wire.platform_errors import ConflictError
+from hibiscusspar_wire.platform_errors import ConflictError, RefusedError
 
 
 class OneObjectStore:
@@ -32,6 +34,10 @@
         return self.revision
 
 
+def backoff(clock):
+    return StoreBackoff(clock, Random(3), lambda: 9, lambda: False)
+
+
 class TestLevels(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
@@ -40,7 +46,13 @@
     def lease_keeper(self, machine, levels):
         election = Election(machine, "s1", f"{machine}:1", LeaseTiming())
         return LeaseKeeper(
-            "coordinator", election, self.store, self.clock, lambda: False, levels
+            "coordinator",
+            election,
+            self.store,
+            self.clock,
+            lambda: False,
+            backoff(self.clock),
+            levels,
         )
 
     def run_for(self, lease_keeper, seconds):
@@ -67,8 +79,38 @@
         self.assertEqual(lease_keeper.stored_levels, {})
 
 
-if __name__ == "__main__":
-    unittest.main()
+class RejectingStore:
+    """Store that rejects all calls and counts them."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def get(self, _kind, name):
+        self.calls += 1
+        raise RefusedError("store.get", name, "answered 503")
+
+
+class TestRejectedNode(unittest.TestCase):
+    def test_leases_of_all_duties_share_one_backoff(self):
+        clock, store = Clock(), RejectingStore()
+        shared = StoreBackoff(clock, Random(3), lambda: 195, lambda: False)
+        keepers = [
+            LeaseKeeper(
+                name,
+                Election("a", "s1", "a:1", LeaseTiming()),
+                store,
+                clock,
+                lambda: False,
+                shared,
+            )
+            for name in ("coordinator", "orders-x", "orders-y", "orders-z")
+        ]
+        for _ in range(180):
+            for keeper in keepers:
+                keeper.step()
+            clock.now += 0.05
+        # Nine seconds: pauses of 0.15, 0.3, 0.6 and so on up to 3 s.
+        self.assertLessEqual(store.calls, 9)
 
 
 class TestDutyOfANodeThatCannotDoIt(unittest.TestCase):
@@ -85,6 +127,7 @@
             self.store,
             self.clock,
             lambda: False,
+            backoff(self.clock),
             is_able=lambda: self.able[machine],
         )
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
@@ -1,10 +1,12 @@
 """Tests of the copy of the quarantine in the store."""
 
 import unittest
+from random import Random
 
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.quarantine_store import QuarantineStore
+from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_entry.fleet.tests.test_lease_keeper import OneObjectStore
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock, target
 
@@ -48,7 +50,12 @@
             lambda: False,
         )
         self.copy = QuarantineStore(
-            store, self.crashes, clock, lambda: self.leads, lambda: self.view_age_s
+            store,
+            self.crashes,
+            clock,
+            lambda: self.leads,
+            lambda: self.view_age_s,
+            StoreBackoff(clock, Random(3), lambda: 9, lambda: self.leads),
         )
 
     def crash(self, *names):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -1,9 +1,11 @@
 """Tests of the synchronization with the store."""
 
 import unittest
+from random import Random
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.targets import Target, TargetDirectory
+from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_entry.fleet.store_sync import (
     ConfigSync,
     StoreWatch,
@@ -186,8 +188,10 @@
     def make_watch(self, *answers):
         self.handler = RecordingHandler()
         self.store = Store(*answers)
+        clock = Clock()
+        backoff = StoreBackoff(clock, Random(3), lambda: 9, lambda: False)
         return StoreWatch(
-            self.store, "servers", Clock(), 1.0, 0.0, self.handler, lambda: False
+            self.store, "servers", clock, 1.0, 0.0, self.handler, lambda: False, backoff
         )
 
     def poll(self, watch, count):
