Configuration: get it from other nodes while the store turns this node away

Change: a node whose store calls fail and whose views name a newer configuration asks two random nodes every 0.2 s, and gets it compressed in parts of 8 KB, four a question. Its age counts from the views, as that of a configuration read from the store, so keys that were withdrawn are bound as before. Questions and parts are fields of SendNotice that older builds ignore; nothing is sent while no node is turned away.

Result: a node that the store rejects serves the key of a newer configuration and refuses the withdrawn one (test_rejected_nodes; fails without the question being asked).

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -6,9 +6,13 @@
 If an order or its result is lost, the outcome of the order is unknown.
 """
 
+from typing import NamedTuple
+
 from msgspec import Raw, Struct
 
 __all__ = [
+    "ConfigPart",
+    "ConfigQuery",
     "CrashRow",
     "FleetView",
     "NodeReport",
@@ -223,6 +227,28 @@
     load: int
 
 
+class ConfigQuery(Struct, array_like=True):
+    """Question for the configuration, of a node that can't read it from the store.
+
+    ``known`` is the version that it has, ``version`` the newer one of which it has some
+    parts (0 if it has none), and ``missing`` the parts of that one that it asks for.
+    """
+
+    known: int
+    version: int
+    missing: list[int]
+
+
+class ConfigPart(NamedTuple):
+    """Part of an encoded configuration; ``digest`` is that of the whole."""
+
+    version: int
+    digest: str
+    count: int
+    index: int
+    data: bytes
+
+
 class SendNotice(Struct, tag="sent", omit_defaults=True):
     """Requests that a node has just sent, as targets and prompt tokens.
 
@@ -230,7 +256,8 @@
     holds origins of streams; ``asked`` names streams whose origins the sender needs,
     and the receiver answers with those that it knows. ``proxy_asked`` names services
     whose targets the sender can't reach; a receiver that can answers with a
-    ``proxy_offer``. Older builds ignore these four.
+    ``proxy_offer``. ``config_asked`` asks for the configuration, and ``config_part`` is
+    a part of the answer. Older builds ignore these six.
     """
 
     sends: list[tuple[str, int]]
@@ -239,6 +266,8 @@
     asked: list[str] = []
     proxy_asked: list[str] = []
     proxy_offer: ProxyOffer | None = None
+    config_asked: ConfigQuery | None = None
+    config_part: ConfigPart | None = None
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -77,8 +77,9 @@
 CONFIGURATION_TAKEN = declare(
     610,
     "node.configuration",
-    ("version", "revision", "routes", "accounts"),
-    "A configuration took effect in this process.",
+    ("version", "revision", "source", "routes", "accounts"),
+    "A configuration took effect in this process; `source` is `store`, or the address "
+    "of the node that sent it.",
 )
 CONFIGURATION_BAD = declare(
     611,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -90,6 +90,7 @@
     order_dispatcher: Any
     log_sink: Any
     relayed_state: Any
+    config_relay: Any
     peers: Any
     applicant: Any
     key_age_limit_s: float
@@ -252,6 +253,7 @@
             self._parts.request_scheduler.apply_notice(message)
             self._parts.origins.apply_notice(message, address)
             self._parts.path_watch.apply_notice(message, address)
+            self._parts.config_relay.apply_notice(message, address)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
@@ -427,6 +429,7 @@
     def _tick(self):
         self._parts.request_scheduler.tick()
         self._parts.path_watch.tick()
+        self._parts.config_relay.tick()
         self._parts.peer_proxy.grow()
         self._front.grow()
         if self._parts.election.leads:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -68,6 +68,12 @@
         """Whether rows are missing or differ from those of the coordinator."""
         return self._differs_since is not None
 
+    @property
+    def config_version(self):
+        """Version of the configuration in force as the last view tells, else 0."""
+        with self._lock:
+            return self._view.config_version if self._view is not None else 0
+
     @property
     def _view_age_s(self):
         return self._clock() - self._view_as_of
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -161,8 +161,16 @@
         self._clock = clock
         self._apply = apply
         self._confirmed_at = None
+        self._value = None
+        self._lock = threading.Lock()
         self.ruleset = None
 
+    @property
+    def content(self):
+        """Version and value of the object in force, None before the first."""
+        with self._lock:
+            return None if self.ruleset is None else (self.ruleset.version, self._value)
+
     @property
     def age_s(self):
         """Seconds since the configuration was last known to be the newest."""
@@ -183,6 +191,10 @@
                 self._apply_object(stored)
         self.confirm(sent_at)
 
+    def apply_relayed(self, value, sender):
+        """Apply the value of the object as another node has it."""
+        self._apply_value(value, 0, sender)
+
     def confirm(self, at):
         """Record that the configuration in force was the newest at a given time."""
         if self._confirmed_at is None or at > self._confirmed_at:
@@ -192,21 +204,25 @@
         """Do nothing: the next answer confirms the configuration."""
 
     def _apply_object(self, stored):
-        if stored.name != self._codec.config_name:
-            return
+        if stored.name == self._codec.config_name:
+            self._apply_value(stored.value, stored.revision, "store")
+
+    def _apply_value(self, value, revision, source):
         try:
-            ruleset = self._codec.decode_ruleset(stored.value)
+            ruleset = self._codec.decode_ruleset(value)
         except (MsgspecError, ValueError) as error:
-            fields = {"revision": stored.revision, "reason": str(error)}
+            fields = {"revision": revision, "reason": str(error)}
             write_records([(CONFIGURATION_BAD, fields)])
             return
-        if self.ruleset is not None and ruleset.version <= self.ruleset.version:
-            return
-        self.ruleset = ruleset
-        self._apply(ruleset)
+        with self._lock:
+            if self.ruleset is not None and ruleset.version <= self.ruleset.version:
+                return
+            self.ruleset, self._value = ruleset, value
+            self._apply(ruleset)
         fields = {
             "version": ruleset.version,
-            "revision": stored.revision,
+            "revision": revision,
+            "source": source,
             "routes": sum(map(len, ruleset.routes.values())),
             "accounts": len(ruleset.accounts),
         }
