--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -1,10 +1,8 @@
 """Coordinator of the fleet: views to all nodes, account levels and load orders."""
 
 import threading
-from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic, sleep
-from typing import NamedTuple
 
 from msgspec import Raw
 from msgspec.json import encode as to_json
@@ -19,27 +17,23 @@
 from hibiscusspar.fleet.messages import (
     FleetView,
     PermitGrant,
-    TargetLoad,
     ViewRelay,
-    adapter_key,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import ROTATED_PEERS
 from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
-from hibiscusspar.fleet.report_changes import is_older, started_counts
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
+from hibiscusspar_entry.fleet.report_table import ReportTable
 
 __all__ = ["Coordinator"]
 
-# Age of a report, in seconds, beyond which it no longer counts.
-_REPORT_STALE_S = 1.5
 # Pause after a planning round, in seconds, because many wants arrive within some
 # milliseconds. It lasts at least _PLAN_PAUSE_ROUNDS times as long as the round, which
 # leaves time for views.
@@ -62,18 +56,6 @@
 _CHOICE_POLICY = ChoicePolicy()
 
 
-class _NodeRecord(NamedTuple):
-    """Last report of a node, with the time and address that it came from.
-
-    ``in_use`` maps targets to the adapters of the node's running requests.
-    """
-
-    report: object
-    received_at: float
-    address: tuple[str, int]
-    in_use: dict[str, set]
-
-
 class Coordinator:
     """Coordinator of the fleet, active on the node that holds the coordinator's lease.
 
@@ -132,7 +114,7 @@
         self._planner = AdapterPlanner()
         self._levels = AccountLevels(quota_window_s)
         self._sent_levels = {}
-        self._node_records = {}
+        self._reports = ReportTable()
         self._targets = {}
         self._ruleset = None
         self._number = 0
@@ -212,25 +194,17 @@
             if not self._active:
                 return
             now = self._clock()
-            known = self._node_records.get(report.node)
-            if known and is_older(report, known.report):
+            changes = self._reports.record(now, report, address)
+            if changes is None:
                 return
-            same = known is not None and known.report.start == report.start
-            in_use = {
-                target_id: set(map(adapter_key, counts))
-                for target_id, counts in report.in_use.items()
-            }
-            self._node_records[report.node] = _NodeRecord(report, now, address, in_use)
             self._directory_rows.request(report.lacked_rows)
             self._residency_rotation.request(report.lacked_residency)
             self._levels.report(
                 now, report.node, report.start, report.used, report.denied
             )
             self._limits.apply_rows(report.limits, report.node)
-            earlier = known.report.in_use if same else {}
-            for target_id, counts in report.in_use.items():
-                started = started_counts(counts, earlier.get(target_id, {}))
-                self._planner.used(now, target_id, in_use[target_id])
+            for target_id, (in_use, started) in changes.items():
+                self._planner.used(now, target_id, in_use)
                 self._planner.record_starts(now, started)
         if report.wants:
             self._plan_requested.set()
@@ -253,7 +227,7 @@
             return
         with self._lock:
             now = self._clock()
-            records = {r.report.node: r for r in self._fresh_records(now)}
+            records = {r.report.node: r for r in self._reports.fresh(now)}
             demands = [
                 PermitDemand(name, record.received_at, record.report.permit_demand)
                 for name, record in records.items()
@@ -298,7 +272,7 @@
                 self._orderable_targets(now),
                 self._wants(now),
                 self._backlogs(now),
-                self._in_use(now),
+                self._reports.in_use(now),
                 exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
@@ -344,7 +318,7 @@
             number=self._number,
             nodes=max(1, self._levels.nodes),
             acked={},
-            loads=self._loads(now),
+            loads=self._reports.loads(now),
             residency=self._due_residency(now),
             levels=self._sent_levels,
             config_version=self._ruleset.version if self._ruleset else 0,
@@ -360,7 +334,7 @@
                 label: (version, round(now - at, 3))
                 for label, (version, at) in self._announced.items()
             },
-            held=sorted(self._duties(now)),
+            held=sorted(self._reports.duties(now)),
             peers=self._due_peers(),
             limits=self._due_limits(now),
             software=software,
@@ -374,7 +348,7 @@
         # Nodes with the most recent reports come first, to pass the view on. This node
         # is the last choice for that, because it is reached directly.
         records = sorted(
-            self._node_records.values(),
+            self._reports.records,
             key=lambda record: (record.report.node == self._node, -record.received_at),
         )
         return view, records
@@ -398,9 +372,7 @@
         rows = self._limits.rows()
         states = {target_id: per_s for target_id, (per_s, _) in rows.items()}
         due = self._limit_rotation.due(states, self._number, _ROTATED_LIMITS)
-        waiting = Counter()
-        for report in self._reports(now):
-            waiting.update(report.permit_demand)
+        waiting = self._reports.permit_demand(now)
         return {t: (*rows[t], waiting[t]) for t in due}
 
     def _update_rows(self, directory_age_s):
@@ -416,8 +388,8 @@
 
     def _due_peers(self):
         peers = {
-            name: (record.report.zone, "{}:{}".format(*record.address))
-            for name, record in self._node_records.items()
+            record.report.node: (record.report.zone, "{}:{}".format(*record.address))
+            for record in self._reports.records
         }
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
@@ -439,19 +411,10 @@
         """
         return {
             zone: None if record.report.node == self._node else record.address
-            for zone, (_, may_order, record) in self._duties(now).items()
+            for zone, (_, may_order, record) in self._reports.duties(now).items()
             if may_order
         }
 
-    def _duties(self, now):
-        """Return fence, permission to send orders, and holder of the duties by zone."""
-        duties = {}
-        for record in self._fresh_records(now):
-            for zone, (fence, may_order) in record.report.duties.items():
-                if zone not in duties or fence > duties[zone][0]:
-                    duties[zone] = (fence, may_order, record)
-        return duties
-
     def _duty_zone(self, target):
         """Return the zone whose duty holder sends orders to a target."""
         return target.zone if target.zone in self._zones else self._zones[0]
@@ -467,29 +430,10 @@
             if not target.draining and self._duty_zone(target) in holders
         }
 
-    def _fresh_records(self, now):
-        """Return the records of the nodes whose last report still counts."""
-        records = self._node_records.values()
-        return [
-            record for record in records if now <= record.received_at + _REPORT_STALE_S
-        ]
-
-    def _reports(self, now):
-        return [record.report for record in self._fresh_records(now)]
-
-    def _loads(self, now):
-        loads = {}
-        for report in self._reports(now):
-            for target_id, load in report.loads.items():
-                sums = loads.setdefault(target_id, TargetLoad(0, 0))
-                sums.running += load.running
-                sums.queued_prompt_tokens += load.queued_prompt_tokens
-        return loads
-
     def _backlogs(self, now):
         backlogs = {
             target_id: self._backlog_s(target_id, load)
-            for target_id, load in self._loads(now).items()
+            for target_id, load in self._reports.loads(now).items()
         }
         for target_id in self._limits.confirmed:
             backlogs[target_id] = backlogs.get(target_id, 0.0) + _LIMITED_TARGET_WAIT_S
@@ -504,15 +448,8 @@
             return first_byte_s(_CHOICE_POLICY, candidate, 0) + _FULL_TARGET_WAIT_S
         return first_byte_s(_CHOICE_POLICY, candidate, 0)
 
-    def _in_use(self, now):
-        in_use = {}
-        for record in self._fresh_records(now):
-            for target_id, keys in record.in_use.items():
-                in_use.setdefault(target_id, set()).update(keys)
-        return in_use
-
     def _wants(self, now):
-        wants = [want for report in self._reports(now) for want in report.wants]
+        wants = self._reports.wants(now)
         for service in sorted({target.service for target in self._engine_targets()}):
             wants += self._planner.outdated(now, service)
         return sorted(
