Targets: send brittle targets no more than they have room for

Change: answers tell which targets are brittle (BrittleTable, by incarnation, 10 s after the last answer that says so). Nodes fill three quarters of their slots, as counts are late, and queue nothing; when one is turned away for want of room, all nodes leave that target alone for 0.5 s. They learn it from a field of SendNotice that older builds ignore.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -272,7 +272,8 @@
     whose targets the sender can't reach; a receiver that can answers with a
     ``proxy_offer``. ``config_asked`` asks for the configuration, and ``config_part`` is
     a part of the answer. ``loads`` holds loads that the coordinator has just ordered.
-    Older builds ignore these seven.
+    ``full`` names brittle targets that have just turned a request away. Older builds
+    ignore these eight.
     """
 
     sends: list[tuple[str, int]]
@@ -284,6 +285,7 @@
     config_asked: ConfigQuery | None = None
     config_part: ConfigPart | None = None
     loads: list[AdapterLoad] = []
+    full: list[str] = []
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -136,6 +136,7 @@
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
         parts.request_scheduler.on_sent = self._notice_sender.add
+        parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
         parts.crashes.on_verdict = self._view_requested.set
 
@@ -254,6 +255,10 @@
             self._parts.origins.apply_notice(message, address)
             self._parts.path_watch.apply_notice(message, address)
             self._parts.config_relay.apply_notice(message, address)
+            for target_id in message.full:
+                target = self._parts.path_watch.target(target_id)
+                if target is not None:
+                    self._parts.statements.record_full(target)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notices.py
@@ -1,4 +1,4 @@
-"""Notices to other nodes of the requests that this node sends to targets.
+"""Notices to other nodes of requests sent to targets, and of targets without room.
 
 They are sent at once, because views show the load of a target too late to keep several
 nodes from sending their prompts to the same one.
@@ -37,6 +37,7 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._pending = []
+        self._full = set()
         self._has_pending = threading.Event()
         # Number of datagrams sent, including relayed ones.
         self.sent_count = 0
@@ -47,6 +48,12 @@
             self._pending.append((target.target_id, tokens))
         self._has_pending.set()
 
+    def add_full(self, target_id):
+        """Queue a notice of a brittle target that turned a request away."""
+        with self._lock:
+            self._full.add(target_id)
+        self._has_pending.set()
+
     def run(self):
         """Send the queued notices until the process ends."""
         while True:
@@ -62,18 +69,19 @@
         """Send one notice of all queued requests; return the number of datagrams."""
         with self._lock:
             sends, self._pending = self._pending, []
-        if not sends:
+            full, self._full = sorted(self._full), set()
+        if not sends and not full:
             return 0
         recipients = self._peers.notice_recipients(self._clock(), self._zone, self._rng)
-        self._send(recipients.direct, SendNotice(sends))
-        self._send(recipients.relays, SendNotice(sends, relay=True))
+        self._send(recipients.direct, SendNotice(sends, full=full))
+        self._send(recipients.relays, SendNotice(sends, relay=True, full=full))
         return len(recipients.direct) + len(recipients.relays)
 
     def relay(self, notice):
         """Relay a notice from another zone to the nodes of this zone."""
         if notice.relay:
             addresses = self._peers.direct_addresses(self._clock(), self._zone)
-            self._send(addresses, SendNotice(notice.sends))
+            self._send(addresses, SendNotice(notice.sends, full=notice.full))
 
     def _send(self, addresses, notice):
         body = to_json(notice)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -516,13 +516,12 @@
             queued += max(
                 0, reported.queued_prompt_tokens - own_reported.queued_prompt_tokens
             )
-        slots = target.slots
-        if not self._has_engine.get(target.service):
-            slots += _PLAIN_QUEUE_SLOTS
+        is_engine = self._has_engine.get(target.service)
+        queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
             target_id,
             target.zone,
-            slots,
+            self._gate.usable_slots(target, queue_slots),
             running,
             max(0, queued),
             self._prompt_queues.backlog_s(now, target_id),
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -1,4 +1,4 @@
-"""Gate in front of the targets that have named a limit or asked for rest."""
+"""Gate in front of targets that have named a limit, asked for rest or are brittle."""
 
 from collections import Counter
 
@@ -30,7 +30,7 @@
 
     @property
     def is_idle(self):
-        """Whether no target has a limit, rests or has said that it leaves."""
+        """Whether no target has a limit, rests, is brittle or says that it leaves."""
         return self._limits.is_empty and self._statements.is_empty
 
     def retain(self, targets):
@@ -44,6 +44,10 @@
             self._limits.apply_rows({target_id: (per_s, age_s)}, view.node)
             self._waiting_of_all[target_id] = waiting
 
+    def usable_slots(self, target, queue_slots):
+        """Return the number of requests that a target may get at a time."""
+        return self._statements.usable_slots(target, queue_slots)
+
     def report_rows(self, target_ids):
         """Return the limits to report: of recent answers, and of the named targets."""
         return self._limits.report_rows(target_ids)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -3,6 +3,7 @@
 import threading
 from typing import NamedTuple
 
+from hibiscusspar.fleet.brittle_targets import BrittleTable
 from hibiscusspar.fleet.target_rests import RestTable
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.event_log import write_records
@@ -11,6 +12,8 @@
 
 __all__ = ["AnswerOrigin", "TargetStatements"]
 
+# Status of a target that has no room.
+_FULL = 503
 # Status of an answer that another target than the one that was meant may have given.
 _MISDIRECTED = 421
 
@@ -42,13 +45,16 @@
         self._limits = limits
         self._lock = threading.Lock()
         self._rests = RestTable()
+        self._brittle = BrittleTable()
         # Start of the incarnation by target.
         self._leaving = {}
+        # Called with the id of a brittle target that turned a request away.
+        self.on_full = lambda target_id: None
 
     @property
     def is_empty(self):
-        """Whether no target rests or has said that it leaves."""
-        return self._rests.is_empty and not self._leaving
+        """Whether no target rests, is brittle or has said that it leaves."""
+        return self._rests.is_empty and self._brittle.is_empty and not self._leaving
 
     @property
     def resting_count(self):
@@ -76,13 +82,15 @@
             return
         if answer.leaving:
             self._record_leaving(target)
+        self._record_brittle(target, answer, status)
         if origin.is_own and answer.rest_s is not None:
             self._record_rest(target, answer.rest_s)
 
     def closed(self, now):
         """Return the ids of the targets that want no requests of this node now."""
         with self._lock:
-            return self._rests.resting(now) | self._leaving.keys()
+            waiting = self._rests.resting(now) | self._brittle.full(now)
+            return waiting | self._leaving.keys()
 
     def leaving(self):
         """Return the ids of the targets that have said that they leave."""
@@ -90,9 +98,22 @@
             return set(self._leaving)
 
     def remaining_s(self, now, target_id):
-        """Return the seconds for which a target still rests, or 0."""
+        """Return the seconds for which a target rests or stays full, or 0."""
         with self._lock:
-            return self._rests.remaining_s(now, target_id)
+            full_s = self._brittle.full_until(target_id) - now
+            return max(full_s, self._rests.remaining_s(now, target_id))
+
+    def usable_slots(self, target, queue_slots):
+        """Return the number of requests that a target may get at a time."""
+        with self._lock:
+            return self._brittle.usable_slots(
+                target.target_id, target.slots, queue_slots
+            )
+
+    def record_full(self, target):
+        """Record that a brittle target turned a request of another node away."""
+        with self._lock:
+            self._brittle.record_full(self._clock(), target)
 
     def is_closed(self, target):
         """Return whether a target wants no requests of this node now."""
@@ -109,6 +130,7 @@
         if not self.is_empty:
             with self._lock:
                 self._rests.retain(self._clock(), targets)
+                self._brittle.retain(self._clock(), targets)
                 self._leaving = {
                     target_id: born
                     for target_id, born in self._leaving.items()
@@ -123,6 +145,16 @@
             fields = {"target": target.target_id, "born": target.born}
             write_records([(TARGET_SAYS_IT_LEAVES, fields)])
 
+    def _record_brittle(self, target, answer, status):
+        is_full = answer.brittle and answer.not_run and status == _FULL
+        with self._lock:
+            if answer.brittle or not self._brittle.is_empty:
+                self._brittle.record(self._clock(), target, answer.brittle)
+            if is_full:
+                self._brittle.record_full(self._clock(), target)
+        if is_full:
+            self.on_full(target.target_id)
+
     def _record_rest(self, target, rest_s):
         with self._lock:
             begins = self._rests.record(self._clock(), target, rest_s)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -51,7 +51,8 @@
     number of requests a second that the target takes from all nodes together, None if
     it names no limit. ``rest_s`` is for how many seconds it wants no requests of the
     node that it answers, None if it doesn't say so. ``leaving`` is whether it says that
-    it leaves.
+    it leaves, ``brittle`` whether it says that it fails if it must turn many requests
+    away.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     limit_per_s: float | None = None
     rest_s: float | None = None
     leaving: bool = False
+    brittle: bool = False
 
 
 class Dialect(Protocol):
