Orders: silent targets delay no loads at others

Cause: the coordinator sent orders and queries of targets' state from one pool of eight threads, and each waits up to 0.6 s for its time-out. A dark target was queried every 0.3 s whether or not its last query had ended, so five dark targets kept all threads busy, and so did some lost answers to orders.

Change: pools of their own for orders (32 threads, started as needed) and queries (16); at most one query of a target at a time, with pauses that double up to 1.2 s while it doesn't answer; 24 threads at the holder of a duty. An unexpected error ends an order as lost and a query as unanswered, where it left the target marked as busy for good.

Result: nine of ten orders within 0.1 s of the want (the new test).

--- a/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
@@ -20,7 +20,9 @@
     if it must be queried. ``models`` maps each model that it holds to the time from
     which it is ready. ``order_in_progress`` is whether an order to it has no result
     yet, ``pending_adapter`` the adapter for which that order was given.
-    ``was_queried`` is whether the target was ever queried. ``warm`` lists adapters
+    ``was_queried`` is whether the target was ever queried, ``query_in_progress``
+    whether a query has no result yet, and ``failed_queries`` how many in a row had
+    none. ``warm`` lists adapters
     that it held recently, the latest last. ``number`` is the revision of ``copies``.
 
     Parameters
@@ -40,6 +42,8 @@
         self.order_in_progress = False
         self.pending_adapter = None
         self.was_queried = False
+        self.query_in_progress = False
+        self.failed_queries = 0
         self.next_query_at = 0.0
         self.warm = OrderedDict()
         self.last_used = {}
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -93,18 +93,30 @@
                 held.models[model] = 0.0
 
     def targets_to_query(self, now):
-        """Return the targets to query now, and schedule their next query."""
+        """Return the targets to query now, and mark their queries as in progress."""
         found = []
         for target_id, held in self._held.items():
             if (
                 held.orders_accepted is None
                 and not held.order_in_progress
+                and not held.query_in_progress
                 and now >= held.next_query_at
             ):
-                held.next_query_at = now + self._policy.confirm_s
+                held.query_in_progress = True
                 found.append(target_id)
         return found
 
+    def record_no_report(self, now, target_id):
+        """Record that a query got no answer; the next one follows after a backoff."""
+        held = self._held.get(target_id)
+        if held is None:
+            return
+        held.query_in_progress = False
+        pause_s = self._policy.confirm_s * 2.0**held.failed_queries
+        held.next_query_at = now + min(pause_s, self._policy.max_query_pause_s)
+        # The exponent need not grow beyond the longest pause.
+        held.failed_queries = min(held.failed_queries + 1, 8)
+
     def record_report(
         self, now, target_id, orders_accepted, adapters, pending, models=None
     ):
@@ -123,7 +135,11 @@
             Models that it holds.
         """
         held = self._held.get(target_id)
-        if held is None or held.orders_accepted is not None or held.order_in_progress:
+        if held is None:
+            return
+        held.query_in_progress = False
+        held.failed_queries = 0
+        if held.orders_accepted is not None or held.order_in_progress:
             return
         ready_at = now + self._policy.cold_load_s
         held.copies = {key: AdapterCopy(v, 0.0) for key, v in adapters.items()}
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -26,7 +26,8 @@
     addition to the report interval of the nodes. The last ``warm_adapters`` that a
     target held load in ``warm_load_s``. ``prompt_tokens_s`` is the rate at which an
     engine processes prompts. ``copy_backlog_s`` is the backlog beyond which a further
-    copy pays off. A target whose state is uncertain is queried after ``confirm_s``. An
+    copy pays off. A target whose state is uncertain is queried after ``confirm_s``, and
+    while it doesn't answer up to ``max_query_pause_s`` apart. An
     adapter used within ``in_demand_s`` gets a new version before it is requested. One
     copy serves ``copy_requests_s`` requests a second, divided by the decoding steps per
     event: at two steps that is a third of the prompts that an engine can process, so
@@ -46,6 +47,7 @@
     prompt_tokens_s: float = 19_200.0
     copy_backlog_s: float = 0.05
     confirm_s: float = 0.3
+    max_query_pause_s: float = 1.2
     in_demand_s: float = 3.0
     copy_requests_s: float = 10.0
     zone_copy_s: float = 0.2
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -41,7 +41,10 @@
 # leaves time for views.
 _PLAN_PAUSE_S = 0.004
 _PLAN_PAUSE_ROUNDS = 2.0
-_ORDER_THREADS = 8
+# Orders and state queries without a result yet. Each may wait for its time-out, and
+# those to silent targets must not delay the others.
+_ORDER_THREADS = 32
+_QUERY_THREADS = 16
 # Most targets of a view whose adapters it lists, up to 1 KB each.
 _MAX_RESIDENCY = 16
 # Limits of targets that a view carries at most, and those of them in rotation.
@@ -131,7 +134,8 @@
         self.permits_issued = 0
         self._active = False
         self._view_sent_at = 0.0
-        self._pool = ThreadPoolExecutor(_ORDER_THREADS)
+        self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
+        self._query_pool = ThreadPoolExecutor(_QUERY_THREADS)
         self._plan_requested = threading.Event()
         self._closed = False
         self._residency_changed = False
@@ -142,7 +146,8 @@
         """Stop the threads."""
         self._closed = True
         self._plan_requested.set()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (self._order_pool, self._query_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
 
     @property
     def levels(self):
@@ -263,7 +268,7 @@
             sleep(max(_PLAN_PAUSE_S, _PLAN_PAUSE_ROUNDS * (monotonic() - started_at)))
 
     def plan(self):
-        """Plan orders; send them and the due state queries from the thread pool."""
+        """Plan orders; send them and the due state queries from thread pools."""
         now = self._clock()
         if not self._active or not self._election.leads:
             return
@@ -279,9 +284,9 @@
             )
             self.planned += len(orders)
         for target in queried:
-            self._pool.submit(self._query_state, target)
+            self._query_pool.submit(self._query_state, target)
         for order in orders:
-            self._pool.submit(self._dispatch, order)
+            self._order_pool.submit(self._dispatch, order)
 
     def send_views(self):
         """Send a view of the fleet to all nodes."""
@@ -459,8 +464,14 @@
         )
 
     def _query_state(self, target):
-        state = self._orders.read_state(target)
+        state = None
+        try:
+            state = self._orders.read_state(target)
+        except Exception as error:  # noqa: BLE001
+            log_failure("query", error)
         if state is None:
+            with self._lock:
+                self._planner.record_no_report(self._clock(), target.target_id)
             return
         with self._lock:
             self._planner.record_report(
@@ -481,7 +492,14 @@
             holders = self._holders(self._clock())
         if zone in holders:
             fence = self._election.fence
-            result = self._order_dispatcher.dispatch(order, zone, holders[zone], fence)
+            try:
+                result = self._order_dispatcher.dispatch(
+                    order, zone, holders[zone], fence
+                )
+            except Exception as error:  # noqa: BLE001
+                # The order may have been sent.
+                result = "lost"
+                log_failure("dispatch", error)
         with self._lock:
             self._planner.record_outcome(self._clock(), OrderOutcome(order, result))
         self._plan_requested.set()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/order_dispatcher.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/order_dispatcher.py
@@ -15,7 +15,8 @@
 
 __all__ = ["OrderDispatcher"]
 
-_THREADS = 8
+# Orders without a result yet, each of which may wait for its time-out.
+_THREADS = 24
 # Longest wait for another node's result, in seconds: its own time-out and the network.
 _RESULT_TIMEOUT_S = 0.6
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -1,6 +1,7 @@
 """Tests of what the coordinator's views carry, and how often they are sent."""
 
 import unittest
+from collections import Counter
 from time import monotonic, sleep
 
 from msgspec.json import Decoder
@@ -14,6 +15,7 @@
     Want,
 )
 from hibiscusspar.fleet.planner import LoadOrder
+from hibiscusspar.fleet.rules import EngineRule, ModelRule
 from hibiscusspar_entry.fleet.coordinator import Coordinator
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
@@ -154,6 +156,93 @@
         self.assertGreater(load.ready_in_s, 0.0)
 
 
+class DarkTargets:
+    """Targets of which some don't answer, so that a call waits until it times out."""
+
+    def __init__(self, dark):
+        self._dark = dark
+        self.most_calls_at_once = 0
+        self._calls = Counter()
+
+    def read_state(self, target):
+        if target.target_id not in self._dark:
+            return TargetState(0, {}, {}, ("m",), False)
+        self._calls[target.target_id] += 1
+        at_once = self._calls[target.target_id]
+        self.most_calls_at_once = max(self.most_calls_at_once, at_once)
+        sleep(0.4)
+        self._calls[target.target_id] -= 1
+        return None
+
+
+class LosingDispatcher:
+    """Duty holder that gets no answer to the orders to some targets."""
+
+    def __init__(self, lossy):
+        self._lossy = lossy
+        self.ordered = {}
+
+    def dispatch(self, order, zone, holder, fence):
+        self.ordered.setdefault(order.adapter, monotonic())
+        if order.target_id in self._lossy:
+            sleep(0.6)
+            return "lost"
+        return "accepted"
+
+
+class TestManyTargets(unittest.TestCase):
+    """A sixth of 60 targets is dark, another sixth loses the answers to orders."""
+
+    def setUp(self):
+        names = [f"t{index}" for index in range(60)]
+        self.orders = DarkTargets(set(names[:10]))
+        self.dispatcher = LosingDispatcher(set(names[10:20]))
+        self.coordinator = Coordinator(
+            "c",
+            "s",
+            "10.0.0.9:7000",
+            monotonic,
+            Election(),
+            self.dispatcher,
+            self.orders,
+            ("z1",),
+            lambda address, body: None,
+            8.0,
+            lambda: (0.0, 0.0),
+            LimitExchange(monotonic),
+            CrashExchange(monotonic, lambda address: False, None, lambda: False),
+        )
+        self.addCleanup(self.coordinator.close)
+        rules = engine_rules()
+        engine = EngineRule(
+            12, 50_000, 9, 17_000.0, 36.0, (ModelRule("m", 1.0, 1.0),), 3
+        )
+        rules.services["draft"].engine = engine
+        rules.accounts, rules.version = {}, 1
+        self.coordinator.configure(rules)
+        self.coordinator.set_targets({name: target(name) for name in names})
+        self.coordinator.take_over({})
+
+    def test_silent_targets_delay_no_loads_at_others(self):
+        wanted_at = {}
+        for number in range(1, 151):
+            adapter = f"a{number}"
+            wanted_at[adapter] = monotonic()
+            recent = [f"a{n}" for n in range(max(1, number - 20), number + 1)]
+            wants = [Want("draft", "m", a, 1, 1400, 1, False) for a in recent]
+            report = NodeReport("n", "s", "z1", number, {}, {}, wants, {}, {})
+            report.duties = {"z1": (1, True)}
+            self.coordinator.handle_report(report, ADDRESS)
+            sleep(0.02)
+        # Targets are queried for the first time during the first loads.
+        delays = [
+            self.dispatcher.ordered.get(adapter, monotonic()) - at
+            for adapter, at in wanted_at.items()
+        ][30:]
+        self.assertLess(sorted(delays)[len(delays) * 9 // 10], 0.1)
+        self.assertEqual(self.orders.most_calls_at_once, 1)
+
+
 class TestViewRate(CoordinatorTestCase):
     node_count = 78
 
