Views: pack them, and forward them through nodes with fast links

Cause: a view of a large fleet is mostly names and numbers that repeat, sent as JSON: 42 KB at 360 nodes and 830 targets, 59 to 118 KB/s to each node where 29 are allowed for all control. A node that forwards it to a group of 14 over a link of 10 Mbit/s takes some 0.1 s for it, and any node could be chosen for that, the one heard last.

Change: nodes tell in their reports that they read packed datagrams and how fast their link is. The coordinator packs views for them (zlib), a forwarder packs again, and nodes of older builds get views as before in groups of their own. Nodes with 50 Mbit/s or more that were heard within one and a half intervals forward first. An unexpected error in handling a datagram no longer ends the thread that receives.

--- a/measure/part_views.py
+++ b/measure/part_views.py
@@ -62,9 +62,9 @@
         rows.append((nodes, targets, len(sent), size, slow, fast, seconds * 1e3))
     columns = ("nodes", "targets", "groups", "bytes", "KB/s", "KB/s, loads", "ms")
     note = (
-        "Bytes of a view without adapters of targets, those that a node receives per "
-        "second, the same while adapters are loaded, and the coordinator's time for "
-        f"one view to all groups. Each node has requests at {BUSY_TARGETS} targets."
+        "Bytes of a packed view without adapters of targets, those that a node "
+        "receives per second, the same while adapters are loaded, and the "
+        f"coordinator's time for one view to all groups. Each node has requests at {BUSY_TARGETS} targets."
     )
     return Table("Size of a view", columns, rows, note)
 
@@ -116,7 +116,9 @@
         for offset in range(BUSY_TARGETS)
     }
     zone = f"z{index % ZONES}"
-    return NodeReport(f"n{index}", "s", zone, number + 1, loads, {}, [], {}, {})
+    report = NodeReport(f"n{index}", "s", zone, number + 1, loads, {}, [], {}, {})
+    report.reads_packed = True
+    return report
 
 
 def _change_table(sizes, changes):
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -117,7 +117,8 @@
     asks for a permit for a later request. ``crashes`` holds crashes that the node saw
     and the coordinator may not know, ``answered`` suspects that were answered since,
     with the age of the answer. ``denied`` holds the tokens that each account was denied
-    since the process started.
+    since the process started. ``link_mbps`` is the bandwidth of the node's link, 0 if
+    it isn't known, and ``reads_packed`` whether the node can read packed datagrams.
     """
 
     node: str
@@ -136,6 +137,8 @@
     crashes: list[CrashRow] = []
     answered: dict[str, float] = {}
     denied: dict[str, float] = {}
+    link_mbps: float = 0.0
+    reads_packed: bool = False
 
 
 class FleetView(Struct, tag="view"):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -21,6 +21,7 @@
     ViewRelay,
 )
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.packing import pack, unpack
 
 __all__ = ["Channel"]
 
@@ -73,21 +74,30 @@
         except OSError as error:
             log_failure("channel.send", error)
 
-    def _handle(self, message, address):
-        if isinstance(message, ViewRelay):
-            view = bytes(message.view)
-            for other in message.addresses:
-                self.send(other, view)
-            message = _DECODER.decode(view)
+    def handle_datagram(self, datagram, address):
+        """Forward and hand on the message of a datagram; drop it if it is broken."""
+        try:
+            body = unpack(datagram)
+            message = _DECODER.decode(body)
+            if isinstance(message, ViewRelay):
+                view = bytes(message.view)
+                is_packed = body is not datagram
+                forwarded = pack(view) if is_packed else view
+                for other in message.addresses:
+                    self.send(other, forwarded)
+                message = _DECODER.decode(view)
+        except (MsgspecError, ValueError) as error:
+            log_failure("channel.decode", error)
+            return
         self._receive(message, address)
 
     def _run(self):
         while True:
             try:
-                body, address = self._socket.recvfrom(_MAX_BYTES)
-                self.received_bytes += len(body)
-                self._handle(_DECODER.decode(body), address)
-            except MsgspecError as error:
-                log_failure("channel.decode", error)
+                datagram, address = self._socket.recvfrom(_MAX_BYTES)
+                self.received_bytes += len(datagram)
+                self.handle_datagram(datagram, address)
             except OSError as error:
                 log_failure("channel.receive", error)
+            except Exception as error:  # noqa: BLE001
+                log_failure("channel.handle", error)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -32,6 +32,7 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
+from hibiscusspar_entry.fleet.packing import pack
 from hibiscusspar_entry.fleet.report_table import ReportTable
 
 __all__ = ["Coordinator"]
@@ -54,6 +55,8 @@
 _LOGGED_TARGETS = 8
 # Greatest age that a view carries, in seconds; older data is sent with this age.
 _MAX_AGE_S = 1e6
+# Intervals of reports after which a node may have failed.
+_STALE_INTERVALS = 1.5
 # Assumed time in seconds until a target with no free slot has one.
 _FULL_TARGET_WAIT_S = 1.0
 # Assumed time in seconds until a target with a limit takes a further request.
@@ -292,13 +295,16 @@
         """Send a view of the fleet to all nodes."""
         with self._lock:
             view, records = self._view()
-        for group in view_groups(records, lambda record: record.report.zone):
+        # Nodes of older builds, which can't read packed views, get groups of their own.
+        for group in view_groups(
+            records, lambda record: (record.report.zone, record.report.reads_packed)
+        ):
             view.acked = {record.report.node: record.report.number for record in group}
             body = to_json(view)
             first, *others = [record.address for record in group]
             if others:
                 body = to_json(ViewRelay(others, Raw(body)))
-            self._send(first, body)
+            self._send(first, pack(body) if group[0].report.reads_packed else body)
 
     def _view(self):
         now = self._view_sent_at = self._clock()
@@ -352,13 +358,8 @@
                 for name, rate in self._levels.asked_rates(now).items()
             },
         )
-        # Nodes with the most recent reports come first, to pass the view on. This node
-        # is the last choice for that, because it is reached directly.
-        records = sorted(
-            self._reports.records,
-            key=lambda record: (record.report.node == self._node, -record.received_at),
-        )
-        return view, records
+        stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
+        return view, self._reports.forwarding_order(now, stale_s, self._node)
 
     def _residency_numbers(self):
         return {
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -410,6 +410,8 @@
             used, denied = dict(parts.quota.used), dict(parts.quota.denied)
         report = parts.request_scheduler.report(used, parts.order_dispatcher.duties())
         report.denied = denied
+        report.link_mbps = parts.settings.link_mbps
+        report.reads_packed = True
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
         if parts.election.leads:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
@@ -8,6 +8,10 @@
 
 __all__ = ["NodeRecord", "ReportTable"]
 
+# Bandwidth with which a node forwards a view of a large fleet to a group within some
+# milliseconds.
+_MIN_FORWARDER_MBPS = 50.0
+
 # Age of a report, in seconds, beyond which it no longer counts.
 _REPORT_STALE_S = 1.5
 
@@ -63,6 +67,31 @@
             for target_id, counts in report.in_use.items()
         }
 
+    def forwarding_order(self, now, stale_s, last):
+        """Return the records of all nodes, those that should forward views first.
+
+        These are nodes heard lately whose links carry a view to many others soon, in
+        changing order, so that one that forwards nothing doesn't stay the first.
+
+        Parameters
+        ----------
+        now : float
+        stale_s : float
+            Age of a report beyond which a node may have failed.
+        last : str
+            Node that comes last, because it needs no forwarding.
+        """
+
+        def rank(record):
+            return (
+                record.report.node == last,
+                now > record.received_at + stale_s,
+                record.report.link_mbps < _MIN_FORWARDER_MBPS,
+                -record.received_at,
+            )
+
+        return sorted(self._records.values(), key=rank)
+
     def fresh(self, now):
         """Return the records of the nodes whose last report still counts."""
         return [
