Limits: in a small fleet, grant each node one request as before

Granting by probability is needed where many nodes each exceed the level by a request; in a small fleet that is within the platform's slack, and refusing costs callers.

--- a/packages/hibiscusspar/hibiscusspar/fleet/quota.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/quota.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from hibiscusspar.fleet.account_demand import AccountDemand, grant_probability
+from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
 
 __all__ = [
     "AccountLevels",
@@ -345,7 +346,8 @@
         share = level * min(1.0, self._policy.take_share / self._nodes)
         if pending + tokens <= share:
             return Granted()
-        if self._asked is None:
+        if self._asked is None or self._nodes <= MAX_DIRECT_NODES:
+            # In a small fleet, one request of each node is within the platform's slack.
             return Granted() if pending <= 0 else Deferred()
         asked_per_s = self._asked.get(rule.name, 0.0)
         available = level * self._policy.take_share
