--- a/measure/part_views.py
+++ b/measure/part_views.py
@@ -64,7 +64,8 @@
     note = (
         "Bytes of a packed view without adapters of targets, those that a node "
         "receives per second, the same while adapters are loaded, and the "
-        f"coordinator's time for one view to all groups. Each node has requests at {BUSY_TARGETS} targets."
+        "coordinator's time for one view to all groups. Each node has requests at "
+        f"{BUSY_TARGETS} targets."
     )
     return Table("Size of a view", columns, rows, note)
 
