--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -33,7 +33,8 @@
     the number of running requests at which an engine that continuously processes
     prompts still ends the longest streams of the data sheets in time. ``count_lag_s``
     is the average age of counts, of a report and a view; they still include the prompts
-    processed since.
+    processed since. ``connect_s`` is the time for a new connection: a round trip and
+    the time in which the target accepts it.
     """
 
     prompt_tokens_s: float = 19_200.0
@@ -44,13 +45,15 @@
     other_zone_s: float = 0.06
     max_running: int = 44
     count_lag_s: float = 0.15
+    connect_s: float = 0.004
 
 
 class Candidate(NamedTuple):
     """A target that could run a request, with its load.
 
     ``queued_prompt_tokens`` comes from reports, ``queued_s`` is the time to process the
-    prompts of which nodes sent notices.
+    prompts of which nodes sent notices. ``is_connected`` is whether the node has an
+    idle connection to the target.
     """
 
     target_id: str
@@ -59,6 +62,7 @@
     running: int
     queued_prompt_tokens: int
     queued_s: float = 0.0
+    is_connected: bool = True
 
 
 def backlog_s(policy, candidate):
@@ -103,6 +107,7 @@
             continue
         time_s = first_byte_s(policy, candidate, prompt_tokens)
         cost = time_s if candidate.zone == zone else time_s + policy.other_zone_s
+        cost += 0.0 if candidate.is_connected else policy.connect_s
         rank = (cost, (tie_break + index * _GOLDEN_RATIO) % 1.0)
         if best is None or rank < best[0]:
             best = (rank, candidate, time_s)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_waiting.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -147,3 +148,40 @@
         if found is not None:
             times = [first_byte_s(policy, row, tokens) for row in free]
             self.assertEqual(found[1], min(times))
+
+
+class TestConnections(unittest.TestCase):
+    """Many nodes that each send a request to a plain service every few seconds."""
+
+    def test_nodes_keep_to_targets_that_they_are_connected_to(self):
+        rng = Random(2)
+        now, idle_s, runs_s = 0.0, 9.0, 0.05
+        running = {f"t{n}": [] for n in range(5)}
+        idle_since = {}
+        opened, sent = 0, Counter()
+        for _ in range(8000):
+            now += rng.expovariate(70.0)
+            node = rng.randrange(195)
+            rows = []
+            for name, ends in running.items():
+                ends[:] = [end for end in ends if end > now]
+                is_connected = now < idle_since.get((node, name), -idle_s) + idle_s
+                rows.append(
+                    Candidate(name, "z1", 8, len(ends), 0, is_connected=is_connected)
+                )
+            chosen, _ = choose_target(ChoicePolicy(), rows, "z1", 0, rng.random())
+            opened += not chosen.is_connected
+            sent[chosen.target_id] += 1
+            running[chosen.target_id].append(now + runs_s)
+            idle_since[node, chosen.target_id] = now + runs_s
+        # Over half if nodes chose among equal targets at random.
+        self.assertLess(opened, 8000 * 0.25)
+        self.assertLess(max(sent.values()), 8000 / 5 * 1.2)
+
+    def test_idle_target_is_worth_a_new_connection(self):
+        rows = [
+            Candidate("t1", "z1", 8, 5, 0, is_connected=True),
+            Candidate("t2", "z1", 8, 1, 0, is_connected=False),
+        ]
+        found, _ = choose_target(ChoicePolicy(), rows, "z1", 0)
+        self.assertEqual(found.target_id, "t2")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -120,6 +120,8 @@
         self._next_decision_at = 0.0
         self.direct_peers = 0
         self.request_report = lambda: None
+        # Returns whether this node has an idle connection to a target.
+        self.is_connected = lambda target: True
         self.on_sent = lambda target, tokens: None
 
     @property
@@ -525,6 +527,7 @@
             running,
             max(0, queued),
             self._prompt_queues.backlog_s(now, target_id),
+            self.is_connected(target),
         )
 
     def _own_reported_load(self, target_id):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -366,6 +366,18 @@
         connection.connect()
         return connection
 
+    def has_idle(self, target_id, address):
+        """Return whether an idle connection to a target may be reused now."""
+        now = self._clock()
+        with self._lock:
+            return any(
+                now
+                <= connection.idle_since
+                + connection.keep_alive_s
+                - _KEEP_ALIVE_MARGIN_S
+                for connection in self._idle.get((target_id, address), ())
+            )
+
     def check(self, address):
         """Open and close a connection, to find out whether a host can be reached.
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
@@ -40,6 +40,28 @@
         self.assertFalse(caught.exception.is_refused)
 
 
+class TestIdleConnections(unittest.TestCase):
+    def test_only_a_connection_that_may_be_reused_counts(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = "{}:{}".format(*listener.getsockname())
+        now = [50.0]
+        connections = TargetConnections(lambda: now[0], 0.5)
+        self.assertFalse(connections.has_idle("t1", address))
+        connection = connections.acquire("t1", address, 1.0)
+        self.assertFalse(connections.has_idle("t1", address))
+        accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        connection.send("GET", "/", [], b"", 1.0)
+        accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        connection.read_whole(connection.response(1.0), 1.0, 100)
+        connections.release("t1", connection, {"Keep-Alive": "timeout=5"})
+        self.assertTrue(connections.has_idle("t1", address))
+        now[0] += 4.5
+        self.assertFalse(connections.has_idle("t1", address))
+        connections.close_all_except(())
+
+
 class TestAbandonedCalls(unittest.TestCase):
     def setUp(self):
         self.listener = socket.create_server(("127.0.0.1", 0))
