hibiscussparctl explain: where requests were lost, from log lines

Counts for each step of time what was sent, answered in time, late, refused and broken off, and loads of adapters, and the causes of refusals with how long requests had waited.

--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/cli.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/cli.py
@@ -7,6 +7,7 @@
 from hibiscusspar_ctl.adapter_commands import adapters
 from hibiscusspar_ctl.declaration_commands import check, diff, publish
 from hibiscusspar_ctl.drain_commands import drains
+from hibiscusspar_ctl.explain_command import explain
 from hibiscusspar_ctl.key_commands import keys
 from hibiscusspar_ctl.session import Session, default_author
 from hibiscusspar_ctl.status_command import status
@@ -57,6 +58,7 @@
 app.command()(diff)
 app.command()(publish)
 app.command()(status)
+app.command()(explain)
 app.add_typer(keys, name="key")
 app.add_typer(adapters, name="adapter")
 app.add_typer(drains, name="drain")
--- /dev/null
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/explain_command.py
@@ -0,0 +1,58 @@
+"""Command that explains from log lines where requests were lost."""
+
+from itertools import chain
+from statistics import median
+
+from typer import Argument, Context, Exit, FileText, Option, echo
+
+from hibiscusspar_ctl.exit_codes import ExitCode
+from hibiscusspar_ctl.log_report import COLUMNS, read_report
+from hibiscusspar_ctl.session import print_result
+
+__all__ = ["explain"]
+
+_LOGS = Argument(..., help="Log files of nodes, or one of several nodes; - for stdin.")
+_STEP = Option(
+    2.0, "--step", min=0.001, help="Length of a row of the table in seconds."
+)
+
+
+def explain(context: Context, logs: list[FileText] = _LOGS, step: float = _STEP):
+    """Show from log lines what became of requests, and why they were refused."""
+    report = read_report(chain.from_iterable(logs), step)
+    if not report.steps:
+        echo("the logs have no lines about requests", err=True)
+        raise Exit(ExitCode.BAD_INPUT)
+    data = {
+        "steps": [
+            {"second": at, **{column: counts[column] for column in COLUMNS}}
+            for at, counts in sorted(report.steps.items())
+        ],
+        "refused": [
+            {
+                "count": len(waits),
+                "status": status,
+                "reason": reason,
+                "median_wait_s": round(median(waits), 3),
+            }
+            for (status, reason), waits in sorted(
+                report.waits.items(), key=lambda row: -len(row[1])
+            )
+        ],
+    }
+    print_result(context.obj, data, _lines(data))
+
+
+def _lines(data):
+    for rows in (data["steps"], data["refused"]):
+        if rows:
+            yield from _table(list(rows[0]), [list(row.values()) for row in rows])
+            yield ""
+
+
+def _table(columns, rows):
+    widths = [
+        max(len(str(row[i])) for row in (columns, *rows)) for i in range(len(columns))
+    ]
+    for row in (columns, *rows):
+        yield "  ".join(str(cell).rjust(w) for cell, w in zip(row, widths, strict=True))
