--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -4,8 +4,6 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from hibiscusspar.fleet.fanout import exchange_interval_s
-from hibiscusspar.fleet.quota import Deferred, Granted, OverLimit
 from hibiscusspar.fleet.retries import (
     UNSENT_STEPS,
     AttemptFailure,
@@ -29,6 +27,7 @@
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
 from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
+from hibiscusspar_entry.fleet.token_gate import TokenGate
 from hibiscusspar_wire.dialect import Forwarding
 from hibiscusspar_wire.event_stream import EventSplitter
 from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
@@ -44,8 +43,6 @@
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
 _UNLIMITED_BODY = 2**62
-# Intervals of views for which a request waits for one with enough tokens, at least.
-_WAITED_VIEWS = 1.25
 
 
 class ForwardPolicy(NamedTuple):
@@ -56,10 +53,6 @@
     one. ``unsafe_idle_s`` is the longest idle time of a connection that carries a
     request which can't be repeated, ``safe_idle_s`` that for other requests.
 
-    ``quota_wait_s`` is the longest wait for a view with enough tokens in a small
-    fleet, and ``first_view_wait_s`` that for the first view after the start: processes
-    of a fleet that were all killed at once elect a coordinator in this time.
-    ``quota_spread_s`` spreads the retries of callers over their limit,
     ``draining_retry_s`` and ``failed_retry_s`` are sent as ``Retry-After`` by a node
     that is stopping and after attempts that did not run.
 
@@ -78,9 +71,6 @@
     plain_wait_factor: float = 0.6
     unsafe_idle_s: float = 2.0
     safe_idle_s: float = 10.0
-    quota_wait_s: float = 0.3
-    first_view_wait_s: float = 0.8
-    quota_spread_s: float = 0.5
     draining_retry_s: float = 0.05
     failed_retry_s: float = 0.3
     stream_silence_s: float = 1.2
@@ -109,6 +99,9 @@
             parts.origins, parts.request_scheduler, self._policy.failed_retry_s
         )
         self._crash_guard = CrashGuard(parts.clock, parts.crashes)
+        self._tokens = TokenGate(
+            parts.clock, parts.quota, parts.quota_changed, parts.request_scheduler
+        )
         parts.crashes.on_quarantined = self._recheck_waiting
         self._open = set()
         self._lock = threading.Lock()
@@ -175,7 +168,7 @@
         self._crash_guard.check(admitted, state)
         if admitted.resumes_stream:
             self._streams.find_origin(admitted, state)
-        self._take_tokens(admitted, state)
+        self._tokens.take(admitted, state.caller_gone)
         state.tokens_taken = True
         parts.retry_budgets.request(admitted.service, self._clock())
         parts.metrics.started.inc()
@@ -188,7 +181,7 @@
                 self._handle_failure(admitted, state, failure)
         except RefusedError:
             if state.tokens_taken:
-                self._return_tokens(admitted)
+                self._tokens.give_back(admitted)
             raise
 
     def _recheck_waiting(self):
@@ -199,46 +192,6 @@
             if self._crash_guard.refuses(state.admitted, state):
                 state.stop_waiting()
 
-    def _take_tokens(self, admitted, state):
-        rule = admitted.rule
-        if rule is None:
-            return
-        parts = self._parts
-        started_at = self._clock()
-        with parts.quota_changed:
-            while True:
-                verdict = parts.quota.take(self._clock(), rule, admitted.cost)
-                if isinstance(verdict, Granted):
-                    return
-                remaining_s = (
-                    started_at + self._max_token_wait_s(verdict) - self._clock()
-                )
-                if (
-                    isinstance(verdict, OverLimit)
-                    or remaining_s <= 0
-                    or state.caller_gone.is_set()
-                ):
-                    break
-                parts.request_scheduler.request_report()
-                parts.quota_changed.wait(remaining_s)
-            if not state.caller_gone.is_set():
-                parts.quota.deny(rule, admitted.cost)
-        wait_s = verdict.retry_after_s if isinstance(verdict, OverLimit) else 0.0
-        wait_s += self._policy.quota_spread_s * admitted.fraction
-        raise RefusedError(429, "over the account's limit", wait_s)
-
-    def _max_token_wait_s(self, verdict):
-        """Return the longest total wait for a view with enough tokens, in seconds."""
-        if isinstance(verdict, Deferred) and verdict.is_first:
-            return self._policy.first_view_wait_s
-        interval_s = exchange_interval_s(self._parts.request_scheduler.nodes)
-        return max(self._policy.quota_wait_s, _WAITED_VIEWS * interval_s)
-
-    def _return_tokens(self, admitted):
-        if admitted.rule is not None:
-            with self._parts.quota_changed:
-                self._parts.quota.give_back(admitted.rule, admitted.cost)
-
     def _wait_for_placement(self, admitted, state):
         """Wait for a target and return it; raise ``RefusedError`` if none is found."""
         self._streams.check_origin(state)
