Messages: fields for cold targets, evacuated zones, speeds of targets and admission

Cause: the parts of docs/design/targets-and-load.md are built side by side and share the reports and views. Result: lint is clean; nothing reads or writes the fields yet.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "AdapterLoad",
+    "AdmissionLevel",
     "ConfigPart",
     "ConfigQuery",
     "CrashRow",
@@ -102,6 +103,22 @@
     refused: bool = True
 
 
+class AdmissionLevel(Struct, array_like=True):
+    """Part of the requests to a service that all nodes admit, by priority.
+
+    ``shares`` maps a priority to the admitted share in [0, 1]; priorities that it lacks
+    are admitted. ``room_per_s`` is the number of prompt tokens a second that callers
+    who return may bring, ``booked`` the number that they were told to bring, by steps
+    of half a second. ``age_s`` is the age of the demand that the level was derived
+    from.
+    """
+
+    shares: dict[int, float]
+    room_per_s: float
+    booked: list[int]
+    age_s: float
+
+
 class NodeReport(Struct, tag="report"):
     """Current state of one node.
 
@@ -119,6 +136,12 @@
     with the age of the answer. ``denied`` holds the tokens that each account was denied
     since the process started. ``link_mbps`` is the bandwidth of the node's link, 0 if
     it isn't known, and ``reads_packed`` whether the node can read packed datagrams.
+    ``cold`` holds what the node itself has learned lately of cold targets, as in a
+    view. ``speeds`` maps targets to the start of their incarnation, the seconds of a
+    decoding step and the number of samples. ``asked`` holds the prompt tokens that were
+    asked for, sent, and refused for lack of room since the process started, by service
+    and priority. ``booked`` holds the prompt tokens that callers were told to return
+    with, by service and steps of half a second from now on.
     """
 
     node: str
@@ -139,6 +162,10 @@
     denied: dict[str, float] = {}
     link_mbps: float = 0.0
     reads_packed: bool = False
+    cold: dict[str, tuple[int, float, float]] = {}
+    speeds: dict[str, tuple[int, float, int]] = {}
+    asked: dict[str, dict[int, tuple[int, int, int]]] = {}
+    booked: dict[str, list[int]] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -163,7 +190,13 @@
     that they expect. ``software`` is None if the sender doesn't know the versions.
     ``quarantined`` tells of some of the requests and parts of prompts that crash
     targets. ``asked`` holds the tokens a second that all nodes are asked for by
-    account, None if the sender doesn't know them.
+    account, None if the sender doesn't know them. ``cold`` maps some targets to the
+    start of their incarnation, the seconds for which they stay cold and the age of that
+    statement; None if the sender doesn't know any. ``evacuated`` lists the evacuated
+    zones, known for certain ``evacuation_age_s`` ago; None if the sender doesn't know
+    them. ``speeds`` maps some targets to the start of their incarnation, the factor on
+    the usual times of their service and its age. ``admission`` holds levels by service,
+    None if the sender derives none.
     """
 
     node: str
@@ -193,6 +226,11 @@
     software_index: bytes = b""
     quarantined: list[QuarantineRow] = []
     asked: dict[str, int] | None = None
+    cold: dict[str, tuple[int, float, float]] | None = None
+    evacuated: list[str] | None = None
+    evacuation_age_s: float = 0.0
+    speeds: dict[str, tuple[int, float, float]] = {}
+    admission: dict[str, AdmissionLevel] | None = None
 
 
 class PermitGrant(Struct, tag="permits"):
