--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -28,13 +28,15 @@
     """Decoder of the objects that the platform keeps in its store.
 
     ``config_kind`` and ``config_name`` identify the configuration, ``target_kind`` the
-    directory of targets, ``version_kind`` the announcements of adapter versions.
+    directory of targets, ``version_kind`` the announcements of adapter versions,
+    ``evacuation_kind`` the evacuations, which are named after their zones.
     """
 
     config_kind: str
     config_name: str
     target_kind: str
     version_kind: str
+    evacuation_kind: str
 
     def decode_ruleset(self, value: Any) -> Any:
         """Return a ``Ruleset``; raise ``ValueError`` if the value is invalid."""
