Evacuations: list from store and views, exclusion of the zones' targets

Change: EvacuationSync holds the list and publishes the directory with the targets of evacuated zones marked as draining, so that scheduler, peer proxy and continued streams leave them out; a path checks again just before it sends. The planner leaves these targets out, and neither orders nor state queries reach them. Views relay the list with its age.

--- a/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from hibiscusspar.fleet.messages import adapter_label
+
 __all__ = ["AdapterCopy", "TargetHoldings"]
 
 
@@ -52,3 +54,10 @@
     def increment_revision(self):
         """Take the next revision, by which nodes discard older states."""
         self.number = next(self._revisions)
+
+    def residency_rows(self, now):
+        """Return the copies as in a view: label, version and seconds until ready."""
+        return [
+            (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
+            for key, copy in self.copies.items()
+        ]
--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -12,7 +12,7 @@
 
 from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
 
-__all__ = ["StreamOrigin", "StreamOrigins", "origin_holders"]
+__all__ = ["StreamOrigin", "StreamOrigins", "may_continue", "origin_holders"]
 
 # Nodes that hold a copy of an origin in a large fleet. In a small one all do.
 _COPIES = 3
@@ -61,6 +61,18 @@
             del self._rows[key]
 
 
+def may_continue(target, job):
+    """Return whether a target may continue the stream of a job.
+
+    Parameters
+    ----------
+    target : Target
+    job : Job
+    """
+    is_same = bool(job.software) and target.software == job.software
+    return is_same and target.target_id not in job.broken_at
+
+
 def origin_holders(key, names):
     """Return the nodes that hold copies of an origin (rendezvous hashing).
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -143,6 +143,9 @@
         self._closed = False
         self._residency_changed = False
         self.planned = 0
+        self._evacuated = frozenset()
+        # Adds to a view what other components tell the nodes.
+        self.complete_view = lambda view: None
         threading.Thread(target=self._run_plans, daemon=True).start()
 
     def close(self):
@@ -163,10 +166,10 @@
             self._ruleset = ruleset
             self._planner.sync(self._engine_targets())
 
-    def set_targets(self, targets):
-        """Replace the directory of targets."""
+    def set_targets(self, targets, evacuated=frozenset()):
+        """Replace the directory of targets; those of evacuated zones get no orders."""
         with self._lock:
-            self._targets = targets
+            self._targets, self._evacuated = targets, evacuated
             self._planner.sync(self._engine_targets())
 
     def announce(self, key, version, age_s):
@@ -295,6 +298,7 @@
         """Send a view of the fleet to all nodes."""
         with self._lock:
             view, records = self._view()
+        self.complete_view(view)
         # Nodes of older builds, which can't read packed views, get groups of their own.
         for group in view_groups(
             records, lambda record: (record.report.zone, record.report.reads_packed)
@@ -373,7 +377,7 @@
         numbers = self._residency_numbers()
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
-        return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
+        return {t: (numbers[t], held[t].residency_rows(now)) for t in due}
 
     def _due_limits(self, now):
         """Return limit, its age and the waiting requests, for some targets."""
@@ -409,7 +413,9 @@
         return [
             target
             for target in self._targets.values()
-            if target.service in services and services[target.service].engine
+            if target.service in services
+            and services[target.service].engine
+            and target.zone not in self._evacuated
         ]
 
     def _holders(self, now):
@@ -525,10 +531,3 @@
         body = to_json(SendNotice([], loads=[load]))
         for address in addresses:
             self._send(address, body)
-
-
-def _residency_rows(now, held):
-    return [
-        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
-        for key, copy in held.copies.items()
-    ]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -19,6 +19,8 @@
     "DIRECTORY_AGREES",
     "DIRECTORY_DIFFERS",
     "DUTY_CHANGED",
+    "EVACUATIONS_UNREAD",
+    "EVACUATION_OF_UNKNOWN_ZONE",
     "LINES_DROPPED",
     "NODE_DRAINING",
     "NODE_STARTED",
@@ -39,6 +41,8 @@
     "TARGET_SAYS_IT_LEAVES",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
+    "ZONE_EVACUATED",
+    "ZONE_RETURNED",
 ]
 
 NODE_STARTED = declare(
@@ -307,3 +311,30 @@
     ("target", "born"),
     "A target has said in an answer that it leaves; it gets no further requests.",
 )
+ZONE_EVACUATED = declare(
+    650,
+    "node.zone_evacuated",
+    ("zone", "source", "view", "age_s", "targets", "changes"),
+    "A zone is evacuated: this node sends nothing more to its targets. `source` is "
+    "`store`, or the node whose view told; `changes` counts those since the last line "
+    "about the zone.",
+)
+ZONE_RETURNED = declare(
+    651,
+    "node.zone_returned",
+    ("zone", "source", "view", "age_s", "targets", "changes", "evacuated_s"),
+    "The evacuation of a zone was lifted; its targets are used again.",
+)
+EVACUATION_OF_UNKNOWN_ZONE = declare(
+    652,
+    "node.evacuation_of_unknown_zone",
+    ("zone", "source", "view", "age_s", "targets", "changes"),
+    "A zone that doesn't exist is to be evacuated; it would be if it had targets.",
+)
+EVACUATIONS_UNREAD = declare(
+    653,
+    "node.evacuations_unread",
+    ("targets",),
+    "The store doesn't tell which zones are evacuated and no view has; this node uses "
+    "all targets.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -297,6 +297,7 @@
                 "quarantine_refusals": self._parts.crashes.refused_count,
                 "store_failures": self._parts.store_backoff.failures,
                 "directory_differs": self._parts.relayed_state.directory_differs,
+                "evacuated_zones": self._parts.relayed_state.evacuated_zones,
             }
         )
 
@@ -316,10 +317,8 @@
             if is_closed and not self._open_requests:
                 break
             sleep(_TICK_S)
-        fields = {
-            "open": self._forwarder.open_requests,
-            "seconds": round(parts.clock() - started_at, 3),
-        }
+        seconds = round(parts.clock() - started_at, 3)
+        fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
         parts.log_sink.flush()
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -33,6 +33,7 @@
 
     config_s: float
     directory_s: float
+    evacuation_s: float = 0.0
 
 
 class RelayedState:
@@ -46,14 +47,17 @@
     announce : callable
         Called with an adapter's key, a version and its age in seconds.
     limits : AgeLimits
+    evacuations : EvacuationSync, optional
+        None if no zones are evacuated.
     """
 
-    def __init__(self, clock, config, targets, announce, limits):
+    def __init__(self, clock, config, targets, announce, limits, evacuations=None):
         self._clock = clock
         self._config = config
         self._targets = targets
         self._announce = announce
         self._limits = limits
+        self._evacuations = evacuations
         self._lock = threading.Lock()
         self._report_sent_at = {}
         self._copy = DirectoryCopy()
@@ -78,6 +82,11 @@
     def _view_age_s(self):
         return self._clock() - self._view_as_of
 
+    @property
+    def evacuated_zones(self):
+        """Number of evacuated zones."""
+        return len(self._evacuations.zones) if self._evacuations is not None else 0
+
     def set_source(self, is_source):
         """Set whether this node reads the store for all nodes."""
         self._is_source = is_source
@@ -115,9 +124,12 @@
             return False
         for label, (version, age_s) in view.versions.items():
             self._announce(adapter_key(label), version, age_s)
+        origin = ViewOrigin(view.node, view.start, view.number)
+        if self._evacuations is not None and view.evacuated is not None:
+            at = sent_at - view.evacuation_age_s
+            self._evacuations.apply_relayed(view.evacuated, at, origin)
         age_s = view.directory_age_s + now - sent_at
         if age_s < self._limits.directory_s and rows is not None:
-            origin = ViewOrigin(view.node, view.start, view.number)
             software = split_software(view.software, view.software_index)
             targets = [
                 _target(row, version)
@@ -152,6 +164,13 @@
                 return False
             return self._clock() - self._copy_as_of < self._limits.directory_s
 
+    def evacuations_are_current(self):
+        """Return whether evacuations need not be read from the store."""
+        return (
+            not self._is_source
+            and self._evacuations.relayed_age_s() < self._limits.evacuation_s
+        )
+
     def versions_are_current(self):
         """Return whether versions of adapters need not be read from the store."""
         view = self._usable_view()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -16,6 +16,7 @@
 from hibiscusspar.fleet.residency_copy import ResidencyCopy
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
+from hibiscusspar.fleet.stream_origins import may_continue
 from hibiscusspar.fleet.waiting import (
     Send,
     Wait,
@@ -123,6 +124,8 @@
         # Returns whether this node has an idle connection to a target.
         self.is_connected = lambda target: True
         self.on_sent = lambda target, tokens: None
+        # Returns a refusal if no target of a service may be used, else None.
+        self.refusal = lambda service: None
 
     @property
     def view_age_s(self):
@@ -410,7 +413,8 @@
             if candidates and not remaining:
                 return False
             candidates = remaining
-        decision = decide(now, job, candidates, self.zone)
+        refusal = None if candidates else self.refusal(job.service)
+        decision = refusal or decide(now, job, candidates, self.zone)
         # A request whose adapter no target holds waits, so that one loads it.
         if (
             isinstance(decision, Wait)
@@ -473,7 +477,7 @@
         for target in self._targets.values():
             if target.service != job.service or target.draining:
                 continue
-            if job.software is not None and not _may_continue(target, job):
+            if job.software is not None and not may_continue(target, job):
                 continue
             version = self._usable_version(now, target, job.key)
             if version is not None and target.target_id not in ejected:
@@ -498,7 +502,7 @@
         return {
             target_id
             for target_id in self._service_targets(job.service) - ejected
-            if job.software is None or _may_continue(self._targets[target_id], job)
+            if job.software is None or may_continue(self._targets[target_id], job)
         }
 
     def _excluded_from_loads(self, now, job):
@@ -594,9 +598,3 @@
                 )
             )
         return wants
-
-
-def _may_continue(target, job):
-    """Return whether a target may continue the stream of a job."""
-    is_same = bool(job.software) and target.software == job.software
-    return is_same and target.target_id not in job.broken_at
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -66,6 +66,8 @@
         self._backoff = backoff
         self._revision = None
         self._outage_since = None
+        # Called at the first call of an outage.
+        self.on_store_lost = lambda: None
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -134,6 +136,7 @@
         self._outage_since = self._clock()
         fields = {"kind": self._kind, "step": error.step, "reason": error.reason}
         write_records([(STORE_LOST, fields)])
+        self.on_store_lost()
 
     def _record_answer(self):
         self._backoff.record_answer()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
@@ -47,6 +47,9 @@
     def check_origin(self, state):
         """Refuse to continue a stream if no target of its software remains."""
         if state.origin is not None and not self.can_continue(state):
+            refusal = self._request_scheduler.refusal(state.origin.service)
+            if refusal is not None:
+                raise RefusedError(503, refusal.reason, refusal.retry_after_s)
             raise RefusedError(503, "no target of the stream's software remains")
 
     def can_continue(self, state):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -56,6 +56,8 @@
         self._connections = connections
         self._peer_connections = peer_connections
         self._watch = watch
+        # Returns whether the zone of a target is evacuated.
+        self.is_evacuated = lambda target: False
 
     def acquire(self, target, max_idle_s, request_id, suspects):
         """Return the way for an attempt at a target.
@@ -77,6 +79,8 @@
         CallFailedError
         """
         service = target.service
+        if self.is_evacuated(target):
+            raise _evacuated_error(target)
         if self._watch.is_cut(service) and self._watch.has_offer(service):
             path = ProxiedPath(
                 self._peer_connections, self._watch, target, request_id, suspects
@@ -103,4 +107,11 @@
             # An answer that came meanwhile has closed it.
             connection.close()
             raise CallFailedError("closed", target.address, "it rests or leaves")
+        if self.is_evacuated(target):
+            connection.close()
+            raise _evacuated_error(target)
         return OwnPath(self._connections, self._watch, target, connection)
+
+
+def _evacuated_error(target):
+    return CallFailedError("closed", target.address, "its zone is evacuated")
