--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -156,6 +156,57 @@
         self.assertGreater(load.ready_in_s, 0.0)
 
 
+class TestEvacuation(CoordinatorTestCase):
+    def setUp(self):
+        super().setUp()
+        self.ordered = []
+        self.queried = []
+        self.coordinator._order_dispatcher = self
+        self.coordinator._orders = self
+        self.coordinator._ruleset.services["draft"].engine = EngineRule(
+            12, 50_000, 9, 17_000.0, 36.0, (ModelRule("m", 1.0, 1.0),), 3
+        )
+        self.targets = {"t1": target("t1"), "t2": target("t2", zone="z2")}
+
+    def dispatch(self, order, zone, holder, fence):
+        self.ordered.append(order.target_id)
+        return "accepted"
+
+    def read_state(self, target):
+        self.queried.append(target.target_id)
+        adapters = {("m", "a1"): 1} if target.target_id == "t1" else {}
+        return TargetState(0, adapters, {}, ("m",), False)
+
+    def plan_until(self, condition):
+        ends_at = monotonic() + WAIT_S
+        while monotonic() < ends_at and not condition():
+            self.clock.now += 0.1
+            want = Want("draft", "m", "a1", 1, 1400, 1, False)
+            self.report(wants=[want], duties={"z1": (1, True)})
+            self.coordinator.plan()
+            sleep(0.01)
+        self.assertTrue(condition())
+
+    def test_adapter_held_only_in_the_zone_is_loaded_elsewhere(self):
+        self.coordinator.set_targets(self.targets)
+        self.plan_until(lambda: {"t1", "t2"} <= {*self.queried})
+        self.assertEqual(self.ordered, [])
+        self.coordinator.set_targets(self.targets, frozenset({"z1"}))
+        # Queries that were under way.
+        sleep(0.05)
+        self.queried.clear()
+        self.plan_until(lambda: self.ordered)
+        self.assertEqual({*self.ordered}, {"t2"})
+        self.assertNotIn("t1", self.queried)
+        self.assertIn("t1", self.next_view().directory)
+
+    def test_targets_are_queried_again_after_their_return(self):
+        self.coordinator.set_targets(self.targets, frozenset({"z1"}))
+        self.plan_until(lambda: "t2" in self.queried)
+        self.coordinator.set_targets(self.targets)
+        self.plan_until(lambda: "t1" in self.queried)
+
+
 class DarkTargets:
     """Targets of which some don't answer, so that a call waits until it times out."""
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.stream_origins import StreamOrigin
+from hibiscusspar.fleet.waiting import Refuse
 from hibiscusspar_entry.fleet.refusal import RefusedError
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
@@ -79,6 +80,12 @@
         self.targets(self.v1, self.v2._replace(draining=True))
         self.assertIsNone(self.refusal("r1").retry_after_s)
 
+    def test_stream_of_an_evacuated_service_may_be_tried_later(self):
+        self.origins.announce("r1", StreamOrigin("draft", "v2"))
+        self.targets(self.v1, self.v2._replace(draining=True))
+        self.scheduler.refusal = lambda service: Refuse("evacuated", 1.5)
+        self.assertEqual(self.refusal("r1").retry_after_s, 1.5)
+
     def test_stream_of_another_service_is_refused(self):
         self.origins.announce("r1", StreamOrigin("draft", "v1"))
         self.assertIsNone(self.refusal("r1", service="other").retry_after_s)
