--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -66,6 +66,10 @@
         self._backoff = backoff
         self._revision = None
         self._outage_since = None
+        # Whether a listing follows each change, for kinds that change rarely. It
+        # confirms the state without another wait. The event of a deletion may have the
+        # revision of the last write, with which a watch would return it again at once.
+        self.lists_after_changes = False
         # Called at the first call of an outage.
         self.on_store_lost = lambda: None
         self._wake = threading.Event()
@@ -124,7 +128,9 @@
         changes = self._store.watch(self._kind, self._revision, self._wait_s)
         self._record_answer()
         self._handler.on_changes(changes.events, sent_at)
-        if changes.events:
+        if changes.events and self.lists_after_changes:
+            self._revision = None
+        elif changes.events:
             # A watch that lost changes may return a revision beyond them, so only the
             # revisions of delivered changes count.
             newest = max(stored.revision for _, stored in changes.events)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -210,6 +210,18 @@
             self.store.calls, [("list",), ("watch", 10), ("watch", 10), ("watch", 12)]
         )
 
+    def test_listing_follows_a_change_if_it_must_be_confirmed(self):
+        # A deletion with an old revision would be returned again by each watch.
+        deletion = SimpleNamespace(events=[(True, stored("a", 1, 9))], revision=13)
+        watch = self.make_watch(LISTING, deletion, deletion)
+        self.poll(watch, 3)
+        self.assertEqual(self.store.calls[1:], [("watch", 10), ("watch", 10)])
+        watch = self.make_watch(LISTING, deletion, LISTING, CHANGES)
+        watch.lists_after_changes = True
+        self.poll(watch, 4)
+        calls = [("list",), ("watch", 10), ("list",), ("watch", 10)]
+        self.assertEqual(self.store.calls, calls)
+
     def test_compacted_history_is_replaced_by_a_listing(self):
         watch = self.make_watch(LISTING, CompactedError("s", "p", "gone"), LISTING)
         self.poll(watch, 3)
