hibiscussparctl evacuations: when nodes learned, and their last requests

Cause: operators who evacuate a zone must see that every node follows. Change: the command reads log lines of nodes as explain does; it also shows nodes that sent requests to the zone and never learned of the evacuation. The table of explain moved to session.

--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/cli.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/cli.py
@@ -7,6 +7,7 @@
 from hibiscusspar_ctl.adapter_commands import adapters
 from hibiscusspar_ctl.declaration_commands import check, diff, publish
 from hibiscusspar_ctl.drain_commands import drains
+from hibiscusspar_ctl.evacuations_command import evacuations
 from hibiscusspar_ctl.explain_command import explain
 from hibiscusspar_ctl.key_commands import keys
 from hibiscusspar_ctl.session import Session, default_author
@@ -59,6 +60,7 @@
 app.command()(publish)
 app.command()(status)
 app.command()(explain)
+app.command()(evacuations)
 app.add_typer(keys, name="key")
 app.add_typer(adapters, name="adapter")
 app.add_typer(drains, name="drain")
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/explain_command.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/explain_command.py
@@ -7,7 +7,7 @@
 
 from hibiscusspar_ctl.exit_codes import ExitCode
 from hibiscusspar_ctl.log_report import COLUMNS, read_report
-from hibiscusspar_ctl.session import print_result
+from hibiscusspar_ctl.session import print_result, table
 
 __all__ = ["explain"]
 
@@ -46,13 +46,5 @@
 def _lines(data):
     for rows in (data["steps"], data["refused"]):
         if rows:
-            yield from _table(list(rows[0]), [list(row.values()) for row in rows])
+            yield from table(list(rows[0]), [list(row.values()) for row in rows])
             yield ""
-
-
-def _table(columns, rows):
-    widths = [
-        max(len(str(row[i])) for row in (columns, *rows)) for i in range(len(columns))
-    ]
-    for row in (columns, *rows):
-        yield "  ".join(str(cell).rjust(w) for cell, w in zip(row, widths, strict=True))
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/session.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/session.py
@@ -21,6 +21,7 @@
     "change_rows",
     "default_author",
     "print_result",
+    "table",
 ]
 
 DEADLINE_S = 10.0
@@ -69,6 +70,17 @@
         echo(line)
 
 
+def table(columns, rows):
+    """Return the lines of a table with aligned columns."""
+    widths = [
+        max(len(str(row[i])) for row in (columns, *rows)) for i in range(len(columns))
+    ]
+    return [
+        "  ".join(str(cell).rjust(w) for cell, w in zip(row, widths, strict=True))
+        for row in (columns, *rows)
+    ]
+
+
 def change_rows(changes):
     """Return changes as data for JSON."""
     return [
