Soak: evacuations of zones among the faults

Cause: the rule must hold beside other faults. Change: a zone, or both, is evacuated for more than bounds.evacuateMs (5 s); a request that reaches it later, from a node that was undisturbed for 4 s, is a violation. Requests that get 421 count too.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     crash_violations,
 )
 from soak.deployment import Deployment
+from soak.evacuations import evacuation_violations
 from soak.faults import FaultPlan
 from soak.limits import limit_violations
 from soak.rests import rest_violations
@@ -174,6 +175,9 @@
     violations += rest_violations(
         deployment.engines, plan.engine_faults, plan.signalled, _node_of
     )
+    violations += evacuation_violations(
+        deployment.engines, plan.evacuations, plan, _node_of
+    )
     for kind in (BODY, PART):
         violations += crash_violations(kind, deployment.engines, plan.disturbances)
     runs = {}
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
 from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
 from hibiscusspar_standins.builds import python_path
+from soak.evacuations import BOUND_S
 from soak.node_process import LINKS_VARIABLE
 from soak.proxy import FaultyProxy
 
@@ -93,6 +94,7 @@
             "bounds.strictRevoke": "true",
             "bounds.revokeMs": "5000",
             "bounds.leaseMs": str(int(LEASE_S * 1000)),
+            "bounds.evacuateMs": str(int(BOUND_S * 1000)),
         }
         lines = [f"{name}={value}" for name, value in fields.items()]
         self._settings.write_text("\n".join(lines) + "\n")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from hibiscusspar_platform.tests.cut_links import CutKind
 from soak.crashes import Disturbance
 from soak.deployment import config
+from soak.evacuations import BOUND_S, Evacuation
 from soak.limits import LIMIT_MIN_S, NamedLimit
 from soak.rests import EngineFault
 
@@ -29,7 +30,8 @@
     holds a line for each injected fault. ``limits`` holds the limits that engines
     named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
     a node and the time for each signal, ``disturbances`` the faults of nodes and of
-    their paths to the store, ``engine_faults`` those of their paths to engines.
+    their paths to the store, ``engine_faults`` those of their paths to engines, and
+    ``evacuations`` the evacuations of zones that were lifted.
     """
 
     def __init__(self, deployment, rng):
@@ -45,10 +47,14 @@
         self.signalled = []
         self.disturbances = []
         self.engine_faults = []
+        self.evacuations = []
+        self._evacuated_at = {}
         deployment.on_crash = self._forget_limit
 
     def end_statements(self):
-        """End all limits that engines name, and ask for no more rest."""
+        """End limits, rests and evacuations."""
+        for zone in sorted(self._evacuated_at):
+            self._lift(zone)
         for engine in self._deployment.engines:
             engine.rest_s = None
             if engine.limit_per_s is not None:
@@ -69,8 +75,9 @@
             self._leave_orders_unanswered,
         ]
         if self._deployment.old_path is None:
-            # Older builds keep neither to limits nor to rests, and have no proxies.
-            kinds += [self._name_limit, self._cut_links, self._rest]
+            # Older builds keep neither to limits nor to rests nor to evacuations, and
+            # have no proxies.
+            kinds += [self._name_limit, self._cut_links, self._rest, self._evacuate]
         description = self._rng.choice(kinds)(now, self._rng.uniform(0.3, 3.0))
         self.log.append(f"{now:.1f} {description}")
 
@@ -138,6 +145,23 @@
         self._schedule_undo(now, duration_s, lambda: setattr(engine, "rest_s", None))
         return f"{engine.target_id} asks for {engine.rest_s} s of rest"
 
+    def _evacuate(self, now, duration_s):
+        zone = self._rng.choice(("z0", "z1"))
+        if zone in self._evacuated_at:
+            self._lift(zone)
+            return f"{zone} returns"
+        self._deployment.store.put("evacuations", zone, self._rng.choice(({}, None)))
+        self._evacuated_at[zone] = monotonic()
+        duration_s += BOUND_S
+        self._schedule_undo(now, duration_s, lambda: self._lift(zone))
+        return f"{zone} evacuated for {duration_s:.1f} s"
+
+    def _lift(self, zone):
+        acked_at = self._evacuated_at.pop(zone, None)
+        if acked_at is not None:
+            self.evacuations.append(Evacuation(zone, acked_at, monotonic()))
+            self._deployment.store.delete("evacuations", zone)
+
     def _fault_engines(self, engine, duration_s):
         now = monotonic()
         self.engine_faults.append(EngineFault(engine, now, now + duration_s))
