Cold targets: decoding and the table of what is known of them

Cause: a target crashes if it gets many requests shortly after its start. Change: coldStartS and coldPerS of services, coldRemainingMs of entries and X-Hibiscusspar-Cold-Ms of answers are decoded (cold_time.py), and ColdTable keeps by incarnation until when a target is cold, with source and age. Nothing uses them yet.

--- a/packages/hibiscusspar/hibiscusspar/fleet/rules.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rules.py
@@ -70,11 +70,22 @@
 
 
 class ServiceRule(NamedTuple):
-    """One service; ``engine`` is None for a plain service, which runs no models."""
+    """One service; ``engine`` is None for a plain service, which runs no models.
+
+    Its targets are cold for ``cold_start_s`` seconds after their start and take
+    ``cold_per_s`` requests a second meanwhile; they are never cold if one of both is 0.
+    """
 
     name: str
     max_connections: int
     engine: EngineRule | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+    @property
+    def has_cold_targets(self):
+        """Whether targets of this service may be cold."""
+        return self.cold_start_s > 0 and self.cold_per_s > 0
 
 
 class AccountRule(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from hibiscusspar.fleet.cold_targets import ColdStatement
+
 __all__ = ["RETURN_GRACE_S", "Target", "TargetDirectory"]
 
 # After an outage of the store, live targets restore their expired entries within about
@@ -15,7 +17,9 @@
     ``orders_accepted`` counts the orders that the target has carried out since its
     start at ``born`` (Unix milliseconds). ``adapters`` maps ``(model, adapter)`` to the
     version that was resident when the entry was written, ``models`` maps each model to
-    its version. ``software`` is the version of the target's own software.
+    its version. ``software`` is the version of the target's own software. ``cold`` is
+    what the entry says about how long the target stays cold, None if the entry itself
+    isn't known.
     """
 
     target_id: str
@@ -29,6 +33,7 @@
     models: dict[str, int]
     adapters: dict[tuple[str, str], int]
     software: str = ""
+    cold: ColdStatement | None = None
 
 
 class TargetDirectory:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -52,7 +52,8 @@
     it names no limit. ``rest_s`` is for how many seconds it wants no requests of the
     node that it answers, None if it doesn't say so. ``leaving`` is whether it says that
     it leaves, ``brittle`` whether it says that it fails if it must turn many requests
-    away.
+    away. ``cold`` is what it says about how long it stays cold (a ``ColdStatement``),
+    None if it says nothing.
     """
 
     request_id: str
@@ -63,6 +64,7 @@
     rest_s: float | None = None
     leaving: bool = False
     brittle: bool = False
+    cold: object = None
 
 
 class Dialect(Protocol):
