Permits: shares that begin at random levels, demand indexed by target

Cause: the shares of nodes that lose their coordinator at the same moment all reach a request at the same moment, which a cold target may not survive; and each tick searched the demand of every node for every target, 100,000 look-ups for 277 cold targets and 360 nodes. Change: NodePermits takes the number of nodes before the first view and the level at which a share begins, with today's values as defaults; retain drops targets; PermitIssuer indexes the demand once.

--- a/packages/hibiscusspar/hibiscusspar/fleet/permits.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/permits.py
@@ -79,12 +79,18 @@
         if self._levels.keys() - limits.keys():
             self._forget_others(limits)
         issued = {}
+        rows = {}
+        for demand in demands:
+            for target_id in demand.counts:
+                rows.setdefault(target_id, []).append(demand)
         for target_id, per_s in limits.items():
             rate = max(per_s, policy.min_per_s) * available_share
             level, at = self._levels.get(target_id, (0.0, now))
             level = min(level + rate * (now - at), max(1.0, rate * policy.burst_s))
             if level >= 1.0:
-                nodes = self._issue_for_target(now, target_id, int(level), demands)
+                nodes = self._issue_for_target(
+                    now, target_id, int(level), rows.get(target_id, ())
+                )
                 level -= len(nodes)
                 for node in nodes:
                     issued.setdefault(node, []).append(target_id)
@@ -93,9 +99,8 @@
 
     def _issue_for_target(self, now, target_id, most, demands):
         """Issue up to ``most`` permits to nodes in turn; return the nodes."""
-        rows = [demand for demand in demands if target_id in demand.counts]
-        waiting = {demand.node: self._unmet(demand, target_id) for demand in rows}
-        idle = {demand.node for demand in rows if not demand.counts[target_id]}
+        waiting = {demand.node: self._unmet(demand, target_id) for demand in demands}
+        idle = {demand.node for demand in demands if not demand.counts[target_id]}
         nodes = []
         while len(nodes) < most:
             candidates = [node for node, count in waiting.items() if count > 0]
@@ -140,13 +145,19 @@
     Parameters
     ----------
     policy : PermitPolicy, optional
+    nodes : float, optional
+        Number of nodes that is assumed before the first view.
+    initial_level : callable, optional
+        Returns the level in [0, 1) at which the share of a limit begins. If it is
+        random, the shares of many nodes don't allow their requests at the same time.
     """
 
-    def __init__(self, policy=None):
+    def __init__(self, policy=None, nodes=1, initial_level=lambda: 0.0):
         self._policy = policy or PermitPolicy()
+        self._initial_level = initial_level
         self._expiries = {}
         self._shares = {}
-        self._nodes = 1
+        self._nodes = nodes
         self._issued_until = 0.0
 
     def apply_view(self, now, nodes, issues_permits):
@@ -162,6 +173,12 @@
             expiries = self._expiries.setdefault(target_id, [])
             expiries.append(now + self._policy.lifetime_s)
 
+    def retain(self, target_ids):
+        """Drop the permits and shares of other targets."""
+        for table in (self._expiries, self._shares):
+            for target_id in table.keys() - target_ids:
+                del table[target_id]
+
     def count(self, now, target_id, per_s):
         """Return the number of requests that may be sent to a target now."""
         held = [at for at in self._expiries.get(target_id, ()) if now < at]
@@ -205,7 +222,7 @@
 
     def _share(self, now, target_id, per_s):
         """Return the level of this node's share, at most one request."""
-        level, at = self._shares.get(target_id, (0.0, now))
+        level, at = self._shares.get(target_id) or (self._initial_level(), now)
         level = min(1.0, level + self._rate(per_s) / self._nodes * (now - at))
         self._shares[target_id] = (level, now)
         return level
