Cold targets: exchange, permits for cold targets, events and metric

Cause: a cold target crashes beyond coldPerS requests a second of all nodes. Change: ColdExchange shares ColdTable between the scheduler and the coordinator and takes what entries, answers, views and reports state; a new incarnation is presumed cold at its first sight. TargetGate asks for a permit for a cold target, PermitSender (moved out of the coordinator) issues them, and a request without one is stopped where its connection is acquired, also at a peer that knows more than the sender. Placement and Ticket moved out of request_scheduler.py, the loop of the quarantine store out of node.py. The rows of a test of the directory have revisions now, as stored objects do.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -17,13 +17,11 @@
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
-    PermitGrant,
     SendNotice,
     ViewRelay,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import ROTATED_PEERS
-from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
@@ -31,8 +29,10 @@
 from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.packing import pack
+from hibiscusspar_entry.fleet.permit_sender import PermitSender
 from hibiscusspar_entry.fleet.report_table import ReportTable
 
 __all__ = ["Coordinator"]
@@ -48,9 +48,6 @@
 _QUERY_THREADS = 16
 # Most targets of a view whose adapters it lists, up to 1 KB each.
 _MAX_RESIDENCY = 16
-# Limits of targets that a view carries at most, and those of them in rotation.
-_MAX_LIMITS = 64
-_ROTATED_LIMITS = 8
 # Targets that a log line lists at most.
 _LOGGED_TARGETS = 8
 # Greatest age that a view carries, in seconds; older data is sent with this age.
@@ -59,8 +56,6 @@
 _STALE_INTERVALS = 1.5
 # Assumed time in seconds until a target with no free slot has one.
 _FULL_TARGET_WAIT_S = 1.0
-# Assumed time in seconds until a target with a limit takes a further request.
-_LIMITED_TARGET_WAIT_S = 1.0
 _CHOICE_POLICY = ChoicePolicy()
 
 
@@ -89,6 +84,8 @@
         Limits that targets have named.
     crashes : CrashExchange
         Requests that crash targets.
+    cold : ColdExchange, optional
+        Cold targets.
     """
 
     def __init__(
@@ -106,6 +103,7 @@
         ages,
         limits,
         crashes,
+        cold=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -132,9 +130,7 @@
         self._peer_rotation = EntryRotation()
         self._limits = limits
         self._crashes = crashes
-        self._limit_rotation = EntryRotation(_MAX_LIMITS)
-        self._permit_issuer = PermitIssuer()
-        self.permits_issued = 0
+        self._permits = PermitSender(limits, cold or ColdExchange(clock))
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -152,6 +148,11 @@
         for pool in (self._order_pool, self._query_pool):
             pool.shutdown(wait=False, cancel_futures=True)
 
+    @property
+    def permits_issued(self):
+        """Number of permits that this node has issued."""
+        return self._permits.issued_count
+
     @property
     def levels(self):
         """Levels of the accounts in the last view."""
@@ -186,7 +187,7 @@
             self._planner.reset()
             self._planner.sync(self._engine_targets())
             self._levels.reset(self._clock(), levels)
-            self._permit_issuer.reset()
+            self._permits.reset()
 
     def step_down(self):
         """Become inactive.
@@ -232,24 +233,17 @@
 
     def issue_permits(self):
         """Send the permits that are due to the nodes whose requests wait for them."""
-        limits = self._limits.limited
-        if not limits:
+        rates = self._permits.rates()
+        if not rates:
             return
         with self._lock:
             now = self._clock()
-            records = {r.report.node: r for r in self._reports.fresh(now)}
-            demands = [
-                PermitDemand(name, record.received_at, record.report.permit_demand)
-                for name, record in records.items()
-                if record.report.permit_demand
-            ]
+            records = self._reports.fresh(now)
             share = self._levels.available_share(now)
-            issued = self._permit_issuer.issue(now, limits, demands, share)
-        for name, target_ids in issued.items():
-            self.permits_issued += len(target_ids)
-            record = records[name]
-            grant = PermitGrant(record.report.start, self._election.fence, target_ids)
-            self._send(record.address, to_json(grant))
+            fence = self._election.fence
+            grants = self._permits.due_grants(now, rates, records, share, fence)
+        for address, body in grants:
+            self._send(address, body)
 
     def hasten_view(self):
         """Send the next view sooner, since requests may wait for what it tells."""
@@ -349,7 +343,9 @@
             },
             held=sorted(self._reports.duties(now)),
             peers=self._due_peers(),
-            limits=self._due_limits(now),
+            limits=self._permits.due_limits(
+                self._number, self._reports.permit_demand(now)
+            ),
             software=software,
             software_index=software_index,
             quarantined=self._crashes.due_verdicts(self._number),
@@ -357,6 +353,7 @@
                 name: round(rate)
                 for name, rate in self._levels.asked_rates(now).items()
             },
+            cold=self._permits.due_cold(self._number),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -375,14 +372,6 @@
         due = self._residency_rotation.due(numbers)
         return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
 
-    def _due_limits(self, now):
-        """Return limit, its age and the waiting requests, for some targets."""
-        rows = self._limits.rows()
-        states = {target_id: per_s for target_id, (per_s, _) in rows.items()}
-        due = self._limit_rotation.due(states, self._number, _ROTATED_LIMITS)
-        waiting = self._reports.permit_demand(now)
-        return {t: (*rows[t], waiting[t]) for t in due}
-
     def _update_rows(self, directory_age_s):
         changed = self._directory_rows.update(self._targets)
         if changed:
@@ -443,8 +432,8 @@
             target_id: self._backlog_s(target_id, load)
             for target_id, load in self._reports.loads(now).items()
         }
-        for target_id in self._limits.confirmed:
-            backlogs[target_id] = backlogs.get(target_id, 0.0) + _LIMITED_TARGET_WAIT_S
+        for target_id, wait_s in self._permits.waits().items():
+            backlogs[target_id] = backlogs.get(target_id, 0.0) + wait_s
         return backlogs
 
     def _backlog_s(self, target_id, load):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -31,7 +31,9 @@
     "SETTINGS_READ",
     "STORE_LOST",
     "STORE_REGAINED",
+    "TARGETS_COLD",
     "TARGET_CHANGED",
+    "TARGET_COLD_BAD",
     "TARGET_CRASHED",
     "TARGET_GONE",
     "TARGET_LIMIT",
@@ -307,3 +309,17 @@
     ("target", "born"),
     "A target has said in an answer that it leaves; it gets no further requests.",
 )
+TARGETS_COLD = declare(
+    650,
+    "node.targets_cold",
+    ("is_cold", "count", "targets", "cold_s", "source", "age_s"),
+    "Targets are cold, or warm before their time; `targets` lists the first of them, "
+    "`cold_s` is the longest time for which one stays cold.",
+)
+TARGET_COLD_BAD = declare(
+    651,
+    "node.target_cold_bad",
+    ("target", "born", "fault", "source", "presumed_s"),
+    "A target's statement of how long it stays cold can't be used; it is presumed cold "
+    "for `presumed_s`.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -301,7 +301,7 @@
             idle_s = policy.unsafe_idle_s
         suspects = self._crash_guard.suspects(admitted, state)
         connection = self._parts.paths.acquire(
-            target, idle_s, admitted.call.request_id, suspects
+            placement, idle_s, admitted.call.request_id, suspects
         )
         state.connection = connection
         if state.caller_gone.is_set():
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -48,8 +48,6 @@
 _FIRST_VIEW_S = 1.5
 # Silence after which the coordinator is logged as lost.
 _COORDINATOR_LOST_S = 1.5
-# Time between looks whether the stored quarantine differs, in seconds.
-_QUARANTINE_STEP_S = 0.1
 # Pause after a store call without an answer, far shorter than the store's outages.
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
@@ -70,6 +68,7 @@
     request_scheduler: Any
     limits: Any
     statements: Any
+    cold: Any
     origins: Any
     crashes: Any
     call_later: Any
@@ -139,6 +138,7 @@
         parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
         parts.crashes.on_verdict = self._view_requested.set
+        parts.cold.on_cold_again = self._request_exchange
 
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
@@ -161,7 +161,7 @@
             watch.start()
         tasks = (
             self._run_leases,
-            self._run_quarantine_store,
+            lambda: parts.quarantine_store.run(self._stopping),
             self._run_reports,
             self._run_ticks,
             self._notice_sender.run,
@@ -249,16 +249,14 @@
         elif isinstance(message, NodeReport):
             self._coordinator.handle_report(message, address)
             self._parts.crashes.apply_report(message)
+            self._parts.cold.apply_rows(message.cold, message.node)
         elif isinstance(message, SendNotice):
             self._notice_sender.relay(message)
             self._parts.request_scheduler.apply_notice(message)
             self._parts.origins.apply_notice(message, address)
             self._parts.path_watch.apply_notice(message, address)
             self._parts.config_relay.apply_notice(message, address)
-            for target_id in message.full:
-                target = self._parts.path_watch.target(target_id)
-                if target is not None:
-                    self._parts.statements.record_full(target)
+            self._parts.statements.apply_notice(message, self._parts.path_watch.target)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
@@ -291,6 +289,7 @@
                 "views_missed": self._view_sequence.missed,
                 "views_out_of_order": self._view_sequence.out_of_order,
                 "limited_targets": len(self._parts.limits.limited),
+                "cold_targets": len(self._parts.cold.rates),
                 "resting_targets": self._parts.statements.resting_count,
                 "crashes_seen": self._parts.crashes.crash_count,
                 "quarantined": self._parts.crashes.quarantined_count,
@@ -328,6 +327,11 @@
         proxy = self._parts.peer_proxy
         return self._forwarder.open_requests + proxy.open_requests
 
+    def _request_exchange(self):
+        """Send the next report and, as the coordinator, the next view at once."""
+        self._report_requested.set()
+        self._view_requested.set()
+
     def _apply_view(self, view):
         parts = self._parts
         self._fence = max(self._fence, parts.election.fence)
@@ -338,6 +342,8 @@
         self._held_duties = frozenset(view.held)
         self._coordinator_address = parse_address(view.address)
         self._loss_logged = False
+        if view.start != parts.start:
+            parts.cold.apply_view(view)
         if parts.relayed_state.apply_view(view, parts.settings.node):
             for watch in parts.watches:
                 watch.wake()
@@ -383,15 +389,6 @@
         else:
             self._coordinator.step_down()
 
-    def _run_quarantine_store(self):
-        pause_s = 0.0
-        while not self._stopping.wait(pause_s):
-            pause_s = _QUARANTINE_STEP_S
-            try:
-                self._parts.quarantine_store.step()
-            except Exception as error:  # noqa: BLE001
-                log_failure("quarantine store", error)
-
     def _run_reports(self):
         while not self._stopping.is_set():
             interval_s = exchange_interval_s(self._parts.request_scheduler.nodes)
@@ -412,6 +409,7 @@
         report.denied = denied
         report.link_mbps = parts.settings.link_mbps
         report.reads_packed = True
+        report.cold = parts.cold.report_rows()
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
         if parts.election.leads:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -239,7 +239,7 @@
         body = inbound.read_body(self._server_limits.body_bytes)
         target = self._sendable_target(call)
         try:
-            path = self._paths.acquire_own(target, _IDLE_S)
+            path = self._paths.acquire_own(target, _IDLE_S, call.permitted)
         except CallFailedError as error:
             reason = UNREACHABLE if error.step == "connect" else error.reason
             raise _NotSentError(reason) from error
@@ -284,8 +284,8 @@
             raise _NotSentError(BUSY)
         if target is None or target.draining:
             raise _NotSentError("the target leaves or is unknown")
-        if self._statements.is_closed(target):
-            raise _NotSentError("the target rests or leaves")
+        if self._statements.is_closed(target, call.permitted):
+            raise _NotSentError("the target is cold, rests or leaves")
         if self._watch.is_cut(target.service):
             raise _NotSentError(NO_PATH)
         return target
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -46,16 +46,21 @@
     request_id : str
     suspects : list of str
         What is reported as the cause if the target crashes.
+    permitted : bool, optional
+        Whether the request has a permit for a cold target.
     """
 
     is_own = False
 
-    def __init__(self, connections, watch, target, request_id, suspects):
+    def __init__(
+        self, connections, watch, target, request_id, suspects, permitted=False
+    ):
         self._connections = connections
         self._watch = watch
         self._target = target
         self._request_id = request_id
         self._suspects = suspects
+        self._permitted = permitted
         self._peer = None
         self._offer = None
         self._hop = None
@@ -168,6 +173,7 @@
             headers,
             remaining_s,
             self._suspects,
+            self._permitted,
         )
         fields = [("Host", self._offer.address), (CALL_HEADER, encode_header(call))]
         self._hop.send("POST", PROXY_URI, fields, body, remaining_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxy_messages.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxy_messages.py
@@ -50,6 +50,8 @@
 
     ``token`` is that of the proxy's offer, ``remaining_s`` the time until the deadline.
     ``suspects`` holds what is reported as the cause if the target crashes.
+    ``permitted`` is whether the sender has used a permit for a cold target; nodes of
+    older builds have none.
     """
 
     token: str
@@ -60,6 +62,7 @@
     headers: list[tuple[str, str]]
     remaining_s: float
     suspects: list[str]
+    permitted: bool = False
 
 
 class ProxyAnswer(NamedTuple):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
@@ -18,6 +18,8 @@
 # Interval of reads by the coordinator and by nodes without one, and the pause after a
 # call that failed, in seconds.
 _READ_S = 2.0
+# Time between looks whether the stored quarantine differs, in seconds.
+_STEP_S = 0.1
 # Age in seconds of the last view beyond which a node reads and writes by itself.
 _VIEW_SILENT_S = 1.5
 # Verdicts that are stored at most, the latest ones.
@@ -51,6 +53,16 @@
         self._revision = 0
         self._stored = {}
 
+    def run(self, stopping):
+        """Make the store calls that are due until the event ``stopping`` is set."""
+        pause_s = 0.0
+        while not stopping.wait(pause_s):
+            pause_s = _STEP_S
+            try:
+                self.step()
+            except Exception as error:  # noqa: BLE001
+                log_failure("quarantine store", error)
+
     def step(self):
         """Make the store call that is due, if any."""
         now = self._clock()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -3,7 +3,6 @@
 import random
 import threading
 from collections import Counter, deque
-from typing import NamedTuple
 
 from hibiscusspar.fleet.messages import (
     NodeReport,
@@ -25,8 +24,9 @@
 )
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.placement import Placement, Ticket
 
-__all__ = ["Placement", "RequestScheduler", "Ticket"]
+__all__ = ["RequestScheduler"]
 
 _CHOICE_POLICY = ChoicePolicy()
 # Age of a view, in seconds, beyond which the directory's entries count as well.
@@ -46,35 +46,6 @@
 _PLAIN_QUEUE_SLOTS = 2
 
 
-class Placement(NamedTuple):
-    """Assignment of a request to a target.
-
-    ``estimate_s`` is the estimated time to the first byte of the answer.
-    """
-
-    target: object
-    key: tuple[str, str]
-    version: int
-    prompt_tokens: int
-    estimate_s: float
-
-
-class Ticket:
-    """Pending request, and the decision about it once there is one."""
-
-    def __init__(self, job):
-        self.job = job
-        self.decision = None
-        self.placement = None
-        self.decided = threading.Event()
-
-    def resolve(self, decision, placement=None):
-        """Store the decision and wake the thread of the request."""
-        self.decision = decision
-        self.placement = placement
-        self.decided.set()
-
-
 class RequestScheduler:
     """Scheduler that assigns the requests of one node to targets.
 
@@ -434,8 +405,8 @@
             versions[decision.target_id],
             job.prompt_tokens,
             decision.first_byte_s,
+            self._gate.record_send(target.target_id),
         )
-        self._gate.record_send(target.target_id)
         load = self._load(target.target_id)
         load.running += 1
         load.queued_prompt_tokens += job.prompt_tokens
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -241,14 +241,26 @@
         Called with all rows after each change.
     expiry_s : float
         Shortest outage of the store, in seconds, in which entries expire.
+    record_entries : callable, optional
+        Called with pairs of a target and the revision of its entry, and the time at
+        which the call to the store was sent, before ``publish``.
     """
 
-    def __init__(self, codec, clock, directory, publish, expiry_s):
+    def __init__(
+        self,
+        codec,
+        clock,
+        directory,
+        publish,
+        expiry_s,
+        record_entries=lambda entries, sent_at: None,
+    ):
         self._codec = codec
         self._clock = clock
         self._directory = directory
         self._publish = publish
         self._expiry_s = expiry_s
+        self._record_entries = record_entries
         self._confirmed_at = None
         self._relayed_at = float("-inf")
         self._relayed_by = ""
@@ -299,8 +311,13 @@
         with self._lock:
             self._confirmed_at = sent_at
             before = dict(self._directory.rows)
-            decoded = (self._codec.decode_target(s.name, s.value) for s in objects)
-            targets = [target for target in decoded if target is not None]
+            decoded = (
+                (self._codec.decode_target(s.name, s.value), s.revision)
+                for s in objects
+            )
+            entries = [entry for entry in decoded if entry[0] is not None]
+            self._record_entries(entries, sent_at)
+            targets = [target for target, _ in entries]
             self._directory.replace(self._clock(), targets)
             fields = {"reason": "listed", "age_s": self._age_s(sent_at)}
             self._publish_changes(before, fields)
@@ -315,6 +332,7 @@
                 if not deleted:
                     target = self._codec.decode_target(stored.name, stored.value)
                 if target is not None:
+                    self._record_entries([(target, stored.revision)], sent_at)
                     self._directory.put(target)
                 else:
                     self._directory.remove(self._clock(), stored.name)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -1,6 +1,8 @@
-"""Gate in front of targets that have named a limit, asked for rest or are brittle."""
+"""Gate in front of targets that are cold, have named a limit, rest or are brittle."""
 
 from collections import Counter
+from math import inf
+from random import Random
 
 from hibiscusspar.fleet.permits import NodePermits
 
@@ -8,6 +10,8 @@
 
 # Assumed time in seconds until there is a successor if all targets leave.
 _SUCCESSOR_S = 1.0
+# Targets that a report names although no request waits for a permit to use them.
+_MAX_PASSED_OVER = 8
 
 
 class TargetGate:
@@ -19,27 +23,39 @@
     ----------
     limits : LimitExchange
     statements : TargetStatements
+        What targets have said, also about being cold.
+    rng : random.Random, optional
+        Differs between nodes, so that they don't use their shares at the same time.
     """
 
-    def __init__(self, limits, statements):
+    def __init__(self, limits, statements, rng=None):
         self._limits = limits
         self._statements = statements
+        self._cold = statements.cold
+        self._rng = rng or Random()
         self._permits = NodePermits()
+        # Without any view the number of nodes isn't known, so a node has no share.
+        self._cold_permits = NodePermits(nodes=inf, initial_level=self._rng.random)
         self._waiting_of_all = {}
+        self._own_waiting = {}
         self._passed_over = set()
 
     @property
     def is_idle(self):
-        """Whether no target has a limit, rests, is brittle or says that it leaves."""
-        return self._limits.is_empty and self._statements.is_empty
+        """Whether no target is cold, has a limit, rests, is brittle or leaves."""
+        return (
+            self._limits.is_empty and self._statements.is_empty and self._cold.is_idle
+        )
 
     def retain(self, targets):
         """Drop what is known of other targets, given as a dict by id."""
         self._statements.retain(targets)
+        self._cold_permits.retain(self._cold.rates)
 
     def apply_view(self, now, view):
         """Record the limits of a view, and how many requests wait for permits."""
         self._permits.apply_view(now, view.nodes, view.limits is not None)
+        self._cold_permits.apply_view(now, view.nodes, view.cold is not None)
         for target_id, (per_s, age_s, waiting) in (view.limits or {}).items():
             self._limits.apply_rows({target_id: (per_s, age_s)}, view.node)
             self._waiting_of_all[target_id] = waiting
@@ -54,12 +70,16 @@
 
     def add_permits(self, now, target_ids):
         """Add permits, one for each name of a target."""
-        self._permits.add(now, target_ids)
+        for target_id in target_ids:
+            permits, _ = self._permits_of(target_id)
+            permits.add(now, [target_id])
 
     def record_send(self, target_id):
-        """Use a permit if the target needs one."""
-        if self._limits.per_s(target_id) is not None:
-            self._permits.use(target_id)
+        """Use a permit if the target needs one; return whether it is cold."""
+        permits, per_s = self._permits_of(target_id)
+        if per_s is not None:
+            permits.use(target_id)
+        return permits is self._cold_permits
 
     def open_targets(self, now, target_ids):
         """Return the targets to which a request may be sent now.
@@ -86,6 +106,7 @@
         """Return the targets at which no adapter should be loaded.
 
         These are the ones with a limit and those that rest or leave, unless all do.
+        Loads aren't requests, so cold targets load adapters.
         """
         closed = (self._limits.confirmed | self._statements.closed(now)) & target_ids
         return set() if closed == target_ids else closed
@@ -106,7 +127,8 @@
             Returns the targets that can run a job, whatever their limits.
         """
         passed_over, self._passed_over = self._passed_over, set()
-        if not self._limits.limited:
+        self._own_waiting = {}
+        if not self._limits.limited and self._cold.is_idle:
             return {}
         counts = Counter()
         for job in jobs:
@@ -114,20 +136,36 @@
             closed = sorted(t for t in usable if not self._has_permit(now, t))
             if closed:
                 counts[closed[int(job.fraction * len(closed))]] += 1
+        self._own_waiting = dict(counts)
+        if len(passed_over) > _MAX_PASSED_OVER:
+            passed_over = self._rng.sample(sorted(passed_over), _MAX_PASSED_OVER)
         for target_id in passed_over:
             counts.setdefault(target_id, 0)
         return dict(counts)
 
+    def _permits_of(self, target_id):
+        """Return the permits for a target and its limit; None if it has no limit."""
+        limit, cold = self._limits.per_s(target_id), self._cold.per_s(target_id)
+        if cold is None:
+            return self._permits, limit
+        return self._cold_permits, cold if limit is None else min(cold, limit)
+
     def _has_permit(self, now, target_id):
         """Return whether a target has no limit, or there is a permit for it."""
-        per_s = self._limits.per_s(target_id)
-        return per_s is None or self._permits.count(now, target_id, per_s) > 0
+        permits, per_s = self._permits_of(target_id)
+        return per_s is None or permits.count(now, target_id, per_s) > 0
 
     def _target_wait_s(self, now, target_id):
         """Return the wait for one target in seconds, or None if it is open."""
         rest_s = self._statements.remaining_s(now, target_id)
-        per_s = self._limits.per_s(target_id)
+        permits, per_s = self._permits_of(target_id)
         if per_s is None:
             return rest_s or None
         waiting = self._waiting_of_all.get(target_id, 0)
-        return max(rest_s, self._permits.wait_s(now, target_id, per_s, waiting))
+        if permits is not self._cold_permits:
+            return max(rest_s, permits.wait_s(now, target_id, per_s, waiting))
+        waiting = max(waiting, self._own_waiting.get(target_id, 0))
+        wait_s = permits.wait_s(now, target_id, per_s, waiting)
+        if self._limits.per_s(target_id) is None:
+            wait_s = min(wait_s, self._cold.remaining_s(target_id))
+        return max(rest_s, wait_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -57,15 +57,15 @@
         self._peer_connections = peer_connections
         self._watch = watch
 
-    def acquire(self, target, max_idle_s, request_id, suspects):
-        """Return the way for an attempt at a target.
+    def acquire(self, placement, max_idle_s, request_id, suspects):
+        """Return the way for an attempt at the target of a placement.
 
         It leads through a peer if this node's own links to the targets of the service
         are cut and a peer offers to be the proxy.
 
         Parameters
         ----------
-        target : Target
+        placement : Placement
         max_idle_s : float
             Longest time that a connection may have been idle.
         request_id : str
@@ -76,18 +76,26 @@
         ------
         CallFailedError
         """
+        target, permitted = placement.target, placement.permitted
         service = target.service
         if self._watch.is_cut(service) and self._watch.has_offer(service):
             path = ProxiedPath(
-                self._peer_connections, self._watch, target, request_id, suspects
+                self._peer_connections,
+                self._watch,
+                target,
+                request_id,
+                suspects,
+                permitted,
             )
             path.connect()
             return path
-        return self.acquire_own(target, max_idle_s)
+        return self.acquire_own(target, max_idle_s, permitted)
 
-    def acquire_own(self, target, max_idle_s):
+    def acquire_own(self, target, max_idle_s, permitted=False):
         """Return the way over this node's own links.
 
+        ``permitted`` is whether the request has a permit for a cold target.
+
         Raises
         ------
         CallFailedError
@@ -99,8 +107,9 @@
         except CallFailedError:
             self._watch.record_failure(target.service)
             raise
-        if self._statements.is_closed(target):
-            # An answer that came meanwhile has closed it.
+        if self._statements.is_closed(target, permitted):
+            # What came to be known meanwhile has closed it.
             connection.close()
-            raise CallFailedError("closed", target.address, "it rests or leaves")
+            reason = "it is cold, rests or leaves"
+            raise CallFailedError("closed", target.address, reason)
         return OwnPath(self._connections, self._watch, target, connection)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -8,6 +8,7 @@
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.answer_checks import tells_limit
+from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import TARGET_RESTS, TARGET_SAYS_IT_LEAVES
 
 __all__ = ["AnswerOrigin", "TargetStatements"]
@@ -38,9 +39,12 @@
     clock : callable
     limits : LimitExchange
         Limits, which hold for all nodes together.
+    cold : ColdExchange, optional
+        Cold targets, of which all nodes know together.
     """
 
-    def __init__(self, clock, limits):
+    def __init__(self, clock, limits, cold=None):
+        self.cold = cold or ColdExchange(clock)
         self._clock = clock
         self._limits = limits
         self._lock = threading.Lock()
@@ -80,6 +84,8 @@
             )
         if status == _MISDIRECTED:
             return
+        if answer.cold is not None:
+            self.cold.record_answer(target, answer.cold, origin.sent_at)
         if answer.leaving:
             self._record_leaving(target)
         self._record_brittle(target, answer, status)
@@ -115,8 +121,21 @@
         with self._lock:
             self._brittle.record_full(self._clock(), target)
 
-    def is_closed(self, target):
-        """Return whether a target wants no requests of this node now."""
+    def apply_notice(self, notice, find_target):
+        """Record what a notice tells of brittle targets.
+
+        ``find_target`` returns the target of an id, or None.
+        """
+        for target in filter(None, map(find_target, notice.full)):
+            self.record_full(target)
+
+    def is_closed(self, target, permitted=False):
+        """Return whether a target wants no requests of this node now.
+
+        A cold target takes those that have a permit for it, which ``permitted`` tells.
+        """
+        if not permitted and self.cold.is_cold(target.target_id):
+            return True
         return target.target_id in self.closed(self._clock())
 
     def retain(self, targets):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
@@ -32,7 +32,7 @@
 
 
 def stored(row):
-    return SimpleNamespace(name=row.target_id, value=row)
+    return SimpleNamespace(name=row.target_id, value=row, revision=1)
 
 
 class Codec:
