Target speeds: estimates, and decisions that use them

Cause: decisions assume the same prompt rate and step time for all targets, so streams of slow targets pause for too long. Change: hibiscusspar.fleet.target_speeds estimates the step of each target from gaps between events and compares it with the median of its service. Candidates have a factor, which scales prompts, steps and the bound on running requests. Where factors differ, a target gets a prompt only if its streams stay in time meanwhile, and the pauses of its running streams count as cost.

--- a/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
@@ -3,7 +3,9 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-__all__ = ["AdapterCopy", "TargetHoldings"]
+from hibiscusspar.fleet.messages import adapter_label
+
+__all__ = ["AdapterCopy", "TargetHoldings", "residency_rows"]
 
 
 class AdapterCopy(NamedTuple):
@@ -52,3 +54,11 @@
     def increment_revision(self):
         """Take the next revision, by which nodes discard older states."""
         self.number = next(self._revisions)
+
+
+def residency_rows(now, held):
+    """Return label, version and seconds until it is ready of each adapter held."""
+    return [
+        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
+        for key, copy in held.copies.items()
+    ]
--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -22,16 +22,20 @@
         self._tokens_per_s = tokens_per_s
         self._done_at = {}
 
-    def record_send(self, now, target_id, tokens):
-        """Add a prompt that was sent to a target."""
+    def record_send(self, now, target_id, tokens, factor=1.0):
+        """Add a prompt that was sent to a target with a factor on the usual times."""
         begin = max(now, self._done_at.get(target_id, now))
-        self._done_at[target_id] = begin + tokens / self._tokens_per_s
+        self._done_at[target_id] = begin + tokens / self._tokens_per_s * factor
 
     def record_report(self, now, target_id, backlog_s):
         """Raise the backlog of a target to that known from reports, if longer."""
         if now + backlog_s > self._done_at.get(target_id, now):
             self._done_at[target_id] = now + backlog_s
 
+    def done_at(self, target_id):
+        """Return when a target will have processed its prompts, 0 if it got none."""
+        return self._done_at.get(target_id, 0.0)
+
     def backlog_s(self, now, target_id):
         """Return the seconds until a target has processed its prompts."""
         return max(0.0, self._done_at.get(target_id, now) - now)
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -13,6 +13,8 @@
     "backlog_s",
     "choose_target",
     "first_byte_s",
+    "pause_s",
+    "running_limit",
 ]
 
 
@@ -46,6 +48,7 @@
     max_running: int = 44
     count_lag_s: float = 0.15
     connect_s: float = 0.004
+    pause_weight: float = 0.1
 
 
 class Candidate(NamedTuple):
@@ -53,7 +56,8 @@
 
     ``queued_prompt_tokens`` comes from reports, ``queued_s`` is the time to process the
     prompts of which nodes sent notices. ``is_connected`` is whether the node has an
-    idle connection to the target.
+    idle connection to the target. ``factor`` is the factor on the usual times of the
+    target's service: above 1 for a slow target.
     """
 
     target_id: str
@@ -63,6 +67,7 @@
     queued_prompt_tokens: int
     queued_s: float = 0.0
     is_connected: bool = True
+    factor: float = 1.0
 
 
 def backlog_s(policy, candidate):
@@ -71,16 +76,42 @@
     Reports cover all nodes but are late; notices are fast but may be lost.
     """
     prompt_s = candidate.queued_prompt_tokens / policy.prompt_tokens_s
+    prompt_s *= candidate.factor
     return max(candidate.queued_s, prompt_s - policy.count_lag_s)
 
 
 def first_byte_s(policy, candidate, prompt_tokens):
     """Return the expected seconds until a request's first byte from a target."""
-    prompt_s = backlog_s(policy, candidate) + prompt_tokens / policy.prompt_tokens_s
-    return prompt_s + policy.step_s + policy.request_s * candidate.running
+    factor = candidate.factor
+    own_prompt_s = prompt_tokens / policy.prompt_tokens_s * factor
+    prompt_s = backlog_s(policy, candidate) + own_prompt_s
+    step_s = policy.step_s * factor
+    return prompt_s + step_s + policy.request_s * candidate.running * factor
 
 
-def choose_target(policy, candidates, zone, prompt_tokens, tie_break=0.0):
+def pause_s(policy, candidate, prompt_tokens, event_steps):
+    """Return the pause of a target's streams if it reads a prompt between two events.
+
+    The prompts that it has queued are read in the same pause.
+    """
+    step_s = policy.step_s + policy.step_request_s * candidate.running
+    own_s = event_steps * step_s + prompt_tokens / policy.prompt_tokens_s
+    return backlog_s(policy, candidate) + own_s * candidate.factor
+
+
+def running_limit(policy, candidate):
+    """Return the number of running requests at which a target gets no more.
+
+    A slow target takes longer for each step, so it ends fewer streams in time.
+    """
+    if candidate.factor == 1.0:
+        return min(candidate.slots, policy.max_running)
+    return min(candidate.slots, max(1, int(policy.max_running / candidate.factor)))
+
+
+def choose_target(
+    policy, candidates, zone, prompt_tokens, tie_break=0.0, event_steps=0
+):
     """Return the best candidate and its time to the first byte, or None.
 
     Many nodes see the same idle targets; ties are broken by ``tie_break`` so that they
@@ -95,6 +126,9 @@
     prompt_tokens : int
     tie_break : float, optional
         Number in [0, 1) that spreads requests over equal targets.
+    event_steps : int, optional
+        Decoding steps of an event, to weigh the pauses of the running streams; 0 if
+        they don't matter.
 
     Returns
     -------
@@ -103,11 +137,14 @@
     """
     best = None
     for index, candidate in enumerate(candidates):
-        if candidate.running >= min(candidate.slots, policy.max_running):
+        if candidate.running >= running_limit(policy, candidate):
             continue
         time_s = first_byte_s(policy, candidate, prompt_tokens)
         cost = time_s if candidate.zone == zone else time_s + policy.other_zone_s
         cost += 0.0 if candidate.is_connected else policy.connect_s
+        if event_steps:
+            pauses_s = pause_s(policy, candidate, prompt_tokens, event_steps)
+            cost += policy.pause_weight * candidate.running * pauses_s
         rank = (cost, (tie_break + index * _GOLDEN_RATIO) % 1.0)
         if best is None or rank < best[0]:
             best = (rank, candidate, time_s)
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -0,0 +1,365 @@
+"""Speeds of targets, estimated from the gaps between the events of their streams.
+
+Targets of a service differ in speed, and some are slow for a while. Each node takes
+samples of the time of a decoding step; the coordinator combines those of all nodes and
+compares each target with the median of its service.
+"""
+
+from collections import deque
+from itertools import accumulate
+from math import exp, log
+from statistics import median
+from typing import NamedTuple
+
+__all__ = ["FactorRow", "SpeedFactors", "SpeedPolicy", "SpeedSample", "SpeedSamples"]
+
+# Samples of a target that a node keeps: those of a second at usual steps.
+_MAX_SAMPLES = 64
+
+
+class SpeedPolicy(NamedTuple):
+    """Settings of the estimates; times in seconds.
+
+    ``window_s`` is the age of the gaps that an estimate uses, short enough to show slow
+    periods of 0.6 s; ``long_window_s`` that of those used if prompts were read during
+    nearly all of them. Prompts lengthen gaps, so ``quantile`` is a low one. Streams
+    that are silent for longer than ``silence_s``, the time of a chunk of a prompt at a
+    slow target, give a lower bound. ``max_reported`` is the number of targets of a
+    report: some nodes sample each target.
+
+    ``max_age_s`` is the age of the oldest sample that counts, at least two intervals of
+    reports. A ratio that differs from the factor by ``jump`` counts at once, a smaller
+    change within ``smooth_s``, which keeps noise of equal targets within ``dead_band``.
+    After a slow period the factor falls by ``recovery`` every ``recovery_s``, and
+    without samples it drifts to 1 within some ``drift_s``. The median is of averages
+    over ``reference_s``, which few slow targets don't move.
+    """
+
+    window_s: float = 0.3
+    long_window_s: float = 1.0
+    quantile: float = 0.3
+    silence_s: float = 0.35
+    max_reported: int = 8
+    max_age_s: float = 0.4
+    jump: float = 1.4
+    smooth_s: float = 1.0
+    recovery: float = 0.6
+    recovery_s: float = 0.15
+    drift_s: float = 3.0
+    reference_s: float = 5.0
+    dead_band: float = 0.15
+    min_factor: float = 0.25
+    max_factor: float = 8.0
+    republish: float = 0.08
+
+
+class SpeedSample(NamedTuple):
+    """Seconds of a decoding step of an incarnation, and the number of samples."""
+
+    born: int
+    step_s: float
+    count: int
+
+
+class FactorRow(NamedTuple):
+    """Factor of an incarnation on the usual times of its service.
+
+    ``step_s`` and ``usual_s`` are the times of a step of the target and of its service,
+    ``count`` the number of samples and ``at`` the time of the newest one.
+    """
+
+    born: int
+    factor: float
+    step_s: float
+    usual_s: float
+    count: int
+    at: float
+
+
+class _Gaps:
+    """Gaps between the events of the streams of one incarnation at one node."""
+
+    __slots__ = ("born", "last_at", "open", "reported", "rows", "steps")
+
+    def __init__(self, born):
+        self.born = born
+        self.rows = deque(maxlen=_MAX_SAMPLES)
+        self.open = 0
+        self.steps = 1
+        self.last_at = 0.0
+        self.reported = (0.0, 0.0)
+
+
+class SpeedSamples:
+    """Samples of one node.
+
+    Parameters
+    ----------
+    policy : SpeedPolicy, optional
+    """
+
+    def __init__(self, policy=None):
+        self._policy = policy or SpeedPolicy()
+        self._rows = {}
+        self._estimated_at = None
+
+    def begin(self, now, target_id, born, event_steps):
+        """Record the first event of a stream."""
+        row = self._rows.get(target_id)
+        if row is None or row.born != born:
+            row = self._rows[target_id] = _Gaps(born)
+        row.open += 1
+        row.steps = event_steps
+        row.last_at = now
+
+    def end(self, target_id, born):
+        """Record the end of a stream that has begun."""
+        row = self._rows.get(target_id)
+        if row is not None and row.born == born:
+            row.open -= 1
+
+    def record(self, now, target_id, born, gap_s, steps, reading_until):
+        """Record the gap before an event.
+
+        Parameters
+        ----------
+        now : float
+        target_id : str
+        born : int
+            Start of the incarnation.
+        gap_s : float
+        steps : int
+            Decoding steps in the gap.
+        reading_until : float
+            Time until which the target reads the prompts that this node knows of.
+        """
+        row = self._rows.get(target_id)
+        if row is None or row.born != born:
+            return
+        row.last_at = now
+        row.rows.append((now, gap_s / steps, reading_until <= now - gap_s))
+
+    def estimates(self, now, reading_until=lambda target_id: 0.0):
+        """Return the estimates of the targets that have recent samples.
+
+        Parameters
+        ----------
+        now : float
+        reading_until : callable, optional
+            As in ``record``, for a target.
+
+        Returns
+        -------
+        dict of str to SpeedSample
+        """
+        silences = self._silences(now, reading_until)
+        estimates = {}
+        for target_id, row in self._rows.items():
+            step_s, count = self._step_s(now, row)
+            silent_s = silences.get(target_id, 0.0)
+            if silent_s / row.steps > step_s:
+                step_s, count = silent_s / row.steps, max(1, count)
+            if count:
+                estimates[target_id] = SpeedSample(row.born, step_s, count)
+        return estimates
+
+    def due(self, now, estimates):
+        """Return the estimates to report, those that changed most or waited longest."""
+
+        def urgency(target_id):
+            at, step_s = self._rows[target_id].reported
+            sample = estimates[target_id]
+            changed = step_s and abs(log(sample.step_s / step_s)) > log(1.3)
+            return (not changed, at)
+
+        due = sorted(estimates, key=urgency)[: self._policy.max_reported]
+        for target_id in due:
+            self._rows[target_id].reported = (now, estimates[target_id].step_s)
+        return {target_id: estimates[target_id] for target_id in due}
+
+    def retain(self, targets):
+        """Drop the samples of other targets and incarnations, a dict by id."""
+        self._rows = {
+            target_id: row
+            for target_id, row in self._rows.items()
+            if target_id in targets and targets[target_id].born == row.born
+        }
+
+    def _step_s(self, now, row):
+        """Return the estimated seconds of a step and the number of samples."""
+        policy = self._policy
+        recent = [(at, s, c) for at, s, c in row.rows if at > now - policy.window_s]
+        steps = sorted(step_s for _, step_s, is_clear in recent if is_clear)
+        # Two clear gaps, so that a single outlier counts for nothing.
+        if len(steps) < 2:
+            began_at = now - policy.long_window_s
+            steps = sorted(step_s for at, step_s, _ in row.rows if at > began_at)
+            if len(steps) < 3:
+                return 0.0, 0
+            return steps[0], 1
+        return steps[int(policy.quantile * (len(steps) - 1))], len(steps)
+
+    def _silences(self, now, reading_until):
+        """Return the seconds of silence of the targets whose streams are all silent.
+
+        A node that was paused or is cut off hears nothing of any target.
+        """
+        policy = self._policy
+        paused = self._estimated_at is None or (
+            now > self._estimated_at + policy.long_window_s
+        )
+        self._estimated_at = now
+        silences = {
+            target_id: now - max(row.last_at, reading_until(target_id))
+            for target_id, row in self._rows.items()
+            if row.open > 0
+        }
+        silent = {t: s for t, s in silences.items() if s > policy.silence_s}
+        if paused or (len(silences) > 1 and len(silent) == len(silences)):
+            return {}
+        return silent
+
+
+class _Speed:
+    """Current factor of one incarnation, and the average of its steps."""
+
+    __slots__ = ("at", "average_s", "born", "changed_at", "factor", "published", "row")
+
+    def __init__(self, now, born, factor=1.0):
+        self.born = born
+        self.factor = self.published = factor
+        self.average_s = None
+        self.at = self.changed_at = now
+        self.row = FactorRow(born, factor, 0.0, 0.0, 0, now)
+
+
+class SpeedFactors:
+    """Factors of targets, from the samples of some nodes.
+
+    Parameters
+    ----------
+    policy : SpeedPolicy, optional
+    """
+
+    def __init__(self, policy=None):
+        self._policy = policy or SpeedPolicy()
+        self._samples = {}
+        self._speeds = {}
+
+    @property
+    def rows(self):
+        """Published factors by target, of all targets that had samples."""
+        return {target_id: speed.row for target_id, speed in self._speeds.items()}
+
+    def reset(self, now, factors):
+        """Start from known factors.
+
+        Parameters
+        ----------
+        now : float
+        factors : dict of str to tuple of (int, float)
+            Start of the incarnation and factor by target.
+        """
+        self._samples = {}
+        self._speeds = {t: _Speed(now, *known) for t, known in factors.items()}
+
+    def record(self, now, node, samples):
+        """Record the samples of a node by target."""
+        for target_id, (born, step_s, count) in samples.items():
+            if step_s > 0 and count > 0:
+                sample = SpeedSample(born, step_s, count)
+                self._samples.setdefault(target_id, {})[node] = (now, sample)
+
+    def update(self, now, targets, interval_s):
+        """Update the factors of the given targets; other targets are dropped.
+
+        Parameters
+        ----------
+        now : float
+        targets : dict of str to Target
+            Targets of services with an engine.
+        interval_s : float
+            Time between the reports of a node.
+        """
+        began_at = now - max(self._policy.max_age_s, 2.0 * interval_s)
+        self._samples = {t: s for t, s in self._samples.items() if t in targets}
+        self._speeds = {
+            target_id: speed
+            for target_id, speed in self._speeds.items()
+            if target_id in targets and speed.born == targets[target_id].born
+        }
+        steps = {}
+        for target_id, by_node in self._samples.items():
+            born = targets[target_id].born
+            recent = {
+                node: (at, sample)
+                for node, (at, sample) in by_node.items()
+                if at > began_at and sample.born == born
+            }
+            self._samples[target_id] = recent
+            if recent:
+                steps[target_id] = self._average(now, target_id, born, recent)
+        usual = self._usual_steps(targets)
+        for target_id, speed in self._speeds.items():
+            usual_s = usual.get(targets[target_id].service)
+            step_s, count = steps.get(target_id, (None, 0))
+            if step_s is None or not usual_s:
+                self._drift(now, speed)
+            else:
+                self._follow(now, speed, step_s / usual_s)
+                speed.row = speed.row._replace(
+                    step_s=step_s, usual_s=usual_s, count=count, at=now
+                )
+            speed.at = now
+            self._publish(speed)
+
+    def _average(self, now, target_id, born, recent):
+        """Return the step of a target over all nodes, and the number of samples."""
+        speed = self._speeds.get(target_id)
+        if speed is None:
+            speed = self._speeds[target_id] = _Speed(now, born)
+        rows = sorted((sample.step_s, sample.count) for _, sample in recent.values())
+        count = sum(number for _, number in rows)
+        passed = accumulate(number for _, number in rows)
+        bound = self._policy.quantile * count
+        step_s = next(s for (s, _), n in zip(rows, passed, strict=True) if n > bound)
+        if speed.average_s is None:
+            speed.average_s = step_s
+        share = 1.0 - exp(-(now - speed.at) / self._policy.reference_s)
+        speed.average_s += (step_s - speed.average_s) * share
+        return step_s, count
+
+    def _usual_steps(self, targets):
+        """Return the median step of the targets of each service."""
+        averages = {}
+        for target_id, speed in self._speeds.items():
+            if speed.average_s is not None:
+                service = targets[target_id].service
+                averages.setdefault(service, []).append(speed.average_s)
+        return {service: median(steps) for service, steps in averages.items()}
+
+    def _follow(self, now, speed, ratio):
+        policy = self._policy
+        ratio = min(max(ratio, policy.min_factor), policy.max_factor)
+        if ratio > speed.factor * policy.jump:
+            speed.factor, speed.changed_at = ratio, now
+        elif ratio * policy.jump < speed.factor:
+            if now >= speed.changed_at + policy.recovery_s:
+                speed.factor = max(ratio, speed.factor * policy.recovery)
+                speed.changed_at = now
+        else:
+            share = 1.0 - exp(-(now - speed.at) / policy.smooth_s)
+            speed.factor *= (ratio / speed.factor) ** share
+
+    def _drift(self, now, speed):
+        speed.factor **= exp(-(now - speed.at) / self._policy.drift_s)
+
+    def _publish(self, speed):
+        """Publish a factor that has changed enough, so that noise isn't sent."""
+        policy = self._policy
+        factor = speed.factor
+        if abs(factor - 1.0) <= policy.dead_band:
+            speed.published = 1.0
+        elif abs(factor / speed.published - 1.0) > policy.republish:
+            speed.published = round(factor, 2)
+        speed.row = speed.row._replace(factor=speed.published)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -11,16 +11,22 @@
 
 CHOICE = ChoicePolicy()
 TICK_S = 0.02
+# Time between views, which tell the decisions how many prompt tokens are queued.
+VIEW_S = 0.16
 CHUNK_TOKENS = 4096
 STEP_S = 0.0095
 STEP_REQUEST_S = 0.00002
 
 
 class Load(NamedTuple):
-    """Arrivals of streams; ``slowness`` returns the factor of a target at a time."""
+    """Arrivals of streams; ``slowness`` returns the factor of a target at a time.
+
+    Each adapter is resident at ``copies`` targets.
+    """
 
     slowness: object
     targets: int = 9
+    copies: int = 4
     per_s: float = 24.0
     seconds: float = 30.0
     event_steps: int = 4
@@ -61,6 +67,7 @@
     def __init__(self, target_id):
         self.target_id = target_id
         self.prompts, self.streams = [], []
+        self.reported_tokens = 0
         self.busy_until = 0.0
 
     def advance(self, now, load, on_event):
@@ -105,30 +112,36 @@
     engines = {f"t{n}": _Engine(f"t{n}") for n in range(load.targets)}
     queues = PromptQueues(CHOICE.prompt_tokens_s)
     waiting, outcomes = [], []
-    now = next_at = 0.0
+    now = next_at = view_at = 0.0
     while now < load.seconds or any(e.prompts or e.streams for e in engines.values()):
         now += TICK_S
         while next_at < min(now, load.seconds):
             tokens = min(6000, int(rng.lognormvariate(6.8, 0.7)))
-            waiting.append(_job(load, next_at, tokens, rng))
+            held = rng.sample(sorted(engines), load.copies)
+            waiting.append((_job(load, next_at, tokens, rng), held))
             next_at += rng.expovariate(load.per_s)
         for engine in engines.values():
             for stream in engine.advance(now, load, on_event):
                 outcomes.append(_outcome(stream))
+        if now >= view_at:
+            view_at = now + VIEW_S
+            for engine in engines.values():
+                engine.reported_tokens = sum(row.tokens for row in engine.prompts)
         if tick is not None:
             tick(now, engines)
         undecided = []
-        for job, steps in waiting:
-            rows = [_candidate(now, e, queues, factor) for e in engines.values()]
+        for (job, steps), held in waiting:
+            rows = [_candidate(now, engines[name], queues, factor) for name in held]
             decision = decide(now, job, rows, "z1")
             if isinstance(decision, Send):
                 sent_to = decision.target_id
                 engines[sent_to].prompts.append(_Stream(job, sent_to, steps))
-                queues.record_send(now, sent_to, job.prompt_tokens)
+                tokens = job.prompt_tokens
+                queues.record_send(now, sent_to, tokens, factor(sent_to))
             elif isinstance(decision, Refuse):
                 outcomes.append(Outcome(job.arrived, "", now - job.arrived, None))
             else:
-                undecided.append((job, steps))
+                undecided.append(((job, steps), held))
         waiting = undecided
     return outcomes
 
@@ -157,12 +170,12 @@
 
 
 def _candidate(now, engine, queues, factor):
-    waiting = engine.prompts
     return Candidate(
         engine.target_id,
         "z1",
         128,
-        len(waiting) + len(engine.streams),
-        sum(stream.tokens for stream in waiting),
+        len(engine.prompts) + len(engine.streams),
+        engine.reported_tokens,
         queues.backlog_s(now, engine.target_id),
+        factor=factor(engine.target_id),
     )
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target
+from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target, pause_s
 
 __all__ = [
     "Job",
@@ -33,6 +33,8 @@
     event may fill; where the steps can't fill the pause, ``max_backlog_s`` is the
     backlog up to which a target gets more prompts, about half of a usual first-byte
     objective. The estimate assumes ``usual_prompt_tokens`` for every prompt.
+    Streams begin at targets with a factor above ``max_factor`` only if no other is
+    left: at 3 times the usual steps the longest ones end near their callers' deadlines.
     """
 
     slo_share: float = 0.85
@@ -42,6 +44,7 @@
     usual_prompt_tokens: int = 1200
     gap_share: float = 0.75
     max_backlog_s: float = 0.45
+    max_factor: float = 3.0
 
 
 class Job(NamedTuple):
@@ -127,15 +130,23 @@
     suitable = [
         row for row in candidates if _keeps_streams_in_time(choice, policy, job, row)
     ]
-    best = choose_target(choice, suitable, zone, job.prompt_tokens, job.fraction)
+    event_steps = 0
+    if job.max_gap_s and any(row.factor != 1.0 for row in candidates):
+        event_steps = job.event_steps
+        suitable = _steady(choice, policy, job, suitable) or suitable
+    best = choose_target(
+        choice, suitable, zone, job.prompt_tokens, job.fraction, event_steps
+    )
     remaining_s = job.arrived + job.first_byte_slo_s - now
     wait_s = job.give_up_at - now
     if best is not None:
         candidate, time_s = best
         # The estimate assumes the usual prompt size for every request, so that large
         # requests, which earn more, get the same share of the engines as others.
-        time_s += (policy.usual_prompt_tokens - job.prompt_tokens) / (
-            choice.prompt_tokens_s
+        time_s += (
+            (policy.usual_prompt_tokens - job.prompt_tokens)
+            / (choice.prompt_tokens_s)
+            * candidate.factor
         )
         if time_s <= max(remaining_s * policy.slo_share, policy.late_s):
             return Send(candidate.target_id, time_s)
@@ -179,17 +190,36 @@
     """
     if not job.max_gap_s or not candidate.running:
         return True
+    factor = candidate.factor
     backlog = backlog_s(choice, candidate)
-    if job.event_steps * choice.chunk_s < job.max_gap_s:
+    if job.event_steps * choice.chunk_s * factor < job.max_gap_s:
         return backlog <= policy.max_backlog_s
     steps_s = job.event_steps * (
         choice.step_s + choice.step_request_s * candidate.running
     )
-    available_s = job.max_gap_s * policy.gap_share - steps_s
-    prompt_s = job.prompt_tokens / choice.prompt_tokens_s
+    available_s = job.max_gap_s * policy.gap_share - steps_s * factor
+    prompt_s = job.prompt_tokens / choice.prompt_tokens_s * factor
     return backlog <= max(0.0, available_s - prompt_s)
 
 
+def _steady(choice, policy, job, candidates):
+    """Return the candidates whose streams stay in time even while the prompt is read.
+
+    Where targets differ in speed, a prompt that is too large for a slow one by itself
+    fits a faster one.
+    """
+    longest_s = job.max_gap_s * policy.gap_share
+    return [
+        row
+        for row in candidates
+        if row.factor <= policy.max_factor
+        and (
+            not row.running
+            or pause_s(choice, row, job.prompt_tokens, job.event_steps) <= longest_s
+        )
+    ]
+
+
 def _refuse(policy, job, reason, wait_s):
     spread_s = policy.retry_spread_s * job.fraction
     return Refuse(reason, max(policy.retry_s, wait_s) + spread_s)
