Target speeds: exchange between nodes, and use in scheduler and coordinator

Cause: nodes see the events of their own streams only, and decide for all targets. Change: SpeedExchange takes samples where events are passed on, reports them, combines them at the coordinator and applies the factors of views; without views for 1.5 s a node uses its own samples. Events 664 and 665, three metrics. The wants of a report, the log line of a lost coordinator, the rows of a residency and the check of a stream's end are moved out of the four large modules.

--- a/measure/part_views.py
+++ b/measure/part_views.py
@@ -13,6 +13,7 @@
 from hibiscusspar_entry.fleet.coordinator import Coordinator
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
+from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from measure.report import Table
 
 __all__ = ["run"]
@@ -87,6 +88,7 @@
         lambda: (0.1, 0.1),
         LimitExchange(clock),
         CrashExchange(clock, lambda address: False, None, lambda: False),
+        SpeedExchange(clock),
     )
     rows = {f"i-{n:010x}": _target(f"i-{n:010x}", n) for n in range(targets)}
     coordinator.set_targets(rows)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -2,7 +2,13 @@
 
 from hibiscusspar.fleet.retries import AttemptFailure
 
-__all__ = ["ends_with_connection", "head_failure", "is_event_stream", "tells_limit"]
+__all__ = [
+    "ends_with_connection",
+    "head_failure",
+    "is_event_stream",
+    "stream_end_failure",
+    "tells_limit",
+]
 
 _EVENT_STREAM = "text/event-stream"
 # Status of a target that doesn't hold the adapter, or isn't the one that was meant.
@@ -14,6 +20,15 @@
     return response.headers.get("Content-Type", "").startswith(_EVENT_STREAM)
 
 
+def stream_end_failure(state, response):
+    """Return why the end of a stream isn't that of an answer, or None."""
+    if state.splitter.has_partial_event:
+        return "a part of an event"
+    if state.attempt_event_at is None and ends_with_connection(response):
+        return "no event"
+    return None
+
+
 def ends_with_connection(response):
     """Return whether only the end of its connection ends the body of an answer."""
     headers = response.headers
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -14,6 +14,7 @@
     view_groups,
     view_interval_s,
 )
+from hibiscusspar.fleet.holdings import residency_rows
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
@@ -27,8 +28,8 @@
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
+from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
@@ -57,11 +58,8 @@
 _MAX_AGE_S = 1e6
 # Intervals of reports after which a node may have failed.
 _STALE_INTERVALS = 1.5
-# Assumed time in seconds until a target with no free slot has one.
-_FULL_TARGET_WAIT_S = 1.0
 # Assumed time in seconds until a target with a limit takes a further request.
 _LIMITED_TARGET_WAIT_S = 1.0
-_CHOICE_POLICY = ChoicePolicy()
 
 
 class Coordinator:
@@ -89,6 +87,8 @@
         Limits that targets have named.
     crashes : CrashExchange
         Requests that crash targets.
+    speeds : SpeedExchange
+        Speeds of targets, from the samples of all nodes.
     """
 
     def __init__(
@@ -106,6 +106,7 @@
         ages,
         limits,
         crashes,
+        speeds,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -132,6 +133,7 @@
         self._peer_rotation = EntryRotation()
         self._limits = limits
         self._crashes = crashes
+        self._speeds = speeds
         self._limit_rotation = EntryRotation(_MAX_LIMITS)
         self._permit_issuer = PermitIssuer()
         self.permits_issued = 0
@@ -187,6 +189,7 @@
             self._planner.sync(self._engine_targets())
             self._levels.reset(self._clock(), levels)
             self._permit_issuer.reset()
+            self._speeds.take_over()
 
     def step_down(self):
         """Become inactive.
@@ -213,6 +216,7 @@
                 now, report.node, report.start, report.used, report.denied
             )
             self._limits.apply_rows(report.limits, report.node)
+            self._speeds.apply_report(report)
             for target_id, (in_use, started) in changes.items():
                 self._planner.used(now, target_id, in_use)
                 self._planner.record_starts(now, started)
@@ -357,6 +361,7 @@
                 name: round(rate)
                 for name, rate in self._levels.asked_rates(now).items()
             },
+            speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -373,7 +378,7 @@
         numbers = self._residency_numbers()
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
-        return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
+        return {t: (numbers[t], residency_rows(now, held[t])) for t in due}
 
     def _due_limits(self, now):
         """Return limit, its age and the waiting requests, for some targets."""
@@ -448,13 +453,9 @@
         return backlogs
 
     def _backlog_s(self, target_id, load):
-        """Return the seconds until a new request at a target would be served."""
-        candidate = Candidate(target_id, "", 0, load.running, load.queued_prompt_tokens)
         target = self._targets.get(target_id)
-        max_running = _CHOICE_POLICY.max_running
-        if target is not None and load.running >= min(max_running, target.slots):
-            return first_byte_s(_CHOICE_POLICY, candidate, 0) + _FULL_TARGET_WAIT_S
-        return first_byte_s(_CHOICE_POLICY, candidate, 0)
+        slots = target.slots if target is not None else None
+        return wait_s(load, slots, self._speeds.factor(target_id))
 
     def _wants(self, now):
         wants = self._reports.wants(now)
@@ -525,10 +526,3 @@
         body = to_json(SendNotice([], loads=[load]))
         for address in addresses:
             self._send(address, body)
-
-
-def _residency_rows(now, held):
-    return [
-        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
-        for key, copy in held.copies.items()
-    ]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -29,6 +29,7 @@
     "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
+    "SPEEDS_SOURCE",
     "STORE_LOST",
     "STORE_REGAINED",
     "TARGET_CHANGED",
@@ -37,6 +38,7 @@
     "TARGET_LIMIT",
     "TARGET_RESTS",
     "TARGET_SAYS_IT_LEAVES",
+    "TARGET_SPEED",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
 ]
@@ -307,3 +309,28 @@
     ("target", "born"),
     "A target has said in an answer that it leaves; it gets no further requests.",
 )
+TARGET_SPEED = declare(
+    664,
+    "node.target_speed",
+    (
+        "target",
+        "born",
+        "factor",
+        "before",
+        "step_s",
+        "usual_s",
+        "samples",
+        "age_s",
+        "source",
+    ),
+    "The factor of a target on the usual times has changed by half or more since the "
+    "last line about it: `step_s` against `usual_s`, the median of its service, from "
+    "`samples` gaps, the newest `age_s` old. `source` is `reports` at the coordinator.",
+)
+SPEEDS_SOURCE = declare(
+    665,
+    "node.speeds_source",
+    ("source", "view_age_s", "factors"),
+    "Decisions use the speeds of targets from `views`, or from `own samples` because "
+    "no view has arrived lately; `factors` targets aren't at the usual speed.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -12,9 +12,9 @@
 )
 from hibiscusspar.fleet.waiting import Job, Refuse
 from hibiscusspar_entry.fleet.answer_checks import (
-    ends_with_connection,
     head_failure,
     is_event_stream,
+    stream_end_failure,
 )
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
@@ -235,7 +235,7 @@
     def _try_target(self, inbound, admitted, state, placement):
         """Make one attempt; return its failure, or None if it was answered."""
         target_id = placement.target.target_id
-        state.begin_attempt(target_id)
+        state.begin_attempt(target_id, self._parts.speeds.pace(placement, admitted))
         first_byte_received = False
         self._log.sent(admitted, state, placement)
         earlier_first_byte_at = state.first_byte_at
@@ -397,10 +397,9 @@
             if state.attempt_event_at is None:
                 self._crash_guard.record_begin(admitted)
             state.record_event(self._clock())
-        if splitter.has_partial_event:
-            raise CallFailedError("read", connection.address, "a part of an event")
-        if state.attempt_event_at is None and ends_with_connection(response):
-            raise CallFailedError("read", connection.address, "no event")
+        reason = stream_end_failure(state, response)
+        if reason is not None:
+            raise CallFailedError("read", connection.address, reason)
         state.release_connection(response.headers)
         if not state.answer_begun:
             inbound.send_head(response.status, headers)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -19,8 +19,8 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.coordinator_loss import CoordinatorLoss
 from hibiscusspar_entry.fleet.events import (
-    COORDINATOR_LOST,
     NODE_DRAINING,
     NODE_STARTED,
     NODE_STOPPED,
@@ -46,8 +46,6 @@
 # Time after the start for which the first view is awaited before the leases of the
 # zones' duties are read.
 _FIRST_VIEW_S = 1.5
-# Silence after which the coordinator is logged as lost.
-_COORDINATOR_LOST_S = 1.5
 # Time between looks whether the stored quarantine differs, in seconds.
 _QUARANTINE_STEP_S = 0.1
 # Pause after a store call without an answer, far shorter than the store's outages.
@@ -70,6 +68,7 @@
     request_scheduler: Any
     limits: Any
     statements: Any
+    speeds: Any
     origins: Any
     crashes: Any
     call_later: Any
@@ -128,7 +127,7 @@
         self._unheld_since = {}
         self._started_at = parts.clock()
         self._store_retry_at = 0.0
-        self._loss_logged = False
+        self._loss = CoordinatorLoss(parts.election)
         self._stopping = threading.Event()
         self._coordinator_address = None
         parts.request_scheduler.request_report = self._report_requested.set
@@ -297,6 +296,7 @@
                 "quarantine_refusals": self._parts.crashes.refused_count,
                 "store_failures": self._parts.store_backoff.failures,
                 "directory_differs": self._parts.relayed_state.directory_differs,
+                **self._parts.speeds.counts,
             }
         )
 
@@ -337,7 +337,7 @@
         self._is_coordinator_leased = view.leased
         self._held_duties = frozenset(view.held)
         self._coordinator_address = parse_address(view.address)
-        self._loss_logged = False
+        self._loss.record_view()
         if parts.relayed_state.apply_view(view, parts.settings.node):
             for watch in parts.watches:
                 watch.wake()
@@ -346,6 +346,7 @@
         addresses = parts.peers.direct_addresses(parts.clock(), parts.settings.zone)
         parts.request_scheduler.direct_peers = len(addresses)
         parts.crashes.apply_view(view, parts.settings.node)
+        parts.speeds.apply_view(view)
         acked_used = parts.request_scheduler.apply_view(view)
         with parts.quota_changed:
             parts.quota.apply_view(
@@ -414,6 +415,7 @@
         report.reads_packed = True
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
+        parts.speeds.complete_report(report)
         if parts.election.leads:
             self._coordinator.handle_report(
                 report, parse_address(self._channel.address)
@@ -444,12 +446,4 @@
                 self._view_requested.clear()
                 self._coordinator.send_views()
             self._coordinator.tick()
-        age_s = self._parts.request_scheduler.view_age_s
-        if age_s is not None and age_s > _COORDINATOR_LOST_S and not self._loss_logged:
-            self._loss_logged = True
-            record = self._parts.election.record
-            fields = {
-                "machine": record.machine if record else "",
-                "silent_s": round(age_s, 3),
-            }
-            write_records([(COORDINATOR_LOST, fields)])
+        self._loss.check(self._parts.request_scheduler.view_age_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -16,6 +16,7 @@
 from hibiscusspar.fleet.residency_copy import ResidencyCopy
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
+from hibiscusspar.fleet.target_loads import joint_load
 from hibiscusspar.fleet.waiting import (
     Send,
     Wait,
@@ -23,6 +24,7 @@
     job_sort_key,
     wait_for_open_target,
 )
+from hibiscusspar.fleet.waiting_groups import waiting_groups
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
 
@@ -123,6 +125,8 @@
         # Returns whether this node has an idle connection to a target.
         self.is_connected = lambda target: True
         self.on_sent = lambda target, tokens: None
+        # Returns the factor of a target on the usual times.
+        self.factor = lambda target_id: 1.0
 
     @property
     def view_age_s(self):
@@ -144,6 +148,10 @@
                 for service in ruleset.services.values()
             }
 
+    def reading_until(self, target_id):
+        """Return the time until which a target reads the prompts known here."""
+        return self._prompt_queues.done_at(target_id)
+
     def set_targets(self, targets):
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
@@ -225,7 +233,8 @@
             now = self._clock()
             for target_id, tokens in notice.sends:
                 if target_id in self._targets:
-                    self._prompt_queues.record_send(now, target_id, tokens)
+                    factor = self.factor(target_id)
+                    self._prompt_queues.record_send(now, target_id, tokens, factor)
             for load in notice.loads:
                 self._residency.apply_load(now, load)
                 if load.waiting <= _FEW_WAITING:
@@ -443,7 +452,10 @@
             self._in_use.setdefault(target.target_id, Counter())[job.key] += 1
             self._started_counts.setdefault(target.target_id, Counter())[job.key] += 1
         if self._has_engine.get(target.service):
-            self._prompt_queues.record_send(now, target.target_id, job.prompt_tokens)
+            factor = self.factor(target.target_id)
+            self._prompt_queues.record_send(
+                now, target.target_id, job.prompt_tokens, factor
+            )
             self.on_sent(target, job.prompt_tokens)
         if taken is not None:
             taken.add(target.target_id)
@@ -509,15 +521,11 @@
 
     def _candidate(self, now, target):
         target_id = target.target_id
-        own = self._loads.get(target_id)
-        running, queued = (own.running, own.queued_prompt_tokens) if own else (0, 0)
-        reported = self._view.loads.get(target_id) if self._view else None
-        if reported is not None:
-            own_reported = self._own_reported_load(target_id)
-            running += max(0, reported.running - own_reported.running)
-            queued += max(
-                0, reported.queued_prompt_tokens - own_reported.queued_prompt_tokens
-            )
+        running, queued = joint_load(
+            self._loads.get(target_id),
+            self._view.loads.get(target_id) if self._view else None,
+            self._acked_loads.get(target_id),
+        )
         is_engine = self._has_engine.get(target.service)
         queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
@@ -525,15 +533,12 @@
             target.zone,
             self._gate.usable_slots(target, queue_slots),
             running,
-            max(0, queued),
+            queued,
             self._prompt_queues.backlog_s(now, target_id),
             self.is_connected(target),
+            self.factor(target_id) if is_engine else 1.0,
         )
 
-    def _own_reported_load(self, target_id):
-        """Return this node's share of a target's load as counted in the last view."""
-        return self._acked_loads.get(target_id) or TargetLoad(0, 0)
-
     def _usable_version(self, now, target, key):
         """Return the version that a target serves of a model or adapter.
 
@@ -567,33 +572,20 @@
         return None if version is None else (version, 0.0)
 
     def _wants(self):
-        groups = {}
         now = self._clock()
-        for ticket in self._waiting:
-            job = ticket.job
-            if job.key[1]:
-                group = (job.service, job.key, job.software)
-                groups.setdefault(group, []).append(job)
-        wants = []
-        for (service, key, _), jobs in groups.items():
-            candidates, _ = self._candidates(now, jobs[0])
-            tokens = sum(job.prompt_tokens for job in jobs)
-            priority = min(job.priority for job in jobs)
-            model, adapter = key
-            wants.append(
-                Want(
-                    service,
-                    model,
-                    adapter,
-                    len(jobs),
-                    tokens,
-                    priority,
-                    bool(candidates),
-                    self._excluded_from_loads(now, jobs[0]),
-                    self.zone,
-                )
+        return [
+            Want(
+                group.job.service,
+                *group.job.key,
+                group.count,
+                group.tokens,
+                group.priority,
+                bool(self._candidates(now, group.job)[0]),
+                self._excluded_from_loads(now, group.job),
+                self.zone,
             )
-        return wants
+            for group in waiting_groups(ticket.job for ticket in self._waiting)
+        ]
 
 
 def _may_continue(target, job):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -17,6 +17,8 @@
         self.attempts = 0
         self.excluded = frozenset()
         self.connection = None
+        # Pace of the current attempt's stream, None if it isn't measured.
+        self.pace = None
         self.ticket = None
         self.may_have_run = False
         self.tokens_taken = False
@@ -43,12 +45,15 @@
         if self.last_event_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
         self.last_event_at = self.progress_at = now
+        if self.pace is not None and self.splitter is not None:
+            self.pace.record(now, self.splitter.count)
         if self.attempt_event_at is None:
             self.attempt_event_at = now
 
-    def begin_attempt(self, target_id):
-        """Record that the request is sent to a target."""
+    def begin_attempt(self, target_id, pace=None):
+        """Record that the request is sent to a target, whose pace is measured."""
         self.attempts += 1
+        self.pace = pace
         self.target_id = target_id
         self.attempt_event_at = None
 
@@ -59,6 +64,8 @@
 
     def close_connection(self):
         """Close the connection of the attempt unless it was returned."""
+        if self.pace is not None:
+            self.pace.end()
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -20,6 +20,7 @@
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_entry.fleet.ports import TargetState
+from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
     Clock,
     engine_rules,
@@ -68,6 +69,7 @@
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
             CrashExchange(self.clock, lambda address: False, None, lambda: False),
+            SpeedExchange(self.clock),
         )
         self.addCleanup(self.coordinator.close)
         rules = engine_rules()
@@ -211,6 +213,7 @@
             lambda: (0.0, 0.0),
             LimitExchange(monotonic),
             CrashExchange(monotonic, lambda address: False, None, lambda: False),
+            SpeedExchange(monotonic),
         )
         self.addCleanup(self.coordinator.close)
         rules = engine_rules()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_directory_relay.py
@@ -13,6 +13,7 @@
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
+from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock
 from hibiscusspar_entry.fleet.view_sequence import ViewSequence
@@ -161,6 +162,7 @@
             lambda: (0.0, 0.0),
             LimitExchange(self.clock),
             CrashExchange(self.clock, lambda address: False, None, lambda: False),
+            SpeedExchange(self.clock),
         )
         coordinator.set_targets(dict(self.store))
         coordinator.take_over({})
