Target speeds: follow slow periods, keep noise of equal targets within the dead band

Cause: with gaps of the last 0.3 s the factors showed a slow period of 0.6 s when most of it was over, and the smallest gap of a second hid it where gaps were few. Change: gaps of 0.15 s, at least the last two without prompts; newer samples weigh more at the coordinator; a ratio 1.5 times the target's usual one counts at once, others are averaged over 3 s; a silence counts only beyond the time of a chunk.

--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -22,29 +22,33 @@
 
     ``window_s`` is the age of the gaps that an estimate uses, short enough to show slow
     periods of 0.6 s; ``long_window_s`` that of those used if prompts were read during
-    nearly all of them. Prompts lengthen gaps, so ``quantile`` is a low one. Streams
-    that are silent for longer than ``silence_s``, the time of a chunk of a prompt at a
-    slow target, give a lower bound. ``max_reported`` is the number of targets of a
-    report: some nodes sample each target.
+    nearly all of them. Prompts lengthen gaps, so ``quantile`` is a low one. What
+    streams are silent for beyond ``silence_s``, the time of a chunk of a prompt, gives
+    a lower bound. ``max_reported`` is the number of targets of a report: some nodes
+    sample each target.
 
     ``max_age_s`` is the age of the oldest sample that counts, at least two intervals of
-    reports. A ratio that differs from the factor by ``jump`` counts at once, a smaller
-    change within ``smooth_s``, which keeps noise of equal targets within ``dead_band``.
-    After a slow period the factor falls by ``recovery`` every ``recovery_s``, and
-    without samples it drifts to 1 within some ``drift_s``. The median is of averages
-    over ``reference_s``, which few slow targets don't move.
+    reports, and ``fresh_s`` the age at which its weight is a third. A ratio that
+    differs from the usual one of the target by ``jump`` counts at once, a smaller
+    change within ``smooth_s`` after the first ``settled`` samples, which keeps noise of
+    equal targets within ``dead_band``. After a slow period the factor falls at most to
+    its share ``recovery`` every ``recovery_s``, and without samples it drifts to 1
+    within some ``drift_s``. The median is of averages over ``reference_s``, which few
+    slow targets don't move. A published factor changes by ``republish`` at least.
     """
 
-    window_s: float = 0.3
+    window_s: float = 0.15
     long_window_s: float = 1.0
     quantile: float = 0.3
-    silence_s: float = 0.35
+    silence_s: float = 0.25
     max_reported: int = 8
     max_age_s: float = 0.4
-    jump: float = 1.4
-    smooth_s: float = 1.0
-    recovery: float = 0.6
-    recovery_s: float = 0.15
+    fresh_s: float = 0.05
+    jump: float = 1.5
+    smooth_s: float = 3.0
+    settled: int = 8
+    recovery: float = 0.4
+    recovery_s: float = 0.1
     drift_s: float = 3.0
     reference_s: float = 5.0
     dead_band: float = 0.15
@@ -156,7 +160,7 @@
         estimates = {}
         for target_id, row in self._rows.items():
             step_s, count = self._step_s(now, row)
-            silent_s = silences.get(target_id, 0.0)
+            silent_s = silences.get(target_id, 0.0) - self._policy.silence_s
             if silent_s / row.steps > step_s:
                 step_s, count = silent_s / row.steps, max(1, count)
             if count:
@@ -188,16 +192,18 @@
     def _step_s(self, now, row):
         """Return the estimated seconds of a step and the number of samples."""
         policy = self._policy
-        recent = [(at, s, c) for at, s, c in row.rows if at > now - policy.window_s]
-        steps = sorted(step_s for _, step_s, is_clear in recent if is_clear)
-        # Two clear gaps, so that a single outlier counts for nothing.
-        if len(steps) < 2:
-            began_at = now - policy.long_window_s
+        clear = [(at, step_s) for at, step_s, is_clear in row.rows if is_clear]
+        began_at = now - policy.long_window_s
+        # At least two clear gaps, so that a single outlier counts for nothing.
+        if len(clear) > 1 and clear[-2][0] > began_at:
+            began_at = min(clear[-2][0], now - policy.window_s)
+            steps = sorted(step_s for at, step_s in clear if at >= began_at)
+            return steps[int(policy.quantile * (len(steps) - 1))], len(steps)
+        if not clear or clear[-1][0] <= began_at:
             steps = sorted(step_s for at, step_s, _ in row.rows if at > began_at)
-            if len(steps) < 3:
-                return 0.0, 0
-            return steps[0], 1
-        return steps[int(policy.quantile * (len(steps) - 1))], len(steps)
+            if len(steps) > 2:
+                return steps[0], 1
+        return 0.0, 0
 
     def _silences(self, now, reading_until):
         """Return the seconds of silence of the targets whose streams are all silent.
@@ -223,11 +229,23 @@
 class _Speed:
     """Current factor of one incarnation, and the average of its steps."""
 
-    __slots__ = ("at", "average_s", "born", "changed_at", "factor", "published", "row")
-
-    def __init__(self, now, born, factor=1.0):
+    __slots__ = (
+        "at",
+        "average_s",
+        "born",
+        "changed_at",
+        "factor",
+        "published",
+        "row",
+        "updates",
+        "usual",
+    )
+
+    def __init__(self, now, born, factor=1.0, updates=0):
         self.born = born
-        self.factor = self.published = factor
+        # The usual factor of the target is that outside its slow periods.
+        self.factor = self.published = self.usual = factor
+        self.updates = updates
         self.average_s = None
         self.at = self.changed_at = now
         self.row = FactorRow(born, factor, 0.0, 0.0, 0, now)
@@ -261,7 +279,8 @@
             Start of the incarnation and factor by target.
         """
         self._samples = {}
-        self._speeds = {t: _Speed(now, *known) for t, known in factors.items()}
+        updates = self._policy.settled
+        self._speeds = {t: _Speed(now, *row, updates) for t, row in factors.items()}
 
     def record(self, now, node, samples):
         """Record the samples of a node by target."""
@@ -318,10 +337,14 @@
         speed = self._speeds.get(target_id)
         if speed is None:
             speed = self._speeds[target_id] = _Speed(now, born)
-        rows = sorted((sample.step_s, sample.count) for _, sample in recent.values())
-        count = sum(number for _, number in rows)
-        passed = accumulate(number for _, number in rows)
-        bound = self._policy.quantile * count
+        # The newest samples count most, as older ones are from before a change.
+        rows = sorted(
+            (sample.step_s, sample.count * exp((at - now) / self._policy.fresh_s))
+            for at, sample in recent.values()
+        )
+        count = sum(sample.count for _, sample in recent.values())
+        passed = accumulate(weight for _, weight in rows)
+        bound = self._policy.quantile * sum(weight for _, weight in rows)
         step_s = next(s for (s, _), n in zip(rows, passed, strict=True) if n > bound)
         if speed.average_s is None:
             speed.average_s = step_s
@@ -341,18 +364,25 @@
     def _follow(self, now, speed, ratio):
         policy = self._policy
         ratio = min(max(ratio, policy.min_factor), policy.max_factor)
-        if ratio > speed.factor * policy.jump:
+        speed.updates += 1
+        share = 1.0 - exp(-(now - speed.at) / policy.smooth_s)
+        share = max(share, 1.0 / (1 + speed.updates))
+        change, bound = log(ratio / speed.usual), log(policy.jump)
+        if speed.updates > policy.settled:
+            change = min(max(change, -bound), bound)
+        speed.usual *= exp(share * change)
+        if abs(log(ratio / speed.usual)) < bound:
+            ratio = speed.usual
+        if ratio >= speed.factor:
             speed.factor, speed.changed_at = ratio, now
-        elif ratio * policy.jump < speed.factor:
-            if now >= speed.changed_at + policy.recovery_s:
-                speed.factor = max(ratio, speed.factor * policy.recovery)
-                speed.changed_at = now
-        else:
-            share = 1.0 - exp(-(now - speed.at) / policy.smooth_s)
-            speed.factor *= (ratio / speed.factor) ** share
+        elif now >= speed.changed_at + policy.recovery_s:
+            speed.factor = max(ratio, speed.factor * policy.recovery)
+            speed.changed_at = now
 
     def _drift(self, now, speed):
-        speed.factor **= exp(-(now - speed.at) / self._policy.drift_s)
+        share = exp(-(now - speed.at) / self._policy.drift_s)
+        speed.factor **= share
+        speed.usual **= share
 
     def _publish(self, speed):
         """Publish a factor that has changed enough, so that noise isn't sent."""
