--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -31,6 +31,7 @@
     "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
+    "SPEEDS_SOURCE",
     "STORE_LOST",
     "STORE_REGAINED",
     "TARGETS_COLD",
@@ -41,6 +42,7 @@
     "TARGET_LIMIT",
     "TARGET_RESTS",
     "TARGET_SAYS_IT_LEAVES",
+    "TARGET_SPEED",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
     "ZONE_EVACUATED",
@@ -354,3 +356,28 @@
     "A target's statement of how long it stays cold can't be used; it is presumed cold "
     "for `presumed_s`.",
 )
+TARGET_SPEED = declare(
+    664,
+    "node.target_speed",
+    (
+        "target",
+        "born",
+        "factor",
+        "before",
+        "step_s",
+        "usual_s",
+        "samples",
+        "age_s",
+        "source",
+    ),
+    "The factor of a target on the usual times has changed by half or more since the "
+    "last line about it: `step_s` against `usual_s`, the median of its service, from "
+    "`samples` gaps, the newest `age_s` old. `source` is `reports` at the coordinator.",
+)
+SPEEDS_SOURCE = declare(
+    665,
+    "node.speeds_source",
+    ("source", "view_age_s", "factors"),
+    "Decisions use the speeds of targets from `views`, or from `own samples` because "
+    "no view has arrived lately; `factors` targets aren't at the usual speed.",
+)
