Admission: shares by priority and return times as pure decisions

Less urgent requests have longer objectives, so in a burst they fill the time that more urgent ones need.

--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -54,7 +54,10 @@
     targets that it must not be sent to again. ``software`` is the version of the
     target's software that began its stream, None if any target may run the job.
     ``broken_at`` holds the targets at which that stream broke off; they may have
-    restarted with other software than the directory shows.
+    restarted with other software than the directory shows. ``attempts`` is the number
+    of earlier attempts at targets, and ``returned_s`` the time since the caller first
+    sent the request, 0 if it wasn't refused before. ``is_admitted`` is whether it is
+    within the share of its priority (see ``hibiscusspar.fleet.admission``).
     """
 
     request_id: str
@@ -71,6 +74,9 @@
     excluded: frozenset[str] = frozenset()
     software: str | None = None
     broken_at: frozenset[str] = frozenset()
+    attempts: int = 0
+    returned_s: float = 0.0
+    is_admitted: bool = True
 
 
 class Send(NamedTuple):
