Admission: nodes report demand and apply the coordinator's levels

Each node decided for itself, so the more urgent requests of the whole fleet weren't served first. Reports now carry the tokens asked for, sent and refused by priority and the announced returns; views carry the levels of services under pressure. Only services with several priorities take part.

Shares follow the order of priorities strictly: the room of returning callers isn't taken from the most urgent one.

--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -129,11 +129,10 @@
     return {service: row for service, row in goals.items() if len(row) > 1}
 
 
-def allocate_shares(capacity, demand, floor):
+def allocate_shares(capacity, demand, floor, reserved=0.0):
     """Return the share of each priority that a capacity admits.
 
-    Each priority gets what the more urgent ones leave; the floors of the less urgent
-    ones are set aside first.
+    Each priority gets what the more urgent ones leave, but at least the floor.
 
     Parameters
     ----------
@@ -141,6 +140,8 @@
     demand : dict of int to float
         In the same unit as the capacity, by priority.
     floor : float
+    reserved : float, optional
+        Part of the capacity that only the most urgent priority may use.
 
     Returns
     -------
@@ -148,13 +149,13 @@
     """
     shares = {}
     left = capacity
-    reserved = floor * sum(demand.values())
     for priority in sorted(demand):
-        reserved -= floor * demand[priority]
         share = 1.0
         if demand[priority] > 0:
-            share = min(1.0, max(floor, (left - reserved) / demand[priority]))
+            share = min(1.0, max(floor, left / demand[priority]))
         left -= share * demand[priority]
+        if not shares:
+            left -= reserved
         shares[priority] = round(share, 3)
     return shares
 
@@ -280,7 +281,7 @@
             )
         )
         return AdmissionLevel(
-            allocate_shares(capacity - reserved, demand, policy.floor),
+            allocate_shares(capacity, demand, policy.floor, reserved),
             round(max(reserved, capacity - sum(demand.values())), 1),
             [round(tokens) for tokens in booked],
             age_s,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -26,10 +26,11 @@
 from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
-from hibiscusspar.fleet.residency_numbers import join_numbers
+from hibiscusspar.fleet.residency_numbers import join_numbers, residency_rows
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.packing import pack
@@ -89,6 +90,7 @@
         Limits that targets have named.
     crashes : CrashExchange
         Requests that crash targets.
+    admission : AdmissionLevels, optional
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         ages,
         limits,
         crashes,
+        admission=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -132,6 +135,7 @@
         self._peer_rotation = EntryRotation()
         self._limits = limits
         self._crashes = crashes
+        self._admission = admission or AdmissionLevels()
         self._limit_rotation = EntryRotation(_MAX_LIMITS)
         self._permit_issuer = PermitIssuer()
         self.permits_issued = 0
@@ -357,6 +361,7 @@
                 name: round(rate)
                 for name, rate in self._levels.asked_rates(now).items()
             },
+            admission=self._admission.update(now, self._reports.fresh(now)),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -373,7 +378,7 @@
         numbers = self._residency_numbers()
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
-        return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
+        return {t: (numbers[t], residency_rows(now, held[t])) for t in due}
 
     def _due_limits(self, now):
         """Return limit, its age and the waiting requests, for some targets."""
@@ -395,10 +400,7 @@
             write_records([(ROWS_CHANGED, fields)])
 
     def _due_peers(self):
-        peers = {
-            record.report.node: (record.report.zone, "{}:{}".format(*record.address))
-            for record in self._reports.records
-        }
+        peers = self._reports.peers
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
@@ -525,10 +527,3 @@
         body = to_json(SendNotice([], loads=[load]))
         for address in addresses:
             self._send(address, body)
-
-
-def _residency_rows(now, held):
-    return [
-        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
-        for key, copy in held.copies.items()
-    ]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ADAPTER_ORDERED",
     "ADAPTER_VERSION",
+    "ADMISSION_LEVEL",
     "BACKGROUND_FAILED",
     "CALL_ANSWERED",
     "CALL_BROKEN",
@@ -307,3 +308,20 @@
     ("target", "born"),
     "A target has said in an answer that it leaves; it gets no further requests.",
 )
+ADMISSION_LEVEL = declare(
+    650,
+    "node.admission_level",
+    (
+        "service",
+        "shares",
+        "asked_per_s",
+        "capacity_per_s",
+        "missing",
+        "room_per_s",
+        "age_s",
+    ),
+    "This coordinator has all nodes admit these shares of the requests to a service, "
+    "by priority; null if the pressure has ended. Changes of less than 0.1 aren't "
+    "logged. `missing` counts the prompt tokens that were refused in the last second "
+    "or wait for room, `room_per_s` those that returning callers may bring.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -10,7 +10,7 @@
     RetryDecision,
     retry_decision,
 )
-from hibiscusspar.fleet.waiting import Job, Refuse
+from hibiscusspar.fleet.waiting import Refuse
 from hibiscusspar_entry.fleet.answer_checks import (
     ends_with_connection,
     head_failure,
@@ -19,6 +19,7 @@
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
+from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.refusal import (
     CallerLeftError,
     FailedError,
@@ -198,22 +199,7 @@
         policy, route = self._policy, admitted.route
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         now = self._clock()
-        job = Job(
-            request_id=admitted.call.request_id,
-            service=admitted.service,
-            key=(admitted.call.model, admitted.call.adapter),
-            priority=admitted.priority,
-            prompt_tokens=admitted.prompt_tokens,
-            arrived=admitted.first_arrived,
-            first_byte_slo_s=route.first_byte_slo_s,
-            give_up_at=min(now + factor * route.first_byte_slo_s, admitted.ends_at),
-            fraction=admitted.fraction,
-            max_gap_s=route.max_gap_s if admitted.is_engine else 0.0,
-            event_steps=admitted.event_steps,
-            excluded=state.excluded,
-            software=state.origin.software if state.origin else None,
-            broken_at=state.broken_at,
-        )
+        job = make_job(admitted, state, now, factor * route.first_byte_slo_s)
         request_scheduler = self._parts.request_scheduler
         ticket = state.ticket = request_scheduler.submit(job)
         if state.caller_gone.is_set():
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -13,6 +13,8 @@
 
     def __init__(self):
         self._registry = registry = CollectorRegistry()
+        # Functions that return further gauges by name.
+        self.sources = []
         self.started = Counter(
             "hibiscusspar_calls", "Requests that were admitted.", registry=registry
         )
@@ -69,6 +71,8 @@
         fields : dict of str to float
             Values of the gauges by name.
         """
+        for source in self.sources:
+            fields = fields | source()
         for name, value in fields.items():
             self.gauges.labels(name).set(value)
         return generate_latest(self._registry)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
@@ -39,6 +39,14 @@
         """Records of all nodes, also of silent ones."""
         return list(self._records.values())
 
+    @property
+    def peers(self):
+        """Zone and address of all nodes, by name."""
+        return {
+            record.report.node: (record.report.zone, "{}:{}".format(*record.address))
+            for record in self._records.values()
+        }
+
     def record(self, now, report, address):
         """Record a report.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -8,7 +8,6 @@
 from hibiscusspar.fleet.messages import (
     NodeReport,
     TargetLoad,
-    Want,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import decision_interval_s
@@ -16,15 +15,11 @@
 from hibiscusspar.fleet.residency_copy import ResidencyCopy
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
-from hibiscusspar.fleet.waiting import (
-    Send,
-    Wait,
-    decide,
-    job_sort_key,
-    wait_for_open_target,
-)
+from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
+from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
 
 __all__ = ["Placement", "RequestScheduler", "Ticket"]
 
@@ -60,10 +55,14 @@
 
 
 class Ticket:
-    """Pending request, and the decision about it once there is one."""
+    """Pending request, and the decision about it once there is one.
+
+    ``waits_for`` is the reason for which it waits.
+    """
 
     def __init__(self, job):
         self.job = job
+        self.waits_for = ""
         self.decision = None
         self.placement = None
         self.decided = threading.Event()
@@ -89,9 +88,13 @@
         Time for which an older version of an adapter may serve after a newer one was
         announced.
     gate : TargetGate
+    admission : AdmissionGate, optional
+        By default one for services with one priority each.
     """
 
-    def __init__(self, node, start, zone, clock, ejection, version_grace_s, gate):
+    def __init__(
+        self, node, start, zone, clock, ejection, version_grace_s, gate, admission=None
+    ):
         self.lock = threading.Lock()
         self.zone = zone
         self._node = node
@@ -115,6 +118,7 @@
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._gate = gate
+        self._admission = admission or AdmissionGate()
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
@@ -211,6 +215,7 @@
             self._view_received_at = now
             self._acked_loads, used = self._acked_report()
             self._gate.apply_view(now, view)
+            self._admission.apply_view(now, view, self._node)
             self._residency.apply_view(now, view)
             for target_id in view.loads:
                 if target_id in self._targets:
@@ -234,10 +239,12 @@
 
     def submit(self, job):
         """Add a request and return its ticket, which may be decided already."""
-        ticket = Ticket(job)
         with self.lock:
             now = self._clock()
-            if not self._decide(now, ticket):
+            ticket = Ticket(self._admission.enter(now, job))
+            busy_jobs = [t.job for t in self._waiting if t.waits_for == "busy"]
+            must_yield = self._admission.must_yield(now, job, busy_jobs)
+            if must_yield or not self._decide(now, ticket):
                 self._waiting.append(ticket)
         if not ticket.decided.is_set():
             self.request_report()
@@ -338,7 +345,7 @@
                 [ticket.job for ticket in self._waiting],
                 lambda job: self._usable_versions(now, job),
             )
-            return NodeReport(
+            report = NodeReport(
                 node=self._node,
                 start=self._start,
                 zone=self.zone,
@@ -349,13 +356,20 @@
                     for target_id, keys in self._started_counts.items()
                     if keys
                 },
-                wants=self._wants(),
+                wants=group_wants(
+                    [ticket.job for ticket in self._waiting],
+                    self.zone,
+                    lambda job: bool(self._candidates(now, job)[0]),
+                    lambda job: self._excluded_from_loads(now, job),
+                ),
                 used=dict(used),
                 duties=duties or {},
                 lacked_residency=self._residency.lacked[:_MAX_REQUESTED],
                 limits=self._gate.report_rows(permit_demand),
                 permit_demand=permit_demand,
             )
+            self._admission.complete_report(now, report)
+            return report
 
     @property
     def has_waiting(self):
@@ -388,7 +402,7 @@
         if self._waiting and now >= self._next_decision_at:
             interval_s = decision_interval_s(self.direct_peers, self._rng.random())
             self._next_decision_at = now + interval_s
-            self._waiting.sort(key=lambda ticket: job_sort_key(now, ticket.job))
+            self._waiting.sort(key=lambda t: self._admission.sort_key(now, t.job))
             taken = set()
             self._waiting = [
                 ticket
@@ -422,8 +436,11 @@
             remaining = self._usable_targets(now, job)
             wait_s = self._gate.wait_s(now, remaining)
             decision = wait_for_open_target(now, job, wait_s)
+        decision = self._admission.review(now, job, decision)
         if isinstance(decision, Wait):
+            ticket.waits_for = decision.reason
             return False
+        self._admission.record(now, job, decision)
         if not isinstance(decision, Send):
             ticket.resolve(decision)
             return True
@@ -566,35 +583,6 @@
         version = target.adapters.get(key)
         return None if version is None else (version, 0.0)
 
-    def _wants(self):
-        groups = {}
-        now = self._clock()
-        for ticket in self._waiting:
-            job = ticket.job
-            if job.key[1]:
-                group = (job.service, job.key, job.software)
-                groups.setdefault(group, []).append(job)
-        wants = []
-        for (service, key, _), jobs in groups.items():
-            candidates, _ = self._candidates(now, jobs[0])
-            tokens = sum(job.prompt_tokens for job in jobs)
-            priority = min(job.priority for job in jobs)
-            model, adapter = key
-            wants.append(
-                Want(
-                    service,
-                    model,
-                    adapter,
-                    len(jobs),
-                    tokens,
-                    priority,
-                    bool(candidates),
-                    self._excluded_from_loads(now, jobs[0]),
-                    self.zone,
-                )
-            )
-        return wants
-
 
 def _may_continue(target, job):
     """Return whether a target may continue the stream of a job."""
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
@@ -0,0 +1,161 @@
+"""Tests of the exchange of demand and levels between a node and the coordinator."""
+
+import unittest
+
+from msgspec.json import Decoder
+from msgspec.json import encode as to_json
+
+from hibiscusspar.events import catalogue
+from hibiscusspar.fleet.messages import (
+    AdmissionLevel,
+    FleetView,
+    NodeReport,
+    TargetLoad,
+    Want,
+)
+from hibiscusspar.fleet.waiting import Refuse, Send
+from hibiscusspar_entry.fleet import admission_exchange
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate, AdmissionLevels
+from hibiscusspar_entry.fleet.report_table import NodeRecord
+from hibiscusspar_entry.fleet.tests.test_coordinator import CoordinatorTestCase
+from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
+    SchedulerTestCase,
+    target,
+    view,
+)
+
+GOALS = {"draft": {0: 0.8, 2: 2.0}}
+VIEW_DECODER = Decoder(FleetView)
+REPORT_DECODER = Decoder(NodeReport)
+# Prompt tokens with which a target takes 0.6 s to the first byte of a further one.
+BACKLOG_TOKENS = 12_000
+
+
+class TestNode(SchedulerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.gate = AdmissionGate()
+        self.gate.configure(GOALS)
+        self.scheduler._admission = self.gate
+        self.targets(target("t1", ["a1"]))
+
+    def apply(self, admission, tokens=0):
+        residency = {"t1": (1, [("m/a1", 1, 0.0)])}
+        sent = view(residency, {"t1": TargetLoad(12, tokens)})
+        sent.admission = admission
+        self.scheduler.apply_view(VIEW_DECODER.decode(to_json(sent)))
+
+    def report(self):
+        return REPORT_DECODER.decode(to_json(self.scheduler.report({})))
+
+    def test_less_urgent_request_leaves_room_under_pressure_only(self):
+        for admission, is_sent in (
+            ({}, True),
+            ({"draft": AdmissionLevel({2: 0.9}, 0.0, [], 0.0)}, False),
+        ):
+            self.apply(admission, BACKLOG_TOKENS)
+            ticket = self.scheduler.submit(self.job(priority=2))
+            self.assertEqual(isinstance(ticket.decision, Send), is_sent)
+            self.scheduler.withdraw(ticket)
+
+    def test_request_beyond_its_share_is_refused_at_once(self):
+        level = AdmissionLevel({2: 0.0}, 10_000.0, [9_000], 0.0)
+        self.apply({"draft": level}, BACKLOG_TOKENS)
+        ticket = self.scheduler.submit(self.job(priority=2))
+        self.assertIsInstance(ticket.decision, Refuse)
+        self.assertGreaterEqual(ticket.decision.retry_after_s, 0.5)
+        report = self.report()
+        self.assertEqual(report.asked, {"draft": {2: (1000, 0, 1000)}})
+        self.assertEqual(sum(report.booked["draft"]), 1000)
+        self.assertEqual(self.gate.gauges()["admission_refusals"], 1)
+
+    def test_level_ends_with_the_views(self):
+        level = AdmissionLevel({2: 0.0}, 0.0, [], 0.0)
+        self.apply({"draft": level}, BACKLOG_TOKENS)
+        self.clock.now += 1.6
+        self.apply(None, BACKLOG_TOKENS)
+        ticket = self.scheduler.submit(self.job(priority=2))
+        self.assertIsInstance(ticket.decision, Send)
+
+    def test_without_levels_a_request_yields_for_one_round_of_decisions(self):
+        self.targets(target("t1", ["a1"]), target("t2", ["a2"]))
+        self.apply(None, 22_000)
+        urgent = self.scheduler.submit(self.job(priority=0))
+        self.assertEqual(urgent.waits_for, "busy")
+        other = self.scheduler.submit(self.job(("m", "a2"), priority=2))
+        self.assertIsNone(other.decision)
+        self.clock.now += 0.1
+        self.scheduler.tick()
+        self.assertIsInstance(other.decision, Send)
+
+    def test_known_absence_of_pressure_lets_a_request_pass_a_more_urgent_one(self):
+        self.targets(target("t1", ["a1"]), target("t2", ["a2"]))
+        self.apply({}, 22_000)
+        self.scheduler.submit(self.job(priority=0))
+        other = self.scheduler.submit(self.job(("m", "a2"), priority=2))
+        self.assertIsInstance(other.decision, Send)
+
+
+class TestCoordinator(CoordinatorTestCase):
+    def test_views_carry_levels_under_pressure(self):
+        self.assertIsNone(self.next_view().admission)
+        self.coordinator._admission.configure(GOALS)
+        count = 0
+        for _ in range(20):
+            count += 100
+            self.clock.now += 0.1
+            self.report(
+                asked={"draft": {0: (count, count, 0), 2: (count, 0, count)}},
+                booked={"draft": [5]},
+            )
+            sent = VIEW_DECODER.decode(to_json(self.next_view()))
+        found = sent.admission["draft"]
+        self.assertEqual(found.shares[0], 1.0)
+        self.assertEqual(found.shares[2], 0.25)
+        self.assertEqual(found.booked, [5])
+
+    def test_nodes_of_older_builds_report_nothing(self):
+        self.coordinator._admission.configure(GOALS)
+        for _ in range(20):
+            self.clock.now += 0.1
+            self.report()
+            sent = self.next_view()
+        self.assertEqual(sent.admission, {})
+
+
+class TestLog(unittest.TestCase):
+    def setUp(self):
+        self.lines = []
+        original = admission_exchange.write_records
+        admission_exchange.write_records = self.lines.extend
+        self.addCleanup(setattr, admission_exchange, "write_records", original)
+
+    def play(self, levels, now, refused, seconds):
+        for _ in range(round(seconds * 10)):
+            now += 0.1
+            self.asked += 1000
+            self.refused += refused
+            sent = self.asked - self.refused
+            asked = {"draft": {2: (self.asked, sent, self.refused)}}
+            want = Want("draft", "m", "a1", 1, 10, 2, False)
+            report = NodeReport("n1", "s", "z1", 1, {}, {}, [want], {}, {}, asked=asked)
+            levels.update(now, [NodeRecord(report, now, ("10.0.0.1", 1), {})])
+        return now
+
+    def test_only_clear_changes_are_logged(self):
+        self.asked = self.refused = 0
+        levels = AdmissionLevels()
+        levels.configure(GOALS)
+        now = self.play(levels, 10.0, 0, 3.0)
+        self.assertEqual(self.lines, [])
+        now = self.play(levels, now, 500, 3.0)
+        begun = len(self.lines)
+        self.assertGreater(begun, 0)
+        self.assertLess(begun, 10)
+        self.play(levels, now, 0, 3.0)
+        kind, fields = self.lines[-1]
+        self.assertIn(kind, catalogue())
+        self.assertIsNone(fields["shares"])
+        shares = [line[1]["shares"][2] for line in self.lines[:begun]]
+        for earlier, later in zip(shares, shares[1:], strict=False):
+            self.assertGreaterEqual(abs(earlier - later), 0.1)
