Admission: waits for adapters stay as they were; silent nodes don't raise the capacity

Under pressure a less urgent request whose adapter was still loading was refused after 0.5 s like one that waits for room. Counts of a node that was silent for longer than a level lasts arrived as if sent within a second and raised the capacity. The room for callers who return is set aside only as far as they are expected.

--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -7,8 +7,8 @@
 part of the time to the first byte to the more urgent ones.
 """
 
-from collections import Counter, deque
-from math import exp
+from collections import deque
+from math import exp, inf
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -35,6 +35,7 @@
 
 # Refusals that a service with more room would not have made.
 _ROOM_REASONS = frozenset({"busy", "limited", "no room"})
+_NO_COUNTS = (0, 0, 0)
 _HASH_RANGE = float(2**64)
 # Seeds of hashes that are independent of each other and of the one that splits routes.
 _SHARE_SEED = 1
@@ -212,9 +213,10 @@
         self._window.append((now, self._changes(rows)))
         while now - self._window[0][0] > policy.window_s - _CLOCK_ERROR_S:
             self._window.popleft()
-        sums = Counter()
+        sums = {}
         for _, changes in self._window:
-            sums.update(changes)
+            for key, counts in changes.items():
+                _add(sums.setdefault(key, [0, 0, 0]), counts)
         self._update_capacity(now, elapsed_s, sums)
         if now < self._started_at + policy.window_s:
             return None
@@ -227,24 +229,27 @@
         return levels
 
     def _changes(self, rows):
-        """Return the tokens by service, priority and field since the last update.
+        """Return the tokens by service and priority since the last update.
 
-        The counts of a node that wasn't known are only a start, as they may be old.
+        The counts of a node that wasn't known or was silent are only a start, as they
+        may cover a long time.
         """
-        changes = Counter()
-        counts = {}
+        changes = {}
         for row in rows:
-            counts[row.node] = (row.start, row.asked)
-            start, earlier = self._counts.get(row.node, (None, {}))
-            if start != row.start:
+            known = self._counts.get(row.node)
+            if row.asked:
+                self._counts[row.node] = row
+            if known is None or known.start != row.start:
+                continue
+            if row.at > known.at + self._policy.stale_s:
                 continue
             for service, priorities in row.asked.items():
-                for priority, fields in priorities.items():
-                    known = earlier.get(service, {}).get(priority, (0, 0, 0))
-                    for index, (new, old) in enumerate(zip(fields, known, strict=True)):
-                        if new > old:
-                            changes[service, priority, index] += new - old
-        self._counts |= counts
+                before = known.asked.get(service, {})
+                for priority, counts in priorities.items():
+                    earlier = before.get(priority, _NO_COUNTS)
+                    if counts != earlier:
+                        sums = changes.setdefault((service, priority), [0, 0, 0])
+                        _add(sums, counts, earlier)
         return changes
 
     def _update_capacity(self, now, elapsed_s, sums):
@@ -260,9 +265,9 @@
     def _level(self, now, service, sums, rows, age_s):
         policy = self._policy
         demand = {
-            priority: count / policy.window_s
-            for (name, priority, index), count in sums.items()
-            if name == service and index == 0
+            priority: counts[0] / policy.window_s
+            for (name, priority), counts in sums.items()
+            if name == service
         }
         waiting = sum(row.waiting.get(service, 0) for row in rows)
         missing = _total(sums, service, 2) + waiting
@@ -272,17 +277,16 @@
         )
         if missing <= policy.pressure_share * sum(demand.values()) * policy.window_s:
             return None
-        reserved = policy.return_share * capacity
-        booked = add_steps(
-            *(
-                shift_steps(row.booked.get(service, ()), now - row.at)
-                for row in rows
-                if service in row.booked
-            )
+        room = policy.return_share * capacity
+        booking = [row for row in rows if service in row.booked]
+        elapsed_s = sum(now - row.at for row in booking) / max(1, len(booking))
+        booked = shift_steps(
+            add_steps(*(row.booked[service] for row in booking)), elapsed_s
         )
+        returning = sum(booked[: round(policy.window_s / STEP_S)]) / policy.window_s
         return AdmissionLevel(
-            allocate_shares(capacity, demand, policy.floor, reserved),
-            round(max(reserved, capacity - sum(demand.values())), 1),
+            allocate_shares(capacity, demand, policy.floor, min(room, returning)),
+            round(max(room, capacity - sum(demand.values())), 1),
             [round(tokens) for tokens in booked],
             age_s,
         )
@@ -422,7 +426,7 @@
             if decision.first_byte_s <= self._longest_s(job):
                 return decision
             decision = Wait("busy")
-        if isinstance(decision, Wait) and now < self._held_until(job):
+        if isinstance(decision, Wait) and now < self._held_until(job, decision):
             return decision
         if isinstance(decision, Refuse) and decision.reason not in _ROOM_REASONS:
             return decision
@@ -460,17 +464,17 @@
         goals = self._goals[job.service]
         more_urgent = [priority for priority in goals if priority < job.priority]
         if not more_urgent or _fraction(job, _SHARE_SEED) < self._policy.floor:
-            return float("inf")
+            return inf
         usable = max(0.0, 1.0 - self._policy.rank_share * len(more_urgent))
         goal_s = min(goals[priority] for priority in more_urgent)
         return max(self._policy.idle_s, usable * goal_s * self._wait_policy.slo_share)
 
-    def _held_until(self, job):
-        """Return until when a job may wait."""
+    def _held_until(self, job, wait):
+        """Return until when a job may wait; for an adapter it may as ever."""
         if not job.is_admitted:
-            return 0.0
-        if job.priority == min(self._goals[job.service]):
-            return job.give_up_at
+            return -inf
+        if wait.reason != "busy" or job.priority == min(self._goals[job.service]):
+            return inf
         return min(job.give_up_at, job.arrived + job.returned_s + self._policy.hold_s)
 
     def _retry_after_s(self, now, job, level, decision):
@@ -507,6 +511,10 @@
 
 
 def _total(sums, service, index):
-    return sum(
-        count for (name, _, i), count in sums.items() if (name, i) == (service, index)
-    )
+    return sum(counts[index] for (name, _), counts in sums.items() if name == service)
+
+
+def _add(sums, counts, earlier=_NO_COUNTS):
+    """Add the tokens asked for, sent and refused since earlier counts."""
+    for index, count in enumerate(counts):
+        sums[index] += count - earlier[index]
--- a/packages/hibiscusspar/hibiscusspar/fleet/returns.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/returns.py
@@ -5,6 +5,8 @@
 prompt, beside those that others were told to bring.
 """
 
+from itertools import zip_longest
+
 __all__ = ["STEP_S", "ReturnBook", "add_steps", "first_free_step", "shift_steps"]
 
 # Length of a step in seconds: coarse enough for the age of views in a large fleet.
@@ -90,7 +92,4 @@
 
 def add_steps(*rows):
     """Return the sums of several lists of steps."""
-    longest = max(map(len, rows), default=0)
-    return [
-        sum(row[step] for row in rows if step < len(row)) for step in range(longest)
-    ]
+    return [sum(step) for step in zip_longest(*rows, fillvalue=0)]
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_admission.py
@@ -115,7 +115,7 @@
         self.now = 100.0
         self.counts = {0: [0, 0, 0], 2: [0, 0, 0]}
 
-    def play(self, seconds, rates, waiting=0, booked=(), node="n1"):
+    def play(self, seconds, rates, waiting=0, booked=(), node="n1", start="s"):
         """Return the levels after reports of constant rates a second."""
         found = None
         for _ in range(round(seconds * 10)):
@@ -125,7 +125,7 @@
                     self.counts[priority][index] += rate // 10
             asked = {"s": {p: tuple(row) for p, row in self.counts.items()}}
             row = NodeDemand(
-                node, "s", self.now, asked, {"s": list(booked)}, {"s": waiting}
+                node, start, self.now, asked, {"s": list(booked)}, {"s": waiting}
             )
             found = self.fleet.update(self.now, [row])
         return found
@@ -162,8 +162,18 @@
 
     def test_counts_of_a_restarted_node_are_no_demand_of_before(self):
         self.play(2.0, {2: (1000, 1000, 0)})
-        self.counts = {0: [0, 0, 0], 2: [0, 0, 0]}
-        self.assertEqual(self.play(0.2, {2: (1000, 1000, 0)}), {})
+        self.counts = {0: [0, 0, 0], 2: [10**6, 0, 10**6]}
+        self.assertEqual(self.play(0.2, {2: (1000, 1000, 0)}, start="s2"), {})
+
+    def test_node_that_was_silent_does_not_raise_the_capacity(self):
+        # Its counts of that time came in one report, as if sent within a second.
+        self.play(2.0, {2: (1000, 800, 200)})
+        self.now += 1.4
+        self.play(0.1, {2: (1000, 800, 200)}, node="n2")
+        self.now += 1.4
+        self.counts[2] = [count + 10_000 for count in self.counts[2]]
+        self.play(1.5, {2: (1000, 800, 200)})
+        self.assertLess(self.fleet.inputs["s"].capacity_per_s, 1000)
 
     def test_returns_of_all_nodes_are_added(self):
         booked = [10, 20]
@@ -251,6 +261,11 @@
         self.assertIsInstance(node.review(10.4, row, Wait("busy")), Wait)
         self.assertIsInstance(node.review(10.6, row, Wait("busy")), Refuse)
 
+    def test_request_waits_for_its_adapter_as_without_pressure(self):
+        node = node_with({"s": level({0: 1.0, 1: 1.0, 2: 1.0})})
+        decision = Wait("adapter not resident")
+        self.assertIs(node.review(10.6, node.enter(10.0, job("x")), decision), decision)
+
     def test_refusal_for_another_reason_stays(self):
         node = node_with({"s": level({2: 0.0})})
         decision = Refuse("no target", 0.4)
