--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -51,8 +51,9 @@
     """Settings of admission; times in seconds.
 
     There is pressure if more than ``pressure_share`` of the tokens asked for in the
-    last ``window_s`` were refused or wait for room. ``floor`` is the smallest share of
-    a priority. The capacity is the highest rate of sent tokens, which decays with time
+    last ``window_s`` were refused or wait for room. ``floor`` is the part of the share
+    of all requests that each priority gets at least; the requirement is a quarter.
+    The capacity is the highest rate of sent tokens, which decays with time
     constant ``decay_s``, so that it follows a loss of targets. ``return_share`` of it
     is left to callers who return.
 
@@ -65,7 +66,7 @@
 
     pressure_share: float = 0.02
     window_s: float = 1.0
-    floor: float = 0.25
+    floor: float = 0.3
     decay_s: float = 5.0
     return_share: float = 0.1
     stale_s: float = 1.5
@@ -157,7 +158,7 @@
         left -= share * demand[priority]
         if not shares:
             left -= reserved
-        shares[priority] = round(share, 3)
+        shares[priority] = round(share, 4)
     return shares
 
 
@@ -283,12 +284,15 @@
         booked = shift_steps(
             add_steps(*(row.booked[service] for row in booking)), elapsed_s
         )
+        total = sum(demand.values())
+        floor = round(policy.floor * min(1.0, capacity / max(1.0, total)), 4)
         returning = sum(booked[: round(policy.window_s / STEP_S)]) / policy.window_s
         return AdmissionLevel(
-            allocate_shares(capacity, demand, policy.floor, min(room, returning)),
-            round(max(room, capacity - sum(demand.values())), 1),
+            allocate_shares(capacity, demand, floor, min(room, returning)),
+            round(max(room, capacity - total), 1),
             [round(tokens) for tokens in booked],
             age_s,
+            floor,
         )
 
 
@@ -423,7 +427,7 @@
         if level is None or job.attempts or job.software is not None:
             return decision
         if isinstance(decision, Send):
-            if decision.first_byte_s <= self._longest_s(job):
+            if decision.first_byte_s <= self._longest_s(job, level):
                 return decision
             decision = Wait("busy")
         if isinstance(decision, Wait) and now < self._held_until(job, decision):
@@ -453,7 +457,7 @@
         """Return whether the caller returns after a refusal, not at once."""
         return job.returned_s >= self._wait_policy.retry_s
 
-    def _longest_s(self, job):
+    def _longest_s(self, job, level):
         """Return the longest time to the first byte with which a job is sent.
 
         The part of a priority that is admitted at any pressure may use its own
@@ -463,7 +467,7 @@
             return self._policy.idle_s
         goals = self._goals[job.service]
         more_urgent = [priority for priority in goals if priority < job.priority]
-        if not more_urgent or _fraction(job, _SHARE_SEED) < self._policy.floor:
+        if not more_urgent or _fraction(job, _SHARE_SEED) < level.floor:
             return inf
         usable = max(0.0, 1.0 - self._policy.rank_share * len(more_urgent))
         goal_s = min(goals[priority] for priority in more_urgent)
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -110,13 +110,14 @@
     are admitted. ``room_per_s`` is the number of prompt tokens a second that callers
     who return may bring, ``booked`` the number that they were told to bring, by steps
     of half a second. ``age_s`` is the age of the demand that the level was derived
-    from.
+    from. ``floor`` is the share that each priority gets at least.
     """
 
     shares: dict[int, float]
     room_per_s: float
     booked: list[int]
     age_s: float
+    floor: float = 0.0
 
 
 class NodeReport(Struct, tag="report"):
