--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -28,6 +28,7 @@
 from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
@@ -85,6 +86,7 @@
         Speeds of targets, from the samples of all nodes.
     cold : ColdExchange, optional
         Cold targets.
+    admission : AdmissionLevels, optional
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         crashes,
         speeds,
         cold=None,
+        admission=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -132,6 +135,7 @@
         self._crashes = crashes
         self._speeds = speeds
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
+        self._admission = admission or AdmissionLevels()
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -362,6 +366,7 @@
             },
             cold=self._permits.due_cold(self._number),
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
+            admission=self._admission.update(now, self._reports.fresh(now)),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -392,10 +397,7 @@
             write_records([(ROWS_CHANGED, fields)])
 
     def _due_peers(self):
-        peers = {
-            record.report.node: (record.report.zone, "{}:{}".format(*record.address))
-            for record in self._reports.records
-        }
+        peers = self._reports.peers
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ADAPTER_ORDERED",
     "ADAPTER_VERSION",
+    "ADMISSION_LEVEL",
     "BACKGROUND_FAILED",
     "CALL_ANSWERED",
     "CALL_BROKEN",
@@ -381,3 +382,20 @@
     "Decisions use the speeds of targets from `views`, or from `own samples` because "
     "no view has arrived lately; `factors` targets aren't at the usual speed.",
 )
+ADMISSION_LEVEL = declare(
+    670,
+    "node.admission_level",
+    (
+        "service",
+        "shares",
+        "asked_per_s",
+        "capacity_per_s",
+        "missing",
+        "room_per_s",
+        "age_s",
+    ),
+    "This coordinator has all nodes admit these shares of the requests to a service, "
+    "by priority; null if the pressure has ended. Changes of less than 0.1 aren't "
+    "logged. `missing` counts the prompt tokens that were refused in the last second "
+    "or wait for room, `room_per_s` those that returning callers may bring.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
@@ -22,10 +22,14 @@
 
 
 class Ticket:
-    """Pending request, and the decision about it once there is one."""
+    """Pending request, and the decision about it once there is one.
+
+    ``waits_for`` is the reason for which it waits.
+    """
 
     def __init__(self, job):
         self.job = job
+        self.waits_for = ""
         self.decision = None
         self.placement = None
         self.decided = threading.Event()
