Views: derive nothing anew from what is the same as in the last view

Cause: with each view a node compared all digests, rebuilt all targets, published the directory to all components, and made a complete candidate of each target to find out whether a report raises its backlog. Change: the copy of the directory and the targets made from it are kept until the names, digests or rows change; the components that derive state from the directory get it only then. A report raises a backlog only if prompts are queued, and this needs neither slots nor connections.

--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
@@ -19,6 +19,9 @@
         self._digests = {}
         self._directory = []
         self._differing = []
+        # Names and digests of the last view.
+        self._state = None
+        self._revision = 0
 
     @property
     def differing(self):
@@ -37,8 +40,18 @@
             return None
         return [self._rows[name] for name in self._directory]
 
+    @property
+    def revision(self):
+        """Number that grows whenever the rows or their order may have changed."""
+        return self._revision
+
     def apply_view(self, view):
         """Apply the directory, the digests and the rows of a view."""
+        state = (view.directory, view.row_digests)
+        if not view.rows and state == self._state:
+            return
+        self._state = None
+        self._revision += 1
         for row in view.rows:
             self._rows[row.target_id] = row
             self._digests[row.target_id] = row_digest(row)
@@ -53,3 +66,4 @@
             for name, digest in expected.items()
             if self._digests.get(name) != digest
         ]
+        self._state = state
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -58,6 +58,9 @@
         self._report_sent_at = {}
         self._copy = DirectoryCopy()
         self._copy_as_of = None
+        # Targets of the last view, and the state of the view that they were made from.
+        self._view_targets = None
+        self._targets_state = None
         self._view = None
         self._view_as_of = None
         self._is_source = False
@@ -106,8 +109,8 @@
             self._copy.apply_view(view)
             # Nodes of older builds don't send the software of targets, so the directory
             # is read from the store while one of them coordinates.
-            rows = self._copy.rows if view.software is not None else None
-            if rows is not None and sent_at is not None:
+            targets = self._relayed_targets(view)
+            if targets is not None and sent_at is not None:
                 self._copy_as_of = sent_at - view.directory_age_s
             records = self._log_differences(now, view)
         write_records(records)
@@ -116,13 +119,8 @@
         for label, (version, age_s) in view.versions.items():
             self._announce(adapter_key(label), version, age_s)
         age_s = view.directory_age_s + now - sent_at
-        if age_s < self._limits.directory_s and rows is not None:
+        if age_s < self._limits.directory_s and targets is not None:
             origin = ViewOrigin(view.node, view.start, view.number)
-            software = split_software(view.software, view.software_index)
-            targets = [
-                _target(row, version)
-                for row, version in zip(rows, software, strict=True)
-            ]
             self._targets.apply_relayed(targets, now - age_s, origin)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
@@ -160,6 +158,23 @@
             and view.directory_age_s + self._view_age_s < self._limits.directory_s
         )
 
+    def _relayed_targets(self, view):
+        """Return the targets of a view, or None if it doesn't tell all of them.
+
+        The list is the same object as for the last view if nothing has changed.
+        """
+        if view.software is None or self._copy.differing:
+            return None
+        state = (self._copy.revision, view.software, view.software_index)
+        if state != self._targets_state:
+            software = split_software(view.software, view.software_index)
+            self._targets_state = state
+            self._view_targets = [
+                _target(row, version)
+                for row, version in zip(self._copy.rows, software, strict=True)
+            ]
+        return self._view_targets
+
     def _log_differences(self, now, view):
         """Return a log line if the copy begins or ends to differ from the view."""
         differing = self._copy.differing
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
+from hibiscusspar.fleet.load_counts import current_load
 from hibiscusspar.fleet.messages import (
     NodeReport,
     TargetLoad,
@@ -213,8 +214,9 @@
             self._gate.apply_view(now, view)
             self._residency.apply_view(now, view)
             for target_id in view.loads:
-                if target_id in self._targets:
-                    candidate = self._candidate(now, self._targets[target_id])
+                # Without queued prompts a report raises no backlog.
+                if target_id in self._targets and self._load_of_all(target_id)[1]:
+                    candidate = self._candidate(now, self._targets[target_id], False)
                     reported_s = backlog_s(_CHOICE_POLICY, candidate)
                     self._prompt_queues.record_report(now, target_id, reported_s)
             return used
@@ -507,32 +509,26 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._service_targets(job.service) - usable | closed)
 
-    def _candidate(self, now, target):
+    def _candidate(self, now, target, for_choice=True):
         target_id = target.target_id
-        own = self._loads.get(target_id)
-        running, queued = (own.running, own.queued_prompt_tokens) if own else (0, 0)
-        reported = self._view.loads.get(target_id) if self._view else None
-        if reported is not None:
-            own_reported = self._own_reported_load(target_id)
-            running += max(0, reported.running - own_reported.running)
-            queued += max(
-                0, reported.queued_prompt_tokens - own_reported.queued_prompt_tokens
-            )
+        running, queued = self._load_of_all(target_id)
         is_engine = self._has_engine.get(target.service)
         queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
             target_id,
             target.zone,
-            self._gate.usable_slots(target, queue_slots),
+            self._gate.usable_slots(target, queue_slots) if for_choice else 0,
             running,
             max(0, queued),
             self._prompt_queues.backlog_s(now, target_id),
-            self.is_connected(target),
+            for_choice and self.is_connected(target),
         )
 
-    def _own_reported_load(self, target_id):
-        """Return this node's share of a target's load as counted in the last view."""
-        return self._acked_loads.get(target_id) or TargetLoad(0, 0)
+    def _load_of_all(self, target_id):
+        """Return the running requests and queued prompt tokens of a target."""
+        reported = self._view.loads.get(target_id) if self._view else None
+        acked = self._acked_loads.get(target_id)
+        return current_load(self._loads.get(target_id), reported, acked)
 
     def _usable_version(self, now, target, key):
         """Return the version that a target serves of a model or adapter.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -344,6 +344,8 @@
         records = []
         for target_id, target in rows.items():
             known = before.get(target_id)
+            if known is target:
+                continue
             if known is None or _logged_state(known) != _logged_state(target):
                 fields = {
                     "target": target_id,
