Streams: less work for each event that is passed on

Cause: an event passed urllib3's check of lengths, a socket file, a change of the socket's timeout (a system call), cheroot's writer in Python, and was joined again. Change: chunked answers are read from the answer of http.client that urllib3 wraps, which still ends them; a timeout of the socket is kept while it is short enough; chunks of a stream are sent with one call on the caller's socket; one join for all events.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
@@ -50,9 +50,11 @@
         *events, self._partial_event = (self._partial_event + data).split(_EVENT_END)
         if len(self._partial_event) > _MAX_EVENT_BYTES:
             raise ValueError(f"an event of more than {_MAX_EVENT_BYTES} bytes")
+        if not events:
+            return b""
         for event in events:
             self._count_event(event)
-        return b"".join(event + _EVENT_END for event in events)
+        return _EVENT_END.join(events) + _EVENT_END
 
     def _count_event(self, event):
         number = _event_number(event)
@@ -65,6 +67,8 @@
 
 
 def _event_number(event):
+    if _ID_FIELD not in event:
+        return None
     for line in event.split(b"\n"):
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -22,6 +22,9 @@
 _STACK_BYTES = 256 * 1024
 _BACKLOG = 512
 _GROW_STEP = 16
+# Longest part of a body that is written to the socket directly, which limits the time
+# for the whole part. The server limits the time for each write.
+_MAX_DIRECT_BYTES = 16_384
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -148,7 +151,11 @@
         if not data or self._bodiless:
             return
         try:
-            self._request.write(data)
+            if self._request.chunked_write and len(data) <= _MAX_DIRECT_BYTES:
+                # The server's writer, which buffers nothing, is written in Python.
+                self.socket.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+            else:
+                self._request.write(data)
         except OSError as error:
             raise CallerGoneError(repr(error)) from error
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -37,6 +37,8 @@
 _READ_BYTES = 65_536
 # Time in which a host answers whether a port is open.
 _CHECK_TIMEOUT_S = 0.3
+# Part of the time left for a read after which the socket's timeout ends, at first.
+_TIMEOUT_SHARE = 0.75
 # Longest head of an answer, with the interim answers before it.
 _MAX_HEAD_BYTES = 262_144
 
@@ -92,6 +94,7 @@
         self._raw = raw
         self._sock = sock
         self.ends_at = ends_at
+        self._timeout_s = 0.0
         self.remaining_bytes = _MAX_HEAD_BYTES
 
     def readable(self):
@@ -100,18 +103,29 @@
 
     def readinto(self, buffer):
         """Read bytes before the time limit."""
-        if self.ends_at is not None:
-            remaining_s = self.ends_at - monotonic()
-            if remaining_s <= 0:
-                raise TimeoutError("the time for the answer has passed")
-            self._sock.settimeout(remaining_s)
-        count = self._raw.readinto(buffer)
+        count = self._receive(buffer)
         if count and self.remaining_bytes is not None:
             self.remaining_bytes -= count
             if self.remaining_bytes < 0:
                 raise _AnswerTooLongError("head of an answer")
         return count
 
+    def _receive(self, buffer):
+        while self.ends_at is not None:
+            remaining_s = self.ends_at - monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError("the time for the answer has passed")
+            # To set a timeout is a system call, and the events of a stream may each
+            # take about as long. So a timeout is kept while it is short enough.
+            if not remaining_s / 2 <= self._timeout_s <= remaining_s:
+                self._timeout_s = remaining_s * _TIMEOUT_SHARE
+                self._sock.settimeout(self._timeout_s)
+            try:
+                return self._sock.recv_into(buffer)
+            except TimeoutError:
+                self._timeout_s = 0.0
+        return self._sock.recv_into(buffer)
+
     def poll_only(self):
         """Let reads return what has been received already."""
         self.ends_at = None
@@ -149,15 +163,16 @@
 
 
 class _Connection(HTTPConnection):
-    """Connection that keeps the reader of its last answer."""
+    """Connection that keeps its last answer and the reader of it."""
 
+    answer = None
     reader = None
     ends_at = None
 
     def response_class(self, sock, *arguments, **options):
         """Create the answer; called by ``http.client``."""
         response = _CheckedResponse(sock, self.ends_at, *arguments, **options)
-        self.reader = response.reader
+        self.answer, self.reader = response, response.reader
         return response
 
 
@@ -259,7 +274,11 @@
             raise CallFailedError("silent", self.address, "no time left for the answer")
         try:
             self._http.reader.timed.ends_at = monotonic() + timeout_s
-            return response.raw.read1(_READ_BYTES)
+            # Chunks need no check of the length, for which urllib3 takes as long as
+            # the rest of a read. It ends the answer.
+            answer = self._http.answer
+            data = answer.read1(_READ_BYTES) if answer.chunked else b""
+            return data or response.raw.read1(_READ_BYTES)
         except (TimeoutError, ReadTimeoutError) as error:
             raise CallFailedError("silent", self.address, repr(error)) from error
         except (HTTPError, HTTPException, OSError, ValueError) as error:
