Notices: hand each part only to the component that it is for

Cause: most of up to 250 notices a second tell only of sent requests, but each was shown to five components, and each datagram was received into a new buffer of 64 KB. Change: NoticeReceiver looks at what a notice holds; one buffer for all datagrams.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -92,11 +92,14 @@
         self._receive(message, address)
 
     def _run(self):
+        # Most datagrams are short, and a new buffer for the longest one costs more
+        # than the rest of their reception.
+        buffer = memoryview(bytearray(_MAX_BYTES))
         while True:
             try:
-                datagram, address = self._socket.recvfrom(_MAX_BYTES)
-                self.received_bytes += len(datagram)
-                self.handle_datagram(datagram, address)
+                size, address = self._socket.recvfrom_into(buffer)
+                self.received_bytes += size
+                self.handle_datagram(bytes(buffer[:size]), address)
             except OSError as error:
                 log_failure("channel.receive", error)
             except Exception as error:  # noqa: BLE001
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -25,6 +25,7 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
 from hibiscusspar_entry.fleet.view_sequence import ViewSequence
 
@@ -135,6 +136,7 @@
         self._notice_sender = NoticeSender(
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
+        self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
@@ -244,21 +246,13 @@
 
     def receive(self, message, address):
         """Handle a message of another node."""
-        if isinstance(message, FleetView):
+        if isinstance(message, SendNotice):
+            self._notice_receiver.receive(message, address)
+        elif isinstance(message, FleetView):
             self._apply_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.handle_report(message, address)
             self._parts.crashes.apply_report(message)
-        elif isinstance(message, SendNotice):
-            self._notice_sender.relay(message)
-            self._parts.request_scheduler.apply_notice(message)
-            self._parts.origins.apply_notice(message, address)
-            self._parts.path_watch.apply_notice(message, address)
-            self._parts.config_relay.apply_notice(message, address)
-            for target_id in message.full:
-                target = self._parts.path_watch.target(target_id)
-                if target is not None:
-                    self._parts.statements.record_full(target)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
