--- a/packages/hibiscusspar/hibiscusspar/fleet/target_loads.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_loads.py
@@ -1,6 +1,5 @@
-"""Load of a target as one node counts it, and the wait that it causes."""
+"""Wait for a target that its load causes."""
 
-from hibiscusspar.fleet.messages import TargetLoad
 from hibiscusspar.fleet.routing import (
     Candidate,
     ChoicePolicy,
@@ -8,34 +7,11 @@
     running_limit,
 )
 
-__all__ = ["joint_load", "wait_s"]
+__all__ = ["wait_s"]
 
 # Assumed time in seconds until a target with no free slot has one.
 _FULL_TARGET_WAIT_S = 1.0
 _CHOICE_POLICY = ChoicePolicy()
-_NO_LOAD = TargetLoad(0, 0)
-
-
-def joint_load(own, reported, own_reported):
-    """Return the running requests and queued prompt tokens of all nodes at a target.
-
-    Parameters
-    ----------
-    own : TargetLoad or None
-        Current requests of this node.
-    reported : TargetLoad or None
-        Requests of all nodes as counted in the last view.
-    own_reported : TargetLoad or None
-        Requests of this node among them.
-    """
-    own, own_reported = own or _NO_LOAD, own_reported or _NO_LOAD
-    running, queued = own.running, own.queued_prompt_tokens
-    if reported is not None:
-        running += max(0, reported.running - own_reported.running)
-        queued += max(
-            0, reported.queued_prompt_tokens - own_reported.queued_prompt_tokens
-        )
-    return running, max(0, queued)
 
 
 def wait_s(load, slots, factor=1.0):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -25,6 +25,7 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
 from hibiscusspar_entry.fleet.view_sequence import ViewSequence
 
@@ -133,6 +134,7 @@
         self._notice_sender = NoticeSender(
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
+        self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
@@ -243,19 +245,14 @@
 
     def receive(self, message, address):
         """Handle a message of another node."""
-        if isinstance(message, FleetView):
+        if isinstance(message, SendNotice):
+            self._notice_receiver.receive(message, address)
+        elif isinstance(message, FleetView):
             self._apply_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.handle_report(message, address)
             self._parts.crashes.apply_report(message)
             self._parts.cold.apply_rows(message.cold, message.node)
-        elif isinstance(message, SendNotice):
-            self._notice_sender.relay(message)
-            self._parts.request_scheduler.apply_notice(message)
-            self._parts.origins.apply_notice(message, address)
-            self._parts.path_watch.apply_notice(message, address)
-            self._parts.config_relay.apply_notice(message, address)
-            self._parts.statements.apply_notice(message, self._parts.path_watch.target)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -4,6 +4,7 @@
 import threading
 from collections import Counter, deque
 
+from hibiscusspar.fleet.load_counts import current_load
 from hibiscusspar.fleet.messages import (
     NodeReport,
     TargetLoad,
@@ -15,7 +16,6 @@
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.stream_origins import may_continue
-from hibiscusspar.fleet.target_loads import joint_load
 from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
 from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
@@ -195,8 +195,9 @@
             self._admission.apply_view(now, view, self._node)
             self._residency.apply_view(now, view)
             for target_id in view.loads:
-                if target_id in self._targets:
-                    candidate = self._candidate(now, self._targets[target_id])
+                # Without queued prompts a report raises no backlog.
+                if target_id in self._targets and self._load_of_all(target_id)[1]:
+                    candidate = self._candidate(now, self._targets[target_id], False)
                     reported_s = backlog_s(_CHOICE_POLICY, candidate)
                     self._prompt_queues.record_report(now, target_id, reported_s)
             return used
@@ -506,26 +507,28 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._service_targets(job.service) - usable | closed)
 
-    def _candidate(self, now, target):
+    def _candidate(self, now, target, for_choice=True):
         target_id = target.target_id
-        running, queued = joint_load(
-            self._loads.get(target_id),
-            self._view.loads.get(target_id) if self._view else None,
-            self._acked_loads.get(target_id),
-        )
+        running, queued = self._load_of_all(target_id)
         is_engine = self._has_engine.get(target.service)
         queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
             target_id,
             target.zone,
-            self._gate.usable_slots(target, queue_slots),
+            self._gate.usable_slots(target, queue_slots) if for_choice else 0,
             running,
             queued,
             self._prompt_queues.backlog_s(now, target_id),
-            self.is_connected(target),
+            for_choice and self.is_connected(target),
             self.factor(target_id) if is_engine else 1.0,
         )
 
+    def _load_of_all(self, target_id):
+        """Return the running requests and queued prompt tokens of a target."""
+        reported = self._view.loads.get(target_id) if self._view else None
+        acked = self._acked_loads.get(target_id)
+        return current_load(self._loads.get(target_id), reported, acked)
+
     def _usable_version(self, now, target, key):
         """Return the version that a target serves of a model or adapter.
 
