--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -237,12 +237,14 @@
     """Permits for requests to targets with a limit, for a process of a node.
 
     ``fence`` is the fencing token of the coordinator; ``target_ids`` names a target
-    once for each permit. A lost grant is not repeated.
+    once for each permit. A lost grant is not repeated. ``number`` tells a duplicate;
+    it is 0 from nodes of older builds.
     """
 
     start: str
     fence: int
     target_ids: list[str]
+    number: int = 0
 
 
 class StreamBegan(Struct, array_like=True):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/permit_sender.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/permit_sender.py
@@ -30,6 +30,7 @@
         self._cold = cold
         self._rotation = EntryRotation(_MAX_LIMITS)
         self._issuer = PermitIssuer()
+        self._number = 0
         self.issued_count = 0
 
     def reset(self):
@@ -63,14 +64,16 @@
         ]
         issued = self._issuer.issue(now, rates, demands, available_share)
         self.issued_count += sum(map(len, issued.values()))
-        return [
-            (
-                r.address,
-                to_json(PermitGrant(r.report.start, fence, issued[r.report.node])),
-            )
-            for r in records
-            if r.report.node in issued
-        ]
+        self._number += 1
+        grants = []
+        for record in records:
+            target_ids = issued.get(record.report.node)
+            if target_ids:
+                grant = PermitGrant(
+                    record.report.start, fence, target_ids, self._number
+                )
+                grants.append((record.address, to_json(grant)))
+        return grants
 
     def due_limits(self, number, waiting):
         """Return limit, its age and the waiting requests for some targets of a view."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -264,7 +264,7 @@
             now = self._clock()
             if grant.start != self._start or grant.fence < self._fence:
                 return
-            self._gate.add_permits(now, grant.target_ids)
+            self._gate.add_permits(now, grant)
             self._next_decision_at = now
             self._retry_waiting(now)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -1,6 +1,6 @@
 """Gate in front of targets that are cold, have named a limit, rest or are brittle."""
 
-from collections import Counter
+from collections import Counter, deque
 from math import inf
 from random import Random
 
@@ -12,6 +12,8 @@
 _SUCCESSOR_S = 1.0
 # Targets that a report names although no request waits for a permit to use them.
 _MAX_PASSED_OVER = 8
+# Grants that are kept to tell duplicates, of more than the lifetime of a permit.
+_KEPT_GRANTS = 128
 
 
 class TargetGate:
@@ -39,6 +41,7 @@
         self._waiting_of_all = {}
         self._own_waiting = {}
         self._passed_over = set()
+        self._grants = deque(maxlen=_KEPT_GRANTS)
 
     @property
     def is_idle(self):
@@ -68,9 +71,13 @@
         """Return the limits to report: of recent answers, and of the named targets."""
         return self._limits.report_rows(target_ids)
 
-    def add_permits(self, now, target_ids):
-        """Add permits, one for each name of a target."""
-        for target_id in target_ids:
+    def add_permits(self, now, grant):
+        """Add the permits of a grant, one for each name of a target, once."""
+        key = (grant.fence, grant.number)
+        if grant.number and key in self._grants:
+            return
+        self._grants.append(key)
+        for target_id in grant.target_ids:
             permits, _ = self._permits_of(target_id)
             permits.add(now, [target_id])
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,6 +16,7 @@
     "hibiscusspar.membership.",
     "hibiscusspar.placement.",
     "hibiscusspar_ctl.",
+    "hibiscusspar_entry.fleet.tests.test_cold_network",
     "hibiscusspar_entry.tests.",
     "hibiscusspar_platform.tests.test_fleet",
     "hibiscusspar_platform.tests.test_whole_path",
