Stand-in engine: starts cold if told to and crashes beyond a bound

Cause: the product's own form has no target that is cold after its start. Change: Engine takes cold_s and max_cold_per_s.

--- a/packages/hibiscusspar_standins/hibiscusspar_standins/engine.py
+++ b/packages/hibiscusspar_standins/hibiscusspar_standins/engine.py
@@ -1,6 +1,7 @@
 """Stand-in for an engine: adapter slots, continuous batching and resumable streams."""
 
 from collections import OrderedDict, deque
+from math import inf
 from threading import Condition, Lock, Thread
 from time import monotonic, sleep
 from zlib import crc32
@@ -74,6 +75,11 @@
         Delay of the reported state and of the cache events in seconds.
     clock : callable
         Returns the time in seconds.
+    cold_s : float
+        Seconds for which each incarnation is cold.
+    max_cold_per_s : float
+        Requests in a second beyond which a cold engine crashes; those for an adapter
+        that isn't resident don't count.
     """
 
     def __init__(
@@ -86,6 +92,8 @@
         checks_fencing=False,
         lag_s=0.2,
         clock=monotonic,
+        cold_s=0.0,
+        max_cold_per_s=inf,
     ):
         self.faults = Faults()
         self.ledger = Ledger(clock)
@@ -99,6 +107,10 @@
         self._checks_fencing = checks_fencing
         self._lag_s = lag_s
         self._clock = clock
+        self._cold_s = cold_s
+        self._max_cold_per_s = max_cold_per_s
+        self._cold_until = clock() + cold_s
+        self._cold_arrivals = deque()
         self._load_lock = Lock()
         self._resident = set()
         self._reserved = set()
@@ -116,6 +128,9 @@
         with self.changed:
             if run.label not in self._resident:
                 raise RefusedError(404, error="adapter not resident")
+            if not self._bears(run):
+                run.state = "crashed"
+                return
             if len(self._active) >= self._concurrency + self._max_queued:
                 raise RefusedError(503, error="full")
             self._runs[run.request] = run
@@ -189,6 +204,8 @@
             self._runs.clear()
             self._resident.clear()
             self._max_fence = 0
+            self._cold_until = self._clock() + self._cold_s
+            self._cold_arrivals.clear()
             self._snapshot()
 
     def state(self):
@@ -206,6 +223,22 @@
             rows = list(self._cache_events)
         return [row for at, row in rows if at <= horizon and row["seq"] > since]
 
+    def _bears(self, run):
+        """Return whether a cold engine bears one more request; restart it if not."""
+        now = self._clock()
+        if now >= self._cold_until:
+            return True
+        self._cold_arrivals.append(now)
+        while self._cold_arrivals[0] <= now - 1.0:
+            self._cold_arrivals.popleft()
+        count = len(self._cold_arrivals)
+        if count <= self._max_cold_per_s:
+            return True
+        detail = f"{count} requests in a second while cold"
+        self.ledger.add("violation", run.label, request=run.request, detail=detail)
+        self.restart()
+        return False
+
     def start(self):
         """Advance the engine in a thread until :meth:`stop`."""
         self._stopped = False
