--- a/packages/hibiscusspar/hibiscusspar/fleet/evacuations.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/evacuations.py
@@ -192,6 +192,8 @@
     targets : dict of str to Target
     zones : set of str
     """
+    if not zones:
+        return frozenset()
     evacuated, open_services = set(), set()
     for target in targets.values():
         if target.zone in zones:
