--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -430,7 +430,7 @@
             if decision.first_byte_s <= self._longest_s(job, level):
                 return decision
             decision = Wait("busy")
-        if isinstance(decision, Wait) and now < self._held_until(job, decision):
+        if isinstance(decision, Wait) and now < self._held_until(job, level, decision):
             return decision
         if isinstance(decision, Refuse) and decision.reason not in _ROOM_REASONS:
             return decision
@@ -473,12 +473,18 @@
         goal_s = min(goals[priority] for priority in more_urgent)
         return max(self._policy.idle_s, usable * goal_s * self._wait_policy.slo_share)
 
-    def _held_until(self, job, wait):
-        """Return until when a job may wait; for an adapter it may as ever."""
+    def _held_until(self, job, level, wait):
+        """Return until when a job may wait.
+
+        Only a wait for room is shortened, and only if there is too little for the
+        priority of the job.
+        """
         if not job.is_admitted:
             return -inf
-        if wait.reason != "busy" or job.priority == min(self._goals[job.service]):
-            return inf
+        is_most_urgent = job.priority == min(self._goals[job.service])
+        has_room = level.shares.get(job.priority, 1.0) >= 1.0
+        if wait.reason != "busy" or is_most_urgent or has_room:
+            return job.give_up_at
         return min(job.give_up_at, job.arrived + job.returned_s + self._policy.hold_s)
 
     def _retry_after_s(self, now, job, level, decision):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
@@ -1,6 +1,7 @@
 """Tests of the exchange of demand and levels between a node and the coordinator."""
 
 import unittest
+from types import SimpleNamespace
 
 from msgspec.json import Decoder
 from msgspec.json import encode as to_json
@@ -16,7 +17,11 @@
 from hibiscusspar.fleet.waiting import Refuse, Send
 from hibiscusspar_entry.fleet import admission_exchange
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate, AdmissionLevels
+from hibiscusspar_entry.fleet.call_admission import _first_arrival
+from hibiscusspar_entry.fleet.metrics import FleetMetrics
+from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.report_table import NodeRecord
+from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.tests.test_coordinator import CoordinatorTestCase
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
     SchedulerTestCase,
@@ -96,6 +101,48 @@
         self.assertIsInstance(other.decision, Send)
 
 
+class TestJob(unittest.TestCase):
+    def admitted(self, arrived, deadline_s):
+        call = SimpleNamespace(
+            request_id="r", model="m", adapter="a", deadline_s=deadline_s
+        )
+        route = SimpleNamespace(
+            kind="stream", timeout_s=15.0, first_byte_slo_s=2.0, max_gap_s=0.3
+        )
+        return SimpleNamespace(
+            call=call,
+            route=route,
+            service="draft",
+            priority=2,
+            prompt_tokens=10,
+            arrived=arrived,
+            first_arrived=_first_arrival(arrived, route, call),
+            ends_at=arrived + deadline_s,
+            fraction=0.5,
+            is_engine=True,
+            event_steps=1,
+        )
+
+    def test_caller_who_returns_is_known_by_the_time_left(self):
+        job = make_job(self.admitted(100.0, 14.0), RequestState(), 100.1, 3.0)
+        self.assertEqual((job.returned_s, job.attempts), (1.0, 0))
+        job = make_job(self.admitted(100.0, 15.0), RequestState(), 100.1, 3.0)
+        self.assertEqual(job.returned_s, 0.0)
+
+    def test_wait_ends_with_the_time_of_the_request(self):
+        job = make_job(self.admitted(100.0, 1.0), RequestState(), 100.1, 3.0)
+        self.assertEqual(job.give_up_at, 101.0)
+
+
+class TestMetrics(unittest.TestCase):
+    def test_gauges_are_rendered(self):
+        metrics = FleetMetrics()
+        metrics.sources.append(AdmissionGate().gauges)
+        text = metrics.render({"waiting": 1}).decode()
+        for name in ("waiting", "admission_refusals", "admission_services_limited"):
+            self.assertIn(f'hibiscusspar_node{{field="{name}"}}', text)
+
+
 class TestCoordinator(CoordinatorTestCase):
     def test_views_carry_levels_under_pressure(self):
         self.assertIsNone(self.next_view().admission)
