Admission: reports tell what waits for room, also without an adapter

The coordinator took what waits from the wants, which leave out requests that name no adapter, so requests to plain services and to base models showed pressure only once they were refused.

--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -7,7 +7,7 @@
 part of the time to the first byte to the more urgent ones.
 """
 
-from collections import deque
+from collections import Counter, deque
 from math import exp, inf
 from typing import NamedTuple
 
@@ -78,8 +78,7 @@
 class NodeDemand(NamedTuple):
     """What the report of a node tells of demand, received at ``at``.
 
-    ``asked``, ``booked`` are as in ``NodeReport``; ``waiting`` holds the prompt tokens
-    that wait at the node though a target holds their adapter, by service.
+    ``asked``, ``booked`` and ``waiting`` are as in ``NodeReport``.
     """
 
     node: str
@@ -353,6 +352,14 @@
         rows = {service: book.steps(now) for service, book in self._books.items()}
         return {service: steps for service, steps in rows.items() if steps}
 
+    def waiting(self, busy_jobs):
+        """Return the tokens that wait for room for the report, by service."""
+        waiting = Counter()
+        for job in busy_jobs:
+            if job.service in self._goals:
+                waiting[job.service] += _tokens(job)
+        return dict(waiting)
+
     def level(self, now, service):
         """Return the level of a service, or None if none applies."""
         level = self._levels.get(service)
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -142,7 +142,8 @@
     decoding step and the number of samples. ``asked`` holds the prompt tokens that were
     asked for, sent, and refused for lack of room since the process started, by service
     and priority. ``booked`` holds the prompt tokens that callers were told to return
-    with, by service and steps of half a second from now on.
+    with, by service and steps of half a second from now on. ``waiting`` holds the
+    prompt tokens that wait for room, by service, where priorities differ.
     """
 
     node: str
@@ -167,6 +168,7 @@
     speeds: dict[str, tuple[int, float, int]] = {}
     asked: dict[str, dict[int, tuple[int, int, int]]] = {}
     booked: dict[str, list[int]] = {}
+    waiting: dict[str, int] = {}
 
 
 class FleetView(Struct, tag="view"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
@@ -174,10 +174,9 @@
             if not is_lost:
                 row = self.reports.get(node)
                 gate.apply_levels(now, levels, row.at if row else None)
-            waiting = sum(call[0].prompt_tokens for call in self.waiting[node])
-            booked = gate.booked(now)
+            waiting = gate.waiting(call[0] for call in self.waiting[node])
             self.reports[node] = NodeDemand(
-                str(node), "s", now, gate.asked(), booked, {"s": waiting}
+                str(node), "s", now, gate.asked(), gate.booked(now), waiting
             )
         if is_lost:
             return
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
@@ -29,9 +29,10 @@
             "admission_services_limited": len(self.known_levels),
         }
 
-    def complete_report(self, now, report):
-        """Add the counts of this node to its report."""
+    def complete_report(self, now, report, busy_jobs):
+        """Add the counts of this node, and what waits for room, to its report."""
         report.asked, report.booked = self.asked(), self.booked(now)
+        report.waiting = self.waiting(busy_jobs)
         self._reported_at[report.number] = now
         self._reported_at.pop(report.number - _KEPT_REPORTS, None)
 
@@ -94,18 +95,13 @@
 
 def _demand(record):
     report = record.report
-    waiting = {}
-    for want in report.wants:
-        # These wait for room, not for an adapter.
-        if want.extra_copy:
-            waiting[want.service] = waiting.get(want.service, 0) + want.tokens
     return NodeDemand(
         report.node,
         report.start,
         record.received_at,
         report.asked,
         report.booked,
-        waiting,
+        report.waiting,
     )
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -242,8 +242,7 @@
         with self.lock:
             now = self._clock()
             ticket = Ticket(self._admission.enter(now, job))
-            busy_jobs = [t.job for t in self._waiting if t.waits_for == "busy"]
-            must_yield = self._admission.must_yield(now, job, busy_jobs)
+            must_yield = self._admission.must_yield(now, job, self._busy_jobs)
             if must_yield or not self._decide(now, ticket):
                 self._waiting.append(ticket)
         if not ticket.decided.is_set():
@@ -368,7 +367,7 @@
                 limits=self._gate.report_rows(permit_demand),
                 permit_demand=permit_demand,
             )
-            self._admission.complete_report(now, report)
+            self._admission.complete_report(now, report, self._busy_jobs)
             return report
 
     @property
@@ -382,6 +381,11 @@
             running = sum(load.running for load in self._loads.values())
             return len(self._waiting), len(self._targets), running
 
+    @property
+    def _busy_jobs(self):
+        """Jobs that wait for room at a target."""
+        return [t.job for t in self._waiting if t.waits_for == "busy"]
+
     @property
     def _fence(self):
         return self._view.fence if self._view else 0
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
@@ -12,7 +12,6 @@
     FleetView,
     NodeReport,
     TargetLoad,
-    Want,
 )
 from hibiscusspar.fleet.waiting import Refuse, Send
 from hibiscusspar_entry.fleet import admission_exchange
@@ -74,6 +73,12 @@
         self.assertEqual(sum(report.booked["draft"]), 1000)
         self.assertEqual(self.gate.gauges()["admission_refusals"], 1)
 
+    def test_report_tells_what_waits_for_room_but_not_for_an_adapter(self):
+        self.apply({}, 22_000)
+        self.scheduler.submit(self.job(priority=0))
+        self.scheduler.submit(self.job(("m", "a2"), priority=0))
+        self.assertEqual(self.report().waiting, {"draft": 1000})
+
     def test_level_ends_with_the_views(self):
         level = AdmissionLevel({2: 0.0}, 0.0, [], 0.0)
         self.apply({"draft": level}, BACKLOG_TOKENS)
@@ -184,8 +189,7 @@
             self.refused += refused
             sent = self.asked - self.refused
             asked = {"draft": {2: (self.asked, sent, self.refused)}}
-            want = Want("draft", "m", "a1", 1, 10, 2, False)
-            report = NodeReport("n1", "s", "z1", 1, {}, {}, [want], {}, {}, asked=asked)
+            report = NodeReport("n1", "s", "z1", 1, {}, {}, [], {}, {}, asked=asked)
             levels.update(now, [NodeRecord(report, now, ("10.0.0.1", 1), {})])
         return now
 
