Target speeds: silences only raise a factor; tests of estimates and replays

Cause: a silence counted as a sample, so it could lower the factor of a target that is slower than the silence shows; the first sample of a target was averaged with 1, so the factor of a far slower one stayed too low (6.5 instead of 8 after 3 s). Change: a silence is sent with 0 samples and only raises a factor; the first sample counts whole; a factor is held for 1 s without samples.

--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -32,9 +32,10 @@
     differs from the usual one of the target by ``jump`` counts at once, a smaller
     change within ``smooth_s`` after the first ``settled`` samples, which keeps noise of
     equal targets within ``dead_band``. After a slow period the factor falls at most to
-    its share ``recovery`` every ``recovery_s``, and without samples it drifts to 1
-    within some ``drift_s``. The median is of averages over ``reference_s``, which few
-    slow targets don't move. A published factor changes by ``republish`` at least.
+    its share ``recovery`` every ``recovery_s``; after ``hold_s`` without samples it
+    drifts to 1 within some ``drift_s``. The median is of averages over
+    ``reference_s``, which few slow targets don't move. A published factor changes by
+    ``republish`` at least.
     """
 
     window_s: float = 0.15
@@ -49,6 +50,7 @@
     settled: int = 8
     recovery: float = 0.4
     recovery_s: float = 0.1
+    hold_s: float = 1.0
     drift_s: float = 3.0
     reference_s: float = 5.0
     dead_band: float = 0.15
@@ -58,7 +60,10 @@
 
 
 class SpeedSample(NamedTuple):
-    """Seconds of a decoding step of an incarnation, and the number of samples."""
+    """Seconds of a decoding step of an incarnation, and the number of samples.
+
+    With 0 samples a silence shows that a step takes at least so long.
+    """
 
     born: int
     step_s: float
@@ -162,8 +167,8 @@
             step_s, count = self._step_s(now, row)
             silent_s = silences.get(target_id, 0.0) - self._policy.silence_s
             if silent_s / row.steps > step_s:
-                step_s, count = silent_s / row.steps, max(1, count)
-            if count:
+                step_s, count = silent_s / row.steps, 0
+            if step_s > 0.0:
                 estimates[target_id] = SpeedSample(row.born, step_s, count)
         return estimates
 
@@ -285,7 +290,7 @@
     def record(self, now, node, samples):
         """Record the samples of a node by target."""
         for target_id, (born, step_s, count) in samples.items():
-            if step_s > 0 and count > 0:
+            if step_s > 0.0 and count >= 0:
                 sample = SpeedSample(born, step_s, count)
                 self._samples.setdefault(target_id, {})[node] = (now, sample)
 
@@ -324,8 +329,13 @@
             step_s, count = steps.get(target_id, (None, 0))
             if step_s is None or not usual_s:
                 self._drift(now, speed)
+            elif count:
+                self._follow(now, speed, self._bounded(step_s / usual_s))
             else:
-                self._follow(now, speed, step_s / usual_s)
+                # A lower bound.
+                ratio = self._bounded(step_s / usual_s)
+                speed.factor = max(speed.factor, ratio)
+            if step_s is not None and usual_s:
                 speed.row = speed.row._replace(
                     step_s=step_s, usual_s=usual_s, count=count, at=now
                 )
@@ -337,15 +347,21 @@
         speed = self._speeds.get(target_id)
         if speed is None:
             speed = self._speeds[target_id] = _Speed(now, born)
+        count = sum(sample.count for _, sample in recent.values())
         # The newest samples count most, as older ones are from before a change.
         rows = sorted(
-            (sample.step_s, sample.count * exp((at - now) / self._policy.fresh_s))
+            (
+                sample.step_s,
+                (sample.count or 1) * exp((at - now) / self._policy.fresh_s),
+            )
             for at, sample in recent.values()
+            if sample.count or not count
         )
-        count = sum(sample.count for _, sample in recent.values())
         passed = accumulate(weight for _, weight in rows)
         bound = self._policy.quantile * sum(weight for _, weight in rows)
         step_s = next(s for (s, _), n in zip(rows, passed, strict=True) if n > bound)
+        if not count:
+            return step_s, count
         if speed.average_s is None:
             speed.average_s = step_s
         share = 1.0 - exp(-(now - speed.at) / self._policy.reference_s)
@@ -361,12 +377,14 @@
                 averages.setdefault(service, []).append(speed.average_s)
         return {service: median(steps) for service, steps in averages.items()}
 
+    def _bounded(self, ratio):
+        return min(max(ratio, self._policy.min_factor), self._policy.max_factor)
+
     def _follow(self, now, speed, ratio):
         policy = self._policy
-        ratio = min(max(ratio, policy.min_factor), policy.max_factor)
         speed.updates += 1
         share = 1.0 - exp(-(now - speed.at) / policy.smooth_s)
-        share = max(share, 1.0 / (1 + speed.updates))
+        share = max(share, 1.0 / speed.updates)
         change, bound = log(ratio / speed.usual), log(policy.jump)
         if speed.updates > policy.settled:
             change = min(max(change, -bound), bound)
@@ -380,6 +398,8 @@
             speed.changed_at = now
 
     def _drift(self, now, speed):
+        if now < speed.row.at + self._policy.hold_s:
+            return
         share = exp(-(now - speed.at) / self._policy.drift_s)
         speed.factor **= share
         speed.usual **= share
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -3,11 +3,14 @@
 from random import Random
 from typing import NamedTuple
 
+from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
+from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedSamples
+from hibiscusspar.fleet.targets import Target
 from hibiscusspar.fleet.waiting import Job, Refuse, Send, decide
 
-__all__ = ["Load", "Outcome", "replay"]
+__all__ = ["EstimatedSpeeds", "Load", "Outcome", "UsualSpeeds", "make_target", "replay"]
 
 CHOICE = ChoicePolicy()
 TICK_S = 0.02
@@ -53,14 +56,14 @@
         self.longest_pause_s = 0.0
 
     def step(self, now):
-        """Decode one step and return the pause before the event that it ends."""
+        """Decode one step and return whether it ends an event."""
         self.done += 1
         if self.done % self.job.event_steps:
-            return None
-        pause_s, self.last_at = now - (self.last_at or now), now
+            return False
+        self.pause_s, self.last_at = now - (self.last_at or now), now
         self.first_at = self.first_at or now
-        self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        return pause_s or None
+        self.longest_pause_s = max(self.longest_pause_s, self.pause_s)
+        return True
 
 
 class _Engine:
@@ -70,7 +73,7 @@
         self.reported_tokens = 0
         self.busy_until = 0.0
 
-    def advance(self, now, load, on_event):
+    def advance(self, now, load, speeds, reading_until):
         """Run the steps that begin before a time and return the streams that ended."""
         ended = []
         while self.busy_until < now and (self.prompts or self.streams):
@@ -86,28 +89,79 @@
             self.busy_until += seconds * load.slowness(self.target_id, self.busy_until)
             self.streams += ready
             for stream in self.streams:
-                pause_s = stream.step(self.busy_until)
-                if pause_s is not None:
-                    on_event(self.busy_until, self.target_id, pause_s)
+                if stream.step(self.busy_until):
+                    speeds.record(self.busy_until, stream, reading_until)
             ended += [row for row in self.streams if row.done >= row.steps]
             self.streams = [row for row in self.streams if row.done < row.steps]
         self.busy_until = max(self.busy_until, now)
         return ended
 
 
-def replay(load, factor, on_event=lambda now, target_id, pause_s: None, tick=None):
-    """Return the outcomes of a load.
+class UsualSpeeds:
+    """Decisions assume the usual times for all targets."""
 
-    Parameters
-    ----------
-    load : Load
-    factor : callable
-        Returns the factor of a target that decisions use.
-    on_event : callable, optional
-        Called with the time, the target and the pause before each event of a stream.
-    tick : callable, optional
-        Called with the time, before the decisions of a tick, and all targets.
+    def factor(self, target_id):
+        """Return the factor of a target that decisions use."""
+        return 1.0
+
+    def record(self, now, stream, reading_until):
+        """Record an event of a stream."""
+
+    def tick(self, now, target_ids, reading_until):
+        """Exchange what was recorded."""
+
+
+class EstimatedSpeeds(UsualSpeeds):
+    """Estimates of some nodes, each of which sees the events of its own streams.
+
+    ``sampling`` is the number of these nodes, ``nodes`` that of the whole fleet, which
+    determines the intervals of reports and views. Reports and views reach every node.
     """
+
+    def __init__(self, nodes, sampling):
+        self._interval_s = exchange_interval_s(nodes)
+        self._samples = [SpeedSamples() for _ in range(sampling)]
+        self._report_at = [i / sampling * self._interval_s for i in range(sampling)]
+        self._view_at = 0.0
+        self._table = SpeedFactors()
+        self._rng = Random(7)
+        self._node_of = {}
+        self.factors = {}
+
+    def factor(self, target_id):
+        return self.factors.get(target_id, 1.0)
+
+    def record(self, now, stream, reading_until):
+        target_id, steps = stream.sent_to, stream.job.event_steps
+        if stream not in self._node_of:
+            samples = self._node_of[stream] = self._rng.choice(self._samples)
+            samples.begin(now, target_id, 1, steps)
+        else:
+            samples, until = self._node_of[stream], reading_until(target_id)
+            samples.record(now, target_id, 1, stream.pause_s, steps, until)
+        if stream.done >= stream.steps - steps:
+            samples.end(target_id, 1)
+
+    def tick(self, now, target_ids, reading_until):
+        for node, samples in enumerate(self._samples):
+            if now >= self._report_at[node]:
+                self._report_at[node] += self._interval_s
+                estimates = samples.estimates(now, reading_until)
+                self._table.record(now, node, samples.due(now, estimates))
+        if now >= self._view_at:
+            self._view_at = now + self._interval_s
+            targets = {name: make_target(name) for name in target_ids}
+            self._table.update(now, targets, self._interval_s)
+            self.factors = {t: row.factor for t, row in self._table.rows.items()}
+
+
+def make_target(target_id, born=1, service="draft"):
+    """Return a target of a service with an engine."""
+    return Target(target_id, service, "", "z1", 128, False, born, 0, {}, {})
+
+
+def replay(load, speeds):
+    """Return the outcomes of a load whose decisions use some speeds."""
     rng = Random(load.seed)
     engines = {f"t{n}": _Engine(f"t{n}") for n in range(load.targets)}
     queues = PromptQueues(CHOICE.prompt_tokens_s)
@@ -121,23 +175,22 @@
             waiting.append((_job(load, next_at, tokens, rng), held))
             next_at += rng.expovariate(load.per_s)
         for engine in engines.values():
-            for stream in engine.advance(now, load, on_event):
+            for stream in engine.advance(now, load, speeds, queues.done_at):
                 outcomes.append(_outcome(stream))
         if now >= view_at:
             view_at = now + VIEW_S
             for engine in engines.values():
                 engine.reported_tokens = sum(row.tokens for row in engine.prompts)
-        if tick is not None:
-            tick(now, engines)
+        speeds.tick(now, engines, queues.done_at)
         undecided = []
         for (job, steps), held in waiting:
-            rows = [_candidate(now, engines[name], queues, factor) for name in held]
+            rows = [_candidate(now, engines[name], queues, speeds) for name in held]
             decision = decide(now, job, rows, "z1")
             if isinstance(decision, Send):
                 sent_to = decision.target_id
                 engines[sent_to].prompts.append(_Stream(job, sent_to, steps))
                 tokens = job.prompt_tokens
-                queues.record_send(now, sent_to, tokens, factor(sent_to))
+                queues.record_send(now, sent_to, tokens, speeds.factor(sent_to))
             elif isinstance(decision, Refuse):
                 outcomes.append(Outcome(job.arrived, "", now - job.arrived, None))
             else:
@@ -169,7 +222,7 @@
     return Outcome(stream.job.arrived, stream.sent_to, first_s, pause_s)
 
 
-def _candidate(now, engine, queues, factor):
+def _candidate(now, engine, queues, speeds):
     return Candidate(
         engine.target_id,
         "z1",
@@ -177,5 +230,5 @@
         len(engine.prompts) + len(engine.streams),
         engine.reported_tokens,
         queues.backlog_s(now, engine.target_id),
-        factor=factor(engine.target_id),
+        factor=speeds.factor(engine.target_id),
     )
