--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
@@ -1,9 +1,12 @@
 """Tests of the speeds of targets, and of streams at targets of different speeds."""
 
 import unittest
+from hashlib import sha256
 from math import log
 from random import Random
 
+from hibiscusspar.fleet.prompt_queue import PromptQueues
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
 from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedSamples
 from hibiscusspar.fleet.tests.engine_replay import (
     EstimatedSpeeds,
@@ -12,6 +15,7 @@
     make_target,
     replay,
 )
+from hibiscusspar.fleet.waiting import Job, Send, decide
 
 SPEEDS = (0.6, 1.0, 1.6)
 SLOW_PERIOD_S = 0.6
@@ -21,6 +25,7 @@
 EVENT_STEPS = 4
 # The users require that streams stay within their pause goal in 95 of 100 cases.
 LATE_GOAL = 0.05
+D960EF2_DIGEST = "baad357901fe3e24d356caa187f173b6b05e2e207152a38c4e82f1f580a0314c"
 
 
 def mixed_slowness(target_id, now):
@@ -108,7 +113,35 @@
         self.assertLess(sent[EstimatedSpeeds], sent[UsualSpeeds] / 4)
 
 
+def decisions_digest(count=4000):
+    """Return a digest of decisions about random jobs and candidates."""
+    rng, digest = Random(5), sha256()
+    queues = PromptQueues(ChoicePolicy().prompt_tokens_s)
+    for number in range(count):
+        now = 10.0 + number * 0.01
+        rows = []
+        for n in range(rng.randrange(6)):
+            queued, slots = rng.choice((0, rng.randrange(9000))), rng.choice((8, 128))
+            queued_s = queues.backlog_s(now, f"t{n}")
+            zone, running = rng.choice(("z1", "z2")), rng.randrange(50)
+            row = (f"t{n}", zone, slots, running, queued, queued_s, rng.random() < 0.7)
+            rows.append(Candidate(*row))
+        tokens, arrived = rng.randrange(5000), now - rng.choice((0.0, 0.4, 1.6))
+        times = (arrived, 1.0, arrived + 1.5, rng.random())
+        gap = (rng.choice((0.0, 0.2, 0.3, 0.5)), rng.choice((1, 2, 4)))
+        job = Job("r", "draft", ("m", "a"), 1, tokens, *times, *gap)
+        decision = decide(now, job, rows, "z1")
+        if isinstance(decision, Send):
+            queues.record_send(now, decision.target_id, tokens)
+        digest.update(repr(decision).encode())
+    return digest.hexdigest()
+
+
 class TestEqualTargets(unittest.TestCase):
+    def test_decisions_about_equal_targets_are_those_of_d960ef2(self):
+        # The digest was computed with the code of that commit.
+        self.assertEqual(decisions_digest(), D960EF2_DIGEST)
+
     def test_equal_targets_are_served_as_with_the_usual_times(self):
         # The factors of equal targets must not leave the dead band while prompts
         # lengthen some of the gaps.
