--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -6,7 +6,6 @@
 """
 
 from collections import deque
-from itertools import accumulate
 from math import exp, log
 from statistics import median
 from typing import NamedTuple
@@ -24,11 +23,13 @@
     periods of 0.6 s; ``long_window_s`` that of those used if prompts were read during
     nearly all of them. Prompts lengthen gaps, so ``quantile`` is a low one. What
     streams are silent for beyond ``silence_s``, the time of a chunk of a prompt, gives
-    a lower bound. ``max_reported`` is the number of targets of a report: some nodes
-    sample each target.
+    a lower bound. A report names ``min_reported`` to ``max_reported`` targets,
+    ``reports_per_target`` for each target of the fleet: many nodes sample each target,
+    and the coordinator has the time for some of them.
 
-    ``max_age_s`` is the age of the oldest sample that counts, at least two intervals of
-    reports, and ``fresh_s`` the age at which its weight is a third. A ratio that
+    ``max_age_s`` is the age of the oldest sample that counts, and ``fresh_s`` the age
+    at which its weight is a third; both are at least ``max_intervals`` and
+    ``fresh_intervals`` of the time between reports. A ratio that
     differs from the usual one of the target by ``jump`` counts at once, a smaller
     change within ``smooth_s`` after the first ``settled`` samples, which keeps noise of
     equal targets within ``dead_band``. After a slow period the factor falls at most to
@@ -42,9 +43,13 @@
     long_window_s: float = 1.0
     quantile: float = 0.3
     silence_s: float = 0.25
+    min_reported: int = 2
     max_reported: int = 8
+    reports_per_target: float = 3.0
     max_age_s: float = 0.4
+    max_intervals: float = 2.0
     fresh_s: float = 0.05
+    fresh_intervals: float = 0.4
     jump: float = 1.5
     smooth_s: float = 3.0
     settled: int = 8
@@ -74,7 +79,7 @@
     """Factor of an incarnation on the usual times of its service.
 
     ``step_s`` and ``usual_s`` are the times of a step of the target and of its service,
-    ``count`` the number of samples and ``at`` the time of the newest one.
+    ``count`` the number of samples and ``at`` the time of the newest ones.
     """
 
     born: int
@@ -172,16 +177,27 @@
                 estimates[target_id] = SpeedSample(row.born, step_s, count)
         return estimates
 
-    def due(self, now, estimates):
-        """Return the estimates to report, those that changed most or waited longest."""
+    def due(self, now, estimates, nodes, targets):
+        """Return the estimates to report, changed ones and then the longest waiting.
+
+        Parameters
+        ----------
+        now : float
+        estimates : dict of str to SpeedSample
+        nodes, targets : int
+            Numbers of nodes and targets of the fleet.
+        """
+        policy = self._policy
+        share = round(policy.reports_per_target * targets / nodes)
+        most = min(max(share, policy.min_reported), policy.max_reported)
 
         def urgency(target_id):
             at, step_s = self._rows[target_id].reported
             sample = estimates[target_id]
-            changed = step_s and abs(log(sample.step_s / step_s)) > log(1.3)
+            changed = step_s and abs(log(sample.step_s / step_s)) > log(policy.jump)
             return (not changed, at)
 
-        due = sorted(estimates, key=urgency)[: self._policy.max_reported]
+        due = sorted(estimates, key=urgency)[:most]
         for target_id in due:
             self._rows[target_id].reported = (now, estimates[target_id].step_s)
         return {target_id: estimates[target_id] for target_id in due}
@@ -232,18 +248,21 @@
 
 
 class _Speed:
-    """Current factor of one incarnation, and the average of its steps."""
+    """Current factor of one incarnation, and what it was derived from."""
 
     __slots__ = (
-        "at",
         "average_s",
         "born",
         "changed_at",
+        "count",
         "factor",
         "published",
-        "row",
+        "sampled_at",
+        "step_s",
+        "updated_at",
         "updates",
         "usual",
+        "usual_s",
     )
 
     def __init__(self, now, born, factor=1.0, updates=0):
@@ -252,8 +271,9 @@
         self.factor = self.published = self.usual = factor
         self.updates = updates
         self.average_s = None
-        self.at = self.changed_at = now
-        self.row = FactorRow(born, factor, 0.0, 0.0, 0, now)
+        self.step_s = self.usual_s = 0.0
+        self.count = 0
+        self.updated_at = self.sampled_at = self.changed_at = now
 
 
 class SpeedFactors:
@@ -266,13 +286,26 @@
 
     def __init__(self, policy=None):
         self._policy = policy or SpeedPolicy()
+        # Time, start of the incarnation, seconds of a step and count, by target.
         self._samples = {}
         self._speeds = {}
 
     @property
-    def rows(self):
+    def factors(self):
         """Published factors by target, of all targets that had samples."""
-        return {target_id: speed.row for target_id, speed in self._speeds.items()}
+        return {target_id: speed.published for target_id, speed in self._speeds.items()}
+
+    def row(self, target_id):
+        """Return the factor of a target that had samples, with its grounds."""
+        speed = self._speeds[target_id]
+        return FactorRow(
+            speed.born,
+            speed.published,
+            speed.step_s,
+            speed.usual_s,
+            speed.count,
+            speed.sampled_at,
+        )
 
     def reset(self, now, factors):
         """Start from known factors.
@@ -287,12 +320,12 @@
         updates = self._policy.settled
         self._speeds = {t: _Speed(now, *row, updates) for t, row in factors.items()}
 
-    def record(self, now, node, samples):
-        """Record the samples of a node by target."""
+    def record(self, now, samples):
+        """Record the samples of a node, given as a dict by target."""
         for target_id, (born, step_s, count) in samples.items():
             if step_s > 0.0 and count >= 0:
-                sample = SpeedSample(born, step_s, count)
-                self._samples.setdefault(target_id, {})[node] = (now, sample)
+                row = (now, born, step_s, count)
+                self._samples.setdefault(target_id, []).append(row)
 
     def update(self, now, targets, interval_s):
         """Update the factors of the given targets; other targets are dropped.
@@ -305,68 +338,73 @@
         interval_s : float
             Time between the reports of a node.
         """
-        began_at = now - max(self._policy.max_age_s, 2.0 * interval_s)
-        self._samples = {t: s for t, s in self._samples.items() if t in targets}
         self._speeds = {
             target_id: speed
             for target_id, speed in self._speeds.items()
             if target_id in targets and speed.born == targets[target_id].born
         }
-        steps = {}
-        for target_id, by_node in self._samples.items():
-            born = targets[target_id].born
-            recent = {
-                node: (at, sample)
-                for node, (at, sample) in by_node.items()
-                if at > began_at and sample.born == born
-            }
-            self._samples[target_id] = recent
-            if recent:
-                steps[target_id] = self._average(now, target_id, born, recent)
+        sampled = self._take_recent(now, targets, interval_s)
         usual = self._usual_steps(targets)
         for target_id, speed in self._speeds.items():
             usual_s = usual.get(targets[target_id].service)
-            step_s, count = steps.get(target_id, (None, 0))
-            if step_s is None or not usual_s:
+            if target_id not in sampled or not usual_s:
                 self._drift(now, speed)
-            elif count:
-                self._follow(now, speed, self._bounded(step_s / usual_s))
             else:
-                # A lower bound.
-                ratio = self._bounded(step_s / usual_s)
-                speed.factor = max(speed.factor, ratio)
-            if step_s is not None and usual_s:
-                speed.row = speed.row._replace(
-                    step_s=step_s, usual_s=usual_s, count=count, at=now
+                ratio = speed.step_s / usual_s
+                ratio = min(
+                    max(ratio, self._policy.min_factor), self._policy.max_factor
                 )
-            speed.at = now
+                speed.usual_s, speed.sampled_at = usual_s, now
+                if speed.count:
+                    self._follow(now, speed, ratio)
+                else:
+                    # A lower bound.
+                    speed.factor = max(speed.factor, ratio)
+            speed.updated_at = now
             self._publish(speed)
 
-    def _average(self, now, target_id, born, recent):
-        """Return the step of a target over all nodes, and the number of samples."""
+    def _take_recent(self, now, targets, interval_s):
+        """Combine the recent samples and return the targets that have some."""
+        policy = self._policy
+        began_at = now - max(policy.max_age_s, policy.max_intervals * interval_s)
+        fresh_s = max(policy.fresh_s, policy.fresh_intervals * interval_s)
+        samples = {}
+        for target_id, rows in self._samples.items():
+            target = targets.get(target_id)
+            if target is None:
+                continue
+            born = target.born
+            recent = [row for row in rows if row[0] > began_at and row[1] == born]
+            if recent:
+                samples[target_id] = recent
+                self._combine(now, target_id, recent, fresh_s)
+        self._samples = samples
+        return samples
+
+    def _combine(self, now, target_id, recent, fresh_s):
+        """Set the step of a target over all nodes, and the number of samples."""
         speed = self._speeds.get(target_id)
         if speed is None:
-            speed = self._speeds[target_id] = _Speed(now, born)
-        count = sum(sample.count for _, sample in recent.values())
+            speed = self._speeds[target_id] = _Speed(now, recent[0][1])
+        clear = [row for row in recent if row[3]]
         # The newest samples count most, as older ones are from before a change.
         rows = sorted(
-            (
-                sample.step_s,
-                (sample.count or 1) * exp((at - now) / self._policy.fresh_s),
-            )
-            for at, sample in recent.values()
-            if sample.count or not count
+            (step_s, (count or 1) * exp((at - now) / fresh_s))
+            for at, _, step_s, count in clear or recent
         )
-        passed = accumulate(weight for _, weight in rows)
-        bound = self._policy.quantile * sum(weight for _, weight in rows)
-        step_s = next(s for (s, _), n in zip(rows, passed, strict=True) if n > bound)
-        if not count:
-            return step_s, count
+        remaining = self._policy.quantile * sum([weight for _, weight in rows])
+        for step_s, weight in rows:
+            speed.step_s = step_s
+            remaining -= weight
+            if remaining < 0.0:
+                break
+        speed.count = sum([row[3] for row in clear])
+        if not clear:
+            return
         if speed.average_s is None:
-            speed.average_s = step_s
-        share = 1.0 - exp(-(now - speed.at) / self._policy.reference_s)
-        speed.average_s += (step_s - speed.average_s) * share
-        return step_s, count
+            speed.average_s = speed.step_s
+        share = 1.0 - exp((speed.updated_at - now) / self._policy.reference_s)
+        speed.average_s += (speed.step_s - speed.average_s) * share
 
     def _usual_steps(self, targets):
         """Return the median step of the targets of each service."""
@@ -377,13 +415,10 @@
                 averages.setdefault(service, []).append(speed.average_s)
         return {service: median(steps) for service, steps in averages.items()}
 
-    def _bounded(self, ratio):
-        return min(max(ratio, self._policy.min_factor), self._policy.max_factor)
-
     def _follow(self, now, speed, ratio):
         policy = self._policy
         speed.updates += 1
-        share = 1.0 - exp(-(now - speed.at) / policy.smooth_s)
+        share = 1.0 - exp((speed.updated_at - now) / policy.smooth_s)
         share = max(share, 1.0 / speed.updates)
         change, bound = log(ratio / speed.usual), log(policy.jump)
         if speed.updates > policy.settled:
@@ -398,18 +433,16 @@
             speed.changed_at = now
 
     def _drift(self, now, speed):
-        if now < speed.row.at + self._policy.hold_s:
+        if now < speed.sampled_at + self._policy.hold_s:
             return
-        share = exp(-(now - speed.at) / self._policy.drift_s)
+        share = exp((speed.updated_at - now) / self._policy.drift_s)
         speed.factor **= share
         speed.usual **= share
 
     def _publish(self, speed):
         """Publish a factor that has changed enough, so that noise isn't sent."""
         policy = self._policy
-        factor = speed.factor
-        if abs(factor - 1.0) <= policy.dead_band:
+        if abs(speed.factor - 1.0) <= policy.dead_band:
             speed.published = 1.0
-        elif abs(factor / speed.published - 1.0) > policy.republish:
-            speed.published = round(factor, 2)
-        speed.row = speed.row._replace(factor=speed.published)
+        elif abs(speed.factor / speed.published - 1.0) > policy.republish:
+            speed.published = round(speed.factor, 2)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -128,16 +128,13 @@
         now = self._clock()
         with self._lock:
             estimates = self._samples.estimates(now, self._reading_until)
-            due = self._samples.due(now, estimates)
+            due = self._samples.due(now, estimates, self._nodes, len(self._targets))
             records = self._follow_views(now)
             if self._is_alone:
-                self._table.record(now, report.node, estimates)
+                self._table.record(now, estimates)
                 records += self._update(now)
-                self._factors = {
-                    target_id: row.factor
-                    for target_id, row in self._table.rows.items()
-                    if row.factor != 1.0
-                }
+                factors = self._table.factors.items()
+                self._factors = {t: factor for t, factor in factors if factor != 1.0}
         report.speeds = {
             target_id: (sample.born, round(sample.step_s, 5), sample.count)
             for target_id, sample in due.items()
@@ -153,7 +150,7 @@
         """Record the samples of a node at the coordinator."""
         if report.speeds:
             with self._lock:
-                self._table.record(self._clock(), report.node, report.speeds)
+                self._table.record(self._clock(), report.speeds)
 
     def due_rows(self, number, nodes):
         """Return incarnation, factor and age of some targets for a view."""
@@ -161,17 +158,18 @@
         with self._lock:
             self._nodes = nodes
             records = self._update(now)
-            rows = self._table.rows
-            self._told |= {t for t, row in rows.items() if row.factor != 1.0}
-            states = {t: row.factor for t, row in rows.items() if t in self._told}
+            factors = self._table.factors
+            self._told |= {t for t, factor in factors.items() if factor != 1.0}
+            states = {t: factors[t] for t in self._told if t in factors}
             rotated = len(states) * exchange_interval_s(nodes) / _ROTATION_S
             due = self._rotation.due(
                 states, number, min(_MAX_ENTRIES, int(rotated) + 1)
             )
+            rows = [(target_id, self._table.row(target_id)) for target_id in due]
         write_records(records)
         return {
-            t: (rows[t].born, rows[t].factor, round(max(0.0, now - rows[t].at), 3))
-            for t in due
+            target_id: (row.born, row.factor, round(now - row.at, 3))
+            for target_id, row in rows
         }
 
     def apply_view(self, view):
@@ -248,14 +246,16 @@
         at, allowance = self._log_allowance
         allowance = min(float(_LOG_LINES_S), allowance + (now - at) * _LOG_LINES_S)
         records = []
-        for target_id, row in self._table.rows.items():
+        for target_id, factor in self._table.factors.items():
             logged, logged_at = self._logged.get(target_id, (1.0, now - _LOG_GAP_S))
-            change = abs(log(row.factor / logged))
-            if change < log(_LOGGED_CHANGE) or now < logged_at + _LOG_GAP_S:
+            if factor == logged or now < logged_at + _LOG_GAP_S:
+                continue
+            if abs(log(factor / logged)) < log(_LOGGED_CHANGE):
                 continue
             if allowance < 1.0:
                 break
             allowance -= 1.0
+            row = self._table.row(target_id)
             self._logged[target_id] = (row.factor, now)
             fields = {
                 "target": target_id,
