Idle nodes: sleep until the leases or the store may have to be read

Cause: an idle node woke a thread 104 times a second, half of them to look again at leases, the stored quarantine and three watches of the store, of which none had anything to do while a coordinator sends views. Change: these threads sleep until the last view becomes too old for what it is relied on, and are woken by a view that holds less, by a change of the role, or by a newer configuration. PeriodicTask replaces the loops of node.py.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -27,6 +27,7 @@
 )
 from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
+from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
 from hibiscusspar_entry.fleet.view_sequence import ViewSequence
 
 __all__ = ["FleetNode", "FleetParts"]
@@ -49,8 +50,6 @@
 _FIRST_VIEW_S = 1.5
 # Silence after which the coordinator is logged as lost.
 _COORDINATOR_LOST_S = 1.5
-# Time between looks whether the stored quarantine differs, in seconds.
-_QUARANTINE_STEP_S = 0.1
 # Pause after a store call without an answer, far shorter than the store's outages.
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
@@ -136,6 +135,13 @@
         self._notice_sender = NoticeSender(
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
+        self._lease_task = PeriodicTask("lease", self._lease_step, self._lease_pause_s)
+        quarantine_store = parts.quarantine_store
+        self._quarantine_task = PeriodicTask(
+            "quarantine store", quarantine_store.step, quarantine_store.pause_s
+        )
+        tick_task = PeriodicTask("tick", self._tick, self._tick_s)
+        self._tasks = (self._lease_task, self._quarantine_task, tick_task)
         self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.statements.on_full = self._notice_sender.add_full
@@ -145,6 +151,8 @@
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
         self._stopping.set()
+        for task in self._tasks:
+            task.close()
         self._front.stop()
         for server in self._status_servers:
             server.stop()
@@ -161,14 +169,9 @@
         self._channel.start()
         for watch in parts.watches:
             watch.start()
-        tasks = (
-            self._run_leases,
-            self._run_quarantine_store,
-            self._run_reports,
-            self._run_ticks,
-            self._notice_sender.run,
-        )
-        for task in tasks:
+        for task in self._tasks:
+            task.start()
+        for task in (self._run_reports, self._notice_sender.run):
             threading.Thread(target=task, daemon=True).start()
         self._front.start()
         fields = {
@@ -328,8 +331,10 @@
         if view.fence < self._fence or not self._view_sequence.accept(view):
             return
         self._fence = view.fence
-        self._is_coordinator_leased = view.leased
-        self._held_duties = frozenset(view.held)
+        held = frozenset(view.held)
+        if (view.leased, held) != (self._is_coordinator_leased, self._held_duties):
+            self._lease_task.wake()
+        self._is_coordinator_leased, self._held_duties = view.leased, held
         self._coordinator_address = parse_address(view.address)
         self._loss_logged = False
         if parts.relayed_state.apply_view(view, parts.settings.node):
@@ -347,12 +352,22 @@
             )
             parts.quota_changed.notify_all()
 
-    def _run_leases(self):
-        while not self._stopping.wait(_LEASE_TICK_S):
-            try:
-                self._lease_step()
-            except Exception as error:  # noqa: BLE001
-                log_failure("lease", error)
+    def _lease_pause_s(self):
+        """Return the time until the next check of the leases, in seconds.
+
+        While others hold all duties, only the silence of the coordinator or a view
+        that tells otherwise, which ends the pause, makes a check necessary.
+        """
+        parts = self._parts
+        if (
+            self._was_leader
+            or any(keeper.election.leads for keeper in parts.lease_keepers)
+            or not self.has_active_coordinator
+            or not self._held_duties.issuperset(parts.settings.zones)
+        ):
+            return _LEASE_TICK_S
+        silent_in_s = _COORDINATOR_SILENT_S - parts.request_scheduler.view_age_s
+        return max(_LEASE_TICK_S, silent_in_s)
 
     def _lease_step(self):
         parts = self._parts
@@ -369,6 +384,8 @@
 
     def _switch_role(self, leads):
         self._parts.relayed_state.set_source(leads)
+        for task in (self._quarantine_task, *self._parts.watches):
+            task.wake()
         if leads:
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
@@ -377,15 +394,6 @@
         else:
             self._coordinator.step_down()
 
-    def _run_quarantine_store(self):
-        pause_s = 0.0
-        while not self._stopping.wait(pause_s):
-            pause_s = _QUARANTINE_STEP_S
-            try:
-                self._parts.quarantine_store.step()
-            except Exception as error:  # noqa: BLE001
-                log_failure("quarantine store", error)
-
     def _run_reports(self):
         while not self._stopping.is_set():
             interval_s = exchange_interval_s(self._parts.request_scheduler.nodes)
@@ -415,13 +423,6 @@
         elif self._coordinator_address is not None:
             self._channel.send(self._coordinator_address, report)
 
-    def _run_ticks(self):
-        while not self._stopping.wait(self._tick_s()):
-            try:
-                self._tick()
-            except Exception as error:  # noqa: BLE001
-                log_failure("tick", error)
-
     def _tick_s(self):
         parts = self._parts
         is_busy = parts.request_scheduler.has_waiting or parts.election.leads
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
@@ -18,6 +18,8 @@
 # Interval of reads by the coordinator and by nodes without one, and the pause after a
 # call that failed, in seconds.
 _READ_S = 2.0
+# Time between looks whether the stored verdicts differ, in seconds.
+_STEP_S = 0.1
 # Age in seconds of the last view beyond which a node reads and writes by itself.
 _VIEW_SILENT_S = 1.5
 # Verdicts that are stored at most, the latest ones.
@@ -72,6 +74,17 @@
         else:
             self._backoff.record_answer()
 
+    def pause_s(self):
+        """Return the time until the next step, in seconds.
+
+        While this node isn't responsible, it is that until it may become so.
+        """
+        if self._read_at is None and not self._retry_at:
+            return 0.0
+        if self._read_at is None or self._is_responsible():
+            return _STEP_S
+        return max(_STEP_S, _VIEW_SILENT_S - self._view_age_s())
+
     def _is_responsible(self):
         age_s = self._view_age_s()
         return self._leads() or age_s is None or age_s > _VIEW_SILENT_S
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -20,6 +20,9 @@
 
 # Number of reports whose time of sending is kept.
 _KEPT_REPORTS = 128
+# Pauses between looks whether the store must be read, in seconds.
+_MIN_PAUSE_S = 0.12
+_MAX_PAUSE_S = 1.0
 # Targets that a log line lists at most.
 _LOGGED_TARGETS = 8
 
@@ -98,8 +101,37 @@
         Returns
         -------
         bool
-            Whether the store holds a newer configuration, which views don't carry.
+            Whether this node must read the store now or sooner than it had to before,
+            also because the store holds a newer configuration, which views don't carry.
         """
+        ends_at = self._relayed_until()
+        must_read = self._apply_view(view, node)
+        return must_read or self._relayed_until() < max(ends_at, self._clock())
+
+    def _relayed_until(self):
+        """Return the time at which the store must be read, in the past if it is due.
+
+        Without further views, what the last one tells becomes too old by then.
+        """
+        with self._lock:
+            view, as_of, copy_as_of = self._view, self._view_as_of, self._copy_as_of
+        ruleset = self._config.ruleset
+        if view is None or None in (as_of, copy_as_of, ruleset) or self._is_source:
+            return float("-inf")
+        if ruleset.version < view.config_version:
+            return float("-inf")
+        return min(
+            as_of + self._limits.config_s - view.config_age_s,
+            as_of + self._limits.directory_s - view.directory_age_s,
+            copy_as_of + self._limits.directory_s,
+        )
+
+    def relayed_for_s(self):
+        """Return the time after which the store may have to be read, in seconds."""
+        left_s = self._relayed_until() - self._clock()
+        return min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, left_s))
+
+    def _apply_view(self, view, node):
         now = self._clock()
         with self._lock:
             self._view = view
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -53,9 +53,23 @@
         Returns whether the coordinator's views relay these objects, so that the store
         need not be read.
     backoff : StoreBackoff
+    relayed_for_s : callable, optional
+        Returns the time after which ``is_relayed`` may change unless :meth:`wake` is
+        called before.
     """
 
-    def __init__(self, store, kind, clock, wait_s, gap_s, handler, is_relayed, backoff):
+    def __init__(
+        self,
+        store,
+        kind,
+        clock,
+        wait_s,
+        gap_s,
+        handler,
+        is_relayed,
+        backoff,
+        relayed_for_s=lambda: _RELAYED_POLL_S,
+    ):
         self._store = store
         self._kind = kind
         self._clock = clock
@@ -64,6 +78,7 @@
         self._handler = handler
         self._is_relayed = is_relayed
         self._backoff = backoff
+        self._relayed_for_s = relayed_for_s
         self._revision = None
         self._outage_since = None
         self._wake = threading.Event()
@@ -101,7 +116,7 @@
             if self._is_relayed():
                 # The next listing includes the changes made in the meantime.
                 self._revision = None
-                self._wake.wait(_RELAYED_POLL_S)
+                self._wake.wait(self._relayed_for_s())
                 self._wake.clear()
                 continue
             held_s = self._backoff.wait_s()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
@@ -187,3 +187,35 @@
         self.apply_view(directory=["t1"], rows=[ROW], software=None)
         self.assertEqual(self.published, {})
         self.assertFalse(self.relayed_state.directory_is_current())
+
+
+class TestTimeUntilTheStoreMustBeRead(RelayedStateTestCase):
+    # Watches of the store sleep meanwhile, so that nothing must become due earlier.
+    def apply_view(self, **changes):
+        return super().apply_view(config_version=1, **changes)
+
+    def test_pause_ends_when_the_relayed_state_becomes_too_old(self):
+        self.apply_view(config_age_s=0.3, directory_age_s=0.6)
+        self.assertAlmostEqual(self.relayed_state.relayed_for_s(), 0.8)
+        self.clock.now += self.relayed_state.relayed_for_s()
+        self.assertFalse(self.relayed_state.directory_is_current())
+        self.assertTrue(self.relayed_state.config_is_current())
+
+    def test_later_view_of_the_same_ages_ends_no_pause(self):
+        self.apply_view(config_age_s=0.3)
+        self.clock.now += 0.1
+        self.assertFalse(self.apply_view(config_age_s=0.3))
+
+    def test_view_that_is_relied_on_for_less_time_ends_the_pause(self):
+        self.apply_view(config_age_s=0.3)
+        self.assertTrue(self.apply_view(config_age_s=0.8))
+
+    def test_view_that_is_too_old_already_ends_the_pause(self):
+        self.apply_view(config_age_s=0.3)
+        self.clock.now += 5.0
+        self.assertTrue(self.apply_view(config_age_s=1.5))
+
+    def test_source_does_not_pause_for_long(self):
+        self.apply_view()
+        self.relayed_state.set_source(True)
+        self.assertLess(self.relayed_state.relayed_for_s(), 0.2)
