Coordinator: sum up loads for a planning round only if it needs them

Cause: the coordinator plans 50 times a second; each round summed up the reports of all nodes into backlogs and adapters in use, which only the choice of a target for a load reads. Change: both are made when the round first reads them, under the same lock and at the same time; reports without crashes or answers take no lock of the crash table.

--- a/packages/hibiscusspar/hibiscusspar/fleet/residency_numbers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/residency_numbers.py
@@ -1,6 +1,8 @@
 """Revisions of the adapters that targets hold, by which nodes find lost states."""
 
-__all__ = ["join_numbers", "lacked_states"]
+from hibiscusspar.fleet.messages import adapter_label
+
+__all__ = ["join_numbers", "lacked_states", "residency_rows"]
 
 # Bytes sent of a revision. A lost change goes unnoticed only if its revision equals the
 # known one in these bytes, that is, every 65,535 revisions.
@@ -33,6 +35,14 @@
     return lacked
 
 
+def residency_rows(now, held):
+    """Return the adapters of a target's ``TargetHoldings`` as a view carries them."""
+    return [
+        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
+        for key, copy in held.copies.items()
+    ]
+
+
 def _low_bits(number):
     # 0 stands for no state, so no revision is sent as 0.
     low = number % (_NUMBERS - 1) + 1 if number else 0
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -7,6 +7,7 @@
 from msgspec import Raw
 from msgspec.json import encode as to_json
 
+from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
@@ -26,7 +27,7 @@
 from hibiscusspar.fleet.permits import PermitDemand, PermitIssuer
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
-from hibiscusspar.fleet.residency_numbers import join_numbers
+from hibiscusspar.fleet.residency_numbers import join_numbers, residency_rows
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
@@ -281,8 +282,8 @@
                 now,
                 self._orderable_targets(now),
                 self._wants(now),
-                self._backlogs(now),
-                self._reports.in_use(now),
+                DeferredDict(self._backlogs, now),
+                DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
@@ -373,7 +374,7 @@
         numbers = self._residency_numbers()
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
-        return {t: (numbers[t], _residency_rows(now, held[t])) for t in due}
+        return {t: (numbers[t], residency_rows(now, held[t])) for t in due}
 
     def _due_limits(self, now):
         """Return limit, its age and the waiting requests, for some targets."""
@@ -525,10 +526,3 @@
         body = to_json(SendNotice([], loads=[load]))
         for address in addresses:
             self._send(address, body)
-
-
-def _residency_rows(now, held):
-    return [
-        (adapter_label(key), copy.version, round(max(0.0, copy.ready_at - now), 3))
-        for key, copy in held.copies.items()
-    ]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -227,6 +227,8 @@
 
     def apply_report(self, report):
         """Record the crashes that another node reports to this coordinator."""
+        if not report.crashes and not report.answered:
+            return
         with self._locked() as now:
             for row in report.crashes:
                 crash = (row.target_id, row.born)
