--- a/packages/hibiscusspar/hibiscusspar/requests/ejection.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/ejection.py
@@ -53,6 +53,11 @@
         """Rows of the targets that failed since they last answered, keyed by id."""
         return dict(self._rows)
 
+    @property
+    def is_empty(self):
+        """Whether all targets answered last."""
+        return not self._rows
+
     def excluded(self, now, candidates):
         """Return the candidates that must not get a new request now.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -484,6 +484,8 @@
 
     def _ejected(self, now, service):
         """Return the targets of a service that are ejected now."""
+        if self._ejection.is_empty:
+            return frozenset()
         return self._ejection.excluded(now, sorted(self._service_targets(service)))
 
     def _service_targets(self, service):
