--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -7,6 +7,7 @@
 from msgspec import Raw
 from msgspec.json import encode as to_json
 
+from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
@@ -285,8 +286,8 @@
                 now,
                 self._orderable_targets(now),
                 self._wants(now),
-                self._backlogs(now),
-                self._reports.in_use(now),
+                DeferredDict(self._backlogs, now),
+                DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
