Cold targets: the latest end of the cold times is kept, not searched

Cause: each heartbeat of a target searched the rows of all. Change: the search is made only when a target becomes warm before its time.

--- a/packages/hibiscusspar/hibiscusspar/fleet/cold_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/cold_targets.py
@@ -166,7 +166,10 @@
             told_until,
             is_known and row.is_listed,
         )
-        self._update_end()
+        if is_cold:
+            self._ends_at = max(self._ends_at, now + remaining_s)
+        elif was_cold:
+            self._update_end()
         if not is_changed:
             return None
         return ColdChange(target_id, remaining_s, is_cold and is_known)
