--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/cold_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/cold_exchange.py
@@ -154,7 +154,9 @@
                     "answer",
                 )
                 self._learned_at[target.target_id] = now
-                records = self._change_records([change], "answer", sent_at)
+                records = self._change_records(
+                    [change], "answer", sent_at, self.on_cold_again
+                )
         write_records(records)
 
     def presume_cold(self, target_ids):
@@ -171,10 +173,11 @@
         """Record the cold targets of a view; to be called before its rows are used."""
         rows = view.cold or {}
         self._view_is_full = len(rows) >= _MAX_ROWS
-        self.apply_rows(rows, view.node)
+        # All nodes have the view, so none of them needs to tell it at once.
+        self._apply_rows(rows, view.node, lambda: None)
 
     def apply_rows(self, rows, source):
-        """Record what another node knows.
+        """Record what the report of another node tells.
 
         Parameters
         ----------
@@ -184,6 +187,9 @@
         source : str
             Name of the node, for the log.
         """
+        self._apply_rows(rows, source, self.on_cold_again)
+
+    def _apply_rows(self, rows, source, on_cold_again):
         if not rows:
             return
         with self._lock:
@@ -193,7 +199,9 @@
                 for t, row in rows.items()
             ]
             oldest_s = max(age_s for _, _, age_s in rows.values())
-            records = self._change_records(changes, source, now - oldest_s)
+            records = self._change_records(
+                changes, source, now - oldest_s, on_cold_again
+            )
         write_records(records)
 
     def view_rows(self, number):
@@ -247,7 +255,9 @@
                 self._learned_at[target.target_id] = now
             changes.append(change)
         records = self._record_faults(faulty, "entry")
-        return records + self._change_records(changes, "entry", sent_at)
+        return records + self._change_records(
+            changes, "entry", sent_at, self.on_cold_again
+        )
 
     def _record_faults(self, faulty, source):
         now, records = self._clock(), []
@@ -267,10 +277,10 @@
                 records.append((TARGET_COLD_BAD, fields))
         return records[:_MAX_FAULT_LINES]
 
-    def _change_records(self, changes, source, at):
+    def _change_records(self, changes, source, at, on_cold_again):
         changes = [change for change in changes if change is not None]
         if any(change.again for change in changes):
-            self.on_cold_again()
+            on_cold_again()
         cold_s = {c.target_id: c.cold_s for c in changes}
         cold = [t for t, seconds in cold_s.items() if seconds > 0]
         warm = [t for t, seconds in cold_s.items() if seconds <= 0]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_cold_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_cold_exchange.py
@@ -134,6 +134,15 @@
         self.assertIn("t007", self.cold.view_rows(7))
         self.assertLess(len(encode(self.cold.view_rows(8))), 4000)
 
+    def test_only_news_that_others_lack_hastens_messages(self):
+        self.set_targets(target("t1"), target("t2"))
+        again = []
+        self.cold.on_cold_again = lambda: again.append(self.clock.now)
+        self.cold.apply_view(cold_view({"t1": (1, 2.0, 0.1)}))
+        self.assertEqual(again, [])
+        self.cold.apply_rows({"t2": (1, 2.0, 0.1)}, "n2")
+        self.assertEqual(len(again), 1)
+
     def test_report_repeats_what_was_learned_for_two_seconds(self):
         self.set_targets(target("t1"))
         self.record_entry(target("t1"), 3.0)
