Admission: spread returning callers over the room of all nodes

At 360 nodes announced returns meet in views only after their step of 0.5 s had passed, so all callers were told the first step and refused again. Views tell the refused tokens a second, by which nodes spread the callers of one moment. A tiny demand no longer gets what rounding leaves over.

--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -40,6 +40,7 @@
 # Seeds of hashes that are independent of each other and of the one that splits routes.
 _SHARE_SEED = 1
 _JITTER_SEED = 2
+_RETURN_SEED = 3
 # Rounding errors of times in seconds.
 _CLOCK_ERROR_S = 1e-6
 # Difference in seconds between a route's time-out and a first request's deadline that
@@ -150,10 +151,11 @@
     """
     shares = {}
     left = capacity
+    share = 1.0
     for priority in sorted(demand):
-        share = 1.0
         if demand[priority] > 0:
-            share = min(1.0, max(floor, left / demand[priority]))
+            # What rounding leaves over may be much for a tiny demand.
+            share = min(share, max(floor, left / demand[priority]))
         left -= share * demand[priority]
         if not shares:
             left -= reserved
@@ -292,6 +294,7 @@
             [round(tokens) for tokens in booked],
             age_s,
             floor,
+            round(_total(sums, service, 2) / policy.window_s, 1),
         )
 
 
@@ -505,8 +508,14 @@
         book = self._books.get(job.service)
         if book is not None:
             booked = add_steps(booked, book.steps(now, self._counted_at))
+        counted_s = now - (self._counted_at or self._levels_at)
         step = first_free_step(
-            level.room_per_s, booked, _tokens(job), int(shortest_s / STEP_S)
+            level.room_per_s,
+            booked,
+            _tokens(job),
+            level.refused_per_s * counted_s,
+            _fraction(job, _RETURN_SEED),
+            int(shortest_s / STEP_S),
         )
         starts_s = max(shortest_s, step * STEP_S)
         ends_s = max(starts_s, (step + 1) * STEP_S)
--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -110,7 +110,8 @@
     are admitted. ``room_per_s`` is the number of prompt tokens a second that callers
     who return may bring, ``booked`` the number that they were told to bring, by steps
     of half a second. ``age_s`` is the age of the demand that the level was derived
-    from. ``floor`` is the share that each priority gets at least.
+    from. ``floor`` is the share that each priority gets at least,
+    ``refused_per_s`` the number of prompt tokens a second refused for lack of room.
     """
 
     shares: dict[int, float]
@@ -118,6 +119,7 @@
     booked: list[int]
     age_s: float
     floor: float = 0.0
+    refused_per_s: float = 0.0
 
 
 class NodeReport(Struct, tag="report"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/returns.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/returns.py
@@ -16,11 +16,11 @@
 _STEPS = 16
 
 
-def first_free_step(room_per_s, booked, tokens, first=0):
-    """Return the index of the first step with room for a prompt.
+def first_free_step(room_per_s, booked, tokens, ahead=0.0, position=0.0, first=0):
+    """Return the index of the first step with room for a caller.
 
-    A step without any booked tokens takes a prompt of any size, as long as there is
-    room at all.
+    Each node learns late what others have announced. So the callers of one moment
+    are spread over the room for all of them. An empty step takes a prompt of any size.
 
     Parameters
     ----------
@@ -29,21 +29,28 @@
     booked : sequence of float
         Tokens that they were told to bring, by step.
     tokens : int
+        Size of the prompt of the caller.
+    ahead : float, optional
+        Tokens that all nodes are expected to announce before their counts meet.
+    position : float, optional
+        Position of the caller among those, in [0, 1).
     first : int, optional
         First step that may be chosen.
 
     Returns
     -------
     int
-        If none has room, the one with the fewest tokens.
+        If there isn't room for all, the last step is followed by the first again.
     """
     room = room_per_s * STEP_S
     steps = range(min(first, _STEPS - 1), _STEPS)
-    taken = {step: booked[step] if step < len(booked) else 0 for step in steps}
+    before = ahead * position
     for step in steps:
-        if room > 0 and (not taken[step] or taken[step] + tokens <= room):
+        taken = before + (booked[step] if step < len(booked) else 0.0)
+        if taken + tokens <= room or (taken <= 0.0 < room):
             return step
-    return min(steps, key=taken.__getitem__)
+        before = max(0.0, taken - room)
+    return steps[int(position * len(steps))]
 
 
 class ReturnBook:
