--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -205,7 +205,9 @@
             priorities, and until the counts span a window.
         """
         policy = self._policy
-        if not self._services:
+        # Another thread may configure others meanwhile.
+        services = self._services
+        if not services:
             return None
         if self._updated_at is None or now > self._updated_at + policy.stale_s:
             self.reset()
@@ -219,12 +221,12 @@
         for _, changes in self._window:
             for key, counts in changes.items():
                 _add(sums.setdefault(key, [0, 0, 0]), counts)
-        self._update_capacity(now, elapsed_s, sums)
+        self._update_capacity(now, elapsed_s, services, sums)
         if now < self._started_at + policy.window_s:
             return None
         age_s = round(now - max((row.at for row in rows), default=now), 3)
         levels = {}
-        for service in sorted(self._services):
+        for service in sorted(services):
             level = self._level(now, service, sums, rows, age_s)
             if level is not None:
                 levels[service] = level
@@ -254,11 +256,11 @@
                         _add(sums, counts, earlier)
         return changes
 
-    def _update_capacity(self, now, elapsed_s, sums):
+    def _update_capacity(self, now, elapsed_s, services, sums):
         policy = self._policy
         span_s = min(policy.window_s, max(now - self._started_at, STEP_S))
         decay = exp(-elapsed_s / policy.decay_s)
-        for service in self._services:
+        for service in services:
             sent_per_s = _total(sums, service, 1) / span_s
             self._capacity[service] = max(
                 sent_per_s, self._capacity.get(service, 0.0) * decay
@@ -326,7 +328,6 @@
     def configure(self, goals):
         """Set the objectives by service and priority; see ``service_goals``."""
         self._goals = goals
-        self._books = {name: row for name, row in self._books.items() if name in goals}
 
     def apply_levels(self, now, levels, counted_at):
         """Apply the levels of a view.
