--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -40,6 +40,7 @@
 # Seeds of hashes that are independent of each other and of the one that splits routes.
 _SHARE_SEED = 1
 _JITTER_SEED = 2
+_RETURN_SEED = 3
 # Rounding errors of times in seconds.
 _CLOCK_ERROR_S = 1e-6
 # Difference in seconds between a route's time-out and a first request's deadline that
@@ -150,10 +151,11 @@
     """
     shares = {}
     left = capacity
+    share = 1.0
     for priority in sorted(demand):
-        share = 1.0
         if demand[priority] > 0:
-            share = min(1.0, max(floor, left / demand[priority]))
+            # What rounding leaves over may be much for a tiny demand.
+            share = min(share, max(floor, left / demand[priority]))
         left -= share * demand[priority]
         if not shares:
             left -= reserved
@@ -203,7 +205,9 @@
             priorities, and until the counts span a window.
         """
         policy = self._policy
-        if not self._services:
+        # Another thread may configure others meanwhile.
+        services = self._services
+        if not services:
             return None
         if self._updated_at is None or now > self._updated_at + policy.stale_s:
             self.reset()
@@ -217,12 +221,12 @@
         for _, changes in self._window:
             for key, counts in changes.items():
                 _add(sums.setdefault(key, [0, 0, 0]), counts)
-        self._update_capacity(now, elapsed_s, sums)
+        self._update_capacity(now, elapsed_s, services, sums)
         if now < self._started_at + policy.window_s:
             return None
         age_s = round(now - max((row.at for row in rows), default=now), 3)
         levels = {}
-        for service in sorted(self._services):
+        for service in sorted(services):
             level = self._level(now, service, sums, rows, age_s)
             if level is not None:
                 levels[service] = level
@@ -252,11 +256,11 @@
                         _add(sums, counts, earlier)
         return changes
 
-    def _update_capacity(self, now, elapsed_s, sums):
+    def _update_capacity(self, now, elapsed_s, services, sums):
         policy = self._policy
         span_s = min(policy.window_s, max(now - self._started_at, STEP_S))
         decay = exp(-elapsed_s / policy.decay_s)
-        for service in self._services:
+        for service in services:
             sent_per_s = _total(sums, service, 1) / span_s
             self._capacity[service] = max(
                 sent_per_s, self._capacity.get(service, 0.0) * decay
@@ -292,6 +296,7 @@
             [round(tokens) for tokens in booked],
             age_s,
             floor,
+            round(_total(sums, service, 2) / policy.window_s, 1),
         )
 
 
@@ -323,7 +328,6 @@
     def configure(self, goals):
         """Set the objectives by service and priority; see ``service_goals``."""
         self._goals = goals
-        self._books = {name: row for name, row in self._books.items() if name in goals}
 
     def apply_levels(self, now, levels, counted_at):
         """Apply the levels of a view.
@@ -505,8 +509,14 @@
         book = self._books.get(job.service)
         if book is not None:
             booked = add_steps(booked, book.steps(now, self._counted_at))
+        counted_s = now - (self._counted_at or self._levels_at)
         step = first_free_step(
-            level.room_per_s, booked, _tokens(job), int(shortest_s / STEP_S)
+            level.room_per_s,
+            booked,
+            _tokens(job),
+            level.refused_per_s * counted_s,
+            _fraction(job, _RETURN_SEED),
+            int(shortest_s / STEP_S),
         )
         starts_s = max(shortest_s, step * STEP_S)
         ends_s = max(starts_s, (step + 1) * STEP_S)
