Target speeds: fewer updates at the coordinator

Cause: views that are sent sooner for loads of adapters updated the factors as well, and samples of two intervals counted although the older ones had next to no weight. Change: at most two updates an interval of reports; samples of 1.25 intervals count.

--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -47,7 +47,7 @@
     max_reported: int = 8
     reports_per_target: float = 3.0
     max_age_s: float = 0.4
-    max_intervals: float = 2.0
+    max_intervals: float = 1.25
     fresh_s: float = 0.05
     fresh_intervals: float = 0.4
     jump: float = 1.5
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -14,6 +14,9 @@
 
 # Age of a view, in seconds, beyond which a node uses its own samples only.
 _VIEW_STALE_S = 1.5
+# Shortest time between updates of the factors, in intervals of reports: views that are
+# sent sooner, for loads of adapters, have few new samples.
+_MIN_UPDATE_INTERVALS = 0.5
 # Factors that a view carries at most, and the time in seconds within which the
 # rotation repeats all of them, as the views that carried a change may be lost.
 _MAX_ENTRIES = 64
@@ -64,6 +67,7 @@
         self._told = set()
         self._logged = {}
         self._log_allowance = (0.0, float(_LOG_LINES_S))
+        self._updated_at = 0.0
         self._view_at = None
         self._nodes = 1
         self._is_alone = False
@@ -242,6 +246,9 @@
     def _update(self, now):
         """Update the table and return the log lines about factors that have changed."""
         interval_s = exchange_interval_s(self._nodes)
+        if now < self._updated_at + _MIN_UPDATE_INTERVALS * interval_s:
+            return []
+        self._updated_at = now
         self._table.update(now, self._engine_targets(), interval_s)
         at, allowance = self._log_allowance
         allowance = min(float(_LOG_LINES_S), allowance + (now - at) * _LOG_LINES_S)
