Target speeds: pauses are computed once a decision; longer windows in large fleets

At 360 nodes the factor of a slow period is known when the period is over. Change: decide computes the pauses once. The window of gaps is at least 1.1 intervals of reports: 0.15 s up to 66 nodes, 0.79 s at 360.

--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -110,7 +110,7 @@
 
 
 def choose_target(
-    policy, candidates, zone, prompt_tokens, tie_break=0.0, event_steps=0
+    policy, candidates, zone, prompt_tokens, tie_break=0.0, pauses_s=None
 ):
     """Return the best candidate and its time to the first byte, or None.
 
@@ -126,9 +126,8 @@
     prompt_tokens : int
     tie_break : float, optional
         Number in [0, 1) that spreads requests over equal targets.
-    event_steps : int, optional
-        Decoding steps of an event, to weigh the pauses of the running streams; 0 if
-        they don't matter.
+    pauses_s : dict of str to float, optional
+        Pauses of the running streams by target; by default they don't matter.
 
     Returns
     -------
@@ -142,9 +141,9 @@
         time_s = first_byte_s(policy, candidate, prompt_tokens)
         cost = time_s if candidate.zone == zone else time_s + policy.other_zone_s
         cost += 0.0 if candidate.is_connected else policy.connect_s
-        if event_steps:
-            pauses_s = pause_s(policy, candidate, prompt_tokens, event_steps)
-            cost += policy.pause_weight * candidate.running * pauses_s
+        if pauses_s is not None:
+            paused_s = candidate.running * pauses_s[candidate.target_id]
+            cost += policy.pause_weight * paused_s
         rank = (cost, (tie_break + index * _GOLDEN_RATIO) % 1.0)
         if best is None or rank < best[0]:
             best = (rank, candidate, time_s)
--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -20,26 +20,27 @@
     """Settings of the estimates; times in seconds.
 
     ``window_s`` is the age of the gaps that an estimate uses, short enough to show slow
-    periods of 0.6 s; ``long_window_s`` that of those used if prompts were read during
-    nearly all of them. Prompts lengthen gaps, so ``quantile`` is a low one. What
-    streams are silent for beyond ``silence_s``, the time of a chunk of a prompt, gives
-    a lower bound. A report names ``min_reported`` to ``max_reported`` targets,
-    ``reports_per_target`` for each target of the fleet: many nodes sample each target,
-    and the coordinator has the time for some of them.
+    periods of 0.6 s, and at least ``window_intervals`` of the time between reports, as
+    a slow period that ends before its factor is known is noise; ``long_window_s`` that
+    of those used if prompts were read during nearly all of them. Prompts lengthen gaps,
+    so ``quantile`` is a low one. What streams are silent for beyond ``silence_s``, the
+    time of a chunk of a prompt, gives a lower bound. A report names ``min_reported`` to
+    ``max_reported`` targets, ``reports_per_target`` for each target of the fleet: many
+    nodes sample each target, and the coordinator has the time for some of them.
 
     ``max_age_s`` is the age of the oldest sample that counts, and ``fresh_s`` the age
     at which its weight is a third; both are at least ``max_intervals`` and
-    ``fresh_intervals`` of the time between reports. A ratio that
-    differs from the usual one of the target by ``jump`` counts at once, a smaller
-    change within ``smooth_s`` after the first ``settled`` samples, which keeps noise of
-    equal targets within ``dead_band``. After a slow period the factor falls at most to
-    its share ``recovery`` every ``recovery_s``; after ``hold_s`` without samples it
-    drifts to 1 within some ``drift_s``. The median is of averages over
-    ``reference_s``, which few slow targets don't move. A published factor changes by
-    ``republish`` at least.
+    ``fresh_intervals`` of the time between reports. A ratio that differs from the usual
+    one of the target by ``jump`` counts at once, a smaller change within ``smooth_s``
+    after the first ``settled`` samples, which keeps noise of equal targets within
+    ``dead_band``. After a slow period the factor falls at most to its share
+    ``recovery`` every ``recovery_s``; after ``hold_s`` without samples it drifts to 1
+    within some ``drift_s``. The median is of averages over ``reference_s``, which few
+    slow targets don't move. A published factor changes by ``republish`` at least.
     """
 
     window_s: float = 0.15
+    window_intervals: float = 1.1
     long_window_s: float = 1.0
     quantile: float = 0.3
     silence_s: float = 0.25
@@ -153,7 +154,7 @@
         row.last_at = now
         row.rows.append((now, gap_s / steps, reading_until <= now - gap_s))
 
-    def estimates(self, now, reading_until=lambda target_id: 0.0):
+    def estimates(self, now, reading_until=lambda target_id: 0.0, interval_s=0.0):
         """Return the estimates of the targets that have recent samples.
 
         Parameters
@@ -161,15 +162,20 @@
         now : float
         reading_until : callable, optional
             As in ``record``, for a target.
+        interval_s : float, optional
+            Time between the reports of a node.
 
         Returns
         -------
         dict of str to SpeedSample
         """
         silences = self._silences(now, reading_until)
+        window_s = max(
+            self._policy.window_s, self._policy.window_intervals * interval_s
+        )
         estimates = {}
         for target_id, row in self._rows.items():
-            step_s, count = self._step_s(now, row)
+            step_s, count = self._step_s(now, row, window_s)
             silent_s = silences.get(target_id, 0.0) - self._policy.silence_s
             if silent_s / row.steps > step_s:
                 step_s, count = silent_s / row.steps, 0
@@ -210,14 +216,14 @@
             if target_id in targets and targets[target_id].born == row.born
         }
 
-    def _step_s(self, now, row):
+    def _step_s(self, now, row, window_s):
         """Return the estimated seconds of a step and the number of samples."""
         policy = self._policy
         clear = [(at, step_s) for at, step_s, is_clear in row.rows if is_clear]
         began_at = now - policy.long_window_s
         # At least two clear gaps, so that a single outlier counts for nothing.
         if len(clear) > 1 and clear[-2][0] > began_at:
-            began_at = min(clear[-2][0], now - policy.window_s)
+            began_at = min(clear[-2][0], now - window_s)
             steps = sorted(step_s for at, step_s in clear if at >= began_at)
             return steps[int(policy.quantile * (len(steps) - 1))], len(steps)
         if not clear or clear[-1][0] <= began_at:
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -146,7 +146,7 @@
         for node, samples in enumerate(self._samples):
             if now >= self._report_at[node]:
                 self._report_at[node] += self._interval_s
-                estimates = samples.estimates(now, reading_until)
+                estimates = samples.estimates(now, reading_until, self._interval_s)
                 counts = len(self._samples), len(target_ids)
                 self._table.record(now, samples.due(now, estimates, *counts))
         if now >= self._view_at:
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -130,12 +130,15 @@
     suitable = [
         row for row in candidates if _keeps_streams_in_time(choice, policy, job, row)
     ]
-    event_steps = 0
+    pauses_s = None
     if job.max_gap_s and any(row.factor != 1.0 for row in candidates):
-        event_steps = job.event_steps
-        suitable = _steady(choice, policy, job, suitable) or suitable
+        pauses_s = {
+            row.target_id: pause_s(choice, row, job.prompt_tokens, job.event_steps)
+            for row in suitable
+        }
+        suitable = _steady(policy, job, suitable, pauses_s) or suitable
     best = choose_target(
-        choice, suitable, zone, job.prompt_tokens, job.fraction, event_steps
+        choice, suitable, zone, job.prompt_tokens, job.fraction, pauses_s
     )
     remaining_s = job.arrived + job.first_byte_slo_s - now
     wait_s = job.give_up_at - now
@@ -202,7 +205,7 @@
     return backlog <= max(0.0, available_s - prompt_s)
 
 
-def _steady(choice, policy, job, candidates):
+def _steady(policy, job, candidates, pauses_s):
     """Return the candidates whose streams stay in time even while the prompt is read.
 
     Where targets differ in speed, a prompt that is too large for a slow one by itself
@@ -213,10 +216,7 @@
         row
         for row in candidates
         if row.factor <= policy.max_factor
-        and (
-            not row.running
-            or pause_s(choice, row, job.prompt_tokens, job.event_steps) <= longest_s
-        )
+        and (not row.running or pauses_s[row.target_id] <= longest_s)
     ]
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -131,7 +131,8 @@
         """Add samples to a report; without views, apply them."""
         now = self._clock()
         with self._lock:
-            estimates = self._samples.estimates(now, self._reading_until)
+            interval_s = exchange_interval_s(self._nodes)
+            estimates = self._samples.estimates(now, self._reading_until, interval_s)
             due = self._samples.due(now, estimates, self._nodes, len(self._targets))
             records = self._follow_views(now)
             if self._is_alone:
