--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
@@ -23,7 +23,7 @@
 SLOW_FACTOR = 2.5
 STEP_S = 0.0095
 EVENT_STEPS = 4
-# The users require that streams stay within their pause goal in 95 of 100 cases.
+# Largest share of streams that may pause for too long under a load that fits.
 LATE_GOAL = 0.05
 D960EF2_DIGEST = "baad357901fe3e24d356caa187f173b6b05e2e207152a38c4e82f1f580a0314c"
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
@@ -7,8 +7,9 @@
 from msgspec.json import Decoder
 from msgspec.json import encode as to_json
 
+from hibiscusspar.fleet.load_counts import current_load
 from hibiscusspar.fleet.messages import FleetView, NodeReport, TargetLoad
-from hibiscusspar.fleet.target_loads import joint_load, wait_s
+from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.fleet import speed_exchange
 from hibiscusspar_entry.fleet.events import SPEEDS_SOURCE, TARGET_SPEED
 from hibiscusspar_entry.fleet.request_state import RequestState
@@ -261,9 +262,9 @@
 class TestTargetLoads(unittest.TestCase):
     def test_requests_of_other_nodes_are_added(self):
         own, reported = TargetLoad(2, 100), TargetLoad(5, 900)
-        found = joint_load(own, reported, TargetLoad(1, 300))
+        found = current_load(own, reported, TargetLoad(1, 300))
         self.assertEqual(found, (6, 700))
-        self.assertEqual(joint_load(None, None, None), (0, 0))
+        self.assertEqual(current_load(None, None, None), (0, 0))
 
     def test_wait_grows_with_the_factor(self):
         load = TargetLoad(10, 9600)
