Target speeds: join events that follow each other within 60 ms

Change: a stream's gaps are measured over at least 60 ms, as the delays of its first and last event only count once.

--- a/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/target_speeds.py
@@ -19,10 +19,12 @@
 class SpeedPolicy(NamedTuple):
     """Settings of the estimates; times in seconds.
 
-    ``window_s`` is the age of the gaps that an estimate uses, short enough to show slow
-    periods of 0.6 s, and at least ``window_intervals`` of the time between reports, as
-    a slow period that ends before its factor is known is noise; ``long_window_s`` that
-    of those used if prompts were read during nearly all of them. Prompts lengthen gaps,
+    Events that follow each other sooner than ``min_gap_s`` are joined, as a busy node
+    reads them some milliseconds late. ``window_s`` is the age of the gaps that an
+    estimate uses, short enough to show slow periods of 0.6 s, and at least
+    ``window_intervals`` of the time between reports, as a slow period that ends before
+    its factor is known is noise; ``long_window_s`` that of those used if prompts were
+    read during nearly all of them. Prompts lengthen gaps,
     so ``quantile`` is a low one. What streams are silent for beyond ``silence_s``, the
     time of a chunk of a prompt, gives a lower bound. A report names ``min_reported`` to
     ``max_reported`` targets, ``reports_per_target`` for each target of the fleet: many
@@ -39,6 +41,7 @@
     slow targets don't move. A published factor changes by ``republish`` at least.
     """
 
+    min_gap_s: float = 0.06
     window_s: float = 0.15
     window_intervals: float = 1.1
     long_window_s: float = 1.0
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -6,7 +6,7 @@
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
-from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedSamples
+from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedPolicy, SpeedSamples
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar.fleet.waiting import Job, Refuse, Send, decide
 
@@ -116,9 +116,11 @@
 
     ``sampling`` is the number of these nodes, ``nodes`` that of the whole fleet, which
     determines the intervals of reports and views. Reports and views reach every node.
+    Nodes read events ``late_s`` late on average.
     """
 
-    def __init__(self, nodes, sampling):
+    def __init__(self, nodes, sampling, late_s=0.0):
+        self._late_s = late_s
         self._interval_s = exchange_interval_s(nodes)
         self._samples = [SpeedSamples() for _ in range(sampling)]
         self._report_at = [i / sampling * self._interval_s for i in range(sampling)]
@@ -126,6 +128,7 @@
         self._table = SpeedFactors()
         self._rng = Random(7)
         self._node_of = {}
+        self._sampled = {}
         self.factors = {}
 
     def factor(self, target_id):
@@ -133,12 +136,18 @@
 
     def record(self, now, stream, reading_until):
         target_id, steps = stream.sent_to, stream.job.event_steps
+        if self._late_s:
+            now += self._rng.expovariate(1.0 / self._late_s)
         if stream not in self._node_of:
             samples = self._node_of[stream] = self._rng.choice(self._samples)
             samples.begin(now, target_id, 1, steps)
-        else:
-            samples, until = self._node_of[stream], reading_until(target_id)
-            samples.record(now, target_id, 1, stream.pause_s, steps, until)
+            self._sampled[stream] = (now, stream.done)
+        samples = self._node_of[stream]
+        sampled_at, done = self._sampled[stream]
+        if now - sampled_at >= SpeedPolicy().min_gap_s:
+            until, count = reading_until(target_id), stream.done - done
+            samples.record(now, target_id, 1, now - sampled_at, count, until)
+            self._sampled[stream] = (now, stream.done)
         if stream.done >= stream.steps - steps:
             samples.end(target_id, 1)
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
@@ -151,6 +151,12 @@
                 usual = replay(load, UsualSpeeds())
                 self.assertEqual(replay(load, EstimatedSpeeds(9, 4)), usual)
 
+    def test_events_that_are_read_late_change_nothing(self):
+        # A busy node reads events some milliseconds late, at random.
+        load = Load(equal_slowness)
+        late = EstimatedSpeeds(9, 4, late_s=0.005)
+        self.assertEqual(replay(load, late), replay(load, UsualSpeeds()))
+
 
 class SamplesTestCase(unittest.TestCase):
     """One node with a stream at each of some targets."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -106,7 +106,8 @@
         """Return the pace of an attempt's stream, None for a plain service."""
         if not admitted.is_engine:
             return None
-        return StreamPace(self, placement.target, admitted.event_steps)
+        steps, min_gap_s = admitted.event_steps, self._policy.min_gap_s
+        return StreamPace(self, placement.target, steps, min_gap_s)
 
     def begin(self, now, target, event_steps):
         """Record the first event of a stream."""
@@ -289,9 +290,12 @@
     exchange : SpeedExchange
     target : Target
     event_steps : int
+    min_gap_s : float
+        Time within which events are joined.
     """
 
-    def __init__(self, exchange, target, event_steps):
+    def __init__(self, exchange, target, event_steps, min_gap_s):
+        self._min_gap_s = min_gap_s
         self._exchange = exchange
         self._target = target
         self._event_steps = event_steps
@@ -302,8 +306,10 @@
         """Record that the stream has grown to some number of whole events."""
         if self._last_at is None:
             self._exchange.begin(now, self._target, self._event_steps)
-        elif count > self._count:
+        else:
             gap_s = now - self._last_at
+            if count <= self._count or gap_s < self._min_gap_s:
+                return
             steps = (count - self._count) * self._event_steps
             self._exchange.record(now, self._target, gap_s, steps)
         self._last_at, self._count = now, count
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
@@ -230,9 +230,9 @@
         )
         state = RequestState()
         state.splitter = SimpleNamespace(count=0)
-        pace = speed_exchange.StreamPace(exchange, target("t1"), EVENT_STEPS)
+        pace = speed_exchange.StreamPace(exchange, target("t1"), EVENT_STEPS, 0.06)
         state.begin_attempt("t1", pace)
-        for now, count in ((1.0, 1), (1.5, 2), (1.75, 4)):
+        for now, count in ((1.0, 1), (1.5, 2), (1.53, 3), (1.75, 4)):
             state.splitter.count = count
             state.record_event(now)
         state.close_connection()
