Soak: engines start cold, also after each crash

Cause: no test beside random faults had targets that return cold. The entry of an engine isn't renewed while it crashes.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -23,6 +23,9 @@
 ENGINE_SOFTWARE = ("v1", "v2", "v1")
 # The same beside nodes of an older build.
 OLD_SOFTWARE = ("v1", "v1", "v1")
+# Engines are cold for so long after each start, and take so many requests a second.
+COLD_START_S = 2.0
+COLD_PER_S = 2.0
 # Time between the events of a stream, in which faults can break it.
 EVENT_GAP_S = 0.15
 _STOP_TIMEOUT_S = 12.0
@@ -30,7 +33,7 @@
 _FIRST_HOST = 10  # last part of the IP address of node 0
 
 
-def config(version, keys):
+def config(version, keys, cold_start_s=COLD_START_S):
     """Return a configuration with one account that has the keys."""
     route = {
         "host": "h.example",
@@ -56,7 +59,14 @@
             {**route, **draft, "maxAttempts": 2, "resumable": True},
             {**route, **once, "maxAttempts": 1},
         ],
-        "services": [{"name": "draft", "engine": engine}],
+        "services": [
+            {
+                "name": "draft",
+                "engine": engine,
+                "coldStartS": cold_start_s,
+                "coldPerS": COLD_PER_S,
+            }
+        ],
         "tenants": [{"name": "acme", "apiKeys": sorted(keys), **account}],
     }
 
@@ -193,12 +203,16 @@
         for engine in self.engines:
             engine.event_gap_s = EVENT_GAP_S
         self.engine_proxies = [FaultyProxy(e.address) for e in self.engines]
-        self.store.put("config", "main", config(1, {"k0"}))
+        # Nodes of older builds would crash cold engines.
+        self.cold_start_s = 0.0 if old_build else COLD_START_S
+        self.store.put("config", "main", config(1, {"k0"}, self.cold_start_s))
         # Called with an engine that has crashed.
         self.on_crash = lambda engine: None
         for engine in self.engines:
             engine.on_crash = self._end_engine
             engine.on_restart = self._register_engine
+            if self.cold_start_s:
+                engine.start_cold(self.cold_start_s, COLD_PER_S, self._put_entry)
             self._register_engine(engine, is_restart=False)
         self.old_path = python_path(old_build) if old_build else None
         self.nodes = [
@@ -218,10 +232,12 @@
         self.on_crash(engine)
 
     def _register_engine(self, engine, is_restart=True):
-        proxy = self._proxy_of(engine)
         if is_restart:
-            proxy.open_port()
-        entry = {**engine.entry(), "address": proxy.address}
+            self._proxy_of(engine).open_port()
+        self._put_entry(engine)
+
+    def _put_entry(self, engine):
+        entry = {**engine.entry(), "address": self._proxy_of(engine).address}
         self.store.put("servers", engine.target_id, entry)
 
     def _supervise(self):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -194,7 +194,8 @@
             self.withdrawn[key] = now
         else:
             self.keys.add(f"k{self._version}")
-        new_config = config(self._version, self.keys)
+        cold_start_s = self._deployment.cold_start_s
+        new_config = config(self._version, self.keys, cold_start_s)
         self._deployment.store.put("config", "main", new_config)
         return f"configuration {self._version} with {sorted(self.keys)}"
 
