Measure: the headers and settings of the platform come from its tests

Cause: the names of the platform's protocol stood outside platform/. Change: caller_headers beside the fleet of the platform's tests; a method of TargetStatements that nothing calls since the merge is removed. Result: 8 tests of test_fleet and lint pass.

--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -27,10 +27,11 @@
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
 from hibiscusspar_platform.configuration import decode_ruleset
+from hibiscusspar_platform.settings_file import CONFIG_VARIABLE
 from hibiscusspar_platform.tests import engine_stand_in
 from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
 from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
-from hibiscusspar_platform.tests.test_fleet import CONFIG, MODEL
+from hibiscusspar_platform.tests.test_fleet import CONFIG, MODEL, caller_headers
 
 __all__ = ["NodeCost", "PlayedFleet"]
 
@@ -91,7 +92,7 @@
             row = _target(f"i-{number:010x}", self._engine.address, number)
             self._targets[row.target_id] = row
         self._store = StoreStandIn()
-        self._store.put("config", "main", _config())
+        self._store.put("config", "main", CONFIG)
         for row in self._targets.values():
             entry = self._engine.entry() | {"zone": row.zone, "slots": row.slots}
             self._store.put("servers", row.target_id, entry)
@@ -151,15 +152,9 @@
     def call(self, number, events):
         """Send a request that gets a number of events, and read the answer."""
         connection = HTTPConnection(*self._front, timeout=10)
-        headers = {
-            "Host": "h.example",
-            "Authorization": "Bearer k1",
-            "X-Hibiscusspar-Request-Id": f"r{os.getpid()}-{number}-{events}",
-            "X-Hibiscusspar-Model": MODEL,
-            "X-Hibiscusspar-Token-Count": "100,10",
-        }
+        headers = caller_headers(f"r{os.getpid()}-{number}-{events}")
         engine_stand_in.EVENT_COUNT = events
-        connection.request("POST", "/x", body=b"{}", headers=headers)
+        connection.request("POST", "/draft/x", body=b"{}", headers=headers)
         response = connection.getresponse()
         body = response.read()
         connection.close()
@@ -177,7 +172,7 @@
         )
         roots = [*sorted((root / "packages").iterdir()), root / "platform"]
         environment = os.environ | {
-            "HIBISCUSSPAR_CONFIG": str(path),
+            CONFIG_VARIABLE: str(path),
             "PYTHONPATH": ":".join(map(str, roots)),
         }
         arguments = os.environ.get("MEASURED_PROGRAM", "-m hibiscusspar_platform")
@@ -224,7 +219,7 @@
             LimitExchange(clock),
             CrashExchange(clock, lambda address: False, None, lambda: False),
         )
-        coordinator.configure(decode_ruleset(_config()))
+        coordinator.configure(decode_ruleset(CONFIG))
         coordinator.set_targets(self._targets)
         coordinator.take_over({})
         return coordinator
@@ -294,11 +289,6 @@
         return probe.getsockname()[1]
 
 
-def _config():
-    route = CONFIG["routes"][0] | {"pathPrefix": "/"}
-    return CONFIG | {"routes": [route]}
-
-
 def _target(name, address, number):
     zone = ZONES[number % len(ZONES)]
     return Target(name, "draft", address, zone, 128, False, 1, 0, {MODEL: 1}, {})
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -123,14 +123,6 @@
         with self._lock:
             self._brittle.record_full(self._clock(), target)
 
-    def apply_notice(self, notice, find_target):
-        """Record what a notice tells of brittle targets.
-
-        ``find_target`` returns the target of an id, or None.
-        """
-        for target in filter(None, map(find_target, notice.full)):
-            self.record_full(target)
-
     def is_closed(self, target, permitted=False):
         """Return whether a target wants no requests of this node now.
 
