--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -110,13 +110,16 @@
     are admitted. ``room_per_s`` is the number of prompt tokens a second that callers
     who return may bring, ``booked`` the number that they were told to bring, by steps
     of half a second. ``age_s`` is the age of the demand that the level was derived
-    from.
+    from. ``floor`` is the share that each priority gets at least,
+    ``refused_per_s`` the number of prompt tokens a second refused for lack of room.
     """
 
     shares: dict[int, float]
     room_per_s: float
     booked: list[int]
     age_s: float
+    floor: float = 0.0
+    refused_per_s: float = 0.0
 
 
 class NodeReport(Struct, tag="report"):
@@ -141,7 +144,8 @@
     decoding step and the number of samples. ``asked`` holds the prompt tokens that were
     asked for, sent, and refused for lack of room since the process started, by service
     and priority. ``booked`` holds the prompt tokens that callers were told to return
-    with, by service and steps of half a second from now on.
+    with, by service and steps of half a second from now on. ``waiting`` holds the
+    prompt tokens that wait for room, by service, where priorities differ.
     """
 
     node: str
@@ -166,6 +170,7 @@
     speeds: dict[str, tuple[int, float, int]] = {}
     asked: dict[str, dict[int, tuple[int, int, int]]] = {}
     booked: dict[str, list[int]] = {}
+    waiting: dict[str, int] = {}
 
 
 class FleetView(Struct, tag="view"):
--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -0,0 +1,244 @@
+"""Replay of arrivals at engines of different speeds, decided by the pure decisions."""
+
+from random import Random
+from typing import NamedTuple
+
+from hibiscusspar.fleet.fanout import exchange_interval_s
+from hibiscusspar.fleet.prompt_queue import PromptQueues
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
+from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedPolicy, SpeedSamples
+from hibiscusspar.fleet.targets import Target
+from hibiscusspar.fleet.waiting import Job, Refuse, Send, decide
+
+__all__ = ["EstimatedSpeeds", "Load", "Outcome", "UsualSpeeds", "make_target", "replay"]
+
+CHOICE = ChoicePolicy()
+TICK_S = 0.02
+# Time between views, which tell the decisions how many prompt tokens are queued.
+VIEW_S = 0.16
+CHUNK_TOKENS = 4096
+STEP_S = 0.0095
+STEP_REQUEST_S = 0.00002
+
+
+class Load(NamedTuple):
+    """Arrivals of streams; ``slowness`` returns the factor of a target at a time.
+
+    Each adapter is resident at ``copies`` targets.
+    """
+
+    slowness: object
+    targets: int = 9
+    copies: int = 4
+    per_s: float = 24.0
+    seconds: float = 30.0
+    event_steps: int = 4
+    max_gap_s: float = 0.3
+    first_byte_s: float = 1.0
+    seed: int = 1
+
+
+class Outcome(NamedTuple):
+    """Result of a stream; the longest pause is None if it was refused."""
+
+    arrived: float
+    target_id: str
+    first_byte_s: float
+    longest_pause_s: float | None
+
+
+class _Stream:
+    def __init__(self, job, sent_to, steps):
+        self.job, self.sent_to, self.steps = job, sent_to, steps
+        self.tokens = job.prompt_tokens
+        self.done = 0
+        self.first_at = self.last_at = None
+        self.longest_pause_s = 0.0
+
+    def step(self, now):
+        """Decode one step and return whether it ends an event."""
+        self.done += 1
+        if self.done % self.job.event_steps:
+            return False
+        self.pause_s, self.last_at = now - (self.last_at or now), now
+        self.first_at = self.first_at or now
+        self.longest_pause_s = max(self.longest_pause_s, self.pause_s)
+        return True
+
+
+class _Engine:
+    def __init__(self, target_id):
+        self.target_id = target_id
+        self.prompts, self.streams = [], []
+        self.reported_tokens = 0
+        self.busy_until = 0.0
+
+    def advance(self, now, load, speeds, reading_until):
+        """Run the steps that begin before a time and return the streams that ended."""
+        ended = []
+        while self.busy_until < now and (self.prompts or self.streams):
+            room, ready = CHUNK_TOKENS, []
+            while self.prompts and room:
+                read = min(room, self.prompts[0].tokens)
+                self.prompts[0].tokens -= read
+                room -= read
+                if not self.prompts[0].tokens:
+                    ready.append(self.prompts.pop(0))
+            seconds = (CHUNK_TOKENS - room) / CHOICE.prompt_tokens_s
+            seconds += STEP_S + STEP_REQUEST_S * len(self.streams)
+            self.busy_until += seconds * load.slowness(self.target_id, self.busy_until)
+            self.streams += ready
+            for stream in self.streams:
+                if stream.step(self.busy_until):
+                    speeds.record(self.busy_until, stream, reading_until)
+            ended += [row for row in self.streams if row.done >= row.steps]
+            self.streams = [row for row in self.streams if row.done < row.steps]
+        self.busy_until = max(self.busy_until, now)
+        return ended
+
+
+class UsualSpeeds:
+    """Decisions assume the usual times for all targets."""
+
+    def factor(self, target_id):
+        """Return the factor of a target that decisions use."""
+        return 1.0
+
+    def record(self, now, stream, reading_until):
+        """Record an event of a stream."""
+
+    def tick(self, now, target_ids, reading_until):
+        """Exchange what was recorded."""
+
+
+class EstimatedSpeeds(UsualSpeeds):
+    """Estimates of some nodes, each of which sees the events of its own streams.
+
+    ``sampling`` is the number of these nodes, ``nodes`` that of the whole fleet, which
+    determines the intervals of reports and views. Reports and views reach every node.
+    Nodes read events ``late_s`` late on average.
+    """
+
+    def __init__(self, nodes, sampling, late_s=0.0):
+        self._late_s = late_s
+        self._interval_s = exchange_interval_s(nodes)
+        self._samples = [SpeedSamples() for _ in range(sampling)]
+        self._report_at = [i / sampling * self._interval_s for i in range(sampling)]
+        self._view_at = 0.0
+        self._table = SpeedFactors()
+        self._rng = Random(7)
+        self._node_of = {}
+        self._sampled = {}
+        self.factors = {}
+
+    def factor(self, target_id):
+        return self.factors.get(target_id, 1.0)
+
+    def record(self, now, stream, reading_until):
+        target_id, steps = stream.sent_to, stream.job.event_steps
+        if self._late_s:
+            now += self._rng.expovariate(1.0 / self._late_s)
+        if stream not in self._node_of:
+            samples = self._node_of[stream] = self._rng.choice(self._samples)
+            samples.begin(now, target_id, 1, steps)
+            self._sampled[stream] = (now, stream.done)
+        samples = self._node_of[stream]
+        sampled_at, done = self._sampled[stream]
+        if now - sampled_at >= SpeedPolicy().min_gap_s:
+            until, count = reading_until(target_id), stream.done - done
+            samples.record(now, target_id, 1, now - sampled_at, count, until)
+            self._sampled[stream] = (now, stream.done)
+        if stream.done >= stream.steps - steps:
+            samples.end(target_id, 1)
+
+    def tick(self, now, target_ids, reading_until):
+        for node, samples in enumerate(self._samples):
+            if now >= self._report_at[node]:
+                self._report_at[node] += self._interval_s
+                estimates = samples.estimates(now, reading_until, self._interval_s)
+                counts = len(self._samples), len(target_ids)
+                self._table.record(now, samples.due(now, estimates, *counts))
+        if now >= self._view_at:
+            self._view_at = now + self._interval_s
+            targets = {name: make_target(name) for name in target_ids}
+            self._table.update(now, targets, self._interval_s)
+            self.factors = self._table.factors
+
+
+def make_target(target_id, born=1, service="draft"):
+    """Return a target of a service with an engine."""
+    return Target(target_id, service, "", "z1", 128, False, born, 0, {}, {})
+
+
+def replay(load, speeds):
+    """Return the outcomes of a load whose decisions use some speeds."""
+    rng = Random(load.seed)
+    engines = {f"t{n}": _Engine(f"t{n}") for n in range(load.targets)}
+    queues = PromptQueues(CHOICE.prompt_tokens_s)
+    waiting, outcomes = [], []
+    now = next_at = view_at = 0.0
+    while now < load.seconds or any(e.prompts or e.streams for e in engines.values()):
+        now += TICK_S
+        while next_at < min(now, load.seconds):
+            tokens = min(6000, int(rng.lognormvariate(6.8, 0.7)))
+            held = rng.sample(sorted(engines), load.copies)
+            waiting.append((_job(load, next_at, tokens, rng), held))
+            next_at += rng.expovariate(load.per_s)
+        for engine in engines.values():
+            for stream in engine.advance(now, load, speeds, queues.done_at):
+                outcomes.append(_outcome(stream))
+        if now >= view_at:
+            view_at = now + VIEW_S
+            for engine in engines.values():
+                engine.reported_tokens = sum(row.tokens for row in engine.prompts)
+        speeds.tick(now, engines, queues.done_at)
+        undecided = []
+        for (job, steps), held in waiting:
+            rows = [_candidate(now, engines[name], queues, speeds) for name in held]
+            decision = decide(now, job, rows, "z1")
+            if isinstance(decision, Send):
+                sent_to = decision.target_id
+                engines[sent_to].prompts.append(_Stream(job, sent_to, steps))
+                tokens = job.prompt_tokens
+                queues.record_send(now, sent_to, tokens, speeds.factor(sent_to))
+            elif isinstance(decision, Refuse):
+                outcomes.append(Outcome(job.arrived, "", now - job.arrived, None))
+            else:
+                undecided.append(((job, steps), held))
+        waiting = undecided
+    return outcomes
+
+
+def _job(load, at, tokens, rng):
+    job = Job(
+        "r",
+        "draft",
+        ("m", "a"),
+        1,
+        tokens,
+        at,
+        load.first_byte_s,
+        at + 1.5 * load.first_byte_s,
+        rng.random(),
+        load.max_gap_s,
+        load.event_steps,
+    )
+    return job, rng.randrange(80, 400)
+
+
+def _outcome(stream):
+    first_s = stream.first_at - stream.job.arrived
+    pause_s = stream.longest_pause_s
+    return Outcome(stream.job.arrived, stream.sent_to, first_s, pause_s)
+
+
+def _candidate(now, engine, queues, speeds):
+    return Candidate(
+        engine.target_id,
+        "z1",
+        128,
+        len(engine.prompts) + len(engine.streams),
+        engine.reported_tokens,
+        queues.backlog_s(now, engine.target_id),
+        factor=speeds.factor(engine.target_id),
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -7,6 +7,7 @@
 from msgspec import Raw
 from msgspec.json import encode as to_json
 
+from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
@@ -25,9 +26,10 @@
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, first_byte_s
 from hibiscusspar.fleet.software_index import join_software
+from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
@@ -54,9 +56,6 @@
 _MAX_AGE_S = 1e6
 # Intervals of reports after which a node may have failed.
 _STALE_INTERVALS = 1.5
-# Assumed time in seconds until a target with no free slot has one.
-_FULL_TARGET_WAIT_S = 1.0
-_CHOICE_POLICY = ChoicePolicy()
 
 
 class Coordinator:
@@ -84,8 +83,11 @@
         Limits that targets have named.
     crashes : CrashExchange
         Requests that crash targets.
+    speeds : SpeedExchange
+        Speeds of targets, from the samples of all nodes.
     cold : ColdExchange, optional
         Cold targets.
+    admission : AdmissionLevels, optional
     """
 
     def __init__(
@@ -103,7 +105,9 @@
         ages,
         limits,
         crashes,
+        speeds,
         cold=None,
+        admission=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -130,7 +134,9 @@
         self._peer_rotation = EntryRotation()
         self._limits = limits
         self._crashes = crashes
+        self._speeds = speeds
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
+        self._admission = admission or AdmissionLevels()
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -191,6 +197,7 @@
             self._planner.sync(self._engine_targets())
             self._levels.reset(self._clock(), levels)
             self._permits.reset()
+            self._speeds.take_over()
 
     def step_down(self):
         """Become inactive.
@@ -217,6 +224,7 @@
                 now, report.node, report.start, report.used, report.denied
             )
             self._limits.apply_rows(report.limits, report.node)
+            self._speeds.apply_report(report)
             for target_id, (in_use, started) in changes.items():
                 self._planner.used(now, target_id, in_use)
                 self._planner.record_starts(now, started)
@@ -278,8 +286,8 @@
                 now,
                 self._orderable_targets(now),
                 self._wants(now),
-                self._backlogs(now),
-                self._reports.in_use(now),
+                DeferredDict(self._backlogs, now),
+                DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
@@ -358,6 +366,8 @@
                 for name, rate in self._levels.asked_rates(now).items()
             },
             cold=self._permits.due_cold(self._number),
+            speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
+            admission=self._admission.update(now, self._reports.fresh(now)),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -388,10 +398,7 @@
             write_records([(ROWS_CHANGED, fields)])
 
     def _due_peers(self):
-        peers = {
-            record.report.node: (record.report.zone, "{}:{}".format(*record.address))
-            for record in self._reports.records
-        }
+        peers = self._reports.peers
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
@@ -438,18 +445,14 @@
             target_id: self._backlog_s(target_id, load)
             for target_id, load in self._reports.loads(now).items()
         }
-        for target_id, wait_s in self._permits.waits().items():
-            backlogs[target_id] = backlogs.get(target_id, 0.0) + wait_s
+        for target_id, limit_s in self._permits.waits().items():
+            backlogs[target_id] = backlogs.get(target_id, 0.0) + limit_s
         return backlogs
 
     def _backlog_s(self, target_id, load):
-        """Return the seconds until a new request at a target would be served."""
-        candidate = Candidate(target_id, "", 0, load.running, load.queued_prompt_tokens)
         target = self._targets.get(target_id)
-        max_running = _CHOICE_POLICY.max_running
-        if target is not None and load.running >= min(max_running, target.slots):
-            return first_byte_s(_CHOICE_POLICY, candidate, 0) + _FULL_TARGET_WAIT_S
-        return first_byte_s(_CHOICE_POLICY, candidate, 0)
+        slots = target.slots if target is not None else None
+        return wait_s(load, slots, self._speeds.factor(target_id))
 
     def _wants(self, now):
         wants = self._reports.wants(now)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ADAPTER_ORDERED",
     "ADAPTER_VERSION",
+    "ADMISSION_LEVEL",
     "BACKGROUND_FAILED",
     "CALL_ANSWERED",
     "CALL_BROKEN",
@@ -31,6 +32,7 @@
     "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
+    "SPEEDS_SOURCE",
     "STORE_LOST",
     "STORE_REGAINED",
     "TARGETS_COLD",
@@ -41,6 +43,7 @@
     "TARGET_LIMIT",
     "TARGET_RESTS",
     "TARGET_SAYS_IT_LEAVES",
+    "TARGET_SPEED",
     "VIEWS_MISSED",
     "VIEW_OUT_OF_ORDER",
     "ZONE_EVACUATED",
@@ -354,3 +357,45 @@
     "A target's statement of how long it stays cold can't be used; it is presumed cold "
     "for `presumed_s`.",
 )
+TARGET_SPEED = declare(
+    664,
+    "node.target_speed",
+    (
+        "target",
+        "born",
+        "factor",
+        "before",
+        "step_s",
+        "usual_s",
+        "samples",
+        "age_s",
+        "source",
+    ),
+    "The factor of a target on the usual times has changed by half or more since the "
+    "last line about it: `step_s` against `usual_s`, the median of its service, from "
+    "`samples` gaps, the newest `age_s` old. `source` is `reports` at the coordinator.",
+)
+SPEEDS_SOURCE = declare(
+    665,
+    "node.speeds_source",
+    ("source", "view_age_s", "factors"),
+    "Decisions use the speeds of targets from `views`, or from `own samples` because "
+    "no view has arrived lately; `factors` targets aren't at the usual speed.",
+)
+ADMISSION_LEVEL = declare(
+    670,
+    "node.admission_level",
+    (
+        "service",
+        "shares",
+        "asked_per_s",
+        "capacity_per_s",
+        "missing",
+        "room_per_s",
+        "age_s",
+    ),
+    "This coordinator has all nodes admit these shares of the requests to a service, "
+    "by priority; null if the pressure has ended. Changes of less than 0.1 aren't "
+    "logged. `missing` counts the prompt tokens that were refused in the last second "
+    "or wait for room, `room_per_s` those that returning callers may bring.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -19,13 +19,15 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.coordinator_loss import CoordinatorLoss
 from hibiscusspar_entry.fleet.events import (
-    COORDINATOR_LOST,
     NODE_DRAINING,
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
+from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
 from hibiscusspar_entry.fleet.view_sequence import ViewSequence
 
 __all__ = ["FleetNode", "FleetParts"]
@@ -46,8 +48,6 @@
 # Time after the start for which the first view is awaited before the leases of the
 # zones' duties are read.
 _FIRST_VIEW_S = 1.5
-# Silence after which the coordinator is logged as lost.
-_COORDINATOR_LOST_S = 1.5
 # Pause after a store call without an answer, far shorter than the store's outages.
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
@@ -69,6 +69,7 @@
     limits: Any
     statements: Any
     cold: Any
+    speeds: Any
     origins: Any
     crashes: Any
     call_later: Any
@@ -127,13 +128,21 @@
         self._unheld_since = {}
         self._started_at = parts.clock()
         self._store_retry_at = 0.0
-        self._loss_logged = False
+        self._loss = CoordinatorLoss(parts.election)
         self._stopping = threading.Event()
         self._coordinator_address = None
         parts.request_scheduler.request_report = self._report_requested.set
         self._notice_sender = NoticeSender(
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
+        self._lease_task = PeriodicTask("lease", self._lease_step, self._lease_pause_s)
+        quarantine_store = parts.quarantine_store
+        self._quarantine_task = PeriodicTask(
+            "quarantine store", quarantine_store.step, quarantine_store.pause_s
+        )
+        tick_task = PeriodicTask("tick", self._tick, self._tick_s)
+        self._tasks = (self._lease_task, self._quarantine_task, tick_task)
+        self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
@@ -143,6 +152,8 @@
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
         self._stopping.set()
+        for task in self._tasks:
+            task.close()
         self._front.stop()
         for server in self._status_servers:
             server.stop()
@@ -159,14 +170,9 @@
         self._channel.start()
         for watch in parts.watches:
             watch.start()
-        tasks = (
-            self._run_leases,
-            lambda: parts.quarantine_store.run(self._stopping),
-            self._run_reports,
-            self._run_ticks,
-            self._notice_sender.run,
-        )
-        for task in tasks:
+        for task in self._tasks:
+            task.start()
+        for task in (self._run_reports, self._notice_sender.run):
             threading.Thread(target=task, daemon=True).start()
         self._front.start()
         fields = {
@@ -244,19 +250,14 @@
 
     def receive(self, message, address):
         """Handle a message of another node."""
-        if isinstance(message, FleetView):
+        if isinstance(message, SendNotice):
+            self._notice_receiver.receive(message, address)
+        elif isinstance(message, FleetView):
             self._apply_view(message)
         elif isinstance(message, NodeReport):
             self._coordinator.handle_report(message, address)
             self._parts.crashes.apply_report(message)
             self._parts.cold.apply_rows(message.cold, message.node)
-        elif isinstance(message, SendNotice):
-            self._notice_sender.relay(message)
-            self._parts.request_scheduler.apply_notice(message)
-            self._parts.origins.apply_notice(message, address)
-            self._parts.path_watch.apply_notice(message, address)
-            self._parts.config_relay.apply_notice(message, address)
-            self._parts.statements.apply_notice(message, self._parts.path_watch.target)
         elif isinstance(message, PermitGrant):
             self._parts.request_scheduler.apply_permits(message)
         elif isinstance(message, OrderRequest):
@@ -297,6 +298,7 @@
                 "store_failures": self._parts.store_backoff.failures,
                 "directory_differs": self._parts.relayed_state.directory_differs,
                 "evacuated_zones": self._parts.relayed_state.evacuated_zones,
+                **self._parts.speeds.counts,
             }
         )
 
@@ -337,10 +339,12 @@
         if view.fence < self._fence or not self._view_sequence.accept(view):
             return
         self._fence = view.fence
-        self._is_coordinator_leased = view.leased
-        self._held_duties = frozenset(view.held)
+        held = frozenset(view.held)
+        if (view.leased, held) != (self._is_coordinator_leased, self._held_duties):
+            self._lease_task.wake()
+        self._is_coordinator_leased, self._held_duties = view.leased, held
         self._coordinator_address = parse_address(view.address)
-        self._loss_logged = False
+        self._loss.record_view()
         if view.start != parts.start:
             parts.cold.apply_view(view)
         if parts.relayed_state.apply_view(view, parts.settings.node):
@@ -351,6 +355,7 @@
         addresses = parts.peers.direct_addresses(parts.clock(), parts.settings.zone)
         parts.request_scheduler.direct_peers = len(addresses)
         parts.crashes.apply_view(view, parts.settings.node)
+        parts.speeds.apply_view(view)
         acked_used = parts.request_scheduler.apply_view(view)
         with parts.quota_changed:
             parts.quota.apply_view(
@@ -358,12 +363,22 @@
             )
             parts.quota_changed.notify_all()
 
-    def _run_leases(self):
-        while not self._stopping.wait(_LEASE_TICK_S):
-            try:
-                self._lease_step()
-            except Exception as error:  # noqa: BLE001
-                log_failure("lease", error)
+    def _lease_pause_s(self):
+        """Return the time until the next check of the leases, in seconds.
+
+        While others hold all duties, only the silence of the coordinator or a view
+        that tells otherwise, which ends the pause, makes a check necessary.
+        """
+        parts = self._parts
+        if (
+            self._was_leader
+            or any(keeper.election.leads for keeper in parts.lease_keepers)
+            or not self.has_active_coordinator
+            or not self._held_duties.issuperset(parts.settings.zones)
+        ):
+            return _LEASE_TICK_S
+        silent_in_s = _COORDINATOR_SILENT_S - parts.request_scheduler.view_age_s
+        return max(_LEASE_TICK_S, silent_in_s)
 
     def _lease_step(self):
         parts = self._parts
@@ -380,6 +395,8 @@
 
     def _switch_role(self, leads):
         self._parts.relayed_state.set_source(leads)
+        for task in (self._quarantine_task, *self._parts.watches):
+            task.wake()
         if leads:
             with self._parts.quota_changed:
                 levels = dict(self._parts.quota.levels)
@@ -411,6 +428,7 @@
         report.cold = parts.cold.report_rows()
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
+        parts.speeds.complete_report(report)
         if parts.election.leads:
             self._coordinator.handle_report(
                 report, parse_address(self._channel.address)
@@ -418,13 +436,6 @@
         elif self._coordinator_address is not None:
             self._channel.send(self._coordinator_address, report)
 
-    def _run_ticks(self):
-        while not self._stopping.wait(self._tick_s()):
-            try:
-                self._tick()
-            except Exception as error:  # noqa: BLE001
-                log_failure("tick", error)
-
     def _tick_s(self):
         parts = self._parts
         is_busy = parts.request_scheduler.has_waiting or parts.election.leads
@@ -441,12 +452,4 @@
                 self._view_requested.clear()
                 self._coordinator.send_views()
             self._coordinator.tick()
-        age_s = self._parts.request_scheduler.view_age_s
-        if age_s is not None and age_s > _COORDINATOR_LOST_S and not self._loss_logged:
-            self._loss_logged = True
-            record = self._parts.election.record
-            fields = {
-                "machine": record.machine if record else "",
-                "silent_s": round(age_s, 3),
-            }
-            write_records([(COORDINATOR_LOST, fields)])
+        self._loss.check(self._parts.request_scheduler.view_age_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -20,6 +20,9 @@
 
 # Number of reports whose time of sending is kept.
 _KEPT_REPORTS = 128
+# Pauses between looks whether the store must be read, in seconds.
+_MIN_PAUSE_S = 0.12
+_MAX_PAUSE_S = 1.0
 # Targets that a log line lists at most.
 _LOGGED_TARGETS = 8
 
@@ -62,6 +65,9 @@
         self._report_sent_at = {}
         self._copy = DirectoryCopy()
         self._copy_as_of = None
+        # Targets of the last view, and the state of the view that they were made from.
+        self._view_targets = None
+        self._targets_state = None
         self._view = None
         self._view_as_of = None
         self._is_source = False
@@ -104,8 +110,37 @@
         Returns
         -------
         bool
-            Whether the store holds a newer configuration, which views don't carry.
+            Whether this node must read the store now or sooner than it had to before,
+            also because the store holds a newer configuration, which views don't carry.
         """
+        ends_at = self._relayed_until()
+        must_read = self._apply_view(view, node)
+        return must_read or self._relayed_until() < max(ends_at, self._clock())
+
+    def _relayed_until(self):
+        """Return the time at which the store must be read, in the past if it is due.
+
+        Without further views, what the last one tells becomes too old by then.
+        """
+        with self._lock:
+            view, as_of, copy_as_of = self._view, self._view_as_of, self._copy_as_of
+        ruleset = self._config.ruleset
+        if view is None or None in (as_of, copy_as_of, ruleset) or self._is_source:
+            return float("-inf")
+        if ruleset.version < view.config_version:
+            return float("-inf")
+        return min(
+            as_of + self._limits.config_s - view.config_age_s,
+            as_of + self._limits.directory_s - view.directory_age_s,
+            copy_as_of + self._limits.directory_s,
+        )
+
+    def relayed_for_s(self):
+        """Return the time after which the store may have to be read, in seconds."""
+        left_s = self._relayed_until() - self._clock()
+        return min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, left_s))
+
+    def _apply_view(self, view, node):
         now = self._clock()
         with self._lock:
             self._view = view
@@ -115,8 +150,8 @@
             self._copy.apply_view(view)
             # Nodes of older builds don't send the software of targets, so the directory
             # is read from the store while one of them coordinates.
-            rows = self._copy.rows if view.software is not None else None
-            if rows is not None and sent_at is not None:
+            targets = self._relayed_targets(view)
+            if targets is not None and sent_at is not None:
                 self._copy_as_of = sent_at - view.directory_age_s
             records = self._log_differences(now, view)
         write_records(records)
@@ -129,12 +164,7 @@
             at = sent_at - view.evacuation_age_s
             self._evacuations.apply_relayed(view.evacuated, at, origin)
         age_s = view.directory_age_s + now - sent_at
-        if age_s < self._limits.directory_s and rows is not None:
-            software = split_software(view.software, view.software_index)
-            targets = [
-                _target(row, version)
-                for row, version in zip(rows, software, strict=True)
-            ]
+        if age_s < self._limits.directory_s and targets is not None:
             self._targets.apply_relayed(targets, now - age_s, origin)
         ruleset = self._config.ruleset
         known = ruleset.version if ruleset is not None else 0
@@ -179,6 +209,23 @@
             and view.directory_age_s + self._view_age_s < self._limits.directory_s
         )
 
+    def _relayed_targets(self, view):
+        """Return the targets of a view, or None if it doesn't tell all of them.
+
+        The list is the same object as for the last view if nothing has changed.
+        """
+        if view.software is None or self._copy.differing:
+            return None
+        state = (self._copy.revision, view.software, view.software_index)
+        if state != self._targets_state:
+            software = split_software(view.software, view.software_index)
+            self._targets_state = state
+            self._view_targets = [
+                _target(row, version)
+                for row, version in zip(self._copy.rows, software, strict=True)
+            ]
+        return self._view_targets
+
     def _log_differences(self, now, view):
         """Return a log line if the copy begins or ends to differ from the view."""
         differing = self._copy.differing
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -4,10 +4,10 @@
 import threading
 from collections import Counter, deque
 
+from hibiscusspar.fleet.load_counts import current_load
 from hibiscusspar.fleet.messages import (
     NodeReport,
     TargetLoad,
-    Want,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import decision_interval_s
@@ -16,15 +16,11 @@
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.stream_origins import may_continue
-from hibiscusspar.fleet.waiting import (
-    Send,
-    Wait,
-    decide,
-    job_sort_key,
-    wait_for_open_target,
-)
+from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
+from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
 
 __all__ = ["RequestScheduler"]
@@ -61,9 +57,13 @@
         Time for which an older version of an adapter may serve after a newer one was
         announced.
     gate : TargetGate
+    admission : AdmissionGate, optional
+        By default one for services with one priority each.
     """
 
-    def __init__(self, node, start, zone, clock, ejection, version_grace_s, gate):
+    def __init__(
+        self, node, start, zone, clock, ejection, version_grace_s, gate, admission=None
+    ):
         self.lock = threading.Lock()
         self.zone = zone
         self._node = node
@@ -87,6 +87,7 @@
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._gate = gate
+        self._admission = admission or AdmissionGate()
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
@@ -97,6 +98,8 @@
         self.on_sent = lambda target, tokens: None
         # Returns a refusal if no target of a service may be used, else None.
         self.refusal = lambda service: None
+        # Returns the factor of a target on the usual times.
+        self.factor = lambda target_id: 1.0
 
     @property
     def view_age_s(self):
@@ -118,6 +121,10 @@
                 for service in ruleset.services.values()
             }
 
+    def reading_until(self, target_id):
+        """Return the time until which a target reads the prompts known here."""
+        return self._prompt_queues.done_at(target_id)
+
     def set_targets(self, targets):
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
@@ -185,10 +192,12 @@
             self._view_received_at = now
             self._acked_loads, used = self._acked_report()
             self._gate.apply_view(now, view)
+            self._admission.apply_view(now, view, self._node)
             self._residency.apply_view(now, view)
             for target_id in view.loads:
-                if target_id in self._targets:
-                    candidate = self._candidate(now, self._targets[target_id])
+                # Without queued prompts a report raises no backlog.
+                if target_id in self._targets and self._load_of_all(target_id)[1]:
+                    candidate = self._candidate(now, self._targets[target_id], False)
                     reported_s = backlog_s(_CHOICE_POLICY, candidate)
                     self._prompt_queues.record_report(now, target_id, reported_s)
             return used
@@ -199,7 +208,8 @@
             now = self._clock()
             for target_id, tokens in notice.sends:
                 if target_id in self._targets:
-                    self._prompt_queues.record_send(now, target_id, tokens)
+                    factor = self.factor(target_id)
+                    self._prompt_queues.record_send(now, target_id, tokens, factor)
             for load in notice.loads:
                 self._residency.apply_load(now, load)
                 if load.waiting <= _FEW_WAITING:
@@ -208,10 +218,11 @@
 
     def submit(self, job):
         """Add a request and return its ticket, which may be decided already."""
-        ticket = Ticket(job)
         with self.lock:
             now = self._clock()
-            if not self._decide(now, ticket):
+            ticket = Ticket(self._admission.enter(now, job))
+            must_yield = self._admission.must_yield(now, job, self._busy_jobs)
+            if must_yield or not self._decide(now, ticket):
                 self._waiting.append(ticket)
         if not ticket.decided.is_set():
             self.request_report()
@@ -312,7 +323,7 @@
                 [ticket.job for ticket in self._waiting],
                 lambda job: self._usable_versions(now, job),
             )
-            return NodeReport(
+            report = NodeReport(
                 node=self._node,
                 start=self._start,
                 zone=self.zone,
@@ -323,13 +334,20 @@
                     for target_id, keys in self._started_counts.items()
                     if keys
                 },
-                wants=self._wants(),
+                wants=group_wants(
+                    [ticket.job for ticket in self._waiting],
+                    self.zone,
+                    lambda job: bool(self._candidates(now, job)[0]),
+                    lambda job: self._excluded_from_loads(now, job),
+                ),
                 used=dict(used),
                 duties=duties or {},
                 lacked_residency=self._residency.lacked[:_MAX_REQUESTED],
                 limits=self._gate.report_rows(permit_demand),
                 permit_demand=permit_demand,
             )
+            self._admission.complete_report(now, report, self._busy_jobs)
+            return report
 
     @property
     def has_waiting(self):
@@ -342,6 +360,11 @@
             running = sum(load.running for load in self._loads.values())
             return len(self._waiting), len(self._targets), running
 
+    @property
+    def _busy_jobs(self):
+        """Jobs that wait for room at a target."""
+        return [t.job for t in self._waiting if t.waits_for == "busy"]
+
     @property
     def _fence(self):
         return self._view.fence if self._view else 0
@@ -362,7 +385,7 @@
         if self._waiting and now >= self._next_decision_at:
             interval_s = decision_interval_s(self.direct_peers, self._rng.random())
             self._next_decision_at = now + interval_s
-            self._waiting.sort(key=lambda ticket: job_sort_key(now, ticket.job))
+            self._waiting.sort(key=lambda t: self._admission.sort_key(now, t.job))
             taken = set()
             self._waiting = [
                 ticket
@@ -397,8 +420,11 @@
             remaining = self._usable_targets(now, job)
             wait_s = self._gate.wait_s(now, remaining)
             decision = wait_for_open_target(now, job, wait_s)
+        decision = self._admission.review(now, job, decision)
         if isinstance(decision, Wait):
+            ticket.waits_for = decision.reason
             return False
+        self._admission.record(now, job, decision)
         if not isinstance(decision, Send):
             ticket.resolve(decision)
             return True
@@ -418,7 +444,10 @@
             self._in_use.setdefault(target.target_id, Counter())[job.key] += 1
             self._started_counts.setdefault(target.target_id, Counter())[job.key] += 1
         if self._has_engine.get(target.service):
-            self._prompt_queues.record_send(now, target.target_id, job.prompt_tokens)
+            factor = self.factor(target.target_id)
+            self._prompt_queues.record_send(
+                now, target.target_id, job.prompt_tokens, factor
+            )
             self.on_sent(target, job.prompt_tokens)
         if taken is not None:
             taken.add(target.target_id)
@@ -457,6 +486,8 @@
 
     def _ejected(self, now, service):
         """Return the targets of a service that are ejected now."""
+        if self._ejection.is_empty:
+            return frozenset()
         return self._ejection.excluded(now, sorted(self._service_targets(service)))
 
     def _service_targets(self, service):
@@ -482,32 +513,27 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._service_targets(job.service) - usable | closed)
 
-    def _candidate(self, now, target):
+    def _candidate(self, now, target, for_choice=True):
         target_id = target.target_id
-        own = self._loads.get(target_id)
-        running, queued = (own.running, own.queued_prompt_tokens) if own else (0, 0)
-        reported = self._view.loads.get(target_id) if self._view else None
-        if reported is not None:
-            own_reported = self._own_reported_load(target_id)
-            running += max(0, reported.running - own_reported.running)
-            queued += max(
-                0, reported.queued_prompt_tokens - own_reported.queued_prompt_tokens
-            )
+        running, queued = self._load_of_all(target_id)
         is_engine = self._has_engine.get(target.service)
         queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
             target_id,
             target.zone,
-            self._gate.usable_slots(target, queue_slots),
+            self._gate.usable_slots(target, queue_slots) if for_choice else 0,
             running,
-            max(0, queued),
+            queued,
             self._prompt_queues.backlog_s(now, target_id),
-            self.is_connected(target),
+            for_choice and self.is_connected(target),
+            self.factor(target_id) if is_engine else 1.0,
         )
 
-    def _own_reported_load(self, target_id):
-        """Return this node's share of a target's load as counted in the last view."""
-        return self._acked_loads.get(target_id) or TargetLoad(0, 0)
+    def _load_of_all(self, target_id):
+        """Return the running requests and queued prompt tokens of a target."""
+        reported = self._view.loads.get(target_id) if self._view else None
+        acked = self._acked_loads.get(target_id)
+        return current_load(self._loads.get(target_id), reported, acked)
 
     def _usable_version(self, now, target, key):
         """Return the version that a target serves of a model or adapter.
@@ -540,32 +566,3 @@
                 return copy
         version = target.adapters.get(key)
         return None if version is None else (version, 0.0)
-
-    def _wants(self):
-        groups = {}
-        now = self._clock()
-        for ticket in self._waiting:
-            job = ticket.job
-            if job.key[1]:
-                group = (job.service, job.key, job.software)
-                groups.setdefault(group, []).append(job)
-        wants = []
-        for (service, key, _), jobs in groups.items():
-            candidates, _ = self._candidates(now, jobs[0])
-            tokens = sum(job.prompt_tokens for job in jobs)
-            priority = min(job.priority for job in jobs)
-            model, adapter = key
-            wants.append(
-                Want(
-                    service,
-                    model,
-                    adapter,
-                    len(jobs),
-                    tokens,
-                    priority,
-                    bool(candidates),
-                    self._excluded_from_loads(now, jobs[0]),
-                    self.zone,
-                )
-            )
-        return wants
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -111,6 +111,8 @@
 
     def usable_slots(self, target, queue_slots):
         """Return the number of requests that a target may get at a time."""
+        if self._brittle.is_empty:
+            return target.slots + queue_slots
         with self._lock:
             return self._brittle.usable_slots(
                 target.target_id, target.slots, queue_slots
@@ -121,14 +123,6 @@
         with self._lock:
             self._brittle.record_full(self._clock(), target)
 
-    def apply_notice(self, notice, find_target):
-        """Record what a notice tells of brittle targets.
-
-        ``find_target`` returns the target of an id, or None.
-        """
-        for target in filter(None, map(find_target, notice.full)):
-            self.record_full(target)
-
     def is_closed(self, target, permitted=False):
         """Return whether a target wants no requests of this node now.
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,7 @@
     "hibiscusspar_ctl.",
     "hibiscusspar_entry.fleet.tests.test_cold_network",
     "hibiscusspar_entry.tests.",
+    "hibiscusspar_platform.tests.test_evacuated_zones",
     "hibiscusspar_platform.tests.test_fleet",
     "hibiscusspar_platform.tests.test_whole_path",
     "hibiscusspar_standins.",
