Admission: the decisions of a node in a module of their own

Change: NodeAdmission and what only it needs are moved to node_admission.py; no line of a function differs. Result: the tests of admission and its exchange pass.

--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
@@ -5,8 +5,9 @@
 from itertools import count
 from random import Random
 
-from hibiscusspar.fleet.admission import FleetAdmission, NodeAdmission, NodeDemand
+from hibiscusspar.fleet.admission import FleetAdmission, NodeDemand
 from hibiscusspar.fleet.fanout import exchange_interval_s
+from hibiscusspar.fleet.node_admission import NodeAdmission
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_admission.py
@@ -8,12 +8,12 @@
 
 from hibiscusspar.fleet.admission import (
     FleetAdmission,
-    NodeAdmission,
     NodeDemand,
     allocate_shares,
     service_goals,
 )
 from hibiscusspar.fleet.messages import AdmissionLevel
+from hibiscusspar.fleet.node_admission import NodeAdmission
 from hibiscusspar.fleet.rules import AccountRule, RouteRule
 from hibiscusspar.fleet.tests.admission_replay import BURST, CALM, Replay
 from hibiscusspar.fleet.waiting import Job, Refuse, Send, Wait, job_sort_key
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of demand and admission levels between the nodes and the coordinator."""
 
-from hibiscusspar.fleet.admission import FleetAdmission, NodeAdmission, NodeDemand
+from hibiscusspar.fleet.admission import FleetAdmission, NodeDemand
+from hibiscusspar.fleet.node_admission import NodeAdmission
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import ADMISSION_LEVEL
 
