--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -1,6 +1,7 @@
 """Speeds of targets as this node measures them and as the coordinator tells them."""
 
 import threading
+from collections import Counter
 from math import isfinite, log
 from typing import NamedTuple
 
@@ -50,11 +51,20 @@
     reading_until : callable, optional
         Returns the time until which a target reads the prompts that this node knows of.
     policy : SpeedPolicy, optional
+    min_targets : int, optional
+        Number of targets that a service needs for factors of its targets.
     """
 
-    def __init__(self, clock, reading_until=lambda target_id: 0.0, policy=None):
+    def __init__(
+        self,
+        clock,
+        reading_until=lambda target_id: 0.0,
+        policy=None,
+        min_targets=1,
+    ):
         self._clock = clock
         self._policy = policy or SpeedPolicy()
+        self._min_targets = min_targets
         self._reading_until = reading_until
         self._lock = threading.Lock()
         self._samples = SpeedSamples(self._policy)
@@ -219,10 +229,12 @@
         }
 
     def _engine_targets(self):
+        counts = Counter(target.service for target in self._targets.values())
         return {
             target_id: target
             for target_id, target in self._targets.items()
             if target.service in self._engine_services
+            and counts[target.service] >= self._min_targets
         }
 
     def _follow_views(self, now):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
@@ -30,10 +30,10 @@
 class Node:
     """Exchange of one node, with a stream at each target."""
 
-    def __init__(self, name, clock, targets):
+    def __init__(self, name, clock, targets, min_targets=1):
         self.name = name
         self.number = 0
-        self.exchange = SpeedExchange(clock)
+        self.exchange = SpeedExchange(clock, min_targets=min_targets)
         self.exchange.configure(engine_rules())
         self.exchange.set_targets(targets)
         admitted = SimpleNamespace(is_engine=True, event_steps=EVENT_STEPS)
@@ -59,6 +59,7 @@
 
 class ExchangeTestCase(unittest.TestCase):
     target_count = 5
+    min_targets = 1
 
     def setUp(self):
         self.clock = Clock()
@@ -67,7 +68,9 @@
             patch.object(speed_exchange, "write_records", self.records.extend)
         )
         self.targets = {f"t{n}": target(f"t{n}") for n in range(self.target_count)}
-        self.nodes = [Node(f"n{n}", self.clock, self.targets) for n in range(3)]
+        self.nodes = [
+            Node(f"n{n}", self.clock, self.targets, self.min_targets) for n in range(3)
+        ]
         self.coordinator = self.nodes[0].exchange
         self.slowness = dict.fromkeys(self.targets, 1.0)
         self.next_at = dict.fromkeys(self.targets, self.clock.now)
@@ -100,6 +103,21 @@
         return [fields for event, fields in self.records if event == kind]
 
 
+class TestServiceWithFewTargets(ExchangeTestCase):
+    """Two busy targets of six seemed slow, and requests were refused for it."""
+
+    target_count = 6
+    min_targets = 12
+
+    def test_no_target_gets_a_factor_with_or_without_views(self):
+        self.slowness["t0"] = 5.0
+        self.run_for(3.0)
+        self.assertEqual(self.rows, {})
+        self.run_for(3.0, lost=("n1",))
+        for node in self.nodes:
+            self.assertEqual(set(node.factors().values()), {1.0})
+
+
 class TestFactors(ExchangeTestCase):
     def test_all_nodes_know_a_slow_target_within_a_second(self):
         self.run_for(2.0)
