Messages: fields for shares of accounts, engine rates and moved streams

Cause: five parts are built at the same time and share these messages. Defaults mean that the sender doesn't know. Nothing reads the fields yet.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -112,6 +112,8 @@
     of half a second. ``age_s`` is the age of the demand that the level was derived
     from. ``floor`` is the share that each priority gets at least,
     ``refused_per_s`` the number of prompt tokens a second refused for lack of room.
+    ``account_shares`` maps accounts that ask for more than their fair share to the
+    admitted share in [0, 1]; others are not limited by account.
     """
 
     shares: dict[int, float]
@@ -120,6 +122,7 @@
     age_s: float
     floor: float = 0.0
     refused_per_s: float = 0.0
+    account_shares: dict[str, float] = {}
 
 
 class NodeReport(Struct, tag="report"):
@@ -146,6 +149,10 @@
     and priority. ``booked`` holds the prompt tokens that callers were told to return
     with, by service and steps of half a second from now on. ``waiting`` holds the
     prompt tokens that wait for room, by service, where priorities differ.
+    ``asked_by_account`` holds, by service, priority and account, the prompt tokens that
+    were asked for and refused since the process started, for the accounts that asked
+    for most. ``rates`` maps services to the prompt tokens a second and the seconds of a
+    decoding step that this node measured, and the number of samples.
     """
 
     node: str
@@ -171,6 +178,8 @@
     asked: dict[str, dict[int, tuple[int, int, int]]] = {}
     booked: dict[str, list[int]] = {}
     waiting: dict[str, int] = {}
+    asked_by_account: dict[str, dict[int, dict[str, tuple[int, int]]]] = {}
+    rates: dict[str, tuple[float, float, int]] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -201,7 +210,8 @@
     zones, known for certain ``evacuation_age_s`` ago; None if the sender doesn't know
     them. ``speeds`` maps some targets to the start of their incarnation, the factor on
     the usual times of their service and its age. ``admission`` holds levels by service,
-    None if the sender derives none.
+    None if the sender derives none. ``rates`` maps services to the prompt tokens a
+    second and the seconds of a decoding step of their engines, and the age in seconds.
     """
 
     node: str
@@ -236,6 +246,7 @@
     evacuation_age_s: float = 0.0
     speeds: dict[str, tuple[int, float, float]] = {}
     admission: dict[str, AdmissionLevel] | None = None
+    rates: dict[str, tuple[float, float, float]] = {}
 
 
 class PermitGrant(Struct, tag="permits"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/rules.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rules.py
@@ -57,7 +57,8 @@
     key-value cache in tokens, ``adapter_places`` the number of adapters that may be
     resident or loading, ``weights_mb`` the memory for models. ``event_steps`` is the
     number of decoding steps per event of a stream. The weight store allows
-    ``loads_per_s`` loads of models over all engines.
+    ``loads_per_s`` loads of models over all engines. ``moves`` is whether engines can
+    move a running stream to another one.
     """
 
     batch: int
@@ -67,6 +68,7 @@
     loads_per_s: float
     models: tuple[ModelRule, ...]
     event_steps: int = 1
+    moves: bool = False
 
 
 class ServiceRule(NamedTuple):
