explain: counts by route, streams that paused too long, causes of broken requests

Cause: the table counted a stream that paused for over the allowed time as in time and didn't tell kinds of requests apart, so that a log didn't show which ones a load costs.

--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/explain_command.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/explain_command.py
@@ -15,19 +15,34 @@
 _STEP = Option(
     2.0, "--step", min=0.001, help="Length of a row of the table in seconds."
 )
+# Reasons may hold an address or an error, so there may be very many.
+_MAX_CAUSES = 40
+_ROUTES = Option(False, "--routes", help="Count each route by itself.")
 
 
-def explain(context: Context, logs: list[FileText] = _LOGS, step: float = _STEP):
-    """Show from log lines what became of requests, and why they were refused."""
+def explain(
+    context: Context,
+    logs: list[FileText] = _LOGS,
+    step: float = _STEP,
+    routes: bool = _ROUTES,
+):
+    """Show from log lines what became of requests, and why they were not served."""
     report = read_report(chain.from_iterable(logs), step)
     if not report.steps:
         echo("the logs have no lines about requests", err=True)
         raise Exit(ExitCode.BAD_INPUT)
-    data = {
-        "steps": [
-            {"second": at, **{column: counts[column] for column in COLUMNS}}
+    if routes:
+        steps = [
+            {"second": at, "route": route, **_columns(counts)}
+            for (at, route), counts in sorted(report.route_steps.items())
+        ]
+    else:
+        steps = [
+            {"second": at, **_columns(counts)}
             for at, counts in sorted(report.steps.items())
-        ],
+        ]
+    data = {
+        "steps": steps,
         "refused": [
             {
                 "count": len(waits),
@@ -39,12 +54,20 @@
                 report.waits.items(), key=lambda row: -len(row[1])
             )
         ],
+        "broken": [
+            {"count": count, "status": status, "reason": reason}
+            for (status, reason), count in report.broken.most_common(_MAX_CAUSES)
+        ],
     }
     print_result(context.obj, data, _lines(data))
 
 
+def _columns(counts):
+    return {column: counts[column] for column in COLUMNS}
+
+
 def _lines(data):
-    for rows in (data["steps"], data["refused"]):
+    for rows in data.values():
         if rows:
             yield from table(list(rows[0]), [list(row.values()) for row in rows])
             yield ""
--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/tests/test_explain.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/tests/test_explain.py
@@ -14,11 +14,14 @@
 # Lines as the users' bench prints them, without fields that don't count.
 LINES = """\
 built in 16.6 s; 32096 lines in 280 files
-   0.0651 front-c-8 {"request":"21","target":"i-8","message_type":"call.sent"}
+   0.0651 front-c-8 {"request":"21","route":"r1","target":"i-8",\
+"message_type":"call.sent"}
    0.1045 front-b-3 {"request":"21","late":false,"message_type":"call.answered"}
    0.9045 front-b-3 {"request":"22","late":true,"message_type":"call.answered"}
-   1.0000 front-b-3 {"request":"23","status":503,"reason":"busy","waited_s":1.5,\
-"message_type":"call.refused"}
+   0.9545 front-b-3 {"request":"28","late":false,"paused":true,\
+"message_type":"call.answered"}
+   1.0000 front-b-3 {"request":"23","route":"r2","status":503,"reason":"busy",\
+"waited_s":1.5,"message_type":"call.refused"}
    1.0000 front-b-3 {"request":"24","status":404,"reason":"no route","waited_s":0.0,\
 "message_type":"call.refused"}
    2.1584 front-c-1 {"operation":"load","result":"accepted",\
@@ -29,7 +32,8 @@
 "message_type":"node.adapter_ordered"}
    2.3000 front-b-3 {"request":"25","status":503,"reason":"busy","waited_s":0.5,\
 "message_type":"call.refused"}
-   2.4000 front-b-3 {"request":"26","message_type":"call.broken"}
+   2.4000 front-b-3 {"request":"21","status":502,"reason":"read: reset",\
+"message_type":"call.broken"}
    2.5000 front-b-3 {"request":"27","message_ty
 """
 
@@ -58,6 +62,21 @@
         self.assertEqual((cause["count"], cause["reason"]), (2, "busy"))
         self.assertEqual(cause["median_wait_s"], 1.0)
 
+    def test_a_stream_that_paused_too_long_does_not_count_as_in_time(self):
+        data = json.loads(self.run_command(str(self.log)).stdout)
+        self.assertEqual([row["paused"] for row in data["steps"]], [1, 0])
+
+    def test_outcomes_are_counted_by_route(self):
+        # An answer and a broken request have the route of the line about the send.
+        data = json.loads(self.run_command(str(self.log), "--routes").stdout)
+        rows = {(row["second"], row["route"]): row for row in data["steps"]}
+        self.assertEqual(rows[0.0, "r1"]["sent"], 1)
+        self.assertEqual(rows[0.0, "r1"]["in time"], 1)
+        self.assertEqual(rows[0.0, "r2"]["refused"], 1)
+        self.assertEqual(rows[2.0, "r1"]["broken"], 1)
+        [cause] = data["broken"]
+        self.assertEqual((cause["status"], cause["reason"]), (502, "read: reset"))
+
     def test_step_of_time_can_be_chosen(self):
         found = self.run_command(str(self.log), "--step", "0.5")
         self.assertEqual(len(json.loads(found.stdout)["steps"]), 4)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -86,6 +86,7 @@
             "events": state.splitter.count if state.splitter else 0,
             "longest_gap_s": round(state.longest_gap_s, 3),
             "late": first_s > admitted.route.first_byte_slo_s,
+            "paused": 0.0 < admitted.route.max_gap_s < state.longest_gap_s,
         }
         self._metrics.answered.inc()
         write_records([(CALL_ANSWERED, fields)])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -253,8 +253,10 @@
         "events",
         "longest_gap_s",
         "late",
+        "paused",
     ),
-    "A target answered a request completely.",
+    "A target answered a request completely. `late` is whether the first byte was, "
+    "`paused` whether a pause of the stream was longer than its route allows.",
 )
 CALL_REFUSED = declare(
     632,
