Coordinator: the pause after a planning round follows its processor time

Cause: the pause was twice the time of the round on the clock. Change: the processor time of the thread counts.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -2,7 +2,7 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from time import monotonic, sleep
+from time import sleep, thread_time
 
 from msgspec import Raw
 from msgspec.json import encode as to_json
@@ -40,8 +40,9 @@
 __all__ = ["Coordinator"]
 
 # Pause after a planning round, in seconds, because many wants arrive within some
-# milliseconds. It lasts at least _PLAN_PAUSE_ROUNDS times as long as the round, which
-# leaves time for views.
+# milliseconds. It lasts at least _PLAN_PAUSE_ROUNDS times the processor time of the
+# round, which leaves time for views. On a busy machine a round may wait for a lock for
+# some tenths of a second, and a pause by the clock would delay loads by twice that.
 _PLAN_PAUSE_S = 0.004
 _PLAN_PAUSE_ROUNDS = 2.0
 # Orders and state queries without a result yet. Each may wait for its time-out, and
@@ -268,12 +269,12 @@
         while not self._closed:
             self._plan_requested.wait()
             self._plan_requested.clear()
-            started_at = monotonic()
+            began_s = thread_time()
             try:
                 self.plan()
             except Exception as error:  # noqa: BLE001
                 log_failure("plan", error)
-            sleep(max(_PLAN_PAUSE_S, _PLAN_PAUSE_ROUNDS * (monotonic() - started_at)))
+            sleep(max(_PLAN_PAUSE_S, _PLAN_PAUSE_ROUNDS * (thread_time() - began_s)))
 
     def plan(self):
         """Plan orders; send them and the due state queries from thread pools."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -297,6 +297,32 @@
         self.assertEqual(self.orders.most_calls_at_once, 1)
 
 
+class TestPlanningPause(CoordinatorTestCase):
+    """A planning round that had to wait isn't followed by a long pause."""
+
+    def test_round_that_waits_for_a_lock_does_not_delay_the_next_ones(self):
+        planned = []
+        plan = self.coordinator.plan
+
+        def record_plan():
+            planned.append(monotonic())
+            plan()
+
+        self.coordinator.plan = record_plan
+        began_at = monotonic()
+        with self.coordinator._lock:
+            self.coordinator._plan_requested.set()
+            while not planned and monotonic() < began_at + WAIT_S:
+                sleep(0.01)
+            sleep(1.0)
+        released_at = monotonic()
+        while len(planned) < 2 and monotonic() < released_at + WAIT_S:
+            self.coordinator._plan_requested.set()
+            sleep(0.01)
+        # A pause of twice the time on the clock would take 2 s.
+        self.assertLess(planned[1] - released_at, 1.0)
+
+
 class TestViewRate(CoordinatorTestCase):
     node_count = 78
 
