Scheduler: look up targets by service, model and adapter

Cause: the decision about a request examined every target of the directory, for each waiting request in each round and again for each report.

Change: TargetIndex holds the directory by service, model and listed adapter and is updated for changed entries only; ResidencyCopy knows the holders of each adapter; UsableTargets decides from both which targets can run a request (moved from request_scheduler.py). The ejection table looks at targets that failed instead of at all candidates.

Decisions are the same: test_indexed_decisions compares them with those of a scan of all targets on random directories, residencies, loads, failures and statements of targets.

--- a/packages/hibiscusspar/hibiscusspar/fleet/residency_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/residency_copy.py
@@ -17,6 +17,8 @@
 
     def __init__(self):
         self._rows = {}
+        # Targets by adapter, as the keys of dicts.
+        self._holders = {}
         self._lacked = []
 
     @property
@@ -28,13 +30,14 @@
         """Apply the states that a view carries, unless newer ones are known."""
         for target_id, (number, rows) in view.residency.items():
             state = (view.fence, number)
-            known, _ = self._rows.get(target_id, (_NO_STATE, None))
+            known, known_copies = self._rows.get(target_id, (_NO_STATE, {}))
             if state > known:
                 copies = {
                     adapter_key(label): (version, now + ready_in_s)
                     for label, version, ready_in_s in rows
                 }
                 self._rows[target_id] = (state, copies)
+                self._index(target_id, known_copies, copies)
         numbers = {
             target_id: number
             for target_id, ((fence, number), _) in self._rows.items()
@@ -55,7 +58,9 @@
         row = self._rows.get(load.target_id)
         if row is not None:
             copy = (load.version, now + load.ready_in_s)
-            row[1][adapter_key(load.adapter)] = copy
+            key = adapter_key(load.adapter)
+            row[1][key] = copy
+            self._holders.setdefault(key, {})[load.target_id] = True
 
     def has_state(self, target_id):
         """Return whether any view has told what a target holds."""
@@ -65,3 +70,20 @@
         """Return a target's copy of an adapter, or None."""
         row = self._rows.get(target_id)
         return None if row is None else row[1].get(key)
+
+    def holders(self, key):
+        """Return the targets with a copy of an adapter, as the keys of a dict.
+
+        It changes with the copies; callers only read it.
+        """
+        return self._holders.get(key, {})
+
+    def _index(self, target_id, before, after):
+        """Update the index by adapter for a target whose copies were replaced."""
+        for key in before.keys() - after.keys():
+            holders = self._holders[key]
+            del holders[target_id]
+            if not holders:
+                del self._holders[key]
+        for key in after.keys() - before.keys():
+            self._holders.setdefault(key, {})[target_id] = True
--- a/packages/hibiscusspar/hibiscusspar/requests/ejection.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/ejection.py
@@ -62,9 +62,12 @@
         """Return the candidates that must not get a new request now.
 
         At most ``max_fraction`` of the candidates are excluded, never all: if more
-        are ejected, those whose ejection ends first are admitted.
+        are ejected, those whose ejection ends first are admitted. Few targets fail, so
+        ``candidates``, a collection of ids, is only looked up.
         """
-        ejected = [t for t in candidates if self._is_excluded(now, t)]
+        ejected = [
+            t for t in self._rows if t in candidates and self._is_excluded(now, t)
+        ]
         ejected.sort(key=lambda t: (-self._rows[t].ejected_until, t))
         max_excluded = int(len(candidates) * self._policy.max_fraction)
         return frozenset(ejected[:max_excluded])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -12,10 +12,9 @@
 )
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
-from hibiscusspar.fleet.residency_copy import ResidencyCopy
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
-from hibiscusspar.fleet.stream_origins import may_continue
+from hibiscusspar.fleet.usable_targets import UsableTargets
 from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
 from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
@@ -26,11 +25,6 @@
 __all__ = ["RequestScheduler"]
 
 _CHOICE_POLICY = ChoicePolicy()
-# Age of a view, in seconds, beyond which the directory's entries count as well.
-_VIEW_STALE_S = 1.5
-# Time in seconds for which a target gets no request for an adapter after it answered
-# that the adapter is not resident.
-_MISSING_ADAPTER_S = 0.15
 # Number of sent reports that are kept until a view acknowledges one of them.
 _KEPT_REPORTS = 64
 # Targets whose residency a node requests with one report.
@@ -70,19 +64,16 @@
         self._start = start
         self._clock = clock
         self._ejection = ejection
-        self._version_grace_s = version_grace_s
+        self._usable = UsableTargets(ejection, version_grace_s)
         self._targets = {}
         self._has_engine = {}
         self._waiting = []
         self._loads = {}
         self._in_use = {}
         self._started_counts = {}
-        self._residency = ResidencyCopy()
         self._view = None
         self._view_received_at = None
         self._acked_loads = {}
-        self._newest_versions = {}
-        self._missing_until = {}
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
@@ -131,6 +122,7 @@
             now = self._clock()
             self._software_history.record(now, self._targets)
             self._targets = targets
+            self._usable.set_targets(targets)
             self._prompt_queues.retain(targets)
             self._gate.retain(targets)
             self._ejection.retain(targets)
@@ -157,10 +149,9 @@
         with self.lock:
             return any(
                 target.target_id not in excluded
-                and not target.draining
                 and target.software
                 and (target.service, target.software) == origin
-                for target in self._targets.values()
+                for target in self._usable.staying(origin.service).values()
             )
 
     def is_current(self, target):
@@ -174,9 +165,7 @@
     def announce(self, key, version, age_s=0.0):
         """Record that a version of an adapter was announced ``age_s`` ago."""
         with self.lock:
-            known, _ = self._newest_versions.get(key, (0, 0.0))
-            if version > known:
-                self._newest_versions[key] = (version, self._clock() - age_s)
+            self._usable.announce(self._clock() - age_s, key, version)
 
     def apply_view(self, view):
         """Apply a view of the coordinator.
@@ -193,7 +182,7 @@
             self._acked_loads, used = self._acked_report()
             self._gate.apply_view(now, view)
             self._admission.apply_view(now, view, self._node)
-            self._residency.apply_view(now, view)
+            self._usable.apply_view(now, view)
             for target_id in view.loads:
                 # Without queued prompts a report raises no backlog.
                 if target_id in self._targets and self._load_of_all(target_id)[1]:
@@ -211,7 +200,7 @@
                     factor = self.factor(target_id)
                     self._prompt_queues.record_send(now, target_id, tokens, factor)
             for load in notice.loads:
-                self._residency.apply_load(now, load)
+                self._usable.apply_load(now, load)
                 if load.waiting <= _FEW_WAITING:
                     ready_at = now + load.ready_in_s
                     self._next_decision_at = min(self._next_decision_at, ready_at)
@@ -269,8 +258,8 @@
     def record_missing_adapter(self, placement):
         """Record that an adapter is not resident at a target that should hold it."""
         with self.lock:
-            row = (placement.target.target_id, placement.key)
-            self._missing_until[row] = self._clock() + _MISSING_ADAPTER_S
+            target_id = placement.target.target_id
+            self._usable.record_missing(self._clock(), target_id, placement.key)
 
     def apply_permits(self, grant):
         """Add the permits that the coordinator has issued to this process."""
@@ -301,9 +290,7 @@
         """Retry the waiting requests if a decision is due."""
         with self.lock:
             now = self._clock()
-            self._missing_until = {
-                row: at for row, at in self._missing_until.items() if at > now
-            }
+            self._usable.expire(now)
             self._retry_waiting(now)
 
     def report(self, used, duties=None):
@@ -321,7 +308,7 @@
             permit_demand = self._gate.take_demand(
                 now,
                 [ticket.job for ticket in self._waiting],
-                lambda job: self._usable_versions(now, job),
+                lambda job: self._usable.versions(now, job),
             )
             report = NodeReport(
                 node=self._node,
@@ -342,7 +329,7 @@
                 ),
                 used=dict(used),
                 duties=duties or {},
-                lacked_residency=self._residency.lacked[:_MAX_REQUESTED],
+                lacked_residency=self._usable.lacked_residency[:_MAX_REQUESTED],
                 limits=self._gate.report_rows(permit_demand),
                 permit_demand=permit_demand,
             )
@@ -414,10 +401,10 @@
             isinstance(decision, Wait)
             and not candidates
             and not self._gate.is_idle
-            and self._usable_versions(now, job)
+            and self._usable.versions(now, job)
         ):
             # Open targets can load the adapter.
-            remaining = self._usable_targets(now, job)
+            remaining = self._usable.usable(now, job)
             wait_s = self._gate.wait_s(now, remaining)
             decision = wait_for_open_target(now, job, wait_s)
         decision = self._admission.review(now, job, decision)
@@ -457,7 +444,7 @@
 
     def _candidates(self, now, job):
         """Return the targets that can run a job, and the version that each serves."""
-        versions = self._usable_versions(now, job)
+        versions = self._usable.versions(now, job)
         if not self._gate.is_idle:
             open_targets = self._gate.open_targets(now, versions.keys())
             versions = {t: v for t, v in versions.items() if t in open_targets}
@@ -470,48 +457,11 @@
             for target_id in sorted(usable)
         ], versions
 
-    def _usable_versions(self, now, job):
-        """Return the version of a job's adapter by target, whatever their limits."""
-        ejected = self._ejected(now, job.service)
-        versions = {}
-        for target in self._targets.values():
-            if target.service != job.service or target.draining:
-                continue
-            if job.software is not None and not may_continue(target, job):
-                continue
-            version = self._usable_version(now, target, job.key)
-            if version is not None and target.target_id not in ejected:
-                versions[target.target_id] = version
-        return versions
-
-    def _ejected(self, now, service):
-        """Return the targets of a service that are ejected now."""
-        if self._ejection.is_empty:
-            return frozenset()
-        return self._ejection.excluded(now, sorted(self._service_targets(service)))
-
-    def _service_targets(self, service):
-        """Return the ids of the targets of a service that are not leaving."""
-        return {
-            target.target_id
-            for target in self._targets.values()
-            if target.service == service and not target.draining
-        }
-
-    def _usable_targets(self, now, job):
-        """Return the ids of the targets that can be used for a job now."""
-        ejected = self._ejected(now, job.service)
-        return {
-            target_id
-            for target_id in self._service_targets(job.service) - ejected
-            if job.software is None or may_continue(self._targets[target_id], job)
-        }
-
     def _excluded_from_loads(self, now, job):
         """Return the targets at which no adapter should be loaded for a job."""
-        usable = self._usable_targets(now, job)
+        usable = self._usable.usable(now, job)
         closed = self._gate.excluded_from_loads(now, usable)
-        return sorted(self._service_targets(job.service) - usable | closed)
+        return sorted(self._usable.staying(job.service).keys() - usable | closed)
 
     def _candidate(self, now, target, for_choice=True):
         target_id = target.target_id
@@ -534,35 +484,3 @@
         reported = self._view.loads.get(target_id) if self._view else None
         acked = self._acked_loads.get(target_id)
         return current_load(self._loads.get(target_id), reported, acked)
-
-    def _usable_version(self, now, target, key):
-        """Return the version that a target serves of a model or adapter.
-
-        It is None if the target serves none, and 0 if the job names no model.
-        """
-        model, adapter = key
-        if not model:
-            return 0
-        if not adapter:
-            return target.models.get(model)
-        if (target.target_id, key) in self._missing_until:
-            return None
-        copy = self._resident_copy(now, target, key)
-        if copy is None or copy[1] > now:
-            return None
-        newest, announced_at = self._newest_versions.get(key, (0, 0.0))
-        if copy[0] < newest and now > announced_at + self._version_grace_s:
-            return None
-        return copy[0]
-
-    def _resident_copy(self, now, target, key):
-        is_fresh = (
-            self._view_received_at is not None
-            and now < self._view_received_at + _VIEW_STALE_S
-        )
-        if self._residency.has_state(target.target_id):
-            copy = self._residency.find(target.target_id, key)
-            if copy is not None or is_fresh:
-                return copy
-        version = target.adapters.get(key)
-        return None if version is None else (version, 0.0)
