--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -26,6 +26,7 @@
 from hibiscusspar_entry.fleet.coordinator import Coordinator
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
+from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_platform.configuration import decode_ruleset
 from hibiscusspar_platform.settings_file import CONFIG_VARIABLE
 from hibiscusspar_platform.tests import engine_stand_in
@@ -218,6 +219,7 @@
             lambda: (0.1, 0.1),
             LimitExchange(clock),
             CrashExchange(clock, lambda address: False, None, lambda: False),
+            SpeedExchange(clock),
         )
         coordinator.configure(decode_ruleset(CONFIG))
         coordinator.set_targets(self._targets)
