Scheduler: loads of other nodes are derived once per view

Cause: each view made a Candidate of each target with queued prompts, of which only the queued tokens were used, and counted its load twice; each decision subtracted this node's share of the load of each target again. This was half of the processor time of an idle node at 62 targets.

Change: loads_of_others subtracts the share once per view; reported_backlog_s gives the queue that a report shows without a Candidate. The decisions stay the same.

--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -38,7 +38,8 @@
 
     def backlog_s(self, now, target_id):
         """Return the seconds until a target has processed its prompts."""
-        return max(0.0, self._done_at.get(target_id, now) - now)
+        done_at = self._done_at.get(target_id)
+        return 0.0 if done_at is None or done_at < now else done_at - now
 
     def retain(self, target_ids):
         """Remove all targets except the given ones."""
--- a/packages/hibiscusspar/hibiscusspar/fleet/routing.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/routing.py
@@ -14,6 +14,7 @@
     "choose_target",
     "first_byte_s",
     "pause_s",
+    "reported_backlog_s",
     "running_limit",
 ]
 
@@ -80,6 +81,12 @@
     return max(candidate.queued_s, prompt_s - policy.count_lag_s)
 
 
+def reported_backlog_s(policy, queued_prompt_tokens, factor):
+    """Return the part of ``backlog_s`` that reports show, 0 if they show none."""
+    prompt_s = queued_prompt_tokens / policy.prompt_tokens_s
+    return max(0.0, prompt_s * factor - policy.count_lag_s)
+
+
 def first_byte_s(policy, candidate, prompt_tokens):
     """Return the expected seconds until a request's first byte from a target."""
     factor = candidate.factor
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -4,7 +4,7 @@
 import threading
 from collections import Counter, deque
 
-from hibiscusspar.fleet.load_counts import current_load
+from hibiscusspar.fleet.load_counts import current_load, loads_of_others
 from hibiscusspar.fleet.messages import (
     NodeReport,
     TargetLoad,
@@ -12,7 +12,7 @@
 )
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, reported_backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.usable_targets import UsableTargets
 from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
@@ -73,7 +73,7 @@
         self._started_counts = {}
         self._view = None
         self._view_received_at = None
-        self._acked_loads = {}
+        self._loads_of_others = {}
         self._reports = deque(maxlen=_KEPT_REPORTS)
         self._number = 0
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
@@ -179,16 +179,12 @@
             now = self._clock()
             self._view = view
             self._view_received_at = now
-            self._acked_loads, used = self._acked_report()
+            acked_loads, used = self._acked_report()
+            self._loads_of_others = loads_of_others(view.loads, acked_loads)
             self._gate.apply_view(now, view)
             self._admission.apply_view(now, view, self._node)
             self._usable.apply_view(now, view)
-            for target_id in view.loads:
-                # Without queued prompts a report raises no backlog.
-                if target_id in self._targets and self._load_of_all(target_id)[1]:
-                    candidate = self._candidate(now, self._targets[target_id], False)
-                    reported_s = backlog_s(_CHOICE_POLICY, candidate)
-                    self._prompt_queues.record_report(now, target_id, reported_s)
+            self._record_reported_queues(now)
             return used
 
     def apply_notice(self, notice):
@@ -448,13 +444,13 @@
         if not self._gate.is_idle:
             open_targets = self._gate.open_targets(now, versions.keys())
             versions = {t: v for t, v in versions.items() if t in open_targets}
-        newest = max(versions.values(), default=0)
         if job.key[1]:
+            newest = max(versions.values(), default=0)
             versions = {t: v for t, v in versions.items() if v == newest or not v}
-        usable = versions.keys() - job.excluded or versions.keys()
+        usable = versions.keys() - job.excluded if job.excluded else versions
         return [
             self._candidate(now, self._targets[target_id])
-            for target_id in sorted(usable)
+            for target_id in sorted(usable or versions)
         ], versions
 
     def _excluded_from_loads(self, now, job):
@@ -463,24 +459,36 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._usable.staying(job.service).keys() - usable | closed)
 
-    def _candidate(self, now, target, for_choice=True):
+    def _candidate(self, now, target):
         target_id = target.target_id
         running, queued = self._load_of_all(target_id)
         is_engine = self._has_engine.get(target.service)
-        queue_slots = 0 if is_engine else _PLAIN_QUEUE_SLOTS
         return Candidate(
             target_id,
             target.zone,
-            self._gate.usable_slots(target, queue_slots) if for_choice else 0,
+            self._gate.usable_slots(target, 0 if is_engine else _PLAIN_QUEUE_SLOTS),
             running,
             queued,
             self._prompt_queues.backlog_s(now, target_id),
-            for_choice and self.is_connected(target),
+            self.is_connected(target),
             self.factor(target_id) if is_engine else 1.0,
         )
 
     def _load_of_all(self, target_id):
         """Return the running requests and queued prompt tokens of a target."""
-        reported = self._view.loads.get(target_id) if self._view else None
-        acked = self._acked_loads.get(target_id)
-        return current_load(self._loads.get(target_id), reported, acked)
+        others = self._loads_of_others.get(target_id)
+        return current_load(self._loads.get(target_id), others, None)
+
+    def _record_reported_queues(self, now):
+        """Raise the prompt queues of targets to those that a view has shown."""
+        for target_id in self._loads_of_others:
+            target = self._targets.get(target_id)
+            if target is None:
+                continue
+            # Without queued prompts a report raises no backlog.
+            _, queued = self._load_of_all(target_id)
+            if queued:
+                is_engine = self._has_engine.get(target.service)
+                factor = self.factor(target_id) if is_engine else 1.0
+                queued_s = reported_backlog_s(_CHOICE_POLICY, queued, factor)
+                self._prompt_queues.record_report(now, target_id, queued_s)
