Scheduler: waiting requests of one kind share their candidates in a round

Cause: while a service is full, each of its waiting requests made a Candidate of each target in each round of decisions, 50 rounds a second.

Change: requests with the same service, adapter, software and excluded targets use the same candidates until one of them is sent.

--- a/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
@@ -78,11 +78,10 @@
     def usable(self, now, job):
         """Return the ids of the targets that can be used for a job now."""
         staying = self._index.staying(job.service)
-        return {
-            target_id
-            for target_id in staying.keys() - self._ejected(now, job.service)
-            if job.software is None or may_continue(staying[target_id], job)
-        }
+        usable = staying.keys() - self._ejected(now, job.service)
+        if job.software is None:
+            return usable
+        return {t for t in usable if may_continue(staying[t], job)}
 
     def versions(self, now, job):
         """Return the version of a job's model or adapter by usable target.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -369,22 +369,27 @@
             interval_s = decision_interval_s(self.direct_peers, self._rng.random())
             self._next_decision_at = now + interval_s
             self._waiting.sort(key=lambda t: self._admission.sort_key(now, t.job))
-            taken = set()
+            taken, known = set(), {}
             self._waiting = [
                 ticket
                 for ticket in self._waiting
-                if not self._decide(now, ticket, taken)
+                if not self._decide(now, ticket, taken, known)
             ]
 
-    def _decide(self, now, ticket, taken=None):
+    def _decide(self, now, ticket, taken=None, known=None):
         """Try to decide a request and return whether it is decided.
 
         ``taken`` holds the targets that got a stream in this round of decisions. A
         target gets at most one stream a round, to bound what nodes that decide at the
-        same moment send to it.
+        same moment send to it. ``known`` holds the candidates of earlier requests of
+        the round.
         """
         job = ticket.job
-        candidates, versions = self._candidates(now, job)
+        known = {} if known is None else known
+        group = (job.service, job.key, job.software, job.broken_at, job.excluded)
+        if group not in known:
+            known[group] = self._candidates(now, job)
+        candidates, versions = known[group]
         if taken and job.max_gap_s and self.direct_peers and now < job.give_up_at:
             remaining = [row for row in candidates if row.target_id not in taken]
             if candidates and not remaining:
@@ -434,6 +439,8 @@
             self.on_sent(target, job.prompt_tokens)
         if taken is not None:
             taken.add(target.target_id)
+        # The request changes the load of its target.
+        known.clear()
         self._ejection.record_attempt(now, target.target_id, Outbox())
         ticket.resolve(decision, placement)
         return True
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_indexed_decisions.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_indexed_decisions.py
@@ -80,16 +80,23 @@
         return self._adapter_version(now, target, key)
 
 
+class ScanningScheduler(RequestScheduler):
+    """Scheduler that looks at all targets anew for each waiting request."""
+
+    def _decide(self, now, ticket, taken=None, known=None):
+        return super()._decide(now, ticket, taken)
+
+
 class Node:
     """Scheduler of a node, with the requests that it got."""
 
-    def __init__(self, make_usable_targets):
+    def __init__(self, make_scheduler, make_usable_targets):
         self.clock = Clock()
         limits = LimitExchange(self.clock)
         self.statements = TargetStatements(self.clock, limits)
         ejection = EjectionTable(EjectionPolicy())
         gate = TargetGate(limits, self.statements, Random(1))
-        self.scheduler = RequestScheduler(
+        self.scheduler = make_scheduler(
             "n1", "s", "z1", self.clock, ejection, 3.0, gate
         )
         self.scheduler._usable = make_usable_targets(ejection, 3.0)
@@ -142,6 +149,9 @@
             self.scheduler.release(placement, False)
             self.tickets.remove(sent[number % len(sent)])
 
+    def direct_peers(self, count):
+        self.scheduler.direct_peers = count
+
     def wait(self, seconds):
         self.clock.now += seconds
         self.scheduler.tick()
@@ -206,6 +216,7 @@
         st.sampled_from((10, 1000, 30_000)),
     ),
     st.tuples(st.just("release"), st.integers(0, 5), st.booleans()),
+    st.tuples(st.just("direct_peers"), st.integers(0, 1)),
     st.tuples(st.just("wait"), seconds),
 )
 
@@ -214,7 +225,8 @@
     @settings(max_examples=300, deadline=None)
     @given(st.lists(steps, max_size=30))
     def test_decisions_equal_those_of_a_scan_of_all_targets(self, steps):
-        indexed, scanned = Node(UsableTargets), Node(ScannedTargets)
+        indexed = Node(RequestScheduler, UsableTargets)
+        scanned = Node(ScanningScheduler, ScannedTargets)
         for name, *arguments in steps:
             for node in (indexed, scanned):
                 getattr(node, name)(*arguments)
