Speeds: the targets with an engine are selected once per directory

Cause: each view made a node select the targets of services with an engine twice, and the coordinator once more for its update of the factors.

Change: they are selected anew only if the directory or the configuration has changed; is_same_directory, which compares by identity, is shared with DirectoryListeners.

--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -1,10 +1,11 @@
 """Targets as registered in the platform's directory."""
 
+from operator import is_
 from typing import NamedTuple
 
 from hibiscusspar.fleet.cold_targets import ColdStatement
 
-__all__ = ["RETURN_GRACE_S", "Target", "TargetDirectory"]
+__all__ = ["RETURN_GRACE_S", "Target", "TargetDirectory", "is_same_directory"]
 
 # After an outage of the store, live targets restore their expired entries within about
 # two seconds.
@@ -99,3 +100,17 @@
         return self._returned_at is not None and (
             now < self._returned_at + RETURN_GRACE_S
         )
+
+
+def is_same_directory(known, targets):
+    """Return whether two directories have the same rows, the very same objects.
+
+    Rows stay the same objects until their entries change, so this takes microseconds.
+
+    Parameters
+    ----------
+    known, targets : dict of str to Target
+    """
+    return known.keys() == targets.keys() and all(
+        map(is_, known.values(), targets.values())
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/directory_listeners.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/directory_listeners.py
@@ -1,6 +1,6 @@
 """Distribution of the directory of targets to the components of a node."""
 
-from operator import is_
+from hibiscusspar.fleet.targets import is_same_directory
 
 __all__ = ["DirectoryListeners"]
 
@@ -32,11 +32,11 @@
         """Pass on all rows by target, and the evacuated zones."""
         known, self._known = self._known, (rows, evacuated)
         self._every_time(rows, evacuated)
-        if known is not None and known[1] == evacuated and _is_same(known[0], rows):
+        if (
+            known is not None
+            and known[1] == evacuated
+            and is_same_directory(known[0], rows)
+        ):
             self._otherwise()
         else:
             self._if_changed(rows, evacuated)
-
-
-def _is_same(known, rows):
-    return known.keys() == rows.keys() and all(map(is_, known.values(), rows.values()))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -8,6 +8,7 @@
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedPolicy, SpeedSamples
+from hibiscusspar.fleet.targets import is_same_directory
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import SPEEDS_SOURCE, TARGET_SPEED
 
@@ -71,6 +72,8 @@
         self._table = SpeedFactors(self._policy)
         self._rotation = EntryRotation(_MAX_ENTRIES)
         self._targets = {}
+        # Targets of the services with an engine, None if they must be selected anew.
+        self._engine_rows = None
         self._engine_services = frozenset()
         self._known = {}
         self._factors = {}
@@ -97,10 +100,13 @@
         services = ruleset.services.values()
         with self._lock:
             self._engine_services = frozenset(s.name for s in services if s.engine)
+            self._engine_rows = None
 
     def set_targets(self, targets):
         """Replace the directory of targets."""
         with self._lock:
+            if not is_same_directory(self._targets, targets):
+                self._engine_rows = None
             self._targets = targets
             self._samples.retain(targets)
             self._known = {t: row for t, row in self._known.items() if t in targets}
@@ -229,13 +235,15 @@
         }
 
     def _engine_targets(self):
-        counts = Counter(target.service for target in self._targets.values())
-        return {
-            target_id: target
-            for target_id, target in self._targets.items()
-            if target.service in self._engine_services
-            and counts[target.service] >= self._min_targets
-        }
+        if self._engine_rows is None:
+            counts = Counter(target.service for target in self._targets.values())
+            self._engine_rows = {
+                target_id: target
+                for target_id, target in self._targets.items()
+                if target.service in self._engine_services
+                and counts[target.service] >= self._min_targets
+            }
+        return self._engine_rows
 
     def _follow_views(self, now):
         """Switch between the factors of views and own ones; return the log line."""
@@ -268,6 +276,8 @@
         allowance = min(float(_LOG_LINES_S), allowance + (now - at) * _LOG_LINES_S)
         records = []
         for target_id, factor in self._table.factors.items():
+            if factor == 1.0 and target_id not in self._logged:
+                continue
             logged, logged_at = self._logged.get(target_id, (1.0, now - _LOG_GAP_S))
             if factor == logged or now < logged_at + _LOG_GAP_S:
                 continue
