Copies of adapters: where targets differ in speed, loads prefer fast ones

Cause: loads went to the targets with the least backlog, so slow targets, which are less busy, got more than their part of the copies of rare adapters, whose requests then run there. Change: copy_costs adds what the speed of a target means for a usual stream to its backlog; equal targets cost their backlog as before.

--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -177,7 +177,8 @@
         wants : list of Want
             Most urgent first.
         backlogs : dict of str to float
-            Seconds of work queued before a new request at each target.
+            Cost of a further copy at each target: the seconds of work queued before a
+            new request, and what its speed adds.
         in_use : dict of str to set
             Adapters of running requests, by target.
         interval_s : float, optional
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -77,7 +77,8 @@
     targets : dict of str to tuple of (Target, EngineRule)
         Targets that may get orders.
     backlogs : dict of str to float
-        Seconds of work queued before a new request at each target.
+        Cost of a further copy at each target: the seconds of work queued before a new
+        request, and what its speed adds.
     in_use : dict of str to set
         Adapters of running requests, by target.
     demand : AdapterDemand
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -7,6 +7,7 @@
 from msgspec import Raw
 from msgspec.json import encode as to_json
 
+from hibiscusspar.fleet.copy_costs import copy_costs_s
 from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.entry_rotation import EntryRotation
@@ -27,7 +28,6 @@
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar.fleet.software_index import join_software
-from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
@@ -286,7 +286,7 @@
                 now,
                 self._orderable_targets(now),
                 self._wants(now),
-                DeferredDict(self._backlogs, now),
+                DeferredDict(self._copy_costs, now),
                 DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
             )
@@ -440,19 +440,13 @@
             if not target.draining and self._duty_zone(target) in holders
         }
 
-    def _backlogs(self, now):
-        backlogs = {
-            target_id: self._backlog_s(target_id, load)
-            for target_id, load in self._reports.loads(now).items()
-        }
-        for target_id, limit_s in self._permits.waits().items():
-            backlogs[target_id] = backlogs.get(target_id, 0.0) + limit_s
-        return backlogs
-
-    def _backlog_s(self, target_id, load):
-        target = self._targets.get(target_id)
-        slots = target.slots if target is not None else None
-        return wait_s(load, slots, self._speeds.factor(target_id))
+    def _copy_costs(self, now):
+        return copy_costs_s(
+            self._reports.loads(now),
+            self._targets,
+            self._speeds.factors,
+            self._permits.waits(),
+        )
 
     def _wants(self, now):
         wants = self._reports.wants(now)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -92,6 +92,12 @@
             "speeds_own_only": int(self._is_alone),
         }
 
+    @property
+    def factors(self):
+        """Factors that differ from 1, by target."""
+        rows = self._factors.items()
+        return {target_id: factor for target_id, factor in rows if factor != 1.0}
+
     def configure(self, ruleset):
         """Record which services run on engines; others have no speeds."""
         services = ruleset.services.values()
