Coordinator: select targets for orders once per directory

Cause: each round of planning selected the targets of engines twice from the directory, and looked for a victim with a call for each adapter.

Change: EngineTargets keeps the selection until the directory, the configuration or the zones with a duty holder change; a victim is chosen from counts that are read at once.

--- a/packages/hibiscusspar/hibiscusspar/fleet/demand.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/demand.py
@@ -42,6 +42,15 @@
         count, at = row
         return count * exp(-max(0.0, now - at) / _DECAY_S)
 
+    def request_counts(self, now, keys):
+        """Return ``request_count`` for those of some adapters that have any count."""
+        rows = self._rows
+        found = [(key, rows[key]) for key in keys if key in rows]
+        return {
+            key: count * exp(-max(0.0, now - at) / _DECAY_S)
+            for key, (count, at) in found
+        }
+
     def rates(self, now, min_rate):
         """Return the requests per second of adapters with at least ``min_rate``."""
         # A stored count can only have decayed since, so a low one needs no update.
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -294,11 +294,19 @@
 
     def _find_victim(self, target_id):
         held, in_use = self._held[target_id], self._in_use.get(target_id, ())
+        now, idle_before, last_used = self.now, self._idle_before, held.last_used
         idle = [
-            (self.demand_per_copy(key), held.last_used.get(key, 0.0), key)
+            (last_used.get(key, 0.0), key)
             for key, copy in held.copies.items()
             if key not in in_use
-            and copy.ready_at <= self.now
-            and held.last_used.get(key, 0.0) <= self._idle_before
+            and copy.ready_at <= now
+            and last_used.get(key, 0.0) <= idle_before
         ]
-        return min(idle)[-1] if idle else None
+        if not idle:
+            return None
+        counts = self._demand.request_counts(now, [key for _, key in idle])
+        holder_count = self._index.holder_count
+        return min(
+            (counts[key] / max(1, holder_count(key)) if key in counts else 0.0, at, key)
+            for at, key in idle
+        )[-1]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -9,6 +9,7 @@
 
 from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
+from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
     exchange_interval_s,
@@ -146,6 +147,7 @@
         self._residency_changed = False
         self.planned = 0
         self._evacuated = frozenset()
+        self._engines = EngineTargets()
         # Adds to a view what other components tell the nodes.
         self.complete_view = lambda view: None
         threading.Thread(target=self._run_plans, daemon=True).start()
@@ -171,13 +173,13 @@
         """Apply a configuration."""
         with self._lock:
             self._ruleset = ruleset
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
 
     def set_targets(self, targets, evacuated=frozenset()):
         """Replace the directory of targets; those of evacuated zones get no orders."""
         with self._lock:
             self._targets, self._evacuated = targets, evacuated
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
 
     def announce(self, key, version, age_s):
         """Record that a version of an adapter was announced ``age_s`` ago."""
@@ -194,7 +196,7 @@
             self._active = True
             self._directory_rows.start_term(self._targets)
             self._planner.reset()
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
             self._levels.reset(self._clock(), levels)
             self._permits.reset()
             self._speeds.take_over()
@@ -284,7 +286,7 @@
             queried = [self._targets[t] for t in self._planner.targets_to_query(now)]
             orders = self._planner.next_orders(
                 now,
-                self._orderable_targets(now),
+                self._engines.orderable(frozenset(self._holders(now)), self._duty_zone),
                 self._wants(now),
                 DeferredDict(self._backlogs, now),
                 DeferredDict(self._reports.in_use, now),
@@ -402,17 +404,9 @@
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
-    def _engine_targets(self):
-        if self._ruleset is None:
-            return []
-        services = self._ruleset.services
-        return [
-            target
-            for target in self._targets.values()
-            if target.service in services
-            and services[target.service].engine
-            and target.zone not in self._evacuated
-        ]
+    def _select_engines(self):
+        self._engines.select(self._ruleset, self._targets, self._evacuated)
+        self._planner.sync([target for target, _ in self._engines.rows.values()])
 
     def _holders(self, now):
         """Return the addresses of the duty holders that may send orders, by zone.
@@ -429,17 +423,6 @@
         """Return the zone whose duty holder sends orders to a target."""
         return target.zone if target.zone in self._zones else self._zones[0]
 
-    def _orderable_targets(self, now):
-        holders = self._holders(now)
-        return {
-            target.target_id: (
-                target,
-                self._ruleset.services[target.service].engine,
-            )
-            for target in self._engine_targets()
-            if not target.draining and self._duty_zone(target) in holders
-        }
-
     def _backlogs(self, now):
         backlogs = {
             target_id: self._backlog_s(target_id, load)
@@ -456,7 +439,7 @@
 
     def _wants(self, now):
         wants = self._reports.wants(now)
-        for service in sorted({target.service for target in self._engine_targets()}):
+        for service in self._engines.services:
             wants += self._planner.outdated(now, service)
         return sorted(
             wants, key=lambda want: (want.extra_copy, want.priority, -want.waiting)
