Coordinator: what views to all groups share is packed once

Cause: the messages of one view differ only in the acknowledged reports and the addresses to forward to, but each of up to 21 was encoded twice and packed as a whole.

Change: ViewEncoder puts these fields last and packs the rest once (PackedHead); the order of fields in JSON has no meaning, so all builds read the messages as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -4,7 +4,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic, sleep
 
-from msgspec import Raw
 from msgspec.json import encode as to_json
 
 from hibiscusspar.fleet.deferred_dict import DeferredDict
@@ -20,7 +19,6 @@
     AdapterLoad,
     FleetView,
     SendNotice,
-    ViewRelay,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import ROTATED_PEERS
@@ -34,9 +32,9 @@
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
-from hibiscusspar_entry.fleet.packing import pack
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
 from hibiscusspar_entry.fleet.report_table import ReportTable
+from hibiscusspar_entry.fleet.view_encoder import ViewEncoder
 
 __all__ = ["Coordinator"]
 
@@ -303,16 +301,15 @@
         with self._lock:
             view, records = self._view()
         self.complete_view(view)
+        encoder = ViewEncoder(view)
         # Nodes of older builds, which can't read packed views, get groups of their own.
         for group in view_groups(
             records, lambda record: (record.report.zone, record.report.reads_packed)
         ):
-            view.acked = {record.report.node: record.report.number for record in group}
-            body = to_json(view)
+            acked = {record.report.node: record.report.number for record in group}
             first, *others = [record.address for record in group]
-            if others:
-                body = to_json(ViewRelay(others, Raw(body)))
-            self._send(first, pack(body) if group[0].report.reads_packed else body)
+            packed = group[0].report.reads_packed
+            self._send(first, encoder.message(acked, others, packed))
 
     def _view(self):
         now = self._view_sent_at = self._clock()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/packing.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/packing.py
@@ -7,7 +7,7 @@
 
 import zlib
 
-__all__ = ["pack", "unpack"]
+__all__ = ["PackedHead", "pack", "unpack"]
 
 # First byte of a zlib stream; an encoded message begins with a brace.
 _ZLIB_HEAD = 0x78
@@ -23,6 +23,27 @@
     return zlib.compress(body, _LEVEL) if len(body) >= _MIN_BYTES else body
 
 
+class PackedHead:
+    """Packed beginning that several messages share, so that it is packed once.
+
+    Parameters
+    ----------
+    head : bytes
+    """
+
+    def __init__(self, head):
+        self._head = head
+        self._stream = zlib.compressobj(_LEVEL)
+        self._packed = self._stream.compress(head)
+
+    def pack(self, tail):
+        """Return the message with this beginning, packed as by ``pack``."""
+        if len(self._head) + len(tail) < _MIN_BYTES:
+            return self._head + tail
+        stream = self._stream.copy()
+        return self._packed + stream.compress(tail) + stream.flush()
+
+
 def unpack(body):
     """Return the message of a datagram, packed or not.
 
