Coordinator and scheduler: reports and views cost less where nothing changed

Cause: for each report the coordinator compared the adapters in use with those of the report before, label by label, and took the locks of tables for which it carried nothing; for each view a node made some ten calls per target to learn that no prompts are queued there.

Change: unchanged counts are compared as a whole, and the queues of a view are applied in one loop.

--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -29,8 +29,14 @@
 
     def record_report(self, now, target_id, backlog_s):
         """Raise the backlog of a target to that known from reports, if longer."""
-        if now + backlog_s > self._done_at.get(target_id, now):
-            self._done_at[target_id] = now + backlog_s
+        self.record_reports(now, [(target_id, backlog_s)])
+
+    def record_reports(self, now, backlogs):
+        """Raise backlogs to those known from reports; pairs of target and seconds."""
+        done_at = self._done_at
+        for target_id, backlog_s in backlogs:
+            if now + backlog_s > done_at.get(target_id, now):
+                done_at[target_id] = now + backlog_s
 
     def done_at(self, target_id):
         """Return when a target will have processed its prompts, 0 if it got none."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -223,11 +223,13 @@
             self._levels.report(
                 now, report.node, report.start, report.used, report.denied
             )
-            self._limits.apply_rows(report.limits, report.node)
+            if report.limits:
+                self._limits.apply_rows(report.limits, report.node)
             self._speeds.apply_report(report)
             for target_id, (in_use, started) in changes.items():
                 self._planner.used(now, target_id, in_use)
-                self._planner.record_starts(now, started)
+                if started:
+                    self._planner.record_starts(now, started)
         if report.wants:
             self._plan_requested.set()
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/report_table.py
@@ -61,19 +61,20 @@
         if known and is_older(report, known.report):
             return None
         same = known is not None and known.report.start == report.start
-        in_use = {
-            target_id: set(map(adapter_key, counts))
-            for target_id, counts in report.in_use.items()
-        }
-        self._records[report.node] = NodeRecord(report, now, address, in_use)
         earlier = known.report.in_use if same else {}
-        return {
-            target_id: (
-                in_use[target_id],
-                started_counts(counts, earlier.get(target_id, {})),
-            )
-            for target_id, counts in report.in_use.items()
-        }
+        in_use, changes = {}, {}
+        for target_id, counts in report.in_use.items():
+            before = earlier.get(target_id, {})
+            # Most counts are those of the last report, as requests take seconds.
+            if counts == before:
+                keys, started = known.in_use[target_id], {}
+            else:
+                keys = set(map(adapter_key, counts))
+                started = started_counts(counts, before)
+            in_use[target_id] = keys
+            changes[target_id] = (keys, started)
+        self._records[report.node] = NodeRecord(report, now, address, in_use)
+        return changes
 
     def forwarding_order(self, now, stale_s, last):
         """Return the records of all nodes, those that should forward views first.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -488,14 +488,18 @@
 
     def _record_reported_queues(self, now):
         """Raise the prompt queues of targets to those that a view has shown."""
-        for target_id in self._loads_of_others:
-            target = self._targets.get(target_id)
+        backlogs = []
+        for target_id, others in self._loads_of_others.items():
+            target, own = self._targets.get(target_id), self._loads.get(target_id)
             if target is None:
                 continue
+            queued = others.queued_prompt_tokens
+            if own is not None:
+                _, queued = current_load(own, others, None)
             # Without queued prompts a report raises no backlog.
-            _, queued = self._load_of_all(target_id)
-            if queued:
+            if queued > 0:
                 is_engine = self._has_engine.get(target.service)
                 factor = self.factor(target_id) if is_engine else 1.0
                 queued_s = reported_backlog_s(_CHOICE_POLICY, queued, factor)
-                self._prompt_queues.record_report(now, target_id, queued_s)
+                backlogs.append((target_id, queued_s))
+        self._prompt_queues.record_reports(now, backlogs)
