--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -4,12 +4,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from time import sleep, thread_time
 
-from msgspec import Raw
 from msgspec.json import encode as to_json
 
 from hibiscusspar.fleet.copy_costs import copy_costs_s
 from hibiscusspar.fleet.deferred_dict import DeferredDict
 from hibiscusspar.fleet.directory_rows import DirectoryRows
+from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
     exchange_interval_s,
@@ -20,7 +20,6 @@
     AdapterLoad,
     FleetView,
     SendNotice,
-    ViewRelay,
     adapter_label,
 )
 from hibiscusspar.fleet.peers import ROTATED_PEERS
@@ -33,9 +32,9 @@
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
-from hibiscusspar_entry.fleet.packing import pack
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
 from hibiscusspar_entry.fleet.report_table import ReportTable
+from hibiscusspar_entry.fleet.view_encoder import ViewEncoder
 
 __all__ = ["Coordinator"]
 
@@ -147,6 +146,7 @@
         self._residency_changed = False
         self.planned = 0
         self._evacuated = frozenset()
+        self._engines = EngineTargets()
         # Adds to a view what other components tell the nodes.
         self.complete_view = lambda view: None
         threading.Thread(target=self._run_plans, daemon=True).start()
@@ -172,13 +172,13 @@
         """Apply a configuration."""
         with self._lock:
             self._ruleset = ruleset
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
 
     def set_targets(self, targets, evacuated=frozenset()):
         """Replace the directory of targets; those of evacuated zones get no orders."""
         with self._lock:
             self._targets, self._evacuated = targets, evacuated
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
 
     def announce(self, key, version, age_s):
         """Record that a version of an adapter was announced ``age_s`` ago."""
@@ -195,7 +195,7 @@
             self._active = True
             self._directory_rows.start_term(self._targets)
             self._planner.reset()
-            self._planner.sync(self._engine_targets())
+            self._select_engines()
             self._levels.reset(self._clock(), levels)
             self._permits.reset()
             self._speeds.take_over()
@@ -224,11 +224,13 @@
             self._levels.report(
                 now, report.node, report.start, report.used, report.denied
             )
-            self._limits.apply_rows(report.limits, report.node)
+            if report.limits:
+                self._limits.apply_rows(report.limits, report.node)
             self._speeds.apply_report(report)
             for target_id, (in_use, started) in changes.items():
                 self._planner.used(now, target_id, in_use)
-                self._planner.record_starts(now, started)
+                if started:
+                    self._planner.record_starts(now, started)
         if report.wants:
             self._plan_requested.set()
 
@@ -285,7 +287,7 @@
             queried = [self._targets[t] for t in self._planner.targets_to_query(now)]
             orders = self._planner.next_orders(
                 now,
-                self._orderable_targets(now),
+                self._engines.orderable(frozenset(self._holders(now)), self._duty_zone),
                 self._wants(now),
                 DeferredDict(self._copy_costs, now),
                 DeferredDict(self._reports.in_use, now),
@@ -302,16 +304,15 @@
         with self._lock:
             view, records = self._view()
         self.complete_view(view)
+        encoder = ViewEncoder(view)
         # Nodes of older builds, which can't read packed views, get groups of their own.
         for group in view_groups(
             records, lambda record: (record.report.zone, record.report.reads_packed)
         ):
-            view.acked = {record.report.node: record.report.number for record in group}
-            body = to_json(view)
+            acked = {record.report.node: record.report.number for record in group}
             first, *others = [record.address for record in group]
-            if others:
-                body = to_json(ViewRelay(others, Raw(body)))
-            self._send(first, pack(body) if group[0].report.reads_packed else body)
+            packed = group[0].report.reads_packed
+            self._send(first, encoder.message(acked, others, packed))
 
     def _view(self):
         now = self._view_sent_at = self._clock()
@@ -403,17 +404,9 @@
         due = self._peer_rotation.due(peers, self._number, ROTATED_PEERS)
         return {name: peers[name] for name in due}
 
-    def _engine_targets(self):
-        if self._ruleset is None:
-            return []
-        services = self._ruleset.services
-        return [
-            target
-            for target in self._targets.values()
-            if target.service in services
-            and services[target.service].engine
-            and target.zone not in self._evacuated
-        ]
+    def _select_engines(self):
+        self._engines.select(self._ruleset, self._targets, self._evacuated)
+        self._planner.sync([target for target, _ in self._engines.rows.values()])
 
     def _holders(self, now):
         """Return the addresses of the duty holders that may send orders, by zone.
@@ -430,17 +423,6 @@
         """Return the zone whose duty holder sends orders to a target."""
         return target.zone if target.zone in self._zones else self._zones[0]
 
-    def _orderable_targets(self, now):
-        holders = self._holders(now)
-        return {
-            target.target_id: (
-                target,
-                self._ruleset.services[target.service].engine,
-            )
-            for target in self._engine_targets()
-            if not target.draining and self._duty_zone(target) in holders
-        }
-
     def _copy_costs(self, now):
         return copy_costs_s(
             self._reports.loads(now),
@@ -451,7 +433,7 @@
 
     def _wants(self, now):
         wants = self._reports.wants(now)
-        for service in sorted({target.service for target in self._engine_targets()}):
+        for service in self._engines.services:
             wants += self._planner.outdated(now, service)
         return sorted(
             wants, key=lambda want: (want.extra_copy, want.priority, -want.waiting)
