Fleet: nodes without views make fewer store calls

Cause: until its first view, and while it doesn't reach the coordinator, a node reads the directory after each change (every 0.15 s), the configuration twice a second and each lease every 0.3 s. Change: hibiscusspar.fleet.store_reads decides what a node reads now. A node that starts reads configuration and lease of the coordinator, and waits up to 1.25 s (and four intervals after its first view) for the directory, unless a request waits. A node that reads only for itself pauses so that the answer comes within 0.72 of the bound. A lease that is renewed is read less often than one that may be free, which is read again just before it is taken. Calls are counted by cause.

--- a/measure/part_start.py
+++ b/measure/part_start.py
@@ -43,8 +43,8 @@
 
 def _calls(starts):
     kinds = sorted(set().union(*(start.calls for start in starts.values())))
-    rows = [
-        (kind, *(start.calls[kind] for start in starts.values())) for kind in kinds
-    ]
+    rows = [(kind, *(start.calls[kind] for start in starts.values())) for kind in kinds]
     rows.append(("all", *(start.calls.total() for start in starts.values())))
-    return Table("Store calls until all nodes have a whole view", ("call", *starts), rows)
+    return Table(
+        "Store calls until all nodes have a whole view", ("call", *starts), rows
+    )
--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -10,6 +10,8 @@
 
 from typing import NamedTuple
 
+from hibiscusspar.fleet.store_reads import lease_pause_s
+
 __all__ = ["Election", "LeaseRecord", "LeaseTiming", "ReadLease", "WriteLease"]
 
 
@@ -17,7 +19,8 @@
     """Times of a lease in seconds.
 
     The holder renews the lease every ``renew_s`` and may act for ``valid_s`` after a
-    renewal. Processes that don't hear the holder read the lease every ``poll_s``.
+    renewal. Processes that don't hear the holder read the lease every ``poll_s``, more
+    rarely while it is renewed.
     ``order_gap_s`` is the minimum time between the orders of two holders.
     """
 
@@ -59,14 +62,25 @@
     timing : LeaseTiming
     takeover_delay_s : callable, optional
         Returns the seconds that this process waits before it takes a free lease.
+    fraction : float, optional
+        Number in [0, 1) that spreads the reads of different processes.
     """
 
-    def __init__(self, machine, start, address, timing, takeover_delay_s=lambda: 0.0):
+    def __init__(
+        self,
+        machine,
+        start,
+        address,
+        timing,
+        takeover_delay_s=lambda: 0.0,
+        fraction=0.0,
+    ):
         self._machine = machine
         self._start = start
         self._address = address
         self._timing = timing
         self._takeover_delay_s = takeover_delay_s
+        self._fraction = fraction
         self._record = None
         self._revision = 0
         self._changed_at = None
@@ -77,6 +91,14 @@
         self._nonce = 0
         self._is_current = False
         self._is_releasing = False
+        # Reads in a row that returned the same revision.
+        self._same_reads = 0
+        self._is_renewed = False
+
+    @property
+    def is_renewed(self):
+        """Whether the last read showed that another holder renews the lease."""
+        return self._is_renewed
 
     @property
     def record(self):
@@ -155,16 +177,21 @@
         if self._silent_since is None:
             self._silent_since = now
         if revision == self._revision and self._changed_at is not None:
-            return
-        if not (record and self._same_process(record)):
-            self._renewed_at = None
-        elif not self._is_mine():
-            # The answer of the write that took the lease was lost.
-            self._become_holder(now)
-        self._update(now, record, revision)
+            self._same_reads += 1
+            self._is_renewed = False
+        else:
+            self._apply_change(now, record, revision)
         if record is not None and record.machine == self._machine:
             # No other machine holds the lease, so there is no reason to wait.
             self._next_action_at = now
+        else:
+            self._next_action_at = now + lease_pause_s(
+                self._free_at() - now,
+                self._same_reads,
+                self._is_renewed,
+                self._timing,
+                self._fraction,
+            )
 
     def on_written(self, sent_at, now, record, revision):
         """Handle a write of this process that took effect."""
@@ -184,10 +211,22 @@
         renewal is counted afresh.
         """
         self._is_current = False
+        self._is_renewed = False
         self._silent_since = None
         if not self.holds(now):
             self._next_action_at = now
 
+    def _apply_change(self, now, record, revision):
+        if not (record and self._same_process(record)):
+            self._renewed_at = None
+        elif not self._is_mine():
+            # The answer of the write that took the lease was lost.
+            self._become_holder(now)
+        was_read = self._changed_at is not None
+        self._update(now, record, revision)
+        self._same_reads = 1
+        self._is_renewed = was_read and record is not None and not record.released
+
     def _update(self, now, record, revision):
         self._record = record
         self._revision = revision
@@ -209,10 +248,14 @@
         record = self._record
         if record is not None and record.machine == self._machine:
             return True
+        return now >= self._free_at()
+
+    def _free_at(self):
+        """Return the time at which this process may take the lease."""
         free_at = self._silent_since + self._takeover_delay_s()
-        if record is not None and not record.released:
+        if self._record is not None and not self._record.released:
             free_at += self._timing.valid_s
-        return now >= free_at
+        return free_at
 
     def _is_mine(self):
         return self._record is not None and (
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -52,6 +52,14 @@
             ("call", "kind", "outcome"),
             registry=registry,
         )
+        self.store_causes = Counter(
+            "hibiscusspar_store_calls_by_cause",
+            "Calls of the platform's store by kind of object and why they were made.",
+            ("kind", "cause"),
+            registry=registry,
+        )
+        # Returns why this node calls the store now.
+        self.store_cause = lambda: "start"
         self.gauges = Gauge(
             "hibiscusspar_node",
             "State of this node by field.",
@@ -62,6 +70,7 @@
     def count_store_call(self, call, kind, outcome):
         """Count one call to the store."""
         self.store_calls.labels(call, kind, outcome).inc()
+        self.store_causes.labels(kind, self.store_cause()).inc()
 
     def render(self, fields):
         """Return all metrics as text.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -15,7 +15,6 @@
 )
 from hibiscusspar.fleet.peers import Peer
 from hibiscusspar.fleet.quota import discounted_levels
-from hibiscusspar.fleet.takeover import poll_delay_s
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
 from hibiscusspar_entry.fleet.background import log_failure
@@ -25,6 +24,7 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.lease_deferral import COORDINATOR_SILENT_S
 from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
@@ -40,14 +40,6 @@
 _LEASE_TICK_S = 0.05
 # Shortest time between reports that carry new wants.
 _WANT_REPORT_GAP_S = 0.004
-# Silence after which the coordinator may have failed.
-_COORDINATOR_SILENT_S = 0.5
-# Silence of the coordinator after which the leases of the zones' duties are read. It is
-# far longer than the election of a successor takes.
-_DUTY_SILENT_S = 2.5
-# Time after the start for which the first view is awaited before the leases of the
-# zones' duties are read.
-_FIRST_VIEW_S = 1.5
 # Pause after a store call without an answer, far shorter than the store's outages.
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
@@ -92,7 +84,7 @@
     relayed_state: Any
     config_relay: Any
     peers: Any
-    applicant: Any
+    lease_deferral: Any
     key_age_limit_s: float
 
 
@@ -122,16 +114,13 @@
         self._report_requested = threading.Event()
         self._view_requested = threading.Event()
         self._was_leader = False
-        self._is_coordinator_leased = False
-        self._held_duties = frozenset()
         self._fence = 0
-        self._unheld_since = {}
-        self._started_at = parts.clock()
+        self._has_waited = False
         self._store_retry_at = 0.0
         self._loss = CoordinatorLoss(parts.election)
         self._stopping = threading.Event()
         self._coordinator_address = None
-        parts.request_scheduler.request_report = self._report_requested.set
+        parts.request_scheduler.request_report = self._request_report
         self._notice_sender = NoticeSender(
             parts.clock, parts.settings.zone, parts.peers, channel, Random(parts.start)
         )
@@ -206,47 +195,7 @@
     @property
     def has_active_coordinator(self):
         """Whether a coordinator with a valid lease sent a view lately."""
-        age_s = self._parts.request_scheduler.view_age_s
-        return (
-            age_s is not None
-            and age_s < _COORDINATOR_SILENT_S
-            and self._is_coordinator_leased
-        )
-
-    @property
-    def skips_coordinator_lease(self):
-        """Whether the coordinator's lease need not be read now."""
-        return self._defers_to_others("", self.has_active_coordinator)
-
-    def skips_duty_lease(self, zone):
-        """Return whether the lease of a zone's duty need not be read now."""
-        return self._defers_to_others(zone, self._has_holder(zone))
-
-    def _has_holder(self, zone):
-        parts = self._parts
-        age_s = parts.request_scheduler.view_age_s
-        if age_s is None:
-            return parts.clock() < self._started_at + _FIRST_VIEW_S
-        return age_s < _DUTY_SILENT_S and zone in self._held_duties
-
-    def _defers_to_others(self, zone, has_holder):
-        """Return whether the lease of a duty is left to other nodes now.
-
-        Parameters
-        ----------
-        zone : str
-            Zone of the duty, empty for the coordinator's.
-        has_holder : bool
-            Whether the duty has a holder as far as is known.
-        """
-        parts = self._parts
-        now = parts.clock()
-        if has_holder:
-            self._unheld_since.pop(zone, None)
-            return True
-        since = self._unheld_since.setdefault(zone, now)
-        applicant = parts.applicant(zone)
-        return now < since + poll_delay_s(applicant, parts.request_scheduler.nodes)
+        return self._parts.lease_deferral.has_active_coordinator
 
     def receive(self, message, address):
         """Handle a message of another node."""
@@ -328,6 +277,14 @@
         proxy = self._parts.peer_proxy
         return self._forwarder.open_requests + proxy.open_requests
 
+    def _request_report(self):
+        """Send the next report at once; a first waiting request needs the directory."""
+        if not self._has_waited:
+            self._has_waited = True
+            for watch in self._parts.watches:
+                watch.wake()
+        self._report_requested.set()
+
     def _request_exchange(self):
         """Send the next report and, as the coordinator, the next view at once."""
         self._report_requested.set()
@@ -339,10 +296,8 @@
         if view.fence < self._fence or not self._view_sequence.accept(view):
             return
         self._fence = view.fence
-        held = frozenset(view.held)
-        if (view.leased, held) != (self._is_coordinator_leased, self._held_duties):
+        if parts.lease_deferral.apply_view(view):
             self._lease_task.wake()
-        self._is_coordinator_leased, self._held_duties = view.leased, held
         self._coordinator_address = parse_address(view.address)
         self._loss.record_view()
         if view.start != parts.start:
@@ -374,10 +329,10 @@
             self._was_leader
             or any(keeper.election.leads for keeper in parts.lease_keepers)
             or not self.has_active_coordinator
-            or not self._held_duties.issuperset(parts.settings.zones)
+            or not parts.lease_deferral.all_held(parts.settings.zones)
         ):
             return _LEASE_TICK_S
-        silent_in_s = _COORDINATOR_SILENT_S - parts.request_scheduler.view_age_s
+        silent_in_s = COORDINATOR_SILENT_S - parts.request_scheduler.view_age_s
         return max(_LEASE_TICK_S, silent_in_s)
 
     def _lease_step(self):
@@ -391,6 +346,8 @@
         elif not election.leads and not self.has_active_coordinator:
             record = election.record
             if record is not None and record.fence >= self._fence:
+                if self._coordinator_address is None:
+                    self._report_requested.set()
                 self._coordinator_address = parse_address(record.address)
 
     def _switch_role(self, leads):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -1,29 +1,20 @@
-"""Synchronization with the objects of the platform's store."""
+"""Tables of what the platform's store holds."""
 
 import threading
 from typing import NamedTuple
 
 from msgspec import MsgspecError
 
-from hibiscusspar.errors import StepError
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import (
     ADAPTER_VERSION,
     CONFIGURATION_BAD,
     CONFIGURATION_TAKEN,
-    STORE_LOST,
-    STORE_REGAINED,
     TARGET_CHANGED,
     TARGET_GONE,
 )
-from hibiscusspar_wire.platform_errors import CompactedError
 
-__all__ = ["ConfigSync", "StoreWatch", "TargetSync", "VersionSync", "ViewOrigin"]
-
-# Shortest pause after a failed call, in seconds.
-_RETRY_S = 0.15
-# Time in seconds after which a suspended watch checks whether it must read again.
-_RELAYED_POLL_S = 0.12
+__all__ = ["ConfigSync", "TargetSync", "VersionSync", "ViewOrigin"]
 
 
 class ViewOrigin(NamedTuple):
@@ -34,141 +25,6 @@
     number: int
 
 
-class StoreWatch:
-    """Watch of one kind of object: a listing followed by its changes.
-
-    Parameters
-    ----------
-    store : ObjectStore
-    kind : str
-    clock : callable
-    wait_s : float
-        Longest wait of one watch call.
-    gap_s : float
-        Pause between calls, which bounds their rate while many objects change.
-    handler : object
-        Has ``on_listing(objects, sent_at)``, ``on_changes(events, sent_at)`` and
-        ``on_store_returned()``, which is called after an outage.
-    is_relayed : callable
-        Returns whether the coordinator's views relay these objects, so that the store
-        need not be read.
-    backoff : StoreBackoff
-    relayed_for_s : callable, optional
-        Returns the time after which ``is_relayed`` may change unless :meth:`wake` is
-        called before.
-    """
-
-    def __init__(
-        self,
-        store,
-        kind,
-        clock,
-        wait_s,
-        gap_s,
-        handler,
-        is_relayed,
-        backoff,
-        relayed_for_s=lambda: _RELAYED_POLL_S,
-    ):
-        self._store = store
-        self._kind = kind
-        self._clock = clock
-        self._wait_s = wait_s
-        self._gap_s = gap_s
-        self._handler = handler
-        self._is_relayed = is_relayed
-        self._backoff = backoff
-        self._relayed_for_s = relayed_for_s
-        self._revision = None
-        self._outage_since = None
-        # Whether a listing follows each change, for kinds that change rarely. It
-        # confirms the state without another wait. The event of a deletion may have the
-        # revision of the last write, with which a watch would return it again at once.
-        self.lists_after_changes = False
-        # Called at the first call of an outage.
-        self.on_store_lost = lambda: None
-        self._wake = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self):
-        """Start the thread of the watch."""
-        self._thread.start()
-
-    def wake(self):
-        """Check at once whether the store must be read."""
-        self._wake.set()
-
-    def poll_once(self):
-        """Make one call and return the pause after it, in seconds."""
-        try:
-            self._poll()
-        except CompactedError:
-            # The history was compacted, so a listing replaces it.
-            self._backoff.record_answer()
-            self._revision = None
-            return 0.0
-        except StepError as error:
-            self._backoff.record_failure()
-            self._record_outage(error)
-            # A listing fails sooner than a watch call, so that the end of the outage is
-            # noticed early.
-            self._revision = None
-            return _RETRY_S
-        return self._gap_s
-
-    def _run(self):
-        pause = threading.Event()
-        while True:
-            if self._is_relayed():
-                # The next listing includes the changes made in the meantime.
-                self._revision = None
-                self._wake.wait(self._relayed_for_s())
-                self._wake.clear()
-                continue
-            held_s = self._backoff.wait_s()
-            if held_s > 0:
-                self._wake.wait(min(held_s, _RELAYED_POLL_S))
-                self._wake.clear()
-                continue
-            pause.wait(self.poll_once())
-
-    def _poll(self):
-        sent_at = self._clock()
-        if self._revision is None:
-            listing = self._store.list(self._kind)
-            self._record_answer()
-            self._handler.on_listing(listing.objects, sent_at)
-            self._revision = listing.revision
-            return
-        changes = self._store.watch(self._kind, self._revision, self._wait_s)
-        self._record_answer()
-        self._handler.on_changes(changes.events, sent_at)
-        if changes.events and self.lists_after_changes:
-            self._revision = None
-        elif changes.events:
-            # A watch that lost changes may return a revision beyond them, so only the
-            # revisions of delivered changes count.
-            newest = max(stored.revision for _, stored in changes.events)
-            self._revision = max(self._revision, newest)
-
-    def _record_outage(self, error):
-        if self._outage_since is not None:
-            return
-        self._outage_since = self._clock()
-        fields = {"kind": self._kind, "step": error.step, "reason": error.reason}
-        write_records([(STORE_LOST, fields)])
-        self.on_store_lost()
-
-    def _record_answer(self):
-        self._backoff.record_answer()
-        if self._outage_since is None:
-            return
-        away_s = round(self._clock() - self._outage_since, 3)
-        self._outage_since = None
-        write_records([(STORE_REGAINED, {"kind": self._kind, "away_s": away_s})])
-        self._handler.on_store_returned()
-
-
 class ConfigSync:
     """Configuration as read from the store, which is never replaced by an older one.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_evacuation_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_evacuation_sync.py
@@ -18,7 +18,8 @@
 from hibiscusspar_entry.fleet.open_zone_orders import OpenZoneOrders
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
 from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
-from hibiscusspar_entry.fleet.store_sync import ConfigSync, StoreWatch, TargetSync
+from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
+from hibiscusspar_entry.fleet.store_watch import StoreWatch
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
     Clock,
     SchedulerTestCase,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -8,11 +8,11 @@
 from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_entry.fleet.store_sync import (
     ConfigSync,
-    StoreWatch,
     TargetSync,
     VersionSync,
     ViewOrigin,
 )
+from hibiscusspar_entry.fleet.store_watch import StoreWatch
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import Clock
 from hibiscusspar_wire.platform_errors import (
     CompactedError,
