Leases: a duty that others may hold isn't read before the first view

Cause: the first read of each lease was made although its holder was to be awaited, so each node read four leases at its start. Change: a lease that was never read is left alone as well while its duty is skipped. A node reads the unheld duty of its own zone at once after its first view, since its machine may have held it before a loss of power.

--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -153,7 +153,8 @@
         if self._is_current and self._is_mine():
             self._next_action_at = now + self._timing.renew_s
             return self._write(self._record.fence)
-        if self._is_releasing or (self._is_current and holder_heard):
+        was_read = self._changed_at is not None
+        if self._is_releasing or (holder_heard and (self._is_current or not was_read)):
             return None
         self._next_action_at = now + self._timing.poll_s
         if self._is_current and self._may_take(now):
--- a/packages/hibiscusspar/hibiscusspar/fleet/store_reads.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/store_reads.py
@@ -19,7 +19,7 @@
 
 # Time after the start of a process for which it waits for views, in seconds: some
 # intervals of views, also in a large fleet.
-_START_S = 1.0
+_START_S = 1.6
 # The time differs by this fraction between nodes, so that they don't read together.
 _START_JITTER = 0.5
 # Intervals of views from the first one until all rows of the directory have arrived: a
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
@@ -10,6 +10,10 @@
 # Silence of the coordinator after which the leases of the zones' duties are read. It is
 # far longer than the election of a successor takes.
 _DUTY_SILENT_S = 2.5
+# Time after the start of a process in which it reads the unheld duty of its own zone at
+# once. It may have held it before all nodes lost power, and then takes it without the
+# waits that another machine needs.
+_OWN_DUTY_S = 5.0
 # Zone that stands for the coordinator's duty.
 _COORDINATOR = ""
 
@@ -79,4 +83,7 @@
             self._unheld_since.pop(zone, None)
             return True
         since = self._unheld_since.setdefault(zone, now)
-        return now < since + poll_delay_s(self._applicant(zone), self._nodes())
+        applicant = self._applicant(zone)
+        if not applicant.in_other_zone and now < self._started_at + _OWN_DUTY_S:
+            return False
+        return now < since + poll_delay_s(applicant, self._nodes())
