Tests: replay of the store calls of a fleet that starts or loses its views

Cause: goals for calls at 73 and 195 nodes can't be tried with real processes. Change: replay in virtual time of the elections, deferrals and own reads, with the former rules beside it; event node.first_view. The first replay found that nodes waited with the coordinator's lease as with the duty of their own zone; mended.

--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from hibiscusspar.fleet.store_reads import lease_pause_s
+from hibiscusspar.fleet.store_reads import lease_pause_s, leaves_lease
 
 __all__ = ["Election", "LeaseRecord", "LeaseTiming", "ReadLease", "WriteLease"]
 
@@ -154,7 +154,7 @@
             self._next_action_at = now + self._timing.renew_s
             return self._write(self._record.fence)
         was_read = self._changed_at is not None
-        if self._is_releasing or (holder_heard and (self._is_current or not was_read)):
+        if self._is_releasing or leaves_lease(holder_heard, self._is_current, was_read):
             return None
         self._next_action_at = now + self._timing.poll_s
         if self._is_current and self._may_take(now):
--- a/packages/hibiscusspar/hibiscusspar/fleet/store_reads.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/store_reads.py
@@ -13,6 +13,7 @@
     "duty_wait_s",
     "is_held",
     "lease_pause_s",
+    "leaves_lease",
     "read_cause",
     "read_pause_s",
 ]
@@ -141,6 +142,21 @@
     return min(pause_s, free_in_s - _APPLY_S)
 
 
+def leaves_lease(holder_heard, is_current, was_read):
+    """Return whether a process that doesn't hold a lease need not read it now.
+
+    Parameters
+    ----------
+    holder_heard : bool
+        Whether the holder is active as far as known, or a view is awaited that tells.
+    is_current : bool
+        Whether the last call about the lease was answered.
+    was_read : bool
+        Whether the lease was ever read.
+    """
+    return holder_heard and (is_current or not was_read)
+
+
 def duty_wait_s(is_coordinator_alive):
     """Return for how long a node leaves zones' duties alone before its first view.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -22,6 +22,7 @@
     "DUTY_CHANGED",
     "EVACUATIONS_UNREAD",
     "EVACUATION_OF_UNKNOWN_ZONE",
+    "FIRST_VIEW",
     "LINES_DROPPED",
     "NODE_DRAINING",
     "NODE_STARTED",
@@ -399,3 +400,11 @@
     "logged. `missing` counts the prompt tokens that were refused in the last second "
     "or wait for room, `room_per_s` those that returning callers may bring.",
 )
+FIRST_VIEW = declare(
+    671,
+    "node.first_view",
+    ("sender", "view", "after_s", "directory_read"),
+    "The first view of the coordinator, `after_s` seconds after the start of the "
+    "process; `directory_read` tells whether this node has read the directory from the "
+    "store until then.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
@@ -10,8 +10,8 @@
 # Silence of the coordinator after which the leases of the zones' duties are read. It is
 # far longer than the election of a successor takes.
 _DUTY_SILENT_S = 2.5
-# Time after the start of a process in which it reads the unheld duty of its own zone at
-# once. It may have held it before all nodes lost power, and then takes it without the
+# Time after the start of a process in which it reads the unheld duty of its own zone
+# within its jitter, also in a large fleet. It may have held it before all nodes lost power, and then takes it without the
 # waits that another machine needs.
 _OWN_DUTY_S = 5.0
 # Zone that stands for the coordinator's duty.
@@ -84,6 +84,7 @@
             return True
         since = self._unheld_since.setdefault(zone, now)
         applicant = self._applicant(zone)
-        if not applicant.in_other_zone and now < self._started_at + _OWN_DUTY_S:
-            return False
+        is_own_duty = zone != _COORDINATOR and not applicant.in_other_zone
+        if is_own_duty and now < self._started_at + _OWN_DUTY_S:
+            return now < since + applicant.jitter_s
         return now < since + poll_delay_s(applicant, self._nodes())
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -20,6 +20,7 @@
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.coordinator_loss import CoordinatorLoss
 from hibiscusspar_entry.fleet.events import (
+    FIRST_VIEW,
     NODE_DRAINING,
     NODE_STARTED,
     NODE_STOPPED,
@@ -116,6 +117,7 @@
         self._was_leader = False
         self._fence = 0
         self._has_waited = False
+        self._started_at = parts.clock()
         self._store_retry_at = 0.0
         self._loss = CoordinatorLoss(parts.election)
         self._stopping = threading.Event()
@@ -292,6 +294,8 @@
 
     def _apply_view(self, view):
         parts = self._parts
+        if parts.request_scheduler.view_age_s is None:
+            self._log_first_view(view)
         self._fence = max(self._fence, parts.election.fence)
         if view.fence < self._fence or not self._view_sequence.accept(view):
             return
@@ -318,6 +322,16 @@
             )
             parts.quota_changed.notify_all()
 
+    def _log_first_view(self, view):
+        _, targets, _ = self._parts.request_scheduler.status()
+        fields = {
+            "sender": view.node,
+            "view": view.number,
+            "after_s": round(self._parts.clock() - self._started_at, 3),
+            "directory_read": targets > 0,
+        }
+        write_records([(FIRST_VIEW, fields)])
+
     def _lease_pause_s(self):
         """Return the time until the next check of the leases, in seconds.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
@@ -5,8 +5,10 @@
 """
 
 from collections import Counter
+from contextlib import ExitStack, contextmanager
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.lease import Election, LeaseTiming
@@ -17,21 +19,44 @@
 from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_wire.platform_errors import ConflictError, RefusedError
 
-__all__ = ["Replay"]
+__all__ = ["Replay", "former_rules"]
 
 ZONES = ("z0", "z1", "z2")
 DRAIN_S = CONFIG_S = 0.72 * 2.0
-# Kind, wait and gap of its watch in seconds, age limit, and calls of a listing.
+# Kind, wait and gap of its watch in seconds, age limit.
 KINDS = (
-    ("config", 0.5, 0.02, CONFIG_S, 1),
-    ("servers", 0.5, 0.15, DRAIN_S, 3),
-    ("versions", 2.0, 0.15, DRAIN_S, 1),
+    ("config", 0.5, 0.02, CONFIG_S),
+    ("servers", 0.5, 0.15, DRAIN_S),
+    ("versions", 2.0, 0.15, DRAIN_S),
 )
+# Targets by size of the fleet, and targets on a page of a listing.
+TARGETS = {9: 15, 73: 62, 100: 120, 195: 300, 360: 830}
+PAGE = 50
 COORDINATOR_TIMING = LeaseTiming(renew_s=0.4, valid_s=0.9, order_gap_s=0.0)
 DUTY_TIMING = LeaseTiming(renew_s=0.6, valid_s=1.5, order_gap_s=3.3)
 STEP_S = 0.05
 
 
+@contextmanager
+def former_rules():
+    """Decide as builds up to 4554b0c: fixed polls and gaps, and no wait for a view."""
+    own_reads = "hibiscusspar_entry.fleet.own_reads"
+    rules = {
+        "hibiscusspar.fleet.lease.lease_pause_s": lambda f, r, i, timing, x: (
+            timing.poll_s
+        ),
+        "hibiscusspar.fleet.lease.leaves_lease": lambda heard, is_current, was_read: (
+            heard and is_current
+        ),
+        f"{own_reads}.read_pause_s": lambda state, wait_s, gap_s: gap_s,
+        f"{own_reads}.is_held": lambda state: False,
+    }
+    with ExitStack() as stack:
+        for name, rule in rules.items():
+            stack.enter_context(patch(name, rule))
+        yield
+
+
 class Store:
     """Objects with conditional writes; counts the calls by kind."""
 
@@ -76,7 +101,8 @@
         self.read_gaps = []
         self.waits = False
         rng = replay.rng
-        clock, store = replay.clock, replay.store
+        store = replay.store
+        clock = lambda: max(replay.clock(), started_at)  # noqa: E731
         zone, start = ZONES[number % 3], f"s{rng.random()}"
         jitter_s = rng.uniform(0.0, 0.3)
 
@@ -96,7 +122,7 @@
         self.deferral = LeaseDeferral(
             clock, self.election, applicant, view_age_s, nodes
         )
-        backoff = StoreBackoff(clock, rng, nodes, lambda: False)
+        backoff = StoreBackoff(clock, replay.noise, nodes, lambda: False)
         keepers = {"coordinator": (self.election, self.deferral.skips_coordinator)}
         for name in ZONES:
             skips = lambda name=name: self.deferral.skips_duty(name)  # noqa: E731
@@ -119,6 +145,8 @@
         now = self.replay.clock()
         if now < self.started_at:
             return
+        is_known = self.directory_at is not None or self.rows_at is not None
+        self.waits = self.replay.callers_wait and not is_known
         for keeper in self.keepers:
             keeper.step()
         self._exchange(now)
@@ -137,7 +165,7 @@
         if self.reported_at is None:
             self.reported_at = now
         if now >= (self.view_at or self.reported_at) + interval_s:
-            if self.replay.rng.random() < self.replay.loss:
+            if self.replay.noise.random() < self.replay.loss:
                 return
             if self.view_at is not None:
                 self.rows_at = self.rows_at or now
@@ -156,7 +184,7 @@
             for i in range(len(ZONES))
         ]
 
-    def _watch(self, now, kind, wait_s, gap_s, limit_s, pages):
+    def _watch(self, now, kind, wait_s, gap_s, limit_s):
         state = self.watches[kind]
         next_at, sent_at = state
         if now < next_at:
@@ -170,6 +198,9 @@
         age_s = None if sent_at is None else now - sent_at
         if reads.is_held(age_s, limit_s):
             return
+        pages = 1
+        if kind == "servers":
+            pages += self.replay.targets // PAGE
         calls, took_s = (pages, 0.0) if sent_at is None else (1, wait_s)
         if kind == "servers":
             # Some target renews its entry all the time.
@@ -179,7 +210,7 @@
             self.config_at = self.config_at or now
         elif kind == "servers":
             self.read_gaps.append(now - (sent_at if sent_at is not None else now))
-            self.directory_at = now
+            self.directory_at = self.directory_at or now
         pause_s = reads.pause_s(took_s, wait_s, gap_s, limit_s)
         state[:] = now + took_s + pause_s, now
 
@@ -193,14 +224,20 @@
     seed : int
     spread_s : float, optional
         Time over which the processes start.
+    callers_wait : bool, optional
+        Whether requests wait at each node from its start on.
     """
 
-    def __init__(self, nodes, seed, spread_s=1.0):
+    def __init__(self, nodes, seed, spread_s=1.0, callers_wait=False):
+        # Starts and jitters must not depend on how many datagrams are sent, so that two
+        # replays of one seed can be compared.
         self.rng = Random(seed)
+        self.noise = Random(seed + 1)
         self.now = 100.0
+        self.targets = TARGETS[nodes]
         self.loss = 0.0
         self.store = Store()
-        self.spread_s = spread_s
+        self.spread_s, self.callers_wait = spread_s, callers_wait
         self.nodes = []
         self.start_all(range(nodes))
 
