--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
@@ -11,8 +11,8 @@
 # far longer than the election of a successor takes.
 _DUTY_SILENT_S = 2.5
 # Time after the start of a process in which it reads the unheld duty of its own zone
-# within its jitter, also in a large fleet. It may have held it before all nodes lost power, and then takes it without the
-# waits that another machine needs.
+# within its jitter, also in a large fleet. It may have held it before all nodes lost
+# power, and then takes it without the waits that another machine needs.
 _OWN_DUTY_S = 5.0
 # Zone that stands for the coordinator's duty.
 _COORDINATOR = ""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
@@ -30,7 +30,7 @@
     ("versions", 2.0, 0.15, DRAIN_S),
 )
 # Targets by size of the fleet, and targets on a page of a listing.
-TARGETS = {9: 15, 73: 62, 100: 120, 195: 300, 360: 830}
+TARGETS = {9: 15, 66: 62, 73: 62, 100: 120, 195: 300, 360: 830}
 PAGE = 50
 COORDINATOR_TIMING = LeaseTiming(renew_s=0.4, valid_s=0.9, order_gap_s=0.0)
 DUTY_TIMING = LeaseTiming(renew_s=0.6, valid_s=1.5, order_gap_s=3.3)
