Leases: no wait for the own zone's duty in a small fleet, and tests

Cause: the wait within the jitter also applied to fleets of up to 16 nodes, where duties were read at once before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
@@ -84,7 +84,8 @@
             return True
         since = self._unheld_since.setdefault(zone, now)
         applicant = self._applicant(zone)
+        delay_s = poll_delay_s(applicant, self._nodes())
         is_own_duty = zone != _COORDINATOR and not applicant.in_other_zone
         if is_own_duty and now < self._started_at + _OWN_DUTY_S:
-            return now < since + applicant.jitter_s
-        return now < since + poll_delay_s(applicant, self._nodes())
+            delay_s = min(delay_s, applicant.jitter_s)
+        return now < since + delay_s
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.targets import Target, TargetDirectory
+from hibiscusspar_entry.fleet.own_reads import OwnReads
 from hibiscusspar_entry.fleet.store_backoff import StoreBackoff
 from hibiscusspar_entry.fleet.store_sync import (
     ConfigSync,
@@ -184,6 +185,17 @@
         self.assertAlmostEqual(self.announced[0][2], 0.7)
 
 
+class SlowStore:
+    """Store whose listings take some seconds."""
+
+    def __init__(self, clock, seconds):
+        self._clock, self._seconds = clock, seconds
+
+    def list(self, _kind):
+        self._clock.now += self._seconds
+        return LISTING
+
+
 class TestStoreWatch(unittest.TestCase):
     def make_watch(self, *answers):
         self.handler = RecordingHandler()
@@ -194,6 +206,34 @@
             self.store, "servers", clock, 1.0, 0.0, self.handler, lambda: False, backoff
         )
 
+    def limited_watch(self, leads, read_for_s):
+        """Return a watch of a node without views that has run for some seconds."""
+        clock = Clock()
+        reads = OwnReads(clock, lambda: leads, lambda: None, int, lambda: True, 0.5)
+        store = SlowStore(clock, read_for_s)
+        backoff = StoreBackoff(clock, Random(3), lambda: 9, lambda: False)
+        return StoreWatch(
+            store,
+            "servers",
+            clock,
+            0.5,
+            0.15,
+            RecordingHandler(),
+            lambda: False,
+            backoff,
+            own_reads=reads,
+            limit_s=1.44,
+        )
+
+    def test_node_without_views_reads_again_within_the_limit(self):
+        # A leaving target must be known in time also where each call returns at once.
+        for took_s, pause_s in ((0.0, 0.94), (0.4, 0.54), (1.2, 0.15)):
+            watch = self.limited_watch(False, took_s)
+            self.assertAlmostEqual(watch.poll_once(), pause_s)
+
+    def test_node_that_reads_for_all_reads_as_often_as_before(self):
+        self.assertEqual(self.limited_watch(True, 0.0).poll_once(), 0.15)
+
     def poll(self, watch, count):
         for _ in range(count):
             watch.poll_once()
