--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -19,7 +19,8 @@
     version that was resident when the entry was written, ``models`` maps each model to
     its version. ``software`` is the version of the target's own software. ``cold`` is
     what the entry says about how long the target stays cold, None if the entry itself
-    isn't known.
+    isn't known. ``remaining_s`` is for how many seconds the entry says that the target
+    still runs, None if it doesn't.
     """
 
     target_id: str
@@ -34,6 +35,7 @@
     adapters: dict[tuple[str, str], int]
     software: str = ""
     cold: ColdStatement | None = None
+    remaining_s: float | None = None
 
 
 class TargetDirectory:
