--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -2,7 +2,9 @@
 
 from typing import Any, NamedTuple, Protocol
 
-__all__ = ["ObjectStore", "PlatformCodec", "TargetOrders", "TargetState"]
+from hibiscusspar.fleet.stream_moves import MoveAnswer
+
+__all__ = ["ObjectStore", "PlatformCodec", "RunMoves", "TargetOrders", "TargetState"]
 
 
 class ObjectStore(Protocol):
@@ -71,3 +73,18 @@
 
     def read_state(self, target: Any) -> TargetState | None:
         """Return the state of a target, or None if it can't be read."""
+
+
+class RunMoves(Protocol):
+    """Calls to targets that copy the states of running streams.
+
+    They raise ``CallFailedError`` if there is no answer.
+    """
+
+    def move(
+        self, source: Any, request_id: str, destination: Any, last: bool
+    ) -> MoveAnswer:
+        """Have the state of a run copied; with ``last`` the run stops first."""
+
+    def free(self, source: Any, handle: str) -> None:
+        """Free a copy at both ends."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-__all__ = ["AnswerHead", "CallHead", "Dialect", "Forwarding"]
+__all__ = ["AnswerHead", "CallHead", "CopyHandle", "Dialect", "Forwarding"]
 
 
 class CallHead(NamedTuple):
@@ -29,10 +29,22 @@
     resumes: str = ""
 
 
+class CopyHandle(NamedTuple):
+    """Copy of the state of a run that was stopped.
+
+    ``address`` is that of the target that stopped it, ``handle`` the name of the copy
+    there.
+    """
+
+    address: str
+    handle: str
+
+
 class Forwarding(NamedTuple):
     """Values that the system sends a target in addition to the caller's headers.
 
-    ``left_s`` is the time in seconds until the caller's deadline.
+    ``left_s`` is the time in seconds until the caller's deadline. ``copy`` is that of
+    the state from which the target continues the run, None if it begins one.
     """
 
     target_id: str
@@ -41,6 +53,7 @@
     urgency: int
     last_event: int | None
     version: int
+    copy: CopyHandle | None = None
 
 
 class AnswerHead(NamedTuple):
