Move running streams away from targets that leave

StreamMover chooses the streams, reserves destinations and calls for copies in the background; the thread that relays a stream continues it once the source has closed its stream. Off unless moves is true for the service.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -35,6 +35,9 @@
     "SPEEDS_SOURCE",
     "STORE_LOST",
     "STORE_REGAINED",
+    "STREAM_MOVED",
+    "STREAM_MOVE_BEGUN",
+    "STREAM_NOT_MOVED",
     "TARGETS_COLD",
     "TARGET_CHANGED",
     "TARGET_COLD_BAD",
@@ -399,3 +402,24 @@
     "logged. `missing` counts the prompt tokens that were refused in the last second "
     "or wait for room, `room_per_s` those that returning callers may bring.",
 )
+STREAM_MOVE_BEGUN = declare(
+    690,
+    "call.move_begun",
+    ("request", "source", "events", "destination", "reason", "since_s"),
+    "The state of a stream's run is being copied, because its target leaves: `reason` "
+    "is `draining`, `evacuated`, `gone` or `said`, known for `since_s`.",
+)
+STREAM_MOVED = declare(
+    691,
+    "call.moved",
+    ("request", "source", "events", "destination", "pause_s"),
+    "A stream whose target leaves has its first event from another one, or from the "
+    "same one if the run went back; `pause_s` after the last event.",
+)
+STREAM_NOT_MOVED = declare(
+    692,
+    "call.not_moved",
+    ("request", "source", "events", "reason"),
+    "A stream stays at a target that leaves, or has stopped there and could not be "
+    "continued from its state; 633 and 634 tell what followed.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -2,7 +2,6 @@
 
 import threading
 from contextlib import suppress
-from typing import NamedTuple
 
 from hibiscusspar.fleet.retries import (
     UNSENT_STEPS,
@@ -19,6 +18,7 @@
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
+from hibiscusspar_entry.fleet.forward_policy import ForwardPolicy
 from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.refusal import (
     CallerLeftError,
@@ -27,6 +27,7 @@
 )
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
+from hibiscusspar_entry.fleet.stream_mover import NoMoves
 from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_entry.fleet.token_gate import TokenGate
 from hibiscusspar_wire.dialect import Forwarding
@@ -34,7 +35,7 @@
 from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
 from hibiscusspar_wire.target_connections import CallFailedError
 
-__all__ = ["ForwardPolicy", "Forwarder"]
+__all__ = ["Forwarder"]
 
 # Longest wait for the rest of a refusal, in seconds. Refusals are short and arrive in
 # one piece.
@@ -46,40 +47,6 @@
 _UNLIMITED_BODY = 2**62
 
 
-class ForwardPolicy(NamedTuple):
-    """Settings of the data path; times in seconds.
-
-    ``wait_factor`` and ``plain_wait_factor`` are the longest wait for a target, as a
-    multiple of the route's latency objective, of a request to an engine and of a plain
-    one. ``unsafe_idle_s`` is the longest idle time of a connection that carries a
-    request which can't be repeated, ``safe_idle_s`` that for other requests.
-
-    ``draining_retry_s`` and ``failed_retry_s`` are sent as ``Retry-After`` by a node
-    that is stopping and after attempts that did not run.
-
-    A request that may be repeated is moved to another target if its target is silent
-    for ``first_event_silence_s`` before a stream, for ``stream_silence_s`` within it
-    (callers disconnect after two seconds) or for ``plain_silence_share`` of the time
-    left to a plain call.
-
-    No request is accepted later than ``accept_s`` after the start of a graceful stop:
-    the platform sends none by then, and a late one could not be completed. The time
-    exceeds two failed readiness probes; the rest of the platform's three seconds is
-    kept in reserve.
-    """
-
-    wait_factor: float = 1.5
-    plain_wait_factor: float = 0.6
-    unsafe_idle_s: float = 2.0
-    safe_idle_s: float = 10.0
-    draining_retry_s: float = 0.05
-    failed_retry_s: float = 0.3
-    stream_silence_s: float = 1.2
-    first_event_silence_s: float = 2.0
-    plain_silence_share: float = 0.5
-    accept_s: float = 2.6
-
-
 class Forwarder:
     """Handler of the requests that callers send to one node.
 
@@ -88,11 +55,14 @@
     parts : FleetParts
         Components of the node; see ``hibiscusspar_entry.fleet.node``.
     policy : ForwardPolicy, optional
+    mover : StreamMover, optional
+        By default no stream moves.
     """
 
-    def __init__(self, parts, policy=None):
+    def __init__(self, parts, policy=None, mover=None):
         self._parts = parts
         self._policy = policy or ForwardPolicy()
+        self._mover = mover or NoMoves()
         self._clock = parts.clock
         self._admission = Admission(parts.config, parts.dialect, parts.key_age_limit_s)
         self._log = CallLog(parts.clock, parts.request_scheduler, parts.metrics)
@@ -152,6 +122,7 @@
             failure = FailedError(502, f"internal: {error!r}")
             self._fail(inbound, admitted, state, failure)
         finally:
+            self._mover.end(state)
             watch.remove(handle)
             with self._lock:
                 self._open.discard(state)
@@ -175,11 +146,14 @@
         parts.metrics.started.inc()
         try:
             while True:
-                placement = self._wait_for_placement(admitted, state)
+                placement = state.take_onward()
+                if placement is None:
+                    placement = self._wait_for_placement(admitted, state)
                 failure = self._try_target(inbound, admitted, state, placement)
                 if failure is None:
                     return
-                self._handle_failure(admitted, state, failure)
+                if state.onward is None:
+                    self._handle_failure(admitted, state, failure)
         except RefusedError:
             if state.tokens_taken:
                 self._tokens.give_back(admitted)
@@ -238,11 +212,13 @@
                 self._drain_refusal(state, connection, response, failure)
                 if failure.adapter_missing:
                     self._parts.request_scheduler.record_missing_adapter(placement)
+                self._mover.follow(state, failure)
                 return failure
             self._record_first_byte(state, placement)
             state.progress_at = self._clock()
             first_byte_received = True
             self._relay(inbound, admitted, state, placement, connection, response)
+            self._mover.complete(state)
             self._parts.request_scheduler.record_success(target_id)
             self._crash_guard.record_answer(admitted, response)
             return None
@@ -250,13 +226,17 @@
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
             is_unsent = error.step in UNSENT_STEPS
+            failure = AttemptFailure(error.step, error.reason, is_unsent, False)
+            if self._mover.follow(state, failure):
+                return failure
             if error.step != "closed":
                 self._parts.request_scheduler.record_failure(target_id, is_unsent)
             self._crash_guard.record_failure(admitted, state, placement.target, error)
-            return AttemptFailure(error.step, error.reason, is_unsent, False)
+            return failure
         finally:
             state.close_connection()
-            self._parts.request_scheduler.release(placement, first_byte_received)
+            if placement.is_reserved:
+                self._parts.request_scheduler.release(placement, first_byte_received)
             if earlier_first_byte_at is None and state.first_byte_at is not None:
                 seconds = state.first_byte_at - admitted.arrived
                 self._parts.metrics.first_byte.observe(seconds)
@@ -286,9 +266,12 @@
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
         suspects = self._crash_guard.suspects(admitted, state)
-        connection = self._parts.paths.acquire(
-            placement, idle_s, admitted.call.request_id, suspects
-        )
+        paths = self._parts.paths
+        if placement.is_reserved:
+            request_id = admitted.call.request_id
+            connection = paths.acquire(placement, idle_s, request_id, suspects)
+        else:
+            connection = paths.acquire_again(target, idle_s)
         state.connection = connection
         if state.caller_gone.is_set():
             connection.close()
@@ -303,6 +286,7 @@
             min(9, admitted.priority),
             last_event,
             placement.version if admitted.call.adapter else 0,
+            state.copy,
         )
         head = admitted.head
         headers = self._parts.dialect.target_headers(head, admitted.call, forwarding)
@@ -382,6 +366,7 @@
             inbound.write(events)
             if state.attempt_event_at is None:
                 self._crash_guard.record_begin(admitted)
+                self._mover.begin(admitted, state, placement, connection, response)
             state.record_event(self._clock())
         reason = stream_end_failure(state, response)
         if reason is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
@@ -10,7 +10,8 @@
     """Assignment of a request to a target.
 
     ``estimate_s`` is the estimated time to the first byte of the answer. ``permitted``
-    is whether the request has a permit for a cold target.
+    is whether the request has a permit for a cold target. ``is_reserved`` is whether
+    the scheduler counts the request at the target, so that it must be released.
     """
 
     target: object
@@ -19,6 +20,7 @@
     prompt_tokens: int
     estimate_s: float
     permitted: bool = False
+    is_reserved: bool = True
 
 
 class Ticket:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -35,6 +35,10 @@
         # Origin of the stream, once the caller has an event of it.
         self.origin = None
         self.broken_at = frozenset()
+        # Placement of the next attempt, and the copy of the run that it continues, if
+        # the stream moves.
+        self.onward = None
+        self.copy = None
 
     def last_event(self, call):
         """Return the number of the last event that the caller has, or None."""
@@ -50,9 +54,18 @@
         if self.attempt_event_at is None:
             self.attempt_event_at = now
 
+    def take_onward(self):
+        """Return the placement that the stream moves to, or None, once."""
+        placement, self.onward = self.onward, None
+        return placement
+
     def begin_attempt(self, target_id, pace=None):
-        """Record that the request is sent to a target, whose pace is measured."""
-        self.attempts += 1
+        """Record that the request is sent to a target, whose pace is measured.
+
+        A stream that moves continues the same run.
+        """
+        if self.copy is None:
+            self.attempts += 1
         self.pace = pace
         self.target_id = target_id
         self.attempt_event_at = None
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -0,0 +1,450 @@
+"""Moves of running streams away from targets that leave.
+
+Streams register with their first event. A background thread chooses those of leaving
+targets, and a few workers reserve destinations and have the states copied. The thread
+that relays a stream takes over once the stream of the source has closed.
+"""
+
+import threading
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from hibiscusspar.fleet.leaving_targets import LeavingTargets
+from hibiscusspar.fleet.stream_moves import (
+    MoveAnswer,
+    MoveOutcome,
+    MovePhase,
+    StreamMove,
+    select_streams,
+)
+from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.events import (
+    STREAM_MOVE_BEGUN,
+    STREAM_MOVED,
+    STREAM_NOT_MOVED,
+)
+from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
+from hibiscusspar_entry.fleet.placement import Placement
+from hibiscusspar_entry.fleet.stream_run import RouteLengths, StreamRun, move_job
+from hibiscusspar_wire.dialect import CopyHandle
+from hibiscusspar_wire.target_connections import CallFailedError
+
+__all__ = ["NoMoves", "StreamMover"]
+
+# Moves of one node, and of one pair of targets, at a time.
+_MAX_MOVES = 4
+_MAX_PAIR_MOVES = 2
+# Destinations that are tried for one choice.
+_MAX_CHOICES = 6
+# Time in seconds until a stream without a destination is tried again.
+_RETRY_S = 0.1
+# Time in seconds for which a run that went back to its target isn't moved again.
+_RETURNED_PAUSE_S = 0.5
+# Times between steps in seconds: while streams run at leaving targets, and else.
+_BUSY_PAUSE_S = 0.05
+_IDLE_PAUSE_S = 1.0
+# Time in seconds after which the relay doesn't wait for the answer to a call any more.
+# The call itself ends after 0.5 s.
+_ANSWER_LIMIT_S = 1.2
+# Time in seconds in which the stream of a stopped run closes. After that this node
+# closes it: the run has stopped, and a broken link holds back the end.
+_CLOSE_LIMIT_S = 0.3
+
+
+class NoMoves:
+    """Replacement of a ``StreamMover`` where no stream moves."""
+
+    def begin(self, admitted, state, placement, connection, response):
+        """Ignore the first event of a stream."""
+
+    def follow(self, state, failure):
+        """Return False: the attempt has failed."""
+        return False
+
+    def complete(self, state):
+        """Ignore the end of a stream."""
+
+    def end(self, state):
+        """Ignore the end of a request."""
+
+
+class StreamMover:
+    """Driver of the moves of one node.
+
+    Parameters
+    ----------
+    clock : callable
+    request_scheduler : RequestScheduler
+    calls : RunMoves
+    closed_targets : callable
+        Returns the ids of the targets that must not get a moved stream.
+    ordinary_s : float
+        Time in seconds that a draining target has if its entry doesn't tell.
+    submit : callable, optional
+        Runs a function with its arguments in the background.
+    """
+
+    def __init__(
+        self,
+        clock,
+        request_scheduler,
+        calls,
+        closed_targets,
+        ordinary_s,
+        submit=None,
+    ):
+        self._clock = clock
+        self._scheduler = request_scheduler
+        self._calls = calls
+        self._closed_targets = closed_targets
+        self._submit = submit or ThreadPoolExecutor(_MAX_MOVES).submit
+        self._lock = threading.Lock()
+        self._services = frozenset()
+        self._leaving = LeavingTargets(ordinary_s)
+        self._runs = {}
+        # Runs whose moves are under way; they may have ended meanwhile.
+        self._moving = set()
+        self._lengths = RouteLengths()
+        self._counts = Counter()
+        self._is_started = False
+        self._task = PeriodicTask("stream moves", self.step, self._pause_s)
+
+    def gauges(self):
+        """Return the values of the metrics by name."""
+        with self._lock:
+            return {
+                "stream_moves_begun": self._counts["begun"],
+                "streams_moved": self._counts["moved"],
+                "streams_returned": self._counts["returned"],
+                "stream_moves_failed": self._counts["failed"],
+                "stream_moves_under_way": len(self._moving),
+                "stream_copies_freed": self._counts["freed"],
+            }
+
+    def configure(self, ruleset):
+        """Record the services whose streams move; start the thread if there are any."""
+        self._services = frozenset(
+            service.name
+            for service in ruleset.services.values()
+            if service.engine is not None and service.engine.moves
+        )
+        if self._services and not self._is_started:
+            self._is_started = True
+            self._task.start()
+
+    def close(self):
+        """Begin no further moves."""
+        self._task.close()
+
+    def set_targets(self, targets, evacuated):
+        """Record the directory of targets and the evacuated zones."""
+        with self._lock:
+            is_new = self._leaving.record_directory(self._clock(), targets, evacuated)
+        if is_new:
+            self._task.wake()
+
+    def record_leaving(self, target):
+        """Record that a target said that it leaves."""
+        with self._lock:
+            is_new = self._leaving.record_statement(self._clock(), target)
+        if is_new:
+            self._task.wake()
+
+    def begin(self, admitted, state, placement, connection, response):
+        """Record the first event of an attempt, of which the stream may move later."""
+        if not self._services and state not in self._runs:
+            return
+        now = self._clock()
+        run = None
+        if admitted.service in self._services:
+            run = StreamRun(admitted, state, placement, connection, now)
+            if not run.may_move(response, self._scheduler):
+                run = None
+        with self._lock:
+            before = self._runs.pop(state, None)
+            if run is not None:
+                self._runs[state] = run
+                if before is not None and _is_return(before):
+                    run.retry_at = now + _RETURNED_PAUSE_S
+            is_leaving = placement.target.target_id in self._leaving
+        if before is not None and before.move is not None:
+            self._record_success(before, placement)
+        if is_leaving and run is not None:
+            self._task.wake()
+
+    def follow(self, state, failure):
+        """Continue a stream whose attempt has failed, if it is being moved.
+
+        Returns
+        -------
+        bool
+            Whether ``state.onward`` and ``state.copy`` hold the next attempt.
+        """
+        state.copy = None
+        run = self._runs.get(state)
+        if run is None:
+            return False
+        run.closed.set()
+        with self._lock:
+            move, now = run.move, self._clock()
+            if move is None:
+                cleanup = None
+            elif not move.is_attempting:
+                cleanup = move.closed(now)
+            elif failure.not_run:
+                cleanup = move.refused(now, failure.step not in ("connect", "closed"))
+            else:
+                cleanup = move.started()
+        self._clean(run, cleanup)
+        if move is not None and self._resolve(run):
+            return True
+        self.end(state)
+        if move is not None and move.was_stopped:
+            self._record_failure(run, failure.reason)
+        return False
+
+    def complete(self, state):
+        """Record that a stream has ended as a whole."""
+        run = self._runs.get(state)
+        if run is not None:
+            self._lengths.record(run.admitted.route.name, state.splitter.count)
+            self.end(state)
+
+    def end(self, state):
+        """Give up what is reserved for a request that has ended."""
+        onward, state.onward = state.onward, None
+        if onward is not None and onward.is_reserved:
+            self._scheduler.release(onward, first_byte=False)
+        run = self._runs.get(state)
+        if run is None:
+            return
+        run.closed.set()
+        with self._lock:
+            self._runs.pop(state, None)
+            cleanup = run.move.finished() if run.move is not None else None
+            self._moving.discard(run)
+        self._clean(run, cleanup)
+
+    def step(self):
+        """Begin the moves that are due."""
+        now = self._clock()
+        with self._lock:
+            rows = [
+                run.row(self._lengths.usual(run.admitted.route.name))
+                for run in self._runs.values()
+                if run.move is None
+                and run.admitted.service in self._services
+                and now >= run.retry_at
+                and run.placement.target.target_id in self._leaving
+            ]
+            room = _MAX_MOVES - len(self._moving)
+            runs = [row.key for row in select_streams(now, rows, self._leaving)[:room]]
+            for run in runs:
+                leave = self._leaving.find(run.placement.target.target_id)
+                run.leave = leave
+                run.move = StreamMove(leave.since)
+                self._moving.add(run)
+        for run in runs:
+            self._submit(self._move, run)
+
+    def _pause_s(self):
+        with self._lock:
+            is_busy = any(
+                run.placement.target.target_id in self._leaving
+                for run in self._runs.values()
+            )
+        return _BUSY_PAUSE_S if is_busy else _IDLE_PAUSE_S
+
+    def _move(self, run):
+        """Reserve a destination and have the state of a run copied there."""
+        move = run.move
+        try:
+            if not self._reserve(run):
+                with self._lock:
+                    cleanup = move.not_chosen(self._clock())
+                    # Nothing was called, so the stream may be tried again.
+                    run.move, run.retry_at = None, self._clock() + _RETRY_S
+                self._clean(run, cleanup)
+                self._record_no_target(run)
+                return
+            self._record_begin(run)
+            answer = self._call(run)
+            if answer.outcome in (MoveOutcome.RUNS_ON, MoveOutcome.UNKNOWN):
+                self._record_failure(run, answer.reason)
+            if move.phase is MovePhase.STOPPED and not run.closed.wait(_CLOSE_LIMIT_S):
+                self._close_source(run)
+        except Exception as error:  # noqa: BLE001
+            log_failure("stream moves", error)
+            with self._lock:
+                cleanup = move.finished()
+            self._clean(run, cleanup)
+        finally:
+            run.answered.set()
+            with self._lock:
+                if not move.is_copying:
+                    self._moving.discard(run)
+            self._task.wake()
+
+    def _resolve(self, run):
+        """Bring a move to an attempt at a target; return whether there is one."""
+        move, state = run.move, run.state
+        if move.phase is MovePhase.CALLING and not run.answered.wait(_ANSWER_LIMIT_S):
+            return False
+        if move.phase is MovePhase.CHOOSING and not state.caller_gone.is_set():
+            if self._reserve(run):
+                self._call(run)
+            else:
+                with self._lock:
+                    cleanup = move.not_chosen(self._clock())
+                self._clean(run, cleanup)
+        with self._lock:
+            if not move.is_attempting:
+                return False
+            self._moving.discard(run)
+            source = run.placement.target
+            if move.phase is MovePhase.SENDING:
+                state.onward = move.destination
+            else:
+                state.onward = _return_placement(run.placement)
+            state.copy = CopyHandle(source.address, move.handle)
+        # The caller has events of the run.
+        state.may_have_run = True
+        return True
+
+    def _call(self, run):
+        """Have the state of a run copied to the reserved destination."""
+        source, destination = run.placement.target, run.move.destination.target
+        request_id = run.admitted.call.request_id
+        try:
+            answer = self._calls.move(source, request_id, destination, last=True)
+        except CallFailedError as error:
+            is_unsent = error.step in ("connect", "closed")
+            outcome = MoveOutcome.RUNS_ON if is_unsent else MoveOutcome.UNKNOWN
+            answer = MoveAnswer(outcome, reason=f"{error.step}: {error.reason}")
+        with self._lock:
+            cleanup = run.move.answered(self._clock(), answer)
+        run.answered.set()
+        self._clean(run, cleanup)
+        return answer
+
+    def _reserve(self, run):
+        """Reserve a destination; return whether there is one."""
+        source = run.placement.target.target_id
+        for _ in range(_MAX_CHOICES):
+            with self._lock:
+                excluded = self._full_pairs(source) | run.tried | {source}
+            job = move_job(run, self._clock(), excluded | self._closed_targets())
+            ticket = self._scheduler.submit(job)
+            if ticket.placement is None:
+                # It also releases a target that was chosen in between.
+                self._scheduler.withdraw(ticket)
+                return False
+            placement = ticket.placement
+            target_id = placement.target.target_id
+            run.tried |= {target_id}
+            if placement.permitted or not run.suits(placement):
+                self._scheduler.release(placement, first_byte=False)
+                continue
+            with self._lock:
+                if target_id in self._full_pairs(source):
+                    is_full = True
+                else:
+                    is_full = False
+                    cleanup = run.move.chosen(placement)
+                    # A run that goes on to another destination counts again.
+                    if run.move.is_copying:
+                        self._moving.add(run)
+            if is_full:
+                run.tried -= {target_id}
+                self._scheduler.release(placement, first_byte=False)
+                continue
+            self._clean(run, cleanup)
+            return run.move.phase is MovePhase.CALLING
+        return False
+
+    def _full_pairs(self, source):
+        """Return the targets that get as many moves from a source as allowed."""
+        counts = Counter(
+            run.move.destination.target.target_id
+            for run in self._moving
+            if run.move is not None
+            and run.move.destination is not None
+            and run.placement.target.target_id == source
+        )
+        return {target_id for target_id, n in counts.items() if n >= _MAX_PAIR_MOVES}
+
+    def _close_source(self, run):
+        """Close the stream of a stopped run, of which a link holds back the end."""
+        if not run.closed.is_set() and run.state.connection is run.connection:
+            run.connection.cancel()
+
+    def _clean(self, run, cleanup):
+        if cleanup is None:
+            return
+        if cleanup.placement is not None:
+            self._scheduler.release(cleanup.placement, first_byte=False)
+        if cleanup.handle:
+            self._count("freed")
+            self._submit(self._free, run.placement.target, cleanup.handle)
+
+    def _free(self, source, handle):
+        try:
+            self._calls.free(source, handle)
+        except CallFailedError as error:
+            # The copy expires by itself.
+            log_failure("freeing a copy", error)
+
+    def _count(self, name):
+        with self._lock:
+            self._counts[name] += 1
+
+    def _record_begin(self, run):
+        self._count("begun")
+        leave = run.leave
+        fields = {
+            **run.fields(),
+            "destination": run.destination_id,
+            "reason": leave.reason,
+            "since_s": round(self._clock() - leave.since, 3),
+        }
+        write_records([(STREAM_MOVE_BEGUN, fields)])
+
+    def _record_success(self, run, placement):
+        with self._lock:
+            is_return = _is_return(run)
+            run.move.started()
+            self._moving.discard(run)
+        self._count("returned" if is_return else "moved")
+        fields = {
+            **run.fields(),
+            "destination": placement.target.target_id,
+            "pause_s": round(self._clock() - run.state.last_event_at, 3),
+        }
+        write_records([(STREAM_MOVED, fields)])
+
+    def _record_failure(self, run, reason):
+        self._count("failed")
+        write_records([(STREAM_NOT_MOVED, {**run.fields(), "reason": reason})])
+
+    def _record_no_target(self, run):
+        if not run.is_logged and not run.closed.is_set():
+            run.is_logged = True
+            fields = {**run.fields(), "reason": "no destination"}
+            write_records([(STREAM_NOT_MOVED, fields)])
+
+
+def _is_return(run):
+    return run.move is not None and run.move.phase is MovePhase.RETURNING
+
+
+def _return_placement(placement):
+    """Return the placement for going back to a source, which reserves nothing."""
+    return Placement(
+        placement.target,
+        placement.key,
+        placement.version,
+        0,
+        0.0,
+        is_reserved=False,
+    )
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -0,0 +1,166 @@
+"""Running streams that may move, and their usual lengths."""
+
+import threading
+from math import ceil
+
+from hibiscusspar.fleet.stream_moves import StreamRow
+from hibiscusspar.fleet.waiting import Job
+from hibiscusspar_entry.fleet.answer_checks import ends_with_connection
+
+__all__ = ["RouteLengths", "StreamRun", "move_job"]
+
+# Prompt tokens of the job that chooses a destination, which reads nearly no prompt.
+_MOVE_PROMPT_TOKENS = 1
+# Weight of a new stream in the usual length of its route.
+_LENGTH_WEIGHT = 0.05
+# Streams after which the usual length of a route is used.
+_MIN_STREAMS = 20
+
+
+class StreamRun:
+    """Stream of one attempt at a target, from its first event.
+
+    Parameters
+    ----------
+    admitted : Admitted
+    state : RequestState
+    placement : Placement
+    connection : TargetPath
+    began_at : float
+    """
+
+    def __init__(self, admitted, state, placement, connection, began_at):
+        self.admitted = admitted
+        self.state = state
+        self.placement = placement
+        self.connection = connection
+        self.move = None
+        # Leave of the target, once the stream moves.
+        self.leave = None
+        self.retry_at = began_at
+        # Targets that were chosen as destinations before.
+        self.tried = frozenset()
+        self.answered = threading.Event()
+        self.closed = threading.Event()
+        self.is_logged = False
+        self._began_at = began_at
+        self._first_count = state.splitter.count
+
+    @property
+    def destination_id(self):
+        """Id of the destination, empty if there is none."""
+        move = self.move
+        destination = move.destination if move is not None else None
+        return destination.target.target_id if destination is not None else ""
+
+    def may_move(self, response, request_scheduler):
+        """Return whether the stream can be moved at all.
+
+        The end of its answer must differ from a broken connection, its events must be
+        numbered, and the software of its target must be known.
+        """
+        target = self.placement.target
+        return (
+            self.connection.is_own
+            and not ends_with_connection(response)
+            and "Content-Length" not in response.headers
+            and self.admitted.route.kind == "stream"
+            and self.state.splitter.last_event is not None
+            and bool(self._software)
+            and self._software == target.software
+            and request_scheduler.is_current(target)
+        )
+
+    def suits(self, placement):
+        """Return whether a destination can continue the run."""
+        return (
+            placement.version == self.placement.version
+            and placement.target.software == self._software
+        )
+
+    def row(self, usual_events):
+        """Return what the choice of streams needs.
+
+        Parameters
+        ----------
+        usual_events : int or None
+            Usual number of events of the route.
+        """
+        admitted, state = self.admitted, self.state
+        events = state.splitter.count
+        output = admitted.call.tokens[1] if admitted.call.tokens else 0
+        expected = ceil(output / admitted.event_steps) if output else usual_events
+        in_attempt = events - self._first_count
+        gap_s = None
+        if in_attempt > 0 and state.last_event_at is not None:
+            gap_s = max(0.0, state.last_event_at - self._began_at) / in_attempt
+        return StreamRow(
+            self,
+            self.placement.target.target_id,
+            admitted.priority,
+            admitted.prompt_tokens + events * admitted.event_steps,
+            events,
+            expected,
+            gap_s,
+        )
+
+    def fields(self):
+        """Return the fields of a log line about the run."""
+        return {
+            "request": self.admitted.call.request_id,
+            "source": self.placement.target.target_id,
+            "events": self.state.splitter.count,
+        }
+
+    @property
+    def _software(self):
+        origin = self.state.origin
+        return self.placement.target.software if origin is None else origin.software
+
+
+class RouteLengths:
+    """Usual number of events of the streams of each route."""
+
+    def __init__(self):
+        self._rows = {}
+
+    def record(self, route, events):
+        """Record a stream that ended as a whole."""
+        count, mean = self._rows.get(route, (0, 0.0))
+        weight = max(_LENGTH_WEIGHT, 1.0 / (count + 1))
+        self._rows[route] = (count + 1, mean + weight * (events - mean))
+
+    def usual(self, route):
+        """Return the usual number of events, or None while too few streams ended."""
+        count, mean = self._rows.get(route, (0, 0.0))
+        return ceil(mean) if count >= _MIN_STREAMS else None
+
+
+def move_job(run, now, excluded):
+    """Return the job that chooses a destination, which is decided at once.
+
+    Parameters
+    ----------
+    run : StreamRun
+    now : float
+    excluded : set of str
+        Targets that must not get the stream.
+    """
+    admitted, route = run.admitted, run.admitted.route
+    return Job(
+        request_id=admitted.call.request_id,
+        service=admitted.service,
+        key=(admitted.call.model, admitted.call.adapter),
+        priority=admitted.priority,
+        prompt_tokens=_MOVE_PROMPT_TOKENS,
+        arrived=now,
+        first_byte_slo_s=route.first_byte_slo_s,
+        give_up_at=now,
+        fraction=admitted.fraction,
+        max_gap_s=route.max_gap_s,
+        event_steps=admitted.event_steps,
+        software=run.placement.target.software,
+        broken_at=frozenset(excluded),
+        # Admission counts new requests only.
+        attempts=max(1, run.state.attempts),
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -121,6 +121,20 @@
             raise _evacuated_error(target)
         return OwnPath(self._connections, self._watch, target, connection)
 
+    def acquire_again(self, target, max_idle_s):
+        """Return the way for a run that goes back to a target that leaves.
+
+        Raises
+        ------
+        CallFailedError
+        """
+        if self.is_evacuated(target):
+            raise _evacuated_error(target)
+        connection = self._connections.acquire(
+            target.target_id, target.address, max_idle_s
+        )
+        return OwnPath(self._connections, self._watch, target, connection)
+
 
 def _evacuated_error(target):
     return CallFailedError("closed", target.address, "its zone is evacuated")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -54,6 +54,8 @@
         self._leaving = {}
         # Called with the id of a brittle target that turned a request away.
         self.on_full = lambda target_id: None
+        # Called with a target that says that it leaves.
+        self.on_leaving = lambda target: None
 
     @property
     def is_empty(self):
@@ -157,6 +159,7 @@
         if not is_known:
             fields = {"target": target.target_id, "born": target.born}
             write_records([(TARGET_SAYS_IT_LEAVES, fields)])
+            self.on_leaving(target)
 
     def _record_brittle(self, target, answer, status):
         is_full = answer.brittle and answer.not_run and status == _FULL
