--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_moves.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_moves.py
@@ -24,6 +24,8 @@
 # Time in seconds since a node learned that a target leaves for which a run that was
 # stopped there may go back to it.
 _RETURN_S = 1.0
+# Longest time in seconds of a call for a copy.
+_CALL_S = 0.5
 
 
 class StreamRow(NamedTuple):
@@ -31,7 +33,8 @@
 
     Priority 0 is the highest. ``work`` is the number of prompt tokens and decoding
     steps so far. ``expected_events`` is None if it isn't known, ``gap_s`` is the mean
-    time between events in seconds, None before the second one.
+    time between events in seconds, None before the second one. ``has_returned`` is
+    whether the stream went back to its target because there was no room elsewhere.
     """
 
     key: object
@@ -41,13 +44,15 @@
     events: int
     expected_events: int | None
     gap_s: float | None
+    has_returned: bool = False
 
 
 def select_streams(now, rows, leaving):
     """Return the streams to move, the most valuable ones first.
 
     A stream that will end while its target certainly runs stays. One whose end can't be
-    estimated moves.
+    estimated moves. One that went back moves again only while it could go back again:
+    the other targets may still be full, and the source may run longer than is certain.
 
     Parameters
     ----------
@@ -62,7 +67,9 @@
     chosen = []
     for row in rows:
         leave = leaving.find(row.target_id)
-        if leave is not None and _outlasts(row, leave.certain_until - now):
+        if leave is None or not _outlasts(row, leave.certain_until - now):
+            continue
+        if not row.has_returned or now < leave.since + _RETURN_S - _CALL_S:
             chosen.append(row)
     return sorted(chosen, key=lambda row: (row.priority, -row.work))
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_moves.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_moves.py
@@ -47,6 +47,12 @@
             self.assertEqual(self.selected(unknown), ["a"])
         self.assertEqual(self.selected(row("a", events=120)), ["a"])
 
+    def test_stream_that_went_back_moves_again_only_if_it_could_go_back_again(self):
+        """Else it may be stopped for good while its target still runs."""
+        returned = row("a")._replace(has_returned=True)
+        self.assertEqual(self.selected(returned, now=10.4), ["a"])
+        self.assertEqual(self.selected(returned, now=10.5), [])
+
     def test_stream_of_a_target_that_stays_is_not_moved(self):
         self.assertEqual(self.selected(row("a", name="t2")), [])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -37,10 +37,8 @@
 _MAX_PAIR_MOVES = 2
 # Destinations that are tried for one choice.
 _MAX_CHOICES = 6
-# Time in seconds until a stream without a destination is tried again.
+# Time in seconds until a stream is tried again that found no destination or went back.
 _RETRY_S = 0.1
-# Time in seconds for which a run that went back to its target isn't moved again.
-_RETURNED_PAUSE_S = 0.5
 # Times between steps in seconds: while streams run at leaving targets, and else.
 _BUSY_PAUSE_S = 0.05
 _IDLE_PAUSE_S = 1.0
@@ -166,7 +164,8 @@
             if run is not None:
                 self._runs[state] = run
                 if before is not None and _is_return(before):
-                    run.retry_at = now + _RETURNED_PAUSE_S
+                    run.has_returned = True
+                    run.retry_at = now + _RETRY_S
             is_leaving = placement.target.target_id in self._leaving
         if before is not None and before.move is not None:
             self._record_success(before, placement)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -38,6 +38,8 @@
         # Leave of the target, once the stream moves.
         self.leave = None
         self.retry_at = began_at
+        # Whether an earlier move went back to the target.
+        self.has_returned = False
         # Targets that were chosen as destinations before.
         self.tried = frozenset()
         self.answered = threading.Event()
@@ -102,6 +104,7 @@
             events,
             expected,
             gap_s,
+            self.has_returned,
         )
 
     def fields(self):
