--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -13,11 +13,18 @@
 
 STREAMS = 3
 INDEXES = st.integers(0, STREAMS - 1)
+FULL = st.sets(INDEXES, max_size=2)
+ORDERS = st.permutations(range(STREAMS))
 # What becomes of the next calls for copies; further ones succeed.
 FATES = st.lists(
-    st.sampled_from(["ok", "full", "lost", "dropped", "refused", "unsent"]), max_size=3
+    st.sampled_from(
+        ["ok", "ok", "full", "full", "lost", "dropped", "refused", "unsent"]
+    ),
+    max_size=3,
+)
+HAPPENINGS = st.sampled_from(
+    ["", "", "", "", "receive", "complete", "leave", "close", "close", "break"]
 )
-HAPPENINGS = st.sampled_from(["", "", "receive", "complete", "leave", "close", "break"])
 
 
 class MoverTestCase(unittest.TestCase):
@@ -261,7 +268,7 @@
     placement is released twice.
     """
 
-    @initialize(draining=st.sets(st.sampled_from(["t0", "t1", "t2"])))
+    @initialize(draining=st.sets(st.sampled_from(["t0", "t1", "t2"]), min_size=1))
     def start(self, draining):
         self.bench = MoveBench()
         self.count = 0
@@ -272,25 +279,35 @@
 
     def make_stream(self):
         self.count += 1
+        source = f"t{self.count % 2}"
         is_resumable = self.count % STREAMS == 0
-        return self.bench.stream(f"r{self.count}", "t0", resumable=is_resumable)
+        return self.bench.stream(f"r{self.count}", source, resumable=is_resumable)
 
     @rule(index=INDEXES, count=st.integers(1, 9))
     def receive(self, index, count):
         for _ in range(count):
             self.streams[index].receive()
 
-    @rule(seconds=st.sampled_from([0.05, 0.3, 0.7]))
-    def advance_time(self, seconds):
+    @rule(
+        seconds=st.sampled_from([0.05, 0.2, 0.7]),
+        drained=st.sampled_from(["", "", "t0", "t1", "t2"]),
+        changed=st.sampled_from(["", "", "t2", "t3"]),
+    )
+    def change(self, seconds, drained, changed):
+        """Let time pass; a target leaves, and another one closes or opens itself."""
         self.bench.now += seconds
-
-    @rule(index=INDEXES)
-    def drain(self, index):
-        self.bench.drain(self.streams[index].at)
-
-    @rule(name=st.sampled_from(["t1", "t2", "t3"]))
-    def change_room(self, name):
-        self.bench.closed_targets ^= {name}
+        if drained:
+            self.bench.drain(drained)
+        if changed:
+            self.bench.closed_targets ^= {changed}
+
+    @rule(index=INDEXES, indexes=ORDERS, fates=FATES, full=FULL, event=HAPPENINGS)
+    def move_whole(self, index, indexes, fates, full, event):
+        """Make the steps of moves one after the other."""
+        self.step(index, fates, "", event)
+        self.close_stopped(indexes, fates[1:])
+        self.send(indexes, full, fates[2:])
+        self.receive(index, 2)
 
     @rule(index=INDEXES, fates=FATES, before=HAPPENINGS, during=HAPPENINGS)
     def step(self, index, fates, before, during):
@@ -332,29 +349,34 @@
         stopped = self.bench.engines.by_name[stream.at].stopped
         return not stream.is_running and stream.request_id in stopped
 
-    @rule(index=INDEXES, fates=FATES)
-    def close_stopped(self, index, fates):
-        """Let the relay see the end of the stream of a stopped run."""
-        if self.has_stopped(self.streams[index]) and not self.streams[index].state.copy:
-            self.bench.engines.script = list(fates)
-            self.streams[index].close()
-            self.bench.engines.script = []
+    @rule(indexes=ORDERS, fates=FATES)
+    def close_stopped(self, indexes, fates):
+        """Let the relays see the ends of the streams of stopped runs."""
+        self.bench.engines.script = list(fates)
+        for index in indexes:
+            stream = self.streams[index]
+            if self.has_stopped(stream) and not stream.state.copy:
+                stream.close()
+        self.bench.engines.script = []
 
-    @rule(index=INDEXES, is_full=st.booleans(), fates=FATES)
-    def send(self, index, is_full, fates):
+    @rule(indexes=ORDERS, full=FULL, fates=FATES)
+    def send(self, indexes, full, fates):
+        """Send the requests of moved streams; some targets don't run them."""
         self.bench.engines.script = list(fates)
-        self.streams[index].send(is_full)
+        for index in indexes:
+            self.streams[index].send(index in full)
         self.bench.engines.script = []
 
-    @rule(index=INDEXES, caller_leaves=st.booleans())
-    def end(self, index, caller_leaves):
-        """End the attempt at the target, or the request; begin another stream."""
-        if caller_leaves:
+    @rule(index=INDEXES, event=st.sampled_from(["", "", "leave", "break"]))
+    def end(self, index, event):
+        """End the request, or the attempt at its target; replace ended streams."""
+        if event == "leave":
             self.streams[index].leave()
-        else:
+        elif event == "break":
             self.streams[index].close()
-        if self.streams[index].outcome is not None:
-            self.streams[index] = self.make_stream()
+        for number, stream in enumerate(self.streams):
+            if stream.outcome is not None:
+                self.streams[number] = self.make_stream()
 
     @invariant()
     def at_most_one_target_works_on_a_request(self):
@@ -375,7 +397,7 @@
 
 
 MoveMachine.TestCase.settings = settings(
-    max_examples=300, stateful_step_count=25, deadline=None
+    max_examples=200, stateful_step_count=40, deadline=None
 )
 
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,6 +20,7 @@
     "hibiscusspar_entry.tests.",
     "hibiscusspar_platform.tests.test_evacuated_zones",
     "hibiscusspar_platform.tests.test_fleet",
+    "hibiscusspar_platform.tests.test_moved_streams",
     "hibiscusspar_platform.tests.test_whole_path",
     "hibiscusspar_standins.",
     "hibiscusspar_wire.",
