--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_moves.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_moves.py
@@ -236,12 +236,15 @@
         handle_is_used : bool
             Whether the request arrived there, after which its handle is void.
         """
-        handle = "" if handle_is_used else self.handle
+        handle, self.handle = self.handle, ""
         is_return = self.phase is MovePhase.RETURNING
-        self.destination, self.handle, self._is_kept = None, "", False
-        may_call = not is_return and self._calls < _MAX_CALLS
-        self.phase = MovePhase.CHOOSING if may_call else MovePhase.ENDED
-        return Cleanup(handle=handle)
+        self.destination, self._is_kept = None, False
+        if not is_return and self._calls < _MAX_CALLS:
+            # To free the copy could free what the source holds for the next one.
+            self.phase = MovePhase.CHOOSING
+            return _NOTHING
+        self.phase = MovePhase.ENDED
+        return Cleanup(handle="" if handle_is_used else handle)
 
     def started(self):
         """Record the first event after the move, or a failure that ends it."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -99,6 +99,8 @@
         self._submit = submit or ThreadPoolExecutor(_MAX_MOVES).submit
         self._lock = threading.Lock()
         self._services = frozenset()
+        # Last directory and evacuated zones, None before the first.
+        self._directory = None
         self._leaving = LeavingTargets(ordinary_s)
         self._runs = {}
         # Runs whose moves are under way; they may have ended meanwhile.
@@ -127,6 +129,8 @@
             for service in ruleset.services.values()
             if service.engine is not None and service.engine.moves
         )
+        if self._services and self._directory is not None:
+            self.set_targets(*self._directory)
         if self._services and not self._is_started:
             self._is_started = True
             self._task.start()
@@ -137,6 +141,9 @@
 
     def set_targets(self, targets, evacuated):
         """Record the directory of targets and the evacuated zones."""
+        self._directory = targets, evacuated
+        if not self._services:
+            return
         with self._lock:
             is_new = self._leaving.record_directory(self._clock(), targets, evacuated)
         if is_new:
@@ -196,7 +203,7 @@
             else:
                 cleanup = move.started()
         self._clean(run, cleanup)
-        if move is not None and self._resolve(run):
+        if move is not None and self._resolve(run, move):
             return True
         self.end(state)
         if move is not None and move.was_stopped:
@@ -259,7 +266,8 @@
         """Reserve a destination and have the state of a run copied there."""
         move = run.move
         try:
-            if not self._reserve(run):
+            placement = self._reserve(run, move)
+            if placement is None:
                 with self._lock:
                     cleanup = move.not_chosen(self._clock())
                     # Nothing was called, so the stream may be tried again.
@@ -267,8 +275,8 @@
                 self._clean(run, cleanup)
                 self._record_no_target(run)
                 return
-            self._record_begin(run)
-            answer = self._call(run)
+            self._record_begin(run, placement)
+            answer = self._call(run, move, placement)
             if answer.outcome in (MoveOutcome.RUNS_ON, MoveOutcome.UNKNOWN):
                 self._record_failure(run, answer.reason)
             if move.phase is MovePhase.STOPPED and not run.closed.wait(_CLOSE_LIMIT_S):
@@ -285,14 +293,15 @@
                     self._moving.discard(run)
             self._task.wake()
 
-    def _resolve(self, run):
+    def _resolve(self, run, move):
         """Bring a move to an attempt at a target; return whether there is one."""
-        move, state = run.move, run.state
+        state = run.state
         if move.phase is MovePhase.CALLING and not run.answered.wait(_ANSWER_LIMIT_S):
             return False
         if move.phase is MovePhase.CHOOSING and not state.caller_gone.is_set():
-            if self._reserve(run):
-                self._call(run)
+            placement = self._reserve(run, move)
+            if placement is not None:
+                self._call(run, move, placement)
             else:
                 with self._lock:
                     cleanup = move.not_chosen(self._clock())
@@ -311,9 +320,9 @@
         state.may_have_run = True
         return True
 
-    def _call(self, run):
+    def _call(self, run, move, placement):
         """Have the state of a run copied to the reserved destination."""
-        source, destination = run.placement.target, run.move.destination.target
+        source, destination = run.placement.target, placement.target
         request_id = run.admitted.call.request_id
         try:
             answer = self._calls.move(source, request_id, destination, last=True)
@@ -322,13 +331,16 @@
             outcome = MoveOutcome.RUNS_ON if is_unsent else MoveOutcome.UNKNOWN
             answer = MoveAnswer(outcome, reason=f"{error.step}: {error.reason}")
         with self._lock:
-            cleanup = run.move.answered(self._clock(), answer)
+            cleanup = move.answered(self._clock(), answer)
         run.answered.set()
         self._clean(run, cleanup)
         return answer
 
-    def _reserve(self, run):
-        """Reserve a destination; return whether there is one."""
+    def _reserve(self, run, move):
+        """Reserve a destination and return its placement, or None.
+
+        It is None as well if the stream has ended meanwhile.
+        """
         source = run.placement.target.target_id
         for _ in range(_MAX_CHOICES):
             with self._lock:
@@ -338,7 +350,7 @@
             if ticket.placement is None:
                 # It also releases a target that was chosen in between.
                 self._scheduler.withdraw(ticket)
-                return False
+                return None
             placement = ticket.placement
             target_id = placement.target.target_id
             run.tried |= {target_id}
@@ -350,17 +362,18 @@
                     is_full = True
                 else:
                     is_full = False
-                    cleanup = run.move.chosen(placement)
+                    cleanup = move.chosen(placement)
+                    is_chosen = move.is_copying
                     # A run that goes on to another destination counts again.
-                    if run.move.is_copying:
+                    if is_chosen:
                         self._moving.add(run)
             if is_full:
                 run.tried -= {target_id}
                 self._scheduler.release(placement, first_byte=False)
                 continue
             self._clean(run, cleanup)
-            return run.move.phase is MovePhase.CALLING
-        return False
+            return placement if is_chosen else None
+        return None
 
     def _full_pairs(self, source):
         """Return the targets that get as many moves from a source as allowed."""
@@ -398,12 +411,12 @@
         with self._lock:
             self._counts[name] += 1
 
-    def _record_begin(self, run):
+    def _record_begin(self, run, placement):
         self._count("begun")
         leave = run.leave
         fields = {
             **run.fields(),
-            "destination": run.destination_id,
+            "destination": placement.target.target_id,
             "reason": leave.reason,
             "since_s": round(self._clock() - leave.since, 3),
         }
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -48,13 +48,6 @@
         self._began_at = began_at
         self._first_count = state.splitter.count
 
-    @property
-    def destination_id(self):
-        """Id of the destination, empty if there is none."""
-        move = self.move
-        destination = move.destination if move is not None else None
-        return destination.target.target_id if destination is not None else ""
-
     def may_move(self, response, request_scheduler):
         """Return whether the stream can be moved at all.
 
