--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -122,12 +122,12 @@
             failure = FailedError(502, f"internal: {error!r}")
             self._fail(inbound, admitted, state, failure)
         finally:
-            self._mover.end(state)
             watch.remove(handle)
             with self._lock:
                 self._open.discard(state)
             if self.draining_since is not None:
                 inbound.close_after_answer()
+            self._mover.end(state)
 
     def _refuse_if_closed(self, inbound, arrived):
         if self.is_closed(arrived):
