Moves of streams: a try without a destination doesn't answer the next one

Cause: the event that a call was answered was also set after a try that found no destination. Change: only the answer to a call, or its failure, sets the event. Result: the new test fails without the change (the stream is broken).

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -285,9 +285,9 @@
             log_failure("stream moves", error)
             with self._lock:
                 cleanup = move.finished()
+            run.answered.set()
             self._clean(run, cleanup)
         finally:
-            run.answered.set()
             with self._lock:
                 if not move.is_copying:
                     self._moving.discard(run)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -220,6 +220,27 @@
         self.finish(stream)
         self.assertEqual(stream.outcome, "whole")
 
+    def test_relay_waits_for_the_answer_to_a_second_try_as_well(self):
+        # A try without a destination must not count as an answer to the next one.
+        stream = self.bench.stream()
+        self.bench.closed_targets = {"t1", "t2", "t3"}
+        self.bench.drain("t0")
+        self.bench.step()
+        self.bench.closed_targets = set()
+        self.bench.now += 0.2
+        relay = threading.Thread(target=stream.close)
+
+        def close_first():
+            relay.start()
+            relay.join(0.3)
+
+        self.engines.during_call = close_first
+        self.bench.step()
+        relay.join(5.0)
+        self.assertEqual(stream.at, "t1")
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
     def test_stream_that_a_link_holds_back_is_closed_by_the_node(self):
         stream = self.bench.stream()
         closed = []
