--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_reads.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_reads.py
@@ -4,8 +4,9 @@
 
 __all__ = ["OwnReads", "UnlimitedReads"]
 
-# Age of the last view, in seconds, beyond which views count as lost.
-_SILENT_S = 0.5
+# Age of the last view, in seconds, beyond which views count as lost: twice the interval
+# of views at 360 nodes.
+_SILENT_S = 1.5
 
 
 class OwnReads:
