Scheduler: serves takes any pair as an origin again

Cause: since targets are looked up by service, it read a field by name, and test_evacuation_sync passes a plain tuple.

Result: the four test modules that concern it pass.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -146,12 +146,11 @@
         excluded : frozenset of str, optional
             Targets that must not continue it.
         """
+        service, software = origin
         with self.lock:
-            return any(
-                target.target_id not in excluded
-                and target.software
-                and (target.service, target.software) == origin
-                for target in self._usable.staying(origin.service).values()
+            return bool(software) and any(
+                target.target_id not in excluded and target.software == software
+                for target in self._usable.staying(service).values()
             )
 
     def is_current(self, target):
