Admission: hold accounts above their part, and know plain calls that return

Cause: one account at six times its rate took what was due to the other accounts of its priority, as all were refused the same part. Callers of plain calls who returned as told were treated as new.

The coordinator divides what a priority may use by max-min fairness over the accounts that reports name, and levels list those above their part. A node admits by the smaller one of the shares of priority and account, with one hash. Refused plain calls are known again by their digest.

--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -11,6 +11,8 @@
 from math import exp
 from typing import NamedTuple
 
+from hibiscusspar.fleet.account_counts import split_change
+from hibiscusspar.fleet.account_shares import MAX_ACCOUNTS, limit_accounts
 from hibiscusspar.fleet.messages import AdmissionLevel
 from hibiscusspar.fleet.returns import STEP_S, add_steps, shift_steps
 
@@ -24,6 +26,8 @@
 ]
 
 _NO_COUNTS = (0, 0, 0)
+# Stands for the accounts that a node doesn't name because others ask for more.
+_SMALL_ACCOUNTS = None
 # Rounding errors of times in seconds.
 _CLOCK_ERROR_S = 1e-6
 
@@ -59,7 +63,8 @@
 class NodeDemand(NamedTuple):
     """What the report of a node tells of demand, received at ``at``.
 
-    ``asked``, ``booked`` and ``waiting`` are as in ``NodeReport``.
+    ``asked``, ``booked``, ``waiting`` and ``asked_by_account`` are as in
+    ``NodeReport``.
     """
 
     node: str
@@ -68,18 +73,21 @@
     asked: dict[str, dict[int, tuple[int, int, int]]]
     booked: dict[str, list[int]]
     waiting: dict[str, int]
+    asked_by_account: dict[str, dict[int, dict[str, tuple[int, int]]]] = {}
 
 
 class LevelInputs(NamedTuple):
     """What a level was derived from.
 
-    ``missing`` holds the tokens that were refused in the last window or wait for room.
+    ``missing`` holds the tokens that were refused in the last window or wait for room,
+    ``by_account`` the tokens asked for and refused in it by limited accounts.
     """
 
     asked_per_s: int
     capacity_per_s: int
     missing: int
     age_s: float
+    by_account: dict[str, list[int]]
 
 
 def service_goals(ruleset):
@@ -154,6 +162,7 @@
     def __init__(self, policy=None):
         self._policy = policy or SharePolicy()
         self._services = frozenset()
+        self._weights = None
         self.reset()
 
     def reset(self):
@@ -165,9 +174,13 @@
         self._updated_at = None
         self.inputs = {}
 
-    def configure(self, goals):
-        """Set the services with several priorities; see ``service_goals``."""
+    def configure(self, goals, weights=None):
+        """Set the services with several priorities and the weights of accounts.
+
+        See ``service_goals`` and ``account_weights``.
+        """
         self._services = frozenset(goals)
+        self._weights = weights
 
     def update(self, now, rows):
         """Record the newest counts and return the levels.
@@ -194,11 +207,11 @@
             self._started_at = now
         elapsed_s = now - (self._updated_at or now)
         self._updated_at = now
-        self._window.append((now, self._changes(rows)))
+        self._window.append((now, *self._changes(rows)))
         while now - self._window[0][0] > policy.window_s - _CLOCK_ERROR_S:
             self._window.popleft()
         sums = {}
-        for _, changes in self._window:
+        for _, changes, _ in self._window:
             for key, counts in changes.items():
                 _add(sums.setdefault(key, [0, 0, 0]), counts)
         self._update_capacity(now, elapsed_s, services, sums)
@@ -213,12 +226,12 @@
         return levels
 
     def _changes(self, rows):
-        """Return the tokens by service and priority since the last update.
+        """Return the tokens since the last update, by priority and by account.
 
         The counts of a node that wasn't known or was silent are only a start, as they
         may cover a long time.
         """
-        changes = {}
+        changes, by_account = {}, {}
         for row in rows:
             known = self._counts.get(row.node)
             if row.asked:
@@ -234,7 +247,8 @@
                     if counts != earlier:
                         sums = changes.setdefault((service, priority), [0, 0, 0])
                         _add(sums, counts, earlier)
-        return changes
+                        _add_accounts(by_account, service, priority, row, known)
+        return changes, by_account
 
     def _update_capacity(self, now, elapsed_s, services, sums):
         policy = self._policy
@@ -257,7 +271,7 @@
         missing = _total(sums, service, 2) + waiting
         capacity = self._capacity[service]
         self.inputs[service] = LevelInputs(
-            round(sum(demand.values())), round(capacity), missing, age_s
+            round(sum(demand.values())), round(capacity), missing, age_s, {}
         )
         if missing <= policy.pressure_share * sum(demand.values()) * policy.window_s:
             return None
@@ -270,20 +284,63 @@
         total = sum(demand.values())
         floor = round(policy.floor * min(1.0, capacity / max(1.0, total)), 4)
         returning = sum(booked[: round(policy.window_s / STEP_S)]) / policy.window_s
+        shares = allocate_shares(capacity, demand, floor, min(room, returning))
+        shares, account_shares = self._limit_accounts(service, shares, demand, floor)
         return AdmissionLevel(
-            allocate_shares(capacity, demand, floor, min(room, returning)),
+            shares,
             round(max(room, capacity - total), 1),
             [round(tokens) for tokens in booked],
             age_s,
             floor,
             round(_total(sums, service, 2) / policy.window_s, 1),
+            account_shares,
         )
 
+    def _limit_accounts(self, service, shares, demand, floor):
+        """Return the shares by priority and of limited accounts."""
+        sums = {}
+        for _, _, changes in self._window:
+            for (name, *key), counts in changes.items():
+                if name == service:
+                    _add(sums.setdefault(tuple(key), [0, 0]), counts)
+        by_account, small = {}, {}
+        for (priority, account), (asked, _) in sums.items():
+            rows = by_account.setdefault(priority, {})
+            if account is _SMALL_ACCOUNTS:
+                small[priority] = asked / self._policy.window_s
+            else:
+                rows[account] = asked / self._policy.window_s
+        shares, account_shares = limit_accounts(
+            shares, demand, by_account, small, floor, self._weights
+        )
+        for (_, account), counts in sums.items():
+            if account in account_shares:
+                limited = self.inputs[service].by_account
+                _add(limited.setdefault(account, [0, 0]), counts)
+        return shares, account_shares
+
 
 def _total(sums, service, index):
     return sum(counts[index] for (name, _), counts in sums.items() if name == service)
 
 
+def _add_accounts(sums, service, priority, row, known):
+    """Add what the accounts at a node asked for and were refused since a report."""
+    counts = row.asked_by_account.get(service, {}).get(priority)
+    if not counts:
+        return
+    earlier = known.asked_by_account.get(service, {}).get(priority, {})
+    asked, _, refused = row.asked[service][priority]
+    before = known.asked.get(service, {}).get(priority, _NO_COUNTS)
+    change = (asked - before[0], refused - before[2])
+    parts = split_change(change, counts, earlier)
+    if len(counts) >= MAX_ACCOUNTS:
+        asked_by_named = sum(part[0] for part in parts.values())
+        parts[_SMALL_ACCOUNTS] = [change[0] - asked_by_named, 0]
+    for account, part in parts.items():
+        _add(sums.setdefault((service, priority, account), [0, 0]), part)
+
+
 def _add(sums, counts, earlier=_NO_COUNTS):
     """Add the tokens asked for, sent and refused since earlier counts."""
     for index, count in enumerate(counts):
--- a/packages/hibiscusspar/hibiscusspar/fleet/node_admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/node_admission.py
@@ -5,7 +5,10 @@
 
 from xxhash import xxh3_64_intdigest
 
+from hibiscusspar.fleet.account_counts import AccountCounts
+from hibiscusspar.fleet.account_shares import LIMITED_SHARE
 from hibiscusspar.fleet.admission import SharePolicy
+from hibiscusspar.fleet.refused_calls import RefusedCalls
 from hibiscusspar.fleet.returns import (
     STEP_S,
     ReturnBook,
@@ -46,8 +49,11 @@
         self._levels_at = None
         self._counted_at = None
         self._counts = {}
+        self._account_counts = AccountCounts()
         self._books = {}
+        self._refused_calls = RefusedCalls()
         self.refusals = 0
+        self.recognized_returns = 0
 
     @property
     def known_levels(self):
@@ -80,6 +86,10 @@
             for service, rows in self._counts.items()
         }
 
+    def asked_by_account(self, now):
+        """Return the counts by account for the report."""
+        return self._account_counts.latest(now)
+
     def booked(self, now):
         """Return the announced returns for the report, by service and step."""
         rows = {service: book.steps(now) for service, book in self._books.items()}
@@ -110,12 +120,14 @@
         """Return a new job with the verdict whether it is admitted."""
         if job.service not in self._goals:
             return job
+        if job.digest and not job.attempts:
+            job = self._recognize(now, job)
         if not job.attempts and job.returned_s < _FIRST_SEND_S:
-            self._count(job, 0)
+            self._count(now, job, 0)
         level = self.level(now, job.service)
         if level is None or job.attempts or job.software is not None:
             return job
-        share = level.shares.get(job.priority, 1.0)
+        share = min(level.shares.get(job.priority, 1.0), _account_share(level, job))
         is_admitted = self._is_return(job) or _fraction(job, _SHARE_SEED) < share
         return job._replace(is_admitted=is_admitted)
 
@@ -182,16 +194,27 @@
         if job.service not in self._goals or job.attempts:
             return
         if isinstance(decision, Send):
-            self._count(job, 1)
+            self._count(now, job, 1)
         elif decision.reason in _ROOM_REASONS:
             self.refusals += decision.reason == "no room"
             # A caller who retries at once was counted and told when to return before.
             if _FIRST_SEND_S <= job.returned_s < self._wait_policy.retry_s:
                 return
-            self._count(job, 2)
+            self._count(now, job, 2)
             if self.level(now, job.service) is not None:
                 book = self._books.setdefault(job.service, ReturnBook())
-                book.record(now, now + decision.retry_after_s, _tokens(job))
+                return_at = now + decision.retry_after_s
+                book.record(now, return_at, _tokens(job))
+                if job.digest:
+                    self._refused_calls.record(now, job.digest, return_at)
+
+    def _recognize(self, now, job):
+        """Return a plain call, with the time since its refusal if it returns."""
+        refused_s = self._refused_calls.take(now, job.digest)
+        if refused_s is None:
+            return job
+        self.recognized_returns += 1
+        return job._replace(returned_s=max(refused_s, self._wait_policy.retry_s))
 
     def _is_return(self, job):
         """Return whether the caller returns after a refusal, not at once."""
@@ -201,13 +224,19 @@
         """Return the longest time to the first byte with which a job is sent.
 
         The part of a priority that is admitted at any pressure may use its own
-        objective, so that its requests don't starve behind more urgent ones.
+        objective, so that its requests don't starve behind more urgent ones. Where an
+        account is limited because it asks for more than its part, this holds for a
+        smaller part of its requests, and for all requests of accounts within theirs:
+        when a flood begins, it has filled the queues before there is a level.
         """
         if not job.is_admitted:
             return self._policy.idle_s
         goals = self._goals[job.service]
         more_urgent = [priority for priority in goals if priority < job.priority]
-        if not more_urgent or _fraction(job, _SHARE_SEED) < level.floor:
+        floor = level.floor * _account_share(level, job)
+        if not more_urgent or _fraction(job, _SHARE_SEED) < floor:
+            return inf
+        if _is_within_part(level, job):
             return inf
         usable = max(0.0, 1.0 - self._policy.rank_share * len(more_urgent))
         goal_s = min(goals[priority] for priority in more_urgent)
@@ -225,7 +254,9 @@
         has_room = level.shares.get(job.priority, 1.0) >= 1.0
         if wait.reason != "busy" or is_most_urgent or has_room:
             return job.give_up_at
-        return min(job.give_up_at, job.arrived + job.returned_s + self._policy.hold_s)
+        # Streams count as arrived when they were first sent, plain calls each time.
+        sent_at = job.arrived + (0.0 if job.digest else job.returned_s)
+        return min(job.give_up_at, sent_at + self._policy.hold_s)
 
     def _retry_after_s(self, now, job, level, decision):
         """Return the time to the first step with room, with jitter in the step."""
@@ -251,12 +282,28 @@
         ends_s = max(starts_s, (step + 1) * STEP_S)
         return starts_s + (ends_s - starts_s) * _fraction(job, _JITTER_SEED)
 
-    def _count(self, job, index):
+    def _count(self, now, job, index):
+        if job.account and index != 1:
+            self._account_counts.record(now, job, _tokens(job), index == 2)
         rows = self._counts.setdefault(job.service, {})
         row = rows.setdefault(job.priority, [0, 0, 0])
         row[index] += _tokens(job)
 
 
+def _account_share(level, job):
+    """Return the share of an account, 1 if it isn't limited for the job's priority."""
+    if level.shares.get(job.priority, 1.0) >= 1.0:
+        return 1.0
+    return level.account_shares.get(job.account, 1.0)
+
+
+def _is_within_part(level, job):
+    """Return whether an account gets all it asks for because others are limited."""
+    share = level.shares.get(job.priority, 1.0)
+    is_limited = not job.account or job.account in level.account_shares
+    return LIMITED_SHARE <= share < 1.0 and not is_limited
+
+
 def _tokens(job):
     """Return the size of a job; requests to plain services have no prompt tokens."""
     return max(1, job.prompt_tokens)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/admission_replay.py
@@ -32,10 +32,14 @@
     ``has_levels`` is whether the nodes and the coordinator know of several priorities;
     the rules are otherwise those of commit d960ef2. ``hasty`` is the number of times
     that a caller retries at once. ``lost_views`` holds the times between which no view
-    arrives, ``new_coordinator_at`` when another node takes over.
+    arrives, ``new_coordinator_at`` when another node takes over. ``old_nodes`` neither
+    report nor limit accounts, ``lost_reports`` is the part of the reports that is lost.
     """
 
-    def __init__(self, nodes, has_levels, hasty=0, lost_views=(), new_coordinator_at=0):
+    def __init__(
+        self, nodes, has_levels, hasty=0, lost_views=(), new_coordinator_at=0,
+        old_nodes=0, lost_reports=0.0,
+    ):  # fmt: skip
         self.rng = Random(nodes)
         self.per_s = 4.0 * nodes / sum(CALM)
         targets = round(self.per_s * PROMPT_TOKENS / TOKENS_S)
@@ -50,21 +54,25 @@
             gate.configure({"s": GOALS_S})
         self.has_levels, self.hasty = has_levels, hasty
         self.lost_views, self.new_coordinator_at = lost_views, new_coordinator_at
+        self.old_nodes, self.lost_reports = old_nodes, lost_reports
         self.coordinator, self.reports = None, {}
         self.asked, self.served, self.in_time = Counter(), Counter(), Counter()
+        self.account_asked, self.account_served = Counter(), Counter()
         self.refusals, self.levels = [], []
         self.events, self.serial = [], count()
 
     def run(self, phases):
-        """Play phases, given as seconds and requests by priority."""
+        """Play phases: seconds and requests by priority, or by priority and account."""
         starts_at = 0.0
         for seconds, rates in phases:
-            for priority, rate in enumerate(rates):
+            if not isinstance(rates, dict):
+                rates = {(priority, ""): rate for priority, rate in enumerate(rates)}
+            for sender, rate in rates.items():
                 at = starts_at
                 while (at := at + self.rng.expovariate(rate * self.per_s)) < (
                     starts_at + seconds
                 ):
-                    self._push(at, self._arrive, priority)
+                    self._push(at, self._arrive, *sender)
             starts_at += seconds
         interval_s = exchange_interval_s(len(self.gates))
         for step in range(int((starts_at + 5.0) / interval_s)):
@@ -78,25 +86,31 @@
         """Return the part of the requests by priority."""
         return [counts[priority] / self.asked[priority] for priority in sorted(GOALS_S)]
 
+    def account_shares(self):
+        """Return the part of the requests of each account that was served."""
+        return {a: self.account_served[a] / n for a, n in self.account_asked.items()}
+
     def _push(self, at, function, *arguments):
         heapq.heappush(self.events, (at, next(self.serial), function, arguments))
 
-    def _arrive(self, now, priority):
+    def _arrive(self, now, priority, account):
         self.asked[priority] += 1
+        self.account_asked[account] += 1
         # An adapter has a copy in each zone; target and node numbers give the zone.
         rows = range(len(self.done_at))
         copies = [self.rng.choice(rows[zone::ZONES]) for zone in range(ZONES)]
         name = f"r{next(self.serial)}"
-        self._submit(now, name, priority, now, copies, 0)
+        self._submit(now, name, priority, account, now, copies, 0)
 
-    def _submit(self, now, name, priority, first_at, copies, tries):
+    def _submit(self, now, name, priority, account, first_at, copies, tries):
         node = self.rng.randrange(len(self.gates))
         goal_s = GOALS_S[priority]
         job = Job(
             name, "s", ("m", "a"), priority, PROMPT_TOKENS, first_at, goal_s,
             now + 1.5 * goal_s, self.rng.random(), 0.3, 1, returned_s=now - first_at,
+            account="" if node < self.old_nodes else account,
         )  # fmt: skip
-        call = (self.gates[node].enter(now, job), now, copies, tries)
+        call = (self.gates[node].enter(now, job), now, account, copies, tries)
         busy_jobs = [waiting[0] for waiting in self.waiting[node]]
         must_yield = self.gates[node].must_yield(now, job, busy_jobs)
         if must_yield or not self._decide(now, node, call):
@@ -120,7 +134,7 @@
             self._push(now + TICK_S, self._retry, node)
 
     def _decide(self, now, node, call, taken=frozenset()):
-        job, submitted_at, copies, tries = call
+        job, submitted_at, account, copies, tries = call
         zone = node % ZONES
         open_copies = [c for c in copies if c not in taken or now >= job.give_up_at]
         if not open_copies:
@@ -136,6 +150,7 @@
         if isinstance(decision, Send):
             gate.record(now, job, decision)
             self._send(now, job, decision.target_id)
+            self.account_served[account] += 1
             if taken != frozenset():
                 taken.add(decision.target_id)
             return True
@@ -145,8 +160,9 @@
         self.refusals.append((now, job.priority, now - submitted_at))
         wait_s = 0.02 if tries < self.hasty else decision.retry_after_s
         if now + wait_s < job.arrived + DEADLINE_S and tries < self.hasty + 3:
-            again = (job.request_id, job.priority, job.arrived, copies, tries + 1)
-            self._push(now + wait_s, self._submit, *again)
+            sender = (job.request_id, job.priority, account)
+            again = (job.arrived, copies, tries + 1)
+            self._push(now + wait_s, self._submit, *sender, *again)
         return True
 
     def _send(self, now, job, target):
@@ -176,9 +192,12 @@
                 row = self.reports.get(node)
                 gate.apply_levels(now, levels, row.at if row else None)
             waiting = gate.waiting(call[0] for call in self.waiting[node])
-            self.reports[node] = NodeDemand(
-                str(node), "s", now, gate.asked(), gate.booked(now), waiting
-            )
+            row = NodeDemand(
+                str(node), "s", now, gate.asked(), gate.booked(now), waiting,
+                gate.asked_by_account(now),
+            )  # fmt: skip
+            if not self.lost_reports or self.rng.random() >= self.lost_reports:
+                self.reports[node] = row
         if is_lost:
             return
         for target, ends in enumerate(self.ends):
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -60,7 +60,10 @@
     restarted with other software than the directory shows. ``attempts`` is the number
     of earlier attempts at targets, and ``returned_s`` the time since the caller first
     sent the request, 0 if it wasn't refused before. ``is_admitted`` is whether it is
-    within the share of its priority (see ``hibiscusspar.fleet.admission``).
+    within the shares of its priority and account (see
+    ``hibiscusspar.fleet.admission``). ``account`` is empty if it has none. ``digest``
+    identifies a plain call, whose deadline doesn't tell when it was first sent; it is
+    empty for streams.
     """
 
     request_id: str
@@ -80,6 +83,8 @@
     attempts: int = 0
     returned_s: float = 0.0
     is_admitted: bool = True
+    account: str = ""
+    digest: str = ""
 
 
 class Send(NamedTuple):
