--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -399,3 +399,13 @@
     "logged. `missing` counts the prompt tokens that were refused in the last second "
     "or wait for room, `room_per_s` those that returning callers may bring.",
 )
+ACCOUNT_SHARES = declare(
+    673,
+    "node.account_shares",
+    ("service", "account_shares", "asked_refused", "age_s"),
+    "This coordinator has all nodes admit these shares of the requests of accounts "
+    "that ask for more than their part of a service; empty if none is limited now. "
+    "Changes of less than 0.1 aren't logged, nor more than one line a second. "
+    "`asked_refused` holds the prompt tokens of the last second by limited account: "
+    "asked for, and refused for lack of room.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of an entry process of a fleet."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.exposition import generate_latest
 
 from hibiscusspar_entry.metrics import LATENCY_BUCKETS_S
@@ -15,6 +16,8 @@
         self._registry = registry = CollectorRegistry()
         # Functions that return further gauges by name.
         self.sources = []
+        # Functions that return the shares of limited accounts by service.
+        self.account_shares = []
         self.started = Counter(
             "hibiscusspar_calls", "Requests that were admitted.", registry=registry
         )
@@ -59,6 +62,8 @@
             registry=registry,
         )
 
+        registry.register(_AccountShares(self.account_shares))
+
     def count_store_call(self, call, kind, outcome):
         """Count one call to the store."""
         self.store_calls.labels(call, kind, outcome).inc()
@@ -76,3 +81,23 @@
         for name, value in fields.items():
             self.gauges.labels(name).set(value)
         return generate_latest(self._registry)
+
+
+class _AccountShares:
+    """Collector of the shares of limited accounts; others have no value."""
+
+    def __init__(self, sources):
+        self._sources = sources
+
+    def collect(self):
+        """Yield the family of metrics."""
+        family = GaugeMetricFamily(
+            "hibiscusspar_account_share",
+            "Share that is admitted of the requests of an account above its part.",
+            labels=("service", "account"),
+        )
+        for source in self._sources:
+            for service, shares in source().items():
+                for account, share in shares.items():
+                    family.add_metric((service, account), share)
+        yield family
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
@@ -38,4 +38,6 @@
         broken_at=state.broken_at,
         attempts=state.attempts,
         returned_s=admitted.arrived - admitted.first_arrived,
+        account=admitted.account,
+        digest="" if route.kind == "stream" else admitted.digest,
     )
