--- a/packages/hibiscusspar/hibiscusspar/fleet/account_counts.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/account_counts.py
@@ -8,7 +8,10 @@
 
 from hibiscusspar.fleet.account_shares import MAX_ACCOUNTS
 
-__all__ = ["AccountCounts", "split_change"]
+__all__ = ["SMALL_ACCOUNTS", "AccountCounts", "split_change"]
+
+# Stands for the accounts that a report doesn't name because others ask for more.
+SMALL_ACCOUNTS = None
 
 # Time constant in seconds of the recent demand, and the time without a request after
 # which an account isn't reported. It spans the window in which the coordinator adds
@@ -42,9 +45,12 @@
         found = {}
         for service, priorities in self._services.items():
             for priority, rows in priorities.items():
-                recent = {
-                    a: row for a, row in rows.items() if now <= row[3] + _RECENT_S
-                }
+                recent = {}
+                # Rows are in the order of their times.
+                for account in reversed(rows):
+                    if now > rows[account][3] + _RECENT_S:
+                        break
+                    recent[account] = rows[account]
                 most = sorted(recent, key=lambda a: _recent(now, recent[a]))
                 if most:
                     found.setdefault(service, {})[priority] = {
@@ -68,19 +74,34 @@
 
     Returns
     -------
-    dict of str to list of int
-        Tokens asked for and refused, by account.
+    dict of str or None to list of int
+        Tokens asked for and refused, by account. ``SMALL_ACCOUNTS`` has the rest if
+        the report names as many accounts as it may.
     """
-    parts = {account: [0, 0] for account in counts}
-    for index, total in enumerate(change):
-        left = max(0, total)
-        rows = [(account in earlier, account) for account in counts]
-        for _, account in sorted(rows, reverse=True):
-            count, before = counts[account][index], earlier.get(account, (0, 0))[index]
-            tokens = min(left, count - before if count >= before else count)
-            parts[account][index] = tokens
-            left -= tokens
-    return {account: part for account, part in parts.items() if any(part)}
+    known, new = [], []
+    for account, row in counts.items():
+        before = earlier.get(account)
+        if before is None:
+            new.append((account, row, (0, 0)))
+        elif row != before:
+            known.append((account, row, before))
+    asked_left, refused_left = max(0, change[0]), max(0, change[1])
+    parts = {}
+    for account, row, before in known + new:
+        asked = min(asked_left, _increase(row[0], before[0]))
+        refused = min(refused_left, _increase(row[1], before[1]))
+        if asked or refused:
+            parts[account] = [asked, refused]
+            asked_left -= asked
+            refused_left -= refused
+    if asked_left and len(counts) >= MAX_ACCOUNTS:
+        parts[SMALL_ACCOUNTS] = [asked_left, refused_left]
+    return parts
+
+
+def _increase(count, before):
+    """Return the increase of a count, which may have started anew."""
+    return count - before if count >= before else count
 
 
 def _recent(now, row):
--- a/packages/hibiscusspar/hibiscusspar/fleet/admission.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/admission.py
@@ -11,8 +11,8 @@
 from math import exp
 from typing import NamedTuple
 
-from hibiscusspar.fleet.account_counts import split_change
-from hibiscusspar.fleet.account_shares import MAX_ACCOUNTS, limit_accounts
+from hibiscusspar.fleet.account_counts import SMALL_ACCOUNTS, split_change
+from hibiscusspar.fleet.account_shares import limit_accounts
 from hibiscusspar.fleet.messages import AdmissionLevel
 from hibiscusspar.fleet.returns import STEP_S, add_steps, shift_steps
 
@@ -26,8 +26,6 @@
 ]
 
 _NO_COUNTS = (0, 0, 0)
-# Stands for the accounts that a node doesn't name because others ask for more.
-_SMALL_ACCOUNTS = None
 # Rounding errors of times in seconds.
 _CLOCK_ERROR_S = 1e-6
 
@@ -242,12 +240,23 @@
                 continue
             for service, priorities in row.asked.items():
                 before = known.asked.get(service, {})
+                named = row.asked_by_account.get(service, {})
+                named_before = known.asked_by_account.get(service, {})
                 for priority, counts in priorities.items():
                     earlier = before.get(priority, _NO_COUNTS)
-                    if counts != earlier:
-                        sums = changes.setdefault((service, priority), [0, 0, 0])
-                        _add(sums, counts, earlier)
-                        _add_accounts(by_account, service, priority, row, known)
+                    if counts == earlier:
+                        continue
+                    sums = changes.setdefault((service, priority), [0, 0, 0])
+                    _add(sums, counts, earlier)
+                    change = (counts[0] - earlier[0], counts[2] - earlier[2])
+                    if priority not in named or not any(change):
+                        continue
+                    parts = split_change(
+                        change, named[priority], named_before.get(priority, {})
+                    )
+                    for account, part in parts.items():
+                        key = (service, priority, account)
+                        _add(by_account.setdefault(key, [0, 0]), part)
         return changes, by_account
 
     def _update_capacity(self, now, elapsed_s, services, sums):
@@ -306,7 +315,7 @@
         by_account, small = {}, {}
         for (priority, account), (asked, _) in sums.items():
             rows = by_account.setdefault(priority, {})
-            if account is _SMALL_ACCOUNTS:
+            if account is SMALL_ACCOUNTS:
                 small[priority] = asked / self._policy.window_s
             else:
                 rows[account] = asked / self._policy.window_s
@@ -324,23 +333,6 @@
     return sum(counts[index] for (name, _), counts in sums.items() if name == service)
 
 
-def _add_accounts(sums, service, priority, row, known):
-    """Add what the accounts at a node asked for and were refused since a report."""
-    counts = row.asked_by_account.get(service, {}).get(priority)
-    if not counts:
-        return
-    earlier = known.asked_by_account.get(service, {}).get(priority, {})
-    asked, _, refused = row.asked[service][priority]
-    before = known.asked.get(service, {}).get(priority, _NO_COUNTS)
-    change = (asked - before[0], refused - before[2])
-    parts = split_change(change, counts, earlier)
-    if len(counts) >= MAX_ACCOUNTS:
-        asked_by_named = sum(part[0] for part in parts.values())
-        parts[_SMALL_ACCOUNTS] = [change[0] - asked_by_named, 0]
-    for account, part in parts.items():
-        _add(sums.setdefault((service, priority, account), [0, 0]), part)
-
-
 def _add(sums, counts, earlier=_NO_COUNTS):
     """Add the tokens asked for, sent and refused since earlier counts."""
     for index, count in enumerate(counts):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_account_shares.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_account_shares.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscusspar.fleet.account_counts import AccountCounts, split_change
+from hibiscusspar.fleet.account_counts import (
+    SMALL_ACCOUNTS,
+    AccountCounts,
+    split_change,
+)
 from hibiscusspar.fleet.account_shares import (
     MAX_ACCOUNTS,
     account_weights,
@@ -179,6 +183,14 @@
         )
         self.assertEqual(found, {"a": [200, 0], "new": [100, 0]})
 
+    def test_rest_is_of_small_accounts_if_the_report_names_as_many_as_it_may(self):
+        counts = {f"a{n}": (100, 0) for n in range(MAX_ACCOUNTS)}
+        earlier = dict.fromkeys(counts, (90, 0))
+        found = split_change((100, 30), counts, earlier)
+        self.assertEqual(found[SMALL_ACCOUNTS], [20, 30])
+        del counts["a0"]
+        self.assertNotIn(SMALL_ACCOUNTS, split_change((100, 30), counts, earlier))
+
     def test_count_that_started_anew_is_no_negative_demand(self):
         found = split_change((300, 0), {"a": (100, 0)}, {"a": (5000, 0)})
         self.assertEqual(found, {"a": [100, 0]})
@@ -291,7 +303,7 @@
         self.assertAlmostEqual(sent["f"], 0.12, delta=0.03)
 
     def test_account_within_its_part_may_use_the_queues_that_a_flood_has_filled(self):
-        # Two in three were refused for the first two seconds of a flood.
+        # Half of them were refused in the first second of pressure.
         decision = Send("t1", 1.5)
         for share, account, is_sent in (
             (0.9999, "a", True),
