Engine rates: estimates of prompt rate and decoding step by service

Cause: ChoicePolicy assumes 19,200 prompt tokens a second and 9.5 ms a step for all engines, though other data sheets state 25,800 and 8.2 ms or 38,700 and 5.47 ms.

--- /dev/null
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rate_samples.py
@@ -0,0 +1,166 @@
+"""Samples of one node for the rates of the engines of each service."""
+
+from collections import deque
+from itertools import combinations
+from statistics import quantiles
+from typing import NamedTuple
+
+from hibiscusspar.fleet.engine_rates import RatePolicy
+from hibiscusspar.fleet.routing import ChoicePolicy
+
+__all__ = ["RateSamples", "ServiceSample"]
+
+_PRIOR = ChoicePolicy()
+
+
+class ServiceSample(NamedTuple):
+    """Estimate of one node for a service, and the number of samples."""
+
+    prompt_tokens_s: float
+    step_s: float
+    count: int
+
+
+class RateSamples:
+    """Samples of one node.
+
+    Parameters
+    ----------
+    policy : RatePolicy, optional
+    prior : ChoicePolicy, optional
+    """
+
+    def __init__(self, policy=None, prior=_PRIOR):
+        self._policy = policy or RatePolicy()
+        self._prior = prior
+        self._prompts = {}
+        self._steps = {}
+        self._estimates = {}
+        self._estimated_at = None
+
+    def record_prompt(self, now, service, tokens, seconds, running):
+        """Record the time to the first event at a target without queued prompts.
+
+        Parameters
+        ----------
+        now : float
+        service : str
+        tokens : int
+            Size of the prompt.
+        seconds : float
+            Time from sending the request to its first event.
+        running : int
+            Other requests that the target ran.
+        """
+        seconds -= self._prior.request_s * running
+        self._rows(self._prompts, service).append((now, tokens, seconds))
+
+    def record_steps(self, now, service, steps, seconds, running):
+        """Record a stretch of decoding steps in which a target read no prompt.
+
+        Parameters
+        ----------
+        now : float
+        service : str
+        steps : int
+        seconds : float
+        running : int
+            Requests that the target ran.
+        """
+        added = self._prior.step_request_s / self._prior.step_s
+        step_s = seconds / steps / (1.0 + added * running)
+        self._rows(self._steps, service).append((now, step_s))
+
+    def drop(self, service):
+        """Drop the samples of a service, whose engines have changed."""
+        for rows in (self._prompts, self._steps, self._estimates):
+            rows.pop(service, None)
+
+    def estimates(self, now):
+        """Return the estimates of the services that have enough samples.
+
+        Returns
+        -------
+        dict of str to ServiceSample
+        """
+        at, policy = self._estimated_at, self._policy
+        if at is None or now >= at + policy.refresh_s:
+            self._estimated_at = now
+            estimates = {s: self._estimate(now, s) for s in self._prompts}
+            self._estimates = {s: row for s, row in estimates.items() if row}
+        return self._estimates
+
+    def _rows(self, table, service):
+        rows = table.get(service)
+        if rows is None:
+            rows = table[service] = deque(maxlen=self._policy.max_samples)
+        return rows
+
+    def _estimate(self, now, service):
+        policy, began_at = self._policy, now - self._policy.window_s
+        prompts = [row[1:] for row in self._prompts[service] if row[0] > began_at]
+        steps = sorted(
+            row[1] for row in self._steps.get(service, ()) if row[0] > began_at
+        )
+        count = min(len(prompts), len(steps))
+        if count < policy.min_node_samples:
+            return None
+        token_s = _token_s(prompts, policy)
+        if token_s is None:
+            return None
+        fastest = policy.bound * self._prior.prompt_tokens_s
+        rate = fastest if token_s * fastest <= 1.0 else 1.0 / token_s
+        step_s = steps[int(policy.quantile * (len(steps) - 1))]
+        return ServiceSample(rate, step_s, count)
+
+
+def _token_s(prompts, policy):
+    """Return the seconds per token of prompts, None if their sizes hardly differ.
+
+    The slope between pairs of prompts excludes what all of them need besides: steps of
+    the first event, the link, and events that are read late. Unknown queues make the
+    slopes of some pairs too large and of others too small, so the median is nearly
+    right; without the prompts that took far longer than it says it is more exact.
+
+    Parameters
+    ----------
+    prompts : list of tuple of (int, float)
+        Tokens and seconds.
+    policy : RatePolicy
+    """
+    low, middle, high = _quartiles([tokens for tokens, _ in prompts])
+    least = policy.spread * middle
+    if high - low < least or not middle:
+        return None
+    slope = _median_slope(prompts, least)
+    if slope is None or slope <= 0.0:
+        return slope
+    offsets = sorted(seconds - slope * tokens for tokens, seconds in prompts)
+    offset_s = offsets[int(policy.quantile * (len(offsets) - 1))]
+    usual = [
+        (tokens, seconds)
+        for tokens, seconds in prompts
+        if seconds <= policy.outlier * (offset_s + slope * tokens)
+    ]
+    return _median_slope(usual, least) or slope
+
+
+def _median_slope(prompts, least):
+    """Return the median slope of pairs whose sizes differ, by their difference."""
+    slopes = sorted(
+        ((seconds - other_s) / (tokens - others), abs(tokens - others))
+        for (tokens, seconds), (others, other_s) in combinations(prompts, 2)
+        if abs(tokens - others) >= least
+    )
+    if not slopes:
+        return None
+    remaining = sum([weight for _, weight in slopes]) / 2.0
+    position = 0
+    while position + 1 < len(slopes) and slopes[position][1] < remaining:
+        remaining -= slopes[position][1]
+        position += 1
+    return slopes[position][0]
+
+
+def _quartiles(values):
+    return quantiles(values, n=4, method="inclusive")
