Engine rates: exchange between nodes, and use in all decisions

Cause: decisions, prompt queues, the coordinator's backlogs and the number of copies that the planner wants used the constants of ChoicePolicy for all services. Change: RateExchange samples streams through the pace of SpeedExchange, fills NodeReport.rates and FleetView.rates, and gives one ChoicePolicy per service to decide, the prompt queues, the coordinator's backlogs and the planner. A node's weight is bounded to twice the usual one. PlannerPolicy.prompt_tokens_s was not used.

--- a/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
@@ -219,7 +219,7 @@
         for service in services:
             rows = self._reports.get(service, {})
             rows = {n: row for n, row in rows.items() if row[0] > now - fresh_s}
-            if rows:
+            if service in self._reports:
                 self._reports[service] = rows
             self._follow(now, service, self._measured(rows.values(), nodes), rows)
 
@@ -228,10 +228,13 @@
         policy = self._policy
         if len(rows) < min(policy.min_nodes, nodes):
             return None
-        if sum(row[3] for row in rows) < policy.min_samples:
+        counts = [row[3] for row in rows]
+        if sum(counts) < policy.min_samples:
             return None
+        # No node counts for more than two usual ones, whatever it tells.
+        most = 2 * sorted(counts)[len(counts) // 2]
+        counts = [min(count, most) for count in counts]
         middles, error = [], 0.0
-        counts = [row[3] for row in rows]
         for seconds in ([1.0 / row[1] for row in rows], [row[2] for row in rows]):
             low, middle, high = _weighted_quartiles(seconds, counts)
             error = max(error, (high - low) / middle / sqrt(len(rows)))
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -59,6 +59,15 @@
         """Record of each target, by target id."""
         return self._held
 
+    @property
+    def residency_numbers(self):
+        """Number of the residency of each target whose state is known, by target id."""
+        return {
+            target_id: held.number
+            for target_id, held in self._held.items()
+            if held.was_queried
+        }
+
     def reset(self):
         """Forget all targets, since another process may have given orders."""
         self._held = {}
@@ -166,7 +175,16 @@
         """
         self._demand.record_starts(now, {key: n for key, n in counts.items() if key[1]})
 
-    def next_orders(self, now, targets, wants, backlogs, in_use, interval_s=0.1):
+    def next_orders(
+        self,
+        now,
+        targets,
+        wants,
+        backlogs,
+        in_use,
+        interval_s=0.1,
+        prompt_gain=lambda service: 1.0,
+    ):
         """Choose orders, at most one per target, and mark them as in progress.
 
         Parameters
@@ -182,6 +200,8 @@
             Adapters of running requests, by target.
         interval_s : float, optional
             Interval between the reports of a node, in seconds.
+        prompt_gain : callable, optional
+            Returns the prompt rate of a service's engines relative to the usual one.
 
         Returns
         -------
@@ -207,11 +227,11 @@
             if not plan.free:
                 break
             orders += self._orders_for(plan, want)
-        for want in self._proactive_wants(plan, targets):
+        for want in self._proactive_wants(plan, targets, prompt_gain):
             orders += self._orders_for(plan, want, proactive=True)
         return orders
 
-    def _proactive_wants(self, plan, targets):
+    def _proactive_wants(self, plan, targets, prompt_gain):
         """Return wants for further copies of adapters with too few for their demand.
 
         Before their counts reach each other, many nodes send requests for an adapter to
@@ -225,6 +245,7 @@
         }
         for service, engine in sorted(engines.items()):
             rate_per_copy = self._policy.copy_requests_s / engine.event_steps
+            rate_per_copy *= prompt_gain(service)
             models = {model.name for model in engine.models}
             rates = self._demand.rates(plan.now, rate_per_copy)
             for key, rate in sorted(rates.items(), key=lambda row: -row[1]):
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -24,16 +24,15 @@
     may have ``fleet_loads_per_target`` per target, as given by the data sheets.
     ``idle_s`` is how long an adapter must have been unused before it is evicted, in
     addition to the report interval of the nodes. The last ``warm_adapters`` that a
-    target held load in ``warm_load_s``. ``prompt_tokens_s`` is the rate at which an
-    engine processes prompts. ``copy_backlog_s`` is the backlog beyond which a further
-    copy pays off. A target whose state is uncertain is queried after ``confirm_s``, and
-    while it doesn't answer up to ``max_query_pause_s`` apart. An
-    adapter used within ``in_demand_s`` gets a new version before it is requested. One
-    copy serves ``copy_requests_s`` requests a second, divided by the decoding steps per
-    event: at two steps that is a third of the prompts that an engine can process, so
-    that simultaneous ones don't stall streams. The cost of a target grows by
-    ``zone_copy_s`` per copy that its zone has already, and by ``other_zone_s`` outside
-    the zone of the waiting requests.
+    target held load in ``warm_load_s``. ``copy_backlog_s`` is the backlog
+    beyond which a further copy pays off. A target whose state is uncertain is queried
+    after ``confirm_s``, and while it doesn't answer up to ``max_query_pause_s`` apart.
+    An adapter used within ``in_demand_s`` gets a new version before it is requested.
+    One copy serves ``copy_requests_s`` requests a second at the usual prompt rate,
+    divided by the decoding steps per event: at two steps that is a third of the prompts
+    that an engine can process, so that simultaneous ones don't stall streams. The cost
+    of a target grows by ``zone_copy_s`` per copy that its zone has already, and by
+    ``other_zone_s`` outside the zone of the waiting requests.
     """
 
     cold_load_s: float = 0.27
@@ -44,7 +43,6 @@
     fleet_loads_per_target: float = 0.9
     idle_s: float = 0.1
     warm_adapters: int = 100
-    prompt_tokens_s: float = 19_200.0
     copy_backlog_s: float = 0.05
     confirm_s: float = 0.3
     max_query_pause_s: float = 1.2
--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -22,10 +22,14 @@
         self._tokens_per_s = tokens_per_s
         self._done_at = {}
 
-    def record_send(self, now, target_id, tokens, factor=1.0):
-        """Add a prompt that was sent to a target with a factor on the usual times."""
+    def record_send(self, now, target_id, tokens, factor=1.0, tokens_per_s=None):
+        """Add a prompt that was sent to a target with a factor on the usual times.
+
+        ``tokens_per_s`` is the rate of its service if it isn't the usual one.
+        """
+        tokens_per_s = tokens_per_s or self._tokens_per_s
         begin = max(now, self._done_at.get(target_id, now))
-        self._done_at[target_id] = begin + tokens / self._tokens_per_s * factor
+        self._done_at[target_id] = begin + tokens / tokens_per_s * factor
 
     def record_report(self, now, target_id, backlog_s):
         """Raise the backlog of a target to that known from reports, if longer."""
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -216,6 +216,24 @@
         fleet.carry_out(10.0, [order])
         self.assertEqual(fleet.plan(10.1, []), [])
 
+    def test_faster_engines_need_fewer_copies(self):
+        # One copy of an adapter serves as many more requests as prompts are read.
+        counts = {}
+        for gain in (1.0, 2.0):
+            fleet = Fleet(*[target(f"t{i}", "h" if i else ["hot"]) for i in range(4)])
+            for tenth in range(100):
+                fleet.planner.record_starts(tenth / 10, {(MODEL, "hot"): 1})
+            orders = fleet.planner.next_orders(
+                10.0,
+                fleet.targets,
+                [],
+                {},
+                {},
+                prompt_gain=lambda service, gain=gain: gain,
+            )
+            counts[gain] = len(orders)
+        self.assertEqual(counts, {1.0: 1, 2.0: 0})
+
     def test_proactive_copy_does_not_evict_an_adapter_in_demand(self):
         fleet = Fleet(target("t1", ["hot"]), target("t2", ["x"]), places=1)
         for tenth in range(100):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
@@ -113,8 +113,13 @@
         self.assertLess(sent[EstimatedSpeeds], sent[UsualSpeeds] / 4)
 
 
-def decisions_digest(count=4000):
-    """Return a digest of decisions about random jobs and candidates."""
+def decisions_digest(choice=None, count=4000):
+    """Return a digest of decisions about random jobs and candidates.
+
+    ``choice`` is the policy of the service, by default that of 19,200 prompt tokens a
+    second.
+    """
+    tokens_s = choice.prompt_tokens_s if choice else None
     rng, digest = Random(5), sha256()
     queues = PromptQueues(ChoicePolicy().prompt_tokens_s)
     for number in range(count):
@@ -130,9 +135,9 @@
         times = (arrived, 1.0, arrived + 1.5, rng.random())
         gap = (rng.choice((0.0, 0.2, 0.3, 0.5)), rng.choice((1, 2, 4)))
         job = Job("r", "draft", ("m", "a"), 1, tokens, *times, *gap)
-        decision = decide(now, job, rows, "z1")
+        decision = decide(now, job, rows, "z1", choice)
         if isinstance(decision, Send):
-            queues.record_send(now, decision.target_id, tokens)
+            queues.record_send(now, decision.target_id, tokens, 1.0, tokens_s)
         digest.update(repr(decision).encode())
     return digest.hexdigest()
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -27,7 +27,7 @@
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar.fleet.software_index import join_software
-from hibiscusspar.fleet.target_loads import wait_s
+from hibiscusspar.fleet.target_loads import target_waits
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
@@ -35,6 +35,7 @@
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.packing import pack
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
+from hibiscusspar_entry.fleet.rate_exchange import RateExchange
 from hibiscusspar_entry.fleet.report_table import ReportTable
 
 __all__ = ["Coordinator"]
@@ -88,6 +89,8 @@
     cold : ColdExchange, optional
         Cold targets.
     admission : AdmissionLevels, optional
+    rates : RateExchange, optional
+        What the engines of services can do, from the samples of all nodes.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         speeds,
         cold=None,
         admission=None,
+        rates=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -137,6 +141,7 @@
         self._speeds = speeds
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
         self._admission = admission or AdmissionLevels()
+        self._rates = rates or RateExchange(clock)
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -198,6 +203,7 @@
             self._levels.reset(self._clock(), levels)
             self._permits.reset()
             self._speeds.take_over()
+            self._rates.take_over()
 
     def step_down(self):
         """Become inactive.
@@ -225,6 +231,7 @@
             )
             self._limits.apply_rows(report.limits, report.node)
             self._speeds.apply_report(report)
+            self._rates.apply_report(report)
             for target_id, (in_use, started) in changes.items():
                 self._planner.used(now, target_id, in_use)
                 self._planner.record_starts(now, started)
@@ -289,6 +296,7 @@
                 DeferredDict(self._backlogs, now),
                 DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
+                self._rates.prompt_gain,
             )
             self.planned += len(orders)
         for target in queried:
@@ -324,7 +332,7 @@
         self._sent_levels = {name: round(level, 1) for name, level in levels.items()}
         config_age_s, directory_age_s = self._ages()
         self._update_rows(directory_age_s)
-        residency_numbers = self._residency_numbers()
+        residency_numbers = self._planner.residency_numbers
         software, software_index = join_software(
             [self._targets[name].software for name in self._directory_rows.names]
         )
@@ -368,20 +376,14 @@
             cold=self._permits.due_cold(self._number),
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
             admission=self._admission.update(now, self._reports.fresh(now)),
+            rates=self._rates.due_rows(max(1, self._levels.nodes)),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
 
-    def _residency_numbers(self):
-        return {
-            target_id: held.number
-            for target_id, held in self._planner.held.items()
-            if held.was_queried
-        }
-
     def _due_residency(self, now):
         """Return the resident adapters of the targets whose entries are due."""
-        numbers = self._residency_numbers()
+        numbers = self._planner.residency_numbers
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
         return {t: (numbers[t], held[t].residency_rows(now)) for t in due}
@@ -441,19 +443,16 @@
         }
 
     def _backlogs(self, now):
-        backlogs = {
-            target_id: self._backlog_s(target_id, load)
-            for target_id, load in self._reports.loads(now).items()
-        }
+        backlogs = target_waits(
+            self._reports.loads(now),
+            self._targets,
+            self._speeds.factor,
+            self._rates.policy,
+        )
         for target_id, limit_s in self._permits.waits().items():
             backlogs[target_id] = backlogs.get(target_id, 0.0) + limit_s
         return backlogs
 
-    def _backlog_s(self, target_id, load):
-        target = self._targets.get(target_id)
-        slots = target.slots if target is not None else None
-        return wait_s(load, slots, self._speeds.factor(target_id))
-
     def _wants(self, now):
         wants = self._reports.wants(now)
         for service in sorted({target.service for target in self._engine_targets()}):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -20,6 +20,8 @@
     "DIRECTORY_AGREES",
     "DIRECTORY_DIFFERS",
     "DUTY_CHANGED",
+    "ENGINE_RATES",
+    "ENGINE_RATES_EXPIRED",
     "EVACUATIONS_UNREAD",
     "EVACUATION_OF_UNKNOWN_ZONE",
     "LINES_DROPPED",
@@ -399,3 +401,27 @@
     "logged. `missing` counts the prompt tokens that were refused in the last second "
     "or wait for room, `room_per_s` those that returning callers may bring.",
 )
+ENGINE_RATES = declare(
+    680,
+    "node.engine_rates",
+    (
+        "service",
+        "prompt_tokens_s",
+        "step_s",
+        "before",
+        "samples",
+        "nodes",
+        "age_s",
+    ),
+    "This coordinator has all nodes assume other rates for the engines of a service: "
+    "prompt tokens a second and the seconds of a decoding step. `before` are those of "
+    "the last line, `samples` and `nodes` what they were derived from. Changes of less "
+    "than a tenth aren't logged.",
+)
+ENGINE_RATES_EXPIRED = declare(
+    681,
+    "node.engine_rates_expired",
+    ("service", "prompt_tokens_s", "step_s", "age_s"),
+    "No view has told the rates of the engines of a service for 15 s; this node "
+    "assumes the usual ones instead of these.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
@@ -10,7 +10,9 @@
     """Assignment of a request to a target.
 
     ``estimate_s`` is the estimated time to the first byte of the answer. ``permitted``
-    is whether the request has a permit for a cold target.
+    is whether the request has a permit for a cold target. ``is_idle`` is whether no
+    prompt was queued at the target as far as known, ``running`` the number of its
+    other requests.
     """
 
     target: object
@@ -19,6 +21,8 @@
     prompt_tokens: int
     estimate_s: float
     permitted: bool = False
+    is_idle: bool = False
+    running: int = 0
 
 
 class Ticket:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -2,14 +2,9 @@
 
 import random
 import threading
-from collections import Counter, deque
 
 from hibiscusspar.fleet.load_counts import current_load
-from hibiscusspar.fleet.messages import (
-    NodeReport,
-    TargetLoad,
-    adapter_label,
-)
+from hibiscusspar.fleet.messages import NodeReport
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.residency_copy import ResidencyCopy
@@ -21,7 +16,10 @@
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
+from hibiscusspar_entry.fleet.own_loads import OwnLoads
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
+from hibiscusspar_entry.fleet.rate_exchange import RateExchange
+from hibiscusspar_entry.fleet.sent_reports import SentReports
 
 __all__ = ["RequestScheduler"]
 
@@ -31,8 +29,6 @@
 # Time in seconds for which a target gets no request for an adapter after it answered
 # that the adapter is not resident.
 _MISSING_ADAPTER_S = 0.15
-# Number of sent reports that are kept until a view acknowledges one of them.
-_KEPT_REPORTS = 64
 # Targets whose residency a node requests with one report.
 _MAX_REQUESTED = 16
 # Failures that a refused connection counts as: enough to eject the target.
@@ -59,10 +55,21 @@
     gate : TargetGate
     admission : AdmissionGate, optional
         By default one for services with one priority each.
+    rates : RateExchange, optional
+        What the engines of services can do.
     """
 
     def __init__(
-        self, node, start, zone, clock, ejection, version_grace_s, gate, admission=None
+        self,
+        node,
+        start,
+        zone,
+        clock,
+        ejection,
+        version_grace_s,
+        gate,
+        admission=None,
+        rates=None,
     ):
         self.lock = threading.Lock()
         self.zone = zone
@@ -74,20 +81,18 @@
         self._targets = {}
         self._has_engine = {}
         self._waiting = []
-        self._loads = {}
-        self._in_use = {}
-        self._started_counts = {}
+        self._loads = OwnLoads()
         self._residency = ResidencyCopy()
         self._view = None
         self._view_received_at = None
         self._acked_loads = {}
         self._newest_versions = {}
         self._missing_until = {}
-        self._reports = deque(maxlen=_KEPT_REPORTS)
-        self._number = 0
+        self._reports = SentReports()
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._gate = gate
         self._admission = admission or AdmissionGate()
+        self._rates = rates or RateExchange(clock)
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
@@ -125,6 +130,10 @@
         """Return the time until which a target reads the prompts known here."""
         return self._prompt_queues.done_at(target_id)
 
+    def running(self, target_id):
+        """Return the number of running requests of a target, of all nodes."""
+        return self._load_of_all(target_id)[0]
+
     def set_targets(self, targets):
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
@@ -190,15 +199,17 @@
             now = self._clock()
             self._view = view
             self._view_received_at = now
-            self._acked_loads, used = self._acked_report()
+            self._acked_loads, used = self._reports.answered(view, self._node)
+            self._rates.apply_view(now, view)
             self._gate.apply_view(now, view)
             self._admission.apply_view(now, view, self._node)
             self._residency.apply_view(now, view)
             for target_id in view.loads:
                 # Without queued prompts a report raises no backlog.
                 if target_id in self._targets and self._load_of_all(target_id)[1]:
-                    candidate = self._candidate(now, self._targets[target_id], False)
-                    reported_s = backlog_s(_CHOICE_POLICY, candidate)
+                    target = self._targets[target_id]
+                    policy = self._rates.policy(target.service)
+                    reported_s = backlog_s(policy, self._candidate(now, target, False))
                     self._prompt_queues.record_report(now, target_id, reported_s)
             return used
 
@@ -208,8 +219,7 @@
             now = self._clock()
             for target_id, tokens in notice.sends:
                 if target_id in self._targets:
-                    factor = self.factor(target_id)
-                    self._prompt_queues.record_send(now, target_id, tokens, factor)
+                    self._record_prompt(now, self._targets[target_id], tokens)
             for load in notice.loads:
                 self._residency.apply_load(now, load)
                 if load.waiting <= _FEW_WAITING:
@@ -240,8 +250,8 @@
     def record_first_byte(self, placement):
         """Record that a target has read the prompt of a request."""
         with self.lock:
-            load = self._load(placement.target.target_id)
-            load.queued_prompt_tokens -= placement.prompt_tokens
+            target_id = placement.target.target_id
+            self._loads.record_first_byte(target_id, placement.prompt_tokens)
 
     def release(self, placement, first_byte):
         """Release the target of a request that has ended.
@@ -254,16 +264,9 @@
         """
         with self.lock:
             target_id = placement.target.target_id
-            load = self._load(target_id)
-            load.running -= 1
             if not first_byte:
-                load.queued_prompt_tokens -= placement.prompt_tokens
-            in_use = self._in_use.get(target_id)
-            if in_use is not None:
-                in_use[placement.key] -= 1
-                if in_use[placement.key] <= 0:
-                    del in_use[placement.key]
-                    del self._started_counts[target_id][placement.key]
+                self._loads.record_first_byte(target_id, placement.prompt_tokens)
+            self._loads.remove(target_id, placement.key)
             self._retry_waiting(self._clock())
 
     def record_missing_adapter(self, placement):
@@ -309,15 +312,9 @@
     def report(self, used, duties=None):
         """Return this node's report to the coordinator."""
         with self.lock:
-            self._number += 1
             now = self._clock()
             self._gate.retain(self._targets)
-            loads = {
-                target_id: TargetLoad(load.running, load.queued_prompt_tokens)
-                for target_id, load in self._loads.items()
-                if load.running or load.queued_prompt_tokens
-            }
-            self._reports.append((self._number, loads, dict(used)))
+            loads = self._loads.loads()
             permit_demand = self._gate.take_demand(
                 now,
                 [ticket.job for ticket in self._waiting],
@@ -327,13 +324,9 @@
                 node=self._node,
                 start=self._start,
                 zone=self.zone,
-                number=self._number,
+                number=self._reports.add(loads, dict(used)),
                 loads=loads,
-                in_use={
-                    target_id: {adapter_label(key): n for key, n in keys.items()}
-                    for target_id, keys in self._started_counts.items()
-                    if keys
-                },
+                in_use=self._loads.in_use(),
                 wants=group_wants(
                     [ticket.job for ticket in self._waiting],
                     self.zone,
@@ -347,7 +340,8 @@
                 permit_demand=permit_demand,
             )
             self._admission.complete_report(now, report, self._busy_jobs)
-            return report
+        self._rates.complete_report(report)
+        return report
 
     @property
     def has_waiting(self):
@@ -357,8 +351,7 @@
     def status(self):
         """Return the numbers of waiting requests, targets and running requests."""
         with self.lock:
-            running = sum(load.running for load in self._loads.values())
-            return len(self._waiting), len(self._targets), running
+            return len(self._waiting), len(self._targets), self._loads.running
 
     @property
     def _busy_jobs(self):
@@ -369,17 +362,6 @@
     def _fence(self):
         return self._view.fence if self._view else 0
 
-    def _load(self, target_id):
-        return self._loads.setdefault(target_id, TargetLoad(0, 0))
-
-    def _acked_report(self):
-        """Return loads and tokens used of the report that the last view answers."""
-        number = self._view.acked.get(self._node, 0)
-        for sent_number, loads, used in self._reports:
-            if sent_number == number:
-                return loads, used
-        return {}, {}
-
     def _retry_waiting(self, now):
         """Retry the waiting requests if the interval between decisions has passed."""
         if self._waiting and now >= self._next_decision_at:
@@ -408,7 +390,8 @@
                 return False
             candidates = remaining
         refusal = None if candidates else self.refusal(job.service)
-        decision = refusal or decide(now, job, candidates, self.zone)
+        policy = self._rates.policy(job.service)
+        decision = refusal or decide(now, job, candidates, self.zone, policy)
         # A request whose adapter no target holds waits, so that one loads it.
         if (
             isinstance(decision, Wait)
@@ -429,6 +412,7 @@
             ticket.resolve(decision)
             return True
         target = self._targets[decision.target_id]
+        before = self._candidate(now, target, False)
         placement = Placement(
             target,
             job.key,
@@ -436,18 +420,12 @@
             job.prompt_tokens,
             decision.first_byte_s,
             self._gate.record_send(target.target_id),
+            not (before.queued_prompt_tokens or before.queued_s),
+            before.running,
         )
-        load = self._load(target.target_id)
-        load.running += 1
-        load.queued_prompt_tokens += job.prompt_tokens
-        if job.key[0]:
-            self._in_use.setdefault(target.target_id, Counter())[job.key] += 1
-            self._started_counts.setdefault(target.target_id, Counter())[job.key] += 1
+        self._loads.add(target.target_id, job.key, job.prompt_tokens)
         if self._has_engine.get(target.service):
-            factor = self.factor(target.target_id)
-            self._prompt_queues.record_send(
-                now, target.target_id, job.prompt_tokens, factor
-            )
+            self._record_prompt(now, target, job.prompt_tokens)
             self.on_sent(target, job.prompt_tokens)
         if taken is not None:
             taken.add(target.target_id)
@@ -529,6 +507,16 @@
             self.factor(target_id) if is_engine else 1.0,
         )
 
+    def _record_prompt(self, now, target, tokens):
+        """Record a prompt that this node or another one has sent to a target."""
+        self._prompt_queues.record_send(
+            now,
+            target.target_id,
+            tokens,
+            self.factor(target.target_id),
+            self._rates.policy(target.service).prompt_tokens_s,
+        )
+
     def _load_of_all(self, target_id):
         """Return the running requests and queued prompt tokens of a target."""
         reported = self._view.loads.get(target_id) if self._view else None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -65,6 +65,8 @@
         self._clock = clock
         self._policy = policy or SpeedPolicy()
         self._min_targets = min_targets
+        # Returns the samples of an attempt at a stream for the rates of its service.
+        self.rate_stream = lambda placement, admitted: None
         self._reading_until = reading_until
         self._lock = threading.Lock()
         self._samples = SpeedSamples(self._policy)
@@ -117,7 +119,8 @@
         if not admitted.is_engine:
             return None
         steps, min_gap_s = admitted.event_steps, self._policy.min_gap_s
-        return StreamPace(self, placement.target, steps, min_gap_s)
+        rates = self.rate_stream(placement, admitted)
+        return StreamPace(self, placement.target, steps, min_gap_s, rates)
 
     def begin(self, now, target, event_steps):
         """Record the first event of a stream."""
@@ -304,9 +307,12 @@
     event_steps : int
     min_gap_s : float
         Time within which events are joined.
+    rates : RateStream, optional
+        Samples for the rates of the service.
     """
 
-    def __init__(self, exchange, target, event_steps, min_gap_s):
+    def __init__(self, exchange, target, event_steps, min_gap_s, rates=None):
+        self._rates = rates
         self._min_gap_s = min_gap_s
         self._exchange = exchange
         self._target = target
@@ -318,12 +324,16 @@
         """Record that the stream has grown to some number of whole events."""
         if self._last_at is None:
             self._exchange.begin(now, self._target, self._event_steps)
+            if self._rates is not None:
+                self._rates.begin(now)
         else:
             gap_s = now - self._last_at
             if count <= self._count or gap_s < self._min_gap_s:
                 return
             steps = (count - self._count) * self._event_steps
             self._exchange.record(now, self._target, gap_s, steps)
+            if self._rates is not None:
+                self._rates.record(now, gap_s, steps)
         self._last_at, self._count = now, count
 
     def end(self):
