--- a/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
@@ -52,7 +52,7 @@
     ``hold_s``.
     """
 
-    max_running: int = 12
+    max_running: int = 32
     max_samples: int = 48
     window_s: float = 15.0
     min_node_samples: int = 6
@@ -73,7 +73,7 @@
     step_noise: float = 0.1
     max_change: float = 1.2
     min_change: float = 0.05
-    hold_s: float = 60.0
+    hold_s: float = 600.0
 
 
 class RateRow(NamedTuple):
--- a/packages/hibiscusspar/hibiscusspar/fleet/rate_samples.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rate_samples.py
@@ -8,7 +8,7 @@
 from hibiscusspar.fleet.engine_rates import RatePolicy
 from hibiscusspar.fleet.routing import ChoicePolicy
 
-__all__ = ["RateSamples", "ServiceSample"]
+__all__ = ["RateSamples", "RateStream", "ServiceSample"]
 
 _PRIOR = ChoicePolicy()
 
@@ -114,6 +114,60 @@
         return ServiceSample(rate, step_s, count)
 
 
+class RateStream:
+    """Samples of one attempt at a stream.
+
+    Parameters
+    ----------
+    node : object
+        Gives ``reading_until``, ``running`` and ``factor`` of a target, and records the
+        samples with ``record_prompt`` and ``record_steps``, as ``RateSamples`` does.
+    placement : Placement
+    sent_at : float or None
+        Time at which the request is sent; None if the time to its first event tells
+        nothing about the engine.
+    policy : RatePolicy
+    """
+
+    def __init__(self, node, placement, sent_at, policy):
+        self._node = node
+        self._placement = placement
+        self._service = placement.target.service
+        self._target_id = placement.target.target_id
+        self._sent_at = sent_at
+        self._policy = policy
+        self._done_at = node.reading_until(self._target_id)
+        self._seconds, self._steps = 0.0, 0
+
+    def begin(self, now):
+        """Record the first event.
+
+        If another prompt was sent to the target meanwhile, both may have been read in
+        the same steps.
+        """
+        running = self._placement.running
+        if self._sent_at is None or running > self._policy.max_running:
+            return
+        if self._node.reading_until(self._target_id) <= self._done_at:
+            tokens, seconds = self._placement.prompt_tokens, now - self._sent_at
+            self._node.record_prompt(now, self._service, tokens, seconds, running)
+
+    def record(self, now, gap_s, steps):
+        """Record the gap before some events; stretches with prompts don't count."""
+        node, target_id = self._node, self._target_id
+        if node.reading_until(target_id) > now - gap_s:
+            self._seconds, self._steps = 0.0, 0
+            return
+        self._seconds += gap_s
+        self._steps += steps
+        if self._seconds < self._policy.stretch_s:
+            return
+        running = node.running(target_id)
+        if running <= self._policy.max_running and node.factor(target_id) == 1.0:
+            node.record_steps(now, self._service, self._steps, self._seconds, running)
+        self._seconds, self._steps = 0.0, 0
+
+
 def _token_s(prompts, policy):
     """Return the seconds per token of prompts, None if their sizes hardly differ.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/rate_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/rate_exchange.py
@@ -10,12 +10,12 @@
     service_policy,
 )
 from hibiscusspar.fleet.fanout import exchange_interval_s
-from hibiscusspar.fleet.rate_samples import RateSamples
+from hibiscusspar.fleet.rate_samples import RateSamples, RateStream
 from hibiscusspar.fleet.routing import ChoicePolicy
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import ENGINE_RATES, ENGINE_RATES_EXPIRED
 
-__all__ = ["RateExchange", "RateStream"]
+__all__ = ["RateExchange"]
 
 # Time in seconds for which rates are used after the last view that told them.
 _KEPT_S = 15.0
@@ -237,57 +237,3 @@
             }
             records.append((ENGINE_RATES, fields))
         return records
-
-
-class RateStream:
-    """Samples of one attempt at a stream.
-
-    Parameters
-    ----------
-    exchange : RateExchange
-    placement : Placement
-    sent_at : float or None
-        Time at which the request is sent; None if the time to its first event tells
-        nothing about the engine.
-    policy : RatePolicy
-    """
-
-    def __init__(self, exchange, placement, sent_at, policy):
-        self._exchange = exchange
-        self._placement = placement
-        self._service = placement.target.service
-        self._target_id = placement.target.target_id
-        self._sent_at = sent_at
-        self._policy = policy
-        self._done_at = exchange.reading_until(self._target_id)
-        self._seconds, self._steps = 0.0, 0
-
-    def begin(self, now):
-        """Record the first event.
-
-        If another prompt was sent to the target meanwhile, both may have been read in
-        the same steps.
-        """
-        running = self._placement.running
-        if self._sent_at is None or running > self._policy.max_running:
-            return
-        if self._exchange.reading_until(self._target_id) <= self._done_at:
-            tokens, seconds = self._placement.prompt_tokens, now - self._sent_at
-            self._exchange.record_prompt(now, self._service, tokens, seconds, running)
-
-    def record(self, now, gap_s, steps):
-        """Record the gap before some events; stretches with prompts don't count."""
-        exchange, target_id = self._exchange, self._target_id
-        if exchange.reading_until(target_id) > now - gap_s:
-            self._seconds, self._steps = 0.0, 0
-            return
-        self._seconds += gap_s
-        self._steps += steps
-        if self._seconds < self._policy.stretch_s:
-            return
-        running = exchange.running(target_id)
-        if running <= self._policy.max_running and exchange.factor(target_id) == 1.0:
-            exchange.record_steps(
-                now, self._service, self._steps, self._seconds, running
-            )
-        self._seconds, self._steps = 0.0, 0
