Engine rates: samples at targets with up to 16 running requests

Cause: at 32 running requests an error of the prior in what these add to a step exceeds the band, so engines as assumed could have been estimated as faster.

--- a/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
@@ -25,14 +25,15 @@
 class RatePolicy(NamedTuple):
     """Settings of the estimates; times in seconds.
 
-    Samples are from targets with at most ``max_running`` running requests. A node keeps
-    ``max_samples`` of each kind for ``window_s`` and reports an estimate if it has
-    ``min_node_samples`` of each kind, of prompts whose quartiles differ by ``spread``
-    of their median at least; prompts that took ``outlier`` times as long as a first
-    estimate says are left out of the second one. Gaps are joined to stretches of
-    ``stretch_s``, in which events that are read some milliseconds late make little
-    difference; ``quantile`` is a low one, as unknown prompts lengthen some of them. A
-    node derives estimates every ``refresh_s``.
+    Samples are from targets with at most ``max_running`` running requests: with more,
+    an error of the prior in the times that these add would matter more than ``band``
+    allows. A node keeps ``max_samples`` of each kind for ``window_s`` and reports an
+    estimate if it has ``min_node_samples`` of each kind, of prompts whose quartiles
+    differ by ``spread`` of their median at least; prompts that took ``outlier`` times
+    as long as a first estimate says are left out of the second one. Gaps are joined to
+    stretches of ``stretch_s``, in which events that are read some milliseconds late
+    make little difference; ``quantile`` is a low one, as unknown prompts lengthen some
+    of them. A node derives estimates every ``refresh_s``.
 
     The coordinator uses reports of the last ``fresh_s``, or ``fresh_intervals`` of the
     time between reports. It needs ``min_samples`` from ``min_nodes`` nodes, or from all
@@ -49,10 +50,10 @@
     ``prompt_gain`` within ``leave``, kept parts alone never replace the prior. Known
     data sheets have 1.16. An estimate changes by at most the ratio ``max_change`` a
     second and not for less than ``min_change``. Without new samples it is kept for
-    ``hold_s``.
+    ``hold_s``, as no target is known to be idle under the full load of an engine.
     """
 
-    max_running: int = 32
+    max_running: int = 16
     max_samples: int = 48
     window_s: float = 15.0
     min_node_samples: int = 6
