Token memory: targets with room in their key-value memory come first

Cause: kv_tokens of an engine was not used: the choice knew slots only, so targets with large requests got more although others had room. Change: pure module token_memory: mean output by route, mean size of a service's requests, targets without room only if no other one takes a request now; a request larger than the memory is refused at once.

--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -12,7 +12,13 @@
 
 from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
 
-__all__ = ["StreamOrigin", "StreamOrigins", "may_continue", "origin_holders"]
+__all__ = [
+    "StreamOrigin",
+    "StreamOrigins",
+    "can_be_continued",
+    "may_continue",
+    "origin_holders",
+]
 
 # Nodes that hold a copy of an origin in a large fleet. In a small one all do.
 _COPIES = 3
@@ -73,6 +79,25 @@
     return is_same and target.target_id not in job.broken_at
 
 
+def can_be_continued(targets, origin, excluded):
+    """Return whether a target remains that may continue a stream.
+
+    Parameters
+    ----------
+    targets : dict of str to Target
+    origin : StreamOrigin
+    excluded : frozenset of str
+        Targets that must not continue it.
+    """
+    return any(
+        target.target_id not in excluded
+        and not target.draining
+        and target.software
+        and (target.service, target.software) == origin
+        for target in targets.values()
+    )
+
+
 def origin_holders(key, names):
     """Return the nodes that hold copies of an origin (rendezvous hashing).
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -61,6 +61,7 @@
     of earlier attempts at targets, and ``returned_s`` the time since the caller first
     sent the request, 0 if it wasn't refused before. ``is_admitted`` is whether it is
     within the share of its priority (see ``hibiscusspar.fleet.admission``).
+    ``max_output_tokens`` is the output that it allows, 0 if it has no size.
     """
 
     request_id: str
@@ -80,6 +81,8 @@
     attempts: int = 0
     returned_s: float = 0.0
     is_admitted: bool = True
+    route: str = ""
+    max_output_tokens: int = 0
 
 
 class Send(NamedTuple):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -27,7 +27,7 @@
     ----------
     clock : callable
     request_scheduler : RequestScheduler
-        Gives the age of the last view.
+        Gives the age of the last view, and learns the sizes of outputs.
     metrics : FleetMetrics
     """
 
@@ -76,6 +76,11 @@
 
     def answered(self, admitted, state, status):
         """Log that a target answered a request completely."""
+        events = state.splitter.count if state.splitter else 0
+        if events and not admitted.resumes_stream:
+            self._request_scheduler.record_output(
+                admitted.route.name, events * admitted.event_steps
+            )
         first_s = state.first_byte_at - admitted.arrived
         fields = {
             "request": admitted.call.request_id,
@@ -83,7 +88,7 @@
             "status": status,
             "first_byte_s": round(first_s, 3),
             "seconds": round(self._clock() - admitted.arrived, 3),
-            "events": state.splitter.count if state.splitter else 0,
+            "events": events,
             "longest_gap_s": round(state.longest_gap_s, 3),
             "late": first_s > admitted.route.first_byte_slo_s,
         }
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
@@ -38,4 +38,6 @@
         broken_at=state.broken_at,
         attempts=state.attempts,
         returned_s=admitted.arrived - admitted.first_arrived,
+        route=route.name,
+        max_output_tokens=(admitted.call.tokens or (0, 0))[1],
     )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -10,8 +10,9 @@
 from hibiscusspar.fleet.residency_copy import ResidencyCopy
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
-from hibiscusspar.fleet.stream_origins import may_continue
-from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
+from hibiscusspar.fleet.stream_origins import can_be_continued, may_continue
+from hibiscusspar.fleet.token_memory import TokenMemory
+from hibiscusspar.fleet.waiting import Send, Wait, wait_for_open_target
 from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
@@ -96,6 +97,8 @@
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
+        # Guarded by the lock as well.
+        self.memory = TokenMemory()
         self.direct_peers = 0
         self.request_report = lambda: None
         # Returns whether this node has an idle connection to a target.
@@ -126,6 +129,11 @@
                 for service in ruleset.services.values()
             }
 
+    def record_output(self, route, tokens):
+        """Record the output of a request of a route that was answered whole."""
+        with self.lock:
+            self.memory.record_output(route, tokens)
+
     def reading_until(self, target_id):
         """Return the time until which a target reads the prompts known here."""
         return self._prompt_queues.done_at(target_id)
@@ -164,13 +172,7 @@
             Targets that must not continue it.
         """
         with self.lock:
-            return any(
-                target.target_id not in excluded
-                and not target.draining
-                and target.software
-                and (target.service, target.software) == origin
-                for target in self._targets.values()
-            )
+            return can_be_continued(self._targets, origin, excluded)
 
     def is_current(self, target):
         """Return whether the directory still shows a target as it was."""
@@ -391,7 +393,9 @@
             candidates = remaining
         refusal = None if candidates else self.refusal(job.service)
         policy = self._rates.policy(job.service)
-        decision = refusal or decide(now, job, candidates, self.zone, policy)
+        decision = refusal or self.memory.decide(
+            now, job, candidates, self.zone, policy
+        )
         # A request whose adapter no target holds waits, so that one loads it.
         if (
             isinstance(decision, Wait)
@@ -424,6 +428,7 @@
             before.running,
         )
         self._loads.add(target.target_id, job.key, job.prompt_tokens)
+        self.memory.record_send(job)
         if self._has_engine.get(target.service):
             self._record_prompt(now, target, job.prompt_tokens)
             self.on_sent(target, job.prompt_tokens)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
@@ -109,10 +109,18 @@
 class TestJob(unittest.TestCase):
     def admitted(self, arrived, deadline_s):
         call = SimpleNamespace(
-            request_id="r", model="m", adapter="a", deadline_s=deadline_s
+            request_id="r",
+            model="m",
+            adapter="a",
+            deadline_s=deadline_s,
+            tokens=(10, 500),
         )
         route = SimpleNamespace(
-            kind="stream", timeout_s=15.0, first_byte_slo_s=2.0, max_gap_s=0.3
+            name="chat",
+            kind="stream",
+            timeout_s=15.0,
+            first_byte_slo_s=2.0,
+            max_gap_s=0.3,
         )
         return SimpleNamespace(
             call=call,
@@ -133,6 +141,7 @@
         self.assertEqual((job.returned_s, job.attempts), (1.0, 0))
         job = make_job(self.admitted(100.0, 15.0), RequestState(), 100.1, 3.0)
         self.assertEqual(job.returned_s, 0.0)
+        self.assertEqual((job.route, job.max_output_tokens), ("chat", 500))
 
     def test_wait_ends_with_the_time_of_the_request(self):
         job = make_job(self.admitted(100.0, 1.0), RequestState(), 100.1, 3.0)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
@@ -410,3 +410,30 @@
         overloads = sum(backlog_s > longest_s for backlog_s in backlogs)
         self.assertLessEqual(overloads, 0.05 * len(backlogs))
         self.assertGreater(len(self.sent), 12)
+
+
+class TestTokenMemory(SchedulerTestCase):
+    def setUp(self):
+        super().setUp()
+        rules = engine_rules()
+        rules.services["draft"].engine = SimpleNamespace(kv_tokens=4000)
+        self.scheduler.memory.configure(rules)
+        self.targets(target("t1", ["a1"]), target("t2", ["a1"]))
+
+    def test_target_without_room_gets_nothing_while_another_one_has_room(self):
+        # The other one has a longer queue, and got all of these before.
+        loads = {"t1": TargetLoad(4, 0), "t2": TargetLoad(2, 9000)}
+        self.scheduler.apply_view(view(loads=loads))
+        ticket = self.scheduler.submit(self.job())
+        self.assertEqual(ticket.placement.target.target_id, "t2")
+
+    def test_request_larger_than_the_memory_is_refused_at_once(self):
+        ticket = self.scheduler.submit(self.job(prompt_tokens=4001))
+        self.assertIsInstance(ticket.decision, Refuse)
+        self.assertIn("memory", ticket.decision.reason)
+
+    def test_outputs_that_were_answered_count(self):
+        job = self.job(prompt_tokens=3000)._replace(route="r", max_output_tokens=9000)
+        for _ in range(20):
+            self.scheduler.record_output("r", 2000)
+        self.assertIsInstance(self.scheduler.submit(job).decision, Refuse)
