Engine rates: targets that differ in speed don't look fast

Cause: services with fewer than 12 targets have no factors. Where their targets run at 0.6, 1.0 and 1.6 of the usual speed, the low quantile of steps was that of the fastest third, and rates rose to 1.58 of the prior in a test. Change: quantile 0.4; where the quantile 0.55 is over 1.25 times as large, that one counts. Engines with slower steps gain nothing in prompts.

--- a/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/engine_rates.py
@@ -33,7 +33,8 @@
     as long as a first estimate says are left out of the second one. Gaps are joined to
     stretches of ``stretch_s``, in which events that are read some milliseconds late
     make little difference; ``quantile`` is a low one, as unknown prompts lengthen some
-    of them. A node derives estimates every ``refresh_s``.
+    of them. Where ``wide_quantile`` is ``wide`` times as large or more, targets differ
+    in speed, and it is used itself. A node derives estimates every ``refresh_s``.
 
     The coordinator uses reports of the last ``fresh_s``, or ``fresh_intervals`` of the
     time between reports. It needs ``min_samples`` from ``min_nodes`` nodes, or from all
@@ -46,10 +47,10 @@
     difference is within ``band``. What may be learned is bounded by the factor
     ``bound``. Parts of prompts that targets keep make engines look faster at prompts
     but not at decoding steps, so the gain in the prompt rate is at most ``prompt_gain``
-    times that in steps; a gain in steps within ``step_noise`` counts as none. With
-    ``prompt_gain`` within ``leave``, kept parts alone never replace the prior. Known
-    data sheets have 1.16. An estimate changes by at most the ratio ``max_change`` a
-    second and not for less than ``min_change``. Without new samples it is kept for
+    times that in steps, or none; a gain in steps within ``step_noise`` counts as none.
+    With ``prompt_gain`` within ``leave``, kept parts alone never replace the prior.
+    Known data sheets have 1.16. An estimate changes by at most the ratio ``max_change``
+    a second and not for less than ``min_change``. Without new samples it is kept for
     ``hold_s``, as no target is known to be idle under the full load of an engine.
     """
 
@@ -60,7 +61,9 @@
     spread: float = 0.25
     outlier: float = 1.35
     stretch_s: float = 0.3
-    quantile: float = 0.3
+    quantile: float = 0.4
+    wide_quantile: float = 0.55
+    wide: float = 1.25
     refresh_s: float = 0.5
     fresh_s: float = 3.0
     fresh_intervals: float = 4.0
@@ -244,7 +247,7 @@
             return None
         prompt, step = self._gains(1.0 / middles[0], middles[1])
         sure_step = 1.0 if 1.0 < step <= 1.0 + policy.step_noise else step
-        prompt = min(prompt, policy.prompt_gain * max(1.0, sure_step))
+        prompt = min(prompt, max(1.0, policy.prompt_gain * sure_step))
         return _Measured((prompt, step), error)
 
     def _follow(self, now, service, measured, rows):
--- a/packages/hibiscusspar/hibiscusspar/fleet/rate_samples.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rate_samples.py
@@ -110,7 +110,7 @@
             return None
         fastest = policy.bound * self._prior.prompt_tokens_s
         rate = fastest if token_s * fastest <= 1.0 else 1.0 / token_s
-        step_s = steps[int(policy.quantile * (len(steps) - 1))]
+        step_s = _step_s(steps, policy)
         return ServiceSample(rate, step_s, count)
 
 
@@ -168,6 +168,19 @@
         self._seconds, self._steps = 0.0, 0
 
 
+def _step_s(steps, policy):
+    """Return the seconds of a step from the sorted seconds of stretches.
+
+    A wide range of them shows targets of different speeds. The fastest of these must
+    not decide for all, so a quantile above the median is used then.
+    """
+    last = len(steps) - 1
+    step_s = steps[int(policy.quantile * last)]
+    if steps[int(policy.wide_quantile * last)] > policy.wide * step_s:
+        return steps[int(policy.wide_quantile * last)]
+    return step_s
+
+
 def _token_s(prompts, policy):
     """Return the seconds per token of prompts, None if their sizes hardly differ.
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_engine_rates.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_engine_rates.py
@@ -30,7 +30,8 @@
     ``unknown_share`` of the samples have a queue that no node knows of,
     ``kept_share`` of the prompts are kept by their target to a half. Events are read
     ``late_s`` late on average, and a link adds ``link_s``. Targets run up to
-    ``running`` requests, which add ``added`` of what the prior assumes.
+    ``running`` requests, which add ``added`` of what the prior assumes. Targets run
+    at one of ``speeds`` of the rates each.
     """
 
     rates: tuple[float, float]
@@ -43,6 +44,7 @@
     link_s: float = 0.004
     running: int = 3
     added: float = 1.0
+    speeds: tuple[float, ...] = (1.0,)
 
 
 class Fleet:
@@ -93,7 +95,8 @@
 
     def _first_event_s(self, tokens):
         traffic, rng = self.traffic, self.rng
-        rate, step_s = traffic.rates
+        speed = rng.choice(traffic.speeds)
+        rate, step_s = traffic.rates[0] * speed, traffic.rates[1] / speed
         if rng.random() < traffic.kept_share:
             tokens //= 2
         seconds = tokens / rate + EVENT_STEPS * step_s
@@ -102,6 +105,7 @@
     def _stretch(self, running):
         added = self.traffic.added * running * PRIOR.step_request_s / PRIOR.step_s
         step_s = self.traffic.rates[1] * (1 + added)
+        step_s /= self.rng.choice(self.traffic.speeds)
         steps = EVENT_STEPS
         while steps * step_s < RatePolicy().stretch_s:
             steps += EVENT_STEPS
@@ -200,6 +204,22 @@
         for added in (0.0, 0.3):
             self.assert_prior(Traffic(PRIOR_RATES, running=16, added=added))
 
+    def test_targets_of_different_speeds_whose_factors_are_not_known(self):
+        # Services with few targets have no factors. The fastest third must not decide
+        # for all, as it would overload the others.
+        for unknown_share in (0.0, 1 / 3):
+            for seed in (1, 2, 3):
+                fleet = Fleet(
+                    Traffic(
+                        PRIOR_RATES, speeds=(0.6, 1.0, 1.6), unknown_share=unknown_share
+                    ),
+                    seed,
+                )
+                fleet.run_for(12.0)
+                with self.subTest(unknown_share=unknown_share, seed=seed):
+                    fastest = max(rate for rate, _ in fleet.estimates)
+                    self.assertLess(fastest, 1.15 * PRIOR_RATES[0])
+
     def test_slow_links(self):
         self.assert_prior(Traffic(PRIOR_RATES, link_s=0.1))
 
