--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -151,8 +151,7 @@
     prompt tokens that wait for room, by service, where priorities differ.
     ``asked_by_account`` holds, by service, priority and account, the prompt tokens that
     were asked for and refused since the process started, for the accounts that asked
-    for most. ``rates`` maps services to the prompt tokens a second and the seconds of a
-    decoding step that this node measured, and the number of samples.
+    for most.
     """
 
     node: str
@@ -179,7 +178,6 @@
     booked: dict[str, list[int]] = {}
     waiting: dict[str, int] = {}
     asked_by_account: dict[str, dict[int, dict[str, tuple[int, int]]]] = {}
-    rates: dict[str, tuple[float, float, int]] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -210,8 +208,7 @@
     zones, known for certain ``evacuation_age_s`` ago; None if the sender doesn't know
     them. ``speeds`` maps some targets to the start of their incarnation, the factor on
     the usual times of their service and its age. ``admission`` holds levels by service,
-    None if the sender derives none. ``rates`` maps services to the prompt tokens a
-    second and the seconds of a decoding step of their engines, and the age in seconds.
+    None if the sender derives none.
     """
 
     node: str
@@ -246,7 +243,6 @@
     evacuation_age_s: float = 0.0
     speeds: dict[str, tuple[int, float, float]] = {}
     admission: dict[str, AdmissionLevel] | None = None
-    rates: dict[str, tuple[float, float, float]] = {}
 
 
 class PermitGrant(Struct, tag="permits"):
