--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -19,6 +19,7 @@
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
 from hibiscusspar_entry.fleet.forward_policy import ForwardPolicy
+from hibiscusspar_entry.fleet.no_moves import NoMoves
 from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.refusal import (
     CallerLeftError,
@@ -27,7 +28,6 @@
 )
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
-from hibiscusspar_entry.fleet.stream_mover import NoMoves
 from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_entry.fleet.token_gate import TokenGate
 from hibiscusspar_wire.dialect import Forwarding
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
@@ -0,0 +1,20 @@
+"""Replacement of the driver of moved streams for services without moves."""
+
+__all__ = ["NoMoves"]
+
+
+class NoMoves:
+    """Replacement of a ``StreamMover`` where no stream moves."""
+
+    def begin(self, admitted, state, placement, connection, response):
+        """Ignore the first event of a stream."""
+
+    def follow(self, state, failure):
+        """Return False: the attempt has failed."""
+        return False
+
+    def complete(self, state):
+        """Ignore the end of a stream."""
+
+    def end(self, state):
+        """Ignore the end of a request."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -30,7 +30,7 @@
 from hibiscusspar_wire.dialect import CopyHandle
 from hibiscusspar_wire.target_connections import CallFailedError
 
-__all__ = ["NoMoves", "StreamMover"]
+__all__ = ["StreamMover"]
 
 # Moves of one node, and of one pair of targets, at a time.
 _MAX_MOVES = 4
@@ -50,23 +50,6 @@
 _CLOSE_LIMIT_S = 0.3
 
 
-class NoMoves:
-    """Replacement of a ``StreamMover`` where no stream moves."""
-
-    def begin(self, admitted, state, placement, connection, response):
-        """Ignore the first event of a stream."""
-
-    def follow(self, state, failure):
-        """Return False: the attempt has failed."""
-        return False
-
-    def complete(self, state):
-        """Ignore the end of a stream."""
-
-    def end(self, state):
-        """Ignore the end of a request."""
-
-
 class StreamMover:
     """Driver of the moves of one node.
 
