--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -151,7 +151,11 @@
     prompt tokens that wait for room, by service, where priorities differ.
     ``asked_by_account`` holds, by service, priority and account, the prompt tokens that
     were asked for and refused since the process started, for the accounts that asked
-    for most.
+    for most. ``reads_directory_changes`` is whether the node can read views that don't
+    name the targets, and ``directory_digest`` the digest of the names that it has, 0
+    if none. ``call_times`` maps targets of plain services to the start of their
+    incarnation, the mean seconds of their answers, the number of answers and that of
+    failures in the last second.
     """
 
     node: str
@@ -178,6 +182,9 @@
     booked: dict[str, list[int]] = {}
     waiting: dict[str, int] = {}
     asked_by_account: dict[str, dict[int, dict[str, tuple[int, int]]]] = {}
+    reads_directory_changes: bool = False
+    directory_digest: int = 0
+    call_times: dict[str, tuple[int, float, int, int]] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -208,7 +215,12 @@
     zones, known for certain ``evacuation_age_s`` ago; None if the sender doesn't know
     them. ``speeds`` maps some targets to the start of their incarnation, the factor on
     the usual times of their service and its age. ``admission`` holds levels by service,
-    None if the sender derives none.
+    None if the sender derives none. ``directory_digest`` is the digest of the names of
+    all targets; if it isn't 0, ``directory`` and what is aligned with it may be empty.
+    ``call_times`` maps targets of plain services to the start of their incarnation, the
+    mean seconds of a call, the share of failures and the age of these. ``leaving_in``
+    maps targets that end at a known time to the start of their incarnation and the
+    seconds left.
     """
 
     node: str
@@ -243,6 +255,9 @@
     evacuation_age_s: float = 0.0
     speeds: dict[str, tuple[int, float, float]] = {}
     admission: dict[str, AdmissionLevel] | None = None
+    directory_digest: int = 0
+    call_times: dict[str, tuple[int, float, float, float]] = {}
+    leaving_in: dict[str, tuple[int, float]] = {}
 
 
 class PermitGrant(Struct, tag="permits"):
@@ -327,8 +342,9 @@
     whose targets the sender can't reach; a receiver that can answers with a
     ``proxy_offer``. ``config_asked`` asks for the configuration, and ``config_part`` is
     a part of the answer. ``loads`` holds loads that the coordinator has just ordered.
-    ``full`` names brittle targets that have just turned a request away. Older builds
-    ignore these eight.
+    ``full`` names brittle targets that have just turned a request away. ``slow`` holds
+    targets whose speed has just changed, with the start of their incarnation and the
+    factor on the usual times of their service. Older builds ignore these nine.
     """
 
     sends: list[tuple[str, int]]
@@ -341,6 +357,7 @@
     config_part: ConfigPart | None = None
     loads: list[AdapterLoad] = []
     full: list[str] = []
+    slow: list[tuple[str, int, float]] = []
 
 
 class OrderRequest(Struct, tag="order"):
