Leave names out of views to nodes that have them

Cause: each view named all targets with the digests of their rows and their software, and each node decoded and compared them.

Change: nodes report the digest of the directory that they know. The coordinator sends the names only to groups in which a report from after the last change tells another digest, or with a node of an older build. The digest covers what is aligned with the names as well (row digests, software), so that no change of these goes unnoticed. A node with another digest uses nothing of that and counts its copy as differing. The copy compares only the rows that a view carries unless names or digests have changed, and targets of unchanged rows stay the same objects. The coordinator derives names, digests and software when the directory changes, not with each view.

--- a/packages/hibiscusspar/hibiscusspar/fleet/entry_rotation.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/entry_rotation.py
@@ -46,13 +46,15 @@
         rotated_count : int, optional
             Number of entries to send in rotation, in addition to the changed ones.
         """
-        names = sorted(states)
+        names = sorted(states) if rotated_count else []
         for offset in range(min(rotated_count, len(names))):
             self.request([names[(number * rotated_count + offset) % len(names)]])
-        for name, state in states.items():
-            if self._last_states.get(name) != state:
-                self._remaining_sends[name] = _CHANGE_REPEATS
-        self._last_states = dict(states)
+        # Most views follow no change, and dicts of equal states compare quickly.
+        if states != self._last_states:
+            for name, state in states.items():
+                if self._last_states.get(name) != state:
+                    self._remaining_sends[name] = _CHANGE_REPEATS
+            self._last_states = dict(states)
         remaining = {
             name: count
             for name, count in self._remaining_sends.items()
--- a/packages/hibiscusspar/hibiscusspar/fleet/residency_numbers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/residency_numbers.py
@@ -1,18 +1,26 @@
 """Revisions of the adapters that targets hold, by which nodes find lost states."""
 
+from functools import lru_cache
+
 from hibiscusspar.fleet.messages import adapter_label
 
-__all__ = ["join_numbers", "lacked_states", "residency_rows"]
+__all__ = [
+    "NUMBER_BYTES",
+    "join_numbers",
+    "lacked_states",
+    "low_bits",
+    "residency_rows",
+]
 
 # Bytes sent of a revision. A lost change goes unnoticed only if its revision equals the
 # known one in these bytes, that is, every 65,535 revisions.
-_NUMBER_BYTES = 2
-_NUMBERS = 1 << (8 * _NUMBER_BYTES)
+NUMBER_BYTES = 2
+_NUMBERS = 1 << (8 * NUMBER_BYTES)
 
 
 def join_numbers(numbers):
     """Return the low bits of revisions, 0 for none, as one sequence of bytes."""
-    return b"".join(_low_bits(number) for number in numbers)
+    return b"".join(map(low_bits, numbers))
 
 
 def lacked_states(directory, joined, known):
@@ -29,8 +37,8 @@
     """
     lacked = []
     for index, name in enumerate(directory):
-        sent = joined[index * _NUMBER_BYTES : (index + 1) * _NUMBER_BYTES]
-        if any(sent) and _low_bits(known.get(name, 0)) != sent:
+        sent = joined[index * NUMBER_BYTES : (index + 1) * NUMBER_BYTES]
+        if any(sent) and low_bits(known.get(name, 0)) != sent:
             lacked.append(name)
     return lacked
 
@@ -43,7 +51,10 @@
     ]
 
 
-def _low_bits(number):
+# Most targets have had few changes, so their numbers are equal and low.
+@lru_cache(4096)
+def low_bits(number):
+    """Return the low bits of a revision, as they are sent."""
     # 0 stands for no state, so no revision is sent as 0.
     low = number % (_NUMBERS - 1) + 1 if number else 0
-    return low.to_bytes(_NUMBER_BYTES, "big")
+    return low.to_bytes(NUMBER_BYTES, "big")
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_copy.py
@@ -18,7 +18,10 @@
 
 def sent_view(rows):
     return SimpleNamespace(
-        directory=rows.names, row_digests=rows.joined_digests, rows=rows.due()
+        directory=rows.names,
+        row_digests=rows.joined_digests,
+        rows=rows.due(),
+        directory_digest=rows.digest,
     )
 
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -13,7 +13,6 @@
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import (
     exchange_interval_s,
-    view_groups,
     view_interval_s,
 )
 from hibiscusspar.fleet.messages import (
@@ -26,7 +25,6 @@
 from hibiscusspar.fleet.planner import AdapterPlanner, OrderOutcome
 from hibiscusspar.fleet.quota import AccountLevels
 from hibiscusspar.fleet.residency_numbers import join_numbers
-from hibiscusspar.fleet.software_index import join_software
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
@@ -34,7 +32,7 @@
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
 from hibiscusspar_entry.fleet.report_table import ReportTable
-from hibiscusspar_entry.fleet.view_encoder import ViewEncoder
+from hibiscusspar_entry.fleet.view_sender import ViewSender
 
 __all__ = ["Coordinator"]
 
@@ -118,6 +116,7 @@
         self._election = election
         self._orders = orders
         self._send = send
+        self._view_sender = ViewSender(send)
         self._ages = ages
         self._announced = {}
         self._lock = threading.Lock()
@@ -304,15 +303,7 @@
         with self._lock:
             view, records = self._view()
         self.complete_view(view)
-        encoder = ViewEncoder(view)
-        # Nodes of older builds, which can't read packed views, get groups of their own.
-        for group in view_groups(
-            records, lambda record: (record.report.zone, record.report.reads_packed)
-        ):
-            acked = {record.report.node: record.report.number for record in group}
-            first, *others = [record.address for record in group]
-            packed = group[0].report.reads_packed
-            self._send(first, encoder.message(acked, others, packed))
+        self._view_sender.send_view(self._view_sent_at, view, records)
 
     def _view(self):
         now = self._view_sent_at = self._clock()
@@ -326,10 +317,9 @@
         self._sent_levels = {name: round(level, 1) for name, level in levels.items()}
         config_age_s, directory_age_s = self._ages()
         self._update_rows(directory_age_s)
-        residency_numbers = self._residency_numbers()
-        software, software_index = join_software(
-            [self._targets[name].software for name in self._directory_rows.names]
-        )
+        directory = self._directory_rows
+        numbers = self._residency_numbers()
+        software, software_index = directory.software
         view = FleetView(
             node=self._node,
             start=self._start,
@@ -340,17 +330,15 @@
             nodes=max(1, self._levels.nodes),
             acked={},
             loads=self._reports.loads(now),
-            residency=self._due_residency(now),
+            residency=self._due_residency(now, numbers),
             levels=self._sent_levels,
             config_version=self._ruleset.version if self._ruleset else 0,
             config_age_s=min(config_age_s, _MAX_AGE_S),
             directory_age_s=min(directory_age_s, _MAX_AGE_S),
-            directory=self._directory_rows.names,
-            row_digests=self._directory_rows.joined_digests,
-            rows=self._directory_rows.due(),
-            residency_numbers=join_numbers(
-                residency_numbers.get(t, 0) for t in self._directory_rows.names
-            ),
+            directory=directory.names,
+            row_digests=directory.joined_digests,
+            rows=directory.due(),
+            residency_numbers=join_numbers(numbers.get(t, 0) for t in directory.names),
             versions={
                 label: (version, round(now - at, 3))
                 for label, (version, at) in self._announced.items()
@@ -370,6 +358,7 @@
             cold=self._permits.due_cold(self._number),
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
             admission=self._admission.update(now, self._reports.fresh(now)),
+            directory_digest=directory.digest,
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
@@ -381,9 +370,8 @@
             if held.was_queried
         }
 
-    def _due_residency(self, now):
+    def _due_residency(self, now, numbers):
         """Return the resident adapters of the targets whose entries are due."""
-        numbers = self._residency_numbers()
         held = self._planner.held
         due = self._residency_rotation.due(numbers)
         return {t: (numbers[t], held[t].residency_rows(now)) for t in due}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hibiscusspar.fleet.directory_copy import DirectoryCopy
+from hibiscusspar.fleet.directory_names import KnownNames
 from hibiscusspar.fleet.messages import adapter_key
 from hibiscusspar.fleet.software_index import split_software
 from hibiscusspar.fleet.targets import Target
@@ -63,10 +64,13 @@
         self._evacuations = evacuations
         self._lock = threading.Lock()
         self._report_sent_at = {}
+        self._names = KnownNames()
         self._copy = DirectoryCopy()
         self._copy_as_of = None
         # Targets of the last view, and the state of the view that they were made from.
         self._view_targets = None
+        # Row and target by name, so that a target stays the same object with its row.
+        self._made = {}
         self._targets_state = None
         self._view = None
         self._view_as_of = None
@@ -98,15 +102,19 @@
         self._is_source = is_source
 
     def complete_report(self, report):
-        """Add the rows that this node lacks, and record when the report is sent."""
+        """Add what this node has and lacks, and record when the report is sent."""
         with self._lock:
             report.lacked_rows = self._copy.requested
+            report.reads_directory_changes = True
+            report.directory_digest = self._names.digest
             self._report_sent_at[report.number] = self._clock()
             self._report_sent_at.pop(report.number - _KEPT_REPORTS, None)
 
     def apply_view(self, view, node):
         """Apply a view if it answers one of this node's reports.
 
+        Adds the names that the view leaves out, if they are known.
+
         Returns
         -------
         bool
@@ -147,6 +155,7 @@
             sent_at = self._report_sent_at.get(view.acked.get(node, 0))
             # The view was built after that report arrived, so it is no older than it.
             self._view_as_of = sent_at
+            self._names.complete(view)
             self._copy.apply_view(view)
             # Nodes of older builds don't send the software of targets, so the directory
             # is read from the store while one of them coordinates.
@@ -214,29 +223,41 @@
 
         The list is the same object as for the last view if nothing has changed.
         """
-        if view.software is None or self._copy.differing:
+        if view.software is None or not self._copy.agrees:
             return None
         state = (self._copy.revision, view.software, view.software_index)
         if state != self._targets_state:
             software = split_software(view.software, view.software_index)
             self._targets_state = state
-            self._view_targets = [
-                _target(row, version)
+            self._made = {
+                row.target_id: (row, self._make(row, version))
                 for row, version in zip(self._copy.rows, software, strict=True)
-            ]
+            }
+            self._view_targets = [target for _, target in self._made.values()]
         return self._view_targets
 
+    def _make(self, row, software):
+        """Return the target of a row, the same object as before if it is equal."""
+        known_row, target = self._made.get(row.target_id, (None, None))
+        if known_row is row and target.software == software:
+            return target
+        return _target(row, software)
+
     def _log_differences(self, now, view):
-        """Return a log line if the copy begins or ends to differ from the view."""
-        differing = self._copy.differing
+        """Return a log line if the copy begins or ends to differ from the view.
+
+        The line counts no targets if the names of the view aren't known.
+        """
+        differs = not self._copy.agrees
         fields = {"sender": view.node, "view": view.number}
-        if differing and self._differs_since is None:
+        if differs and self._differs_since is None:
+            differing = self._copy.differing
             self._differs_since = now
             fields["count"] = len(differing)
             fields["targets"] = differing[:_LOGGED_TARGETS]
             fields["age_s"] = round(view.directory_age_s, 3)
             return [(DIRECTORY_DIFFERS, fields)]
-        if not differing and self._differs_since is not None:
+        if not differs and self._differs_since is not None:
             fields["differed_s"] = round(now - self._differs_since, 3)
             self._differs_since = None
             return [(DIRECTORY_AGREES, fields)]
