Compare only the residency numbers that have changed

Cause: each view compared the residency numbers of all targets, 5 ms of a view with 3,004 targets under the profiler.

Change: numbers are compared where they differ from those of the last view or where a state has arrived; all of them after a change of names or coordinator.

--- a/packages/hibiscusspar/hibiscusspar/fleet/residency_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/residency_copy.py
@@ -1,7 +1,7 @@
 """A node's copy of which adapters targets hold."""
 
+from hibiscusspar.fleet.lacked_residency import LackedResidency
 from hibiscusspar.fleet.messages import adapter_key
-from hibiscusspar.fleet.residency_numbers import lacked_states
 
 __all__ = ["ResidencyCopy"]
 
@@ -19,15 +19,16 @@
         self._rows = {}
         # Targets by adapter; tuples, as most adapters have one copy.
         self._holders = {}
-        self._lacked = []
+        self._lacked = LackedResidency()
 
     @property
     def lacked(self):
         """Targets whose state in the last view differs from this copy."""
-        return self._lacked
+        return self._lacked.names
 
     def apply_view(self, now, view):
         """Apply the states that a view carries, unless newer ones are known."""
+        changed = {}
         for target_id, (number, rows) in view.residency.items():
             state = (view.fence, number)
             known, known_copies = self._rows.get(target_id, (_NO_STATE, {}))
@@ -38,12 +39,8 @@
                 }
                 self._rows[target_id] = (state, copies)
                 self._index(target_id, known_copies, copies)
-        numbers = {
-            target_id: number
-            for target_id, ((fence, number), _) in self._rows.items()
-            if fence == view.fence
-        }
-        self._lacked = lacked_states(view.directory, view.residency_numbers, numbers)
+                changed[target_id] = number
+        self._lacked.apply_view(view, lambda: self._numbers(view.fence), changed)
 
     def apply_load(self, now, load):
         """Add an adapter that a target has begun to load.
@@ -76,6 +73,14 @@
         """Return the targets with a copy of an adapter."""
         return self._holders.get(key, ())
 
+    def _numbers(self, fence):
+        """Return the known numbers of a coordinator's term, by target."""
+        return {
+            target_id: number
+            for target_id, ((known_fence, number), _) in self._rows.items()
+            if known_fence == fence
+        }
+
     def _index(self, target_id, before, after):
         """Update the index by adapter for a target whose copies were replaced."""
         for key in before:
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_residency_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_residency_copy.py
@@ -17,6 +17,7 @@
         fence=fence,
         directory=directory,
         residency_numbers=join_numbers(numbers),
+        directory_digest=0,
     )
 
 
