Look only at queues in views that may raise a backlog

Cause: for each view the scheduler looked up the factor of every target with queued prompts, 12 ms of a view with loads of 1,800 targets under the profiler.

Change: targets whose queue shows no backlog at any factor, and that got no prompt as far as this node knows, are skipped; the queues are the same (compared with the scan by Hypothesis).

--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -22,6 +22,11 @@
         self._tokens_per_s = tokens_per_s
         self._done_at = {}
 
+    @property
+    def targets(self):
+        """Targets that have got prompts, also if they have processed them."""
+        return self._done_at.keys()
+
     def record_send(self, now, target_id, tokens, factor=1.0):
         """Add a prompt that was sent to a target with a factor on the usual times."""
         begin = max(now, self._done_at.get(target_id, now))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -12,7 +12,8 @@
 )
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, reported_backlog_s
+from hibiscusspar.fleet.reported_queues import reported_backlogs
+from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.usable_targets import UsableTargets
 from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
@@ -487,18 +488,13 @@
 
     def _record_reported_queues(self, now):
         """Raise the prompt queues of targets to those that a view has shown."""
-        backlogs = []
-        for target_id, others in self._loads_of_others.items():
-            target, own = self._targets.get(target_id), self._loads.get(target_id)
-            if target is None:
-                continue
-            queued = others.queued_prompt_tokens
-            if own is not None:
-                _, queued = current_load(own, others, None)
-            # Without queued prompts a report raises no backlog.
-            if queued > 0:
-                is_engine = self._has_engine.get(target.service)
-                factor = self.factor(target_id) if is_engine else 1.0
-                queued_s = reported_backlog_s(_CHOICE_POLICY, queued, factor)
-                backlogs.append((target_id, queued_s))
+        loads, known = (self._loads_of_others, self._loads), self._prompt_queues.targets
+        backlogs = reported_backlogs(_CHOICE_POLICY, *loads, known, self._factor_of)
         self._prompt_queues.record_reports(now, backlogs)
+
+    def _factor_of(self, target_id):
+        """Return the factor of a target, None if it isn't in the directory."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return None
+        return self.factor(target_id) if self._has_engine.get(target.service) else 1.0
