Derive the coordinator's silence limit from the interval of views

Cause: at 360 nodes views come every 0.72 s, but the coordinator counted as silent after 0.5 s, so that leases were checked every 0.05 s for a third of the time.

Change: the limit is 1.5 intervals of views, at least 0.5 s as before: 0.5 s up to 166 nodes, 0.585 s at 195 and 1.08 s at 360.

--- a/packages/hibiscusspar/hibiscusspar/fleet/fanout.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/fanout.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "MAX_DIRECT_NODES",
+    "coordinator_silent_s",
     "exchange_interval_s",
     "view_groups",
     "view_interval_s",
@@ -22,6 +23,10 @@
 _INTERVAL_PER_NODE_S = 0.002
 # Fraction of the interval after which a view with news may be sent.
 _NEWS_INTERVAL_FRACTION = 0.5
+# Shortest silence after which the coordinator may have failed, and the same in
+# intervals of views, which are 0.72 s at 360 nodes.
+_SILENT_S = 0.5
+_SILENT_INTERVALS = 1.5
 
 
 def exchange_interval_s(nodes):
@@ -47,6 +52,16 @@
     return interval_s * _NEWS_INTERVAL_FRACTION if has_news else interval_s
 
 
+def coordinator_silent_s(nodes):
+    """Return the silence in seconds after which the coordinator may have failed.
+
+    Parameters
+    ----------
+    nodes : int
+    """
+    return max(_SILENT_S, _SILENT_INTERVALS * exchange_interval_s(nodes))
+
+
 def view_groups(nodes, zone_of):
     """Divide nodes into groups whose first member forwards views to the others.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_deferral.py
@@ -1,12 +1,11 @@
 """Duties whose leases a node leaves to others for now."""
 
+from hibiscusspar.fleet.fanout import coordinator_silent_s
 from hibiscusspar.fleet.store_reads import duty_wait_s
 from hibiscusspar.fleet.takeover import poll_delay_s
 
-__all__ = ["COORDINATOR_SILENT_S", "LeaseDeferral"]
+__all__ = ["LeaseDeferral"]
 
-# Silence after which the coordinator may have failed.
-COORDINATOR_SILENT_S = 0.5
 # Silence of the coordinator after which the leases of the zones' duties are read. It is
 # far longer than the election of a successor takes.
 _DUTY_SILENT_S = 2.5
@@ -48,8 +47,13 @@
     @property
     def has_active_coordinator(self):
         """Whether a coordinator with a valid lease sent a view lately."""
+        return self.silent_in_s > 0 and self._is_leased
+
+    @property
+    def silent_in_s(self):
+        """Seconds until the coordinator counts as silent, at most 0 if it does."""
         age_s = self._view_age_s()
-        return age_s is not None and age_s < COORDINATOR_SILENT_S and self._is_leased
+        return 0.0 if age_s is None else coordinator_silent_s(self._nodes()) - age_s
 
     def all_held(self, zones):
         """Return whether the duties of all these zones have holders."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -25,7 +25,6 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
-from hibiscusspar_entry.fleet.lease_deferral import COORDINATOR_SILENT_S
 from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
@@ -346,8 +345,7 @@
             or not parts.lease_deferral.all_held(parts.settings.zones)
         ):
             return _LEASE_TICK_S
-        silent_in_s = COORDINATOR_SILENT_S - parts.request_scheduler.view_age_s
-        return max(_LEASE_TICK_S, silent_in_s)
+        return max(_LEASE_TICK_S, parts.lease_deferral.silent_in_s)
 
     def _lease_step(self):
         parts = self._parts
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_deferral.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_deferral.py
@@ -68,9 +68,27 @@
     def test_silent_coordinator_is_not_active(self):
         self.receive("z0")
         self.assertTrue(self.subject.has_active_coordinator)
+        # 1.5 intervals of views at 195 nodes are 0.585 s.
         self.view_age_s = 0.6
         self.assertFalse(self.subject.has_active_coordinator)
 
+    def test_coordinator_of_a_large_fleet_is_active_between_two_views(self):
+        # At 360 nodes views come every 0.72 s, and leases would be checked every
+        # 0.05 s for a third of the time.
+        self.receive("z0")
+        self.nodes, self.view_age_s = 360, 1.07
+        self.assertTrue(self.subject.has_active_coordinator)
+        self.view_age_s = 1.09
+        self.assertFalse(self.subject.has_active_coordinator)
+
+    def test_small_fleet_counts_its_coordinator_as_silent_as_soon_as_before(self):
+        self.receive("z0")
+        self.nodes, self.view_age_s = 166, 0.49
+        self.assertTrue(self.subject.has_active_coordinator)
+        self.assertAlmostEqual(self.subject.silent_in_s, 0.01)
+        self.view_age_s = 0.51
+        self.assertFalse(self.subject.has_active_coordinator)
+
 
 if __name__ == "__main__":
     unittest.main()
