--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -21,11 +21,18 @@
 from msgspec.json import encode as to_json
 
 from hibiscusspar.fleet.fanout import exchange_interval_s
-from hibiscusspar.fleet.messages import NodeReport, SendNotice, TargetLoad
+from hibiscusspar.fleet.messages import (
+    FleetView,
+    NodeReport,
+    SendNotice,
+    TargetLoad,
+    ViewRelay,
+)
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.fleet.coordinator import Coordinator
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.limit_exchange import LimitExchange
+from hibiscusspar_entry.fleet.packing import unpack
 from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_platform.configuration import decode_ruleset
 from hibiscusspar_platform.settings_file import CONFIG_VARIABLE
@@ -47,6 +54,7 @@
 # Number of the next node; each has an address of its own, as some ports are fixed.
 _NUMBERS = count(1)
 _REPORTS = Decoder(NodeReport)
+_VIEWS = Decoder(FleetView | ViewRelay)
 
 
 class NodeCost(NamedTuple):
@@ -86,6 +94,8 @@
         self._stopping = threading.Event()
         self.notices_per_s = 0.0
         self.notices_sent = 0
+        # Digest in the last view of the node, which the played nodes report.
+        self._directory_digest = 0
         self._engine = EngineStandIn(_IP, "t0", MODEL, 3, zone="z0")
         self._engine.event_gap_s = EVENT_GAP_S
         self._targets = {"t0": _target("t0", self._engine.address, 0)}
@@ -244,11 +254,20 @@
         while not self._stopping.is_set():
             try:
                 body, address = self._socket.recvfrom(65_507)
-                if self._coordinator is not None and b'"report"' in body[:40]:
+                if self._coordinator is None:
+                    self._record_view(unpack(body))
+                elif b'"report"' in body[:40]:
                     self._coordinator.handle_report(_REPORTS.decode(body), address)
             except OSError:
                 return
 
+    def _record_view(self, body):
+        if body.startswith((b'{"type":"view"', b'{"type":"relay"')):
+            view = _VIEWS.decode(body)
+            if isinstance(view, ViewRelay):
+                view = _VIEWS.decode(view.view)
+            self._directory_digest = view.directory_digest
+
     def _run_notices(self):
         names = list(self._targets)
         number = 0
@@ -274,6 +293,9 @@
         )
         report.reads_packed = True
         report.link_mbps = 1.0
+        if self._directory_digest:
+            report.reads_directory_changes = True
+            report.directory_digest = self._directory_digest
         return report
 
 
