Plan every 0.1 s while no request waits for an adapter

Cause: each tick of the coordinator requested a planning round, 38 a second, also while there was nothing to place.

Change: without wants the next round by time is 0.1 s later.

With wants all the time the rounds come as often as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -42,6 +42,9 @@
 # some tenths of a second, and a pause by the clock would delay loads by twice that.
 _PLAN_PAUSE_S = 0.004
 _PLAN_PAUSE_ROUNDS = 2.0
+# Time between rounds while no request waits. What else they order follows from sums
+# over seconds, and changes of targets and results of orders request a round at once.
+_IDLE_PLAN_S = 0.1
 # Orders and state queries without a result yet. Each may wait for its time-out, and
 # those to silent targets must not delay the others.
 _ORDER_THREADS = 32
@@ -141,6 +144,7 @@
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
         self._query_pool = ThreadPoolExecutor(_QUERY_THREADS)
         self._plan_requested = threading.Event()
+        self._idle_until = 0.0
         self._closed = False
         self._residency_changed = False
         self.planned = 0
@@ -178,6 +182,7 @@
         with self._lock:
             self._targets, self._evacuated = targets, evacuated
             self._select_engines()
+        self._plan_requested.set()
 
     def announce(self, key, version, age_s):
         """Record that a version of an adapter was announced ``age_s`` ago."""
@@ -234,10 +239,11 @@
             self._plan_requested.set()
 
     def tick(self):
-        """Request a planning round and send a view if one is due."""
+        """Request a planning round and send a view if they are due."""
         if not self._active:
             return
-        self._plan_requested.set()
+        if self._clock() >= self._idle_until:
+            self._plan_requested.set()
         self.issue_permits()
         interval_s = view_interval_s(self._levels.nodes, self._residency_changed)
         if self._clock() >= self._view_sent_at + interval_s:
@@ -283,11 +289,13 @@
         if not self._active or not self._election.leads:
             return
         with self._lock:
+            wants = self._wants(now)
+            self._idle_until = 0.0 if wants else now + _IDLE_PLAN_S
             queried = [self._targets[t] for t in self._planner.targets_to_query(now)]
             orders = self._planner.next_orders(
                 now,
                 self._engines.orderable(frozenset(self._holders(now)), self._duty_zone),
-                self._wants(now),
+                wants,
                 DeferredDict(self._copy_costs, now),
                 DeferredDict(self._reports.in_use, now),
                 exchange_interval_s(self._levels.nodes),
