Test the two forms of views and the rounds of planning; count views without names

Change: gauges views_without_names and views_names_lacked. The Hypothesis test compares a copy with the directory of the view instead of a copy that got all names: a copy in doubt keeps rows that others drop and so may agree sooner.

--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_names.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_names.py
@@ -81,6 +81,9 @@
     def __init__(self):
         self._digest = 0
         self._fields = ()
+        # Views that left the names out, and those of them whose names weren't known.
+        self.left_out = 0
+        self.lacked = 0
 
     @property
     def digest(self):
@@ -100,10 +103,14 @@
                 view.software,
                 view.software_index,
             )
-        elif view.directory_digest == self._digest:
+            return
+        self.left_out += 1
+        if view.directory_digest == self._digest:
             (
                 view.directory,
                 view.row_digests,
                 view.software,
                 view.software_index,
             ) = self._fields
+        else:
+            self.lacked += 1
--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_rows.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_rows.py
@@ -79,6 +79,10 @@
         )
         return changed
 
+    def row(self, name):
+        """Return the row of a target."""
+        return self._rows[name]
+
     def request(self, names):
         """Send the named rows with the next view."""
         self._rotation.request(names)
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_names.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_names.py
@@ -88,6 +88,11 @@
     def start(self, states):
         self.rows.start_term(directory(states))
 
+    def targets(self):
+        """Return the rows and versions of the directory."""
+        versions = split_software(*self.rows.software)
+        return list(zip(map(self.rows.row, self.rows.names), versions, strict=True))
+
     def views(self, now, number, requested, reports):
         """Return a view with all names, and the one that is sent."""
         self.rows.request(requested)
@@ -113,12 +118,12 @@
 class TestKnownNames(unittest.TestCase):
     @settings(max_examples=300)
     @given(DIRECTORIES, INTERVALS)
-    def test_copy_is_that_of_whole_views_or_in_doubt(self, states, intervals):
+    def test_copy_is_the_directory_of_the_view_or_in_doubt(self, states, intervals):
         # A node that takes a wrong directory for the coordinator's sends requests to
         # targets that have left, or to none.
         sender, numbers = Sender(states), count(1)
         node, reference = Receiver(KnownNames()), Receiver(None)
-        report, late, digests = record(0, 0.0), [], [0, 0]
+        report, late, digests, told = record(0, 0.0), [], [0, 0], {}
         for now, (change, report_fate, fate, event) in enumerate(intervals, 1):
             states = states if change is None else change
             if event in ("successor", "older build"):
@@ -141,8 +146,12 @@
             for whole, sent in pairs:
                 reference.receive(whole)
                 node.receive(sent)
+            told[number] = sender.targets()
+            # A copy in doubt keeps rows that others drop, so it may agree sooner.
             if node.copy.agrees:
-                self.assertEqual(node.targets(), reference.targets())
+                self.assertEqual(node.targets(), told[node.newest])
+            if reference.copy.agrees:
+                self.assertEqual(reference.targets(), told[reference.newest])
         # With reports and views that arrive, the copies soon agree.
         for now in range(len(intervals) + 1, len(intervals) + 4):
             report = record(node.names.digest, now - 0.5)
@@ -168,6 +177,7 @@
         sender.views(3.0, 3, [], [])
         node.receive(sender.views(4.0, 4, [], [record(sender.rows.digest, 3.5)])[1])
         self.assertIsNone(node.copy.rows)
+        self.assertEqual((node.names.left_out, node.names.lacked), (1, 1))
         report = record(node.names.digest, 4.5)
         node.receive(sender.views(5.0, 5, ["a"], [report])[1])
         self.assertTrue(node.copy.agrees)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -248,6 +248,7 @@
                 "store_failures": self._parts.store_backoff.failures,
                 "directory_differs": self._parts.relayed_state.directory_differs,
                 "evacuated_zones": self._parts.relayed_state.evacuated_zones,
+                **self._parts.relayed_state.counts,
                 **self._parts.speeds.counts,
             }
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -82,6 +82,14 @@
         """Whether rows are missing or differ from those of the coordinator."""
         return self._differs_since is not None
 
+    @property
+    def counts(self):
+        """Numbers of views without names, by name of the metric."""
+        return {
+            "views_without_names": self._names.left_out,
+            "views_names_lacked": self._names.lacked,
+        }
+
     @property
     def config_version(self):
         """Version of the configuration in force as the last view tells, else 0."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -100,6 +100,54 @@
         return self.views[-1]
 
 
+class TestRounds(CoordinatorTestCase):
+    def setUp(self):
+        super().setUp()
+        self.rounds = 0
+        plan = self.coordinator.plan
+
+        def counted_plan():
+            plan()
+            self.rounds += 1
+
+        self.coordinator.plan = counted_plan
+        self.coordinator.set_targets({"t1": target("t1")})
+        self.settle()
+
+    def settle(self):
+        """Wait until no round is left that was requested before."""
+        known = -1
+        while known != self.rounds:
+            known = self.rounds
+            sleep(0.2)
+
+    def rounds_of_ticks(self):
+        before = self.rounds
+        for _ in range(5):
+            self.coordinator.tick()
+            sleep(TICK_S)
+        return self.rounds - before
+
+    def test_ticks_without_wants_cause_no_round_for_a_time(self):
+        self.assertEqual(self.rounds_of_ticks(), 0)
+        self.clock.now += 0.1
+        self.coordinator.tick()
+        ends_at = monotonic() + WAIT_S
+        before = self.rounds
+        while self.rounds == before and monotonic() < ends_at:
+            sleep(0.01)
+        self.assertEqual(self.rounds, before + 1)
+
+    def test_each_tick_causes_a_round_while_a_request_waits(self):
+        # A want that could not be placed must not wait for the next report.
+        self.report(wants=[Want("draft", "m", "a9", 1, 10, 0, False)])
+        ends_at = monotonic() + WAIT_S
+        found = 0
+        while found < 5 and monotonic() < ends_at:
+            found += self.rounds_of_ticks()
+        self.assertGreaterEqual(found, 5)
+
+
 class TestResidency(CoordinatorTestCase):
     def wait_for_residency(self):
         ends_at = monotonic() + WAIT_S
