Measure: number of events of played streams takes effect again

The stand-in reads the number of events when it is created, so the value set for each request had no effect: all streams had 4 events, and the row of further events was the difference of two equal phases. The number is set at the stand-in itself.

--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -29,7 +29,6 @@
 from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_platform.configuration import decode_ruleset
 from hibiscusspar_platform.settings_file import CONFIG_VARIABLE
-from hibiscusspar_platform.tests import engine_stand_in
 from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
 from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
 from hibiscusspar_platform.tests.test_fleet import CONFIG, MODEL, caller_headers
@@ -154,7 +153,7 @@
         """Send a request that gets a number of events, and read the answer."""
         connection = HTTPConnection(*self._front, timeout=10)
         headers = caller_headers(f"r{os.getpid()}-{number}-{events}")
-        engine_stand_in.EVENT_COUNT = events
+        self._engine.event_count = events
         connection.request("POST", "/draft/x", body=b"{}", headers=headers)
         response = connection.getresponse()
         body = response.read()
