Front server: read requests of callers through the interpreter's buffers

cheroot reads connections with the buffered reader that is written in Python, ten lines for each request and two more for the end of the connection. It now gets a reader on the one written in C. Bytes of a next request in its buffer are found by comparing the positions of the buffer and of the socket.

--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
@@ -0,0 +1,63 @@
+"""Connections of callers, read through the buffers of the interpreter."""
+
+from io import BufferedReader
+from socket import SocketIO
+
+from cheroot.makefile import StreamWriter
+from cheroot.server import HTTPConnection
+
+__all__ = ["CallerConnection"]
+
+
+class _ReceivedStream(SocketIO):
+    """Received bytes, whose position is the number of them that were read."""
+
+    def __init__(self, sock):
+        super().__init__(sock, "rb")
+        self._position = 0
+
+    def readinto(self, buffer):
+        """Read received bytes."""
+        count = super().readinto(buffer)
+        self._position += count or 0
+        return count
+
+    def tell(self):
+        """Return the number of bytes that were read."""
+        return self._position
+
+
+class _Reader(BufferedReader):
+    """Reader with the interface that cheroot needs.
+
+    That of cheroot is written in Python; to read the head of a request with it takes
+    several times as long.
+    """
+
+    # Read by the statistics of cheroot, which are off.
+    bytes_read = 0
+
+    def has_data(self):
+        """Return whether the buffer holds bytes of another request."""
+        return self.raw.tell() > self.tell()
+
+
+class CallerConnection(HTTPConnection):
+    """Connection of a caller.
+
+    Parameters
+    ----------
+    server : cheroot.server.HTTPServer
+    sock : socket.socket
+    makefile : callable
+        Not used; it would create the files of cheroot.
+    """
+
+    def __init__(self, server, sock, makefile=None):
+        super().__init__(server, sock, _make_file)
+
+
+def _make_file(sock, mode, bufsize):
+    if "r" in mode:
+        return _Reader(_ReceivedStream(sock), bufsize)
+    return StreamWriter(sock, mode, bufsize)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -10,6 +10,8 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPServer
 
+from hibiscusspar_wire.caller_connection import CallerConnection
+
 __all__ = [
     "BadRequestError",
     "CallerGoneError",
@@ -204,6 +206,7 @@
             maxthreads=max_threads,
             peercreds_enabled=False,
         )
+        self._server.ConnectionClass = CallerConnection
         self._server.request_queue_size = _BACKLOG
         # The default limit closes all but 10 idle connections, and cheroot counts
         # the connections each time.
--- /dev/null
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -0,0 +1,72 @@
+"""Tests of the server of the callers' port."""
+
+import socket
+import unittest
+
+from hibiscusspar_wire.front_server import FrontServer
+
+_REQUEST = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
+_TIMEOUT_S = 5.0
+
+
+class FrontServerTest(unittest.TestCase):
+    def setUp(self):
+        self.uris = []
+        self.server = FrontServer("127.0.0.1:0", self._handle, 2, 4)
+        self.server.set_limits(4096, 4096, _TIMEOUT_S)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        address = ("127.0.0.1", self.server.port)
+        self.caller = socket.create_connection(address, _TIMEOUT_S)
+        self.addCleanup(self.caller.close)
+
+    def test_requests_sent_together_are_all_answered(self):
+        """Guards against a second request that stays in the buffer of the first."""
+        self.caller.sendall(_REQUEST % 0 + _REQUEST % 1 + _REQUEST % 2)
+        self._expect_answers(3)
+        self.assertEqual(self.uris, ["/0", "/1", "/2"])
+
+    def test_connection_is_used_again_after_a_pause(self):
+        """Guards against a connection that no longer waits after it was checked."""
+        for number in range(3):
+            self.caller.sendall(_REQUEST % number)
+            self._expect_answers(1)
+        self.assertEqual(self.uris, ["/0", "/1", "/2"])
+
+    def test_head_and_body_may_arrive_in_parts(self):
+        """Guards against reads that take the bytes received for the whole request."""
+        request = _REQUEST % 7
+        for start in range(0, len(request), 10):
+            self.caller.sendall(request[start : start + 10])
+        self._expect_answers(1)
+        self.assertEqual(self.uris, ["/7"])
+
+    def test_short_body_is_refused(self):
+        """Guards against a truncated body that is taken for a complete one."""
+        self.caller.sendall((_REQUEST % 0)[:-1])
+        self.caller.shutdown(socket.SHUT_WR)
+        self.assertIn(b"400 Bad Request", self._received(b"shorter"))
+        self.assertEqual(self.uris, [])
+
+    def _handle(self, inbound):
+        try:
+            inbound.read_body(4096)
+        except Exception as error:  # noqa: BLE001
+            inbound.close_after_answer()
+            inbound.answer(400, [], repr(error).encode())
+            return
+        self.uris.append(inbound.head.uri)
+        inbound.answer(200, [], b"end\n")
+
+    def _expect_answers(self, count):
+        received = self._received(b"end\n", count)
+        self.assertEqual(received.count(b"HTTP/1.1 200 OK"), count)
+
+    def _received(self, end, count=1):
+        received = b""
+        while received.count(end) < count:
+            data = self.caller.recv(4096)
+            if not data:
+                break
+            received += data
+        return received
