Relay of events: do what is the same for all events once

Received bytes that are exactly one event are passed on without splitting and joining them, and the number is found without splitting the event into lines. Whether another target may continue the stream doesn't change during an attempt, and the time of an event is also the start of the wait for the next one. A failure of a read is caught where it happens instead of in a context object for each read.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -302,11 +302,10 @@
             return min(remaining_s, self._policy.first_event_silence_s)
         return remaining_s * self._policy.plain_silence_share
 
-    def _event_wait_s(self, admitted, state):
+    def _event_wait_s(self, admitted, state, now, can_switch_target):
         """Return how long the next whole event of a stream may take, in seconds."""
-        now = self._clock()
         remaining_s = admitted.ends_at - now
-        if not self._can_switch_target(admitted, state):
+        if not can_switch_target:
             return remaining_s
         silence_ends_at = state.progress_at + self._policy.stream_silence_s
         return min(remaining_s, silence_ends_at - now)
@@ -351,13 +350,18 @@
             state.splitter = EventSplitter(admitted.call.last_event)
         splitter = state.splitter
         splitter.discard_partial_event()
-        while data := connection.read(response, self._event_wait_s(admitted, state)):
+        can_switch_target = self._can_switch_target(admitted, state)
+        now = self._clock()
+        while data := connection.read(
+            response, self._event_wait_s(admitted, state, now, can_switch_target)
+        ):
             try:
                 events = splitter.feed(data)
             except ValueError as error:
                 connection.close()
                 raise CallFailedError("read", connection.address, str(error)) from error
             if not events:
+                now = self._clock()
                 continue
             if not state.answer_begun:
                 self._streams.record_origin(admitted, state, placement.target)
@@ -367,7 +371,8 @@
             if state.attempt_event_at is None:
                 self._crash_guard.record_begin(admitted)
                 self._mover.begin(admitted, state, placement, connection, response)
-            state.record_event(self._clock())
+            now = self._clock()
+            state.record_event(now)
         reason = stream_end_failure(state, response)
         if reason is not None:
             raise CallFailedError("read", connection.address, reason)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
@@ -33,20 +33,29 @@
     def send(self, method, uri, headers, body, timeout_s):
         """Send the request."""
         self._watch.record_sent(self._target.service)
-        with self._observed():
+        try:
             self._connection.send(method, uri, headers, body, timeout_s)
+        except CallFailedError:
+            self._record_failure()
+            raise
 
     def response(self, timeout_s):
         """Wait for the head of the answer."""
-        with self._observed():
+        try:
             response = self._connection.response(timeout_s)
+        except CallFailedError:
+            self._record_failure()
+            raise
         self._watch.record_answer(self._target.service)
         return response
 
     def read(self, response, timeout_s):
         """Return the next bytes of the body."""
-        with self._observed():
+        try:
             return self._connection.read(response, timeout_s)
+        except CallFailedError:
+            self._record_failure()
+            raise
 
     def read_whole(self, response, timeout_s, max_bytes):
         """Return the rest of the body."""
@@ -64,21 +73,7 @@
         """End the attempt."""
         self._connection.close()
 
-    def _observed(self):
-        return _FailureObserver(self._watch, self._target.service, self._connection)
-
-
-class _FailureObserver:
-    """Context that reports a failure of a connection unless it was cancelled."""
-
-    def __init__(self, watch, service, connection):
-        self._watch = watch
-        self._service = service
-        self._connection = connection
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, traceback):
-        if isinstance(error, CallFailedError) and not self._connection.cancelled:
-            self._watch.record_failure(self._service)
+    def _record_failure(self):
+        """Record a failure of the connection unless it was cancelled."""
+        if not self._connection.cancelled:
+            self._watch.record_failure(self._target.service)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
@@ -47,6 +47,9 @@
         ValueError
             If an event is missing, repeated or too long.
         """
+        if self._is_one_event(data):
+            self._count_event(data)
+            return data
         *events, self._partial_event = (self._partial_event + data).split(_EVENT_END)
         if len(self._partial_event) > _MAX_EVENT_BYTES:
             raise ValueError(f"an event of more than {_MAX_EVENT_BYTES} bytes")
@@ -56,6 +59,13 @@
             self._count_event(event)
         return _EVENT_END.join(events) + _EVENT_END
 
+    def _is_one_event(self, data):
+        """Return whether received bytes are one whole event, as they usually are."""
+        return (
+            not self._partial_event
+            and data.find(_EVENT_END) == len(data) - len(_EVENT_END) >= 0
+        )
+
     def _count_event(self, event):
         number = _event_number(event)
         if number is None:
@@ -67,10 +77,11 @@
 
 
 def _event_number(event):
-    if _ID_FIELD not in event:
-        return None
-    for line in event.split(b"\n"):
-        if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    if event.startswith(_ID_FIELD):
+        start = 0
+    else:
+        start = event.find(b"\n" + _ID_FIELD) + 1
+        if not start:
+            return None
+    text = event[start + len(_ID_FIELD) :].partition(b"\n")[0].strip()
+    return int(text) if text.isdigit() else None
