Decisions: look up once what is the same for all targets

A decision about a request without an adapter makes a candidate of each target of its service, through seven calls each. The idle connections are now listed once for a decision, the kind of the service is looked up once, and the slots are asked for without a call between.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -12,7 +12,7 @@
 )
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
-from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, reported_backlog_s
+from hibiscusspar.fleet.routing import ChoicePolicy, reported_backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.usable_targets import UsableTargets
 from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
@@ -20,6 +20,7 @@
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
+from hibiscusspar_entry.fleet.candidates import EVERY_TARGET, make_candidates
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
 
 __all__ = ["RequestScheduler"]
@@ -84,8 +85,9 @@
         self._next_decision_at = 0.0
         self.direct_peers = 0
         self.request_report = lambda: None
-        # Returns whether this node has an idle connection to a target.
-        self.is_connected = lambda target: True
+        # Returns the ids and addresses of the targets to which this node has idle
+        # connections.
+        self.idle_targets = lambda: EVERY_TARGET
         self.on_sent = lambda target, tokens: None
         # Returns a refusal if no target of a service may be used, else None.
         self.refusal = lambda service: None
@@ -454,10 +456,19 @@
             newest = max(versions.values(), default=0)
             versions = {t: v for t, v in versions.items() if v == newest or not v}
         usable = versions.keys() - job.excluded if job.excluded else versions
-        return [
-            self._candidate(now, self._targets[target_id])
-            for target_id in sorted(usable or versions)
-        ], versions
+        targets = [self._targets[target_id] for target_id in sorted(usable or versions)]
+        is_engine = self._has_engine.get(job.service)
+        return make_candidates(
+            now,
+            targets,
+            self._loads,
+            self._loads_of_others,
+            self._prompt_queues,
+            self.idle_targets(),
+            self._gate.usable_slots,
+            0 if is_engine else _PLAIN_QUEUE_SLOTS,
+            self.factor if is_engine else None,
+        ), versions
 
     def _excluded_from_loads(self, now, job):
         """Return the targets at which no adapter should be loaded for a job."""
@@ -465,26 +476,6 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._usable.staying(job.service).keys() - usable | closed)
 
-    def _candidate(self, now, target):
-        target_id = target.target_id
-        running, queued = self._load_of_all(target_id)
-        is_engine = self._has_engine.get(target.service)
-        return Candidate(
-            target_id,
-            target.zone,
-            self._gate.usable_slots(target, 0 if is_engine else _PLAIN_QUEUE_SLOTS),
-            running,
-            queued,
-            self._prompt_queues.backlog_s(now, target_id),
-            self.is_connected(target),
-            self.factor(target_id) if is_engine else 1.0,
-        )
-
-    def _load_of_all(self, target_id):
-        """Return the running requests and queued prompt tokens of a target."""
-        others = self._loads_of_others.get(target_id)
-        return current_load(self._loads.get(target_id), others, None)
-
     def _record_reported_queues(self, now):
         """Raise the prompt queues of targets to those that a view has shown."""
         backlogs = []
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -38,6 +38,8 @@
         self._limits = limits
         self._statements = statements
         self._cold = statements.cold
+        # Returns the number of requests that a target may get at a time.
+        self.usable_slots = statements.usable_slots
         self._rng = rng or Random()
         self._permits = NodePermits()
         # Without any view the number of nodes isn't known, so a node has no share.
@@ -71,10 +73,6 @@
             self._limits.apply_rows({target_id: (per_s, age_s)}, view.node)
             self._waiting_of_all[target_id] = waiting
 
-    def usable_slots(self, target, queue_slots):
-        """Return the number of requests that a target may get at a time."""
-        return self._statements.usable_slots(target, queue_slots)
-
     def report_rows(self, target_ids):
         """Return the limits to report: of recent answers, and of the named targets."""
         return self._limits.report_rows(target_ids)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -4,17 +4,17 @@
 import struct
 import threading
 from contextlib import suppress
-from http.client import HTTPException, HTTPResponse
-from io import BufferedReader, RawIOBase
+from http.client import HTTPException
 from socket import IPPROTO_TCP, SHUT_RDWR, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from time import monotonic
 from typing import Any, NamedTuple
 
 from urllib3 import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.util import SKIP_HEADER
 
+from hibiscusspar_wire.checked_connection import CheckedConnection
+
 __all__ = [
     "CallFailedError",
     "Response",
@@ -37,10 +37,6 @@
 _READ_BYTES = 65_536
 # Time in which a host answers whether a port is open.
 _CHECK_TIMEOUT_S = 0.3
-# Part of the time left for a read after which the socket's timeout ends, at first.
-_TIMEOUT_SHARE = 0.75
-# Longest head of an answer, with the interim answers before it.
-_MAX_HEAD_BYTES = 262_144
 
 
 class CallFailedError(Exception):
@@ -73,109 +69,6 @@
     raw: Any
 
 
-class _AnswerTooLongError(HTTPException):
-    """The head of an answer has no end."""
-
-
-class _TimedSocket(RawIOBase):
-    """Stream of received bytes with one time limit for any number of reads.
-
-    The timeout of a socket starts again with each byte that arrives.
-
-    Parameters
-    ----------
-    raw : io.RawIOBase
-    sock : socket.socket
-    ends_at : float
-        Monotonic time after which reads fail.
-    """
-
-    def __init__(self, raw, sock, ends_at):
-        self._raw = raw
-        self._sock = sock
-        self.ends_at = ends_at
-        self._timeout_s = 0.0
-        self.remaining_bytes = _MAX_HEAD_BYTES
-
-    def readable(self):
-        """Return True, as for all streams that can be read."""
-        return True
-
-    def readinto(self, buffer):
-        """Read bytes before the time limit."""
-        count = self._receive(buffer)
-        if count and self.remaining_bytes is not None:
-            self.remaining_bytes -= count
-            if self.remaining_bytes < 0:
-                raise _AnswerTooLongError("head of an answer")
-        return count
-
-    def _receive(self, buffer):
-        while self.ends_at is not None:
-            remaining_s = self.ends_at - monotonic()
-            if remaining_s <= 0:
-                raise TimeoutError("the time for the answer has passed")
-            # To set a timeout is a system call, and the events of a stream may each
-            # take about as long. So a timeout is kept while it is short enough.
-            if not remaining_s / 2 <= self._timeout_s <= remaining_s:
-                self._timeout_s = remaining_s * _TIMEOUT_SHARE
-                self._sock.settimeout(self._timeout_s)
-            try:
-                return self._sock.recv_into(buffer)
-            except TimeoutError:
-                self._timeout_s = 0.0
-        return self._sock.recv_into(buffer)
-
-    def poll_only(self):
-        """Let reads return what has been received already."""
-        self.ends_at = None
-        self._sock.settimeout(0.0)
-
-    def close(self):
-        """Close the stream."""
-        self._raw.close()
-        super().close()
-
-
-class _CheckedReader(BufferedReader):
-    """Reader of one answer that detects bytes received after the answer."""
-
-    def __init__(self, raw, sock, ends_at):
-        self.timed = _TimedSocket(raw, sock, ends_at)
-        super().__init__(self.timed)
-        self.has_extra_bytes = False
-
-    def close(self):
-        """Check for bytes after the answer, then close."""
-        if not self.closed:
-            with suppress(OSError, ValueError):
-                self.timed.poll_only()
-                self.has_extra_bytes = bool(self.peek(1))
-        super().close()
-
-
-class _CheckedResponse(HTTPResponse):
-    """Answer whose reader detects bytes received after the answer."""
-
-    def __init__(self, sock, ends_at, *arguments, **options):
-        super().__init__(sock, *arguments, **options)
-        self.fp = self.reader = _CheckedReader(self.fp.detach(), sock, ends_at)
-
-
-class _Connection(HTTPConnection):
-    """Connection that keeps its last answer and the reader of it."""
-
-    answer = None
-    reader = None
-    ends_at = None
-
-    def response_class(self, sock, *arguments, **options):
-        """Create the answer; called by ``http.client``."""
-        response = _CheckedResponse(sock, self.ends_at, *arguments, **options)
-        self.answer, self.reader = response, response.reader
-        return response
-
-
 class TargetConnection:
     """Connection to a target, used by one request at a time.
 
@@ -195,7 +88,7 @@
         self._is_calling = False
         self._connect_timeout_s = connect_timeout_s
         self._sock = None
-        self._http = _Connection(host, int(port), timeout=connect_timeout_s)
+        self._http = CheckedConnection(host, int(port), timeout=connect_timeout_s)
 
     @property
     def is_open(self):
@@ -208,6 +101,11 @@
             self._http.sock is not None and reader.closed and not reader.has_extra_bytes
         )
 
+    @property
+    def reusable_until(self):
+        """Time until which the connection may be reused if it stays idle."""
+        return self.idle_since + self.keep_alive_s - _KEEP_ALIVE_MARGIN_S
+
     @property
     def cancelled(self):
         """Whether :meth:`cancel` ended the current call."""
@@ -328,7 +226,7 @@
 
         The target may have closed it or sent unrequested bytes.
         """
-        if now > self.idle_since + self.keep_alive_s - _KEEP_ALIVE_MARGIN_S:
+        if now > self.reusable_until:
             return True
         if self._http.sock is None:
             return True
@@ -385,20 +283,18 @@
         connection.connect()
         return connection
 
-    def has_idle(self, target_id, address):
-        """Return whether an idle connection to a target may be reused now."""
-        # Each decision asks for all targets, of which few have a connection.
-        if not self._idle.get((target_id, address)):
-            return False
+    def idle_targets(self):
+        """Return the keys of the targets with an idle connection to reuse now.
+
+        Keys are pairs of the id and the address of a target.
+        """
         now = self._clock()
         with self._lock:
-            return any(
-                now
-                <= connection.idle_since
-                + connection.keep_alive_s
-                - _KEEP_ALIVE_MARGIN_S
-                for connection in self._idle.get((target_id, address), ())
-            )
+            return {
+                key
+                for key, idle in self._idle.items()
+                if any(now <= connection.reusable_until for connection in idle)
+            }
 
     def check(self, address):
         """Open and close a connection, to find out whether a host can be reached.
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_connections.py
@@ -47,18 +47,18 @@
         address = "{}:{}".format(*listener.getsockname())
         now = [50.0]
         connections = TargetConnections(lambda: now[0], 0.5)
-        self.assertFalse(connections.has_idle("t1", address))
+        self.assertEqual(connections.idle_targets(), set())
         connection = connections.acquire("t1", address, 1.0)
-        self.assertFalse(connections.has_idle("t1", address))
+        self.assertEqual(connections.idle_targets(), set())
         accepted, _ = listener.accept()
         self.addCleanup(accepted.close)
         connection.send("GET", "/", [], b"", 1.0)
         accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         connection.read_whole(connection.response(1.0), 1.0, 100)
         connections.release("t1", connection, {"Keep-Alive": "timeout=5"})
-        self.assertTrue(connections.has_idle("t1", address))
+        self.assertEqual(connections.idle_targets(), {("t1", address)})
         now[0] += 4.5
-        self.assertFalse(connections.has_idle("t1", address))
+        self.assertEqual(connections.idle_targets(), set())
         connections.close_all_except(())
 
 
