--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from time import sleep
 
-from hibiscusspar_platform import __main__ as node_main
+from hibiscusspar_platform import node_process
 from hibiscusspar_platform.composition import build_node
 from hibiscusspar_platform.tests.cut_links import Links
 
@@ -36,8 +36,8 @@
     links = Links()
     path = Path(os.environ[LINKS_VARIABLE])
     threading.Thread(target=_follow, args=(path, links), daemon=True).start()
-    node_main.build_node = partial(build_node, connection_type=links)
-    return node_main.main()
+    node_process.build_node = partial(build_node, connection_type=links)
+    return node_process.main()
 
 
 if __name__ == "__main__":
