Decisions: list backlogs once, and ask for slots only while a target is brittle

A decision asked the prompt queues for the backlog of each target, and the statements of targets for its slots, which are those of its entry unless a target is brittle. Prompts are queued at few targets, so their backlogs are listed once for a decision.

--- a/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/prompt_queue.py
@@ -47,6 +47,10 @@
         done_at = self._done_at.get(target_id)
         return 0.0 if done_at is None or done_at < now else done_at - now
 
+    def backlogs(self, now):
+        """Return the backlogs in seconds by target, without those that are 0."""
+        return {t: at - now for t, at in self._done_at.items() if at > now}
+
     def retain(self, target_ids):
         """Remove all targets except the given ones."""
         self._done_at = {t: at for t, at in self._done_at.items() if t in target_ids}
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_peers.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_peers.py
@@ -72,6 +72,8 @@
         queues.record_send(5.0, "t1", 200)
         self.assertAlmostEqual(queues.backlog_s(5.1, "t1"), 0.2)
         self.assertEqual(queues.backlog_s(6.0, "t1"), 0.0)
+        self.assertEqual(queues.backlogs(5.1), {"t1": queues.backlog_s(5.1, "t1")})
+        self.assertEqual(queues.backlogs(6.0), {})
         self.assertEqual(queues.backlog_s(5.0, "t2"), 0.0)
 
     def test_sends_are_added_to_the_reported_backlog(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/candidates.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/candidates.py
@@ -17,11 +17,10 @@
 
 
 def make_candidates(
-    now,
     targets,
     own_loads,
     loads_of_others,
-    prompt_queues,
+    backlogs,
     idle_targets,
     usable_slots,
     queue_slots,
@@ -34,21 +33,21 @@
 
     Parameters
     ----------
-    now : float
     targets : iterable of Target
     own_loads, loads_of_others : dict of str to TargetLoad
         Loads from this node and from the other ones.
-    prompt_queues : PromptQueues
+    backlogs : dict of str to float
+        Seconds until targets have processed the prompts sent to them; 0 for others.
     idle_targets : container of (str, str)
         Ids and addresses of the targets to which the node has idle connections.
-    usable_slots : callable
-        Returns the number of requests that a target may get at a time.
+    usable_slots : callable or None
+        Returns the number of requests that a target may get at a time; None if that is
+        the sum of its slots and ``queue_slots`` for all.
     queue_slots : int
         Requests beyond its slots that may queue at a target.
     factor : callable or None
         Returns the factor of a target on the usual times; None if all have factor 1.
     """
-    backlog_s = prompt_queues.backlog_s
     candidates = []
     for target in targets:
         target_id = target.target_id
@@ -56,14 +55,17 @@
         running, queued = 0, 0
         if own is not None or others is not None:
             running, queued = current_load(own, others, None)
+        slots = target.slots + queue_slots
+        if usable_slots is not None:
+            slots = usable_slots(target, queue_slots)
         candidates.append(
             Candidate(
                 target_id,
                 target.zone,
-                usable_slots(target, queue_slots),
+                slots,
                 running,
                 queued,
-                backlog_s(now, target_id),
+                backlogs.get(target_id, 0.0),
                 (target_id, target.address) in idle_targets,
                 1.0 if factor is None else factor(target_id),
             )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -459,13 +459,12 @@
         targets = [self._targets[target_id] for target_id in sorted(usable or versions)]
         is_engine = self._has_engine.get(job.service)
         return make_candidates(
-            now,
             targets,
             self._loads,
             self._loads_of_others,
-            self._prompt_queues,
+            self._prompt_queues.backlogs(now),
             self.idle_targets(),
-            self._gate.usable_slots,
+            self._gate.usable_slots if self._gate.has_brittle else None,
             0 if is_engine else _PLAIN_QUEUE_SLOTS,
             self.factor if is_engine else None,
         ), versions
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_gate.py
@@ -60,6 +60,11 @@
             self._limits.is_empty and self._statements.is_empty and self._cold.is_idle
         )
 
+    @property
+    def has_brittle(self):
+        """Whether a target is brittle, so that it gets fewer requests at a time."""
+        return self._statements.has_brittle
+
     def retain(self, targets):
         """Drop what is known of other targets, given as a dict by id."""
         self._statements.retain(targets)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_statements.py
@@ -62,6 +62,11 @@
         """Whether no target rests, is brittle or has said that it leaves."""
         return self._rests.is_empty and self._brittle.is_empty and not self._leaving
 
+    @property
+    def has_brittle(self):
+        """Whether a target is known to be brittle."""
+        return not self._brittle.is_empty
+
     @property
     def resting_count(self):
         """Number of targets that have asked this node for rest."""
