Measure: nodes start with compiled modules

A deployment compiles all modules when it is built, so the row of the start contained 150 ms of compilation that no deployment has. The modules of each build are compiled to a directory of the measurement before the first start.

--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+from functools import cache
 from http.client import HTTPConnection
 from itertools import count
 from pathlib import Path
@@ -46,6 +47,8 @@
 # Number of the next node; each has an address of its own, as some ports are fixed.
 _NUMBERS = count(1)
 _REPORTS = Decoder(NodeReport)
+# Directory of the compiled modules of all builds.
+_COMPILED = TemporaryDirectory()
 
 
 class NodeCost(NamedTuple):
@@ -170,11 +173,7 @@
             f"internalPorts={ports[2]},{ports[2] + 9}\n"
             f"platform.address={self._store.address}\nbounds.strictRevoke=true\n"
         )
-        roots = [*sorted((root / "packages").iterdir()), root / "platform"]
-        environment = os.environ | {
-            CONFIG_VARIABLE: str(path),
-            "PYTHONPATH": ":".join(map(str, roots)),
-        }
+        environment = _environment(root) | {CONFIG_VARIABLE: str(path)}
         arguments = os.environ.get("MEASURED_PROGRAM", "-m hibiscusspar_platform")
         command = [sys.executable, *arguments.split()]
         return subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
@@ -276,6 +275,24 @@
         return report
 
 
+@cache
+def _environment(root):
+    """Return the environment of nodes of a checkout, and compile its modules.
+
+    A deployment compiles all modules when it is built.
+    """
+    roots = [*sorted((root / "packages").iterdir()), root / "platform"]
+    environment = os.environ | {
+        "PYTHONPATH": ":".join(map(str, roots)),
+        "PYTHONPYCACHEPREFIX": _COMPILED.name,
+    }
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    # It writes the compiled modules.
+    imports = [sys.executable, "-c", "import hibiscusspar_platform.composition"]
+    subprocess.run(imports, env=environment, check=True)
+    return environment
+
+
 def _duties(index):
     return dict.fromkeys(ZONES, (1, True)) if index == 2 else {}
 
