--- a/measure/processor_node.py
+++ b/measure/processor_node.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+from functools import cache
 from http.client import HTTPConnection
 from itertools import count
 from pathlib import Path
@@ -36,7 +37,6 @@
 from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_platform.configuration import decode_ruleset
 from hibiscusspar_platform.settings_file import CONFIG_VARIABLE
-from hibiscusspar_platform.tests import engine_stand_in
 from hibiscusspar_platform.tests.engine_stand_in import EngineStandIn
 from hibiscusspar_platform.tests.store_stand_in import StoreStandIn
 from hibiscusspar_platform.tests.test_fleet import CONFIG, MODEL, caller_headers
@@ -55,6 +55,8 @@
 _NUMBERS = count(1)
 _REPORTS = Decoder(NodeReport)
 _VIEWS = Decoder(FleetView | ViewRelay)
+# Directory of the compiled modules of all builds.
+_COMPILED = TemporaryDirectory()
 
 
 class NodeCost(NamedTuple):
@@ -164,7 +166,7 @@
         """Send a request that gets a number of events, and read the answer."""
         connection = HTTPConnection(*self._front, timeout=10)
         headers = caller_headers(f"r{os.getpid()}-{number}-{events}")
-        engine_stand_in.EVENT_COUNT = events
+        self._engine.event_count = events
         connection.request("POST", "/draft/x", body=b"{}", headers=headers)
         response = connection.getresponse()
         body = response.read()
@@ -181,11 +183,7 @@
             f"internalPorts={ports[2]},{ports[2] + 9}\n"
             f"platform.address={self._store.address}\nbounds.strictRevoke=true\n"
         )
-        roots = [*sorted((root / "packages").iterdir()), root / "platform"]
-        environment = os.environ | {
-            CONFIG_VARIABLE: str(path),
-            "PYTHONPATH": ":".join(map(str, roots)),
-        }
+        environment = _environment(root) | {CONFIG_VARIABLE: str(path)}
         arguments = os.environ.get("MEASURED_PROGRAM", "-m hibiscusspar_platform")
         command = [sys.executable, *arguments.split()]
         return subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
@@ -299,6 +297,24 @@
         return report
 
 
+@cache
+def _environment(root):
+    """Return the environment of nodes of a checkout, and compile its modules.
+
+    A deployment compiles all modules when it is built.
+    """
+    roots = [*sorted((root / "packages").iterdir()), root / "platform"]
+    environment = os.environ | {
+        "PYTHONPATH": ":".join(map(str, roots)),
+        "PYTHONPYCACHEPREFIX": _COMPILED.name,
+    }
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    # It writes the compiled modules.
+    imports = [sys.executable, "-c", "import hibiscusspar_platform.composition"]
+    subprocess.run(imports, env=environment, check=True)
+    return environment
+
+
 def _duties(index):
     return dict.fromkeys(ZONES, (1, True)) if index == 2 else {}
 
