--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -152,8 +152,8 @@
     ``asked_by_account`` holds, by service, priority and account, the prompt tokens that
     were asked for and refused since the process started, for the accounts that asked
     for most. ``reads_directory_changes`` is whether the node can read views that don't
-    name the targets, and ``directory_digest`` the digest of the names that it has, 0
-    if none. ``call_times`` maps targets of plain services to the start of their
+    name the targets, and ``directory_digest`` the digest of the directory that it has,
+    0 if none. ``call_times`` maps targets of plain services to the start of their
     incarnation, the mean seconds of their answers, the number of answers and that of
     failures in the last second.
     """
@@ -216,7 +216,8 @@
     them. ``speeds`` maps some targets to the start of their incarnation, the factor on
     the usual times of their service and its age. ``admission`` holds levels by service,
     None if the sender derives none. ``directory_digest`` is the digest of the names of
-    all targets; if it isn't 0, ``directory`` and what is aligned with it may be empty.
+    all targets, the digests of their rows and their software; if it isn't 0, the sender
+    may leave all of these out.
     ``call_times`` maps targets of plain services to the start of their incarnation, the
     mean seconds of a call, the share of failures and the age of these. ``leaving_in``
     maps targets that end at a known time to the start of their incarnation and the
