--- a/packages/hibiscusspar/hibiscusspar/fleet/lacked_residency.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lacked_residency.py
@@ -5,9 +5,6 @@
 
 __all__ = ["LackedResidency"]
 
-# Bytes that are compared at a time to find the numbers that have changed.
-_CHUNK_BYTES = 64 * NUMBER_BYTES
-
 
 class LackedResidency:
     """Targets whose residency numbers in the last view differ from the known ones.
@@ -87,13 +84,20 @@
 
 
 def _changed_positions(before, after):
-    """Return the positions at which two sequences of joined numbers differ."""
-    if before == after:
-        return set()
-    return {
-        index // NUMBER_BYTES
-        for start in range(0, len(after), _CHUNK_BYTES)
-        if before[start : start + _CHUNK_BYTES] != after[start : start + _CHUNK_BYTES]
-        for index in range(start, min(start + _CHUNK_BYTES, len(after)))
-        if before[index] != after[index]
-    }
+    """Return the positions at which two sequences of joined numbers differ.
+
+    Halves that are equal are skipped, so few changes take few steps in any directory.
+    """
+    positions = set()
+    remaining = [(0, -(-len(after) // NUMBER_BYTES))]
+    while remaining:
+        first, end = remaining.pop()
+        part = slice(first * NUMBER_BYTES, end * NUMBER_BYTES)
+        if before[part] == after[part]:
+            continue
+        if end - first == 1:
+            positions.add(first)
+        else:
+            middle = (first + end) // 2
+            remaining += [(first, middle), (middle, end)]
+    return positions
