--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -141,15 +141,27 @@
         if stream not in self._node_of:
             samples = self._node_of[stream] = self._rng.choice(self._samples)
             samples.begin(now, target_id, 1, steps)
+            self.record_begin(now, samples, target_id)
             self._sampled[stream] = (now, stream.done)
         samples = self._node_of[stream]
         sampled_at, done = self._sampled[stream]
         if now - sampled_at >= SpeedPolicy().min_gap_s:
             until, count = reading_until(target_id), stream.done - done
             samples.record(now, target_id, 1, now - sampled_at, count, until)
+            self.record_gap(now, samples, target_id, now - sampled_at, count, until)
             self._sampled[stream] = (now, stream.done)
         if stream.done >= stream.steps - steps:
             samples.end(target_id, 1)
+            self.record_end(samples, target_id)
+
+    def record_begin(self, now, samples, target_id):
+        """Record the first event of a stream at a node, given by its samples."""
+
+    def record_gap(self, now, samples, target_id, gap_s, steps, until):
+        """Record the gap before an event, and until when the target reads prompts."""
+
+    def record_end(self, samples, target_id):
+        """Record the end of a stream at a node."""
 
     def tick(self, now, target_ids, reading_until):
         for node, samples in enumerate(self._samples):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_target_speeds.py
@@ -15,6 +15,7 @@
     make_target,
     replay,
 )
+from hibiscusspar.fleet.tests.slow_period_replay import NotifiedSpeeds
 from hibiscusspar.fleet.waiting import Job, Send, decide
 
 SPEEDS = (0.6, 1.0, 1.6)
@@ -83,7 +84,7 @@
 
     def test_streams_stay_within_the_pause_goal_despite_slow_periods(self):
         load = Load(uneven_slowness, seconds=60.0)
-        outcomes = replay(load, EstimatedSpeeds(9, 4))
+        outcomes = replay(load, NotifiedSpeeds(9, 4))
         self.assertLessEqual(late_share(load, outcomes), LATE_GOAL)
 
     def test_half_the_load_stays_within_the_pause_goal_despite_slow_periods(self):
