Notices: tell all nodes of slow periods at once

Cause: nodes learned of slow periods from views only. Change: SlowPeriodExchange sends what a node detects with SendNotice.slow (8 newest rows, relayed to other zones like sends) and uses told factors. Event 666, metrics slow_periods_detected and slow_periods_told.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -360,8 +360,7 @@
     661,
     "node.target_cold_bad",
     ("target", "born", "fault", "source", "presumed_s"),
-    "A target's statement of how long it stays cold can't be used; it is presumed cold "
-    "for `presumed_s`.",
+    "A bad statement of how long a target stays cold; `presumed_s` is assumed.",
 )
 TARGET_SPEED = declare(
     664,
@@ -388,6 +387,12 @@
     "Decisions use the speeds of targets from `views`, or from `own samples` because "
     "no view has arrived lately; `factors` targets aren't at the usual speed.",
 )
+SLOW_PERIOD = declare(
+    666,
+    "node.slow_period",
+    ("target", "born", "factor", "before", "step_s"),
+    "This node saw a target's factor change by half; at most two lines a second.",
+)
 ADMISSION_LEVEL = declare(
     670,
     "node.admission_level",
@@ -409,9 +414,8 @@
     671,
     "node.first_view",
     ("sender", "view", "after_s", "directory_read"),
-    "The first view of the coordinator, `after_s` seconds after the start of the "
-    "process; `directory_read` tells whether this node has read the directory from the "
-    "store until then.",
+    "The first view of the coordinator, `after_s` seconds after the process started; "
+    "`directory_read` is whether this node had read the directory from the store.",
 )
 STREAM_MOVE_BEGUN = declare(
     690,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -135,6 +135,7 @@
         self._tasks = (self._lease_task, self._quarantine_task, tick_task)
         self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
+        parts.speeds.slow_periods.on_changed = self._notice_sender.add_slow
         parts.statements.on_full = self._notice_sender.add_full
         parts.crashes.request_report = self._report_requested.set
         parts.crashes.on_verdict = self._view_requested.set
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notice_receiver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notice_receiver.py
@@ -23,6 +23,7 @@
         self._path_watch = parts.path_watch
         self._config_relay = parts.config_relay
         self._statements = parts.statements
+        self._slow_periods = parts.speeds.slow_periods
 
     def receive(self, notice, address):
         """Handle a notice that came from an address."""
@@ -36,6 +37,8 @@
             self._path_watch.apply_notice(notice, address)
         if notice.config_asked is not None or notice.config_part is not None:
             self._config_relay.apply_notice(notice, address)
+        if notice.slow:
+            self._slow_periods.apply_notice(notice)
         for target_id in notice.full:
             target = self._path_watch.target(target_id)
             if target is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -11,6 +11,7 @@
 from hibiscusspar.fleet.targets import is_same_directory
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import SPEEDS_SOURCE, TARGET_SPEED
+from hibiscusspar_entry.fleet.slow_period_exchange import SlowPeriodExchange
 
 __all__ = ["SpeedExchange", "StreamPace"]
 
@@ -84,12 +85,13 @@
         self._view_at = None
         self._nodes = 1
         self._is_alone = False
+        self.slow_periods = SlowPeriodExchange(clock, self._lock, self._engine_targets)
 
     @property
     def counts(self):
         """Numbers of slow and fast targets, by name of the metric."""
-        factors = list(self._factors.values())
-        return {
+        factors = list(self.factors.values())
+        return self.slow_periods.counts | {
             "slow_targets": sum(factor > 1.0 for factor in factors),
             "fast_targets": sum(factor < 1.0 for factor in factors),
             "speeds_own_only": int(self._is_alone),
@@ -98,7 +100,7 @@
     @property
     def factors(self):
         """Factors that differ from 1, by target."""
-        rows = self._factors.items()
+        rows = self.slow_periods.factors(self._factors).items()
         return {target_id: factor for target_id, factor in rows if factor != 1.0}
 
     def configure(self, ruleset):
@@ -115,6 +117,7 @@
                 self._engine_rows = None
             self._targets = targets
             self._samples.retain(targets)
+            self.slow_periods.retain(targets)
             self._known = {t: row for t, row in self._known.items() if t in targets}
             self._told &= targets.keys()
             self._logged = {t: row for t, row in self._logged.items() if t in targets}
@@ -122,7 +125,8 @@
 
     def factor(self, target_id):
         """Return the factor of a target on the usual times, 1 if it isn't known."""
-        return self._factors.get(target_id, 1.0)
+        factor = self._factors.get(target_id, 1.0)
+        return self.slow_periods.factor(target_id, factor)
 
     def pace(self, placement, admitted):
         """Return the pace of an attempt's stream, None for a plain service."""
@@ -135,6 +139,7 @@
         """Record the first event of a stream."""
         with self._lock:
             self._samples.begin(now, target.target_id, target.born, event_steps)
+            self.slow_periods.begin(now, target)
 
     def record(self, now, target, gap_s, steps):
         """Record the gap before some events of a stream."""
@@ -144,11 +149,14 @@
             self._samples.record(
                 now, target_id, target.born, gap_s, steps, reading_until
             )
+            factor = self._factors.get(target_id, 1.0)
+            self.slow_periods.record(now, target, gap_s, steps, reading_until, factor)
 
     def end(self, target):
         """Record the end of a stream that has begun."""
         with self._lock:
             self._samples.end(target.target_id, target.born)
+            self.slow_periods.end(target)
 
     def complete_report(self, report):
         """Add samples to a report; without views, apply them."""
@@ -157,6 +165,7 @@
             interval_s = exchange_interval_s(self._nodes)
             estimates = self._samples.estimates(now, self._reading_until, interval_s)
             due = self._samples.due(now, estimates, self._nodes, len(self._targets))
+            self.slow_periods.update()
             records = self._follow_views(now)
             if self._is_alone:
                 self._table.record(now, estimates)
@@ -217,6 +226,8 @@
                     or known.as_of <= row.as_of + _AGE_TOLERANCE_S
                 ):
                     self._known[target_id] = row
+                    as_of = row.as_of
+                    self.slow_periods.drop_older(target_id, born, as_of, view.nodes)
             records = self._follow_views(now)
             self._select(now)
         write_records(records)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notice_receiver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notice_receiver.py
@@ -29,6 +29,7 @@
             ({"asked": ["k"]}, "origins.apply_notice"),
             ({"proxy_asked": ["s"]}, "path_watch.apply_notice"),
             ({"config_asked": ConfigQuery(1, 0, [])}, "config_relay.apply_notice"),
+            ({"slow": [("t0", 1, 2.5)]}, "speeds.slow_periods.apply_notice"),
             ({"relay": True}, "relay"),
         ):
             with self.subTest(name=name):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notices.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notices.py
@@ -61,6 +61,33 @@
         ((_, notice),) = self.channel.sent
         self.assertFalse(notice.relay)
 
+    def test_slow_periods_are_told_once_and_the_newest_are_kept(self):
+        self.show_peers(Peer("z1", "10.0.0.2:7000"))
+        for number in range(10):
+            self.notice_sender.add_slow(f"t{number}", 1, 2.5)
+        self.notice_sender.add_slow("t3", 1, 1.0)
+        self.assertEqual(self.notice_sender.send_pending(), 1)
+        self.assertEqual(self.notice_sender.send_pending(), 0)
+        ((_, notice),) = self.channel.sent
+        names = [target_id for target_id, _, _ in notice.slow]
+        self.assertEqual(names, ["t2", "t4", "t5", "t6", "t7", "t8", "t9", "t3"])
+        self.assertEqual(notice.slow[-1], ("t3", 1, 1.0))
+
+    def test_slow_periods_reach_other_zones_through_relays(self):
+        # Nodes of other zones get all notices from the node that relays them.
+        self.show_peers(
+            *(Peer(f"z{i % 3}", f"10.0.{i % 3}.{i + 2}:7000") for i in range(60))
+        )
+        self.notice_sender.add_slow("t1", 1, 2.5)
+        self.notice_sender.send_pending()
+        relayed = [notice for _, notice in self.channel.sent if notice.relay]
+        self.assertEqual([row.slow for row in relayed], [[("t1", 1, 2.5)]] * 2)
+        self.channel.sent.clear()
+        self.notice_sender.relay(relayed[0])
+        self.assertEqual(len(self.channel.sent), 20)
+        for _, notice in self.channel.sent:
+            self.assertEqual((notice.slow, notice.relay), ([("t1", 1, 2.5)], False))
+
     def test_node_without_peers_sends_no_notice(self):
         self.notice_sender.add(target("t1"), 900)
         self.assertEqual(self.notice_sender.send_pending(), 0)
