Slow periods: the earlier of two gaps may contain the change

Cause: the first gap of a slow period often begins before it, so its ratio is below 1.5, and detection waited for a third gap. Change: one gap must differ from the factor in use by 1.5, the earlier one by 1.2.

--- a/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
@@ -10,24 +10,25 @@
 from statistics import median
 from typing import NamedTuple
 
+__all__ = ["SlowPeriodPolicy", "SlowPeriods", "ToldFactors"]
+
 # Gaps that a node keeps of each target: those of the window at usual steps.
 _MAX_GAPS = 64
 
-__all__ = ["SlowPeriodPolicy", "SlowPeriods", "ToldFactors"]
-
 
 class SlowPeriodPolicy(NamedTuple):
     """Settings of the detection; times in seconds.
 
-    A change is told if two gaps of a target differ from its factor in use by ``jump``.
-    They end at most ``window_s`` apart, or else may belong to two periods. Where all
-    streams of the node are at one target, they end at least ``apart_s`` apart, as a
-    pause of the node lengthens a gap of each stream. They began after the factor in use
-    last changed by ``step``. The usual step of a service is the
-    median of its last ``reference_samples`` steps, each divided by the factor of its
-    target; nothing is told before ``min_reference``. If more than the share
-    ``paused_share`` of the targets with streams are silent, the node was paused or is
-    cut off. A node tells at most ``per_s`` changes a second.
+    A change is told if a gap of a target differs from its factor in use by ``jump`` and
+    an earlier one, in which the change may have happened, by ``straddle``. They end at
+    most ``window_s`` apart, or else may belong to two periods. Where all streams of the
+    node are at one target, they end at least ``apart_s`` apart, as a pause of the node
+    lengthens a gap of each stream. They began after the factor in use last changed by
+    ``step``. The usual step of a service is the median of its last
+    ``reference_samples`` steps, each divided by the factor of its target; nothing is
+    told before ``min_reference``. If more than the share ``paused_share`` of the
+    targets with streams are silent, the node was paused or is cut off. A node tells at
+    most ``per_s`` changes a second.
 
     A told factor is used for ``told_s``, and only until views tell one that is at
     least ``lag_s`` and ``lag_intervals`` of the time between reports later, as the
@@ -35,6 +36,7 @@
     """
 
     jump: float = 1.5
+    straddle: float = 1.2
     step: float = 1.25
     apart_s: float = 0.02
     window_s: float = 0.25
@@ -200,9 +202,9 @@
                 continue
             if other_at < at - policy.window_s:
                 break
-            if min(other_low, low) >= factor * policy.jump:
+            if low >= factor * policy.jump and other_low >= factor * policy.straddle:
                 return max(other_low, low)
-            if max(other_high, high) <= factor / policy.jump:
+            if high <= factor / policy.jump and other_high <= factor / policy.straddle:
                 return high
             break
         return None
