--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -6,6 +6,7 @@
 as it can't.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from hibiscusspar.fleet.routing import ChoicePolicy, backlog_s, choose_target, pause_s
@@ -63,7 +64,7 @@
     within the shares of its priority and account (see
     ``hibiscusspar.fleet.admission``). ``account`` is empty if it has none. ``digest``
     identifies a plain call, whose deadline doesn't tell when it was first sent; it is
-    empty for streams.
+    empty for streams. ``ends_at`` is the time by which the caller needs the answer.
     """
 
     request_id: str
@@ -85,6 +86,7 @@
     is_admitted: bool = True
     account: str = ""
     digest: str = ""
+    ends_at: float = inf
 
 
 class Send(NamedTuple):
