Exchange of the times of plain calls, and decisions by them for contract `pressure`

Change: `CallTimesExchange` gets answers and failures of attempts from the forwarder, views and notices from the scheduler, and decides about calls; `FleetTimes` combines the reports for `FleetView.call_times` and logs changed shares (674). Enabled by the contract `pressure` only; otherwise decisions, notices and reports are as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -11,11 +11,7 @@
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
-from hibiscusspar.fleet.fanout import (
-    exchange_interval_s,
-    view_groups,
-    view_interval_s,
-)
+from hibiscusspar.fleet.fanout import exchange_interval_s, view_groups, view_interval_s
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
@@ -30,6 +26,7 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.call_times_exchange import FleetTimes
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
@@ -137,6 +134,7 @@
         self._speeds = speeds
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
         self._admission = admission or AdmissionLevels()
+        self._call_times = FleetTimes()
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -370,6 +368,7 @@
             cold=self._permits.due_cold(self._number),
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
             admission=self._admission.update(now, self._reports.fresh(now)),
+            call_times=self._call_times.update(now, self._reports, self._targets),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -444,3 +444,11 @@
     "`asked_refused` holds the prompt tokens of the last second by limited account: "
     "asked for, and refused for lack of room.",
 )
+CALL_TIMES = declare(
+    674,
+    "node.call_times",
+    ("target", "mean_s", "failure_share", "before", "age_s"),
+    "The share of failures of a target of a plain service, as this coordinator tells "
+    "all nodes, has changed by 0.1 or more since the last line about it (`before`); "
+    "`mean_s` is the time of a call there without a wait. At most 8 lines a second.",
+)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -209,6 +209,9 @@
             )
             failure = head_failure(admitted, state, answer, response)
             if failure is not None:
+                self._parts.request_scheduler.calls.record_failure(
+                    placement, admitted, sent_at, failure.not_run, response.status
+                )
                 self._drain_refusal(state, connection, response, failure)
                 if failure.adapter_missing:
                     self._parts.request_scheduler.record_missing_adapter(placement)
@@ -220,12 +223,18 @@
             self._relay(inbound, admitted, state, placement, connection, response)
             self._mover.complete(state)
             self._parts.request_scheduler.record_success(target_id)
+            self._parts.request_scheduler.calls.record_answer(
+                placement, admitted, sent_at, response.status
+            )
             self._crash_guard.record_answer(admitted, response)
             return None
         except CallFailedError as error:
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
             is_unsent = error.step in UNSENT_STEPS
+            self._parts.request_scheduler.calls.record_failure(
+                placement, admitted, sent_at, is_unsent
+            )
             failure = AttemptFailure(error.step, error.reason, is_unsent, False)
             if self._mover.follow(state, failure):
                 return failure
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement_job.py
@@ -40,4 +40,5 @@
         returned_s=admitted.arrived - admitted.first_arrived,
         account=admitted.account,
         digest="" if route.kind == "stream" else admitted.digest,
+        ends_at=admitted.ends_at,
     )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -5,21 +5,18 @@
 from collections import Counter, deque
 
 from hibiscusspar.fleet.load_counts import current_load, loads_of_others
-from hibiscusspar.fleet.messages import (
-    NodeReport,
-    TargetLoad,
-    adapter_label,
-)
+from hibiscusspar.fleet.messages import NodeReport, TargetLoad, adapter_label
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, reported_backlog_s
 from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.usable_targets import UsableTargets
-from hibiscusspar.fleet.waiting import Send, Wait, decide, wait_for_open_target
+from hibiscusspar.fleet.waiting import Send, Wait, wait_for_open_target
 from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
+from hibiscusspar_entry.fleet.call_times_exchange import CallTimesExchange
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
 
 __all__ = ["RequestScheduler"]
@@ -79,6 +76,7 @@
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._gate = gate
         self._admission = admission or AdmissionGate()
+        self.calls = CallTimesExchange(clock)
         self._software_history = SoftwareHistory()
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
@@ -107,10 +105,9 @@
     def configure(self, ruleset):
         """Record which services run on engines."""
         with self.lock:
-            self._has_engine = {
-                service.name: service.engine is not None
-                for service in ruleset.services.values()
-            }
+            services = ruleset.services.values()
+            self._has_engine = {s.name: s.engine is not None for s in services}
+            self.calls.configure(s.name for s in services if s.engine is None)
 
     def reading_until(self, target_id):
         """Return the time until which a target reads the prompts known here."""
@@ -123,6 +120,7 @@
             self._software_history.record(now, self._targets)
             self._targets = targets
             self._usable.set_targets(targets)
+            self.calls.set_targets(targets)
             self._prompt_queues.retain(targets)
             self._gate.retain(targets)
             self._ejection.retain(targets)
@@ -182,6 +180,7 @@
             self._loads_of_others = loads_of_others(view.loads, acked_loads)
             self._gate.apply_view(now, view)
             self._admission.apply_view(now, view, self._node)
+            self.calls.apply_view(now, view, self._loads_of_others)
             self._usable.apply_view(now, view)
             self._record_reported_queues(now)
             return used
@@ -190,6 +189,7 @@
         """Apply what a notice tells of requests just sent, and of loads just begun."""
         with self.lock:
             now = self._clock()
+            self.calls.apply_sends(now, notice.sends)
             for target_id, tokens in notice.sends:
                 if target_id in self._targets:
                     factor = self.factor(target_id)
@@ -276,8 +276,8 @@
     def record_failure(self, target_id, unreachable=False):
         """Record that a target failed a request or can't be reached."""
         with self.lock:
-            out = Outbox()
-            for _ in range(_UNREACHABLE_FAILURES if unreachable else 1):
+            out, count = Outbox(), _UNREACHABLE_FAILURES if unreachable else 1
+            for _ in range(count):
                 self._ejection.failed(self._clock(), target_id, out)
         write_records(out.records)
 
@@ -329,6 +329,7 @@
                 permit_demand=permit_demand,
             )
             self._admission.complete_report(now, report, self._busy_jobs)
+            self.calls.complete_report(now, report)
             return report
 
     @property
@@ -395,7 +396,7 @@
                 return False
             candidates = remaining
         refusal = None if candidates else self.refusal(job.service)
-        decision = refusal or decide(now, job, candidates, self.zone)
+        decision = refusal or self.calls.decide(now, job, candidates, self.zone)
         # A request whose adapter no target holds waits, so that one loads it.
         if (
             isinstance(decision, Wait)
@@ -436,6 +437,8 @@
                 now, target.target_id, job.prompt_tokens, factor
             )
             self.on_sent(target, job.prompt_tokens)
+        elif self.calls.applies_to(target.service):
+            self.on_sent(target, 0)
         if taken is not None:
             taken.add(target.target_id)
         # The request changes the load of its target.
@@ -467,7 +470,8 @@
 
     def _candidate(self, now, target):
         target_id = target.target_id
-        running, queued = self._load_of_all(target_id)
+        others = self._loads_of_others.get(target_id)
+        running, queued = current_load(self._loads.get(target_id), others, None)
         is_engine = self._has_engine.get(target.service)
         return Candidate(
             target_id,
@@ -480,21 +484,14 @@
             self.factor(target_id) if is_engine else 1.0,
         )
 
-    def _load_of_all(self, target_id):
-        """Return the running requests and queued prompt tokens of a target."""
-        others = self._loads_of_others.get(target_id)
-        return current_load(self._loads.get(target_id), others, None)
-
     def _record_reported_queues(self, now):
         """Raise the prompt queues of targets to those that a view has shown."""
         backlogs = []
         for target_id, others in self._loads_of_others.items():
-            target, own = self._targets.get(target_id), self._loads.get(target_id)
+            target = self._targets.get(target_id)
             if target is None:
                 continue
-            queued = others.queued_prompt_tokens
-            if own is not None:
-                _, queued = current_load(own, others, None)
+            _, queued = current_load(self._loads.get(target_id), others, None)
             # Without queued prompts a report raises no backlog.
             if queued > 0:
                 is_engine = self._has_engine.get(target.service)
