--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -11,10 +11,7 @@
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
-from hibiscusspar.fleet.fanout import (
-    exchange_interval_s,
-    view_interval_s,
-)
+from hibiscusspar.fleet.fanout import exchange_interval_s, view_interval_s
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
@@ -28,6 +25,7 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
 from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.call_times_exchange import FleetTimes
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
 from hibiscusspar_entry.fleet.permit_sender import PermitSender
@@ -139,6 +137,7 @@
         self._speeds = speeds
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
         self._admission = admission or AdmissionLevels()
+        self._call_times = FleetTimes()
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -367,6 +366,7 @@
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
             admission=self._admission.update(now, self._reports.fresh(now)),
             directory_digest=directory.digest,
+            call_times=self._call_times.update(now, self._reports, self._targets),
         )
         stale_s = _STALE_INTERVALS * exchange_interval_s(self._levels.nodes)
         return view, self._reports.forwarding_order(now, stale_s, self._node)
