Fleet: nodes learn from views how long leaving targets run

Cause: only nodes that read the store themselves knew remainingMs of an entry; the others counted on half of drainMs.

Change: LeavingTargets tells the times of at most 64 targets, and RelayedState gives the targets of a view the time of leaving_in, less the time since the report that the view answers. A time that falls with each view doesn't publish the directory again.

Measured: test_leaving_targets and test_relayed_state pass.

--- a/packages/hibiscusspar/hibiscusspar/fleet/leaving_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/leaving_targets.py
@@ -12,6 +12,8 @@
 _CERTAIN_S = 1.0
 # Time in seconds for which a target that has left is kept; no stream lasts that long.
 _KEPT_S = 60.0
+# Targets of which a view tells how long they run.
+_MAX_RELAYED = 64
 
 
 class Leave(NamedTuple):
@@ -40,6 +42,8 @@
         self._known = frozenset()
         # Start of the incarnation of the targets that said that they leave.
         self._said = {}
+        # Start of the incarnation of the targets whose entries tell how long they run.
+        self._timed = {}
 
     def __contains__(self, target_id):
         return target_id in self._rows
@@ -48,6 +52,20 @@
         """Return the leave of a target, or None if it stays."""
         return self._rows.get(target_id)
 
+    def remaining(self, now):
+        """Return incarnation and seconds left of the targets whose entries tell them.
+
+        At most 64 rows, those with the least time left, as a view must stay small.
+        """
+        rows = sorted(
+            (max(0.0, self._rows[target_id].certain_until - now), target_id, born)
+            for target_id, born in self._timed.items()
+        )
+        return {
+            target_id: (born, round(left_s, 3))
+            for left_s, target_id, born in rows[:_MAX_RELAYED]
+        }
+
     def record_statement(self, now, target):
         """Record that a target said that it leaves; return whether that is new."""
         self._said[target.target_id] = target.born
@@ -84,6 +102,11 @@
             else:
                 self._said.pop(target_id, None)
         self._known = frozenset(targets)
+        self._timed = {
+            target.target_id: target.born
+            for target in targets.values()
+            if target.draining and target.remaining_s is not None
+        }
         return not self._rows.keys() <= before.keys()
 
     def _leave(self, now, target, evacuated, before):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_leaving_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_leaving_targets.py
@@ -46,6 +46,26 @@
         self.directory(10.2, target(draining=True, remaining_s=2.0))
         self.assertEqual(self.found(), (10.0, 10.5, "draining"))
 
+    def test_time_of_entries_is_told_until_it_is_over(self):
+        self.directory(10.0, target(draining=True, born=3, remaining_s=0.5))
+        self.assertEqual(self.leaving.remaining(10.2), {"t1": (3, 0.3)})
+        self.assertEqual(self.leaving.remaining(11.0), {"t1": (3, 0.0)})
+        self.directory(11.0)
+        self.assertEqual(self.leaving.remaining(11.0), {})
+
+    def test_ordinary_time_is_not_told(self):
+        """It would count as certain at nodes whose drain times differ."""
+        self.directory(10.0, target(draining=True))
+        self.assertEqual(self.leaving.remaining(10.2), {})
+
+    def test_at_most_64_targets_are_told_those_with_the_least_time_first(self):
+        rows = [
+            target(f"t{n}", draining=True, remaining_s=100.0 - n) for n in range(100)
+        ]
+        self.directory(10.0, *rows)
+        told = self.leaving.remaining(10.0)
+        self.assertEqual(set(told), {f"t{n}" for n in range(36, 100)})
+
     def test_target_that_left_the_directory_or_said_so_has_a_second(self):
         self.directory(10.0, target())
         self.directory(11.0)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -150,7 +150,8 @@
             self._copy.apply_view(view)
             # Nodes of older builds don't send the software of targets, so the directory
             # is read from the store while one of them coordinates.
-            targets = self._relayed_targets(view)
+            age_s = 0.0 if sent_at is None else now - sent_at
+            targets = self._relayed_targets(view, age_s)
             if targets is not None and sent_at is not None:
                 self._copy_as_of = sent_at - view.directory_age_s
             records = self._log_differences(now, view)
@@ -209,19 +210,22 @@
             and view.directory_age_s + self._view_age_s < self._limits.directory_s
         )
 
-    def _relayed_targets(self, view):
+    def _relayed_targets(self, view, age_s):
         """Return the targets of a view, or None if it doesn't tell all of them.
 
-        The list is the same object as for the last view if nothing has changed.
+        The list is the same object as for the last view if nothing has changed. How
+        long a target still runs is told anew only if it becomes known or restarts, as
+        it falls with each view.
         """
         if view.software is None or self._copy.differing:
             return None
-        state = (self._copy.revision, view.software, view.software_index)
+        timed = {name: born for name, (born, _) in view.leaving_in.items()}
+        state = (self._copy.revision, view.software, view.software_index, timed)
         if state != self._targets_state:
             software = split_software(view.software, view.software_index)
             self._targets_state = state
             self._view_targets = [
-                _target(row, version)
+                _target(row, version, _remaining_s(view, row, age_s))
                 for row, version in zip(self._copy.rows, software, strict=True)
             ]
         return self._view_targets
@@ -256,7 +260,13 @@
             return self._view
 
 
-def _target(row, software):
+def _remaining_s(view, row, age_s):
+    """Return how long a target certainly still runs, None if the view doesn't tell."""
+    born, left_s = view.leaving_in.get(row.target_id, (None, 0.0))
+    return max(0.0, left_s - age_s) if born == row.born else None
+
+
+def _target(row, software, remaining_s):
     return Target(
         target_id=row.target_id,
         service=row.service,
@@ -269,4 +279,5 @@
         models=row.models,
         adapters={},
         software=software,
+        remaining_s=remaining_s,
     )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
@@ -189,6 +189,30 @@
         self.assertFalse(self.relayed_state.directory_is_current())
 
 
+class TestLeavingTargets(RelayedStateTestCase):
+    """Nodes that read the directory from views know how long targets still run."""
+
+    def apply_leaving(self, leaving_in, sent_ago_s=0.0):
+        self.apply_view(sent_ago_s, directory=["t1"], rows=[ROW], leaving_in=leaving_in)
+        return self.published["t1"].remaining_s
+
+    def test_time_left_is_relayed_less_the_age_of_the_view(self):
+        left_s = self.apply_leaving({"t1": (1, 2.0)}, sent_ago_s=0.3)
+        self.assertAlmostEqual(left_s, 1.7)
+
+    def test_time_of_another_incarnation_is_not_used(self):
+        self.assertIsNone(self.apply_leaving({"t1": (2, 2.0)}))
+
+    def test_view_of_an_older_build_tells_no_time(self):
+        self.assertIsNone(self.apply_leaving({}))
+
+    def test_falling_time_does_not_publish_the_directory_again(self):
+        self.apply_leaving({"t1": (1, 2.0)})
+        row = self.published["t1"]
+        self.apply_view(directory=["t1"], leaving_in={"t1": (1, 1.5)})
+        self.assertIs(self.published["t1"], row)
+
+
 class TestTimeUntilTheStoreMustBeRead(RelayedStateTestCase):
     # Watches of the store sleep meanwhile, so that nothing must become due earlier.
     def apply_view(self, **changes):
