Fleet: streams leave slow targets, and moves request loads

Cause: streams stayed at targets that became slow. A move from a leaving target that found no destination requested no load of the adapter, as its job was decided at once.

Change: ReliefWatch selects streams from the factors that views tell and the running requests of all nodes; a relieved stream may go back to its source at any time, moves for relief once, and moves later if its target leaves. A run without a destination waits in the scheduler with its job until its source certainly runs, once, so the report counts it among its wants. Views tell how long leaving targets run.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -11,11 +11,7 @@
 from hibiscusspar.fleet.directory_rows import DirectoryRows
 from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
-from hibiscusspar.fleet.fanout import (
-    exchange_interval_s,
-    view_groups,
-    view_interval_s,
-)
+from hibiscusspar.fleet.fanout import exchange_interval_s, view_groups, view_interval_s
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
@@ -147,8 +143,8 @@
         self.planned = 0
         self._evacuated = frozenset()
         self._engines = EngineTargets()
-        # Adds to a view what other components tell the nodes.
-        self.complete_view = lambda view: None
+        # Functions that add to a view what other components tell the nodes.
+        self.view_parts = []
         threading.Thread(target=self._run_plans, daemon=True).start()
 
     def close(self):
@@ -303,7 +299,8 @@
         """Send a view of the fleet to all nodes."""
         with self._lock:
             view, records = self._view()
-        self.complete_view(view)
+        for complete_view in self.view_parts:
+            complete_view(view)
         encoder = ViewEncoder(view)
         # Nodes of older builds, which can't read packed views, get groups of their own.
         for group in view_groups(
--- /dev/null
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
@@ -0,0 +1,108 @@
+"""Reservation of targets for streams that move."""
+
+import threading
+
+from hibiscusspar_entry.fleet.stream_run import move_job
+
+__all__ = ["Destinations"]
+
+# Destinations that are tried for one choice.
+_MAX_CHOICES = 6
+# Time in seconds that a leaving target must have left for a load of an adapter: some
+# 0.15 s for the load at an idle target, and the rest for the report, order and copy.
+_MIN_LOAD_S = 0.25
+
+
+class Destinations:
+    """Choice of destinations by the scheduler of one node.
+
+    Parameters
+    ----------
+    clock : callable
+    request_scheduler : RequestScheduler
+    closed_targets : callable
+        Returns the ids of the targets that must not get a moved stream.
+    """
+
+    def __init__(self, clock, request_scheduler, closed_targets):
+        self._clock = clock
+        self._scheduler = request_scheduler
+        self._closed_targets = closed_targets
+        # Guards the waiting requests of the runs.
+        self._lock = threading.Lock()
+
+    def reserve(self, run, full_targets, claim):
+        """Reserve a destination and return its placement, or None.
+
+        Parameters
+        ----------
+        run : StreamRun
+        full_targets : callable
+            Returns the targets that get as many moves from the source as allowed.
+        claim : callable
+            Takes a placement unless its target is full; returns whether it did.
+        """
+        for _ in range(_MAX_CHOICES):
+            excluded = self._excluded(run) | full_targets()
+            ticket = self._take(run)
+            if ticket is None:
+                ticket = self._scheduler.submit(move_job(run, self._clock(), excluded))
+            if ticket.placement is None:
+                # It also releases a target that was chosen in between.
+                self._scheduler.withdraw(ticket)
+                return None
+            placement = ticket.placement
+            target_id = placement.target.target_id
+            run.tried |= {target_id}
+            # A target that a waiting request got may be excluded meanwhile.
+            is_excluded = target_id in excluded
+            if is_excluded or placement.permitted or not run.suits(placement):
+                self._scheduler.release(placement, first_byte=False)
+            elif claim(placement):
+                return placement
+            else:
+                run.tried -= {target_id}
+                self._scheduler.release(placement, first_byte=False)
+        return None
+
+    def request_load(self, run):
+        """Let a run of a leaving target wait for its adapter as a request does, once.
+
+        The report counts it among its wants, so that a target loads the adapter.
+
+        Returns
+        -------
+        bool
+            Whether it waits from now on.
+        """
+        now, until = self._clock(), run.leave.certain_until
+        has_adapter = bool(run.admitted.call.adapter)
+        if run.is_relief or run.has_waited or not has_adapter:
+            return False
+        if until < now + _MIN_LOAD_S:
+            return False
+        run.has_waited = True
+        job = move_job(run, now, self._excluded(run), until)
+        ticket = self._scheduler.submit(job)
+        with self._lock:
+            is_over = run.closed.is_set()
+            if not is_over:
+                run.ticket = ticket
+        if is_over:
+            self._scheduler.withdraw(ticket)
+        return not is_over
+
+    def withdraw(self, run):
+        """Give up the waiting request of a run that has ended."""
+        ticket = self._take(run)
+        if ticket is not None:
+            self._scheduler.withdraw(ticket)
+
+    def _take(self, run):
+        with self._lock:
+            ticket, run.ticket = run.ticket, None
+        return ticket
+
+    def _excluded(self, run):
+        source = run.placement.target.target_id
+        return run.tried | run.unsuitable | {source} | self._closed_targets()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -36,6 +36,8 @@
     "SPEEDS_SOURCE",
     "STORE_LOST",
     "STORE_REGAINED",
+    "RELIEF_BEGUN",
+    "RELIEF_ENDED",
     "STREAM_MOVED",
     "STREAM_MOVE_BEGUN",
     "STREAM_NOT_MOVED",
@@ -418,21 +420,37 @@
     "call.move_begun",
     ("request", "source", "events", "destination", "reason", "since_s"),
     "The state of a stream's run is being copied, because its target leaves: `reason` "
-    "is `draining`, `evacuated`, `gone` or `said`, known for `since_s`.",
+    "is `draining`, `evacuated`, `gone` or `said`, known for `since_s`; or because its "
+    "target is `slow`, or the stream would be too `late` there.",
 )
 STREAM_MOVED = declare(
     691,
     "call.moved",
     ("request", "source", "events", "destination", "pause_s"),
-    "A stream whose target leaves has its first event from another one, or from the "
+    "A moved stream has its first event from another target, or from the "
     "same one if the run went back; `pause_s` after the last event.",
 )
 STREAM_NOT_MOVED = declare(
     692,
     "call.not_moved",
     ("request", "source", "events", "reason"),
-    "A stream stays at a target that leaves, or has stopped there and could not be "
-    "continued from its state; 633 and 634 tell what followed.",
+    "A stream stays at a target that leaves or is slow, or has stopped there and could "
+    "not be continued from its state; 633 and 634 tell what followed.",
+)
+RELIEF_BEGUN = declare(
+    693,
+    "node.relief_begun",
+    ("target", "factor", "lasting", "running", "reason"),
+    "This VM begins to move streams of a slow target: its newest factor, the least of "
+    "the last second, and the requests that all VMs run there. `reason` is `slow`, or "
+    "`late` if only streams that would end too near to their deadlines move.",
+)
+RELIEF_ENDED = declare(
+    694,
+    "node.relief_ended",
+    ("target", "factor", "chosen", "seconds"),
+    "This VM moves no more streams of a slow target, after `chosen` streams; their "
+    "moves have lines of their own. The least factor is 1 if it isn't known any more.",
 )
 ACCOUNT_SHARES = declare(
     673,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -5,11 +5,7 @@
 from collections import Counter, deque
 
 from hibiscusspar.fleet.load_counts import current_load, loads_of_others
-from hibiscusspar.fleet.messages import (
-    NodeReport,
-    TargetLoad,
-    adapter_label,
-)
+from hibiscusspar.fleet.messages import NodeReport, TargetLoad, adapter_label
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy, reported_backlog_s
@@ -467,7 +463,7 @@
 
     def _candidate(self, now, target):
         target_id = target.target_id
-        running, queued = self._load_of_all(target_id)
+        running, queued = self.load_of_all(target_id)
         is_engine = self._has_engine.get(target.service)
         return Candidate(
             target_id,
@@ -480,7 +476,7 @@
             self.factor(target_id) if is_engine else 1.0,
         )
 
-    def _load_of_all(self, target_id):
+    def load_of_all(self, target_id):
         """Return the running requests and queued prompt tokens of a target."""
         others = self._loads_of_others.get(target_id)
         return current_load(self._loads.get(target_id), others, None)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -39,6 +39,8 @@
         # the stream moves.
         self.onward = None
         self.copy = None
+        # Whether its stream was moved because a target was slow, which is done once.
+        self.was_relieved = False
 
     def last_event(self, call):
         """Return the number of the last event that the caller has, or None."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -124,6 +124,17 @@
         """Return the factor of a target on the usual times, 1 if it isn't known."""
         return self._factors.get(target_id, 1.0)
 
+    def told(self):
+        """Return the factors that views tell, with their times, by target.
+
+        There are none while this node uses its own samples only.
+        """
+        with self._lock:
+            if self._is_alone:
+                return {}
+            targets = self._engine_targets()
+            return {t: row for t, row in self._known.items() if t in targets}
+
     def pace(self, placement, admitted):
         """Return the pace of an attempt's stream, None for a plain service."""
         if not admitted.is_engine:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -1,6 +1,6 @@
-"""Moves of running streams away from targets that leave.
+"""Moves of running streams away from targets that leave or are slow.
 
-Streams register with their first event. A background thread chooses those of leaving
+Streams register with their first event. A background thread chooses those of such
 targets, and a few workers reserve destinations and have the states copied. The thread
 that relays a stream takes over once the stream of the source has closed.
 """
@@ -17,16 +17,12 @@
     StreamMove,
     select_streams,
 )
-from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
-from hibiscusspar_entry.fleet.events import (
-    STREAM_MOVE_BEGUN,
-    STREAM_MOVED,
-    STREAM_NOT_MOVED,
-)
+from hibiscusspar_entry.fleet.destinations import Destinations
+from hibiscusspar_entry.fleet.move_log import MoveLog
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
 from hibiscusspar_entry.fleet.placement import Placement
-from hibiscusspar_entry.fleet.stream_run import RouteLengths, StreamRun, move_job
+from hibiscusspar_entry.fleet.stream_run import RouteLengths, StreamRun
 from hibiscusspar_wire.dialect import CopyHandle
 from hibiscusspar_wire.target_connections import CallFailedError
 
@@ -35,12 +31,12 @@
 # Moves of one node, and of one pair of targets, at a time.
 _MAX_MOVES = 4
 _MAX_PAIR_MOVES = 2
-# Destinations that are tried for one choice.
-_MAX_CHOICES = 6
 # Time in seconds until a stream is tried again that found no destination or went back.
 _RETRY_S = 0.1
-# Times between steps in seconds: while streams run at leaving targets, and else.
+# Times between steps in seconds: while streams run at leaving targets, while their
+# targets may become slow, and else.
 _BUSY_PAUSE_S = 0.05
+_WATCH_PAUSE_S = 0.2
 _IDLE_PAUSE_S = 1.0
 # Time in seconds after which the relay doesn't wait for the answer to a call any more.
 # The call itself ends after 0.5 s.
@@ -62,6 +58,8 @@
         Returns the ids of the targets that must not get a moved stream.
     ordinary_s : float
         Time in seconds that a draining target has if its entry doesn't tell.
+    relief : ReliefWatch, optional
+        By default no stream moves because its target is slow.
     submit : callable, optional
         Runs a function with its arguments in the background.
     """
@@ -73,12 +71,13 @@
         calls,
         closed_targets,
         ordinary_s,
+        relief=None,
         submit=None,
     ):
         self._clock = clock
         self._scheduler = request_scheduler
         self._calls = calls
-        self._closed_targets = closed_targets
+        self._destinations = Destinations(clock, request_scheduler, closed_targets)
         self._submit = submit or ThreadPoolExecutor(_MAX_MOVES).submit
         self._lock = threading.Lock()
         self._services = frozenset()
@@ -89,21 +88,16 @@
         # Runs whose moves are under way; they may have ended meanwhile.
         self._moving = set()
         self._lengths = RouteLengths()
-        self._counts = Counter()
+        self._relief = relief
+        self._log = MoveLog(clock)
         self._is_started = False
         self._task = PeriodicTask("stream moves", self.step, self._pause_s)
 
     def gauges(self):
         """Return the values of the metrics by name."""
         with self._lock:
-            return {
-                "stream_moves_begun": self._counts["begun"],
-                "streams_moved": self._counts["moved"],
-                "streams_returned": self._counts["returned"],
-                "stream_moves_failed": self._counts["failed"],
-                "stream_moves_under_way": len(self._moving),
-                "stream_copies_freed": self._counts["freed"],
-            }
+            under_way = len(self._moving)
+        return {**self._log.gauges(), "stream_moves_under_way": under_way}
 
     def configure(self, ruleset):
         """Record the services whose streams move; start the thread if there are any."""
@@ -132,6 +126,12 @@
         if is_new:
             self._task.wake()
 
+    def complete_view(self, view):
+        """Add to a view how long leaving targets run, as their entries tell."""
+        if self._services:
+            with self._lock:
+                view.leaving_in = self._leaving.remaining(self._clock())
+
     def record_leaving(self, target):
         """Record that a target said that it leaves."""
         with self._lock:
@@ -190,7 +190,7 @@
             return True
         self.end(state)
         if move is not None and move.was_stopped:
-            self._record_failure(run, failure.reason)
+            self._log.failed(run, failure.reason)
         return False
 
     def complete(self, state):
@@ -214,36 +214,62 @@
             cleanup = run.move.finished() if run.move is not None else None
             self._moving.discard(run)
         self._clean(run, cleanup)
+        self._destinations.withdraw(run)
 
     def step(self):
         """Begin the moves that are due."""
         now = self._clock()
         with self._lock:
-            rows = [
-                run.row(self._lengths.usual(run.admitted.route.name))
+            due = [
+                run
                 for run in self._runs.values()
                 if run.move is None
                 and run.admitted.service in self._services
-                and now >= run.retry_at
-                and run.placement.target.target_id in self._leaving
+                and run.is_due(now)
             ]
-            room = _MAX_MOVES - len(self._moving)
-            runs = [row.key for row in select_streams(now, rows, self._leaving)[:room]]
+            room = max(0, _MAX_MOVES - len(self._moving))
+            runs = self._select_leaving(now, due)[:room]
+            runs += self._select_slow(now, due)[: room - len(runs)]
             for run in runs:
-                leave = self._leaving.find(run.placement.target.target_id)
-                run.leave = leave
-                run.move = StreamMove(leave.since)
+                since = float("inf") if run.is_relief else run.leave.since
+                run.move = StreamMove(since)
                 self._moving.add(run)
+                if run.is_relief:
+                    self._relief.record_move(now, run)
         for run in runs:
             self._submit(self._move, run)
 
+    def _select_leaving(self, now, runs):
+        rows = [
+            run.row(self._lengths.usual(run.admitted.route.name))
+            for run in runs
+            if run.placement.target.target_id in self._leaving
+        ]
+        chosen = [row.key for row in select_streams(now, rows, self._leaving)]
+        for run in chosen:
+            run.leave = self._leaving.find(run.placement.target.target_id)
+            run.unsuitable = frozenset()
+        return chosen
+
+    def _select_slow(self, now, runs):
+        if self._relief is None or self._directory is None:
+            return []
+        staying = [r for r in runs if r.placement.target.target_id not in self._leaving]
+        targets, usual = self._directory[0], self._lengths.usual
+        chosen = self._relief.select(now, targets, staying, usual)
+        self._relief.expire(now)
+        return chosen
+
     def _pause_s(self):
         with self._lock:
             is_busy = any(
                 run.placement.target.target_id in self._leaving
                 for run in self._runs.values()
             )
-        return _BUSY_PAUSE_S if is_busy else _IDLE_PAUSE_S
+            is_watching = self._relief is not None and self._runs
+        if is_busy:
+            return _BUSY_PAUSE_S
+        return _WATCH_PAUSE_S if is_watching else _IDLE_PAUSE_S
 
     def _move(self, run):
         """Reserve a destination and have the state of a run copied there."""
@@ -256,12 +282,19 @@
                     # Nothing was called, so the stream may be tried again.
                     run.move, run.retry_at = None, self._clock() + _RETRY_S
                 self._clean(run, cleanup)
-                self._record_no_target(run)
+                self._log.found_no_target(run)
+                if self._destinations.request_load(run):
+                    self._log.count_request()
                 return
-            self._record_begin(run, placement)
+            self._log.begun(run, placement)
+            run.state.was_relieved |= run.is_relief
             answer = self._call(run, move, placement)
             if answer.outcome in (MoveOutcome.RUNS_ON, MoveOutcome.UNKNOWN):
-                self._record_failure(run, answer.reason)
+                self._log.failed(run, answer.reason)
+            if answer.outcome is MoveOutcome.RUNS_ON and run.is_relief:
+                with self._lock:
+                    # It moves later if its target leaves.
+                    run.move = None
             if move.phase is MovePhase.STOPPED and not run.closed.wait(_CLOSE_LIMIT_S):
                 self._close_source(run)
         except Exception as error:  # noqa: BLE001
@@ -325,38 +358,27 @@
         It is None as well if the stream has ended meanwhile.
         """
         source = run.placement.target.target_id
-        for _ in range(_MAX_CHOICES):
+        cleanup, is_chosen = None, False
+
+        def full_targets():
             with self._lock:
-                excluded = self._full_pairs(source) | run.tried | {source}
-            job = move_job(run, self._clock(), excluded | self._closed_targets())
-            ticket = self._scheduler.submit(job)
-            if ticket.placement is None:
-                # It also releases a target that was chosen in between.
-                self._scheduler.withdraw(ticket)
-                return None
-            placement = ticket.placement
-            target_id = placement.target.target_id
-            run.tried |= {target_id}
-            if placement.permitted or not run.suits(placement):
-                self._scheduler.release(placement, first_byte=False)
-                continue
+                return self._full_pairs(source)
+
+        def claim(placement):
+            nonlocal cleanup, is_chosen
             with self._lock:
-                if target_id in self._full_pairs(source):
-                    is_full = True
-                else:
-                    is_full = False
-                    cleanup = move.chosen(placement)
-                    is_chosen = move.is_copying
-                    # A run that goes on to another destination counts again.
-                    if is_chosen:
-                        self._moving.add(run)
-            if is_full:
-                run.tried -= {target_id}
-                self._scheduler.release(placement, first_byte=False)
-                continue
-            self._clean(run, cleanup)
-            return placement if is_chosen else None
-        return None
+                if placement.target.target_id in self._full_pairs(source):
+                    return False
+                cleanup = move.chosen(placement)
+                is_chosen = move.is_copying
+                # A run that goes on to another destination counts again.
+                if is_chosen:
+                    self._moving.add(run)
+            return True
+
+        placement = self._destinations.reserve(run, full_targets, claim)
+        self._clean(run, cleanup)
+        return placement if is_chosen else None
 
     def _full_pairs(self, source):
         """Return the targets that get as many moves from a source as allowed."""
@@ -380,7 +402,7 @@
         if cleanup.placement is not None:
             self._scheduler.release(cleanup.placement, first_byte=False)
         if cleanup.handle:
-            self._count("freed")
+            self._log.count_freed()
             self._submit(self._free, run.placement.target, cleanup.handle)
 
     def _free(self, source, handle):
@@ -390,43 +412,12 @@
             # The copy expires by itself.
             log_failure("freeing a copy", error)
 
-    def _count(self, name):
-        with self._lock:
-            self._counts[name] += 1
-
-    def _record_begin(self, run, placement):
-        self._count("begun")
-        leave = run.leave
-        fields = {
-            **run.fields(),
-            "destination": placement.target.target_id,
-            "reason": leave.reason,
-            "since_s": round(self._clock() - leave.since, 3),
-        }
-        write_records([(STREAM_MOVE_BEGUN, fields)])
-
     def _record_success(self, run, placement):
         with self._lock:
             is_return = _is_return(run)
             run.move.started()
             self._moving.discard(run)
-        self._count("returned" if is_return else "moved")
-        fields = {
-            **run.fields(),
-            "destination": placement.target.target_id,
-            "pause_s": round(self._clock() - run.state.last_event_at, 3),
-        }
-        write_records([(STREAM_MOVED, fields)])
-
-    def _record_failure(self, run, reason):
-        self._count("failed")
-        write_records([(STREAM_NOT_MOVED, {**run.fields(), "reason": reason})])
-
-    def _record_no_target(self, run):
-        if not run.is_logged and not run.closed.is_set():
-            run.is_logged = True
-            fields = {**run.fields(), "reason": "no destination"}
-            write_records([(STREAM_NOT_MOVED, fields)])
+        self._log.succeeded(run, placement, is_return)
 
 
 def _is_return(run):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -4,6 +4,7 @@
 from math import ceil
 
 from hibiscusspar.fleet.stream_moves import StreamRow
+from hibiscusspar.fleet.stream_relief import ReliefRow
 from hibiscusspar.fleet.waiting import Job
 from hibiscusspar_entry.fleet.answer_checks import ends_with_connection
 
@@ -35,8 +36,13 @@
         self.placement = placement
         self.connection = connection
         self.move = None
-        # Leave of the target, once the stream moves.
+        # Leave of the target, or why it is relieved, once the stream moves.
         self.leave = None
+        # Targets that are too slow for a stream that moves for relief.
+        self.unsuitable = frozenset()
+        # Request for the adapter that waits in the scheduler; whether there was one.
+        self.ticket = None
+        self.has_waited = False
         self.retry_at = began_at
         # Whether an earlier move went back to the target.
         self.has_returned = False
@@ -100,6 +106,32 @@
             self.has_returned,
         )
 
+    def relief_row(self, now, usual_events):
+        """Return what the choice of streams of slow targets needs."""
+        row, admitted = self.row(usual_events), self.admitted
+        return ReliefRow(
+            self,
+            admitted.call.request_id,
+            row.target_id,
+            row.priority,
+            row.events,
+            row.expected_events,
+            row.gap_s,
+            now - self._began_at,
+            admitted.arrived,
+            admitted.ends_at,
+        )
+
+    @property
+    def is_relief(self):
+        """Whether it moves because its target is slow, not because it leaves."""
+        return self.leave is not None and self.leave.reason in ("slow", "late")
+
+    def is_due(self, now):
+        """Return whether a destination should be chosen, if it must move."""
+        ticket = self.ticket
+        return now >= self.retry_at if ticket is None else ticket.decided.is_set()
+
     def fields(self):
         """Return the fields of a log line about the run."""
         return {
@@ -132,8 +164,8 @@
         return ceil(mean) if count >= _MIN_STREAMS else None
 
 
-def move_job(run, now, excluded):
-    """Return the job that chooses a destination, which is decided at once.
+def move_job(run, now, excluded, give_up_at=None):
+    """Return the job that chooses a destination.
 
     Parameters
     ----------
@@ -141,6 +173,8 @@
     now : float
     excluded : set of str
         Targets that must not get the stream.
+    give_up_at : float, optional
+        Time until which it waits for a target; by default it is decided at once.
     """
     admitted, route = run.admitted, run.admitted.route
     return Job(
@@ -151,7 +185,7 @@
         prompt_tokens=_MOVE_PROMPT_TOKENS,
         arrived=now,
         first_byte_slo_s=route.first_byte_slo_s,
-        give_up_at=now,
+        give_up_at=now if give_up_at is None else give_up_at,
         fraction=admitted.fraction,
         max_gap_s=route.max_gap_s,
         event_steps=admitted.event_steps,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
@@ -1,13 +1,16 @@
 """Engines, scheduler and relay of one node without network, to test moved streams."""
 
 from types import SimpleNamespace
+from typing import NamedTuple
 
 from urllib3 import HTTPHeaderDict
 
 from hibiscusspar.fleet.retries import AttemptFailure
 from hibiscusspar.fleet.stream_moves import MoveAnswer, MoveOutcome
+from hibiscusspar.fleet.stream_relief import ReliefPolicy
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
+from hibiscusspar_entry.fleet.relief_watch import ReliefWatch
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_mover import StreamMover
 from hibiscusspar_wire.event_stream import EventSplitter
@@ -24,22 +27,47 @@
     return Target(name, "draft", name, "z1", 16, draining, 1, 0, {"m": 1}, {}, software)
 
 
+class Told(NamedTuple):
+    """Factor of a target as views tell it."""
+
+    born: int
+    factor: float
+    as_of: float
+
+
 class Scheduler:
     """Counts the placements; the first usable target gets each job."""
 
     def __init__(self, names):
         self.targets = {name: make_target(name) for name in names}
         self.reserved = []
+        self.waiting = []
         self.full = set()
 
     def submit(self, job):
         ticket = Ticket(job)
+        if not self.decide(ticket) and getattr(job, "arrived", 0) < job.give_up_at:
+            self.waiting.append(ticket)
+        return ticket
+
+    def retry(self, now):
+        """Decide what waits, and give up what has waited for too long."""
+        for ticket in [*self.waiting]:
+            if self.decide(ticket) or now >= ticket.job.give_up_at:
+                self.waiting.remove(ticket)
+                ticket.decided.set()
+
+    def decide(self, ticket):
+        job = ticket.job
         for name, row in self.targets.items():
             is_usable = not row.draining and row.software == job.software
             if is_usable and name not in job.broken_at | self.full:
                 ticket.placement = self.reserve(name)
-                break
-        return ticket
+                return True
+        return False
+
+    def load_of_all(self, name):
+        return 1, 0
 
     def reserve(self, name):
         placement = Placement(self.targets[name], ("m", ""), 1, 1, 0.0)
@@ -49,6 +77,8 @@
         return placement
 
     def withdraw(self, ticket):
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
         if ticket.placement is not None:
             self.release(ticket.placement, first_byte=False)
 
@@ -147,7 +177,8 @@
         self.bench = bench
         self.state = RequestState()
         self.state.splitter = EventSplitter()
-        call = SimpleNamespace(request_id=request_id, model="m", adapter="")
+        adapter = bench.adapter
+        call = SimpleNamespace(request_id=request_id, model="m", adapter=adapter)
         call.tokens = (100, LENGTH)
         route = SimpleNamespace(
             name="r", kind="stream", first_byte_slo_s=1.0, max_gap_s=0.0
@@ -160,6 +191,8 @@
             prompt_tokens=100,
             event_steps=1,
             fraction=0.5,
+            arrived=bench.now,
+            ends_at=bench.now + 15.0,
         )
         self.request_id = request_id
         self.outcome = None
@@ -228,7 +261,7 @@
         if not self.resumable:
             self._end("broken")
             return
-        job = SimpleNamespace(software="v1", broken_at=frozenset())
+        job = SimpleNamespace(software="v1", broken_at=frozenset(), give_up_at=0)
         self.placement = self.bench.scheduler.submit(job).placement
         if self.placement is None:
             self.placement = self.bench.scheduler.reserve("t0")
@@ -261,8 +294,10 @@
 class MoveBench:
     """Mover of one node; what it runs in the background runs with ``run_queued``."""
 
-    def __init__(self, names=("t0", "t1", "t2", "t3")):
+    def __init__(self, names=("t0", "t1", "t2", "t3"), adapter=""):
         self.now = 100.0
+        self.adapter = adapter
+        self.factors = {}
         self.scheduler = Scheduler(names)
         self.engines = Engines(names)
         self.queued = []
@@ -273,7 +308,13 @@
             self.engines,
             lambda: self.closed_targets,
             1.0,
-            lambda *task: self.queued.append(task),
+            # All streams of a slow target may leave at once.
+            ReliefWatch(
+                self.told,
+                self.scheduler.load_of_all,
+                ReliefPolicy(slot_share=1.0, leaving_share=1.0, moves_per_s=9),
+            ),
+            submit=lambda *task: self.queued.append(task),
         )
         engine = SimpleNamespace(moves=True)
         service = SimpleNamespace(name="draft", engine=engine)
@@ -285,6 +326,15 @@
     def publish(self, evacuated=frozenset()):
         self.mover.set_targets(dict(self.scheduler.targets), evacuated)
 
+    def told(self):
+        return {t: Told(1, factor, self.now) for t, factor in self.factors.items()}
+
+    def slow_down(self, name, factor=5.0, seconds=1.0):
+        """Let a target be slow for so long; its streams make no progress meanwhile."""
+        self.factors[name] = factor
+        self.mover.step()
+        self.now += seconds
+
     def drain(self, name):
         row = self.scheduler.targets[name]
         self.scheduler.targets[name] = row._replace(draining=True)
@@ -302,5 +352,6 @@
             function(*arguments)
 
     def step(self):
+        self.scheduler.retry(self.now)
         self.mover.step()
         self.run_queued()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from hibiscusspar_entry.fleet import stream_mover
+from hibiscusspar_entry.fleet import relief_watch, stream_mover
+from hibiscusspar_entry.fleet.events import RELIEF_BEGUN, RELIEF_ENDED
 from hibiscusspar_entry.fleet.tests.move_engines import LENGTH, MoveBench
 
 STREAMS = 3
@@ -281,6 +282,195 @@
         self.assertEqual((stream.outcome, stream.events), ("whole", LENGTH))
 
 
+class TestRelief(MoverTestCase):
+    """A stream at a slow target moves, and continues there if it can't."""
+
+    def test_stream_of_a_slow_target_continues_elsewhere(self):
+        stream = self.bench.stream()
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t1")])
+        stream.close()
+        self.finish(stream)
+        self.assertEqual((stream.outcome, stream.events), ("whole", LENGTH))
+        for name in ("stream_reliefs_begun", "streams_relieved", "streams_moved"):
+            self.assertEqual(self.gauge(name), 1)
+
+    def test_stream_stays_if_the_target_was_slow_for_less_than_a_second(self):
+        self.bench.stream()
+        self.bench.slow_down("t0", seconds=0.9)
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+
+    def test_no_stream_moves_to_a_target_that_is_over_half_as_slow(self):
+        self.bench.stream()
+        self.bench.factors = {"t1": 1.9, "t2": 1.5}
+        self.bench.slow_down("t0", 3.6)
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t2")])
+
+    def test_stream_moves_once_although_its_destination_becomes_slow_too(self):
+        stream = self.bench.stream()
+        self.bench.slow_down("t0")
+        self.bench.step()
+        stream.close()
+        stream.send()
+        stream.receive()
+        self.assertEqual(stream.at, "t1")
+        self.bench.factors = {}
+        self.bench.slow_down("t1")
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
+    def test_run_goes_back_to_its_source_at_any_time(self):
+        """The source isn't leaving, so no limit of a second holds."""
+        self.engines.script = ["full", "full"]
+        stream = self.bench.stream()
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.bench.now += 1.5
+        stream.close()
+        self.assertEqual((stream.at, stream.state.copy.handle), ("t0", "h2"))
+        self.finish(stream)
+        self.assertEqual((stream.outcome, stream.events), ("whole", LENGTH))
+        self.assertEqual(self.gauge("stream_reliefs_returned"), 1)
+
+    def test_refused_move_leaves_the_stream_at_its_source_until_that_leaves(self):
+        self.engines.script = ["refused"]
+        stream = self.bench.stream()
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        self.assertEqual(self.gauge("stream_reliefs_failed"), 1)
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 2)
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
+    def test_source_that_dies_during_the_move_is_a_failed_attempt(self):
+        stream = self.bench.stream()
+        self.engines.by_name["t0"].is_up = False
+        self.bench.slow_down("t0")
+        self.bench.step()
+        stream.close()
+        self.assertEqual(stream.outcome, "broken")
+        self.assertEqual(self.bench.scheduler.reserved, [])
+
+    def test_streams_of_leaving_targets_move_first(self):
+        slow = [self.bench.stream(f"s{n}", "t1") for n in range(3)]
+        leaving = [self.bench.stream(f"r{n}", "t0") for n in range(3)]
+        self.bench.slow_down("t1")
+        self.bench.drain("t0")
+        self.bench.step()
+        sources = [source for source, _ in self.engines.calls]
+        self.assertEqual(sources, ["t0"] * 3 + ["t1"])
+        for stream in slow + leaving:
+            stream.leave()
+
+    def test_begin_and_end_of_relief_are_logged(self):
+        with mock.patch.object(relief_watch, "write_records") as written:
+            stream = self.bench.stream()
+            self.bench.slow_down("t0")
+            self.bench.step()
+            self.bench.factors = {"t0": 1.0}
+            self.bench.now += 3.0
+            self.bench.step()
+            self.bench.step()
+        lines = [call.args[0][0] for call in written.call_args_list]
+        self.assertEqual([event for event, _ in lines], [RELIEF_BEGUN, RELIEF_ENDED])
+        self.assertEqual(lines[0][1]["reason"], "slow")
+        self.assertEqual(lines[1][1]["chosen"], 1)
+        stream.close()
+        self.finish(stream)
+
+
+class TestLoadRequests(MoverTestCase):
+    """A stream without a destination waits for its adapter as a request does."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = MoveBench(adapter="a")
+        self.engines = self.bench.engines
+        self.scheduler = self.bench.scheduler
+        self.scheduler.full = {"t1", "t2", "t3"}
+
+    def test_stream_moves_once_its_adapter_is_loaded(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        (ticket,) = self.scheduler.waiting
+        self.assertEqual(ticket.job.key, ("m", "a"))
+        self.assertEqual(ticket.job.give_up_at, self.bench.now + 1.0)
+        self.assertEqual(self.gauge("stream_loads_requested"), 1)
+        self.scheduler.full = {"t1", "t3"}
+        self.bench.now += 0.3
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t2")])
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
+    def test_load_is_requested_once(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        for _ in range(20):
+            self.bench.step()
+            self.bench.now += 0.1
+        self.assertEqual(self.gauge("stream_loads_requested"), 1)
+        self.assertEqual(self.scheduler.waiting, [])
+        self.finish(stream)
+
+    def test_load_is_requested_only_if_250_ms_are_left(self):
+        for left_s, count in ((0.24, 0), (0.26, 1)):
+            with self.subTest(left_s=left_s):
+                self.setUp()
+                stream = self.bench.stream()
+                self.bench.drain("t0")
+                self.bench.now += 1.0 - left_s
+                self.bench.step()
+                self.assertEqual(self.gauge("stream_loads_requested"), count)
+                self.finish(stream)
+
+    def test_request_of_a_stream_that_ended_is_withdrawn(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        stream.leave()
+        self.assertEqual(self.scheduler.waiting, [])
+        self.assertEqual(self.scheduler.reserved, [])
+
+    def test_target_that_was_closed_meanwhile_is_not_used(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        self.scheduler.full = {"t3"}
+        self.scheduler.retry(self.bench.now)
+        self.bench.closed_targets = {"t1"}
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t2")])
+        stream.close()
+        self.finish(stream)
+
+    def test_stream_of_a_slow_target_or_without_an_adapter_requests_none(self):
+        stream = self.bench.stream()
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.scheduler.waiting, [])
+        self.finish(stream)
+        self.bench = MoveBench()
+        self.bench.scheduler.full = {"t1", "t2", "t3"}
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(self.bench.scheduler.waiting, [])
+        self.finish(stream)
+
+
 class MoveMachine(RuleBasedStateMachine):
     """Streams whose targets leave, with each loss of an answer and each stop.
 
@@ -289,9 +479,12 @@
     placement is released twice.
     """
 
-    @initialize(draining=st.sets(st.sampled_from(["t0", "t1", "t2"]), min_size=1))
-    def start(self, draining):
-        self.bench = MoveBench()
+    @initialize(
+        draining=st.sets(st.sampled_from(["t0", "t1", "t2"])),
+        adapter=st.sampled_from(["", "a"]),
+    )
+    def start(self, draining, adapter):
+        self.bench = MoveBench(adapter=adapter)
         self.count = 0
         self.relays = []
         self.streams = [self.make_stream() for _ in range(STREAMS)]
@@ -322,6 +515,17 @@
         if changed:
             self.bench.closed_targets ^= {changed}
 
+    @rule(
+        slow=st.sampled_from(["t0", "t1", "t2"]),
+        factor=st.sampled_from([1.0, 2.5, 5.0, 5.0]),
+        full=st.sets(st.sampled_from(["t1", "t2", "t3"])),
+    )
+    def slow_down(self, slow, factor, full):
+        """Let a target be slow for a second or fast again; some targets are full."""
+        self.bench.scheduler.full = full
+        self.bench.slow_down(slow, factor)
+        self.bench.run_queued()
+
     @rule(index=INDEXES, indexes=ORDERS, fates=FATES, full=FULL, event=HAPPENINGS)
     def move_whole(self, index, indexes, fates, full, event):
         """Make the steps of moves one after the other."""
@@ -334,6 +538,7 @@
     def step(self, index, fates, before, during):
         """Move what is due; something happens to a stream before or during a call."""
         bench = self.bench
+        bench.scheduler.retry(bench.now)
         bench.mover.step()
         self.happen(index, before)
 
@@ -404,6 +609,11 @@
         for stream in self.streams:
             assert len(self.bench.engines.at_work(stream.request_id)) <= 1
 
+    @invariant()
+    def a_request_waits_for_each_stream_at_most_once(self):
+        waiting = [t.job.request_id for t in self.bench.scheduler.waiting]
+        assert len(waiting) == len(set(waiting))
+
     @invariant()
     def whole_streams_have_all_events(self):
         for stream in self.streams:
@@ -414,6 +624,7 @@
             stream.leave()
         self.bench.run_queued()
         assert not self.bench.scheduler.reserved
+        assert not self.bench.scheduler.waiting
         assert self.bench.mover.gauges()["stream_moves_under_way"] == 0
 
 
