Relief: streams that would be late leave first

Change: a stream that would be late at its pace over the last second leaves with the probability 0.125 in each 0.25 s, any other one with 0.03. Sources without a possible destination are skipped without a search.

--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_relief.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_relief.py
@@ -10,9 +10,12 @@
 
 from xxhash import xxh3_64_intdigest
 
-__all__ = ["ReliefPolicy", "ReliefRow", "StreamRelief"]
+__all__ = ["RecentPace", "ReliefPolicy", "ReliefRow", "StreamRelief"]
 
 _HASH_RANGE = 2.0**64
+# Time in seconds over which the pace of a stream is taken, and between its samples.
+_PACE_S = 1.0
+_MARK_S = 0.2
 
 
 class ReliefPolicy(NamedTuple):
@@ -26,11 +29,13 @@
 
     A node moves ``moves_per_s`` streams of a target in a second. At most
     ``leaving_share`` of a target's streams leave in a second. As nodes choose
-    independently, each stream leaves with the probability ``slot_share`` in each
-    ``slot_s``, somewhat less often, and none does once views show that so many have
-    left. Nothing moves while more than ``max_slow_share`` of the targets
-    of a service have a factor of ``slow_factor``, from which on the usual speed is that
-    of a possible destination. ``min_left_s`` is the time that a stream must still need,
+    independently, each stream that is late leaves with the probability ``slot_share``
+    in each ``slot_s``, any other one with ``calm_share``, and none does once views show
+    that so many have left.
+
+    Nothing moves while more than ``max_slow_share`` of the targets of a service have a
+    factor of ``slow_factor``, from which on the usual speed is that of a possible
+    destination. ``min_left_s`` is the time that a stream must still need,
     as a call for a copy takes up to 0.5 s.
     """
 
@@ -43,6 +48,7 @@
     leaving_share: float = 0.5
     slot_s: float = 0.25
     slot_share: float = 0.125
+    calm_share: float = 0.03
     max_slow_share: float = 0.25
     slow_factor: float = 2.0
     min_left_s: float = 0.5
@@ -52,7 +58,8 @@
     """Running stream that hasn't been moved for relief yet.
 
     Priority 0 is the highest. ``expected_events`` is None if it isn't known, ``gap_s``
-    is the mean time between events in seconds, None before the second one.
+    is the mean time between its events in seconds, ``recent_gap_s`` that between the
+    ones of the last second; both are None if they aren't known.
     ``attempt_s`` is the time for which it has run at its target, ``arrived`` the time
     of its request and ``ends_at`` the deadline of its caller.
     """
@@ -64,18 +71,18 @@
     events: int
     expected_events: int | None
     gap_s: float | None
+    recent_gap_s: float | None
     attempt_s: float
     arrived: float
     ends_at: float
 
-    @property
-    def left_s(self):
-        """Time in seconds that it still needs at its own pace, None if unknown."""
-        if self.expected_events is None or self.gap_s is None:
+    def left_s(self, gap_s):
+        """Return the seconds that it still needs at a pace, None if unknown."""
+        if self.expected_events is None or gap_s is None:
             return None
         left = self.expected_events - self.events
         # A stream that is longer than expected may have any length.
-        return left * self.gap_s if left > 0 else None
+        return left * gap_s if left > 0 else None
 
 
 class StreamRelief:
@@ -91,6 +98,8 @@
         self._targets = {}
         # Incarnation and times with factors, oldest first, by target.
         self._history = {}
+        # Least factor of all targets, so that most sources need no search.
+        self._least = 1.0
         self._blocked = frozenset()
         self._moved_at = {}
         # Times with the numbers of running streams of the last second, by target.
@@ -125,6 +134,7 @@
             if now <= points[-1][0] + self._policy.max_age_s:
                 history[target_id] = (row.born, points)
         self._history = history
+        self._least = min([1.0, *(points[-1][1] for _, points in history.values())])
         self._running = {t: self._running[t] for t in history if t in self._running}
         self._blocked = self._blocked_services()
         self._moved_at = {
@@ -182,14 +192,15 @@
             room = self._policy.moves_per_s - len(self._moved_at.get(target_id, ()))
             if room <= 0 or not self._has_destination(target_id):
                 continue
+            shares = self._shares(now, target_id, max(len(streams), running(target_id)))
+            slot = int(now / self._policy.slot_s)
             is_slow = self.is_slow(target_id)
-            share = self._share(now, target_id, max(len(streams), running(target_id)))
             leaving = [
                 row
                 for row in streams
-                if (is_slow or self._is_late(now, row))
+                if _fraction(row.request_id, slot)
+                < shares[self._is_late(now, row, is_slow)]
                 and self._outlasts_a_move(row)
-                and _fraction(row.request_id, int(now / self._policy.slot_s)) < share
             ]
             chosen += sorted(leaving, key=_value)[:room]
         return sorted(chosen, key=_value)
@@ -215,32 +226,65 @@
         if source is None or source.service in self._blocked:
             return False
         limit = self.lasting_factor(target_id) * self._policy.destination_share
-        return any(
+        return limit >= self._least and any(
             self.factor(name) <= limit
             for name, target in self._targets.items()
             if target.service == source.service and not target.draining
         )
 
-    def _is_late(self, now, row):
-        """Return whether a stream would end too near to its caller's deadline."""
-        left_s = row.left_s
+    def _is_late(self, now, row, is_slow):
+        """Return whether a stream would end too near to its caller's deadline.
+
+        The pace of the last second shows at once that a target is slow, but at another
+        target a slow period lowers it for too many streams.
+        """
+        left_s = row.left_s(row.recent_gap_s if is_slow else row.gap_s)
         if left_s is None or row.attempt_s < self._policy.lasting_s:
             return False
         allowed_s = (row.ends_at - row.arrived) * self._policy.deadline_share
         return now + left_s > row.arrived + allowed_s
 
     def _outlasts_a_move(self, row):
-        left_s = row.left_s
+        left_s = row.left_s(row.recent_gap_s)
         return left_s is None or left_s >= self._policy.min_left_s
 
-    def _share(self, now, target_id, running):
-        """Return the probability with which each stream of a target leaves now."""
+    def _shares(self, now, target_id, running):
+        """Return the probabilities with which streams in time and late ones leave."""
         rows = [row for row in self._running.get(target_id, ()) if row[0] > now - 1.0]
         self._running[target_id] = [*rows, (now, running)]
         most = max(count for _, count in self._running[target_id])
-        if running - 1 < most * (1.0 - self._policy.leaving_share) and most > 1:
-            return 0.0
-        return self._policy.slot_share if running > 1 else 1.0
+        is_slow = self.is_slow(target_id)
+        if most <= 1:
+            return float(is_slow), 1.0
+        if running - 1 < most * (1.0 - self._policy.leaving_share):
+            return 0.0, 0.0
+        return self._policy.calm_share * is_slow, self._policy.slot_share
+
+
+class RecentPace:
+    """Pace of a stream over its last second, as a target may become slow meanwhile.
+
+    Parameters
+    ----------
+    now : float
+    events : int
+        Events so far.
+    """
+
+    def __init__(self, now, events):
+        self._marks = [(now, events)]
+
+    def gap_s(self, now, events):
+        """Return the mean time between events in seconds, None before the first."""
+        if now >= self._marks[-1][0] + _MARK_S:
+            self._marks.append((now, events))
+        while len(self._marks) > 1 and self._marks[1][0] <= now - _PACE_S:
+            del self._marks[0]
+        at, before = self._marks[0]
+        if events > before:
+            return (now - at) / (events - before)
+        # Without an event for so long, the gap is at least that.
+        return now - at if now >= at + _PACE_S else None
 
 
 def _value(row):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/engine_replay.py
@@ -8,7 +8,7 @@
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.routing import Candidate, ChoicePolicy
-from hibiscusspar.fleet.stream_relief import ReliefRow, StreamRelief
+from hibiscusspar.fleet.stream_relief import RecentPace, ReliefRow, StreamRelief
 from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedPolicy, SpeedSamples
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar.fleet.waiting import Job, Refuse, Send, decide
@@ -225,6 +225,7 @@
         self._running, self._view_at = {}, 0.0
         self._history = deque(maxlen=10)
         self._moved = set()
+        self._paces = {}
         self._left_at = {}
         self._under_way = []
         self.count = 0
@@ -267,6 +268,8 @@
         events = stream.done // job.event_steps
         attempt_s = stream.last_at - stream.first_at
         gap_s = attempt_s / (events - 1) if events > 1 else None
+        if stream not in self._paces:
+            self._paces[stream] = RecentPace(now, events)
         return ReliefRow(
             stream,
             job.request_id,
@@ -275,6 +278,7 @@
             events,
             stream.steps // job.event_steps,
             gap_s,
+            self._paces[stream].gap_s(now, events),
             now - stream.first_at,
             job.arrived,
             job.arrived + self._deadline_s,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -4,7 +4,7 @@
 from math import ceil
 
 from hibiscusspar.fleet.stream_moves import StreamRow
-from hibiscusspar.fleet.stream_relief import ReliefRow
+from hibiscusspar.fleet.stream_relief import RecentPace, ReliefRow
 from hibiscusspar.fleet.waiting import Job
 from hibiscusspar_entry.fleet.answer_checks import ends_with_connection
 
@@ -53,6 +53,7 @@
         self.is_logged = False
         self._began_at = began_at
         self._first_count = state.splitter.count
+        self._pace = RecentPace(began_at, self._first_count)
 
     def may_move(self, response, request_scheduler):
         """Return whether the stream can be moved at all.
@@ -117,6 +118,7 @@
             row.events,
             row.expected_events,
             row.gap_s,
+            self._pace.gap_s(now, row.events),
             now - self._began_at,
             admitted.arrived,
             admitted.ends_at,
