Moves: a waiting run gives up its target if its source stays

Cause: the target that a waiting run got stayed reserved for as long as the stream ran if its source didn't leave any more, or it ended sooner than that.

Change: the step withdraws such a request. Tests of the factors that views tell and of the times of leaving targets in views.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -228,7 +228,10 @@
                 and run.is_due(now)
             ]
             room = max(0, _MAX_MOVES - len(self._moving))
-            runs = self._select_leaving(now, due)[:room]
+            leaving = self._select_leaving(now, due)
+            # Their targets don't leave any more, or they end before.
+            waited = [run for run in due if run.ticket and run not in leaving]
+            runs = leaving[:room]
             runs += self._select_slow(now, due)[: room - len(runs)]
             for run in runs:
                 since = float("inf") if run.is_relief else run.leave.since
@@ -236,6 +239,8 @@
                 self._moving.add(run)
                 if run.is_relief:
                     self._relief.record_move(now, run)
+        for run in waited:
+            self._destinations.withdraw(run)
         for run in runs:
             self._submit(self._move, run)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
@@ -130,6 +130,19 @@
             self.assertEqual(set(factors.values()), {1.0})
         self.assertEqual(self.nodes[1].exchange.counts["slow_targets"], 1)
 
+    def test_told_factors_have_their_times_and_end_with_the_views(self):
+        """Streams move only for factors that the coordinator has told lately."""
+        self.slowness["t0"] = 5.0
+        self.run_for(2.0)
+        exchange = self.nodes[1].exchange
+        told = exchange.told()
+        self.assertEqual([*told], ["t0"])
+        self.assertEqual((told["t0"].born, told["t0"].factor > 4.0), (1, True))
+        self.assertLess(self.clock.now - told["t0"].as_of, 0.5)
+        self.run_for(2.0, lost=("n1",))
+        self.assertEqual(exchange.told(), {})
+        self.assertGreater(self.nodes[1].factors()["t0"], 4.0)
+
     def test_end_of_a_slow_period_reaches_all_nodes(self):
         self.run_for(2.0)
         self.slowness["t0"] = 5.0
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -389,6 +389,23 @@
         self.finish(stream)
 
 
+class TestViews(MoverTestCase):
+    def test_views_tell_how_long_leaving_targets_run(self):
+        rows = self.bench.scheduler.targets
+        rows["t0"] = rows["t0"]._replace(draining=True, remaining_s=2.0)
+        self.bench.publish()
+        self.bench.now += 0.5
+        view = mock.Mock(leaving_in={})
+        self.bench.mover.complete_view(view)
+        self.assertEqual(view.leaving_in, {"t0": (1, 1.5)})
+
+    def test_views_tell_nothing_where_no_stream_moves(self):
+        self.bench.mover.configure(mock.Mock(services={}))
+        view = mock.Mock(leaving_in={})
+        self.bench.mover.complete_view(view)
+        self.assertEqual(view.leaving_in, {})
+
+
 class TestLoadRequests(MoverTestCase):
     """A stream without a destination waits for its adapter as a request does."""
 
@@ -444,6 +461,19 @@
         self.assertEqual(self.scheduler.waiting, [])
         self.assertEqual(self.scheduler.reserved, [])
 
+    def test_target_is_given_up_if_the_source_leaves_no_more(self):
+        """Else it would be reserved for as long as the stream runs."""
+        stream = self.bench.stream()
+        self.bench.publish(frozenset({"z1"}))
+        self.bench.step()
+        self.assertEqual(len(self.scheduler.waiting), 1)
+        self.bench.publish()
+        self.scheduler.full = set()
+        self.bench.step()
+        self.assertEqual(len(self.scheduler.reserved), 1)
+        self.assertEqual(self.engines.calls, [])
+        self.finish(stream)
+
     def test_target_that_was_closed_meanwhile_is_not_used(self):
         stream = self.bench.stream()
         self.bench.drain("t0")
