--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -149,8 +149,8 @@
         self.planned = 0
         self._evacuated = frozenset()
         self._engines = EngineTargets()
-        # Adds to a view what other components tell the nodes.
-        self.complete_view = lambda view: None
+        # Functions that add to a view what other components tell the nodes.
+        self.view_parts = []
         threading.Thread(target=self._run_plans, daemon=True).start()
 
     def close(self):
@@ -309,7 +309,8 @@
         """Send a view of the fleet to all nodes."""
         with self._lock:
             view, records = self._view()
-        self.complete_view(view)
+        for complete_view in self.view_parts:
+            complete_view(view)
         self._view_sender.send_view(self._view_sent_at, view, records)
 
     def _view(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -4,7 +4,7 @@
 import threading
 from collections import Counter, deque
 
-from hibiscusspar.fleet.load_counts import loads_of_others
+from hibiscusspar.fleet.load_counts import current_load, loads_of_others
 from hibiscusspar.fleet.messages import NodeReport, TargetLoad, adapter_label
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
@@ -479,6 +479,11 @@
         closed = self._gate.excluded_from_loads(now, usable)
         return sorted(self._usable.staying(job.service).keys() - usable | closed)
 
+    def load_of_all(self, target_id):
+        """Return the running requests and queued prompt tokens of a target."""
+        others = self._loads_of_others.get(target_id)
+        return current_load(self._loads.get(target_id), others, None)
+
     def _record_reported_queues(self, now):
         """Raise the prompt queues of targets to those that a view has shown."""
         loads, known = (self._loads_of_others, self._loads), self._prompt_queues.targets
