--- a/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
@@ -36,7 +36,7 @@
     """
 
     jump: float = 1.5
-    straddle: float = 1.2
+    straddle: float = 1.5
     step: float = 1.25
     apart_s: float = 0.02
     window_s: float = 0.25
