Slow periods: one long gap suffices where targets differ in speed

Cause: a node has one or two streams at a target, so two gaps of a slow period of 0.6 s come late; most late streams got prompts before a period was known. Change: where a tenth of the targets of a service have factors, a single gap of twice the expected time tells of a begin.

--- a/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/slow_periods.py
@@ -5,7 +5,7 @@
 factors in use, and tells all nodes of a change.
 """
 
-from collections import deque
+from collections import Counter, deque
 from math import log
 from statistics import median
 from typing import NamedTuple
@@ -20,7 +20,10 @@
     """Settings of the detection; times in seconds.
 
     A change is told if a gap of a target differs from its factor in use by ``jump`` and
-    an earlier one, in which the change may have happened, by ``straddle``. They end at
+    an earlier one, in which the change may have happened, by ``straddle``. Where the
+    targets of a service are known to differ in speed, a single gap that is ``alone``
+    times as long as expected tells of a begin: few nodes see two gaps of a target soon
+    enough. At least ``uneven_share`` of the targets must have factors. The gaps end at
     most ``window_s`` apart, or else may belong to two periods. Where all streams of the
     node are at one target, they end at least ``apart_s`` apart, as a pause of the node
     lengthens a gap of each stream. They began after the factor in use last changed by
@@ -37,6 +40,8 @@
 
     jump: float = 1.5
     straddle: float = 1.5
+    alone: float = 2.0
+    uneven_share: float = 0.1
     step: float = 1.25
     apart_s: float = 0.02
     window_s: float = 0.25
@@ -92,6 +97,7 @@
         self._usual = {}
         self._paused_at = 0.0
         self._allowance = (0.0, self._policy.per_s)
+        self._uneven = frozenset()
 
     def begin(self, now, target):
         """Record the first event of a stream."""
@@ -152,6 +158,8 @@
         row.rows.append((now, gap_s / (usual_s + read_s), gap_s / usual_s))
         is_only = all(r is row or r.open <= 0 for r in self._rows.values())
         ratio = self._changed(row.rows, factor, self._policy.apart_s * is_only)
+        if ratio is None and not is_only and target.service in self._uneven:
+            ratio = self._begun(row.rows[-1], factor)
         if ratio is None or not self._may_tell(now):
             return None
         row.rows.clear()
@@ -166,6 +174,29 @@
             if len(steps) >= least
         }
 
+    def set_factors(self, targets, factors):
+        """Record which services have targets of different speeds.
+
+        Parameters
+        ----------
+        targets : dict of str to Target
+        factors : dict of str to float
+            Factors of targets as views told them; others have the usual speed.
+        """
+        different = Counter(
+            targets[target_id].service
+            for target_id, factor in factors.items()
+            if factor != 1.0 and target_id in targets
+        )
+        if not different:
+            self._uneven = frozenset()
+            return
+        counts = Counter(target.service for target in targets.values())
+        share = self._policy.uneven_share
+        self._uneven = frozenset(
+            service for service, n in different.items() if n >= share * counts[service]
+        )
+
     def retain(self, targets):
         """Drop other targets and incarnations; ``targets`` is a dict by id."""
         self._rows = {
@@ -209,6 +240,11 @@
             break
         return None
 
+    def _begun(self, last, factor):
+        """Return the ratio that a single gap tells of, None if it isn't long enough."""
+        _, low, _ = last
+        return low if low >= factor * self._policy.alone else None
+
     def _may_tell(self, now):
         at, allowance = self._allowance
         per_s = self._policy.per_s
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/slow_period_replay.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/slow_period_replay.py
@@ -59,8 +59,10 @@
         super().tick(now, target_ids, reading_until)
         if self._view_at == view_at:
             return
+        targets = {name: make_target(name) for name in target_ids}
         for periods in self._periods.values():
             periods.update()
+            periods.set_factors(targets, self.factors)
         for target_id in self.factors:
             as_of = self._table.row(target_id).at
             for told in self._told.values():
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_slow_periods.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_slow_periods.py
@@ -86,6 +86,14 @@
         self.assertEqual(self.pass_events(1, t0=2.5), {})
         self.assertEqual(self.pass_events(1, t0=2.5), {"t0": 2.5})
 
+    def test_one_long_gap_tells_of_a_begin_where_speeds_are_known_to_differ(self):
+        # Guards against slow periods that are half over before a node has two gaps.
+        targets = {target.target_id: target for target in self.targets}
+        self.periods.set_factors(targets, {"t1": 1.6})
+        self.assertEqual(self.pass_events(1, t0=1.9), {})
+        self.pass_events(3)
+        self.assertEqual(self.pass_events(1, t0=2.5), {"t0": 2.5})
+
     def test_end_is_told_after_two_gaps(self):
         for count, told in ((1, {}), (3, {"t0": 1.0})):
             with self.subTest(count=count):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/slow_period_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/slow_period_exchange.py
@@ -101,9 +101,10 @@
         """Drop what was told before the time of a factor of a view."""
         self._told.drop_older(target_id, born, as_of, exchange_interval_s(nodes))
 
-    def update(self):
-        """Derive the usual steps; called with each report."""
+    def update(self, factors):
+        """Derive the usual steps; called with each report, with the views' factors."""
         self._periods.update()
+        self._periods.set_factors(self._targets(), factors)
 
     def retain(self, targets):
         """Drop other targets and incarnations; ``targets`` is a dict by id."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -176,7 +176,7 @@
             interval_s = exchange_interval_s(self._nodes)
             estimates = self._samples.estimates(now, self._reading_until, interval_s)
             due = self._samples.due(now, estimates, self._nodes, len(self._targets))
-            self.slow_periods.update()
+            self.slow_periods.update(self._factors)
             records = self._follow_views(now)
             if self._is_alone:
                 self._table.record(now, estimates)
