Events: decisions under load have a module of their own

Change: events of speeds, admission, calls and moved streams in load_events.py; numbers, names and texts as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/admission_exchange.py
@@ -6,7 +6,7 @@
 from hibiscusspar.fleet.admission import FleetAdmission, NodeDemand, service_goals
 from hibiscusspar.fleet.node_admission import NodeAdmission
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import ACCOUNT_SHARES, ADMISSION_LEVEL
+from hibiscusspar_entry.fleet.load_events import ACCOUNT_SHARES, ADMISSION_LEVEL
 
 __all__ = ["AdmissionExchange", "AdmissionGate", "AdmissionLevels"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_times_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_times_exchange.py
@@ -5,7 +5,7 @@
 from hibiscusspar.fleet.call_times import FleetCallTimes
 from hibiscusspar.fleet.plain_calls import PlainCalls
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import CALL_TIMES
+from hibiscusspar_entry.fleet.load_events import CALL_TIMES
 
 __all__ = ["CallTimesExchange", "FleetTimes"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import (
+from hibiscusspar_entry.fleet.load_events import (
     STREAM_MOVE_BEGUN,
     STREAM_MOVED,
     STREAM_NOT_MOVED,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relief_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relief_watch.py
@@ -3,7 +3,7 @@
 from hibiscusspar.fleet.leaving_targets import Leave
 from hibiscusspar.fleet.stream_relief import StreamRelief
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import RELIEF_BEGUN, RELIEF_ENDED
+from hibiscusspar_entry.fleet.load_events import RELIEF_BEGUN, RELIEF_ENDED
 
 __all__ = ["ReliefWatch"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/slow_period_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/slow_period_exchange.py
@@ -5,7 +5,7 @@
 from hibiscusspar.fleet.fanout import exchange_interval_s
 from hibiscusspar.fleet.slow_periods import SlowPeriods, ToldFactors
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import SLOW_PERIOD
+from hibiscusspar_entry.fleet.load_events import SLOW_PERIOD
 
 __all__ = ["SlowPeriodExchange"]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/speed_exchange.py
@@ -10,7 +10,7 @@
 from hibiscusspar.fleet.target_speeds import SpeedFactors, SpeedPolicy, SpeedSamples
 from hibiscusspar.fleet.targets import is_same_directory
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import SPEEDS_SOURCE, TARGET_SPEED
+from hibiscusspar_entry.fleet.load_events import SPEEDS_SOURCE, TARGET_SPEED
 from hibiscusspar_entry.fleet.slow_period_exchange import SlowPeriodExchange
 
 __all__ = ["SpeedExchange", "StreamPace"]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_admission_exchange.py
@@ -22,7 +22,7 @@
     AdmissionLevels,
 )
 from hibiscusspar_entry.fleet.call_admission import _first_arrival
-from hibiscusspar_entry.fleet.events import ACCOUNT_SHARES, ADMISSION_LEVEL
+from hibiscusspar_entry.fleet.load_events import ACCOUNT_SHARES, ADMISSION_LEVEL
 from hibiscusspar_entry.fleet.metrics import FleetMetrics
 from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.report_table import NodeRecord
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_slow_period_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_slow_period_exchange.py
@@ -8,7 +8,7 @@
 
 from hibiscusspar.fleet.messages import SendNotice
 from hibiscusspar_entry.fleet import slow_period_exchange
-from hibiscusspar_entry.fleet.events import SLOW_PERIOD
+from hibiscusspar_entry.fleet.load_events import SLOW_PERIOD
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import target
 from hibiscusspar_entry.fleet.tests.test_speed_exchange import (
     ExchangeTestCase,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_speed_exchange.py
@@ -11,7 +11,7 @@
 from hibiscusspar.fleet.messages import FleetView, NodeReport, TargetLoad
 from hibiscusspar.fleet.target_loads import wait_s
 from hibiscusspar_entry.fleet import speed_exchange
-from hibiscusspar_entry.fleet.events import SPEEDS_SOURCE, TARGET_SPEED
+from hibiscusspar_entry.fleet.load_events import SPEEDS_SOURCE, TARGET_SPEED
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.speed_exchange import SpeedExchange
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from hibiscusspar_entry.fleet import relief_watch, stream_mover
-from hibiscusspar_entry.fleet.events import RELIEF_BEGUN, RELIEF_ENDED
+from hibiscusspar_entry.fleet.load_events import RELIEF_BEGUN, RELIEF_ENDED
 from hibiscusspar_entry.fleet.tests.move_engines import LENGTH, MoveBench
 
 STREAMS = 3
--- a/tools/write_events.py
+++ b/tools/write_events.py
@@ -32,7 +32,7 @@
 def _import_events(package):
     module = importlib.import_module(package)
     for info in pkgutil.walk_packages(module.__path__, package + "."):
-        if info.name.rsplit(".", 1)[-1] == "events":
+        if info.name.endswith("events"):
             importlib.import_module(info.name)
 
 
