Plain services: sends are announced only while a service is busy

Change: sends are announced from an average load of 0.8 of the slots until 1 s later, and always where views come more rarely than every 0.3 s.

--- a/packages/hibiscusspar/hibiscusspar/fleet/plain_calls.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/plain_calls.py
@@ -19,6 +19,14 @@
 _LIMIT_GROWTH_S = 1.0
 # Average age of the counts in a view when it arrives, in intervals of reports.
 _REPORT_AGE = 0.5
+# Sends are announced where views come more rarely than every _RARE_VIEWS_S, and while a
+# service is busy: from an average load of _BUSY_SHARE of its slots until _BUSY_S later.
+# Each notice costs every other node 0.09 ms, and counts of views suffice otherwise.
+_RARE_VIEWS_S = 0.3
+_BUSY_SHARE = 0.8
+_BUSY_S = 1.0
+# Weight of the last view in the average load.
+_LOAD_WEIGHT = 0.3
 # Share of failures above which metrics count a target.
 _FAILING_SHARE = 0.1
 # Time in seconds for which estimates are kept.
@@ -38,6 +46,9 @@
         self._ahead = {}
         self._limits = {}
         self._waiting = {}
+        # Average load by service, and the time until which its sends are announced.
+        self._loads = {}
+        self._busy_until = {}
         self._view_at = None
         self._nodes = 1
         # Times by service, kept for the decisions of one moment.
@@ -94,6 +105,7 @@
         lag_s = _REPORT_AGE * exchange_interval_s(nodes)
         for service, targets in self._by_service.items():
             times = self._estimates(now, service)
+            self._record_load(now, service, targets)
             for target in targets if times else ():
                 target_id = target.target_id
                 mean_s = times[target_id].mean_s
@@ -131,6 +143,23 @@
                 del self._ahead[next(iter(self._ahead))]
         return decision
 
+    def announces(self, now, service):
+        """Return whether other nodes are told at once of sends to a service."""
+        if service not in self._services:
+            return False
+        is_rare = exchange_interval_s(self._nodes) > _RARE_VIEWS_S
+        return is_rare or now < self._busy_until.get(service, 0.0)
+
+    def _record_load(self, now, service, targets):
+        """Record the load of a service that a view has told."""
+        slots = sum(target.slots for target in targets)
+        running = sum(self._reported(target.target_id) for target in targets)
+        load = self._loads.get(service, 0.0)
+        load += _LOAD_WEIGHT * (running / max(1, slots) - load)
+        self._loads[service] = load
+        if load >= _BUSY_SHARE:
+            self._busy_until[service] = now + _BUSY_S
+
     def record_answer(self, now, target, request_id, seconds, is_failure):
         """Record an answer of a target of a plain service, or a broken one."""
         ahead = self._ahead.pop(request_id, 0)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_times_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_times_exchange.py
@@ -33,6 +33,7 @@
         self._calls = PlainCalls()
         self._lock = threading.Lock()
         self.decide = self._locked(self._calls.decide)
+        self.announces = self._locked(self._calls.announces)
         self.applies_to = self._calls.applies_to
 
     def enable(self, is_enabled, metrics):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -440,7 +440,7 @@
                 now, target.target_id, job.prompt_tokens, factor
             )
             self.on_sent(target, job.prompt_tokens)
-        elif self.calls.applies_to(target.service):
+        elif self.calls.announces(now, target.service):
             self.on_sent(target, 0)
         if taken is not None:
             taken.add(target.target_id)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_call_times_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_call_times_exchange.py
@@ -94,11 +94,20 @@
 
     def test_a_send_is_announced_and_counts_at_the_receivers(self):
         """Guards against views that are older than a call takes."""
-        self.apply({"t1": (1, 0.1, 0.0, 0.0), "t2": (1, 0.1, 0.0, 0.0)})
+        times = {"t1": (1, 0.1, 0.0, 0.0), "t2": (1, 0.1, 0.0, 0.0)}
+        for _ in range(5):
+            self.apply(times, {name: TargetLoad(17, 0) for name in times})
+        self.apply(times)
         self.scheduler.apply_notice(SendNotice([("t1", 0)] * 3))
         self.assertEqual(self.submit().placement.target.target_id, "t2")
         self.assertEqual(self.sent, [("t2", 0)])
 
+    def test_sends_to_a_service_with_room_are_not_announced(self):
+        """Guards against a notice to every node for each call."""
+        self.apply({"t1": (1, 0.1, 0.0, 0.0), "t2": (1, 0.1, 0.0, 0.0)})
+        self.assertIsInstance(self.submit().decision, Send)
+        self.assertEqual(self.sent, [])
+
     def test_services_are_served_as_before_unless_enabled(self):
         self.use_times(False)
         times = {"t1": (1, 9.0, 0.0, 0.0), "t2": (1, 9.0, 0.0, 0.0)}
