Directory copies: entries are compared only once the names of the view are known

Cause: with a view whose names the node lacks, its entries counted as compared though none had been adopted, and the same entries weren't compared again. Change: DirectoryCopy.lacks_rows tells whether there is anything to adopt. Result: the new test of TestReadRows failed before and passes.

--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
@@ -36,6 +36,11 @@
         """Whether all rows are known to be those of the last view."""
         return self._state is not None and not self._differing
 
+    @property
+    def lacks_rows(self):
+        """Whether rows of the last view, whose names are known, are missing."""
+        return self._state is not None and bool(self._differing)
+
     @property
     def differing(self):
         """Names of the targets whose rows are missing or out of date."""
@@ -90,7 +95,7 @@
         int
             Number of rows that were taken.
         """
-        if self._state is None:
+        if not self.lacks_rows:
             return 0
         found = {}
         for name in self._differing.keys() & targets.keys():
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -237,10 +237,8 @@
 
         The same entries are compared once only.
         """
-        if self._copy.agrees:
-            return
         rows = self._targets.read_rows
-        if rows and rows is not self._compared_rows and self._copy.differing:
+        if self._copy.lacks_rows and rows and rows is not self._compared_rows:
             self._compared_rows = rows
             self._adopted += self._copy.adopt(rows)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
@@ -101,6 +101,15 @@
         self.relayed_state.complete_report(report)
         self.assertEqual(report.lacked_rows, ["t1"])
 
+    def test_entries_are_compared_once_the_names_are_known(self):
+        # Guards against entries that a view without names marks as compared.
+        self.coordinator_rows["t2"] = ROW
+        self.apply_view(directory=["t2"])
+        self.read()
+        self.apply_view(directory=[], directory_digest=5)
+        self.apply_view(directory=["t1"])
+        self.assertTrue(self.relayed_state.directory_is_current())
+
     def test_entries_read_after_a_view_are_compared_with_the_next_one(self):
         self.apply_view(directory=["t1"])
         self.assertFalse(self.relayed_state.directory_is_current())
