--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_copy.py
@@ -4,7 +4,6 @@
 
 from hibiscusspar.fleet.directory_names import lacks_names
 from hibiscusspar.fleet.row_digests import row_digest, split_digests
-from hibiscusspar.fleet.target_rows import target_row
 
 __all__ = ["DirectoryCopy"]
 
@@ -36,11 +35,6 @@
         """Whether all rows are known to be those of the last view."""
         return self._state is not None and not self._differing
 
-    @property
-    def lacks_rows(self):
-        """Whether rows of the last view, whose names are known, are missing."""
-        return self._state is not None and bool(self._differing)
-
     @property
     def differing(self):
         """Names of the targets whose rows are missing or out of date."""
@@ -79,36 +73,6 @@
         else:
             self._compare_all(state)
 
-    def adopt(self, targets):
-        """Take missing rows from the node's own directory where the digests match.
-
-        A node that starts has often read the store before its first view. It would get
-        the rows of 3,004 targets from views of 300 nodes only within 56 s.
-
-        Parameters
-        ----------
-        targets : dict of str to Target
-            Targets by id, as of any time.
-
-        Returns
-        -------
-        int
-            Number of rows that were taken.
-        """
-        if not self.lacks_rows:
-            return 0
-        found = {}
-        for name in self._differing.keys() & targets.keys():
-            row = target_row(targets[name])
-            digest = row_digest(row)
-            if digest == self._expected[name]:
-                self._rows[name], self._digests[name] = row, digest
-                found[name] = None
-        if found:
-            self._differing = {n: None for n in self._differing if n not in found}
-            self._revision += 1
-        return len(found)
-
     def _put(self, row):
         """Record a row; return whether it differs from the known one."""
         if self._rows.get(row.target_id) == row:
--- a/packages/hibiscusspar/hibiscusspar/fleet/directory_rows.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/directory_rows.py
@@ -2,9 +2,9 @@
 
 from hibiscusspar.fleet.directory_names import directory_digest
 from hibiscusspar.fleet.entry_rotation import EntryRotation
+from hibiscusspar.fleet.messages import TargetRow
 from hibiscusspar.fleet.row_digests import join_digests, row_digest
 from hibiscusspar.fleet.software_index import join_software
-from hibiscusspar.fleet.target_rows import target_row
 from hibiscusspar.fleet.targets import is_same_directory
 
 __all__ = ["DirectoryRows"]
@@ -94,4 +94,13 @@
     def _row(self, name, target):
         if self._targets.get(name) is target:
             return self._rows[name]
-        return target_row(target)
+        return TargetRow(
+            target.target_id,
+            target.service,
+            target.address,
+            target.zone,
+            target.slots,
+            target.draining,
+            target.born,
+            target.models,
+        )
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_copy.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_directory_copy.py
@@ -43,32 +43,6 @@
         self.exchange()
         self.assertEqual([r.target_id for r in self.copy.rows], self.sender.names)
 
-    def test_rows_that_the_node_has_read_itself_need_no_request(self):
-        # Guards against a start that takes a report for each 32 rows.
-        self.sender.start_term(targets(3004))
-        self.exchange()
-        self.assertEqual(self.copy.adopt(targets(3004)), 3004)
-        self.assertEqual([r.target_id for r in self.copy.rows], self.sender.names)
-        self.assertEqual(self.copy.requested, [])
-
-    def test_outdated_entry_is_requested_and_not_adopted(self):
-        changed = {"t001": target("t001", draining=True)}
-        self.sender.start_term(targets(3) | changed)
-        self.exchange()
-        self.assertEqual(self.copy.adopt(targets(3)), 2)
-        self.assertEqual(self.copy.requested, ["t001"])
-        self.exchange()
-        self.assertEqual([r.draining for r in self.copy.rows], [False, True, False])
-
-    def test_nothing_is_adopted_before_names_are_known(self):
-        self.assertEqual(self.copy.adopt(targets(3)), 0)
-        self.copy.apply_view(sent_view(self.sender))
-        without_names = sent_view(self.sender)
-        without_names.directory, without_names.row_digests = [], b""
-        self.copy.apply_view(without_names)
-        self.assertEqual(self.copy.adopt(targets(3)), 0)
-        self.assertFalse(self.copy.agrees)
-
     def test_lost_change_leaves_a_difference_until_it_is_requested(self):
         self.exchange()
         self.exchange()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relayed_state.py
@@ -76,9 +76,6 @@
         self._view_as_of = None
         self._is_source = False
         self._differs_since = None
-        # Directory read from the store that was last compared with the copy.
-        self._compared_rows = None
-        self._adopted = 0
 
     @property
     def directory_differs(self):
@@ -87,9 +84,8 @@
 
     @property
     def counts(self):
-        """Numbers of views without names and of adopted rows, by name of the metric."""
+        """Numbers of views without names, by name of the metric."""
         return {
-            "directory_rows_adopted": self._adopted,
             "views_without_names": self._names.left_out,
             "views_names_lacked": self._names.lacked,
         }
@@ -169,7 +165,6 @@
             self._view_as_of = sent_at
             self._names.complete(view)
             self._copy.apply_view(view)
-            self._adopt_read_rows()
             # Nodes of older builds don't send the software of targets, so the directory
             # is read from the store while one of them coordinates.
             age_s = 0.0 if sent_at is None else now - sent_at
@@ -232,16 +227,6 @@
             and view.directory_age_s + self._view_age_s < self._limits.directory_s
         )
 
-    def _adopt_read_rows(self):
-        """Complete the copy from the store's entries that this node has read itself.
-
-        The same entries are compared once only.
-        """
-        rows = self._targets.read_rows
-        if self._copy.lacks_rows and rows and rows is not self._compared_rows:
-            self._compared_rows = rows
-            self._adopted += self._copy.adopt(rows)
-
     def _relayed_targets(self, view, age_s):
         """Return the targets of a view, or None if it doesn't tell all of them.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -156,12 +156,6 @@
             return float("inf")
         return self._clock() - self._confirmed_at
 
-    @property
-    def read_rows(self):
-        """Targets by id if the store was read last, otherwise empty."""
-        has_read = self._confirmed_at is not None and self._relayed is None
-        return self._published if has_read else {}
-
     def apply_relayed(self, targets, at, origin):
         """Apply the whole directory as the coordinator knew it at a given time.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_relayed_state.py
@@ -1,14 +1,12 @@
 """Tests of the state of the store that views relay to a node."""
 
 import unittest
-from unittest.mock import Mock, patch
-
-from msgspec import to_builtins
+from unittest.mock import patch
 
 from hibiscusspar.fleet.messages import NodeReport, TargetRow
 from hibiscusspar.fleet.row_digests import join_digests, row_digest
 from hibiscusspar.fleet.software_index import join_software
-from hibiscusspar.fleet.targets import Target, TargetDirectory
+from hibiscusspar.fleet.targets import TargetDirectory
 from hibiscusspar_entry.fleet.events import DIRECTORY_AGREES, DIRECTORY_DIFFERS
 from hibiscusspar_entry.fleet.relayed_state import AgeLimits, RelayedState
 from hibiscusspar_entry.fleet.store_sync import ConfigSync, TargetSync
@@ -73,51 +71,6 @@
         self.assertEqual(list(self.published), ["t1"])
 
 
-class TestReadRows(RelayedStateTestCase):
-    """A node that has read the store needs no rows from views."""
-
-    def setUp(self):
-        super().setUp()
-        self.coordinator_rows["t1"] = ROW
-
-    def read(self, **changes):
-        fields = dict(zip(ROW.__struct_fields__, to_builtins(ROW), strict=True))
-        target = Target(orders_accepted=0, adapters={}, **fields | changes)
-        codec = Mock(decode_target=lambda name, value: target)
-        with patch.object(self.targets, "_codec", codec):
-            self.targets.on_listing([Mock(revision=1)], self.clock.now)
-
-    def test_first_view_suffices(self):
-        self.read()
-        self.apply_view(directory=["t1"])
-        self.assertTrue(self.relayed_state.directory_is_current())
-        self.assertEqual(self.relayed_state.counts["directory_rows_adopted"], 1)
-
-    def test_other_incarnation_is_not_taken_for_the_one_of_the_view(self):
-        self.read(born=2)
-        self.apply_view(directory=["t1"])
-        self.assertFalse(self.relayed_state.directory_is_current())
-        report = NodeReport("n1", "s", "z", 2, {}, {}, [], {}, {})
-        self.relayed_state.complete_report(report)
-        self.assertEqual(report.lacked_rows, ["t1"])
-
-    def test_entries_are_compared_once_the_names_are_known(self):
-        # Guards against entries that a view without names marks as compared.
-        self.coordinator_rows["t2"] = ROW
-        self.apply_view(directory=["t2"])
-        self.read()
-        self.apply_view(directory=[], directory_digest=5)
-        self.apply_view(directory=["t1"])
-        self.assertTrue(self.relayed_state.directory_is_current())
-
-    def test_entries_read_after_a_view_are_compared_with_the_next_one(self):
-        self.apply_view(directory=["t1"])
-        self.assertFalse(self.relayed_state.directory_is_current())
-        self.read()
-        self.apply_view(directory=["t1"])
-        self.assertTrue(self.relayed_state.directory_is_current())
-
-
 class TestSuccessor(RelayedStateTestCase):
     def test_older_directory_of_a_new_coordinator_does_not_restore_a_target(self):
         draining = TargetRow("t1", "draft", "10.0.0.1:80", "z1", 8, True, 1, {"m": 1})
