Event 634 and a counter tell whose decision ended an answer

Events 633 and 634 named the step at which an attempt failed, but not whether the retry budget, the number of attempts, the software of the stream, a quarantine, a withdrawn key, the scheduler or the deadline then ended the answer, nor how long the configuration had been in force.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -7,6 +7,7 @@
 from hibiscusspar.fleet.rules import RouteRule, find_route, route_service
 from hibiscusspar.limits.keys import digest_key
 from hibiscusspar.requests.quarantine import request_digest
+from hibiscusspar_entry.fleet.ended_by import EndedBy
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["Admission", "AdmissionPolicy", "Admitted"]
@@ -162,7 +163,10 @@
         limit_s = self._key_age_limit_s
         if limit_s and self._config.age_s > limit_s:
             raise RefusedError(
-                503, "the configuration may be outdated", self._policy.starting_retry_s
+                503,
+                "the configuration may be outdated",
+                self._policy.starting_retry_s,
+                EndedBy.KEY,
             )
 
     def recheck_key(self, admitted):
@@ -172,7 +176,7 @@
         self._check_freshness()
         keys = self._config.ruleset.keys
         if keys.get(admitted.key_digest) != admitted.account:
-            raise RefusedError(401, "the key was withdrawn")
+            raise RefusedError(401, "the key was withdrawn", by=EndedBy.KEY)
 
 
 def _first_arrival(arrived, route, call):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -29,12 +29,14 @@
     request_scheduler : RequestScheduler
         Gives the age of the last view.
     metrics : FleetMetrics
+    config : ConfigSync
     """
 
-    def __init__(self, clock, request_scheduler, metrics):
+    def __init__(self, clock, request_scheduler, metrics, config):
         self._clock = clock
         self._request_scheduler = request_scheduler
         self._metrics = metrics
+        self._config = config
 
     def refused(self, admitted, error, arrived):
         """Log a refusal; the request has not run."""
@@ -93,6 +95,7 @@
 
     def failed(self, admitted, state, failure, next_step):
         """Log a failed attempt and the next step."""
+        state.failed_step = failure.step
         self._metrics.failed_attempts.labels(failure.step).inc()
         fields = {
             "request": admitted.call.request_id,
@@ -105,9 +108,21 @@
         }
         write_records([(CALL_FAILED_AT_TARGET, fields)])
 
-    def broken(self, admitted, state, status, reason):
-        """Log a request that got no complete answer and may have run."""
+    def broken(self, admitted, state, status, reason, by):
+        """Log a request that got no complete answer and may have run.
+
+        Parameters
+        ----------
+        admitted : Admitted or None
+        state : RequestState
+        status : int
+            Status of the answer, 0 if there is none.
+        reason : str
+        by : EndedBy
+        """
         self._metrics.broken.inc()
+        answer = "cut off" if state.answer_begun else str(status)
+        self._metrics.ended.labels(by.value, state.failed_step, answer).inc()
         arrived = admitted.arrived if admitted else self._clock()
         fields = {
             "request": admitted.call.request_id if admitted else "",
@@ -117,6 +132,10 @@
             "reason": reason,
             "events": state.splitter.count if state.splitter else 0,
             "seconds": round(self._clock() - arrived, 3),
+            "ended_by": by.value,
+            "step": state.failed_step,
+            "cut_off": state.answer_begun,
+            "config_in_force_s": _rounded(self._config.in_force_s),
         }
         write_records([(CALL_BROKEN, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -2,6 +2,7 @@
 
 from hibiscusspar.requests.quarantine import part_suspect
 from hibiscusspar_entry.fleet.answer_checks import ends_with_connection
+from hibiscusspar_entry.fleet.ended_by import EndedBy
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["CrashGuard"]
@@ -42,7 +43,7 @@
             return
         self._crashes.refused_count += 1
         retry_s = self._crashes.retry_in_s(admitted.digest, parts)
-        raise RefusedError(503, "it crashed targets", retry_s)
+        raise RefusedError(503, "it crashed targets", retry_s, EndedBy.QUARANTINE)
 
     def refuses(self, admitted, state):
         """Return whether a request is quarantined."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -281,8 +281,22 @@
 CALL_BROKEN = declare(
     634,
     "call.broken",
-    ("request", "account", "target", "status", "reason", "events", "seconds"),
-    "A request got no complete answer and may have run, or its caller disconnected.",
+    (
+        "request",
+        "account",
+        "target",
+        "status",
+        "reason",
+        "events",
+        "seconds",
+        "ended_by",
+        "step",
+        "cut_off",
+        "config_in_force_s",
+    ),
+    "A request got no complete answer and may have run, or its caller disconnected; "
+    "`ended_by` tells whose decision it was, `step` where its last attempt failed, "
+    "`cut_off` whether its answer had begun.",
 )
 PATH_CHANGED = declare(
     635,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -18,6 +18,7 @@
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
+from hibiscusspar_entry.fleet.ended_by import EndedBy
 from hibiscusspar_entry.fleet.forward_policy import ForwardPolicy
 from hibiscusspar_entry.fleet.no_moves import NoMoves
 from hibiscusspar_entry.fleet.placement_job import make_job
@@ -65,7 +66,9 @@
         self._mover = mover or NoMoves()
         self._clock = parts.clock
         self._admission = Admission(parts.config, parts.dialect, parts.key_age_limit_s)
-        self._log = CallLog(parts.clock, parts.request_scheduler, parts.metrics)
+        self._log = CallLog(
+            parts.clock, parts.request_scheduler, parts.metrics, parts.config
+        )
         self._streams = StreamContinuation(
             parts.origins, parts.request_scheduler, self._policy.failed_retry_s
         )
@@ -103,7 +106,7 @@
             self._run(inbound, admitted, state)
         except RefusedError as error:
             if state.may_have_run:
-                failure = FailedError(502, error.reason)
+                failure = FailedError(502, error.reason, error.by)
                 self._fail(inbound, admitted, state, failure)
             else:
                 self._refuse(inbound, admitted, error, arrived)
@@ -116,10 +119,11 @@
             self._fail(inbound, admitted, state, error)
         except (CallerLeftError, CallerGoneError) as error:
             inbound.abort()
-            self._log.broken(admitted, state, 0, f"caller left: {error!r}")
+            reason = f"caller left: {error!r}"
+            self._log.broken(admitted, state, 0, reason, EndedBy.CALLER)
         except Exception as error:  # noqa: BLE001
             # After an unexpected error it is unknown whether the request ran.
-            failure = FailedError(502, f"internal: {error!r}")
+            failure = FailedError(502, f"internal: {error!r}", EndedBy.INTERNAL)
             self._fail(inbound, admitted, state, failure)
         finally:
             watch.remove(handle)
@@ -398,17 +402,19 @@
             if state.origin is not None:
                 state.broken_at |= {state.target_id}
         reason = f"{failure.step}: {failure.reason}"
-        allowed = self._may_retry(admitted, state, failure, now)
-        self._log.failed(admitted, state, failure, "retry" if allowed else "end")
-        if allowed:
+        denied_by = self._retry_denied_by(admitted, state, failure, now)
+        self._log.failed(admitted, state, failure, "end" if denied_by else "retry")
+        if denied_by is None:
             if not failure.adapter_missing:
                 state.excluded |= {state.target_id}
             return
         if state.may_have_run:
-            raise FailedError(504 if now >= admitted.ends_at else 502, reason)
+            status = 504 if now >= admitted.ends_at else 502
+            raise FailedError(status, reason, denied_by)
         raise RefusedError(503, reason, self._policy.failed_retry_s)
 
-    def _may_retry(self, admitted, state, failure, now):
+    def _retry_denied_by(self, admitted, state, failure, now):
+        """Return whose decision rules out another attempt, None if there may be one."""
         route = admitted.route
         can_continue = route.resumable and self._streams.can_continue(state)
         decision = retry_decision(
@@ -419,13 +425,16 @@
             max_attempts=route.max_attempts,
             remaining_s=admitted.ends_at - now,
         )
+        if decision is RetryDecision.END:
+            return _end_of_attempts(admitted, state, now, can_continue)
         if not failure.not_run and not self._crash_guard.may_retry(admitted):
-            return False
-        if decision is not RetryDecision.IF_BUDGET_ALLOWS:
-            return decision is RetryDecision.RETRY
+            return EndedBy.QUARANTINE
+        if decision is RetryDecision.RETRY:
+            return None
         scheduler = self._parts.request_scheduler
         nodes = None if scheduler.view_age_s is None else scheduler.nodes
-        return self._parts.retry_budgets.allow(admitted.service, now, nodes)
+        is_allowed = self._parts.retry_budgets.allow(admitted.service, now, nodes)
+        return None if is_allowed else EndedBy.BUDGET
 
     def _refuse(self, inbound, admitted, error, arrived):
         headers = error.headers()
@@ -441,4 +450,16 @@
         else:
             with suppress(CallerGoneError):
                 inbound.answer(error.status, error.headers(), error.body())
-        self._log.broken(admitted, state, error.status, error.reason)
+        self._log.broken(admitted, state, error.status, error.reason, error.by)
+
+
+def _end_of_attempts(admitted, state, now, can_continue):
+    """Return why a request that failed at a target can't be sent again."""
+    route = admitted.route
+    if now >= admitted.ends_at:
+        return EndedBy.DEADLINE
+    if not route.idempotent:
+        return EndedBy.TARGET
+    if state.answer_begun and not (route.resumable and can_continue):
+        return EndedBy.SOFTWARE if route.resumable else EndedBy.TARGET
+    return EndedBy.ATTEMPTS
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -43,6 +43,13 @@
             "Requests that got no whole answer and may have run.",
             registry=registry,
         )
+        self.ended = Counter(
+            "hibiscusspar_calls_ended",
+            "Requests that got no whole answer, by whose decision, the step at which "
+            "their last attempt failed, and the answer.",
+            ("by", "step", "answer"),
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "hibiscusspar_call_first_byte_seconds",
             "Seconds from the request to the first byte of its answer.",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/refusal.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/refusal.py
@@ -2,6 +2,8 @@
 
 from msgspec.json import encode as to_json
 
+from hibiscusspar_entry.fleet.ended_by import EndedBy
+
 __all__ = ["CallerLeftError", "FailedError", "RefusedError"]
 
 
@@ -13,13 +15,18 @@
     status : int
     reason : str
     retry_after_s : float, optional
+    by : EndedBy, optional
+        Decision that ends the request if it may have run before.
     """
 
-    def __init__(self, status, reason, retry_after_s=None):
+    def __init__(
+        self, status, reason, retry_after_s=None, by: EndedBy = EndedBy.PLACEMENT
+    ):
         super().__init__(status, reason)
         self.status = status
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.by = by
 
     def headers(self):
         """Return the headers of the answer."""
@@ -34,12 +41,20 @@
 
 
 class FailedError(Exception):
-    """Exception raised when a request got no complete answer and may have run."""
+    """Exception raised when a request got no complete answer and may have run.
+
+    Parameters
+    ----------
+    status : int
+    reason : str
+    by : EndedBy
+    """
 
-    def __init__(self, status, reason):
+    def __init__(self, status, reason, by: EndedBy):
         super().__init__(status, reason)
         self.status = status
         self.reason = reason
+        self.by = by
 
     def headers(self):
         """Return the headers of the answer."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -32,6 +32,8 @@
         self.progress_at = None
         self.longest_gap_s = 0.0
         self.target_id = ""
+        # Step at which the last attempt failed.
+        self.failed_step = ""
         # Origin of the stream, once the caller has an event of it.
         self.origin = None
         self.broken_at = frozenset()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -42,6 +42,7 @@
         self._apply = apply
         self._confirmed_at = None
         self._value = None
+        self._in_force_at = None
         self._lock = threading.Lock()
         self.ruleset = None
 
@@ -58,6 +59,11 @@
             return float("inf")
         return self._clock() - self._confirmed_at
 
+    @property
+    def in_force_s(self):
+        """Seconds since the configuration came into force here, None before."""
+        return None if self._in_force_at is None else self._clock() - self._in_force_at
+
     def on_listing(self, objects, sent_at):
         """Apply a listing."""
         for stored in objects:
@@ -98,6 +104,7 @@
             if self.ruleset is not None and ruleset.version <= self.ruleset.version:
                 return
             self.ruleset, self._value = ruleset, value
+            self._in_force_at = self._clock()
             self._apply(ruleset)
         fields = {
             "version": ruleset.version,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
@@ -1,6 +1,7 @@
 """Continuation of streams at the software version that began them."""
 
 from hibiscusspar.fleet.stream_origins import StreamOrigin
+from hibiscusspar_entry.fleet.ended_by import EndedBy
 from hibiscusspar_entry.fleet.refusal import RefusedError
 
 __all__ = ["StreamContinuation"]
@@ -50,7 +51,8 @@
             refusal = self._request_scheduler.refusal(state.origin.service)
             if refusal is not None:
                 raise RefusedError(503, refusal.reason, refusal.retry_after_s)
-            raise RefusedError(503, "no target of the stream's software remains")
+            reason = "no target of the stream's software remains"
+            raise RefusedError(503, reason, by=EndedBy.SOFTWARE)
 
     def can_continue(self, state):
         """Return whether a target remains that may continue a stream."""
