A silent target keeps its request until another one has answered

What callers saw: a stream was cut off in the middle, or a call that may be repeated was answered 504 with time left, because its target sent nothing for a second or two and then went on.

Cause: an attempt was given up after a fixed silence whenever its route allows another one. Its connection was closed first; only then did the retry budget, the crash guard, the software of the stream, the key and the scheduler decide whether another target may have the request. If one of them said no, or the other target turned the request away, nothing was left and the node ended the answer. Class of fault: what is held is given up before what replaces it is held.

Change: after the silence the request is sent to a second target if all of these allow it (hedging.py), while the first attempt is still read. The first target to send bytes keeps the request: an event of the silent one ends the second attempt, the head of the other's answer ends the silent one. Without another target the silent one is read until the request's deadline. The wait for a place is that of any waiting request. A silence still counts as a failure of the target in the ejection table from its beginning, and no longer once the target goes on. Sending and reading heads moved to attempts.py.

--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -125,16 +125,20 @@
             Size of the fleet, None if it isn't known yet. A new coordinator first
             knows a part of the nodes, so the largest size of a window counts.
         """
+        if not self.has_room(now, nodes):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_room(self, now, nodes):
+        """Return whether one more retry is within the budget, without counting it."""
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._window_s:
                 times.popleft()
         allowed = self._ratio * len(self._requests)
         if nodes is not None:
             allowed += self._slack / self._largest_fleet(now, max(1, nodes))
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
 
     def _largest_fleet(self, now, nodes):
         """Return the largest fleet of a window; sizes decrease from left to right."""
@@ -168,6 +172,10 @@
         """Return whether one more retry is within the budget, and count it if so."""
         return self._budget(service).allow(now, nodes)
 
+    def has_room(self, service, now, nodes):
+        """Return whether one more retry is within the budget, without counting it."""
+        return self._budget(service).has_room(now, nodes)
+
     def _budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_log.py
@@ -93,13 +93,17 @@
         self._metrics.answered.inc()
         write_records([(CALL_ANSWERED, fields)])
 
-    def failed(self, admitted, state, failure, next_step):
-        """Log a failed attempt and the next step."""
-        state.failed_step = failure.step
+    def failed(self, admitted, state, failure, next_step, second_id=None):
+        """Log a failed attempt and the next step.
+
+        ``second_id`` is the target of a second attempt whose first one goes on.
+        """
+        if second_id is None:
+            state.failed_step = failure.step
         self._metrics.failed_attempts.labels(failure.step).inc()
         fields = {
             "request": admitted.call.request_id,
-            "target": state.target_id,
+            "target": second_id or state.target_id,
             "attempt": state.attempts,
             "step": failure.step,
             "reason": failure.reason,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -13,6 +13,7 @@
     "CALL_SENT_FOR_PEER",
     "CALL_REFUSED",
     "CALL_SENT",
+    "CALL_TARGET_SILENT",
     "CONFIGURATION_BAD",
     "CONFIGURATION_TAKEN",
     "COORDINATOR_LOST",
@@ -298,6 +299,13 @@
     "`ended_by` tells whose decision it was, `step` where its last attempt failed, "
     "`cut_off` whether its answer had begun.",
 )
+CALL_TARGET_SILENT = declare(
+    640,
+    "call.target_silent",
+    ("request", "target", "silent_s", "outcome", "other"),
+    "A target fell silent in the middle of an answer: it `resumed`, was `replaced` by "
+    "the target `other`, or its silence `lasted` to the end of the attempt.",
+)
 PATH_CHANGED = declare(
     635,
     "node.path_changed",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forward_policy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forward_policy.py
@@ -16,11 +16,6 @@
     ``draining_retry_s`` and ``failed_retry_s`` are sent as ``Retry-After`` by a node
     that is stopping and after attempts that did not run.
 
-    A request that may be repeated is moved to another target if its target is silent
-    for ``first_event_silence_s`` before a stream, for ``stream_silence_s`` within it
-    (callers disconnect after two seconds) or for ``plain_silence_share`` of the time
-    left to a plain call.
-
     No request is accepted later than ``accept_s`` after the start of a graceful stop:
     the platform sends none by then, and a late one could not be completed. The time
     exceeds two failed readiness probes; the rest of the platform's three seconds is
@@ -33,7 +28,4 @@
     safe_idle_s: float = 10.0
     draining_retry_s: float = 0.05
     failed_retry_s: float = 0.3
-    stream_silence_s: float = 1.2
-    first_event_silence_s: float = 2.0
-    plain_silence_share: float = 0.5
     accept_s: float = 2.6
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -3,23 +3,16 @@
 import threading
 from contextlib import suppress
 
-from hibiscusspar.fleet.retries import (
-    UNSENT_STEPS,
-    AttemptFailure,
-    RetryDecision,
-    retry_decision,
-)
+from hibiscusspar.fleet.retries import RetryDecision, retry_decision
 from hibiscusspar.fleet.waiting import Refuse
-from hibiscusspar_entry.fleet.answer_checks import (
-    head_failure,
-    is_event_stream,
-    stream_end_failure,
-)
+from hibiscusspar_entry.fleet.answer_checks import is_event_stream, stream_end_failure
+from hibiscusspar_entry.fleet.attempts import Attempts
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
 from hibiscusspar_entry.fleet.ended_by import EndedBy
 from hibiscusspar_entry.fleet.forward_policy import ForwardPolicy
+from hibiscusspar_entry.fleet.hedging import Hedging
 from hibiscusspar_entry.fleet.no_moves import NoMoves
 from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.refusal import (
@@ -29,19 +22,13 @@
 )
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
-from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_entry.fleet.token_gate import TokenGate
-from hibiscusspar_wire.dialect import Forwarding
 from hibiscusspar_wire.event_stream import EventSplitter
 from hibiscusspar_wire.front_server import BadRequestError, CallerGoneError
 from hibiscusspar_wire.target_connections import CallFailedError
 
 __all__ = ["Forwarder"]
 
-# Longest wait for the rest of a refusal, in seconds. Refusals are short and arrive in
-# one piece.
-_REFUSAL_READ_S = 0.2
-_MAX_REFUSAL_BYTES = 65_536
 # Size up to which a plain answer is read whole before it is passed on. A node holds one
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
@@ -73,6 +60,12 @@
             parts.origins, parts.request_scheduler, self._policy.failed_retry_s
         )
         self._crash_guard = CrashGuard(parts.clock, parts.crashes)
+        self._attempts = Attempts(
+            parts, self._policy, self._admission, self._crash_guard
+        )
+        self._hedging = Hedging(
+            parts, self._policy, self._attempts, self._may_replace, self._log
+        )
         self._tokens = TokenGate(
             parts.clock, parts.quota, parts.quota_changed, parts.request_scheduler
         )
@@ -150,13 +143,17 @@
         parts.metrics.started.inc()
         try:
             while True:
-                placement = state.take_onward()
+                attempt = state.take_answered()
+                placement = state.take_onward() if attempt is None else attempt[0]
                 if placement is None:
                     placement = self._wait_for_placement(admitted, state)
-                failure = self._try_target(inbound, admitted, state, placement)
+                failure = self._try_target(inbound, admitted, state, placement, attempt)
                 if failure is None:
                     return
-                if state.onward is None:
+                if state.answered is not None:
+                    self._log.failed(admitted, state, failure, "replaced")
+                    state.leave_target()
+                elif state.onward is None:
                     self._handle_failure(admitted, state, failure)
         except RefusedError:
             if state.tokens_taken:
@@ -196,35 +193,49 @@
             raise RefusedError(503, refusal.reason, refusal.retry_after_s)
         return ticket.placement
 
-    def _try_target(self, inbound, admitted, state, placement):
-        """Make one attempt; return its failure, or None if it was answered."""
+    def _try_target(self, inbound, admitted, state, placement, attempt=None):
+        """Make one attempt; return its failure, or None if it was answered.
+
+        Parameters
+        ----------
+        inbound : InboundRequest
+        admitted : Admitted
+        state : RequestState
+        placement : Placement
+        attempt : Attempt, optional
+            Attempt that has been answered already.
+        """
         target_id = placement.target.target_id
-        state.begin_attempt(target_id, self._parts.speeds.pace(placement, admitted))
+        pace = self._parts.speeds.pace(placement, admitted)
         first_byte_received = False
-        self._log.sent(admitted, state, placement)
         earlier_first_byte_at = state.first_byte_at
-        sent_at = self._clock()
+        sent_at, silence = self._clock(), None
         try:
-            connection, response = self._send(admitted, state, placement)
-            answer = self._parts.dialect.answer_head(response.status, response.headers)
-            origin = AnswerOrigin(placement.target, sent_at, connection.is_own)
-            self._parts.statements.record(
-                origin, answer, response.status, admitted.call.request_id
-            )
-            failure = head_failure(admitted, state, answer, response)
-            if failure is not None:
-                self._parts.request_scheduler.calls.record_failure(
-                    placement, admitted, sent_at, failure.not_run, response.status
+            if attempt is None:
+                state.begin_attempt(target_id, pace)
+                self._log.sent(admitted, state, placement)
+                connection = self._attempts.connect(admitted, state, placement)
+                state.connection = connection
+                self._attempts.send(admitted, state, placement, connection, state.copy)
+                silence = self._hedging.watch(admitted, state, placement)
+                response, failure = self._attempts.read_head(
+                    admitted, state, placement, connection, sent_at, silence
                 )
-                self._drain_refusal(state, connection, response, failure)
-                if failure.adapter_missing:
-                    self._parts.request_scheduler.record_missing_adapter(placement)
-                self._mover.follow(state, failure)
-                return failure
+                if failure is not None:
+                    if self._attempts.drain_refusal(connection, response, failure):
+                        state.release_connection(response.headers)
+                    self._mover.follow(state, failure)
+                    return failure
+            else:
+                _, connection, response, sent_at, silence = attempt
+                state.take_over(target_id, connection, pace)
+                if state.caller_gone.is_set():
+                    raise CallerLeftError
             self._record_first_byte(state, placement)
-            state.progress_at = self._clock()
             first_byte_received = True
-            self._relay(inbound, admitted, state, placement, connection, response)
+            self._relay(
+                inbound, admitted, state, placement, connection, response, silence
+            )
             self._mover.complete(state)
             self._parts.request_scheduler.record_success(target_id)
             self._parts.request_scheduler.calls.record_answer(
@@ -235,107 +246,71 @@
         except CallFailedError as error:
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
-            is_unsent = error.step in UNSENT_STEPS
-            self._parts.request_scheduler.calls.record_failure(
-                placement, admitted, sent_at, is_unsent
-            )
-            failure = AttemptFailure(error.step, error.reason, is_unsent, False)
+            failure = self._attempts.record_failure(admitted, placement, sent_at, error)
             if self._mover.follow(state, failure):
                 return failure
-            if error.step != "closed":
-                self._parts.request_scheduler.record_failure(target_id, is_unsent)
-            self._crash_guard.record_failure(admitted, state, placement.target, error)
+            is_silent = silence is not None and silence.is_silent
+            if error.step != "silent" or not is_silent:
+                self._attempts.blame(admitted, state, placement.target, error)
+            if is_silent:
+                state.answered = silence.take_answered()
             return failure
         finally:
             state.close_connection()
+            if silence is not None:
+                silence.close()
             if placement.is_reserved:
                 self._parts.request_scheduler.release(placement, first_byte_received)
             if earlier_first_byte_at is None and state.first_byte_at is not None:
                 seconds = state.first_byte_at - admitted.arrived
                 self._parts.metrics.first_byte.observe(seconds)
 
-    def _drain_refusal(self, state, connection, response, failure):
-        """Drain a refusal to reuse its connection; close it after other failures."""
-        if not failure.is_whole:
-            connection.close()
-            return
-        try:
-            connection.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
-        except CallFailedError:
-            # The head is enough to decide; the rest of the refusal isn't needed.
-            connection.close()
-            return
-        state.release_connection(response.headers)
-
     def _record_first_byte(self, state, placement):
         if state.first_byte_at is None:
             state.first_byte_at = self._clock()
         self._parts.request_scheduler.record_first_byte(placement)
 
-    def _send(self, admitted, state, placement):
-        policy, target = self._policy, placement.target
-        self._crash_guard.check(admitted, state)
-        idle_s = policy.safe_idle_s
-        if not admitted.route.idempotent:
-            idle_s = policy.unsafe_idle_s
-        suspects = self._crash_guard.suspects(admitted, state)
-        paths = self._parts.paths
-        if placement.is_reserved:
-            request_id = admitted.call.request_id
-            connection = paths.acquire(placement, idle_s, request_id, suspects)
-        else:
-            connection = paths.acquire_again(target, idle_s)
-        state.connection = connection
-        if state.caller_gone.is_set():
-            connection.close()
-            raise CallerLeftError
-        self._admission.recheck_key(admitted)
-        remaining_s = admitted.ends_at - self._clock()
-        last_event = state.splitter.last_event if state.splitter else None
-        forwarding = Forwarding(
-            target.target_id,
-            admitted.account,
-            remaining_s,
-            min(9, admitted.priority),
-            last_event,
-            placement.version if admitted.call.adapter else 0,
-            state.copy,
-        )
-        head = admitted.head
-        headers = self._parts.dialect.target_headers(head, admitted.call, forwarding)
-        connection.send(head.method, head.uri, headers, admitted.body, remaining_s)
-        return connection, connection.response(self._answer_wait_s(admitted, state))
-
-    def _answer_wait_s(self, admitted, state):
-        """Return how long a target may be silent before its answer, in seconds."""
-        remaining_s = admitted.ends_at - self._clock()
-        if not self._can_switch_target(admitted, state):
-            return remaining_s
-        if admitted.is_engine:
-            return min(remaining_s, self._policy.first_event_silence_s)
-        return remaining_s * self._policy.plain_silence_share
-
-    def _event_wait_s(self, admitted, state, now, can_switch_target):
-        """Return how long the next whole event of a stream may take, in seconds."""
-        remaining_s = admitted.ends_at - now
-        if not can_switch_target:
-            return remaining_s
-        silence_ends_at = state.progress_at + self._policy.stream_silence_s
-        return min(remaining_s, silence_ends_at - now)
-
-    def _can_switch_target(self, admitted, state):
+    def _may_replace(self, admitted, state, target_id):
+        """Return whether a request may go to another target than its current one."""
         route = admitted.route
-        return route.idempotent and state.attempts < route.max_attempts
+        if state.attempts >= route.max_attempts or self._mover.is_moving(state):
+            return False
+        if state.answer_begun and not route.resumable:
+            return False
+        if state.origin is not None and not self._streams.can_continue(
+            state, frozenset([target_id])
+        ):
+            return False
+        if self._crash_guard.refuses(admitted, state):
+            return False
+        if not self._crash_guard.may_retry(admitted):
+            return False
+        try:
+            self._admission.recheck_key(admitted)
+        except RefusedError:
+            return False
+        return True
 
-    def _relay(self, inbound, admitted, state, placement, connection, response):
+    def _relay(
+        self, inbound, admitted, state, placement, connection, response, silence
+    ):
         headers = self._parts.dialect.answer_headers(response.headers)
         if self.draining_since is not None:
             headers.append(("Connection", "close"))
         if is_event_stream(response) and response.status == 200:
             self._relay_stream(
-                inbound, admitted, state, placement, connection, response, headers
+                inbound,
+                admitted,
+                state,
+                placement,
+                connection,
+                response,
+                headers,
+                silence,
             )
         else:
+            if silence is not None:
+                silence.record_head()
             self._relay_whole(inbound, admitted, state, connection, response, headers)
 
     def _relay_whole(self, inbound, admitted, state, connection, response, headers):
@@ -357,17 +332,24 @@
         self._log.answered(admitted, state, response.status)
 
     def _relay_stream(
-        self, inbound, admitted, state, placement, connection, response, headers
+        self,
+        inbound,
+        admitted,
+        state,
+        placement,
+        connection,
+        response,
+        headers,
+        silence,
     ):
         if state.splitter is None:
             state.splitter = EventSplitter(admitted.call.last_event)
         splitter = state.splitter
         splitter.discard_partial_event()
-        can_switch_target = self._can_switch_target(admitted, state)
+        if silence is not None:
+            silence.record_progress()
         now = self._clock()
-        while data := connection.read(
-            response, self._event_wait_s(admitted, state, now, can_switch_target)
-        ):
+        while data := connection.read(response, admitted.ends_at - now):
             try:
                 events = splitter.feed(data)
             except ValueError as error:
@@ -386,6 +368,8 @@
                 self._mover.begin(admitted, state, placement, connection, response)
             now = self._clock()
             state.record_event(now)
+            if silence is not None:
+                silence.record_progress()
         reason = stream_end_failure(state, response)
         if reason is not None:
             raise CallFailedError("read", connection.address, reason)
@@ -398,9 +382,7 @@
         """Prepare another attempt, or raise if the failure is final."""
         now = self._clock()
         if not failure.not_run:
-            state.may_have_run = True
-            if state.origin is not None:
-                state.broken_at |= {state.target_id}
+            state.record_possible_run()
         reason = f"{failure.step}: {failure.reason}"
         denied_by = self._retry_denied_by(admitted, state, failure, now)
         self._log.failed(admitted, state, failure, "end" if denied_by else "retry")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/metrics.py
@@ -50,6 +50,12 @@
             ("by", "step", "answer"),
             registry=registry,
         )
+        self.silences = Counter(
+            "hibiscusspar_target_silences",
+            "Targets that fell silent in the middle of an answer, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "hibiscusspar_call_first_byte_seconds",
             "Seconds from the request to the first byte of its answer.",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
@@ -13,6 +13,10 @@
         """Return False: the attempt has failed."""
         return False
 
+    def is_moving(self, state):
+        """Return False: no stream moves."""
+        return False
+
     def complete(self, state):
         """Ignore the end of a stream."""
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
@@ -30,6 +30,10 @@
         """Whether the attempt was cancelled."""
         return self._connection.cancelled
 
+    def fileno(self):
+        """Return the file descriptor of the connection."""
+        return self._connection.fileno()
+
     def send(self, method, uri, headers, body, timeout_s):
         """Send the request."""
         self._watch.record_sent(self._target.service)
@@ -39,16 +43,20 @@
             self._record_failure()
             raise
 
-    def response(self, timeout_s):
+    def response(self, timeout_s, silence=None):
         """Wait for the head of the answer."""
         try:
-            response = self._connection.response(timeout_s)
+            response = self._connection.response(timeout_s, silence)
         except CallFailedError:
             self._record_failure()
             raise
         self._watch.record_answer(self._target.service)
         return response
 
+    def record_silence(self):
+        """Record that the target is silent in the middle of the attempt."""
+        self._record_failure()
+
     def read(self, response, timeout_s):
         """Return the next bytes of the body."""
         try:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -96,16 +96,20 @@
         reason = f"no peer sends it: {self._refused}"
         raise CallFailedError("closed", self.address, reason)
 
+    def fileno(self):
+        """Return the file descriptor of the connection to the peer."""
+        return self._hop.fileno()
+
     def send(self, method, uri, headers, body, timeout_s):
         """Send the request."""
         self._call = (method, uri, list(headers), body, monotonic() + timeout_s)
         self._send()
 
-    def response(self, timeout_s):
+    def response(self, timeout_s, silence=None):
         """Wait for the head of the answer."""
         ends_at = monotonic() + timeout_s
         while True:
-            response = self._hop.response(ends_at - monotonic())
+            response = self._hop.response(ends_at - monotonic(), silence)
             text = response.headers.get(ANSWER_HEADER)
             if text is not None:
                 break
@@ -134,6 +138,9 @@
         headers = HTTPHeaderDict([tuple(pair) for pair in answer.headers])
         return Response(answer.status, headers, response.raw)
 
+    def record_silence(self):
+        """Ignore a silence: it says nothing about this node's own links."""
+
     def read(self, response, timeout_s):
         """Return the next bytes of the body."""
         return self._hop.read(response, timeout_s)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -28,8 +28,6 @@
         self.last_event_at = None
         # Time of the first event of the current attempt.
         self.attempt_event_at = None
-        # Time of the head of the current attempt, or of its last event.
-        self.progress_at = None
         self.longest_gap_s = 0.0
         self.target_id = ""
         # Step at which the last attempt failed.
@@ -41,6 +39,8 @@
         # the stream moves.
         self.onward = None
         self.copy = None
+        # Attempt that has answered in place of one whose target was silent.
+        self.answered = None
         # Whether its stream was moved because a target was slow, which is done once.
         self.was_relieved = False
 
@@ -48,11 +48,22 @@
         """Return the number of the last event that the caller has, or None."""
         return self.splitter.last_event if self.splitter else call.last_event
 
+    def record_possible_run(self):
+        """Record that the current target may have run the request."""
+        self.may_have_run = True
+        if self.origin is not None:
+            self.broken_at |= {self.target_id}
+
+    def leave_target(self):
+        """Record that another target has taken over from the current one."""
+        self.record_possible_run()
+        self.excluded |= {self.target_id}
+
     def record_event(self, now):
         """Record when an event was forwarded."""
         if self.last_event_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
-        self.last_event_at = self.progress_at = now
+        self.last_event_at = now
         if self.pace is not None and self.splitter is not None:
             self.pace.record(now, self.splitter.count)
         if self.attempt_event_at is None:
@@ -63,6 +74,19 @@
         placement, self.onward = self.onward, None
         return placement
 
+    def take_answered(self):
+        """Return the attempt that has answered in place of a silent one, once."""
+        attempt, self.answered = self.answered, None
+        return attempt
+
+    def take_over(self, target_id, connection, pace):
+        """Record that an attempt that has been answered replaces the current one."""
+        self.copy = None
+        self.pace = pace
+        self.target_id = target_id
+        self.connection = connection
+        self.attempt_event_at = None
+
     def begin_attempt(self, target_id, pace=None):
         """Record that the request is sent to a target, whose pace is measured.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
@@ -54,10 +54,10 @@
             reason = "no target of the stream's software remains"
             raise RefusedError(503, reason, by=EndedBy.SOFTWARE)
 
-    def can_continue(self, state):
-        """Return whether a target remains that may continue a stream."""
+    def can_continue(self, state, silent=frozenset()):
+        """Return whether a target other than the silent ones may continue a stream."""
         origin = state.origin or _UNKNOWN_ORIGIN
-        return self._request_scheduler.serves(origin, state.broken_at)
+        return self._request_scheduler.serves(origin, state.broken_at | silent)
 
     def record_origin(self, admitted, state, target):
         """Record the software of a stream, before its caller gets an event of it."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -193,6 +193,11 @@
             self._log.failed(run, failure.reason)
         return False
 
+    def is_moving(self, state):
+        """Return whether a stream is being moved."""
+        run = self._runs.get(state)
+        return run is not None and run.move is not None
+
     def complete(self, state):
         """Record that a stream has ended as a whole."""
         run = self._runs.get(state)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -20,9 +20,15 @@
     def send(self, method, uri, headers, body, timeout_s):
         """Send the request."""
 
-    def response(self, timeout_s) -> Response:
+    def fileno(self) -> int:
+        """Return the file descriptor that is readable once bytes have arrived."""
+
+    def response(self, timeout_s, silence=None) -> Response:
         """Wait for the head of the answer."""
 
+    def record_silence(self):
+        """Record that the target is silent in the middle of the attempt."""
+
     def read(self, response, timeout_s) -> bytes:
         """Return the next bytes of the body."""
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
@@ -7,10 +7,11 @@
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader, RawIOBase
 from time import monotonic
+from typing import Protocol
 
 from urllib3.connection import HTTPConnection
 
-__all__ = ["CheckedConnection"]
+__all__ = ["CheckedConnection", "Silence"]
 
 # Part of the time left for a read after which the socket's timeout ends, at first.
 _TIMEOUT_SHARE = 0.75
@@ -22,6 +23,31 @@
     """The head of an answer has no end."""
 
 
+class Silence(Protocol):
+    """What is done while a peer sends nothing in the middle of an answer.
+
+    ``starts_at`` is the monotonic time from which a peer that sends nothing counts as
+    silent; it changes with each progress of the answer.
+    """
+
+    starts_at: float
+
+    def outlast(self, sock, ends_at) -> bool:
+        """Wait until a silent peer sends bytes or the time has passed.
+
+        Parameters
+        ----------
+        sock : socket.socket
+        ends_at : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            False if the answer isn't needed any more.
+        """
+
+
 class _TimedSocket(RawIOBase):
     """Stream of received bytes with one time limit for any number of reads.
 
@@ -33,12 +59,14 @@
     sock : socket.socket
     ends_at : float
         Monotonic time after which reads fail.
+    silence : Silence, optional
     """
 
-    def __init__(self, raw, sock, ends_at):
+    def __init__(self, raw, sock, ends_at, silence=None):
         self._raw = raw
         self._sock = sock
         self.ends_at = ends_at
+        self._silence = silence
         self._timeout_s = 0.0
         self.remaining_bytes = _MAX_HEAD_BYTES
 
@@ -57,9 +85,20 @@
 
     def _receive(self, buffer):
         while self.ends_at is not None:
-            remaining_s = self.ends_at - monotonic()
+            now = monotonic()
+            remaining_s = self.ends_at - now
             if remaining_s <= 0:
                 raise TimeoutError("the time for the answer has passed")
+            silence = self._silence
+            if silence is not None:
+                silent_in_s = silence.starts_at - now
+                if silent_in_s <= 0:
+                    if not silence.outlast(self._sock, self.ends_at):
+                        raise TimeoutError("another answer has taken its place")
+                    silent_in_s = remaining_s = self.ends_at - monotonic()
+                    if remaining_s <= 0:
+                        continue
+                remaining_s = min(remaining_s, silent_in_s)
             # To set a timeout is a system call, and the events of a stream may each
             # take about as long. So a timeout is kept while it is short enough.
             if not remaining_s / 2 <= self._timeout_s <= remaining_s:
@@ -85,8 +124,8 @@
 class _CheckedReader(BufferedReader):
     """Reader of one answer that detects bytes received after the answer."""
 
-    def __init__(self, raw, sock, ends_at):
-        self.timed = _TimedSocket(raw, sock, ends_at)
+    def __init__(self, raw, sock, ends_at, silence):
+        self.timed = _TimedSocket(raw, sock, ends_at, silence)
         super().__init__(self.timed)
         self.has_extra_bytes = False
 
@@ -102,9 +141,10 @@
 class _CheckedResponse(HTTPResponse):
     """Answer whose reader detects bytes received after the answer."""
 
-    def __init__(self, sock, ends_at, *arguments, **options):
+    def __init__(self, sock, ends_at, silence, *arguments, **options):
         super().__init__(sock, *arguments, **options)
-        self.fp = self.reader = _CheckedReader(self.fp.detach(), sock, ends_at)
+        raw = self.fp.detach()
+        self.fp = self.reader = _CheckedReader(raw, sock, ends_at, silence)
 
 
 class CheckedConnection(HTTPConnection):
@@ -113,9 +153,12 @@
     answer = None
     reader = None
     ends_at = None
+    silence = None
 
     def response_class(self, sock, *arguments, **options):
         """Create the answer; called by ``http.client``."""
-        response = _CheckedResponse(sock, self.ends_at, *arguments, **options)
+        response = _CheckedResponse(
+            sock, self.ends_at, self.silence, *arguments, **options
+        )
         self.answer, self.reader = response, response.reader
         return response
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -150,10 +150,22 @@
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise CallFailedError("send", self.address, repr(error)) from error
 
-    def response(self, timeout_s):
-        """Wait for the head of the answer, which must be complete in time."""
+    def fileno(self):
+        """Return the file descriptor of the open connection."""
+        return self._sock.fileno()
+
+    def response(self, timeout_s, silence=None):
+        """Wait for the head of the answer, which must be complete in time.
+
+        Parameters
+        ----------
+        timeout_s : float
+        silence : Silence, optional
+            What is done while the target is silent, before the head or in the body.
+        """
         self._http.timeout = max(_MIN_TIMEOUT_S, timeout_s)
         self._http.ends_at = monotonic() + self._http.timeout
+        self._http.silence = silence
         try:
             raw = self._http.getresponse()
             self._http.reader.timed.remaining_bytes = None
