A hang-up of an earlier connection cancels no request of a later one

What callers saw, as far as the code shows: a whole request ended with its connection, with neither an answer nor a refusal, while its caller waited.

Cause: the thread that watches for disconnects looks up the callback by file descriptor after the event was fetched. If the request ended, its connection was closed and a new one got the same descriptor in between, the later request was cancelled; InboundRequest.abort then closes its connection without an answer. A node that applies a configuration keeps the interpreter busy, which widens the gap between event and look-up.

Change: under the lock that keeps the registered descriptors open, the thread asks the kernel whether this connection has hung up. The event of a connection that is gone is dropped.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
@@ -9,10 +9,15 @@
 
 
 class DisconnectWatch:
-    """Thread that watches the sockets of open requests for a disconnect."""
+    """Thread that watches the sockets of open requests for a disconnect.
 
-    def __init__(self):
-        self._epoll = select.epoll()
+    Parameters
+    ----------
+    epoll : select.epoll, optional
+    """
+
+    def __init__(self, epoll=None):
+        self._epoll = epoll or select.epoll()
         self._lock = threading.Lock()
         self._callbacks = {}
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -53,9 +58,23 @@
     def _run(self):
         while True:
             for descriptor, _ in self._epoll.poll():
-                with self._lock:
-                    callback = self._callbacks.pop(descriptor, None)
-                    if callback is not None:
-                        self._epoll.unregister(descriptor)
+                callback = self._take_callback(descriptor)
                 if callback is not None:
                     callback()
+
+    def _take_callback(self, descriptor):
+        """Return the callback of a connection whose peer is gone, or None.
+
+        The event may be that of an earlier connection with the same descriptor.
+        """
+        with self._lock:
+            if descriptor not in self._callbacks or not _is_hung_up(descriptor):
+                return None
+            self._epoll.unregister(descriptor)
+            return self._callbacks.pop(descriptor)
+
+
+def _is_hung_up(descriptor):
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
