A cancelled request doesn't break the call of another one

What callers could see: an answer that broke off because the caller of an earlier request on the same connection to a target had left.

Cause: RequestState.cancel read the connection of the attempt and shut it down later. If the answer was read to its end in between, the connection was back in the pool, or carried the next request already.

Change: the connection is cancelled under a lock that release and close take too, so a cancelled connection is closed and a released one isn't cancelled.

Evidence: test_connection_that_was_released_is_not_cancelled_afterwards failed before (released, then cancelled) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -17,6 +17,8 @@
         self.attempts = 0
         self.excluded = frozenset()
         self.connection = None
+        # Held while the connection is cancelled, so that it isn't released meanwhile.
+        self._connection_lock = threading.Lock()
         # Pace of the current attempt's stream, None if it isn't measured.
         self.pace = None
         self.ticket = None
@@ -100,14 +102,13 @@
 
     def release_connection(self, headers):
         """Return the connection of the attempt, whose answer was read to the end."""
-        connection, self.connection = self.connection, None
-        connection.release(headers)
+        self._take_connection().release(headers)
 
     def close_connection(self):
         """Close the connection of the attempt unless it was returned."""
         if self.pace is not None:
             self.pace.end()
-        connection, self.connection = self.connection, None
+        connection = self._take_connection()
         if connection is not None:
             connection.close()
 
@@ -120,7 +121,12 @@
     def cancel(self):
         """Cancel the request because the caller closed its connection."""
         self.caller_gone.set()
-        connection = self.connection
-        if connection is not None:
-            connection.cancel()
+        with self._connection_lock:
+            if self.connection is not None:
+                self.connection.cancel()
         self.stop_waiting()
+
+    def _take_connection(self):
+        with self._connection_lock:
+            connection, self.connection = self.connection, None
+        return connection
