A lower idle limit closes no connection that callers may still use

What callers saw: beside a change of the configuration that lowers the idle limit, requests on kept connections got neither an answer nor a refusal.

Cause: the front server closed every connection that had waited longer than the limit of the moment, so a lower limit applied to connections whose callers knew the earlier one, and use them for four fifths of it. It also closed connections without a look at whether a request had arrived since the last select. Class of fault: a promise that others still rely on is replaced instead of ending with those who know it.

Change: IdleConnections keeps a connection for the longest limit that was in force since it began to wait, and closes none that is readable. A new connection waits for its first request there too, instead of in a thread, and is closed without a 408 if none comes. The gauge idle_connections_closed counts what is closed.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -225,6 +225,7 @@
                 "targets": targets,
                 "running": running,
                 "open": self._forwarder.open_requests,
+                "idle_connections_closed": self._front.closed_idle_count,
                 "connections_opened": self._parts.connections.opened,
                 "services_cut_off": len(self._parts.path_watch.cut_services),
                 "sent_for_peers": self._parts.peer_proxy.sent_count,
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -11,6 +11,7 @@
 from cheroot.server import Gateway, HTTPServer
 
 from hibiscusspar_wire.caller_connection import CallerConnection
+from hibiscusspar_wire.idle_connections import IdleConnections
 
 __all__ = [
     "BadRequestError",
@@ -24,6 +25,7 @@
 _STACK_BYTES = 256 * 1024
 _BACKLOG = 512
 _GROW_STEP = 16
+_IDLE_LIMIT_S = 10.0
 # Longest part of a body that is written to the socket directly, which limits the time
 # for the whole part. The server limits the time for each write.
 _MAX_DIRECT_BYTES = 16_384
@@ -199,7 +201,7 @@
         threading.stack_size(_STACK_BYTES)
         host, _, port = address.rpartition(":")
         self._max_threads = max_threads
-        self._server = HTTPServer(
+        self._server = _Server(
             (host, int(port)),
             _gateway_class(handle),
             minthreads=threads,
@@ -218,11 +220,17 @@
         """Bound port."""
         return self._server.bind_addr[1]
 
+    @property
+    def closed_idle_count(self):
+        """Number of connections that were closed as idle."""
+        return self._server.closed_idle_count
+
     def set_limits(self, max_header_bytes, max_body_bytes, idle_timeout_s):
         """Set the limits of a request's size and of a connection's idle time."""
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._server.timeout = idle_timeout_s
+        self._server.idle_limit_s = idle_timeout_s
 
     def start(self):
         """Bind the port and start to serve in background threads."""
@@ -240,6 +248,35 @@
         self._server.stop()
 
 
+class _Server(HTTPServer):
+    """Server whose idle connections have a limit of their own."""
+
+    _idle_limit_s = _IDLE_LIMIT_S
+    _connections = None
+
+    @property
+    def idle_limit_s(self):
+        """Time in seconds for which a connection may wait for a request."""
+        return self._idle_limit_s
+
+    @idle_limit_s.setter
+    def idle_limit_s(self, limit_s):
+        self._idle_limit_s = limit_s
+        if self._connections is not None:
+            self._connections.idle_limit_s = limit_s
+
+    @property
+    def closed_idle_count(self):
+        """Number of connections that were closed as idle."""
+        return 0 if self._connections is None else self._connections.closed_count
+
+    def prepare(self):
+        """Bind the port and start the threads."""
+        super().prepare()
+        self._connections.close()
+        self._connections = IdleConnections(self, self._idle_limit_s)
+
+
 def _gateway_class(handle):
     class InboundGateway(Gateway):
         def respond(self):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from time import sleep
 
 from hibiscusspar_wire.front_server import FrontServer
 
@@ -9,6 +10,69 @@
 _TIMEOUT_S = 5.0
 
 
+class TestIdleConnections(unittest.TestCase):
+    """Guards against connections that are closed while callers may use them."""
+
+    def setUp(self):
+        self.server = FrontServer("127.0.0.1:0", self._handle, 16, 64)
+        self.server.set_limits(4096, 4096, 4.0)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def _handle(self, inbound):
+        inbound.read_body(4096)
+        inbound.answer(200, [], b"end\n")
+
+    def connect(self):
+        address = ("127.0.0.1", self.server.port)
+        caller = socket.create_connection(address, _TIMEOUT_S)
+        self.addCleanup(caller.close)
+        return caller
+
+    def is_answered(self, caller):
+        try:
+            caller.sendall(_REQUEST % 0)
+            return self.receive(caller).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def receive(self, caller):
+        received = b""
+        while not received.endswith(b"end\n") and (data := caller.recv(4096)):
+            received += data
+        return received
+
+    def test_lower_limit_closes_no_connection_that_callers_may_use(self):
+        callers = [self.connect() for _ in range(60)]
+        self.assertTrue(all(self.is_answered(caller) for caller in callers))
+        sleep(1.5)
+        self.server.set_limits(4096, 4096, 1.0)
+        answered = 0
+        for caller in callers:
+            sleep(0.02)
+            answered += self.is_answered(caller)
+        self.assertEqual(answered, 60)
+
+    def test_lower_limit_holds_for_connections_used_later(self):
+        self.server.set_limits(4096, 4096, 0.5)
+        caller = self.connect()
+        self.assertTrue(self.is_answered(caller))
+        self.assertEqual(caller.recv(1), b"")
+        self.assertEqual(self.server.closed_idle_count, 1)
+
+    def test_connection_without_a_request_is_closed_as_idle(self):
+        self.server.set_limits(4096, 4096, 0.5)
+        self.assertEqual(self.connect().recv(1), b"")
+
+    def test_higher_limit_holds_for_connections_that_wait(self):
+        self.server.set_limits(4096, 4096, 1.5)
+        caller = self.connect()
+        self.assertTrue(self.is_answered(caller))
+        self.server.set_limits(4096, 4096, 4.0)
+        sleep(2.5)
+        self.assertTrue(self.is_answered(caller))
+
+
 class FrontServerTest(unittest.TestCase):
     def setUp(self):
         self.uris = []
