A jump of the time of day closes no idle connection

What callers could see: all kept connections closed at once when the time of day jumps ahead, so requests that cross the close get no answer.

Cause: the age of idle connections was measured by the time of day.

Change: it is measured by the steady clock.

Evidence: test_jump_of_the_time_of_day_closes_no_connection failed on cheroot's manager and passes.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -2,7 +2,7 @@
 
 import select
 import threading
-from time import time
+from time import monotonic
 
 from cheroot.connections import ConnectionManager
 
@@ -40,16 +40,16 @@
     def idle_limit_s(self, limit_s):
         with self._lock:
             if limit_s != self._idle_limit_s:
-                self._earlier.append((time(), self._idle_limit_s))
+                self._earlier.append((monotonic(), self._idle_limit_s))
                 self._idle_limit_s = limit_s
 
     def put(self, conn):
         """Let a connection wait for its next request."""
-        conn.idle_since = time()
+        conn.idle_since = monotonic()
         super().put(conn)
 
     def _run(self, expiration_interval):
-        expires_at = time() + expiration_interval
+        expires_at = monotonic() + expiration_interval
         while not self._stop_requested:
             try:
                 ready = self._selector.select(timeout=expiration_interval)
@@ -62,9 +62,9 @@
                 else:
                     self._selector.unregister(descriptor)
                     self.server.process_conn(conn)
-            if time() >= expires_at:
+            if monotonic() >= expires_at:
                 self._close_idle()
-                expires_at = time() + expiration_interval
+                expires_at = monotonic() + expiration_interval
 
     def _accept(self):
         """Accept a connection, which gets a thread once a request arrives."""
@@ -73,7 +73,7 @@
             self.put(conn)
 
     def _close_idle(self):
-        now = time()
+        now = monotonic()
         limits = self._limits(now)
         overdue = [
             (descriptor, conn)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -2,7 +2,8 @@
 
 import socket
 import unittest
-from time import sleep
+from time import sleep, time
+from unittest.mock import patch
 
 from hibiscusspar_wire.front_server import FrontServer
 
@@ -72,6 +73,14 @@
         sleep(2.5)
         self.assertTrue(self.is_answered(caller))
 
+    def test_jump_of_the_time_of_day_closes_no_connection(self):
+        caller = self.connect()
+        self.assertTrue(self.is_answered(caller))
+        ahead = time() + 3600.0
+        with patch("cheroot.connections.time.time", lambda: ahead):
+            sleep(1.2)
+            self.assertTrue(self.is_answered(caller))
+
 
 class FrontServerTest(unittest.TestCase):
     def setUp(self):
