The idle limit no longer bounds how long a request or its answer may take

What callers could see: with a low idle limit, a request whose body arrived in parts got 408, and an answer was cut off if its caller did not read for the length of the limit.

Cause: the idle limit in force when a connection was accepted was the timeout of all its reads and writes.

Change: reads and writes of a request that has begun have a timeout of their own, 10 s; the idle limit applies to connections that wait for a request.

Evidence: test_caller_may_take_longer_for_a_body_than_idle_connections_last failed before and passes; the ten tests of the front server pass.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -25,6 +25,8 @@
 _STACK_BYTES = 256 * 1024
 _BACKLOG = 512
 _GROW_STEP = 16
+# Time in seconds that a caller may take between two bytes of a request or its answer.
+_TRANSFER_TIMEOUT_S = 10.0
 _IDLE_LIMIT_S = 10.0
 # Longest part of a body that is written to the socket directly, which limits the time
 # for the whole part. The server limits the time for each write.
@@ -208,6 +210,7 @@
             maxthreads=max_threads,
             peercreds_enabled=False,
         )
+        self._server.timeout = _TRANSFER_TIMEOUT_S
         self._server.ConnectionClass = CallerConnection
         self._server.request_queue_size = _BACKLOG
         # The default limit closes all but 10 idle connections, and cheroot counts
@@ -229,7 +232,6 @@
         """Set the limits of a request's size and of a connection's idle time."""
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
-        self._server.timeout = idle_timeout_s
         self._server.idle_limit_s = idle_timeout_s
 
     def start(self):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -81,6 +81,14 @@
             sleep(1.2)
             self.assertTrue(self.is_answered(caller))
 
+    def test_caller_may_take_longer_for_a_body_than_idle_connections_last(self):
+        self.server.set_limits(4096, 4096, 0.5)
+        caller = self.connect()
+        caller.sendall((_REQUEST % 0)[:-1])
+        sleep(1.2)
+        caller.sendall(b"}")
+        self.assertTrue(self.receive(caller).startswith(b"HTTP/1.1 200"))
+
 
 class FrontServerTest(unittest.TestCase):
     def setUp(self):
