A node that stops waits for requests that have no thread yet

What callers could see: beside a SIGTERM under load, a request that the node had received ended with its connection.

Cause: a stop ended once no handler ran. A request that is read but waits for a thread, or is being read, has no handler yet.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -25,6 +25,7 @@
     NODE_STARTED,
     NODE_STOPPED,
 )
+from hibiscusspar_entry.fleet.graceful_stop import wait_until_answered
 from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 from hibiscusspar_entry.fleet.notices import NoticeSender
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
@@ -266,11 +267,16 @@
         write_records([(NODE_DRAINING, fields)])
         for lease_keeper in parts.lease_keepers:
             lease_keeper.release()
-        while parts.clock() - started_at < grace_s:
-            is_closed = self._forwarder.is_closed(parts.clock())
-            if is_closed and not self._open_requests:
-                break
-            sleep(_TICK_S)
+
+        def is_over():
+            return parts.clock() - started_at >= grace_s
+
+        def count_requests():
+            # Until requests are refused, the next one may come at any moment.
+            accepts = not self._forwarder.is_closed(parts.clock())
+            return accepts or self._open_requests
+
+        wait_until_answered(is_over, count_requests, _TICK_S)
         seconds = round(parts.clock() - started_at, 3)
         fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
@@ -278,8 +284,8 @@
 
     @property
     def _open_requests(self):
-        proxy = self._parts.peer_proxy
-        return self._forwarder.open_requests + proxy.open_requests
+        # Those of the front server include requests that wait for a thread.
+        return self._front.unanswered + self._parts.peer_proxy.open_requests
 
     def _request_report(self):
         """Send the next report at once; a first waiting request needs the directory."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -228,6 +228,12 @@
         """Number of connections that were closed as idle."""
         return self._server.closed_idle_count
 
+    @property
+    def unanswered(self):
+        """Number of requests that have arrived and are not answered yet."""
+        pool = self._server.requests
+        return pool.qsize + len(pool._threads) - pool.idle
+
     def set_limits(self, max_header_bytes, max_body_bytes, idle_timeout_s):
         """Set the limits of a request's size and of a connection's idle time."""
         self._server.max_request_header_size = max_header_bytes
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -1,6 +1,7 @@
 """Tests of the server of the callers' port."""
 
 import socket
+import threading
 import unittest
 from time import sleep, time
 from unittest.mock import patch
@@ -90,6 +91,36 @@
         self.assertTrue(self.receive(caller).startswith(b"HTTP/1.1 200"))
 
 
+class TestUnansweredRequests(unittest.TestCase):
+    def test_requests_that_wait_for_a_thread_count(self):
+        """Guards against a stop that exits before they are answered."""
+        may_end = threading.Event()
+
+        def handle(inbound):
+            may_end.wait(_TIMEOUT_S)
+            inbound.answer(200, [], b"end\n")
+
+        server = FrontServer("127.0.0.1:0", handle, 2, 2)
+        server.start()
+        self.addCleanup(server.stop)
+        self.assertEqual(server.unanswered, 0)
+        for _ in range(5):
+            address = ("127.0.0.1", server.port)
+            caller = socket.create_connection(address, _TIMEOUT_S)
+            self.addCleanup(caller.close)
+            caller.sendall(_REQUEST % 0)
+        self.expect_unanswered(server, 5)
+        may_end.set()
+        self.expect_unanswered(server, 0)
+
+    def expect_unanswered(self, server, count):
+        for _ in range(200):
+            if server.unanswered == count:
+                break
+            sleep(0.01)
+        self.assertEqual(server.unanswered, count)
+
+
 class FrontServerTest(unittest.TestCase):
     def setUp(self):
         self.uris = []
