The target of a second attempt is never the silent one

Cause: the silent target was the only one that held the adapter, and a target that a job excludes is chosen again if no other one holds its adapter. The scheduler offered the silent target, the watch turned it down, and as a target was found the adapter was never wanted elsewhere.

Evidence: test_adapter_held_only_by_a_silent_target_is_wanted_elsewhere failed before (it was sent to t1) and passes.

--- a/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
@@ -80,7 +80,7 @@
         staying = self._index.staying(job.service)
         usable = staying.keys() - self._ejected(now, job.service)
         if job.software is None:
-            return usable
+            return usable - job.broken_at
         return {t for t in usable if may_continue(staying[t], job)}
 
     def versions(self, now, job):
@@ -102,6 +102,8 @@
                 for target_id, version in versions.items()
                 if may_continue(staying[target_id], job)
             }
+        elif job.broken_at:
+            versions = {t: v for t, v in versions.items() if t not in job.broken_at}
         ejected = self._ejected(now, job.service)
         if not ejected:
             return versions
--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -55,13 +55,14 @@
     the time at which it is refused if it found no target. ``max_gap_s`` is the longest
     pause that the streams of its service may have, 0 if there is no limit, and
     ``event_steps`` the number of decoding steps per event. ``excluded`` holds the
-    targets that it must not be sent to again. ``software`` is the version of the
-    target's software that began its stream, None if any target may run the job.
-    ``broken_at`` holds the targets at which that stream broke off; they may have
-    restarted with other software than the directory shows. ``attempts`` is the number
-    of earlier attempts at targets, and ``returned_s`` the time since the caller first
-    sent the request, 0 if it wasn't refused before. ``is_admitted`` is whether it is
-    within the shares of its priority and account (see
+    targets that it is sent to again only if no other one holds its adapter.
+    ``software`` is the version of the target's software that began its stream, None if
+    any target may run the job. ``broken_at`` holds the targets that must not get it at
+    all: those at which that stream broke off, as they may have restarted with other
+    software than the directory shows, and those that it is to be taken from.
+    ``attempts`` is the number of earlier attempts at targets, and ``returned_s`` the
+    time since the caller first sent the request, 0 if it wasn't refused before.
+    ``is_admitted`` is whether it is within the shares of its priority and account (see
     ``hibiscusspar.fleet.admission``). ``account`` is empty if it has none. ``digest``
     identifies a plain call, whose deadline doesn't tell when it was first sent; it is
     empty for streams. ``ends_at`` is the time by which the caller needs the answer.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
@@ -303,6 +303,14 @@
         (want,) = self.scheduler.report({}).wants
         self.assertEqual((want.extra_copy, want.excluded_targets), (False, ["t1"]))
 
+    def test_adapter_held_only_by_a_silent_target_is_wanted_elsewhere(self):
+        """Guards against a second attempt that is chosen for the silent target."""
+        self.targets(target("t1", ["a1"]), target("t2"), target("t3"))
+        ticket = self.scheduler.submit(self.job()._replace(broken_at=frozenset(["t1"])))
+        self.assertFalse(ticket.decided.is_set())
+        (want,) = self.scheduler.report({}).wants
+        self.assertEqual((want.extra_copy, want.excluded_targets), (False, ["t1"]))
+
     def test_refused_request_is_no_longer_wanted(self):
         self.targets(target("t1"))
         ticket = self.scheduler.submit(self.job())
