A second attempt lasts until it is replaced, whatever becomes of the first

What callers could see: - a silent target that then broke off ended the second attempt too, and with it the answer (cut off, or 502); - a second attempt was given up after 2 s, or half of the time left, although no third one was allowed, so a long prompt ended at its deadline; - a silence was excused for a second if calls at other targets had merely ended, so the second attempt came 2.65 s after the last event, later than callers wait.

Cause of the first two: the second attempt was itself given up before what replaces it was held. Cause of the third: targets without open streams were compared.

Change: if the first target fails, the request waits for the second attempt, which takes over. A second attempt ends only for a third one that has its place. Only open streams are compared, for 0.2 s at most, and the node's path to the target is checked when the silence begins, not after the excuse. The silent target is named in broken_at of the job.

--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -24,15 +24,15 @@
     prompts at other targets all at once. A plain call counts as silent after
     ``plain_share`` of the time that it has left.
 
-    A silence that all targets share is excused for ``shared_s`` at most. Targets that
-    were heard within ``recent_s`` before it are compared.
+    A silence that the streams of all other targets share is excused for ``shared_s``.
+    Streams that went on within ``recent_s`` before it are compared.
     """
 
     stream_s: float = 1.2
     spread_s: float = 0.4
     first_event_s: float = 2.0
     plain_share: float = 0.5
-    shared_s: float = 1.0
+    shared_s: float = 0.2
     recent_s: float = 1.0
 
 
@@ -49,24 +49,24 @@
     return policy.stream_s + policy.spread_s * fraction
 
 
-def is_shared_silence(policy, now, since, target_id, heard):
-    """Return whether the other targets are silent as well.
+def is_shared_silence(policy, now, starts_at, since, others):
+    """Return whether the streams of all other targets are silent as well.
 
     Parameters
     ----------
     policy : SilencePolicy
     now : float
+    starts_at : float
+        Time from which the silence counts.
     since : float
         Time of the last progress of the answer.
-    target_id : str
-    heard : dict of str to float
-        Time at which each target was last heard by this node.
+    others : list of float
+        Times of the last progress of open streams of other targets.
 
     Returns
     -------
     bool
     """
-    if now >= since + policy.stream_s + policy.spread_s + policy.shared_s:
+    if now >= starts_at + policy.shared_s:
         return False
-    others = [at for other, at in heard.items() if other != target_id]
     return any(at >= since - policy.recent_s for at in others) and max(others) <= since
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
@@ -31,18 +31,21 @@
 class TestSharedSilence(unittest.TestCase):
     """Guards against streams that leave because their node was paused."""
 
-    def is_shared(self, heard, now=11.3):
-        return is_shared_silence(POLICY, now, 10.0, "t0", heard)
+    def is_shared(self, others, now=11.3):
+        return is_shared_silence(POLICY, now, 11.2, 10.0, others)
 
-    def test_all_targets_are_silent(self):
-        self.assertTrue(self.is_shared({"t0": 10.0, "t1": 9.9, "t2": 9.5}))
+    def test_streams_of_all_targets_are_silent(self):
+        self.assertTrue(self.is_shared([9.9, 9.5]))
 
-    def test_another_target_was_heard_since(self):
-        self.assertFalse(self.is_shared({"t0": 10.0, "t1": 9.9, "t2": 10.4}))
+    def test_stream_of_another_target_went_on_since(self):
+        self.assertFalse(self.is_shared([9.9, 10.4]))
 
-    def test_no_other_target_was_heard_lately(self):
-        self.assertFalse(self.is_shared({"t0": 10.0, "t1": 3.0}))
-        self.assertFalse(self.is_shared({}))
+    def test_no_other_stream_went_on_lately(self):
+        self.assertFalse(self.is_shared([3.0]))
+        self.assertFalse(self.is_shared([]))
 
-    def test_long_silence_counts_even_if_it_is_shared(self):
-        self.assertFalse(self.is_shared({"t1": 9.9}, now=12.7))
+    def test_callers_have_not_left_when_the_excuse_ends(self):
+        """Callers disconnect after two seconds without an event."""
+        latest = POLICY.stream_s + POLICY.spread_s + POLICY.shared_s
+        self.assertLess(latest, 2.0 - 0.1)
+        self.assertFalse(self.is_shared([9.9], now=11.2 + POLICY.shared_s))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -224,7 +224,8 @@
                 if failure is not None:
                     if self._attempts.drain_refusal(connection, response, failure):
                         state.release_connection(response.headers)
-                    self._mover.follow(state, failure)
+                    if not self._mover.follow(state, failure):
+                        self._await_second(state, silence)
                     return failure
             else:
                 _, connection, response, sent_at, silence = attempt
@@ -252,8 +253,8 @@
             is_silent = silence is not None and silence.is_silent
             if error.step != "silent" or not is_silent:
                 self._attempts.blame(admitted, state, placement.target, error)
-            if is_silent:
-                state.answered = silence.take_answered()
+            state.close_connection()
+            self._await_second(state, silence)
             return failure
         finally:
             state.close_connection()
@@ -265,21 +266,27 @@
                 seconds = state.first_byte_at - admitted.arrived
                 self._parts.metrics.first_byte.observe(seconds)
 
+    def _await_second(self, state, silence):
+        """Let the second attempt at another target, if there is one, take over."""
+        if silence is not None:
+            silence.await_second()
+            state.answered = silence.take_answered()
+            if state.caller_gone.is_set():
+                raise CallerLeftError
+
     def _record_first_byte(self, state, placement):
         if state.first_byte_at is None:
             state.first_byte_at = self._clock()
         self._parts.request_scheduler.record_first_byte(placement)
 
-    def _may_replace(self, admitted, state, target_id):
-        """Return whether a request may go to another target than its current one."""
+    def _may_replace(self, admitted, state, targets):
+        """Return whether a request may go to a target other than some."""
         route = admitted.route
         if state.attempts >= route.max_attempts or self._mover.is_moving(state):
             return False
         if state.answer_begun and not route.resumable:
             return False
-        if state.origin is not None and not self._streams.can_continue(
-            state, frozenset([target_id])
-        ):
+        if state.origin is not None and not self._streams.can_continue(state, targets):
             return False
         if self._crash_guard.refuses(admitted, state):
             return False
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -32,10 +32,6 @@
 _HEAD_S = 0.5
 # A request that has less time left is not sent to another target.
 _MIN_REMAINING_S = 0.2
-# Targets whose last bytes are remembered, and the time in seconds after which one that
-# sends nothing may be forgotten.
-_MAX_HEARD = 1024
-_FORGET_S = 10.0
 
 
 class Hedging:
@@ -50,17 +46,28 @@
         Returns whether a request may be sent to another target than its current one.
     log : CallLog
     silence_policy : SilencePolicy, optional
+    monotonic_clock : callable, optional
     """
 
-    def __init__(self, parts, policy, attempts, may_replace, log, silence_policy=None):
+    def __init__(
+        self,
+        parts,
+        policy,
+        attempts,
+        may_replace,
+        log,
+        silence_policy=None,
+        monotonic_clock=monotonic,
+    ):
+        self.monotonic = monotonic_clock
         self.policy = silence_policy or SilencePolicy()
         self.attempts = attempts
         self.may_replace = may_replace
         self.log = log
         self.scheduler = parts.request_scheduler
         self.clock = parts.clock
-        # Monotonic time at which each target was last heard.
-        self.heard = {}
+        # Watches of the open attempts.
+        self.watches = set()
         self._forward_policy = policy
         self._retry_budgets = parts.retry_budgets
         self._silences = parts.metrics.silences
@@ -74,23 +81,29 @@
         if not route.idempotent or state.attempts >= route.max_attempts:
             return None
         watch = SilenceWatch(self, admitted, state, placement)
-        watch.starts_at = monotonic() + self.first_silence_s(admitted)
+        watch.starts_at = self.monotonic() + self.first_silence_s(admitted)
         return watch
 
+    def progress_elsewhere(self, target_id):
+        """Return the times of the last progress of open streams of other targets."""
+        return [
+            watch.progress_at
+            for watch in self.watches.copy()
+            if watch.has_progress and watch.target_id != target_id
+        ]
+
     def first_silence_s(self, admitted):
         """Return the seconds for which a target may be silent before its answer."""
         if admitted.is_engine:
             return self.policy.first_event_s
         return (admitted.ends_at - self.clock()) * self.policy.plain_share
 
-    def job(self, admitted, state, target_id):
-        """Return the job that chooses another target for a request."""
+    def job(self, admitted, state, targets):
+        """Return the job that chooses a target other than some for a request."""
         policy, now = self._forward_policy, self.clock()
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         job = make_job(admitted, state, now, factor * admitted.route.first_byte_slo_s)
-        return job._replace(
-            excluded=job.excluded | {target_id}, broken_at=job.broken_at | {target_id}
-        )
+        return job._replace(broken_at=job.broken_at | targets)
 
     def has_budget(self, service):
         """Return whether the retry budget allows another attempt."""
@@ -100,12 +113,6 @@
         """Count another attempt in the retry budget; return whether it allows it."""
         return self._retry_budgets.allow(service, self.clock(), self._nodes)
 
-    def forget_old(self, now):
-        """Drop the targets that have sent nothing for long, if there are many."""
-        if len(self.heard) > _MAX_HEARD:
-            rows = list(self.heard.items())
-            self.heard = {t: at for t, at in rows if at > now - _FORGET_S}
-
     def record_silence(self, admitted, placement, silent_s, outcome, other=""):
         """Log and count a silence that has ended."""
         self._silences.labels(outcome).inc()
@@ -126,7 +133,8 @@
 class SilenceWatch:
     """Silence of the target of one attempt, and the attempt that may replace it.
 
-    It is used by the thread of its request only.
+    It is used by the thread of its request only, which blocks in ``outlast`` and
+    ``await_second``.
 
     Parameters
     ----------
@@ -138,60 +146,78 @@
 
     def __init__(self, hedging, admitted, state, placement):
         self.starts_at = inf
-        # Attempt that has answered in place of the silent one.
-        self.answered = None
+        # Time of the last progress, and whether there was any.
+        self.progress_at = hedging.monotonic()
+        self.has_progress = False
+        self.target_id = placement.target.target_id
         self._hedging = hedging
         self._admitted = admitted
         self._state = state
         self._placement = placement
-        self._target_id = placement.target.target_id
         self._event_silence_s = stream_silence_s(
             hedging.policy, admitted.call.request_id
         )
-        self._progress_at = monotonic()
+        self._is_overdue = False
         self._is_silent = self._was_replaced = False
         self._next_try_at = 0.0
         self._ticket = None
         # Placement, way, time of sending and watch of the second attempt.
         self._second = None
         self._second_ends_at = 0.0
+        # Attempt that has answered in place of the silent one.
+        self._answered = None
+        hedging.watches.add(self)
 
     @property
     def is_silent(self):
-        """Whether the target has been recorded as silent since its last progress."""
+        """Whether the target was recorded as silent since its last progress."""
         return self._is_silent
 
     def record_progress(self):
         """Record the head of a stream or an event of it."""
-        now = self._progress_at = monotonic()
-        self.starts_at = now + self._event_silence_s
-        self._hedging.heard[self._target_id] = now
-        if self._is_silent:
+        if self._is_overdue:
             self._resume()
+        now = self.progress_at = self._hedging.monotonic()
+        self.starts_at = now + self._event_silence_s
+        self.has_progress = True
 
     def record_head(self):
         """Record the head of a plain answer, whose body may take its time."""
         self.record_progress()
         self.starts_at = inf
+        self.has_progress = False
 
     def outlast(self, sock, ends_at):
         """Wait until the target sends bytes, another one answers or time has passed."""
-        while not _readable([sock], 0.0) and (now := monotonic()) < ends_at:
-            wait_s = min(self._step(now), ends_at - now)
+        while (
+            not _readable([sock], 0.0) and (now := self._hedging.monotonic()) < ends_at
+        ):
+            wait_s = min(self.step(now), ends_at - now)
             waiting = [sock] if self._second is None else [sock, self._second[1]]
             ready = _readable(waiting, max(0.0, wait_s))
             # The silent target goes first: a run that goes on is worth more.
-            if sock not in ready and ready and self._read_second():
+            if sock not in ready and ready and self.read_second():
                 return False
         return True
 
+    def await_second(self):
+        """Wait for the answer of the second attempt, as the first one has failed."""
+        state, hedging = self._state, self._hedging
+        ends_at = self._hedging.monotonic() + self._admitted.ends_at - hedging.clock()
+        while self._second is not None and not state.caller_gone.is_set():
+            if self._hedging.monotonic() >= ends_at:
+                self._fail_second("silent", "the time has passed", False)
+            elif _readable([self._second[1]], _POLL_S):
+                self.read_second()
+
     def take_answered(self):
         """Return the attempt that has taken over, or None, once."""
-        attempt, self.answered = self.answered, None
+        attempt, self._answered = self._answered, None
         return attempt
 
     def close(self):
         """End the second attempt and the wait for one."""
+        self._hedging.watches.discard(self)
         self._withdraw()
         if self._is_silent and not self._was_replaced:
             self._hedging.record_silence(
@@ -199,19 +225,22 @@
             )
         attempt = self.take_answered()
         if attempt is not None:
+            attempt.silence.close()
             attempt.connection.close()
             self._hedging.scheduler.release(attempt.placement, first_byte=False)
 
-    def _step(self, now):
+    def step(self, now):
         """Advance the second attempt; return the time until the next step."""
-        if self._is_excused(now):
-            return _POLL_S
+        if not self._is_overdue:
+            self._is_overdue = True
+            self._check_path()
         if not self._is_silent:
-            self._begin(now)
-        if self._second is not None:
-            if now < self._second_ends_at:
-                return self._second_ends_at - now
-            self._fail_second("silent", "no answer of the other target either", False)
+            if self._is_excused(now):
+                return _POLL_S
+            self._is_silent = True
+            self._hedging.scheduler.record_failure(self.target_id)
+        if self._second is not None and now < self._second_ends_at:
+            return self._second_ends_at - now
         if self._ticket is None and now < self._next_try_at:
             return self._next_try_at - now
         if self._ticket is None and not self._request_place():
@@ -222,81 +251,83 @@
         ticket, self._ticket = self._ticket, None
         if isinstance(ticket.decision, Send):
             self._send_second(ticket)
-            self._next_try_at = monotonic() + _RETRY_S
+            self._next_try_at = self._hedging.monotonic() + _RETRY_S
             return 0.0 if self._second is not None else _RETRY_S
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
         return _RETRY_S
 
-    def _is_excused(self, now):
-        """Return whether the silence isn't the target's own."""
-        hedging, since = self._hedging, self._progress_at
-        return not self._is_silent and is_shared_silence(
-            hedging.policy, now, since, self._target_id, dict(hedging.heard)
-        )
-
-    def _begin(self, now):
-        """Record that the target is silent, so that others are preferred to it."""
-        self._is_silent = True
-        self._hedging.scheduler.record_failure(self._target_id)
+    def _check_path(self):
+        """Have the path to the target checked, as this node may be cut off from it."""
         connection = self._state.connection
         if connection is not None:
             connection.record_silence()
-        self._hedging.forget_old(now)
+
+    def _is_excused(self, now):
+        """Return whether the silence isn't the target's own."""
+        hedging, since = self._hedging, self.progress_at
+        others = hedging.progress_elsewhere(self.target_id)
+        return is_shared_silence(hedging.policy, now, self.starts_at, since, others)
 
     def _resume(self):
         """Record that the target has gone on."""
+        self._is_overdue = False
+        if not self._is_silent:
+            return
         self._is_silent = False
         self._withdraw()
-        self._hedging.scheduler.record_success(self._target_id)
+        self._hedging.scheduler.record_success(self.target_id)
         self._hedging.record_silence(
             self._admitted, self._placement, self._silent_s, "resumed"
         )
 
     @property
     def _silent_s(self):
-        return monotonic() - self._progress_at
+        return self._hedging.monotonic() - self.progress_at
 
     def _request_place(self):
         """Ask the scheduler for another target, if the request may go to one."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
-        target_id = self._target_id
+        targets = {self.target_id}
+        if self._second is not None:
+            targets.add(self._second[0].target.target_id)
         if (
             admitted.ends_at - hedging.clock() < _MIN_REMAINING_S
             or state.caller_gone.is_set()
-            or not hedging.may_replace(admitted, state, target_id)
+            or not hedging.may_replace(admitted, state, frozenset(targets))
             or not hedging.has_budget(admitted.service)
         ):
             return False
-        job = hedging.job(admitted, state, target_id)
-        self._ticket = hedging.scheduler.submit(job)
+        self._ticket = hedging.scheduler.submit(hedging.job(admitted, state, targets))
         return True
 
     def _send_second(self, ticket):
-        """Send the request to another target."""
+        """Send the request to another target, in place of one that is silent too."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
-        placement, scheduler = ticket.placement, hedging.scheduler
-        is_other = placement.target.target_id not in ticket.job.excluded
-        if not is_other or not hedging.take_budget(admitted.service):
-            scheduler.release(placement, first_byte=False)
+        placement = ticket.placement
+        if not hedging.take_budget(admitted.service):
+            hedging.scheduler.release(placement, first_byte=False)
             return
+        if self._second is not None:
+            self._fail_second("silent", "no answer of the other target either", False)
         state.attempts += 1
         hedging.log.sent(admitted, state, placement)
-        sent_at, connection = hedging.clock(), None
         watch = SilenceWatch(hedging, admitted, state, placement)
+        sent_at = hedging.clock()
+        self._second = placement, None, sent_at, watch
         try:
             connection = hedging.attempts.connect(admitted, state, placement)
             self._second = placement, connection, sent_at, watch
             hedging.attempts.send(admitted, state, placement, connection)
         except CallFailedError as error:
-            self._second = placement, connection, sent_at, watch
             self._fail_call(error)
         except (RefusedError, CallerLeftError) as error:
-            self._second = placement, connection, sent_at, watch
             self._fail_second("closed", str(error), True)
         else:
-            self._second_ends_at = monotonic() + hedging.first_silence_s(admitted)
+            self._second_ends_at = self._hedging.monotonic() + hedging.first_silence_s(
+                admitted
+            )
 
-    def _read_second(self):
+    def read_second(self):
         """Read the head of the other target's answer; return whether it takes over."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
         placement, connection, sent_at, watch = self._second
@@ -314,7 +345,7 @@
             self._fail_second(failure.step, failure.reason, failure.not_run)
             return False
         self._second, self._was_replaced = None, True
-        self.answered = Attempt(placement, connection, response, sent_at, watch)
+        self._answered = Attempt(placement, connection, response, sent_at, watch)
         hedging.record_silence(
             admitted,
             self._placement,
@@ -344,8 +375,9 @@
 
     def _end_second(self):
         if self._second is not None:
-            placement, connection, _, _ = self._second
+            placement, connection, _, watch = self._second
             self._second = None
+            watch.close()
             if connection is not None:
                 connection.close()
             self._hedging.scheduler.release(placement, first_byte=False)
