Second attempts leave no false records and block no answer

What callers could see: - a first answer that came while a second target accepted a connection but read nothing of a long body waited unread until the deadline (answer there at 1.9 s, 504 at 2.96 s); - a silence that all targets share was excused for the stream that went on last only (1 of 10); - targets that turned second attempts away got one each 0.3 s, and each was told to all nodes as a prompt to read; - a request that crashes targets was not blamed for the crash of its second target; - a target that may have run the request in a second attempt did not count for a later refusal's promise; - a move that begins during a second attempt kept the silent target at work while the other one ran.

Change: a second target has 0.3 s to accept a request; the budget is taken once it is connected; streams share a silence if none of them went on for 0.9 s; a target that turned a second attempt away gets no other for 2 s, then 4 s and so on, and excluded targets get none; suspects are those of a new attempt; the silent target's connection is closed before anything else happens to the request, and streams with a second attempt begin no move.

--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -25,7 +25,8 @@
     ``plain_share`` of the time that it has left.
 
     A silence that the streams of all other targets share is excused for ``shared_s``.
-    Streams that went on within ``recent_s`` before it are compared.
+    They share it if none went on for ``quiet_s``, but some did within ``recent_s``
+    before it.
     """
 
     stream_s: float = 1.2
@@ -33,6 +34,7 @@
     first_event_s: float = 2.0
     plain_share: float = 0.5
     shared_s: float = 0.2
+    quiet_s: float = 0.9
     recent_s: float = 1.0
 
 
@@ -67,6 +69,6 @@
     -------
     bool
     """
-    if now >= starts_at + policy.shared_s:
+    if now >= starts_at + policy.shared_s or not others:
         return False
-    return any(at >= since - policy.recent_s for at in others) and max(others) <= since
+    return since - policy.recent_s <= max(others) <= now - policy.quiet_s
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -50,9 +50,11 @@
         self._admission = admission
         self._crash_guard = crash_guard
 
-    def connect(self, admitted, state, placement):
+    def connect(self, admitted, state, placement, is_second=False):
         """Return an open way to the target of a placement.
 
+        ``is_second`` is whether the request runs at a silent target meanwhile.
+
         Raises
         ------
         CallFailedError
@@ -64,14 +66,14 @@
         idle_s = policy.safe_idle_s
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
-        suspects = self._crash_guard.suspects(admitted, state)
+        suspects = self._crash_guard.suspects(admitted, state, is_second)
         paths = self._parts.paths
         if placement.is_reserved:
             request_id = admitted.call.request_id
             return paths.acquire(placement, idle_s, request_id, suspects)
         return paths.acquire_again(target, idle_s)
 
-    def send(self, admitted, state, placement, connection, copy=None):
+    def send(self, admitted, state, placement, connection, copy=None, limit_s=inf):
         """Send a request on the way to its target.
 
         Parameters
@@ -82,6 +84,8 @@
         connection : TargetPath
         copy : CopyHandle, optional
             Copy of the run that the request continues.
+        limit_s : float, optional
+            Longest time that the target may take to accept the request.
 
         Raises
         ------
@@ -107,7 +111,9 @@
         )
         head = admitted.head
         headers = self._parts.dialect.target_headers(head, admitted.call, forwarding)
-        connection.send(head.method, head.uri, headers, admitted.body, remaining_s)
+        connection.send(
+            head.method, head.uri, headers, admitted.body, remaining_s, limit_s
+        )
 
     def read_head(
         self, admitted, state, placement, connection, sent_at, silence, limit_s=inf
@@ -179,10 +185,10 @@
         )
         return AttemptFailure(error.step, error.reason, is_unsent, False)
 
-    def blame(self, admitted, state, target, error):
+    def blame(self, admitted, state, target, error, is_second=False):
         """Record what a failed call says about its target and about the request."""
         if error.step != "closed":
             self._parts.request_scheduler.record_failure(
                 target.target_id, error.step in UNSENT_STEPS
             )
-        self._crash_guard.record_failure(admitted, state, target, error)
+        self._crash_guard.record_failure(admitted, state, target, error, is_second)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -248,12 +248,13 @@
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
             failure = self._attempts.record_failure(admitted, placement, sent_at, error)
+            # Another target may go on with the request from now on.
+            state.close_connection()
             if self._mover.follow(state, failure):
                 return failure
             is_silent = silence is not None and silence.is_silent
             if error.step != "silent" or not is_silent:
                 self._attempts.blame(admitted, state, placement.target, error)
-            state.close_connection()
             self._await_second(state, silence)
             return failure
         finally:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -28,8 +28,13 @@
 # Times in seconds between looks for another target, and for the decision about one.
 _RETRY_S = 0.3
 _POLL_S = 0.05
-# Longest wait for the rest of a head that has begun to arrive, in seconds.
+# Time in seconds that another target may take to accept a request, and for the rest of
+# a head that has begun to arrive.
+_SEND_S = 0.3
 _HEAD_S = 0.5
+# Time in seconds for which a target gets no second attempt after it turned the first
+# one away; it doubles each time.
+_REFUSED_S = 2.0
 # A request that has less time left is not sent to another target.
 _MIN_REMAINING_S = 0.2
 
@@ -103,7 +108,7 @@
         policy, now = self._forward_policy, self.clock()
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         job = make_job(admitted, state, now, factor * admitted.route.first_byte_slo_s)
-        return job._replace(broken_at=job.broken_at | targets)
+        return job._replace(broken_at=job.broken_at | job.excluded | targets)
 
     def has_budget(self, service):
         """Return whether the retry budget allows another attempt."""
@@ -160,6 +165,9 @@
         self._is_overdue = False
         self._is_silent = self._was_replaced = False
         self._next_try_at = 0.0
+        # Times until which targets that turned a second attempt away get no other.
+        self._refused_until = {}
+        self._refused_s = _REFUSED_S
         self._ticket = None
         # Placement, way, time of sending and watch of the second attempt.
         self._second = None
@@ -250,7 +258,7 @@
             return _POLL_S
         ticket, self._ticket = self._ticket, None
         if isinstance(ticket.decision, Send):
-            self._send_second(ticket)
+            self._send_second(ticket.placement)
             self._next_try_at = self._hedging.monotonic() + _RETRY_S
             return 0.0 if self._second is not None else _RETRY_S
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
@@ -287,7 +295,9 @@
     def _request_place(self):
         """Ask the scheduler for another target, if the request may go to one."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
-        targets = {self.target_id}
+        now = hedging.monotonic()
+        targets = {t for t, until in self._refused_until.items() if now < until}
+        targets.add(self.target_id)
         if self._second is not None:
             targets.add(self._second[0].target.target_id)
         if (
@@ -300,32 +310,32 @@
         self._ticket = hedging.scheduler.submit(hedging.job(admitted, state, targets))
         return True
 
-    def _send_second(self, ticket):
+    def _send_second(self, placement):
         """Send the request to another target, in place of one that is silent too."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
-        placement = ticket.placement
-        if not hedging.take_budget(admitted.service):
-            hedging.scheduler.release(placement, first_byte=False)
-            return
         if self._second is not None:
             self._fail_second("silent", "no answer of the other target either", False)
         state.attempts += 1
         hedging.log.sent(admitted, state, placement)
         watch = SilenceWatch(hedging, admitted, state, placement)
         sent_at = hedging.clock()
-        self._second = placement, None, sent_at, watch
+        self._second, state.has_second_attempt = (placement, None, sent_at, watch), True
         try:
-            connection = hedging.attempts.connect(admitted, state, placement)
+            connection = hedging.attempts.connect(admitted, state, placement, True)
             self._second = placement, connection, sent_at, watch
-            hedging.attempts.send(admitted, state, placement, connection)
+            if not hedging.take_budget(admitted.service):
+                self._fail_second("closed", "retry budget", True)
+                return
+            hedging.attempts.send(
+                admitted, state, placement, connection, limit_s=_SEND_S
+            )
         except CallFailedError as error:
             self._fail_call(error)
         except (RefusedError, CallerLeftError) as error:
             self._fail_second("closed", str(error), True)
         else:
-            self._second_ends_at = self._hedging.monotonic() + hedging.first_silence_s(
-                admitted
-            )
+            silence_s = hedging.first_silence_s(admitted)
+            self._second_ends_at = hedging.monotonic() + silence_s
 
     def read_second(self):
         """Read the head of the other target's answer; return whether it takes over."""
@@ -333,7 +343,14 @@
         placement, connection, sent_at, watch = self._second
         try:
             response, failure = hedging.attempts.read_head(
-                admitted, state, placement, connection, sent_at, watch, _HEAD_S
+                admitted,
+                state,
+                placement,
+                connection,
+                sent_at,
+                watch,
+                # A peer that refuses is replaced by another one meanwhile.
+                _HEAD_S if connection.is_own else inf,
             )
         except CallFailedError as error:
             self._fail_call(error)
@@ -345,6 +362,7 @@
             self._fail_second(failure.step, failure.reason, failure.not_run)
             return False
         self._second, self._was_replaced = None, True
+        state.has_second_attempt = False
         self._answered = Attempt(placement, connection, response, sent_at, watch)
         hedging.record_silence(
             admitted,
@@ -360,7 +378,7 @@
         hedging, admitted = self._hedging, self._admitted
         placement, _, sent_at, _ = self._second
         failure = hedging.attempts.record_failure(admitted, placement, sent_at, error)
-        hedging.attempts.blame(admitted, self._state, placement.target, error)
+        hedging.attempts.blame(admitted, self._state, placement.target, error, True)
         self._fail_second(failure.step, failure.reason, failure.not_run)
 
     def _fail_second(self, step, reason, not_run):
@@ -368,15 +386,20 @@
         state, target_id = self._state, self._second[0].target.target_id
         failure = AttemptFailure(step, reason, not_run, False)
         self._hedging.log.failed(self._admitted, state, failure, "wait", target_id)
-        state.excluded |= {target_id}
         if not_run:
             state.attempts -= 1
+            now = self._hedging.monotonic()
+            self._refused_until[target_id] = now + self._refused_s
+            self._refused_s *= 2
+        else:
+            state.may_have_run = True
+            state.excluded |= {target_id}
         self._end_second()
 
     def _end_second(self):
         if self._second is not None:
             placement, connection, _, watch = self._second
-            self._second = None
+            self._second, self._state.has_second_attempt = None, False
             watch.close()
             if connection is not None:
                 connection.close()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -41,6 +41,8 @@
         # the stream moves.
         self.onward = None
         self.copy = None
+        # Whether it was sent to a second target as well, as its target is silent.
+        self.has_second_attempt = False
         # Attempt that has answered in place of one whose target was silent.
         self.answered = None
         # Whether its stream was moved because a target was slow, which is done once.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -229,6 +229,7 @@
                 run
                 for run in self._runs.values()
                 if run.move is None
+                and not run.state.has_second_attempt
                 and run.admitted.service in self._services
                 and run.is_due(now)
             ]
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -5,6 +5,7 @@
 import threading
 from contextlib import suppress
 from http.client import HTTPException
+from math import inf
 from socket import IPPROTO_TCP, SHUT_RDWR, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from time import monotonic
 from typing import Any, NamedTuple
@@ -120,7 +121,7 @@
         except (HTTPError, OSError) as error:
             raise CallFailedError("connect", self.address, repr(error)) from error
 
-    def send(self, method, uri, headers, body, timeout_s):
+    def send(self, method, uri, headers, body, timeout_s, limit_s=inf):
         """Send a request on the open connection.
 
         Parameters
@@ -129,6 +130,9 @@
         headers : iterable of (str, str)
         body : bytes
         timeout_s : float
+            Time that the request has left.
+        limit_s : float, optional
+            Longest time that the target may take to accept the request.
         """
         fields = HTTPHeaderDict(headers)
         for name in _DEFAULT_HEADERS:
@@ -136,7 +140,7 @@
                 fields[name] = SKIP_HEADER
         if body or method not in _BODILESS_METHODS:
             fields["Content-Length"] = str(len(body))
-        self._http.timeout = max(_MIN_TIMEOUT_S, timeout_s)
+        self._http.timeout = max(_MIN_TIMEOUT_S, min(timeout_s, limit_s))
         self._is_calling = True
         try:
             self._http.request(
