A failed move rules out no second attempt

Callers of streams whose move had failed, or that had just been sent to their destination, got nothing more until their deadline if that target fell silent: a stream counted as being moved until its next attempt had sent an event, and one that is moved gets no second attempt.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -138,6 +138,29 @@
                 self.finish(stream)
                 self.assertEqual((stream.at, stream.outcome), ("t0", "whole"))
 
+    def test_stream_whose_move_has_failed_is_not_being_moved(self):
+        """It may go to another target if its own falls silent."""
+        for fate in ("refused", "unsent", "dropped", "lost"):
+            with self.subTest(fate=fate):
+                self.setUp()
+                self.engines.script = [fate]
+                stream = self.bench.stream()
+                self.bench.drain("t0")
+                self.bench.step()
+                self.assertFalse(self.bench.mover.is_moving(stream.state))
+
+    def test_moved_stream_may_leave_a_destination_that_sends_nothing(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.mover.step()
+        self.assertTrue(self.bench.mover.is_moving(stream.state))
+        self.bench.run_queued()
+        stream.close()
+        self.assertEqual(stream.at, "t1")
+        self.assertFalse(self.bench.mover.is_moving(stream.state))
+        stream.close("silent")
+        self.assertEqual(self.bench.scheduler.reserved, [])
+
     def test_lost_answer_of_a_stopped_run_is_a_failed_attempt(self):
         self.engines.script = ["lost"]
         stream = self.bench.stream()
