--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -20,22 +20,24 @@
 
     A stream counts as silent after ``stream_s`` and up to ``spread_s`` more without an
     event (callers disconnect after two seconds), or after ``first_event_s`` before its
-    first one. The spread keeps the streams of a silent target from reading their
+    first one. A target that goes on after a pause first reads the prompts that it got
+    meanwhile. The spread keeps the streams of a silent target from reading their
     prompts at other targets all at once. A plain call counts as silent after
     ``plain_share`` of the time that it has left.
 
-    A silence that the streams of all other targets share is excused for ``shared_s``.
-    They share it if none went on for ``quiet_s``, but some did within ``recent_s``
-    before it.
+    A silence that the streams of all other targets share is excused, for ``shared_s``
+    at most. They share it if none went on for ``quiet_s``, but some did within
+    ``recent_s`` before it. The next events may come up to ``gap_s`` apart.
     """
 
-    stream_s: float = 1.2
-    spread_s: float = 0.4
+    stream_s: float = 1.5
+    spread_s: float = 0.2
     first_event_s: float = 2.0
     plain_share: float = 0.5
     shared_s: float = 0.2
     quiet_s: float = 0.9
     recent_s: float = 1.0
+    gap_s: float = 0.3
 
 
 def stream_silence_s(policy, request_id):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -250,7 +250,10 @@
             failure = self._attempts.record_failure(admitted, placement, sent_at, error)
             # Another target may go on with the request from now on.
             state.close_connection()
-            if self._mover.follow(state, failure):
+            if silence is not None and silence.has_answered:
+                # The other target is at work, so a move under way isn't waited for.
+                self._mover.end(state)
+            elif self._mover.follow(state, failure):
                 return failure
             is_silent = silence is not None and silence.is_silent
             if error.step != "silent" or not is_silent:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -108,7 +108,12 @@
         policy, now = self._forward_policy, self.clock()
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         job = make_job(admitted, state, now, factor * admitted.route.first_byte_slo_s)
-        return job._replace(broken_at=job.broken_at | job.excluded | targets)
+        events = state.splitter.count if state.splitter else 0
+        return job._replace(
+            # The other target also reads what the caller has of the answer.
+            prompt_tokens=job.prompt_tokens + events * admitted.event_steps,
+            broken_at=job.broken_at | job.excluded | targets,
+        )
 
     def has_budget(self, service):
         """Return whether the retry budget allows another attempt."""
@@ -164,7 +169,7 @@
         )
         self._is_overdue = False
         self._is_silent = self._was_replaced = False
-        self._next_try_at = 0.0
+        self._excused_until = self._next_try_at = 0.0
         # Times until which targets that turned a second attempt away get no other.
         self._refused_until = {}
         self._refused_s = _REFUSED_S
@@ -176,6 +181,11 @@
         self._answered = None
         hedging.watches.add(self)
 
+    @property
+    def has_answered(self):
+        """Whether another target has answered in place of the silent one."""
+        return self._answered is not None
+
     @property
     def is_silent(self):
         """Whether the target was recorded as silent since its last progress."""
@@ -274,7 +284,9 @@
         """Return whether the silence isn't the target's own."""
         hedging, since = self._hedging, self.progress_at
         others = hedging.progress_elsewhere(self.target_id)
-        return is_shared_silence(hedging.policy, now, self.starts_at, since, others)
+        if is_shared_silence(hedging.policy, now, self.starts_at, since, others):
+            self._excused_until = now + hedging.policy.gap_s
+        return now < min(self._excused_until, self.starts_at + hedging.policy.shared_s)
 
     def _resume(self):
         """Record that the target has gone on."""
