Steps of a silence watch can be driven without a thread or a socket

The decisions of SilenceWatch read the clock of the machine and could run only in the thread that waits for a target's bytes, so they couldn't be replayed for whole fleets. The clock is now an argument of Hedging, and step and read_second are public; only outlast blocks. No decision changes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -50,9 +50,20 @@
         Returns whether a request may be sent to another target than its current one.
     log : CallLog
     silence_policy : SilencePolicy, optional
+    monotonic_clock : callable, optional
     """
 
-    def __init__(self, parts, policy, attempts, may_replace, log, silence_policy=None):
+    def __init__(
+        self,
+        parts,
+        policy,
+        attempts,
+        may_replace,
+        log,
+        silence_policy=None,
+        monotonic_clock=monotonic,
+    ):
+        self.monotonic = monotonic_clock
         self.policy = silence_policy or SilencePolicy()
         self.attempts = attempts
         self.may_replace = may_replace
@@ -74,7 +85,7 @@
         if not route.idempotent or state.attempts >= route.max_attempts:
             return None
         watch = SilenceWatch(self, admitted, state, placement)
-        watch.starts_at = monotonic() + self.first_silence_s(admitted)
+        watch.starts_at = self.monotonic() + self.first_silence_s(admitted)
         return watch
 
     def first_silence_s(self, admitted):
@@ -126,7 +137,7 @@
 class SilenceWatch:
     """Silence of the target of one attempt, and the attempt that may replace it.
 
-    It is used by the thread of its request only.
+    It is used by the thread of its request only, which blocks in ``outlast`` alone.
 
     Parameters
     ----------
@@ -148,7 +159,7 @@
         self._event_silence_s = stream_silence_s(
             hedging.policy, admitted.call.request_id
         )
-        self._progress_at = monotonic()
+        self._progress_at = hedging.monotonic()
         self._is_silent = self._was_replaced = False
         self._next_try_at = 0.0
         self._ticket = None
@@ -163,7 +174,7 @@
 
     def record_progress(self):
         """Record the head of a stream or an event of it."""
-        now = self._progress_at = monotonic()
+        now = self._progress_at = self._hedging.monotonic()
         self.starts_at = now + self._event_silence_s
         self._hedging.heard[self._target_id] = now
         if self._is_silent:
@@ -176,33 +187,18 @@
 
     def outlast(self, sock, ends_at):
         """Wait until the target sends bytes, another one answers or time has passed."""
-        while not _readable([sock], 0.0) and (now := monotonic()) < ends_at:
-            wait_s = min(self._step(now), ends_at - now)
+        while (
+            not _readable([sock], 0.0) and (now := self._hedging.monotonic()) < ends_at
+        ):
+            wait_s = min(self.step(now), ends_at - now)
             waiting = [sock] if self._second is None else [sock, self._second[1]]
             ready = _readable(waiting, max(0.0, wait_s))
             # The silent target goes first: a run that goes on is worth more.
-            if sock not in ready and ready and self._read_second():
+            if sock not in ready and ready and self.read_second():
                 return False
         return True
 
-    def take_answered(self):
-        """Return the attempt that has taken over, or None, once."""
-        attempt, self.answered = self.answered, None
-        return attempt
-
-    def close(self):
-        """End the second attempt and the wait for one."""
-        self._withdraw()
-        if self._is_silent and not self._was_replaced:
-            self._hedging.record_silence(
-                self._admitted, self._placement, self._silent_s, "lasted"
-            )
-        attempt = self.take_answered()
-        if attempt is not None:
-            attempt.connection.close()
-            self._hedging.scheduler.release(attempt.placement, first_byte=False)
-
-    def _step(self, now):
+    def step(self, now):
         """Advance the second attempt; return the time until the next step."""
         if self._is_excused(now):
             return _POLL_S
@@ -222,11 +218,56 @@
         ticket, self._ticket = self._ticket, None
         if isinstance(ticket.decision, Send):
             self._send_second(ticket)
-            self._next_try_at = monotonic() + _RETRY_S
+            self._next_try_at = self._hedging.monotonic() + _RETRY_S
             return 0.0 if self._second is not None else _RETRY_S
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
         return _RETRY_S
 
+    def read_second(self):
+        """Read the head of the other target's answer; return whether it takes over."""
+        hedging, admitted, state = self._hedging, self._admitted, self._state
+        placement, connection, sent_at, watch = self._second
+        try:
+            response, failure = hedging.attempts.read_head(
+                admitted, state, placement, connection, sent_at, watch, _HEAD_S
+            )
+        except CallFailedError as error:
+            self._fail_call(error)
+            return False
+        if failure is not None:
+            if hedging.attempts.drain_refusal(connection, response, failure):
+                connection.release(response.headers)
+                self._second = placement, None, sent_at, watch
+            self._fail_second(failure.step, failure.reason, failure.not_run)
+            return False
+        self._second, self._was_replaced = None, True
+        self.answered = Attempt(placement, connection, response, sent_at, watch)
+        hedging.record_silence(
+            admitted,
+            self._placement,
+            self._silent_s,
+            "replaced",
+            placement.target.target_id,
+        )
+        return True
+
+    def take_answered(self):
+        """Return the attempt that has taken over, or None, once."""
+        attempt, self.answered = self.answered, None
+        return attempt
+
+    def close(self):
+        """End the second attempt and the wait for one."""
+        self._withdraw()
+        if self._is_silent and not self._was_replaced:
+            self._hedging.record_silence(
+                self._admitted, self._placement, self._silent_s, "lasted"
+            )
+        attempt = self.take_answered()
+        if attempt is not None:
+            attempt.connection.close()
+            self._hedging.scheduler.release(attempt.placement, first_byte=False)
+
     def _is_excused(self, now):
         """Return whether the silence isn't the target's own."""
         hedging, since = self._hedging, self._progress_at
@@ -254,7 +295,7 @@
 
     @property
     def _silent_s(self):
-        return monotonic() - self._progress_at
+        return self._hedging.monotonic() - self._progress_at
 
     def _request_place(self):
         """Ask the scheduler for another target, if the request may go to one."""
@@ -294,35 +335,8 @@
             self._second = placement, connection, sent_at, watch
             self._fail_second("closed", str(error), True)
         else:
-            self._second_ends_at = monotonic() + hedging.first_silence_s(admitted)
-
-    def _read_second(self):
-        """Read the head of the other target's answer; return whether it takes over."""
-        hedging, admitted, state = self._hedging, self._admitted, self._state
-        placement, connection, sent_at, watch = self._second
-        try:
-            response, failure = hedging.attempts.read_head(
-                admitted, state, placement, connection, sent_at, watch, _HEAD_S
-            )
-        except CallFailedError as error:
-            self._fail_call(error)
-            return False
-        if failure is not None:
-            if hedging.attempts.drain_refusal(connection, response, failure):
-                connection.release(response.headers)
-                self._second = placement, None, sent_at, watch
-            self._fail_second(failure.step, failure.reason, failure.not_run)
-            return False
-        self._second, self._was_replaced = None, True
-        self.answered = Attempt(placement, connection, response, sent_at, watch)
-        hedging.record_silence(
-            admitted,
-            self._placement,
-            self._silent_s,
-            "replaced",
-            placement.target.target_id,
-        )
-        return True
+            first_silence_s = hedging.first_silence_s(admitted)
+            self._second_ends_at = hedging.monotonic() + first_silence_s
 
     def _fail_call(self, error):
         """Record that the call of the second attempt failed."""
