A pause of a node's links is recognized although targets send at different times

What callers saw: after a pause of a node's links of 1.2 s or more, streams were sent to second targets though no target was silent.

Cause: a silence was excused only if no other target was heard after the last event of the silent stream. Targets send events some tens of milliseconds apart, so only the stream with the very last event was excused. When the links were back, streams whose events came a step later than the first one were not excused either.

Change: the last events of other targets may be gap_s (0.3 s) later, and after a shared silence a stream has gap_s more for its next event.

--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -25,7 +25,9 @@
     ``plain_share`` of the time that it has left.
 
     A silence that all targets share is excused for ``shared_s`` at most. Targets that
-    were heard within ``recent_s`` before it are compared.
+    were heard within ``recent_s`` before it are compared. The last events of their
+    streams may be up to ``gap_s`` later than that of the silent one, and the next ones
+    may come up to ``gap_s`` apart.
     """
 
     stream_s: float = 1.2
@@ -34,6 +36,7 @@
     plain_share: float = 0.5
     shared_s: float = 1.0
     recent_s: float = 1.0
+    gap_s: float = 0.3
 
 
 def stream_silence_s(policy, request_id):
@@ -69,4 +72,6 @@
     if now >= since + policy.stream_s + policy.spread_s + policy.shared_s:
         return False
     others = [at for other, at in heard.items() if other != target_id]
-    return any(at >= since - policy.recent_s for at in others) and max(others) <= since
+    if not any(at >= since - policy.recent_s for at in others):
+        return False
+    return max(others) <= since + policy.gap_s
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
@@ -37,6 +37,11 @@
     def test_all_targets_are_silent(self):
         self.assertTrue(self.is_shared({"t0": 10.0, "t1": 9.9, "t2": 9.5}))
 
+    def test_streams_of_other_targets_had_events_just_before_the_pause(self):
+        """Targets send events at different times, so their last ones differ."""
+        self.assertTrue(self.is_shared({"t0": 10.0, "t1": 10.04, "t2": 10.29}))
+        self.assertFalse(self.is_shared({"t0": 10.0, "t1": 10.04, "t2": 10.31}))
+
     def test_another_target_was_heard_since(self):
         self.assertFalse(self.is_shared({"t0": 10.0, "t1": 9.9, "t2": 10.4}))
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -161,7 +161,7 @@
         )
         self._progress_at = hedging.monotonic()
         self._is_silent = self._was_replaced = False
-        self._next_try_at = 0.0
+        self._excused_until = self._next_try_at = 0.0
         self._ticket = None
         # Placement, way, time of sending and watch of the second attempt.
         self._second = None
@@ -270,10 +270,13 @@
 
     def _is_excused(self, now):
         """Return whether the silence isn't the target's own."""
-        hedging, since = self._hedging, self._progress_at
-        return not self._is_silent and is_shared_silence(
-            hedging.policy, now, since, self._target_id, dict(hedging.heard)
-        )
+        if self._is_silent:
+            return False
+        policy, since = self._hedging.policy, self._progress_at
+        heard = dict(self._hedging.heard)
+        if is_shared_silence(policy, now, since, self._target_id, heard):
+            self._excused_until = now + policy.gap_s
+        return now < self._excused_until
 
     def _begin(self, now):
         """Record that the target is silent, so that others are preferred to it."""
