A target that pauses for 1.2 s has 0.3 s more for its next event

What callers saw: streams left targets that paused for 1.2 s or less and went on.

Cause: a silence counted after 1.2 to 1.6 s without an event.

Change: silences count after 1.5 to 1.7 s, the pause and the longest usual gap. Callers disconnect after 2 s or more.

--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -30,8 +30,8 @@
     may come up to ``gap_s`` apart.
     """
 
-    stream_s: float = 1.2
-    spread_s: float = 0.4
+    stream_s: float = 1.5
+    spread_s: float = 0.2
     first_event_s: float = 2.0
     plain_share: float = 0.5
     shared_s: float = 1.0
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
@@ -16,6 +16,11 @@
         limits = [stream_silence_s(POLICY, f"r{n}") for n in range(1000)]
         self.assertGreaterEqual(min(limits), 1.2)
 
+    def test_event_after_a_usual_pause_comes_before_the_silence_counts(self):
+        """After a pause a target first reads the prompts that it got meanwhile."""
+        limits = [stream_silence_s(POLICY, f"r{n}") for n in range(1000)]
+        self.assertGreaterEqual(min(limits), 1.2 + POLICY.gap_s)
+
     def test_callers_have_not_left_by_then(self):
         """Callers disconnect after two seconds without an event."""
         limits = [stream_silence_s(POLICY, f"r{n}") for n in range(1000)]
