--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -34,7 +34,7 @@
     spread_s: float = 0.2
     first_event_s: float = 2.0
     plain_share: float = 0.5
-    shared_s: float = 0.2
+    shared_s: float = 0.7
     quiet_s: float = 0.9
     recent_s: float = 1.0
     gap_s: float = 0.3
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -74,6 +74,7 @@
         # Watches of the open attempts.
         self.watches = set()
         self._forward_policy = policy
+        self._paths = parts.paths
         self._retry_budgets = parts.retry_budgets
         self._silences = parts.metrics.silences
 
@@ -89,13 +90,21 @@
         watch.starts_at = self.monotonic() + self.first_silence_s(admitted)
         return watch
 
-    def progress_elsewhere(self, target_id):
-        """Return the times of the last progress of open streams of other targets."""
-        return [
-            watch.progress_at
-            for watch in self.watches.copy()
-            if watch.has_progress and watch.target_id != target_id
+    def is_shared(self, now, watch, service):
+        """Return whether the streams of other targets are silent as well.
+
+        If they are, as this node is cut off, the request may go on through a peer.
+        """
+        if self._paths.is_cut(service):
+            return False
+        others = [
+            other.progress_at
+            for other in self.watches.copy()
+            if other.has_progress and other.target_id != watch.target_id
         ]
+        return is_shared_silence(
+            self.policy, now, watch.starts_at, watch.progress_at, others
+        )
 
     def first_silence_s(self, admitted):
         """Return the seconds for which a target may be silent before its answer."""
@@ -282,11 +291,10 @@
 
     def _is_excused(self, now):
         """Return whether the silence isn't the target's own."""
-        hedging, since = self._hedging, self.progress_at
-        others = hedging.progress_elsewhere(self.target_id)
-        if is_shared_silence(hedging.policy, now, self.starts_at, since, others):
+        hedging = self._hedging
+        if hedging.is_shared(now, self, self._admitted.service):
             self._excused_until = now + hedging.policy.gap_s
-        return now < min(self._excused_until, self.starts_at + hedging.policy.shared_s)
+        return now < self._excused_until
 
     def _resume(self):
         """Record that the target has gone on."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -66,6 +66,10 @@
         # Returns whether the zone of a target is evacuated.
         self.is_evacuated = lambda target: False
 
+    def is_cut(self, service):
+        """Return whether this node's own links to the targets of a service are cut."""
+        return self._watch.is_cut(service)
+
     def acquire(self, placement, max_idle_s, request_id, suspects):
         """Return the way for an attempt at the target of a placement.
 
