--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_silences.py
@@ -46,3 +46,13 @@
 
     def test_long_silence_counts_even_if_it_is_shared(self):
         self.assertFalse(self.is_shared({"t1": 9.9}, now=12.7))
+
+    def test_targets_that_were_heard_one_after_the_other(self):
+        """All streams of a node that was cut off are silent, not only the last one."""
+        heard = {f"t{n}": 10.0 + 0.01 * n for n in range(10)}
+        shared = {
+            target_id
+            for target_id, at in heard.items()
+            if is_shared_silence(POLICY, 11.55, at, target_id, heard)
+        }
+        self.assertEqual(shared, heard.keys())
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -138,6 +138,17 @@
                 self.finish(stream)
                 self.assertEqual((stream.at, stream.outcome), ("t0", "whole"))
 
+    def test_stream_whose_move_has_failed_is_not_being_moved(self):
+        """It may go to another target if its own falls silent."""
+        for fate in ("refused", "unsent", "dropped", "lost"):
+            with self.subTest(fate=fate):
+                self.setUp()
+                self.engines.script = [fate]
+                stream = self.bench.stream()
+                self.bench.drain("t0")
+                self.bench.step()
+                self.assertFalse(self.bench.mover.is_moving(stream.state))
+
     def test_lost_answer_of_a_stopped_run_is_a_failed_attempt(self):
         self.engines.script = ["lost"]
         stream = self.bench.stream()
