A failed move rules out no second attempt

Callers of streams whose move had failed, or that had just been sent to their destination, got nothing more until their deadline if that target fell silent: a stream counted as being moved until its next attempt had sent an event, and one that is moved gets no second attempt. It counts as moved now only while its destination is chosen and its state copied.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -194,9 +194,9 @@
         return False
 
     def is_moving(self, state):
-        """Return whether a stream is being moved."""
+        """Return whether a stream is being moved and not yet sent elsewhere."""
         run = self._runs.get(state)
-        return run is not None and run.move is not None
+        return run is not None and run.move is not None and run.move.is_copying
 
     def complete(self, state):
         """Record that a stream has ended as a whole."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -149,6 +149,18 @@
                 self.bench.step()
                 self.assertFalse(self.bench.mover.is_moving(stream.state))
 
+    def test_moved_stream_may_leave_a_destination_that_sends_nothing(self):
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.mover.step()
+        self.assertTrue(self.bench.mover.is_moving(stream.state))
+        self.bench.run_queued()
+        stream.close()
+        self.assertEqual(stream.at, "t1")
+        self.assertFalse(self.bench.mover.is_moving(stream.state))
+        stream.close("silent")
+        self.assertEqual(self.bench.scheduler.reserved, [])
+
     def test_lost_answer_of_a_stopped_run_is_a_failed_attempt(self):
         self.engines.script = ["lost"]
         stream = self.bench.stream()
