A second attempt goes on until it is replaced

Callers got 502, 504 or a stream that was cut off although another target had their request and would have answered. The second attempt of a request ended when its first target failed, and after a time limit of its own although no further attempt was allowed; in both cases all attempts were used up by then.

If the first target fails, the request now goes on with the second attempt, answered or not, which may get a successor in turn as far as the route allows. An overdue second attempt ends only once a place at a third target is held.

test_second_attempts: the cases of a first target that fails (3) and of a slow answer of the other one (2) failed and pass; so do a caller that leaves, places given back, and a third target.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -83,13 +83,13 @@
             return self.policy.first_event_s
         return (admitted.ends_at - self.clock()) * self.policy.plain_share
 
-    def job(self, admitted, state, target_id):
-        """Return the job that chooses another target for a request."""
+    def job(self, admitted, state, target_ids):
+        """Return the job that chooses a target other than the given ones."""
         policy, now = self._forward_policy, self.clock()
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         job = make_job(admitted, state, now, factor * admitted.route.first_byte_slo_s)
         return job._replace(
-            excluded=job.excluded | {target_id}, broken_at=job.broken_at | {target_id}
+            excluded=job.excluded | target_ids, broken_at=job.broken_at | target_ids
         )
 
     def has_budget(self, service):
@@ -154,7 +154,8 @@
         self._ticket = None
         # Placement, way, time of sending and watch of the second attempt.
         self._second = None
-        self._second_ends_at = 0.0
+        # Time from which the target of the second attempt counts as silent as well.
+        self._second_silent_at = 0.0
 
     @property
     def is_silent(self):
@@ -190,6 +191,20 @@
         attempt, self.answered = self.answered, None
         return attempt
 
+    def take_second(self):
+        """Return the second attempt to go on with after the first has failed, or None.
+
+        It may not have been answered yet.
+        """
+        has_time = self._admitted.ends_at > self._hedging.clock()
+        if self._second is None or not has_time:
+            return self.take_answered()
+        placement, connection, sent_at, watch = self._second
+        self._second, self._was_replaced = None, True
+        watch.starts_at = self._second_silent_at
+        self._record_replaced(placement)
+        return Attempt(placement, connection, None, sent_at, watch)
+
     def close(self):
         """End the second attempt and the wait for one."""
         self._withdraw()
@@ -208,10 +223,8 @@
             return _POLL_S
         if not self._is_silent:
             self._begin(now)
-        if self._second is not None:
-            if now < self._second_ends_at:
-                return self._second_ends_at - now
-            self._fail_second("silent", "no answer of the other target either", False)
+        if self._second is not None and now < self._second_silent_at:
+            return self._second_silent_at - now
         if self._ticket is None and now < self._next_try_at:
             return self._next_try_at - now
         if self._ticket is None and not self._request_place():
@@ -223,7 +236,7 @@
         if isinstance(ticket.decision, Send):
             self._send_second(ticket)
             self._next_try_at = monotonic() + _RETRY_S
-            return 0.0 if self._second is not None else _RETRY_S
+            return 0.0
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
         return _RETRY_S
 
@@ -267,7 +280,10 @@
             or not hedging.has_budget(admitted.service)
         ):
             return False
-        job = hedging.job(admitted, state, target_id)
+        target_ids = {target_id}
+        if self._second is not None:
+            target_ids.add(self._second[0].target.target_id)
+        job = hedging.job(admitted, state, target_ids)
         self._ticket = hedging.scheduler.submit(job)
         return True
 
@@ -279,6 +295,8 @@
         if not is_other or not hedging.take_budget(admitted.service):
             scheduler.release(placement, first_byte=False)
             return
+        if self._second is not None:
+            self._fail_second("silent", "no answer of the other target either", False)
         state.attempts += 1
         hedging.log.sent(admitted, state, placement)
         sent_at, connection = hedging.clock(), None
@@ -294,7 +312,7 @@
             self._second = placement, connection, sent_at, watch
             self._fail_second("closed", str(error), True)
         else:
-            self._second_ends_at = monotonic() + hedging.first_silence_s(admitted)
+            self._second_silent_at = monotonic() + hedging.first_silence_s(admitted)
 
     def _read_second(self):
         """Read the head of the other target's answer; return whether it takes over."""
@@ -315,14 +333,17 @@
             return False
         self._second, self._was_replaced = None, True
         self.answered = Attempt(placement, connection, response, sent_at, watch)
-        hedging.record_silence(
-            admitted,
+        self._record_replaced(placement)
+        return True
+
+    def _record_replaced(self, placement):
+        self._hedging.record_silence(
+            self._admitted,
             self._placement,
             self._silent_s,
             "replaced",
             placement.target.target_id,
         )
-        return True
 
     def _fail_call(self, error):
         """Record that the call of the second attempt failed."""
