A second attempt that can't be sent keeps no answer of the first target waiting

A caller got 504 although its first target had answered in time: the thread of the request was sending it to a second target, which read nothing, until the deadline. Sending a second attempt may take half a second now; the deadline that the target is told stays that of the request. test_first_target_answers_meanwhile failed and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -72,7 +72,7 @@
             return paths.acquire(placement, idle_s, request_id, suspects)
         return paths.acquire_again(target, idle_s)
 
-    def send(self, admitted, state, placement, connection, copy=None):
+    def send(self, admitted, state, placement, connection, copy=None, limit_s=inf):
         """Send a request on the way to its target.
 
         Parameters
@@ -83,6 +83,8 @@
         connection : TargetPath
         copy : CopyHandle, optional
             Copy of the run that the request continues.
+        limit_s : float, optional
+            Longest time for sending, if the time of the request allows it.
 
         Raises
         ------
@@ -108,7 +110,9 @@
         )
         head = admitted.head
         headers = self._parts.dialect.target_headers(head, admitted.call, forwarding)
-        connection.send(head.method, head.uri, headers, admitted.body, remaining_s)
+        connection.send(
+            head.method, head.uri, headers, admitted.body, remaining_s, limit_s
+        )
 
     def read_head(
         self, admitted, state, placement, connection, sent_at, silence, limit_s=inf
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -28,7 +28,9 @@
 # Times in seconds between looks for another target, and for the decision about one.
 _RETRY_S = 0.3
 _POLL_S = 0.05
-# Longest wait for the rest of a head that has begun to arrive, in seconds.
+# Longest time for sending the request of a second attempt, and for the rest of a head
+# that has begun to arrive, in seconds. The first target may go on meanwhile.
+_SEND_S = 0.5
 _HEAD_S = 0.5
 # A request that has less time left is not sent to another target.
 _MIN_REMAINING_S = 0.2
@@ -304,7 +306,9 @@
         try:
             connection = hedging.attempts.connect(admitted, state, placement)
             self._second = placement, connection, sent_at, watch
-            hedging.attempts.send(admitted, state, placement, connection)
+            hedging.attempts.send(
+                admitted, state, placement, connection, limit_s=_SEND_S
+            )
         except CallFailedError as error:
             self._second = placement, connection, sent_at, watch
             self._fail_call(error)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
@@ -1,5 +1,7 @@
 """Way to a target over a node's own links."""
 
+from math import inf
+
 from hibiscusspar_wire.target_connections import CallFailedError
 
 __all__ = ["OwnPath"]
@@ -34,11 +36,12 @@
         """Return the file descriptor of the connection."""
         return self._connection.fileno()
 
-    def send(self, method, uri, headers, body, timeout_s):
+    def send(self, method, uri, headers, body, timeout_s, limit_s=inf):
         """Send the request."""
         self._watch.record_sent(self._target.service)
         try:
-            self._connection.send(method, uri, headers, body, timeout_s)
+            send_s = min(timeout_s, limit_s)
+            self._connection.send(method, uri, headers, body, send_s)
         except CallFailedError:
             self._record_failure()
             raise
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -1,6 +1,7 @@
 """Way to a target through a peer."""
 
 from contextlib import suppress
+from math import inf
 from time import monotonic
 
 from urllib3 import HTTPHeaderDict
@@ -65,6 +66,7 @@
         self._offer = None
         self._hop = None
         self._call = None
+        self._send_limit_s = inf
         self._refused = {}
         self._is_cancelled = False
         self.address = target.address
@@ -100,8 +102,9 @@
         """Return the file descriptor of the connection to the peer."""
         return self._hop.fileno()
 
-    def send(self, method, uri, headers, body, timeout_s):
+    def send(self, method, uri, headers, body, timeout_s, limit_s=inf):
         """Send the request."""
+        self._send_limit_s = limit_s
         self._call = (method, uri, list(headers), body, monotonic() + timeout_s)
         self._send()
 
@@ -183,7 +186,8 @@
             self._permitted,
         )
         fields = [("Host", self._offer.address), (CALL_HEADER, encode_header(call))]
-        self._hop.send("POST", PROXY_URI, fields, body, remaining_s)
+        send_s = min(remaining_s, self._send_limit_s)
+        self._hop.send("POST", PROXY_URI, fields, body, send_s)
 
     def _finish_refusal(self, response):
         with suppress(CallFailedError):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -1,5 +1,6 @@
 """Ways on which the requests of one node reach targets."""
 
+from math import inf
 from typing import Protocol
 
 from hibiscusspar_entry.fleet.own_path import OwnPath
@@ -17,8 +18,8 @@
 
     is_own: bool
 
-    def send(self, method, uri, headers, body, timeout_s):
-        """Send the request."""
+    def send(self, method, uri, headers, body, timeout_s, limit_s=inf):
+        """Send the request, which has ``timeout_s``, within ``limit_s`` of it."""
 
     def fileno(self) -> int:
         """Return the file descriptor that is readable once bytes have arrived."""
