A second attempt for which no other target is left is not recorded as sent

While a request had no other target, the scheduler chose its silent target, or one that had turned it away, again every 0.3 s; the choice was dropped, but all nodes had been told of its prompt, and permits and the probe of an ejected target were used. Jobs of second attempts have no fallback to excluded targets now. Two tests of test_second_attempts failed (6 sends for 1, 5 for 1) and pass.

--- a/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/waiting.py
@@ -55,8 +55,9 @@
     the time at which it is refused if it found no target. ``max_gap_s`` is the longest
     pause that the streams of its service may have, 0 if there is no limit, and
     ``event_steps`` the number of decoding steps per event. ``excluded`` holds the
-    targets that it must not be sent to again. ``software`` is the version of the
-    target's software that began its stream, None if any target may run the job.
+    targets that it must not be sent to again, unless no other remains and
+    ``has_fallback`` is true. ``software`` is the version of the target's software that
+    began its stream, None if any target may run the job.
     ``broken_at`` holds the targets at which that stream broke off; they may have
     restarted with other software than the directory shows. ``attempts`` is the number
     of earlier attempts at targets, and ``returned_s`` the time since the caller first
@@ -87,6 +88,7 @@
     account: str = ""
     digest: str = ""
     ends_at: float = inf
+    has_fallback: bool = True
 
 
 class Send(NamedTuple):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -91,7 +91,9 @@
         factor = policy.wait_factor if admitted.is_engine else policy.plain_wait_factor
         job = make_job(admitted, state, now, factor * admitted.route.first_byte_slo_s)
         return job._replace(
-            excluded=job.excluded | target_ids, broken_at=job.broken_at | target_ids
+            excluded=job.excluded | target_ids,
+            broken_at=job.broken_at | target_ids,
+            has_fallback=False,
         )
 
     def has_budget(self, service):
@@ -293,8 +295,7 @@
         """Send the request to another target."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
         placement, scheduler = ticket.placement, hedging.scheduler
-        is_other = placement.target.target_id not in ticket.job.excluded
-        if not is_other or not hedging.take_budget(admitted.service):
+        if not hedging.take_budget(admitted.service):
             scheduler.release(placement, first_byte=False)
             return
         if self._second is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -389,7 +389,8 @@
         """
         job = ticket.job
         known = {} if known is None else known
-        group = (job.service, job.key, job.software, job.broken_at, job.excluded)
+        group = (job.service, job.key, job.software, job.broken_at)
+        group += (job.excluded, job.has_fallback)
         if group not in known:
             known[group] = self._candidates(now, job)
         candidates, versions = known[group]
@@ -460,7 +461,9 @@
             newest = max(versions.values(), default=0)
             versions = {t: v for t, v in versions.items() if v == newest or not v}
         usable = versions.keys() - job.excluded if job.excluded else versions
-        targets = [self._targets[target_id] for target_id in sorted(usable or versions)]
+        if not usable and job.has_fallback:
+            usable = versions
+        targets = [self._targets[target_id] for target_id in sorted(usable)]
         is_engine = self._has_engine.get(job.service)
         return make_candidates(
             targets,
