A crash of the target of a second attempt is blamed on the request

A request whose first target had sent events over a second ago wasn't suspected when the target of its second attempt broke off: what is blamed was chosen by the events of the first attempt. So requests that crash the targets which take them up were not quarantined.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -51,9 +51,21 @@
         self._admission = admission
         self._crash_guard = crash_guard
 
-    def connect(self, admitted, state, placement):
+    def connect(self, admitted, state, placement, is_second=False):
         """Return an open way to the target of a placement.
 
+        Parameters
+        ----------
+        admitted : Admitted
+        state : RequestState
+        placement : Placement
+        is_second : bool, optional
+            Whether another attempt of the request goes on.
+
+        Returns
+        -------
+        TargetPath
+
         Raises
         ------
         CallFailedError
@@ -65,7 +77,7 @@
         idle_s = policy.safe_idle_s
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
-        suspects = self._crash_guard.suspects(admitted, state)
+        suspects = self._crash_guard.suspects(admitted, state, is_second)
         paths = self._parts.paths
         if placement.is_reserved:
             request_id = admitted.call.request_id
@@ -184,10 +196,10 @@
         )
         return AttemptFailure(error.step, error.reason, is_unsent, False)
 
-    def blame(self, admitted, state, target, error):
+    def blame(self, admitted, state, target, error, is_second=False):
         """Record what a failed call says about its target and about the request."""
         if error.step != "closed":
             self._parts.request_scheduler.record_failure(
                 target.target_id, error.step in UNSENT_STEPS
             )
-        self._crash_guard.record_failure(admitted, state, target, error)
+        self._crash_guard.record_failure(admitted, state, target, error, is_second)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_guard.py
@@ -60,18 +60,30 @@
         suspects = [admitted.digest, *_part_suspects(admitted)]
         return not self._crashes.was_quarantined(suspects)
 
-    def record_failure(self, admitted, state, target, error):
+    def record_failure(self, admitted, state, target, error, is_second=False):
         """Record a failed attempt, which the request may have caused."""
         if error.is_refused:
             self._crashes.record_refused_connection(target)
-        suspects = self.suspects(admitted, state)
+        suspects = self.suspects(admitted, state, is_second)
         if error.step in _CRASH_STEPS and suspects:
             self._crashes.record_break(target, suspects)
 
-    def suspects(self, admitted, state):
-        """Return what a crash of the target would be blamed on now."""
+    def suspects(self, admitted, state, is_second=False):
+        """Return what a crash of the target would be blamed on now.
+
+        Parameters
+        ----------
+        admitted : Admitted
+        state : RequestState
+        is_second : bool, optional
+            Whether the target has a second attempt, which has sent no event yet.
+
+        Returns
+        -------
+        list of str
+        """
         suspects = []
-        began_at = state.attempt_event_at
+        began_at = None if is_second else state.attempt_event_at
         if began_at is None or self._clock() < began_at + _BEGINNING_S:
             suspects.append(admitted.digest)
         if state.last_event(admitted.call) is None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -305,7 +305,7 @@
         sent_at, connection = hedging.clock(), None
         watch = SilenceWatch(hedging, admitted, state, placement)
         try:
-            connection = hedging.attempts.connect(admitted, state, placement)
+            connection = hedging.attempts.connect(admitted, state, placement, True)
             self._second = placement, connection, sent_at, watch
             hedging.attempts.send(
                 admitted, state, placement, connection, limit_s=_SEND_S
@@ -355,7 +355,7 @@
         hedging, admitted = self._hedging, self._admitted
         placement, _, sent_at, _ = self._second
         failure = hedging.attempts.record_failure(admitted, placement, sent_at, error)
-        hedging.attempts.blame(admitted, self._state, placement.target, error)
+        hedging.attempts.blame(admitted, self._state, placement.target, error, True)
         self._fail_second(failure.step, failure.reason, failure.not_run)
 
     def _fail_second(self, step, reason, not_run):
