Only targets that still answer excuse the silence of another one

A call that had ended at another target within the last second excused a silent one: the second attempt came 2.65 s after its last event, when callers have left. Yet of the streams of a node that was cut off only the one that was heard last was excused, as the others were compared with its last event rather than with the present. Targets are compared only while they have an answer open, and share a silence if none was heard for a second.

--- a/packages/hibiscusspar/hibiscusspar/fleet/silences.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/silences.py
@@ -25,7 +25,8 @@
     ``plain_share`` of the time that it has left.
 
     A silence that all targets share is excused for ``shared_s`` at most. Targets that
-    were heard within ``recent_s`` before it are compared.
+    were heard within ``recent_s`` before it are compared; they share it if none was
+    heard for ``quiet_s``.
     """
 
     stream_s: float = 1.2
@@ -34,6 +35,7 @@
     plain_share: float = 0.5
     shared_s: float = 1.0
     recent_s: float = 1.0
+    quiet_s: float = 1.0
 
 
 def stream_silence_s(policy, request_id):
@@ -60,7 +62,7 @@
         Time of the last progress of the answer.
     target_id : str
     heard : dict of str to float
-        Time at which each target was last heard by this node.
+        Time at which each target that answers this node was last heard by it.
 
     Returns
     -------
@@ -69,4 +71,6 @@
     if now >= since + policy.stream_s + policy.spread_s + policy.shared_s:
         return False
     others = [at for other, at in heard.items() if other != target_id]
-    return any(at >= since - policy.recent_s for at in others) and max(others) <= since
+    return (
+        bool(others) and since - policy.recent_s <= max(others) <= now - policy.quiet_s
+    )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -61,7 +61,7 @@
         self.log = log
         self.scheduler = parts.request_scheduler
         self.clock = parts.clock
-        # Monotonic time at which each target was last heard.
+        # Monotonic time at which each target with an open answer was last heard.
         self.heard = {}
         self._forward_policy = policy
         self._retry_budgets = parts.retry_budgets
@@ -210,7 +210,10 @@
         return Attempt(placement, connection, None, sent_at, watch)
 
     def close(self):
-        """End the second attempt and the wait for one."""
+        """End the watch of the attempt, its second attempt and the wait for one."""
+        heard = self._hedging.heard
+        if heard.get(self._target_id) == self._progress_at:
+            heard.pop(self._target_id, None)
         self._withdraw()
         if self._is_silent and not self._was_replaced:
             self._hedging.record_silence(
