A stream that another target has taken over waits for no move

The connection to a silent target was closed only after the mover had been asked, which may wait over a second for a move under way, while the other target was at work already and its events waited. The test failed (0.6 s) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -249,7 +249,11 @@
             if state.caller_gone.is_set():
                 raise CallerLeftError from error
             failure = self._attempts.record_failure(admitted, placement, sent_at, error)
-            if self._mover.follow(state, failure):
+            if silence is not None and silence.answered is not None:
+                # Another target is at work, so this one must not wait for a move.
+                state.close_connection()
+                self._mover.end(state)
+            elif self._mover.follow(state, failure):
                 return failure
             is_silent = silence is not None and silence.is_silent
             if error.step != "silent" or not is_silent:
