A second attempt that may have run rules out the promise that none has

A request whose second target had broken off was answered 503, and its tokens given back, if the first one then turned it away, though the second may have run it. It is answered 502 now. The test failed (503) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -369,6 +369,8 @@
         state.excluded |= {target_id}
         if not_run:
             state.attempts -= 1
+        else:
+            state.may_have_run = True
         self._end_second()
 
     def _end_second(self):
