The retry budget is used by one thread at a time

Requests that failed or fell silent at the same moment could raise IndexError where old retries are dropped, which ended their answers as internal errors, and could each take the last retry. A lock guards the budget.

--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -5,6 +5,7 @@
 to all nodes.
 """
 
+import threading
 from collections import deque
 from enum import Enum
 from typing import NamedTuple
@@ -107,6 +108,7 @@
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
         self._window_s = window_s
+        self._lock = threading.Lock()
         self._requests = deque()
         self._retries = deque()
         self._fleet_sizes = deque()
@@ -125,13 +127,18 @@
             Size of the fleet, None if it isn't known yet. A new coordinator first
             knows a part of the nodes, so the largest size of a window counts.
         """
-        if not self.has_room(now, nodes):
-            return False
-        self._retries.append(now)
-        return True
+        with self._lock:
+            if not self._has_room(now, nodes):
+                return False
+            self._retries.append(now)
+            return True
 
     def has_room(self, now, nodes):
         """Return whether one more retry is within the budget, without counting it."""
+        with self._lock:
+            return self._has_room(now, nodes)
+
+    def _has_room(self, now, nodes):
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._window_s:
                 times.popleft()
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_retries.py
@@ -1,6 +1,9 @@
 """Tests of retry decisions and the shared retry budget."""
 
+import sys
+import threading
 import unittest
+from time import monotonic
 
 from hibiscusspar.fleet.retries import (
     AttemptFailure,
@@ -84,3 +87,28 @@
         budget.allow(1.0, 1000)
         self.assertFalse(budget.allow(5.0, 10))
         self.assertTrue(budget.allow(12.0, 10))
+
+
+class TestBudgetOfManyThreads(unittest.TestCase):
+    """Guards against errors in the threads of requests that fail at the same time."""
+
+    def test_old_requests_are_dropped_by_one_thread_at_a_time(self):
+        self.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
+        sys.setswitchinterval(1e-6)
+        budget, errors = RetryBudget(0.2, 100.0, 1e-4), []
+
+        def use():
+            try:
+                for _ in range(2000):
+                    budget.request(monotonic())
+                    budget.allow(monotonic(), 1)
+                    budget.has_room(monotonic() + 1e-4, 1)
+            except IndexError as error:
+                errors.append(error)
+
+        threads = [threading.Thread(target=use) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(errors, [])
