A move cancels no call of another request

The mover looked whether a stream still had its connection, then cancelled it. Between the two the connection may go back to the pool and to another request, whose call was broken. Both now happen under the lock that its release takes, as for a caller that leaves.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -128,6 +128,12 @@
                 self.connection.cancel()
         self.stop_waiting()
 
+    def cancel_attempt(self, connection):
+        """Cancel the attempt on a connection unless it has ended."""
+        with self._connection_lock:
+            if self.connection is connection:
+                connection.cancel()
+
     def _take_connection(self):
         with self._connection_lock:
             connection, self.connection = self.connection, None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -404,8 +404,8 @@
 
     def _close_source(self, run):
         """Close the stream of a stopped run, of which a link holds back the end."""
-        if not run.closed.is_set() and run.state.connection is run.connection:
-            run.connection.cancel()
+        if not run.closed.is_set():
+            run.state.cancel_attempt(run.connection)
 
     def _clean(self, run, cleanup):
         if cleanup is None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_state.py
@@ -29,8 +29,19 @@
     def test_connection_that_was_released_is_not_cancelled_afterwards(self):
         """Guards against the call of another request that is cancelled instead."""
         state, connection = RequestState(), _SlowlyCancelled()
+        self.release_while_cancelled(state, connection, state.cancel)
+
+    def test_connection_of_a_moved_stream_is_not_cancelled_after_its_release(self):
+        state, connection = RequestState(), _SlowlyCancelled()
+        self.release_while_cancelled(
+            state, connection, lambda: state.cancel_attempt(connection)
+        )
+        state.cancel_attempt(connection)
+        self.assertEqual(len(connection.steps), 2)
+
+    def release_while_cancelled(self, state, connection, cancel):
         state.connection = connection
-        cancel = threading.Thread(target=state.cancel)
+        cancel = threading.Thread(target=cancel)
         cancel.start()
         connection.is_cancelling.wait(_TIMEOUT_S)
         release = threading.Thread(target=state.release_connection, args=({},))
