A proxy that is told of a hang-up cancels no call of another request

The watch for disconnects takes a callback, then calls it outside of its lock. In between the call of a peer may end and its connection go back to the pool and to another request, whose call was broken. The proxy holds the connection in a RequestState now, as the forwarder does, which cancels and releases it under one lock.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -27,6 +27,7 @@
     decode_header,
     encode_header,
 )
+from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.target_statements import AnswerOrigin
 from hibiscusspar_wire.front_server import (
     BadRequestError,
@@ -243,8 +244,9 @@
         except CallFailedError as error:
             reason = UNREACHABLE if error.step == "connect" else error.reason
             raise _NotSentError(reason) from error
-        watch = self._disconnect_watch
-        handle = watch.add(inbound.socket, path.cancel)
+        watch, state = self._disconnect_watch, RequestState()
+        state.connection = path
+        handle = watch.add(inbound.socket, state.cancel)
         try:
             path.send(
                 call.method, call.uri, call.headers, body, ends_at - self._clock()
@@ -260,19 +262,19 @@
             while data := path.read(response, ends_at - self._clock()):
                 inbound.write(data)
         except CallFailedError as error:
-            path.close()
+            state.close_connection()
             if error.step in _CRASH_STEPS and not path.cancelled and call.suspects:
                 self._crashes.record_break(target, call.suspects)
             raise
         except BaseException:
-            path.close()
+            state.close_connection()
             raise
         finally:
             watch.remove(handle)
         if answer.request_id == call.request_id:
-            path.release(response.headers)
+            state.release_connection(response.headers)
         else:
-            path.close()
+            state.close_connection()
         return response.status
 
     def _sendable_target(self, call):
