A second attempt ends only once a third target can be sent the request

A silent second attempt was given up before the connection to a third target was open and the budget had allowed it, so a refused connection left the request with its silent first target. test_third_target_refuses_the_connection failed (504) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -325,8 +325,7 @@
     def _send_second(self, placement):
         """Send the request to another target, in place of one that is silent too."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
-        if self._second is not None:
-            self._fail_second("silent", "no answer of the other target either", False)
+        earlier, self._second = self._second, None
         state.attempts += 1
         hedging.log.sent(admitted, state, placement)
         watch = SilenceWatch(hedging, admitted, state, placement)
@@ -337,7 +336,16 @@
             self._second = placement, connection, sent_at, watch
             if not hedging.take_budget(admitted.service):
                 self._fail_second("closed", "retry budget", True)
-                return
+        except CallFailedError as error:
+            self._fail_call(error)
+        except RefusedError as error:
+            self._fail_second("closed", str(error), True)
+        if self._second is None:
+            self._second, state.has_second_attempt = earlier, earlier is not None
+            return
+        if earlier is not None:
+            self._fail_earlier(earlier)
+        try:
             hedging.attempts.send(
                 admitted, state, placement, connection, limit_s=_SEND_S
             )
@@ -349,6 +357,12 @@
             silence_s = hedging.first_silence_s(admitted)
             self._second_ends_at = hedging.monotonic() + silence_s
 
+    def _fail_earlier(self, earlier):
+        """End an earlier second attempt, which the current one replaces."""
+        current, self._second = self._second, earlier
+        self._fail_second("silent", "no answer of the other target either", False)
+        self._second, self._state.has_second_attempt = current, True
+
     def read_second(self):
         """Read the head of the other target's answer; return whether it takes over."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
