A request whose first target has failed may go on to a third one

After the failure of its first target a request waited for the answer of a second attempt until its deadline, also if that target was silent and the route allows a third. It goes on with the second attempt as its attempt now, with a watch of its own; the wait with a look every 0.05 s is gone, and a caller that leaves closes the connection at once. test_first_has_failed_and_the_second_is_silent failed (504) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -20,8 +20,9 @@
 
 
 class Attempt(NamedTuple):
-    """Attempt whose target has sent the head of its answer.
+    """Attempt that takes over from an earlier one.
 
+    ``response`` is None if its target has not sent the head of its answer yet.
     ``silence`` is a ``SilenceWatch``, or None if no other target may take over.
     """
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -143,14 +143,14 @@
         parts.metrics.started.inc()
         try:
             while True:
-                attempt = state.take_answered()
+                attempt = state.take_successor()
                 placement = state.take_onward() if attempt is None else attempt[0]
                 if placement is None:
                     placement = self._wait_for_placement(admitted, state)
                 failure = self._try_target(inbound, admitted, state, placement, attempt)
                 if failure is None:
                     return
-                if state.answered is not None:
+                if state.successor is not None:
                     self._log.failed(admitted, state, failure, "replaced")
                     state.leave_target()
                 elif state.onward is None:
@@ -203,13 +203,13 @@
         state : RequestState
         placement : Placement
         attempt : Attempt, optional
-            Attempt that has been answered already.
+            Attempt that was made already.
         """
         target_id = placement.target.target_id
         pace = self._parts.speeds.pace(placement, admitted)
         first_byte_received = False
         earlier_first_byte_at = state.first_byte_at
-        sent_at, silence = self._clock(), None
+        sent_at, silence, response = self._clock(), None, None
         try:
             if attempt is None:
                 state.begin_attempt(target_id, pace)
@@ -218,20 +218,21 @@
                 state.connection = connection
                 self._attempts.send(admitted, state, placement, connection, state.copy)
                 silence = self._hedging.watch(admitted, state, placement)
+            else:
+                _, connection, response, sent_at, silence = attempt
+                state.take_over(target_id, connection, pace)
+                if state.caller_gone.is_set():
+                    raise CallerLeftError
+            if response is None:
                 response, failure = self._attempts.read_head(
                     admitted, state, placement, connection, sent_at, silence
                 )
                 if failure is not None:
                     if self._attempts.drain_refusal(connection, response, failure):
                         state.release_connection(response.headers)
-                    if not self._mover.follow(state, failure):
-                        self._await_second(state, silence)
+                    if not self._mover.follow(state, failure) and silence is not None:
+                        state.successor = silence.take_second()
                     return failure
-            else:
-                _, connection, response, sent_at, silence = attempt
-                state.take_over(target_id, connection, pace)
-                if state.caller_gone.is_set():
-                    raise CallerLeftError
             self._record_first_byte(state, placement)
             first_byte_received = True
             self._relay(
@@ -258,7 +259,8 @@
             is_silent = silence is not None and silence.is_silent
             if error.step != "silent" or not is_silent:
                 self._attempts.blame(admitted, state, placement.target, error)
-            self._await_second(state, silence)
+            if silence is not None:
+                state.successor = silence.take_second()
             return failure
         finally:
             state.close_connection()
@@ -270,14 +272,6 @@
                 seconds = state.first_byte_at - admitted.arrived
                 self._parts.metrics.first_byte.observe(seconds)
 
-    def _await_second(self, state, silence):
-        """Let the second attempt at another target, if there is one, take over."""
-        if silence is not None:
-            silence.await_second()
-            state.answered = silence.take_answered()
-            if state.caller_gone.is_set():
-                raise CallerLeftError
-
     def _record_first_byte(self, state, placement):
         if state.first_byte_at is None:
             state.first_byte_at = self._clock()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -143,8 +143,7 @@
 class SilenceWatch:
     """Silence of the target of one attempt, and the attempt that may replace it.
 
-    It is used by the thread of its request only, which blocks in ``outlast`` and
-    ``await_second``.
+    It is used by the thread of its request only, which blocks in ``outlast``.
 
     Parameters
     ----------
@@ -218,15 +217,19 @@
                 return False
         return True
 
-    def await_second(self):
-        """Wait for the answer of the second attempt, as the first one has failed."""
-        state, hedging = self._state, self._hedging
-        ends_at = self._hedging.monotonic() + self._admitted.ends_at - hedging.clock()
-        while self._second is not None and not state.caller_gone.is_set():
-            if self._hedging.monotonic() >= ends_at:
-                self._fail_second("silent", "the time has passed", False)
-            elif _readable([self._second[1]], _POLL_S):
-                self.read_second()
+    def take_second(self):
+        """Return the attempt to go on with after the first has failed, or None.
+
+        It may not have been answered yet.
+        """
+        has_time = self._admitted.ends_at > self._hedging.clock()
+        if self._second is None or not has_time:
+            return self.take_answered()
+        placement, connection, sent_at, watch = self._second
+        self._second, self._state.has_second_attempt = None, False
+        self._record_replaced(placement)
+        watch.starts_at = self._second_ends_at
+        return Attempt(placement, connection, None, sent_at, watch)
 
     def take_answered(self):
         """Return the attempt that has taken over, or None, once."""
@@ -387,17 +390,20 @@
                 self._second = placement, None, sent_at, watch
             self._fail_second(failure.step, failure.reason, failure.not_run)
             return False
-        self._second, self._was_replaced = None, True
-        state.has_second_attempt = False
+        self._second, state.has_second_attempt = None, False
         self._answered = Attempt(placement, connection, response, sent_at, watch)
-        hedging.record_silence(
-            admitted,
+        self._record_replaced(placement)
+        return True
+
+    def _record_replaced(self, placement):
+        self._was_replaced = True
+        self._hedging.record_silence(
+            self._admitted,
             self._placement,
             self._silent_s,
             "replaced",
             placement.target.target_id,
         )
-        return True
 
     def _fail_call(self, error):
         """Record that the call of the second attempt failed."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_state.py
@@ -43,8 +43,8 @@
         self.copy = None
         # Whether it was sent to a second target as well, as its target is silent.
         self.has_second_attempt = False
-        # Attempt that has answered in place of one whose target was silent.
-        self.answered = None
+        # Attempt that goes on in place of one whose target was silent.
+        self.successor = None
         # Whether its stream was moved because a target was slow, which is done once.
         self.was_relieved = False
 
@@ -78,13 +78,13 @@
         placement, self.onward = self.onward, None
         return placement
 
-    def take_answered(self):
-        """Return the attempt that has answered in place of a silent one, once."""
-        attempt, self.answered = self.answered, None
+    def take_successor(self):
+        """Return the attempt that goes on in place of a silent one, or None, once."""
+        attempt, self.successor = self.successor, None
         return attempt
 
     def take_over(self, target_id, connection, pace):
-        """Record that an attempt that has been answered replaces the current one."""
+        """Record that another attempt replaces the current one."""
         self.copy = None
         self.pace = pace
         self.target_id = target_id
