Requests beyond a node's threads are refused, not left unread

What callers saw: with as many open requests as the callers' port has threads (320), a further request was read only once a thread was free, with no limit to that wait. A caller that gave up meanwhile had got neither an answer nor a refusal.

Cause: cheroot queues connections without a limit. Besides, threads were added by periodic ticks only, 16 each time, so a burst waited for several ticks although more threads were allowed; cheroot also waits up to 0.1 s for a new thread, in the tick.

A request that is taken up while all other slots are in use is marked as excess; admission refuses it with 503 and Retry-After, so that events and metrics count it.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -20,11 +20,15 @@
 
     ``answer_margin_s`` is the part of a request's time that is reserved for sending
     the answer back. ``starting_retry_s`` is sent as ``Retry-After`` while the
-    configuration is missing or may be outdated.
+    configuration is missing or may be outdated. A request that is refused because
+    too many are open is told to return after ``excess_retry_s`` and a part of
+    ``excess_spread_s``.
     """
 
     answer_margin_s: float = 0.05
     starting_retry_s: float = 0.5
+    excess_retry_s: float = 0.3
+    excess_spread_s: float = 0.7
 
 
 class Admitted(NamedTuple):
@@ -113,6 +117,9 @@
         # A request that takes up a stream goes to the service that began it.
         first_id = call.resumes or call.request_id
         fraction = xxh3_64_intdigest(first_id.encode()) / _HASH_RANGE
+        if inbound.is_excess:
+            retry_s = policy.excess_retry_s + policy.excess_spread_s * fraction
+            raise RefusedError(503, "too many open requests", retry_s)
         service = route_service(route, fraction)
         rule = ruleset.services.get(service)
         if rule is None:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
@@ -55,6 +55,18 @@
 
     def __init__(self, server, sock, makefile=None):
         super().__init__(server, sock, _make_file)
+        # Whether the current request is beyond those that the server may hold.
+        self.is_excess = False
+
+    def communicate(self):
+        """Read and answer a request; return whether the connection is kept."""
+        slots = self.server.open_slots
+        self.is_excess = not slots.acquire(blocking=False)
+        try:
+            return super().communicate()
+        finally:
+            if not self.is_excess:
+                slots.release()
 
 
 def _make_file(sock, mode, bufsize):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -12,6 +12,7 @@
 
 from hibiscusspar_wire.caller_connection import CallerConnection
 from hibiscusspar_wire.idle_connections import IdleConnections
+from hibiscusspar_wire.request_threads import RequestThreads
 
 __all__ = [
     "BadRequestError",
@@ -86,6 +87,14 @@
         """Socket of the caller's connection."""
         return self._request.conn.socket
 
+    @property
+    def is_excess(self):
+        """Whether the server holds as many requests as it may without this one.
+
+        It has to be refused at once.
+        """
+        return self._request.conn.is_excess
+
     @property
     def head(self):
         """Method, URI and headers."""
@@ -197,19 +206,25 @@
     threads : int
         Initial number of threads.
     max_threads : int
+        Largest number of threads, and of requests that are held open.
+    reserve_threads : int, optional
+        Threads beyond these for requests that ``handle`` has to refuse at once; see
+        :attr:`InboundRequest.is_excess`. Without any, further requests wait unread.
     """
 
-    def __init__(self, address, handle, threads=32, max_threads=320):
+    def __init__(self, address, handle, threads=32, max_threads=320, reserve_threads=0):
         threading.stack_size(_STACK_BYTES)
         host, _, port = address.rpartition(":")
         self._max_threads = max_threads
         self._server = _Server(
             (host, int(port)),
             _gateway_class(handle),
-            minthreads=threads,
-            maxthreads=max_threads,
             peercreds_enabled=False,
         )
+        self._server.requests = RequestThreads(
+            self._server, threads, max_threads + reserve_threads
+        )
+        self._server.open_slots = threading.Semaphore(max_threads)
         self._server.timeout = _TRANSFER_TIMEOUT_S
         self._server.ConnectionClass = CallerConnection
         self._server.request_queue_size = _BACKLOG
@@ -231,8 +246,7 @@
     @property
     def unanswered(self):
         """Number of requests that have arrived and are not answered yet."""
-        pool = self._server.requests
-        return pool.qsize + len(pool._threads) - pool.idle
+        return self._server.requests.unanswered
 
     def set_limits(self, max_header_bytes, max_body_bytes, idle_timeout_s):
         """Set the limits of a request's size and of a connection's idle time."""
@@ -246,10 +260,13 @@
         self._thread.start()
 
     def grow(self):
-        """Add threads if few are idle; must be called periodically."""
+        """Add threads before they are needed, if few are idle.
+
+        It must be called periodically.
+        """
         pool = self._server.requests
-        if pool.idle < _GROW_STEP and len(pool._threads) < self._max_threads:
-            pool.grow(_GROW_STEP)
+        if pool.free < _GROW_STEP and pool.count < self._max_threads:
+            pool.grow(min(_GROW_STEP, self._max_threads - pool.count))
 
     def stop(self):
         """Close the port and stop the threads."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -12,6 +12,21 @@
 _TIMEOUT_S = 5.0
 
 
+def wait_for_unanswered(case, server, count):
+    for _ in range(200):
+        if server.unanswered == count:
+            break
+        sleep(0.01)
+    case.assertEqual(server.unanswered, count)
+
+
+def receive(caller):
+    received = b""
+    while not received.endswith(b"end\n") and (data := caller.recv(4096)):
+        received += data
+    return received
+
+
 class TestIdleConnections(unittest.TestCase):
     """Guards against connections that are closed while callers may use them."""
 
@@ -34,16 +49,10 @@
     def is_answered(self, caller):
         try:
             caller.sendall(_REQUEST % 0)
-            return self.receive(caller).startswith(b"HTTP/1.1 200")
+            return receive(caller).startswith(b"HTTP/1.1 200")
         except OSError:
             return False
 
-    def receive(self, caller):
-        received = b""
-        while not received.endswith(b"end\n") and (data := caller.recv(4096)):
-            received += data
-        return received
-
     def test_lower_limit_closes_no_connection_that_callers_may_use(self):
         callers = [self.connect() for _ in range(60)]
         self.assertTrue(all(self.is_answered(caller) for caller in callers))
@@ -88,7 +97,7 @@
         caller.sendall((_REQUEST % 0)[:-1])
         sleep(1.2)
         caller.sendall(b"}")
-        self.assertTrue(self.receive(caller).startswith(b"HTTP/1.1 200"))
+        self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
 
 
 class TestUnansweredRequests(unittest.TestCase):
@@ -109,16 +118,94 @@
             caller = socket.create_connection(address, _TIMEOUT_S)
             self.addCleanup(caller.close)
             caller.sendall(_REQUEST % 0)
-        self.expect_unanswered(server, 5)
+        wait_for_unanswered(self, server, 5)
         may_end.set()
-        self.expect_unanswered(server, 0)
+        wait_for_unanswered(self, server, 0)
 
-    def expect_unanswered(self, server, count):
-        for _ in range(200):
-            if server.unanswered == count:
-                break
-            sleep(0.01)
-        self.assertEqual(server.unanswered, count)
+
+class TestManyRequests(unittest.TestCase):
+    def setUp(self):
+        self.may_end = threading.Event()
+        self.addCleanup(self.may_end.set)
+        self.held, self.refused = threading.Semaphore(0), threading.Semaphore(0)
+
+    def handle(self, inbound):
+        inbound.read_body(4096)
+        if inbound.is_excess:
+            inbound.answer(503, [], b"end\n")
+            self.refused.release()
+            return
+        self.held.release()
+        self.may_end.wait(_TIMEOUT_S)
+        inbound.answer(200, [], b"end\n")
+
+    def start(self, *threads):
+        server = FrontServer("127.0.0.1:0", self.handle, *threads)
+        server.start()
+        self.addCleanup(server.stop)
+        self.addCleanup(self.may_end.set)
+        return server
+
+    def send(self, server, count):
+        callers = []
+        for _ in range(count):
+            address = ("127.0.0.1", server.port)
+            callers.append(socket.create_connection(address, _TIMEOUT_S))
+            self.addCleanup(callers[-1].close)
+        for caller in callers:
+            caller.sendall(_REQUEST % 0)
+        return callers
+
+    def held_count(self, count):
+        return sum(self.held.acquire(timeout=_TIMEOUT_S / 2) for _ in range(count))
+
+    def test_burst_does_not_wait_for_the_next_periodic_growth(self):
+        """Guards against requests that wait unread though more threads are allowed."""
+        server = self.start(32, 320, 16)
+        callers = self.send(server, 300)
+        self.assertEqual(self.held_count(300), 300)
+        self.may_end.set()
+        for caller in callers:
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
+
+    def test_requests_beyond_the_threads_do_not_wait_unread(self):
+        """Guards against callers that get neither an answer nor a refusal."""
+        server = self.start(4, 8, 2)
+        held = self.send(server, 8)
+        self.assertEqual(self.held_count(8), 8)
+        for caller in self.send(server, 30):
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 503"))
+        self.may_end.set()
+        for caller in held:
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
+
+    def test_burst_beyond_the_threads_fills_them(self):
+        """Guards against threads that all refuse because all have a request."""
+        server = self.start(4, 8, 8)
+        callers = self.send(server, 40)
+        self.assertEqual(self.held_count(8), 8)
+        for _ in range(32):
+            self.assertTrue(self.refused.acquire(timeout=_TIMEOUT_S / 2))
+        self.may_end.set()
+        answers = [receive(caller)[:12] for caller in callers]
+        self.assertEqual(answers.count(b"HTTP/1.1 200"), 8)
+        self.assertEqual(answers.count(b"HTTP/1.1 503"), 32)
+
+    def test_requests_are_served_again_once_others_have_ended(self):
+        """Guards against reserve threads that are never free again."""
+        server = self.start(4, 8, 2)
+        held = self.send(server, 8)
+        self.assertEqual(self.held_count(8), 8)
+        refused = self.send(server, 4)
+        for caller in refused:
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 503"))
+        self.may_end.set()
+        for caller in held:
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
+        wait_for_unanswered(self, server, 0)
+        for caller in refused:
+            caller.sendall(_REQUEST % 1)
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
 
 
 class FrontServerTest(unittest.TestCase):
