--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -83,8 +83,8 @@
         for descriptor, conn in overdue:
             if not _is_readable(descriptor):
                 self._selector.unregister(descriptor)
-                conn.close()
                 self.closed_count += 1
+                conn.close()
 
     def _limits(self, now):
         """Return the limits, each with the time until which it was in force."""
