A head through a peer can't hold back the first target's answer to the deadline

What callers could see: while the head of a second attempt through a peer arrived in parts, the answer of the first target waited unread, 504 at the deadline.

Change: such a head has 1 s, in which a peer that refuses is replaced.

Evidence: TestSecondAttemptThroughAPeer failed before (504) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -32,6 +32,8 @@
 # a head that has begun to arrive.
 _SEND_S = 0.3
 _HEAD_S = 0.5
+# The same for a head through a peer, as one that refuses is replaced meanwhile.
+_PEER_HEAD_S = 1.0
 # Time in seconds for which a target gets no second attempt after it turned the first
 # one away; it doubles each time.
 _REFUSED_S = 2.0
@@ -386,8 +388,7 @@
                 connection,
                 sent_at,
                 watch,
-                # A peer that refuses is replaced by another one meanwhile.
-                _HEAD_S if connection.is_own else inf,
+                _HEAD_S if connection.is_own else _PEER_HEAD_S,
             )
         except CallFailedError as error:
             self._fail_call(error)
