--- a/soak/callers.py
+++ b/soak/callers.py
@@ -101,6 +101,9 @@
             if response.status == 200 and route == "draft":
                 self._take_up(request_id, headers, _events(body))
             raise
+        # read1 doesn't end an answer with a length, and a connection isn't ready for
+        # another request before.
+        response.close()
         if response.status == 200:
             self._check(request_id, response, _events(body))
         if response.will_close:
