The soak checks that silent engines end no answers

Change: one or two engines of the soak send nothing for 0.8 to 2.5 s, at times while the others are full or ask for rest, from a random generator of their own, so the other faults of a seed stay as they were. For 4 s before the other faults begin, these are the only ones. The check fails for each request that reached an engine that was or fell silent while it was open and that got 0, 502 or 504. It doesn't count a request beside a fault of a link of any engine, a crash of any engine, a signal other than SIGHUP to its node from 6 s before it, or at its deadline. Requests that a silent engine with a limit got before it could tell the limit don't count against it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,12 +27,15 @@
 from soak.faults import FaultPlan
 from soak.limits import limit_violations
 from soak.rests import rest_violations
+from soak.silences import SilentEngines, silence_check
 
 # A withdrawn key must be refused after this time, bounds.revokeMs of the nodes.
 REVOCATION_BOUND_S = 5.0
 # Every node must serve within these times, after the faults and after the start.
 RECOVERY_TIMEOUT_S = 12.0
 START_TIMEOUT_S = 15.0
+# Time with silent engines only, before other faults.
+SILENCES_S = 4.0
 CALLERS_PER_NODE = 4
 # Seeds that have failed before, each with its cause.
 REGRESSIONS = (
@@ -47,8 +50,8 @@
     Returns
     -------
     tuple
-        Violations, injected faults, number of answers by status, and the numbers of
-        broken streams, of continued ones and of crashes.
+        Violations, injected faults, number of answers by status, and lines about what
+        was observed.
     """
     rng = Random(seed)
     deployment = Deployment(seed, logs, old_build)
@@ -66,6 +69,11 @@
         for node in deployment.nodes
         for index in range(CALLERS_PER_NODE)
     ]
+    checked_callers = callers[::CALLERS_PER_NODE]
+    # Older builds are not held to the check of silences.
+    plans = [plan]
+    if not old_build:
+        plans.append(SilentEngines(deployment.engines, seed))
     probes = []
     fatal_callers = []
     if not old_build:
@@ -77,34 +85,35 @@
             FatalCaller(kind, deployment.nodes, seed) for kind in (BODY, PART)
         ]
 
-    def inject_faults(seconds):
+    def inject_faults(seconds, plans, rng):
         end = monotonic() + seconds
         while monotonic() < end:
-            plan.step(monotonic() - started_at)
+            for each in plans:
+                each.step(monotonic() - started_at)
             known_keys[:] = sorted(plan.keys | set(plan.withdrawn))
             sleep(rng.uniform(0.2, 1.2))
 
     try:
-        violations = _check_serving(
-            callers[::CALLERS_PER_NODE], START_TIMEOUT_S, "start"
-        )
-        for caller in (*callers, *fatal_callers):
+        violations = _check_serving(checked_callers, START_TIMEOUT_S, "start")
+        for caller in callers:
+            caller.start()
+        if not old_build:
+            inject_faults(SILENCES_S, plans[1:], Random(seed))
+        for caller in fatal_callers:
             caller.start()
         if old_build:
             seconds /= 2
-            inject_faults(seconds)
+            inject_faults(seconds, plans, rng)
             probes = _make_probes(deployment, seed, started_at)
             violations += _switch_builds(deployment, probes)
-        inject_faults(seconds)
+        inject_faults(seconds, plans, rng)
         deployment.heal()
         plan.end_statements()
         for caller in callers:
             caller.stopping.set()
         for caller in callers:
             caller.join()
-        violations += _check_serving(
-            callers[::CALLERS_PER_NODE], RECOVERY_TIMEOUT_S, "recovery"
-        )
+        violations += _check_serving(checked_callers, RECOVERY_TIMEOUT_S, "recovery")
         for caller in fatal_callers:
             caller.stopping.set()
         for caller in fatal_callers:
@@ -113,15 +122,34 @@
         deployment.stop()
     callers += probes
     statuses = Counter(o.status for caller in callers for o in caller.outcomes)
-    streams = (
-        sum(caller.broken_count for caller in callers),
-        sum(caller.continued_count for caller in callers),
-    )
     violations += _find_violations(deployment, callers, plan)
     for caller in fatal_callers:
         statuses.update({f"fatal {s}": n for s, n in caller.statuses.items()})
     crashes = sum(len(engine.crashed_by) for engine in deployment.engines)
-    return violations, plan.log, statuses, (*streams, crashes)
+    notes = [
+        f"broken streams: {sum(c.broken_count for c in callers)}, continued by their "
+        f"callers: {sum(c.continued_count for c in callers)}, "
+        f"crashes of engines: {crashes}"
+    ]
+    if not old_build:
+        violations += _check_silences(deployment, callers, plan, started_at, notes)
+    log = sorted((row for each in plans for row in each.log), key=_log_time)
+    return violations, log, statuses, notes
+
+
+def _check_silences(deployment, callers, plan, started_at, notes):
+    """Return violations about silent engines."""
+    outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+    found, held, judged = silence_check(
+        outcomes, deployment.engines, plan, started_at, _node_of
+    )
+    silences = sum(len(engine.silences.times) for engine in deployment.engines)
+    notes.append(f"silences: {silences}, held-up requests: {held}, judged: {judged}")
+    return found
+
+
+def _log_time(line):
+    return float(line.partition(" ")[0])
 
 
 def _make_probes(deployment, seed, started_at):
@@ -229,18 +257,14 @@
     seeds += [secrets.randbelow(10**6) for _ in range(options.fresh)]
     failed = 0
     for seed in seeds:
-        violations, log, statuses, (broken, continued, crashes) = run_seed(
+        violations, log, statuses, notes = run_seed(
             seed, options.seconds, options.logs, options.old_build
         )
         counts = ", ".join(
             f"{status}: {n}" for status, n in sorted(statuses.items(), key=str)
         )
         print(f"seed {seed}: {len(log)} faults, {len(violations)} violations; {counts}")
-        print(
-            f"  broken streams: {broken}, continued by their callers: {continued}, "
-            f"crashes of engines: {crashes}"
-        )
-        for line in violations[:10]:
+        for line in (*notes, *violations[:10]):
             print(f"  {line}")
         if violations:
             print("  injected: " + "; ".join(log))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,13 +16,14 @@
 
 
 class Outcome(NamedTuple):
-    """Outcome of one request; ``status`` is 0 if there was no answer."""
+    """Outcome of one request; ``status`` is 0 if there was no whole answer."""
 
     request_id: str
     sent_at: float
     key: str
     status: int
     retryable: bool
+    ended_at: float
 
 
 class Caller(threading.Thread):
@@ -74,7 +75,14 @@
             self._close()
             status = 0
         self.outcomes.append(
-            Outcome(request_id, sent_at, key, status, route == "draft")
+            Outcome(
+                request_id,
+                sent_at,
+                key,
+                status,
+                route == "draft",
+                monotonic() - self._started_at,
+            )
         )
         return status
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,9 +29,10 @@
     ``withdrawn`` maps each withdrawn key to the time of its withdrawal, and ``log``
     holds a line for each injected fault. ``limits`` holds the limits that engines
     named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
-    a node and the time for each signal, ``disturbances`` the faults of nodes and of
-    their paths to the store, ``engine_faults`` those of their paths to engines, and
-    ``evacuations`` the evacuations of zones that were lifted.
+    a node and the time for each signal, ``stops`` the same without SIGHUP,
+    ``disturbances`` the faults of nodes and of their paths to the store,
+    ``engine_faults`` those of their paths to engines, and ``evacuations`` the
+    evacuations of zones that were lifted.
     """
 
     def __init__(self, deployment, rng):
@@ -45,6 +46,7 @@
         self.limits = []
         self.limit_ends = {}
         self.signalled = []
+        self.stops = []
         self.disturbances = []
         self.engine_faults = []
         self.evacuations = []
@@ -87,8 +89,10 @@
     def _signal(self, now, duration_s):
         node = self._rng.choice(self._deployment.nodes)
         number = self._rng.choice(_SIGNALS)
-        node.send_signal(number)
         self.signalled.append((node.number, monotonic()))
+        node.send_signal(number)
+        if number is not signal.SIGHUP:
+            self.stops.append(self.signalled[-1])
         self._disturb(node.number, duration_s)
         if number is signal.SIGSTOP:
             self._schedule_undo(now, duration_s, lambda: self._wake(node))
@@ -111,6 +115,7 @@
     def _wake(self, node):
         node.send_signal(signal.SIGCONT)
         self.signalled.append((node.number, monotonic()))
+        self.stops.append(self.signalled[-1])
 
     def _name_limit(self, now, duration_s):
         engine = self._rng.choice(self._deployment.engines)
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -51,7 +51,7 @@
         arrivals = [(at, node) for at, node in arrivals if node is not None]
         told_at = {}
         for at, node in arrivals:
-            told_at.setdefault(node, at + _TOLD_S)
+            told_at.setdefault(node, engine.silences.ends_at(at) + _TOLD_S)
         allowed = 1.5 * limit.per_s * _WINDOW_S + 5
         for start, _ in arrivals:
             if start < limit.at + _STABLE_WINDOW_S:
