The soak checks that a changed idle limit ends no kept connection

Change: configurations raise and lower the limit between 0.6 and 4 s, from a random generator of their own. Four further callers of each node leave their connections idle for 0.3 to 0.78 of the newest limit published when the connection became idle. The check fails for each request on a kept connection, of any caller, that gets no head of an answer within four fifths of that limit. It doesn't count a request beside a signal other than SIGHUP to its node, from 6 s before the connection became idle, or with a raised limit if its node's store was disturbed since it was published. The time of a signal is taken before it is sent. Older builds get neither these faults nor the checks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
 from soak.deployment import Deployment
 from soak.evacuations import evacuation_violations
 from soak.faults import FaultPlan
+from soak.idle_limits import IdleLimits, idle_check
 from soak.limits import limit_violations
 from soak.rests import rest_violations
 from soak.silences import SilentEngines, silence_check
@@ -34,9 +35,12 @@
 # Every node must serve within these times, after the faults and after the start.
 RECOVERY_TIMEOUT_S = 12.0
 START_TIMEOUT_S = 15.0
-# Time with silent engines only, before other faults.
+# Time with silent engines and changes of the idle limit only, before other faults.
 SILENCES_S = 4.0
 CALLERS_PER_NODE = 4
+# Further callers of each node, whose connections are idle for most of the time.
+IDLE_CALLERS_PER_NODE = 4
+_FIRST_IDLE = CALLERS_PER_NODE + 1
 # Seeds that have failed before, each with its cause.
 REGRESSIONS = (
     # A coordinator that had started after the limits were named issued no permits.
@@ -58,22 +62,35 @@
     started_at = monotonic()
     plan = FaultPlan(deployment, rng)
     known_keys = ["k0"]
-    callers = [
-        Caller(
+
+    def make_caller(node, index, idle_limits=None, keeps_idle=False):
+        return Caller(
             f"s{seed}n{node.number}c{index}",
             deployment.fronts_from(node),
             seed * 100 + node.number * 10 + index,
             lambda: Random().choice(known_keys),
             started_at,
+            idle_limits,
+            keeps_idle,
         )
+
+    # Older builds are not held to the checks of silences and idle limits.
+    plans, idle_limits = [plan], None
+    if not old_build:
+        idle_limits = IdleLimits(plan, seed)
+        plans += [SilentEngines(deployment.engines, seed), idle_limits]
+    callers = [
+        make_caller(node, index, idle_limits)
         for node in deployment.nodes
         for index in range(CALLERS_PER_NODE)
     ]
     checked_callers = callers[::CALLERS_PER_NODE]
-    # Older builds are not held to the check of silences.
-    plans = [plan]
     if not old_build:
-        plans.append(SilentEngines(deployment.engines, seed))
+        callers += [
+            make_caller(node, _FIRST_IDLE + index, idle_limits, keeps_idle=True)
+            for node in deployment.nodes
+            for index in range(IDLE_CALLERS_PER_NODE)
+        ]
     probes = []
     fatal_callers = []
     if not old_build:
@@ -132,20 +149,28 @@
         f"crashes of engines: {crashes}"
     ]
     if not old_build:
-        violations += _check_silences(deployment, callers, plan, started_at, notes)
+        violations += _check_silences_and_limits(
+            deployment, callers, plan, started_at, notes
+        )
     log = sorted((row for each in plans for row in each.log), key=_log_time)
     return violations, log, statuses, notes
 
 
-def _check_silences(deployment, callers, plan, started_at, notes):
-    """Return violations about silent engines."""
+def _check_silences_and_limits(deployment, callers, plan, started_at, notes):
+    """Return violations about silent engines and kept connections."""
     outcomes = [outcome for caller in callers for outcome in caller.outcomes]
     found, held, judged = silence_check(
         outcomes, deployment.engines, plan, started_at, _node_of
     )
     silences = sum(len(engine.silences.times) for engine in deployment.engines)
     notes.append(f"silences: {silences}, held-up requests: {held}, judged: {judged}")
-    return found
+    violations = found
+    found, kept, judged, long = idle_check(outcomes, plan, started_at, _node_of)
+    notes.append(
+        f"requests on kept connections: {kept}, judged: {judged}, "
+        f"{long} of these after a longer idle time"
+    )
+    return violations + found
 
 
 def _log_time(line):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 
 from hibiscusspar_platform.tests.engine_stand_in import EVENT_COUNT
 from soak.deployment import MODEL
+from soak.idle_limits import KEPT_SHARE
 
 __all__ = ["Caller", "Outcome"]
 
@@ -24,6 +25,11 @@
     status: int
     retryable: bool
     ended_at: float
+    has_head: bool
+    # Seconds for which the connection was idle, and the limit that the caller knew when
+    # it became idle; None for a new connection.
+    idle_s: float
+    idle_limit: object
 
 
 class Caller(threading.Thread):
@@ -40,15 +46,31 @@
         Returns a key to use.
     started_at : float
         Start of the run on the monotonic clock.
+    idle_limits : IdleLimits, optional
+    keeps_idle : bool
+        Whether connections stay idle for most of the time that the limit allows.
     """
 
-    def __init__(self, name, fronts, seed, choose_key, started_at):
+    def __init__(
+        self,
+        name,
+        fronts,
+        seed,
+        choose_key,
+        started_at,
+        idle_limits=None,
+        keeps_idle=False,
+    ):
         super().__init__(name=name, daemon=True)
         self._fronts = fronts
         self._rng = Random(seed)
         self._choose_key = choose_key
         self._started_at = started_at
+        self._idle_limits = idle_limits
+        self._keeps_idle = keeps_idle
         self._connection = None
+        self._idle_since = self._idle_limit = None
+        self._has_head = False
         self.stopping = threading.Event()
         self.outcomes = []
         self.violations = []
@@ -62,13 +84,21 @@
         while not self.stopping.is_set():
             number += 1
             status = self.call(f"{self.name}-{number}")
-            sleep(0.2 if status == 0 else self._rng.uniform(0.0, 0.05))
+            if self._keeps_idle and self._connection is not None:
+                share = self._rng.uniform(0.3, 0.97 * KEPT_SHARE)
+                self.stopping.wait(share * self._idle_limit.seconds)
+            else:
+                sleep(0.2 if status == 0 else self._rng.uniform(0.0, 0.05))
 
     def call(self, request_id):
         """Send one request, check its answer and return its status."""
         key = self._choose_key()
         route = self._rng.choice(("draft", "once"))
         sent_at = monotonic() - self._started_at
+        limit, idle_s = self._idle_limit, 0.0
+        if limit is not None:
+            idle_s = sent_at + self._started_at - self._idle_since
+        self._has_head = False
         try:
             status = self._send_request(request_id, key, route)
         except (OSError, HTTPException):
@@ -82,6 +112,9 @@
                 status,
                 route == "draft",
                 monotonic() - self._started_at,
+                self._has_head,
+                idle_s,
+                limit,
             )
         )
         return status
@@ -101,6 +134,7 @@
         }
         self._connection.request("POST", f"/{route}/x", request_id.encode(), headers)
         response = self._connection.getresponse()
+        self._has_head = True
         body = b""
         try:
             while data := response.read1():
@@ -116,6 +150,9 @@
             self._check(request_id, response, _events(body))
         if response.will_close:
             self._close()
+        elif self._idle_limits is not None:
+            self._idle_limit = self._idle_limits.newest
+            self._idle_since = monotonic()
         return response.status
 
     def _take_up(self, request_id, headers, events):
@@ -155,6 +192,7 @@
             self.violations.append(f"{request_id}: answer without its seal")
 
     def _close(self):
+        self._idle_limit = None
         if self._connection is not None:
             self._connection.close()
         self._connection = None
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -15,7 +15,7 @@
 from soak.node_process import LINKS_VARIABLE
 from soak.proxy import FaultyProxy
 
-__all__ = ["LEASE_S", "MODEL", "Deployment", "config"]
+__all__ = ["IDLE_LIMIT_S", "LEASE_S", "MODEL", "Deployment", "config"]
 
 MODEL = "base"
 LEASE_S = 1.0
@@ -29,12 +29,14 @@
 COLD_PER_S = 2.0
 # Time between the events of a stream, in which faults can break it.
 EVENT_GAP_S = 0.15
+# Idle limit of callers' connections at the start.
+IDLE_LIMIT_S = 4.0
 _STOP_TIMEOUT_S = 12.0
 _RESTART_INTERVAL_S = 0.2
 _FIRST_HOST = 10  # last part of the IP address of node 0
 
 
-def config(version, keys, cold_start_s=COLD_START_S):
+def config(version, keys, cold_start_s=COLD_START_S, idle_limit_s=IDLE_LIMIT_S):
     """Return a configuration with one account that has the keys."""
     route = {
         "host": "h.example",
@@ -68,6 +70,7 @@
                 "coldPerS": COLD_PER_S,
             }
         ],
+        "limits": {"idleTimeoutMs": idle_limit_s * 1000},
         "tenants": [{"name": "acme", "apiKeys": sorted(keys), **account}],
     }
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from hibiscusspar_platform.tests.cut_links import CutKind
 from soak.crashes import Disturbance
-from soak.deployment import config
+from soak.deployment import IDLE_LIMIT_S, config
 from soak.evacuations import BOUND_S, Evacuation
 from soak.limits import LIMIT_MIN_S, NamedLimit
 from soak.rests import EngineFault
@@ -40,6 +40,7 @@
         self._rng = rng
         self._undos = []
         self._version = 1
+        self.idle_limit_s = IDLE_LIMIT_S
         self.keys = {"k0"}
         self.withdrawn = {}
         self.log = []
@@ -215,18 +216,23 @@
         return f"store answers {kind} for {duration_s:.1f} s"
 
     def _configure(self, now, _duration_s):
-        self._version += self._rng.randrange(1, 4)
+        version = self._version + self._rng.randrange(1, 4)
         withdrawable = sorted(self.keys - {"k0"})
         if withdrawable and self._rng.random() < 0.5:
             key = self._rng.choice(withdrawable)
             self.keys.discard(key)
             self.withdrawn[key] = now
         else:
-            self.keys.add(f"k{self._version}")
+            self.keys.add(f"k{version}")
+        self.publish(version)
+        return f"configuration {version} with {sorted(self.keys)}"
+
+    def publish(self, version=None):
+        """Publish the configuration, as the next version if none is given."""
+        self._version = version or self._version + 1
         cold_start_s = self._deployment.cold_start_s
-        new_config = config(self._version, self.keys, cold_start_s)
+        new_config = config(self._version, self.keys, cold_start_s, self.idle_limit_s)
         self._deployment.store.put("config", "main", new_config)
-        return f"configuration {self._version} with {sorted(self.keys)}"
 
     def _leave_orders_unanswered(self, _now, _duration_s):
         engine = self._rng.choice(self._deployment.engines)
