--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from hibiscusspar_platform.tests.cut_links import CutKind
 from soak.crashes import Disturbance
-from soak.deployment import config
+from soak.deployment import IDLE_LIMIT_S, config
 from soak.evacuations import BOUND_S, Evacuation
 from soak.limits import LIMIT_MIN_S, NamedLimit
 from soak.rests import EngineFault
@@ -29,9 +29,10 @@
     ``withdrawn`` maps each withdrawn key to the time of its withdrawal, and ``log``
     holds a line for each injected fault. ``limits`` holds the limits that engines
     named, ``limit_ends`` the times of their ends by engine, ``signalled`` the number of
-    a node and the time for each signal, ``disturbances`` the faults of nodes and of
-    their paths to the store, ``engine_faults`` those of their paths to engines, and
-    ``evacuations`` the evacuations of zones that were lifted.
+    a node and the time for each signal, ``stops`` the same without SIGHUP,
+    ``disturbances`` the faults of nodes and of their paths to the store,
+    ``engine_faults`` those of their paths to engines, and ``evacuations`` the
+    evacuations of zones that were lifted.
     """
 
     def __init__(self, deployment, rng):
@@ -39,12 +40,14 @@
         self._rng = rng
         self._undos = []
         self._version = 1
+        self.idle_limit_s = IDLE_LIMIT_S
         self.keys = {"k0"}
         self.withdrawn = {}
         self.log = []
         self.limits = []
         self.limit_ends = {}
         self.signalled = []
+        self.stops = []
         self.disturbances = []
         self.engine_faults = []
         self.evacuations = []
@@ -87,8 +90,10 @@
     def _signal(self, now, duration_s):
         node = self._rng.choice(self._deployment.nodes)
         number = self._rng.choice(_SIGNALS)
-        node.send_signal(number)
         self.signalled.append((node.number, monotonic()))
+        node.send_signal(number)
+        if number is not signal.SIGHUP:
+            self.stops.append(self.signalled[-1])
         self._disturb(node.number, duration_s)
         if number is signal.SIGSTOP:
             self._schedule_undo(now, duration_s, lambda: self._wake(node))
@@ -111,6 +116,7 @@
     def _wake(self, node):
         node.send_signal(signal.SIGCONT)
         self.signalled.append((node.number, monotonic()))
+        self.stops.append(self.signalled[-1])
 
     def _name_limit(self, now, duration_s):
         engine = self._rng.choice(self._deployment.engines)
@@ -210,18 +216,23 @@
         return f"store answers {kind} for {duration_s:.1f} s"
 
     def _configure(self, now, _duration_s):
-        self._version += self._rng.randrange(1, 4)
+        version = self._version + self._rng.randrange(1, 4)
         withdrawable = sorted(self.keys - {"k0"})
         if withdrawable and self._rng.random() < 0.5:
             key = self._rng.choice(withdrawable)
             self.keys.discard(key)
             self.withdrawn[key] = now
         else:
-            self.keys.add(f"k{self._version}")
+            self.keys.add(f"k{version}")
+        self.publish(version)
+        return f"configuration {version} with {sorted(self.keys)}"
+
+    def publish(self, version=None):
+        """Publish the configuration, as the next version if none is given."""
+        self._version = version or self._version + 1
         cold_start_s = self._deployment.cold_start_s
-        new_config = config(self._version, self.keys, cold_start_s)
+        new_config = config(self._version, self.keys, cold_start_s, self.idle_limit_s)
         self._deployment.store.put("config", "main", new_config)
-        return f"configuration {self._version} with {sorted(self.keys)}"
 
     def _leave_orders_unanswered(self, _now, _duration_s):
         engine = self._rng.choice(self._deployment.engines)
