Requests that wait for a dropped service are refused at once

What callers saw: when a change of the configuration dropped a service, or its last target left the directory, requests that waited for it were held to the end of their wait (0.8 s of an objective of 1 s at the test bench) and refused only then. Such a hold costs a caller the time in which it could have returned, and has the request open beside the change.

Cause: the scheduler took no notice of services that are gone; a job without candidates just waits.

Change: DroppedServices tells which services a configuration or a directory had and has no more. Their waiting and new requests are refused with 503 and Retry-After (0.3 to 1 s). A service that isn't known yet, or has had no target yet, is not dropped, so its requests wait as before. Requests that run go on.

Evidence: test_service_is_dropped and test_last_target_of_the_service_leaves got "no decision" at the end of the wait before, and a refusal within 0.45 s of the call now, 0.1 s of which pass before the change. A dropped route, and a dropped service, key or shorter timeout of a running stream end no answer, before and after (TestRunningRequests, test_route_is_dropped). 452 tests of hibiscusspar_entry.fleet passed.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -4,6 +4,7 @@
 import threading
 from collections import Counter, deque
 
+from hibiscusspar.fleet.dropped_services import DroppedServices
 from hibiscusspar.fleet.load_counts import current_load, loads_of_others
 from hibiscusspar.fleet.messages import NodeReport, TargetLoad, adapter_label
 from hibiscusspar.fleet.peers import decision_interval_s
@@ -66,6 +67,7 @@
         self._usable = UsableTargets(ejection, version_grace_s)
         self._targets = {}
         self._has_engine = {}
+        self._dropped = DroppedServices()
         self._waiting = []
         self._loads = {}
         self._in_use = {}
@@ -106,11 +108,13 @@
         return max(1, self._view.nodes) if self._view else 1
 
     def configure(self, ruleset):
-        """Record which services run on engines."""
+        """Record the services, and refuse requests that wait for a dropped one."""
         with self.lock:
             services = ruleset.services.values()
             self._has_engine = {s.name: s.engine is not None for s in services}
             self.calls.configure(s.name for s in services if s.engine is None)
+            self._dropped.configure(self._has_engine)
+            self._refuse_dropped(self._clock())
 
     def reading_until(self, target_id):
         """Return the time until which a target reads the prompts known here."""
@@ -127,6 +131,8 @@
             self._prompt_queues.retain(targets)
             self._gate.retain(targets)
             self._ejection.retain(targets)
+            self._dropped.set_targets(targets)
+            self._refuse_dropped(now)
             self._retry_waiting(now)
 
     def software_versions(self, service):
@@ -379,6 +385,15 @@
                 if not self._decide(now, ticket, taken, known)
             ]
 
+    def _refuse_dropped(self, now):
+        """Refuse the requests that wait for a service that was dropped."""
+        self._waiting = [
+            ticket
+            for ticket in self._waiting
+            if self._dropped.refusal(ticket.job) is None
+            or not self._decide(now, ticket)
+        ]
+
     def _decide(self, now, ticket, taken=None, known=None):
         """Try to decide a request and return whether it is decided.
 
@@ -398,7 +413,9 @@
             if candidates and not remaining:
                 return False
             candidates = remaining
-        refusal = None if candidates else self.refusal(job.service)
+        refusal = None
+        if not candidates:
+            refusal = self.refusal(job.service) or self._dropped.refusal(job)
         decision = refusal or self.calls.decide(now, job, candidates, self.zone)
         # A request whose adapter no target holds waits, so that one loads it.
         if (
