A withdrawn key ends no answer that has begun

What callers saw: a stream whose key was withdrawn after it had begun was cut off as soon as it had to go on at another target, also where the node itself moved it from one sound target to another.

Cause: each attempt checks the key again before it is sent, and a refusal in the middle of an answer can only cut it off.

Change: the check is left out once the caller has a part of the answer. A request that still waits for its first target, or that is repeated before the caller has a part of its answer, is refused as before. The same holds for the check of the configuration's age.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -93,7 +93,7 @@
         if state.caller_gone.is_set():
             connection.close()
             raise CallerLeftError
-        self._admission.recheck_key(admitted)
+        self._admission.recheck_key(admitted, state)
         remaining_s = admitted.ends_at - self._clock()
         last_event = state.splitter.last_event if state.splitter else None
         forwarding = Forwarding(
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -176,9 +176,13 @@
                 EndedBy.KEY,
             )
 
-    def recheck_key(self, admitted):
-        """Refuse a request if its key was withdrawn while it waited."""
-        if not admitted.key_digest:
+    def recheck_key(self, admitted, state):
+        """Refuse a request if its key was withdrawn while it waited.
+
+        An answer that has begun is continued: the caller sent the request while the
+        key held.
+        """
+        if not admitted.key_digest or state.answer_begun:
             return
         self._check_freshness()
         keys = self._config.ruleset.keys
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -286,7 +286,7 @@
         if not self._crash_guard.may_retry(admitted):
             return False
         try:
-            self._admission.recheck_key(admitted)
+            self._admission.recheck_key(admitted, state)
         except RefusedError:
             return False
         return True
