--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ended_by.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ended_by.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-__all__ = ["EndedBy"]
+__all__ = ["EndedBy", "end_of_attempts"]
 
 
 class EndedBy(Enum):
@@ -18,3 +18,28 @@
     PLACEMENT = "placement"
     CALLER = "caller"
     INTERNAL = "internal"
+
+
+def end_of_attempts(admitted, state, now, can_continue):
+    """Return why a request that failed at a target can't be sent again.
+
+    Parameters
+    ----------
+    admitted : Admitted
+    state : RequestState
+    now : float
+    can_continue : bool
+        Whether a target of the stream's software remains.
+
+    Returns
+    -------
+    EndedBy
+    """
+    route = admitted.route
+    if now >= admitted.ends_at:
+        return EndedBy.DEADLINE
+    if not route.idempotent:
+        return EndedBy.TARGET
+    if state.answer_begun and not (route.resumable and can_continue):
+        return EndedBy.SOFTWARE if route.resumable else EndedBy.TARGET
+    return EndedBy.ATTEMPTS
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -10,7 +10,7 @@
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
 from hibiscusspar_entry.fleet.crash_guard import CrashGuard
-from hibiscusspar_entry.fleet.ended_by import EndedBy
+from hibiscusspar_entry.fleet.ended_by import EndedBy, end_of_attempts
 from hibiscusspar_entry.fleet.forward_policy import ForwardPolicy
 from hibiscusspar_entry.fleet.hedging import Hedging
 from hibiscusspar_entry.fleet.no_moves import NoMoves
@@ -413,7 +413,7 @@
             remaining_s=admitted.ends_at - now,
         )
         if decision is RetryDecision.END:
-            return _end_of_attempts(admitted, state, now, can_continue)
+            return end_of_attempts(admitted, state, now, can_continue)
         if not failure.not_run and not self._crash_guard.may_retry(admitted):
             return EndedBy.QUARANTINE
         if decision is RetryDecision.RETRY:
@@ -438,15 +438,3 @@
             with suppress(CallerGoneError):
                 inbound.answer(error.status, error.headers(), error.body())
         self._log.broken(admitted, state, error.status, error.reason, error.by)
-
-
-def _end_of_attempts(admitted, state, now, can_continue):
-    """Return why a request that failed at a target can't be sent again."""
-    route = admitted.route
-    if now >= admitted.ends_at:
-        return EndedBy.DEADLINE
-    if not route.idempotent:
-        return EndedBy.TARGET
-    if state.answer_begun and not (route.resumable and can_continue):
-        return EndedBy.SOFTWARE if route.resumable else EndedBy.TARGET
-    return EndedBy.ATTEMPTS
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -2,11 +2,10 @@
 
 import random
 import threading
-from collections import Counter, deque
 
 from hibiscusspar.fleet.dropped_services import DroppedServices
 from hibiscusspar.fleet.load_counts import current_load, loads_of_others
-from hibiscusspar.fleet.messages import NodeReport, TargetLoad, adapter_label
+from hibiscusspar.fleet.messages import NodeReport, TargetLoad
 from hibiscusspar.fleet.peers import decision_interval_s
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.reported_queues import reported_backlogs
@@ -17,16 +16,16 @@
 from hibiscusspar.fleet.wants import group_wants
 from hibiscusspar.outbox import Outbox
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.adapters_in_use import AdaptersInUse
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionGate
 from hibiscusspar_entry.fleet.call_times_exchange import CallTimesExchange
 from hibiscusspar_entry.fleet.candidates import EVERY_TARGET, make_candidates
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
+from hibiscusspar_entry.fleet.sent_reports import SentReports
 
 __all__ = ["RequestScheduler"]
 
 _CHOICE_POLICY = ChoicePolicy()
-# Number of sent reports that are kept until a view acknowledges one of them.
-_KEPT_REPORTS = 64
 # Targets whose residency a node requests with one report.
 _MAX_REQUESTED = 16
 # Failures that a refused connection counts as: enough to eject the target.
@@ -70,13 +69,11 @@
         self._dropped = DroppedServices()
         self._waiting = []
         self._loads = {}
-        self._in_use = {}
-        self._started_counts = {}
+        self._in_use = AdaptersInUse()
         self._view = None
         self._view_received_at = None
         self._loads_of_others = {}
-        self._reports = deque(maxlen=_KEPT_REPORTS)
-        self._number = 0
+        self._reports = SentReports()
         self._prompt_queues = PromptQueues(_CHOICE_POLICY.prompt_tokens_s)
         self._gate = gate
         self._admission = admission or AdmissionGate()
@@ -185,7 +182,7 @@
             now = self._clock()
             self._view = view
             self._view_received_at = now
-            acked_loads, used = self._acked_report()
+            acked_loads, used = self._reports.find(view.acked.get(self._node, 0))
             self._loads_of_others = loads_of_others(view.loads, acked_loads)
             self._gate.apply_view(now, view)
             self._admission.apply_view(now, view, self._node)
@@ -251,12 +248,7 @@
             load.running -= 1
             if not first_byte:
                 load.queued_prompt_tokens -= placement.prompt_tokens
-            in_use = self._in_use.get(target_id)
-            if in_use is not None:
-                in_use[placement.key] -= 1
-                if in_use[placement.key] <= 0:
-                    del in_use[placement.key]
-                    del self._started_counts[target_id][placement.key]
+            self._in_use.remove(target_id, placement.key)
             self._retry_waiting(self._clock())
 
     def record_missing_adapter(self, placement):
@@ -300,7 +292,6 @@
     def report(self, used, duties=None):
         """Return this node's report to the coordinator."""
         with self.lock:
-            self._number += 1
             now = self._clock()
             self._gate.retain(self._targets)
             loads = {
@@ -308,7 +299,7 @@
                 for target_id, load in self._loads.items()
                 if load.running or load.queued_prompt_tokens
             }
-            self._reports.append((self._number, loads, dict(used)))
+            number = self._reports.add(loads, dict(used))
             permit_demand = self._gate.take_demand(
                 now,
                 [ticket.job for ticket in self._waiting],
@@ -318,13 +309,9 @@
                 node=self._node,
                 start=self._start,
                 zone=self.zone,
-                number=self._number,
+                number=number,
                 loads=loads,
-                in_use={
-                    target_id: {adapter_label(key): n for key, n in keys.items()}
-                    for target_id, keys in self._started_counts.items()
-                    if keys
-                },
+                in_use=self._in_use.rows(),
                 wants=group_wants(
                     [ticket.job for ticket in self._waiting],
                     self.zone,
@@ -364,14 +351,6 @@
     def _load(self, target_id):
         return self._loads.setdefault(target_id, TargetLoad(0, 0))
 
-    def _acked_report(self):
-        """Return loads and tokens used of the report that the last view answers."""
-        number = self._view.acked.get(self._node, 0)
-        for sent_number, loads, used in self._reports:
-            if sent_number == number:
-                return loads, used
-        return {}, {}
-
     def _retry_waiting(self, now):
         """Retry the waiting requests if the interval between decisions has passed."""
         if self._waiting and now >= self._next_decision_at:
@@ -449,8 +428,7 @@
         load.running += 1
         load.queued_prompt_tokens += job.prompt_tokens
         if job.key[0]:
-            self._in_use.setdefault(target.target_id, Counter())[job.key] += 1
-            self._started_counts.setdefault(target.target_id, Counter())[job.key] += 1
+            self._in_use.add(target.target_id, job.key)
         if self._has_engine.get(target.service):
             factor = self.factor(target.target_id)
             self._prompt_queues.record_send(
