The scan of all targets leaves out those that a job must not get

The index refuses the targets in broken_at to all jobs since second attempts use it, the scan that its decisions are compared with only to those that name a software version. The comparison stays as strict.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_indexed_decisions.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_indexed_decisions.py
@@ -52,6 +52,7 @@
             target_id
             for target_id, target in self.staying(job.service).items()
             if target_id not in self._ejected(now, job.service)
+            and target_id not in job.broken_at
             and (job.software is None or may_continue(target, job))
         }
 
@@ -61,6 +62,8 @@
         for target in self.targets.values():
             if target.service != job.service or target.draining:
                 continue
+            if target.target_id in job.broken_at:
+                continue
             if job.software is not None and not may_continue(target, job):
                 continue
             version = self._version(now, target, job.key)
