--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -64,6 +64,14 @@
             answered += self.is_answered(caller)
         self.assertEqual(answered, 60)
 
+    def test_caller_may_learn_of_a_lower_limit_a_moment_later(self):
+        """The connection becomes idle just after the change."""
+        caller = self.connect()
+        self.server.set_limits(4096, 4096, 1.0)
+        self.assertTrue(self.is_answered(caller))
+        sleep(2.0)
+        self.assertTrue(self.is_answered(caller))
+
     def test_lower_limit_holds_for_connections_used_later(self):
         self.server.set_limits(4096, 4096, 0.5)
         caller = self.connect()
