A connection that becomes idle during a scan of the idle ones ends no scan

Callers saw nothing; the log had "Error in HTTPServer.serve", and overdue connections stayed open until the next scan.

Cause: a scan took the time, then listed the connections. A thread of a request could add one in between, which was idle since a later time than the end of the newest limit, so no limit held for it (max() of an empty sequence).

Change: the newest limit has no end.

Evidence: the new test of the server failed before ("ValueError: max() arg is an empty sequence") and passes.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -6,6 +6,8 @@
 
 from cheroot.connections import ConnectionManager
 
+from hibiscusspar_wire.limit_history import LimitHistory
+
 __all__ = ["IdleConnections"]
 
 
@@ -26,22 +28,18 @@
     def __init__(self, server, idle_limit_s):
         super().__init__(server)
         self._lock = threading.Lock()
-        # Ends of earlier limits, oldest first, and the limits.
-        self._earlier = []
-        self._idle_limit_s = idle_limit_s
+        self._limits = LimitHistory(idle_limit_s)
         self.closed_count = 0
 
     @property
     def idle_limit_s(self):
         """Time in seconds for which a connection may wait for a request."""
-        return self._idle_limit_s
+        return self._limits.current_s
 
     @idle_limit_s.setter
     def idle_limit_s(self, limit_s):
         with self._lock:
-            if limit_s != self._idle_limit_s:
-                self._earlier.append((monotonic(), self._idle_limit_s))
-                self._idle_limit_s = limit_s
+            self._limits.change(monotonic(), limit_s)
 
     def put(self, conn):
         """Let a connection wait for its next request."""
@@ -74,31 +72,19 @@
 
     def _close_idle(self):
         now = monotonic()
-        limits = self._limits(now)
-        overdue = [
-            (descriptor, conn)
-            for descriptor, conn in self._selector.connections
-            if conn is not self.server and now >= _keep_until(conn.idle_since, limits)
-        ]
+        with self._lock:
+            overdue = [
+                (descriptor, conn)
+                for descriptor, conn in self._selector.connections
+                if conn is not self.server
+                and now >= self._limits.keep_until(conn.idle_since)
+            ]
         for descriptor, conn in overdue:
             if not _is_readable(descriptor):
                 self._selector.unregister(descriptor)
                 self.closed_count += 1
                 conn.close()
 
-    def _limits(self, now):
-        """Return the limits, each with the time until which it was in force."""
-        with self._lock:
-            longest_s = max(limit_s for _, limit_s in [*self._earlier, (now, 0.0)])
-            # Connections that wait since then are overdue by any limit.
-            self._earlier = [row for row in self._earlier if row[0] > now - longest_s]
-            return [*self._earlier, (now, self._idle_limit_s)]
-
-
-def _keep_until(idle_since, limits):
-    """Return the time until which a connection is kept that waits since a time."""
-    return idle_since + max(limit_s for end, limit_s in limits if end >= idle_since)
-
 
 def _is_readable(descriptor):
     poll = select.poll()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import unittest
-from time import sleep, time
+from time import monotonic, sleep, time
 from unittest.mock import patch
 
 from hibiscusspar_wire.front_server import FrontServer
@@ -99,6 +99,16 @@
             sleep(1.2)
             self.assertTrue(self.is_answered(caller))
 
+    def test_connection_may_become_idle_while_idle_ones_are_closed(self):
+        caller = self.connect()
+        before = monotonic()
+        self.assertTrue(self.is_answered(caller))
+        wait_for_unanswered(self, self.server, 0)
+        sleep(0.1)
+        with patch("hibiscusspar_wire.idle_connections.monotonic", lambda: before):
+            self.server._server._connections._close_idle()
+        self.assertTrue(self.is_answered(caller))
+
     def test_caller_may_take_longer_for_a_body_than_idle_connections_last(self):
         self.server.set_limits(4096, 4096, 0.5)
         caller = self.connect()
