--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -70,6 +70,8 @@
         if test_id in known_failures:
             print(f"known red: {test_id}")
     failed = [test_id for test_id in failing if test_id not in known_failures]
+    for test_id in failed:
+        print(f"failed: {test_id}")
     skipped = len(result.skipped)
     passed = result.testsRun - len(failing) - skipped
     print(f"{passed} passed, {len(failed)} failed, {skipped} skipped")
