Connections are kept for an earlier idle limit until callers know the lower one

Callers saw requests on kept connections without an answer, beside a configuration that lowers idleTimeoutMs: a connection that became idle just after the change was closed after the new limit, though its caller kept it for four fifths of the earlier one.

Cause: the limit of a connection was that of the moment at which it became idle at the node. Callers learn of a configuration at another moment than the node.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -29,6 +29,7 @@
 # Time in seconds that a caller may take between two bytes of a request or its answer.
 _TRANSFER_TIMEOUT_S = 10.0
 _IDLE_LIMIT_S = 10.0
+_IDLE_NOTICE_S = 2.0
 # Longest part of a body that is written to the socket directly, which limits the time
 # for the whole part. The server limits the time for each write.
 _MAX_DIRECT_BYTES = 16_384
@@ -210,9 +211,19 @@
     reserve_threads : int, optional
         Threads beyond these for requests that ``handle`` has to refuse at once; see
         :attr:`InboundRequest.is_excess`. Without any, further requests wait unread.
+    idle_notice_s : float, optional
+        Time in seconds in which callers learn of another limit of the idle time.
     """
 
-    def __init__(self, address, handle, threads=32, max_threads=320, reserve_threads=0):
+    def __init__(
+        self,
+        address,
+        handle,
+        threads=32,
+        max_threads=320,
+        reserve_threads=0,
+        idle_notice_s=_IDLE_NOTICE_S,
+    ):
         threading.stack_size(_STACK_BYTES)
         host, _, port = address.rpartition(":")
         self._max_threads = max_threads
@@ -221,6 +232,7 @@
             _gateway_class(handle),
             peercreds_enabled=False,
         )
+        self._server.idle_notice_s = idle_notice_s
         self._server.requests = RequestThreads(
             self._server, threads, max_threads + reserve_threads
         )
@@ -278,6 +290,7 @@
 
     _idle_limit_s = _IDLE_LIMIT_S
     _connections = None
+    idle_notice_s = _IDLE_NOTICE_S
 
     @property
     def idle_limit_s(self):
@@ -299,7 +312,9 @@
         """Bind the port and start the threads."""
         super().prepare()
         self._connections.close()
-        self._connections = IdleConnections(self, self._idle_limit_s)
+        self._connections = IdleConnections(
+            self, self._idle_limit_s, self.idle_notice_s
+        )
 
 
 def _gateway_class(handle):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -15,20 +15,22 @@
     """Manager of the idle connections of a server.
 
     Callers use a connection again within the idle limit that they know, so one that
-    waits is kept for the longest limit that was in force since it began to wait. One
-    on which a request has arrived is never closed as idle.
+    waits is kept for the longest limit that they may have known since it began to wait.
+    One on which a request has arrived is never closed as idle.
 
     Parameters
     ----------
     server : cheroot.server.HTTPServer
         Its socket must be bound.
     idle_limit_s : float
+    notice_s : float
+        Time in seconds in which callers learn of another limit.
     """
 
-    def __init__(self, server, idle_limit_s):
+    def __init__(self, server, idle_limit_s, notice_s):
         super().__init__(server)
         self._lock = threading.Lock()
-        self._limits = LimitHistory(idle_limit_s)
+        self._limits = LimitHistory(idle_limit_s, notice_s)
         self.closed_count = 0
 
     @property
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/limit_history.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/limit_history.py
@@ -7,7 +7,7 @@
 
 
 class _EarlierLimit(NamedTuple):
-    """Limit that held for connections that became idle up to a time."""
+    """Limit that holds for connections that become idle up to a time."""
 
     ends_at: float
     seconds: float
@@ -16,14 +16,19 @@
 class LimitHistory:
     """Limits of the idle time of connections, and until when each was in force.
 
-    A connection is kept for the longest limit that was in force since it became idle.
+    A connection is kept for the longest limit of which its caller may have known since
+    it became idle.
 
     Parameters
     ----------
     limit_s : float
+    notice_s : float
+        Time in seconds after a change until which callers may know the earlier limit
+        only.
     """
 
-    def __init__(self, limit_s):
+    def __init__(self, limit_s, notice_s):
+        self._notice_s = notice_s
         self._current = _EarlierLimit(inf, limit_s)
         self._earlier = []
 
@@ -36,7 +41,7 @@
         """Record that another limit is in force from ``now`` on."""
         if limit_s == self.current_s:
             return
-        self._earlier.append(_EarlierLimit(now, self.current_s))
+        self._earlier.append(_EarlierLimit(now + self._notice_s, self.current_s))
         self._current = _EarlierLimit(inf, limit_s)
         longest_s = max(limit.seconds for limit in self._limits)
         # Connections that are idle since then are overdue by any limit.
