Callers of the soak learn of another idle limit up to half a second late

They knew each limit at the moment of its publication, so a connection that became idle just after a lower limit was never used for as long as its caller may.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 
 from hibiscusspar_platform.tests.engine_stand_in import EVENT_COUNT
 from soak.deployment import MODEL
-from soak.idle_limits import KEPT_SHARE
+from soak.idle_limits import KEPT_SHARE, NOTICE_S
 
 __all__ = ["Caller", "Outcome"]
 
@@ -64,6 +64,7 @@
         super().__init__(name=name, daemon=True)
         self._fronts = fronts
         self._rng = Random(seed)
+        self._notice_rng = Random(f"notice/{seed}")
         self._choose_key = choose_key
         self._started_at = started_at
         self._idle_limits = idle_limits
@@ -151,8 +152,9 @@
         if response.will_close:
             self._close()
         elif self._idle_limits is not None:
-            self._idle_limit = self._idle_limits.newest
             self._idle_since = monotonic()
+            known_at = self._idle_since - self._notice_rng.uniform(0.0, NOTICE_S)
+            self._idle_limit = self._idle_limits.known(known_at)
         return response.status
 
     def _take_up(self, request_id, headers, events):
--- a/soak/idle_limits.py
+++ b/soak/idle_limits.py
@@ -4,11 +4,13 @@
 from time import monotonic
 from typing import NamedTuple
 
-__all__ = ["KEPT_SHARE", "IdleLimits", "PublishedLimit", "idle_check"]
+__all__ = ["KEPT_SHARE", "NOTICE_S", "IdleLimits", "PublishedLimit", "idle_check"]
 
 _LIMITS_S = (0.6, 1.0, 2.0, 4.0)
 # Part of the limit that they know for which callers keep connections.
 KEPT_SHARE = 0.8
+# Longest time after which callers learn of another limit.
+NOTICE_S = 0.5
 # Connections that became idle this long after the signal of a node don't count, as the
 # node may end within the deadline of the requests that it has.
 _SIGNAL_S = 6.0
@@ -36,9 +38,13 @@
     def __init__(self, plan, seed):
         self._plan = plan
         self._rng = Random(f"idle/{seed}")
-        self.newest = PublishedLimit(plan.idle_limit_s, 0.0, False)
+        self._published = [PublishedLimit(plan.idle_limit_s, 0.0, False)]
         self.log = []
 
+    def known(self, at):
+        """Return the newest limit that was published by a time."""
+        return next(limit for limit in reversed(self._published) if limit.at <= at)
+
     def step(self, now):
         """Change the limit at times; ``now`` is the time for the log."""
         rng, plan = self._rng, self._plan
@@ -50,7 +56,7 @@
         if is_raised:
             # Callers rely on a longer limit only once it is acknowledged.
             plan.publish()
-        self.newest = PublishedLimit(seconds, monotonic(), is_raised)
+        self._published.append(PublishedLimit(seconds, monotonic(), is_raised))
         if not is_raised:
             plan.publish()
         self.log.append(f"{now:.1f} idle limit of {seconds} s")
@@ -63,7 +69,7 @@
     were idle for a quarter of the limit or longer.
 
     A request on a kept connection gets the head of an answer if the connection was idle
-    for four fifths of the limit that was the newest when it became idle. It counts
+    for four fifths of the limit that its caller knew when it became idle. It counts
     unless its node was signalled (SIGHUP excepted), or may not know a longer limit as
     its store was disturbed.
 
