A disconnect cancels no connection to a peer that went back to the pool

Callers of a node that sends requests through peers may have got 502, or a broken stream, when another caller left: a peer's refusal is read to its end and the connection goes back to the pool, but the path held it until it gave up the peer. A disconnect in between cancelled the connection, which another request could have by then. The thread that watches for disconnects could also meet None there between a check and a call, and end with an AttributeError, after which no disconnect was noticed.

Class of fault: a decision about one thing acts on another that has its name by now.

Change: the path lets go of the connection before it goes back, and a cancel holds the lock that this takes.

Evidence: test_connection_that_went_back_to_the_pool_is_not_cancelled failed before (with the cancel set between the two steps by hand) and passes; test_peer_proxy passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -1,5 +1,6 @@
 """Way to a target through a peer."""
 
+import threading
 from contextlib import suppress
 from math import inf
 from time import monotonic
@@ -65,6 +66,8 @@
         self._peer = None
         self._offer = None
         self._hop = None
+        # Held while the hop is cancelled, so that it isn't released meanwhile.
+        self._hop_lock = threading.Lock()
         self._call = None
         self._send_limit_s = inf
         self._refused = {}
@@ -85,15 +88,17 @@
                 break
             self._peer, self._offer = chosen
             try:
-                self._hop = self._connections.acquire(
+                hop = self._connections.acquire(
                     self._peer, self._offer.address, _PEER_IDLE_S
                 )
             except CallFailedError as error:
                 self._watch.withdraw_offer(self._peer)
                 self._give_up_peer(error.reason)
                 continue
-            if self._is_cancelled:
-                self._hop.cancel()
+            with self._hop_lock:
+                self._hop = hop
+                if self._is_cancelled:
+                    hop.cancel()
             return
         reason = f"no peer sends it: {self._refused}"
         raise CallFailedError("closed", self.address, reason)
@@ -155,20 +160,23 @@
     def release(self, headers):
         """End the attempt after its answer was read to the end."""
         # Only the proxy knows what the target says about its connection.
-        if self._peer is not None:
-            self._connections.release(self._peer, self._hop, {})
+        hop = self._take_hop()
+        if hop is not None:
+            self._connections.release(self._peer, hop, {})
             self._end_peer()
 
     def cancel(self):
         """Abort the attempt from another thread."""
-        self._is_cancelled = True
-        if self._hop is not None:
-            self._hop.cancel()
+        with self._hop_lock:
+            self._is_cancelled = True
+            if self._hop is not None:
+                self._hop.cancel()
 
     def close(self):
         """End the attempt."""
-        if self._hop is not None:
-            self._hop.close()
+        hop = self._take_hop()
+        if hop is not None:
+            hop.close()
         self._end_peer()
 
     def _send(self):
@@ -189,15 +197,20 @@
         self._hop.send("POST", PROXY_URI, fields, body, remaining_s, self._send_limit_s)
 
     def _finish_refusal(self, response):
+        hop = self._take_hop()
         with suppress(CallFailedError):
-            self._hop.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
-            self._connections.release(self._peer, self._hop, {})
+            hop.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
+            self._connections.release(self._peer, hop, {})
             return
-        self._hop.close()
+        hop.close()
+
+    def _take_hop(self):
+        with self._hop_lock:
+            hop, self._hop = self._hop, None
+        return hop
 
     def _give_up_peer(self, reason):
         self._refused[self._peer] = reason
-        self._hop = None
         self._end_peer()
 
     def _end_peer(self):
