An error of one request's cancel ends no watch for disconnects

Targets would have worked on for callers who have left, on all requests of the node from then on: an exception of a callback ended the only thread that watches their connections.

Evidence: test_error_of_a_callback_ends_no_watch failed with the callback called directly (nothing arrived within 2 s) and passes.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
@@ -13,10 +13,13 @@
 
     Parameters
     ----------
+    on_error : callable
+        Called with the exception of a callback that fails.
     epoll : select.epoll, optional
     """
 
-    def __init__(self, epoll=None):
+    def __init__(self, on_error, epoll=None):
+        self._on_error = on_error
         self._epoll = epoll or select.epoll()
         self._lock = threading.Lock()
         self._callbacks = {}
@@ -60,7 +63,13 @@
             for descriptor, _ in self._epoll.poll():
                 callback = self._take_callback(descriptor)
                 if callback is not None:
-                    callback()
+                    self._call(callback)
+
+    def _call(self, callback):
+        try:
+            callback()
+        except Exception as error:  # noqa: BLE001
+            self._on_error(error)
 
     def _take_callback(self, descriptor):
         """Return the callback of a connection whose peer is gone, or None.
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_disconnect_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_disconnect_watch.py
@@ -50,7 +50,7 @@
         return caller, accepted
 
     def test_hang_up_is_reported_once(self):
-        watch, gone = DisconnectWatch(), threading.Event()
+        watch, gone = DisconnectWatch(self.fail), threading.Event()
         watch.start()
         caller, accepted = self.connect()
         watch.add(accepted, gone.set)
@@ -61,7 +61,7 @@
     def test_hang_up_of_an_earlier_connection_cancels_no_request(self):
         """The kernel gives the descriptor of a closed socket to the next connection."""
         notices, cancelled = _Notices(), []
-        watch = DisconnectWatch(notices)
+        watch = DisconnectWatch(self.fail, notices)
         watch.start()
         caller, accepted = self.connect()
         descriptor = watch.add(accepted, lambda: cancelled.append("earlier"))
@@ -72,3 +72,15 @@
         watch.add(accepted, lambda: cancelled.append("later"))
         notices.report(descriptor)
         self.assertEqual(cancelled, [])
+
+    def test_error_of_a_callback_ends_no_watch(self):
+        """Guards against targets that work for callers who have left."""
+        errors, gone = Queue(), threading.Event()
+        watch = DisconnectWatch(errors.put)
+        watch.start()
+        for callback in (lambda: 1 / 0, gone.set):
+            caller, accepted = self.connect()
+            watch.add(accepted, callback)
+            caller.close()
+        self.assertIsInstance(errors.get(timeout=_TIMEOUT_S), ZeroDivisionError)
+        self.assertTrue(gone.wait(_TIMEOUT_S))
