An earlier second attempt is kept until the next one has been sent

A caller got 504 where the target of its second attempt would have answered in time: that attempt was closed for a third one, which then failed.

Cause: the earlier attempt was ended once the third target was connected to, before the request had been sent to it. If the target reset the connection then, both were gone.

Change: the earlier attempt ends after the request was sent to the next target, and goes on if that fails.

Evidence: test_third_target_resets_the_connection failed before (504 after 2.95 s) and passes; TestThirdTarget 3 of 3.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -224,28 +224,23 @@
         try:
             connection = hedging.attempts.connect(admitted, state, placement, True)
             self._second = placement, connection, sent_at, watch
-            if not hedging.take_budget(admitted.service):
+            if hedging.take_budget(admitted.service):
+                hedging.attempts.send(
+                    admitted, state, placement, connection, limit_s=_SEND_S
+                )
+            else:
                 self._fail_second("closed", "retry budget", True)
         except CallFailedError as error:
             self._fail_call(error)
-        except RefusedError as error:
+        except (RefusedError, CallerLeftError) as error:
             self._fail_second("closed", str(error), True)
         if self._second is None:
             self._second, state.has_second_attempt = earlier, earlier is not None
             return
         if earlier is not None:
             self._fail_earlier(earlier)
-        try:
-            hedging.attempts.send(
-                admitted, state, placement, connection, limit_s=_SEND_S
-            )
-        except CallFailedError as error:
-            self._fail_call(error)
-        except (RefusedError, CallerLeftError) as error:
-            self._fail_second("closed", str(error), True)
-        else:
-            silence_s = hedging.first_silence_s(admitted)
-            self._second_ends_at = hedging.monotonic() + silence_s
+        silence_s = hedging.first_silence_s(admitted)
+        self._second_ends_at = hedging.monotonic() + silence_s
 
     def _fail_earlier(self, earlier):
         """End an earlier second attempt, which the current one replaces."""
