The body of a request is read before it is refused for lack of a configuration

A caller that sent a body in chunks to a node without a configuration got 503, and 400 to its next request on the same connection, which it doesn't repeat.

Cause: the request was refused before its body was read. The server reads the rest of a body with a length, but not that of one in chunks, which was taken for the next request.

Evidence: test_body_in_chunks_is_read_without_a_configuration failed before (400) and passes; TestRefusals 5 of 5.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -101,6 +101,7 @@
         policy = self._policy
         ruleset = self._config.ruleset
         if ruleset is None:
+            inbound.read_body()
             raise RefusedError(503, "no configuration yet", policy.starting_retry_s)
         body = inbound.read_body(ruleset.max_body_bytes)
         head = inbound.head
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -32,7 +32,6 @@
 # Size up to which a plain answer is read whole before it is passed on. A node holds one
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
-_UNLIMITED_BODY = 2**62
 
 
 class Forwarder:
@@ -128,7 +127,7 @@
 
     def _refuse_if_closed(self, inbound, arrived):
         if self.is_closed(arrived):
-            inbound.read_body(_UNLIMITED_BODY)
+            inbound.read_body()
             reason = "this VM has left"
             raise RefusedError(503, reason, self._policy.draining_retry_s)
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from math import inf
 from typing import NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
@@ -114,9 +115,12 @@
         """Whether the head of the answer was sent."""
         return self._request.sent_headers
 
-    def read_body(self, max_bytes):
+    def read_body(self, max_bytes=inf):
         """Return the complete body.
 
+        A request is refused after its body was read, as the rest would be taken for the
+        next request.
+
         Raises
         ------
         BadRequestError
