Nothing follows an answer that was sent whole

A caller on a kept connection got the body of a second answer, of status 502, behind a whole plain answer.

Cause: after an error in the records that follow an answer, the request counted as not answered unless it was a stream or long.

Change: whether an answer was sent is asked of the connection, which is closed after such an error.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -431,7 +431,7 @@
         self._log.refused(admitted, error, arrived)
 
     def _fail(self, inbound, admitted, state, error):
-        if state.answer_begun:
+        if inbound.answered:
             inbound.abort()
         else:
             with suppress(CallerGoneError):
