A move may end while a stream is asked whether it is being moved

A caller's stream could be cut off, or a plain answer replaced by 502, at the moment at which a move found no destination and the target of the stream was silent.

Cause: is_moving read the move of a run several times, without the lock under which the thread of the move sets it to None. The error ended the attempt from which the stream was read.

Evidence: read in the code, the order of events set by hand: test_move_may_end_while_a_stream_is_asked_about failed before (AttributeError) and passes; TestStreamMover 23 of 23.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -196,7 +196,9 @@
     def is_moving(self, state):
         """Return whether a stream is being moved and not yet sent elsewhere."""
         run = self._runs.get(state)
-        return run is not None and run.move is not None and run.move.is_copying
+        # The thread of the move may set it to None meanwhile.
+        move = None if run is None else run.move
+        return move is not None and move.is_copying
 
     def complete(self, state):
         """Record that a stream has ended as a whole."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -149,6 +149,16 @@
                 self.bench.step()
                 self.assertFalse(self.bench.mover.is_moving(stream.state))
 
+    def test_move_may_end_while_a_stream_is_asked_about(self):
+        """Another thread sets the move to None once there is no destination."""
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.mover.step()
+        run = self.bench.mover._runs[stream.state]
+        move = mock.PropertyMock(side_effect=[run.move, None, None])
+        with mock.patch.object(type(run), "move", move, create=True):
+            self.assertTrue(self.bench.mover.is_moving(stream.state))
+
     def test_moved_stream_may_leave_a_destination_that_sends_nothing(self):
         stream = self.bench.stream()
         self.bench.drain("t0")
