The decision about a request is stored after its placement

A caller could get 502 for a request that had just been given a target, and the target's place was never given back.

Cause: a decision was stored before its placement, and a request whose wait has ended reads both without the lock.

Evidence: read in the code; test_a_decision_is_never_seen_without_its_placement failed before and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/placement.py
@@ -37,7 +37,10 @@
         self.decided = threading.Event()
 
     def resolve(self, decision, placement=None):
-        """Store the decision and wake the thread of the request."""
-        self.decision = decision
+        """Store the decision and wake the thread of the request.
+
+        That thread may look at the decision before it is woken.
+        """
         self.placement = placement
+        self.decision = decision
         self.decided.set()
