A request whose body stalls is refused with 408

A caller whose body stalled for the transfer timeout got neither an answer nor a refusal, and 500 once it sent the rest.

Cause: the timeout counted as an internal error. Before the head of its answer is sent, the server reads the rest of the body, as the connection was to be kept; that timed out in turn, which counted as a caller that had left.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -124,7 +124,7 @@
         Raises
         ------
         BadRequestError
-            If the body is malformed, incomplete or longer than ``max_bytes``.
+            If the body is malformed, incomplete, late or longer than ``max_bytes``.
         """
         request = self._request
         names = request.inheaders
@@ -132,6 +132,8 @@
             raise BadRequestError(400, "both a length and a transfer encoding")
         try:
             body = request.rfile.read()
+        except TimeoutError as error:
+            raise BadRequestError(408, "the rest of the body is late") from error
         except MaxSizeExceeded as error:
             raise BadRequestError(413, "the body is too long") from error
         except ValueError as error:
