--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from math import inf
 from typing import NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
@@ -114,13 +115,16 @@
         """Whether the head of the answer was sent."""
         return self._request.sent_headers
 
-    def read_body(self, max_bytes):
+    def read_body(self, max_bytes=inf):
         """Return the complete body.
 
+        A request is refused after its body was read, as the rest would be taken for the
+        next request.
+
         Raises
         ------
         BadRequestError
-            If the body is malformed, incomplete or longer than ``max_bytes``.
+            If the body is malformed, incomplete, late or longer than ``max_bytes``.
         """
         request = self._request
         names = request.inheaders
@@ -128,6 +132,8 @@
             raise BadRequestError(400, "both a length and a transfer encoding")
         try:
             body = request.rfile.read()
+        except TimeoutError as error:
+            raise BadRequestError(408, "the rest of the body is late") from error
         except MaxSizeExceeded as error:
             raise BadRequestError(413, "the body is too long") from error
         except ValueError as error:
