A stopping node waits for the requests of peers that wait for a thread

Callers of a node without a path to its targets could get a 502 or a cut stream when the peer that sends their requests stopped: the peer's process ended while some of these requests were being read or waited for a thread.

Cause: the wait of a stop counted the requests of the callers' port from their arrival, but those of the peers' port only once their handlers had begun.

Change: PeerProxy.open_requests is the number of unanswered requests of its server, as for the callers' port. The limit of requests that are sent at a time and the load in offers still count handlers.

Evidence: 6 requests at a proxy with 4 threads. Before: TestOpenRequests failed with 4 != 6; after: pass. All 21 tests of test_peer_proxy pass.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -284,7 +284,7 @@
 
     @property
     def _open_requests(self):
-        # Those of the front server include requests that wait for a thread.
+        # Both include requests that wait for a thread.
         return self._front.unanswered + self._parts.peer_proxy.open_requests
 
     def _request_report(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -150,8 +150,12 @@
 
     @property
     def open_requests(self):
-        """Number of requests of other nodes in progress."""
-        return self._open
+        """Number of requests of other nodes that have arrived and aren't answered.
+
+        It includes those that are being read or wait for a thread.
+        """
+        server = self._server
+        return 0 if server is None else server.unanswered
 
     def configure(self, ruleset):
         """Apply the limits of a configuration."""
