Streams without another attempt stay at a slow target

Callers of resumable streams could see a stream cut off that its slow target would have completed: the node stopped it there to move it, the destination failed, and the route's attempts or the retry budget were used up.

Cause: the choice of streams that leave a slow target asked nothing of whether another attempt could follow if the move fails.

Change: a stream that may be sent again leaves a slow target only while it has an attempt left and the retry budget of its service has room. The room isn't reserved, so several moves may rely on the same one. Streams of targets that leave move as before, as their sources end anyway. Streams that mustn't be sent again move as before as well: they never have another attempt, and TestRelievedPath asks for their moves.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relief_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/relief_watch.py
@@ -23,12 +23,15 @@
         Returns the factors that views tell, by target.
     load : callable
         Returns the running requests and queued prompt tokens of a target, of all nodes.
+    has_retry_room : callable
+        Returns whether the retry budget of a service has room.
     policy : ReliefPolicy, optional
     """
 
-    def __init__(self, told_speeds, load, policy=None):
+    def __init__(self, told_speeds, load, has_retry_room, policy=None):
         self._told_speeds = told_speeds
         self._load = load
+        self._has_retry_room = has_retry_room
         self._relief = StreamRelief(policy)
         # Times of the first and last choice and number of chosen streams, by target.
         self._relieved = {}
@@ -53,7 +56,7 @@
         rows = [
             run.relief_row(now, usual(run.admitted.route.name))
             for run in runs
-            if not run.state.was_relieved
+            if not run.state.was_relieved and self._may_leave(run)
         ]
         chosen = self._relief.select(now, rows, lambda name: self._load(name)[0])
         for row in chosen:
@@ -92,3 +95,15 @@
                 "seconds": round(now - begun, 3),
             }
             write_records([(RELIEF_ENDED, fields)])
+
+    def _may_leave(self, run):
+        """Return whether a stream may leave a target at which it could go on.
+
+        One that could be sent again, but has no attempt left or no room in the budget,
+        would be cut off if its destination failed.
+        """
+        route = run.admitted.route
+        if not route.idempotent:
+            return True
+        has_attempts = run.state.attempts < route.max_attempts
+        return has_attempts and self._has_retry_room(run.admitted.service)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
@@ -181,7 +181,12 @@
         call = SimpleNamespace(request_id=request_id, model="m", adapter=adapter)
         call.tokens = (100, LENGTH)
         route = SimpleNamespace(
-            name="r", kind="stream", first_byte_slo_s=1.0, max_gap_s=0.0
+            name="r",
+            kind="stream",
+            first_byte_slo_s=1.0,
+            max_gap_s=0.0,
+            max_attempts=2,
+            idempotent=resumable,
         )
         self.admitted = SimpleNamespace(
             call=call,
@@ -298,6 +303,7 @@
         self.now = 100.0
         self.adapter = adapter
         self.factors = {}
+        self.has_retry_room = True
         self.scheduler = Scheduler(names)
         self.engines = Engines(names)
         self.queued = []
@@ -312,6 +318,7 @@
             ReliefWatch(
                 self.told,
                 self.scheduler.load_of_all,
+                lambda service: self.has_retry_room,
                 ReliefPolicy(
                     slot_share=1.0, calm_share=1.0, leaving_share=1.0, moves_per_s=9
                 ),
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -375,6 +375,32 @@
         self.finish(stream)
         self.assertEqual(stream.outcome, "whole")
 
+    def test_stream_without_a_further_attempt_stays_until_its_target_leaves(self):
+        stream = self.bench.stream(resumable=True)
+        stream.state.attempts = 2
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
+    def test_stream_stays_while_the_retry_budget_has_no_room(self):
+        stream = self.bench.stream(resumable=True)
+        self.bench.has_retry_room = False
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.has_retry_room = True
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
     def test_source_that_dies_during_the_move_is_a_failed_attempt(self):
         stream = self.bench.stream()
         self.engines.by_name["t0"].is_up = False
