Nodes learn of the answers that a coordinator has for what they suspect

Traced in part: after nodes had been restarted, fatal requests crashed three engines within 1.3 s, and the callers' common part of the prompt was quarantined with them.

Cause: a node that has just started has no answers, so three crashes are enough for it to blame a part that all prompts share. It reports the crashes to the coordinator, where they don't count for a part that was answered up to 10 s before. The coordinator therefore neither suspects the part nor tells anybody that it was answered: views told answers only of suspects that views had told before. Other nodes report an answer only if they suspect the part. As the node refuses all requests with the part itself, and only the coordinator's node tries such requests, the quarantine lasted for its 600 s.

Evidence: `TestSoundPartIsRefusedByARestartedNode` exchanges the real reports and views; the node still refused after the exchange before this change, and doesn't now.

Why this works: the coordinator tells in its next views which suspects of a reported crash were answered in the 10 s before, for which no crash counts; the node lifts the quarantine as for any other answer. Messages don't change.

--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -144,7 +144,7 @@
             Suspects that are quarantined since this crash.
         """
         at = now - age_s
-        suspects = [s for s in dict.fromkeys(suspects) if not self._was_answered(s, at)]
+        suspects = [s for s in dict.fromkeys(suspects) if not self.was_answered(s, at)]
         before = {s for s in suspects if self.refused_for(now, s)}
         for suspect in suspects:
             crashes = self._rows.setdefault(suspect, {})
@@ -176,7 +176,7 @@
             False if the suspect was answered after its first crash.
         """
         suspect = verdict.suspect
-        if self._was_answered(suspect, verdict.first_at):
+        if self.was_answered(suspect, verdict.first_at):
             return False
         known = self._adopted.get(suspect)
         if known is None or (known.crashes, known.is_refused) < (
@@ -187,6 +187,14 @@
             self._evict()
         return True
 
+    def was_answered(self, suspect, crashed_at):
+        """Return whether a crash at a time doesn't count for a suspect."""
+        answered_at = self._answered_at.get(suspect)
+        return (
+            answered_at is not None
+            and answered_at >= crashed_at - self._policy.answer_s
+        )
+
     def count(self, suspect):
         """Return the number of crashes of a suspect."""
         crashes = self._rows.get(suspect, {})
@@ -308,13 +316,6 @@
             times += adopted.first_at, adopted.last_at
         return times
 
-    def _was_answered(self, suspect, crashed_at):
-        answered_at = self._answered_at.get(suspect)
-        return (
-            answered_at is not None
-            and answered_at >= crashed_at - self._policy.answer_s
-        )
-
     def _remove(self, suspect):
         self._adopted.pop(suspect, None)
         for crash in self._rows.pop(suspect, ()):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -233,6 +233,7 @@
             for row in report.crashes:
                 crash = (row.target_id, row.born)
                 self._record(now, crash, row.suspects, row.age_s, report.node)
+                self._tell_answered(now, row.suspects)
             for suspect, age_s in report.answered.items():
                 self._record_answer(now, suspect, report.node, age_s)
 
@@ -394,6 +395,16 @@
         self._answered[suspect] = now
         self._due_calls.append(self.request_report)
 
+    def _tell_answered(self, now, suspects):
+        """Tell in the next views which suspects were answered a short time ago.
+
+        Their crashes don't count here, but at the node that reports them.
+        """
+        for suspect in suspects:
+            if self._table(suspect).was_answered(suspect, now):
+                self._told.add(suspect)
+                self._answered[suspect] = now
+
     def _announce(self, now, suspect, source):
         """Log a verdict and wake the requests that wait."""
         table = self._table(suspect)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -284,6 +284,41 @@
         )
 
 
+class TestSoundPartIsRefusedByARestartedNode(ExchangeTestCase):
+    """Guards against a node that isn't told that a part which it suspects is sound."""
+
+    def setUp(self):
+        super().setUp()
+        self.coordinator = self.make()
+        self.coordinator.record_answer(["part-good"])
+        self.clock.now += 1.0
+        # Fatal requests crash three targets before this node has an answer.
+        for number, fatal in enumerate(["part-a", "part-b", "part-b"]):
+            self.break_at(f"t{number}", ["part-good", fatal])
+
+    def is_refused(self):
+        return self.exchange.refused_for("acme-1", ["part-good"]) > 0
+
+    def exchange_messages(self, number):
+        self.coordinator.apply_report(self.report(number))
+        rows = self.coordinator.due_verdicts(number)
+        self.exchange.apply_view(self.view(rows), "n1")
+        return rows
+
+    def test_coordinator_that_has_an_answer_lifts_the_quarantine(self):
+        self.assertTrue(self.is_refused())
+        self.exchange_messages(1)
+        self.assertFalse(self.is_refused())
+
+    def test_quarantine_holds_if_the_answer_is_old(self):
+        self.clock.now += 60.0
+        for number, fatal in enumerate(["part-a", "part-b", "part-b"]):
+            self.break_at(f"s{number}", ["part-good", fatal])
+        rows = self.exchange_messages(1)
+        self.assertEqual([row for row in rows if row.crashes == 0], [])
+        self.assertTrue(self.is_refused())
+
+
 class TestViews(ExchangeTestCase):
     def sizes(self, views):
         return [len(self.exchange.due_verdicts(number)) for number in range(views)]
