Callers are told the idle limit of their connections, not the transfer timeout

Callers of HTTP/1.0 that ask for their connection to be kept were told 10 s, whatever the idle limit. A request that they sent within that time on a connection that had been closed as idle got no answer.

Cause: the Keep-Alive header states the timeout of the server, which became that of transfers when idle connections got a limit of their own. Callers of HTTP/1.1 get no such header.

Change: the server's timeout is the idle limit again, and accepted sockets get the transfer timeout.

Evidence: test_callers_are_told_the_idle_limit failed before (timeout=10.0 with a limit of 3 s) and passes; test_front_server 18 of 18.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -243,7 +243,7 @@
             self._server, threads, max_threads + reserve_threads
         )
         self._server.open_slots = threading.Semaphore(max_threads)
-        self._server.timeout = _TRANSFER_TIMEOUT_S
+        self._server.transfer_timeout_s = _TRANSFER_TIMEOUT_S
         self._server.ConnectionClass = CallerConnection
         self._server.request_queue_size = _BACKLOG
         # The default limit closes all but 10 idle connections, and cheroot counts
@@ -305,7 +305,8 @@
 
     @idle_limit_s.setter
     def idle_limit_s(self, limit_s):
-        self._idle_limit_s = limit_s
+        # Told to callers that ask for their connections to be kept.
+        self._idle_limit_s = self.timeout = limit_s
         if self._connections is not None:
             self._connections.idle_limit_s = limit_s
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -70,6 +70,7 @@
         """Accept a connection, which gets a thread once a request arrives."""
         conn = self._from_server_socket(self.server.socket)
         if conn is not None:
+            conn.socket.settimeout(self.server.transfer_timeout_s)
             self.put(conn)
 
     def _close_idle(self):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -109,6 +109,14 @@
             self.server._server._connections._close_idle()
         self.assertTrue(self.is_answered(caller))
 
+    def test_callers_are_told_the_idle_limit(self):
+        """Those of HTTP/1.0 that ask for it keep their connections as long."""
+        self.server.set_limits(4096, 4096, 3.0)
+        caller = self.connect()
+        head = _REQUEST.replace(b"1.1\r\n", b"1.0\r\nConnection: Keep-Alive\r\n")
+        caller.sendall(head % 0)
+        self.assertIn(b"\r\nKeep-Alive: timeout=3.0\r\n", receive(caller))
+
     def test_caller_may_take_longer_for_a_body_than_idle_connections_last(self):
         self.server.set_limits(4096, 4096, 0.5)
         caller = self.connect()
