A peer's connection that was released after a refusal is not cancelled

A caller that left could end the call of another caller's request through the same peer, and at worst the thread that notices callers who leave.

Cause: a way through a peer returned the connection of a peer that had refused to the pool while the way could still be cancelled; another request may have it by then. The cancellation also read the connection twice without a lock.

Change: the connection is taken from the way under a lock before it is released, as RequestState does.

TestAnswersThroughAPeer passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -1,5 +1,6 @@
 """Way to a target through a peer."""
 
+import threading
 from contextlib import suppress
 from math import inf
 from time import monotonic
@@ -65,6 +66,8 @@
         self._peer = None
         self._offer = None
         self._hop = None
+        # Held while the connection is cancelled, so that it isn't released meanwhile.
+        self._hop_lock = threading.Lock()
         self._call = None
         self._send_limit_s = inf
         self._refused = {}
@@ -161,9 +164,10 @@
 
     def cancel(self):
         """Abort the attempt from another thread."""
-        self._is_cancelled = True
-        if self._hop is not None:
-            self._hop.cancel()
+        with self._hop_lock:
+            self._is_cancelled = True
+            if self._hop is not None:
+                self._hop.cancel()
 
     def close(self):
         """End the attempt."""
@@ -189,11 +193,13 @@
         self._hop.send("POST", PROXY_URI, fields, body, remaining_s, self._send_limit_s)
 
     def _finish_refusal(self, response):
+        with self._hop_lock:
+            hop, self._hop = self._hop, None
         with suppress(CallFailedError):
-            self._hop.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
-            self._connections.release(self._peer, self._hop, {})
+            hop.read_whole(response, _REFUSAL_READ_S, _MAX_REFUSAL_BYTES)
+            self._connections.release(self._peer, hop, {})
             return
-        self._hop.close()
+        hop.close()
 
     def _give_up_peer(self, reason):
         self._refused[self._peer] = reason
