A second attempt is sent only if it may be sent by then

A caller's stream that was being moved from a silent target was sent to a third target as well, which read its prompt beside the move; two targets then work on one request.

Cause: whether a silent target may be replaced was asked when a place was requested. The scheduler may take as long as the request may wait, and a move may begin meanwhile.

Change: it is asked again once there is a place, which is given back if the answer has changed.

Evidence: test_stream_that_is_being_moved_by_then_is_not_sent (the mover's answer is set by hand) failed before and passes; test_second_attempts 21, test_silent_targets 12, test_hedging 4, all pass.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -159,7 +159,10 @@
             return _POLL_S
         ticket, self._ticket = self._ticket, None
         if isinstance(ticket.decision, Send):
-            self._send_second(ticket.placement)
+            if self._may_send({self.target_id}):
+                self._send_second(ticket.placement)
+            else:
+                self._hedging.scheduler.release(ticket.placement, first_byte=False)
             self._next_try_at = self._hedging.monotonic() + _RETRY_S
             return 0.0 if self._second is not None else _RETRY_S
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
@@ -202,16 +205,21 @@
         targets.add(self.target_id)
         if self._second is not None:
             targets.add(self._second[0].target.target_id)
-        if (
-            admitted.ends_at - hedging.clock() < _MIN_REMAINING_S
-            or state.caller_gone.is_set()
-            or not hedging.may_replace(admitted, state, frozenset(targets))
-            or not hedging.has_budget(admitted.service)
-        ):
+        if not self._may_send(targets):
             return False
         self._ticket = hedging.scheduler.submit(hedging.job(admitted, state, targets))
         return True
 
+    def _may_send(self, targets):
+        """Return whether the request may go to a target other than some now."""
+        hedging, admitted, state = self._hedging, self._admitted, self._state
+        return (
+            admitted.ends_at - hedging.clock() >= _MIN_REMAINING_S
+            and not state.caller_gone.is_set()
+            and hedging.may_replace(admitted, state, frozenset(targets))
+            and hedging.has_budget(admitted.service)
+        )
+
     def _send_second(self, placement):
         """Send the request to another target, in place of one that is silent too."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
