An error in a second attempt doesn't end the answer of the silent target

A caller got 502, or its stream was cut off, after an unexpected error while another target was looked for, although the silent target went on.

Cause: the second attempt is made by the thread that reads the answer, from within the read, so its errors ended both.

Change: such an error is logged, ends the second attempt, and the silent target is read on; the next event may begin another one.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -7,6 +7,7 @@
 from hibiscusspar.fleet.silences import stream_silence_s
 from hibiscusspar.fleet.waiting import Send
 from hibiscusspar_entry.fleet.attempts import Attempt
+from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.refusal import CallerLeftError, RefusedError
 from hibiscusspar_wire.target_connections import CallFailedError
 
@@ -94,6 +95,16 @@
 
     def outlast(self, sock, ends_at):
         """Wait until the target sends bytes, another one answers or time has passed."""
+        try:
+            return self._wait(sock, ends_at)
+        except Exception as error:  # noqa: BLE001
+            # The target may go on all the same.
+            log_failure("second attempts", error)
+            self._withdraw()
+            self.starts_at = inf
+            return True
+
+    def _wait(self, sock, ends_at):
         while (
             not _readable([sock], 0.0) and (now := self._hedging.monotonic()) < ends_at
         ):
