A request that may have run keeps the tokens that it took

An account could get more tokens than its limit allows: a caller's request that was lost at a target and then found no other one was answered 502, and its tokens were refunded as if it had not run.

Cause: tokens were given back for each request that ends by a refusal, also one after an attempt that may have run.

Evidence: test_call_that_may_have_run failed before and passes; test_call_that_has_not_run passes on both.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -155,7 +155,7 @@
                 elif state.onward is None:
                     self._handle_failure(admitted, state, failure)
         except RefusedError:
-            if state.tokens_taken:
+            if state.tokens_taken and not state.may_have_run:
                 self._tokens.give_back(admitted)
             raise
 
