--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -7,6 +7,7 @@
 from hibiscusspar.fleet.silences import stream_silence_s
 from hibiscusspar.fleet.waiting import Send
 from hibiscusspar_entry.fleet.attempts import Attempt
+from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.refusal import CallerLeftError, RefusedError
 from hibiscusspar_wire.target_connections import CallFailedError
 
@@ -94,6 +95,16 @@
 
     def outlast(self, sock, ends_at):
         """Wait until the target sends bytes, another one answers or time has passed."""
+        try:
+            return self._wait(sock, ends_at)
+        except Exception as error:  # noqa: BLE001
+            # The target may go on all the same.
+            log_failure("second attempts", error)
+            self._withdraw()
+            self.starts_at = inf
+            return True
+
+    def _wait(self, sock, ends_at):
         while (
             not _readable([sock], 0.0) and (now := self._hedging.monotonic()) < ends_at
         ):
@@ -159,7 +170,10 @@
             return _POLL_S
         ticket, self._ticket = self._ticket, None
         if isinstance(ticket.decision, Send):
-            self._send_second(ticket.placement)
+            if self._may_send({self.target_id}):
+                self._send_second(ticket.placement)
+            else:
+                self._hedging.scheduler.release(ticket.placement, first_byte=False)
             self._next_try_at = self._hedging.monotonic() + _RETRY_S
             return 0.0 if self._second is not None else _RETRY_S
         self._next_try_at = now + max(_RETRY_S, ticket.decision.retry_after_s)
@@ -202,16 +216,21 @@
         targets.add(self.target_id)
         if self._second is not None:
             targets.add(self._second[0].target.target_id)
-        if (
-            admitted.ends_at - hedging.clock() < _MIN_REMAINING_S
-            or state.caller_gone.is_set()
-            or not hedging.may_replace(admitted, state, frozenset(targets))
-            or not hedging.has_budget(admitted.service)
-        ):
+        if not self._may_send(targets):
             return False
         self._ticket = hedging.scheduler.submit(hedging.job(admitted, state, targets))
         return True
 
+    def _may_send(self, targets):
+        """Return whether the request may go to a target other than some now."""
+        hedging, admitted, state = self._hedging, self._admitted, self._state
+        return (
+            admitted.ends_at - hedging.clock() >= _MIN_REMAINING_S
+            and not state.caller_gone.is_set()
+            and hedging.may_replace(admitted, state, frozenset(targets))
+            and hedging.has_budget(admitted.service)
+        )
+
     def _send_second(self, placement):
         """Send the request to another target, in place of one that is silent too."""
         hedging, admitted, state = self._hedging, self._admitted, self._state
