A search for another target blocks the first answer for half of the time left at most

Callers got 504 for a call whose first target had answered 0.3 s before its time was over, and the events of a stream whose target had gone on came up to 0.8 s later.

Cause: the thread of the request connects to another target and sends it the request, for 0.5 s and 0.3 s at most, and reads the first answer only afterwards.

Change: to connect takes 0.2 s at most and to send 0.3 s, and each a quarter of the time left at most. Ways through peers connect as before, up to three times 0.25 s.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -51,10 +51,11 @@
         self._admission = admission
         self._crash_guard = crash_guard
 
-    def connect(self, admitted, state, placement, is_second=False):
+    def connect(self, admitted, state, placement, is_second=False, limit_s=inf):
         """Return an open way to the target of a placement.
 
         ``is_second`` is whether the request runs at a silent target meanwhile.
+        ``limit_s`` is the longest time to connect over this node's own links.
 
         Raises
         ------
@@ -71,7 +72,7 @@
         paths = self._parts.paths
         if placement.is_reserved:
             request_id = admitted.call.request_id
-            return paths.acquire(placement, idle_s, request_id, suspects)
+            return paths.acquire(placement, idle_s, request_id, suspects, limit_s)
         return paths.acquire_again(target, idle_s)
 
     def send(self, admitted, state, placement, connection, copy=None, limit_s=inf):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -143,7 +143,9 @@
         try:
             while True:
                 attempt = state.take_successor()
-                placement = state.take_onward() if attempt is None else attempt[0]
+                placement = (
+                    state.take_onward() if attempt is None else attempt.placement
+                )
                 if placement is None:
                     placement = self._wait_for_placement(admitted, state)
                 failure = self._try_target(inbound, admitted, state, placement, attempt)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -16,9 +16,12 @@
 # Times in seconds between looks for another target, and for the decision about one.
 _RETRY_S = 0.3
 _POLL_S = 0.05
-# Time in seconds that another target may take to accept a request, and for the rest of
-# a head that has begun to arrive.
+# Longest times in seconds to connect to another target and to send it the request, and
+# the share of the time left that each may take: the first answer isn't read meanwhile.
+_CONNECT_S = 0.2
 _SEND_S = 0.3
+_BLOCKED_SHARE = 0.25
+# Time in seconds for the rest of a head that has begun to arrive.
 _HEAD_S = 0.5
 # The same for a head through a peer, as one that refuses is replaced meanwhile.
 _PEER_HEAD_S = 1.0
@@ -241,11 +244,14 @@
         sent_at = hedging.clock()
         self._second, state.has_second_attempt = (placement, None, sent_at, watch), True
         try:
-            connection = hedging.attempts.connect(admitted, state, placement, True)
+            connection = hedging.attempts.connect(
+                admitted, state, placement, True, self._limit_s(_CONNECT_S)
+            )
             self._second = placement, connection, sent_at, watch
             if hedging.take_budget(admitted.service):
+                limit_s = self._limit_s(_SEND_S)
                 hedging.attempts.send(
-                    admitted, state, placement, connection, limit_s=_SEND_S
+                    admitted, state, placement, connection, limit_s=limit_s
                 )
             else:
                 self._fail_second("closed", "retry budget", True)
@@ -261,6 +267,11 @@
         silence_s = hedging.first_silence_s(admitted)
         self._second_ends_at = hedging.monotonic() + silence_s
 
+    def _limit_s(self, longest_s):
+        """Return the seconds for which a call may block the read of the first answer."""
+        remaining_s = self._admitted.ends_at - self._hedging.clock()
+        return min(longest_s, _BLOCKED_SHARE * remaining_s)
+
     def _fail_earlier(self, earlier):
         """End an earlier second attempt, which the current one replaces."""
         current, self._second = self._second, earlier
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -70,7 +70,9 @@
         """Return whether this node's own links to the targets of a service are cut."""
         return self._watch.is_cut(service)
 
-    def acquire(self, placement, max_idle_s, request_id, suspects):
+    def acquire(
+        self, placement, max_idle_s, request_id, suspects, connect_timeout_s=inf
+    ):
         """Return the way for an attempt at the target of a placement.
 
         It leads through a peer if this node's own links to the targets of the service
@@ -84,6 +86,8 @@
         request_id : str
         suspects : list of str
             What is reported as the cause if the target crashes.
+        connect_timeout_s : float, optional
+            Longest time to connect over this node's own links.
 
         Raises
         ------
@@ -104,9 +108,9 @@
             )
             path.connect()
             return path
-        return self.acquire_own(target, max_idle_s, permitted)
+        return self.acquire_own(target, max_idle_s, permitted, connect_timeout_s)
 
-    def acquire_own(self, target, max_idle_s, permitted=False):
+    def acquire_own(self, target, max_idle_s, permitted=False, connect_timeout_s=inf):
         """Return the way over this node's own links.
 
         ``permitted`` is whether the request has a permit for a cold target.
@@ -117,7 +121,7 @@
         """
         try:
             connection = self._connections.acquire(
-                target.target_id, target.address, max_idle_s
+                target.target_id, target.address, max_idle_s, connect_timeout_s
             )
         except CallFailedError:
             self._watch.record_failure(target.service)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -273,7 +273,7 @@
         self._idle = {}
         self.opened = 0
 
-    def acquire(self, target_id, address, max_idle_s):
+    def acquire(self, target_id, address, max_idle_s, connect_timeout_s=inf):
         """Return an idle connection of the pool or a new one.
 
         Parameters
@@ -281,6 +281,8 @@
         target_id, address : str
         max_idle_s : float
             Longest time in seconds that a pooled connection may have been idle.
+        connect_timeout_s : float, optional
+            Longest time in seconds to connect, if it is below that of the pool.
 
         Raises
         ------
@@ -294,7 +296,8 @@
             ):
                 return connection
             connection.close()
-        connection = self._connection_type(address, self._connect_timeout_s)
+        timeout_s = min(self._connect_timeout_s, connect_timeout_s)
+        connection = self._connection_type(address, timeout_s)
         self.opened += 1
         connection.connect()
         return connection
