The coordinator lends retries to nodes whose share of the budget is used up

Callers saw streams of a lost target stand still: at 78 and 360 nodes some had not gone on elsewhere 3 s after their target had fallen silent, though other targets had room and the fleet had used a small part of the retries that the platform allows.

Cause: a node makes whole retries within its own share, 1 to 3 in 10 s at 78 and 360 nodes. A node with two streams at the target, or with a share below one, waits for its window. The fractions of the shares are used by no one.

Change: reports tell the requests of the window by service, the coordinator sums the fractions of the shares and lends them one by one, for 1 s, to nodes that ask with a notice. A loan counts as made whether or not it arrives, and a successor lends nothing for a window and a loan's life. Shares are as before, so the fleet makes at most 0.85 of the ratio and 0.8 of the slack. Sums of retries in views would not do: as all nodes may retry at once, each may use what is left divided by their number, one retry in 0.7 to 1.4 s at 360 nodes. Older builds ignore the new fields; beside them nodes have their shares as before.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -23,6 +23,7 @@
     "PermitGrant",
     "ProxyOffer",
     "QuarantineRow",
+    "RetryLoan",
     "SendNotice",
     "StreamBegan",
     "TargetLoad",
@@ -155,7 +156,8 @@
     name the targets, and ``directory_digest`` the digest of the directory that it has,
     0 if none. ``call_times`` maps targets of plain services to the start of their
     incarnation, the mean seconds of their answers, the number of answers and that of
-    failures in the last second.
+    failures in the last second. ``requests`` holds the number of callers' requests in
+    the last window of the retry budget, by service.
     """
 
     node: str
@@ -185,6 +187,7 @@
     reads_directory_changes: bool = False
     directory_digest: int = 0
     call_times: dict[str, tuple[int, float, int, int]] = {}
+    requests: dict[str, int] = {}
 
 
 class FleetView(Struct, tag="view"):
@@ -334,6 +337,17 @@
     waiting: int
 
 
+class RetryLoan(Struct, array_like=True):
+    """Retry that a process of a node asks to be lent, or that it is lent.
+
+    ``number`` is that of the request, which the answer repeats.
+    """
+
+    start: str
+    number: int
+    service: str
+
+
 class SendNotice(Struct, tag="sent", omit_defaults=True):
     """Requests that a node has just sent, as targets and prompt tokens.
 
@@ -345,7 +359,9 @@
     a part of the answer. ``loads`` holds loads that the coordinator has just ordered.
     ``full`` names brittle targets that have just turned a request away. ``slow`` holds
     targets whose speed has just changed, with the start of their incarnation and the
-    factor on the usual times of their service. Older builds ignore these nine.
+    factor on the usual times of their service. ``loan_asked`` asks the coordinator for
+    a retry, and ``loan`` is the answer if it lends one. Older builds ignore these
+    eleven.
     """
 
     sends: list[tuple[str, int]]
@@ -359,6 +375,8 @@
     loads: list[AdapterLoad] = []
     full: list[str] = []
     slow: list[tuple[str, int, float]] = []
+    loan_asked: RetryLoan | None = None
+    loan: RetryLoan | None = None
 
 
 class OrderRequest(Struct, tag="order"):
--- a/packages/hibiscusspar/hibiscusspar/fleet/retries.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/retries.py
@@ -2,7 +2,7 @@
 
 If targets fail or refuse requests under high load, unlimited retries would send them
 every request twice. Each node retries at most its share of what the platform allows
-to all nodes.
+to all nodes, and what the coordinator lends it of the parts that no node can use.
 """
 
 from collections import deque
@@ -15,6 +15,7 @@
     "RetryBudgets",
     "RetryDecision",
     "UNSENT_STEPS",
+    "node_allowance",
     "retry_decision",
 ]
 
@@ -91,6 +92,22 @@
     return RetryDecision.END
 
 
+def node_allowance(ratio, slack, requests, nodes):
+    """Return the retries that one node may make in a window, with a fraction.
+
+    Parameters
+    ----------
+    ratio, slack : float
+        Retries allowed per request, and beyond that over all nodes.
+    requests : int
+        Requests of the node in the window.
+    nodes : int or None
+        Size of the fleet, None if it isn't known.
+    """
+    share = 0.0 if nodes is None else slack * SLACK_SHARE / nodes
+    return ratio * RATIO_SHARE * requests + share
+
+
 class RetryBudget:
     """Retry budget of one service over a sliding window.
 
@@ -104,12 +121,14 @@
     """
 
     def __init__(self, ratio, slack, window_s):
-        self._ratio = ratio * RATIO_SHARE
-        self._slack = slack * SLACK_SHARE
+        self._ratio = ratio
+        self._slack = slack
         self._window_s = window_s
         self._requests = deque()
         self._retries = deque()
         self._fleet_sizes = deque()
+        # Times until which lent retries may be used.
+        self._lent = deque()
 
     def request(self, now):
         """Count a client request."""
@@ -125,21 +144,45 @@
             Size of the fleet, None if it isn't known yet. A new coordinator first
             knows a part of the nodes, so the largest size of a window counts.
         """
-        if not self.has_room(now, nodes):
-            return False
-        self._retries.append(now)
-        return True
+        if self._has_own_room(now, nodes):
+            self._retries.append(now)
+            return True
+        if self._has_lent(now):
+            self._lent.popleft()
+            return True
+        return False
 
     def has_room(self, now, nodes):
         """Return whether one more retry is within the budget, without counting it."""
+        return self._has_own_room(now, nodes) or self._has_lent(now)
+
+    def lend(self, until):
+        """Add a retry that the coordinator has lent, for use until a time."""
+        self._lent.append(until)
+
+    def count_requests(self, now):
+        """Return the number of requests of the window that ends now."""
+        self._expire(now)
+        return len(self._requests)
+
+    def _expire(self, now):
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._window_s:
                 times.popleft()
-        allowed = self._ratio * len(self._requests)
+
+    def _has_own_room(self, now, nodes):
+        self._expire(now)
         if nodes is not None:
-            allowed += self._slack / self._largest_fleet(now, max(1, nodes))
+            nodes = self._largest_fleet(now, max(1, nodes))
+        requests = len(self._requests)
+        allowed = node_allowance(self._ratio, self._slack, requests, nodes)
         return len(self._retries) + 1 <= allowed
 
+    def _has_lent(self, now):
+        while self._lent and self._lent[0] < now:
+            self._lent.popleft()
+        return bool(self._lent)
+
     def _largest_fleet(self, now, nodes):
         """Return the largest fleet of a window; sizes decrease from left to right."""
         sizes = self._fleet_sizes
@@ -176,6 +219,15 @@
         """Return whether one more retry is within the budget, without counting it."""
         return self._budget(service).has_room(now, nodes)
 
+    def lend(self, service, until):
+        """Add a retry that the coordinator has lent, for use until a time."""
+        self._budget(service).lend(until)
+
+    def count_requests(self, now):
+        """Return the number of requests of the window that ends now, by service."""
+        counts = {name: b.count_requests(now) for name, b in self._budgets.items()}
+        return {name: count for name, count in counts.items() if count}
+
     def _budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_builds.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_builds.py
@@ -20,6 +20,7 @@
     OrderRequest,
     OrderResult,
     PermitGrant,
+    RetryLoan,
     SendNotice,
 )
 
@@ -68,8 +69,10 @@
         notice.config_part = ConfigPart(4, "d", 1, 0, b"x")
         notice.loads = [AdapterLoad("t1", "m/a1", 1, 0.2, 1)]
         notice.full = ["t1"]
+        notice.loan_asked = notice.loan = RetryLoan("s1", 1, "s")
         report = DECODER.decode(OLD_MESSAGES["report"])
         report.denied, report.link_mbps, report.reads_packed = {"acme": 5.0}, 10.0, True
+        report.requests = {"s": 3}
         view = DECODER.decode(OLD_MESSAGES["view"])
         view.asked = {"acme": 100}
         for name, message in (("notice", notice), ("report", report), ("view", view)):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -12,6 +12,7 @@
 from hibiscusspar.fleet.engine_targets import EngineTargets
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.fanout import exchange_interval_s, view_interval_s
+from hibiscusspar.fleet.lent_retries import RetryPool
 from hibiscusspar.fleet.messages import (
     AdapterLoad,
     FleetView,
@@ -87,6 +88,8 @@
     cold : ColdExchange, optional
         Cold targets.
     admission : AdmissionLevels, optional
+    retry_pool : RetryPool, optional
+        By default one that lends nothing.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         speeds,
         cold=None,
         admission=None,
+        retry_pool=None,
     ):
         self._node = node
         self._order_dispatcher = order_dispatcher
@@ -138,6 +142,7 @@
         self._permits = PermitSender(limits, cold or ColdExchange(clock))
         self._admission = admission or AdmissionLevels()
         self._call_times = FleetTimes()
+        self._retry_pool = retry_pool or RetryPool(0.0, 0.0, 0.0)
         self._active = False
         self._view_sent_at = 0.0
         self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
@@ -202,6 +207,7 @@
             self._levels.reset(self._clock(), levels)
             self._permits.reset()
             self._speeds.take_over()
+            self._retry_pool.take_over(self._clock())
 
     def step_down(self):
         """Become inactive.
@@ -237,6 +243,18 @@
         if report.wants:
             self._plan_requested.set()
 
+    def handle_loan_request(self, request, address):
+        """Lend a retry to the node at an address if the shared budget has one."""
+        with self._lock:
+            now = self._clock()
+            is_lent = (
+                self._active
+                and self._election.holds(now)
+                and self._retry_pool.lend(now, request.service)
+            )
+        if is_lent:
+            self._send(address, SendNotice([], loan=request))
+
     def tick(self):
         """Request a planning round and send a view if they are due."""
         if not self._active:
@@ -325,6 +343,8 @@
         self._sent_levels = {name: round(level, 1) for name, level in levels.items()}
         config_age_s, directory_age_s = self._ages()
         self._update_rows(directory_age_s)
+        fresh = self._reports.fresh(now)
+        self._retry_pool.update([r.report for r in fresh], max(1, self._levels.nodes))
         directory = self._directory_rows
         numbers = self._residency_numbers()
         software, software_index = directory.software
@@ -365,7 +385,7 @@
             },
             cold=self._permits.due_cold(self._number),
             speeds=self._speeds.due_rows(self._number, max(1, self._levels.nodes)),
-            admission=self._admission.update(now, self._reports.fresh(now)),
+            admission=self._admission.update(now, fresh),
             directory_digest=directory.digest,
             call_times=self._call_times.update(now, self._reports, self._targets),
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/hedging.py
@@ -105,8 +105,8 @@
         )
 
     def has_budget(self, service):
-        """Return whether the retry budget allows another attempt."""
-        return self._retry_budgets.has_room(service, self.clock(), self._nodes)
+        """Return whether the retry budget allows another attempt, or seek a loan."""
+        return self._retry_budgets.seek_room(service, self.clock(), self._nodes)
 
     def take_budget(self, service):
         """Count another attempt in the retry budget; return whether it allows it."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -140,6 +140,7 @@
         parts.crashes.request_report = self._report_requested.set
         parts.crashes.on_verdict = self._view_requested.set
         parts.cold.on_cold_again = self._request_exchange
+        parts.retry_budgets.ask_loan = self._ask_loan
 
     def close(self):
         """Close all ports and stop the background work without waiting for requests."""
@@ -203,6 +204,8 @@
     def receive(self, message, address):
         """Handle a message of another node."""
         if isinstance(message, SendNotice):
+            if message.loan_asked is not None:
+                self._coordinator.handle_loan_request(message.loan_asked, address)
             self._notice_receiver.receive(message, address)
         elif isinstance(message, FleetView):
             self._apply_view(message)
@@ -407,6 +410,7 @@
         parts.relayed_state.complete_report(report)
         parts.crashes.complete_report(report)
         parts.speeds.complete_report(report)
+        parts.retry_budgets.complete_report(parts.clock(), report)
         if parts.election.leads:
             self._coordinator.handle_report(
                 report, parse_address(self._channel.address)
@@ -414,6 +418,15 @@
         elif self._coordinator_address is not None:
             self._channel.send(self._coordinator_address, report)
 
+    def _ask_loan(self, loan):
+        """Ask the coordinator for a retry."""
+        if self._parts.election.leads:
+            address = parse_address(self._channel.address)
+            self._coordinator.handle_loan_request(loan, address)
+        elif self._coordinator_address is not None:
+            notice = SendNotice([], loan_asked=loan)
+            self._channel.send(self._coordinator_address, notice)
+
     def _tick_s(self):
         parts = self._parts
         is_busy = parts.request_scheduler.has_waiting or parts.election.leads
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notice_receiver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/notice_receiver.py
@@ -24,6 +24,8 @@
         self._config_relay = parts.config_relay
         self._statements = parts.statements
         self._slow_periods = parts.speeds.slow_periods
+        self._retry_budgets = parts.retry_budgets
+        self._clock = parts.clock
 
     def receive(self, notice, address):
         """Handle a notice that came from an address."""
@@ -37,6 +39,8 @@
             self._path_watch.apply_notice(notice, address)
         if notice.config_asked is not None or notice.config_part is not None:
             self._config_relay.apply_notice(notice, address)
+        if notice.loan is not None:
+            self._retry_budgets.apply_loan(self._clock(), notice.loan)
         if notice.slow:
             self._slow_periods.apply_notice(notice)
         for target_id in notice.full:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_network.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_network.py
@@ -19,16 +19,18 @@
 class SchedulerNetwork:
     """Network of nodes whose schedulers exchange what they know.
 
-    Nodes have ``name``, ``zone``, ``scheduler`` and ``view_number``.
+    Nodes have ``name``, ``zone``, ``scheduler``, ``budgets`` and ``view_number``.
 
     Parameters
     ----------
     clock : Clock
     faults : NetworkFaults
     rng : random.Random
+    pool : RetryPool
+        Retries that the coordinator may lend.
     """
 
-    def __init__(self, clock, faults, rng):
+    def __init__(self, clock, faults, rng, pool):
         self.clock = clock
         self.nodes = []
         self._faults = faults
@@ -36,6 +38,7 @@
         self._events, self._order = [], count()
         self._reports, self._number = {}, 0
         self._zones = {}
+        self._pool = pool
 
     def begin(self, nodes):
         """Begin to exchange reports and views between some nodes."""
@@ -46,6 +49,7 @@
         for node in nodes:
             node.scheduler.direct_peers = len(self._direct(node)) - 1
             node.scheduler.on_sent = self._notifier(node)
+            node.budgets.ask_loan = self._lender(node)
             offset_s = self._rng.random() * interval_s
             self.call_later(offset_s, lambda node=node: self._tick_report(node))
         self.call_later(interval_s, self._tick_views)
@@ -88,8 +92,21 @@
             self._zones[node.zone], lambda n: n.scheduler.apply_notice(notice)
         )
 
+    def _lender(self, node):
+        def ask(loan):
+            self._deliver([node], lambda _: lend(loan))
+
+        def lend(loan):
+            if self._pool.lend(self.clock.now, loan.service):
+                self._deliver(
+                    [node], lambda n: n.budgets.apply_loan(self.clock.now, loan)
+                )
+
+        return ask
+
     def _tick_report(self, node):
         report = node.scheduler.report({})
+        node.budgets.complete_report(self.clock.now, report)
         self._deliver([node], lambda _: self._apply_report(report))
         interval_s = exchange_interval_s(len(self.nodes))
         self.call_later(interval_s, lambda: self._tick_report(node))
@@ -110,6 +127,7 @@
         acked = {name: report.number for name, report in self._reports.items()}
         message = view(loads=loads, acked=acked, number=self._number)
         message.nodes = len(self.nodes)
+        self._pool.update(self._reports.values(), len(self.nodes))
         for group in view_groups(self.nodes, lambda node: node.zone):
             self._send_view(message, group)
         self.call_later(exchange_interval_s(len(self.nodes)), self._tick_views)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_replay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_replay.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 from typing import NamedTuple
 
+from hibiscusspar.fleet.lent_retries import RetryPool
 from hibiscusspar.fleet.retries import RetryBudgets
 from hibiscusspar.fleet.waiting import Refuse
 from hibiscusspar.requests.ejection import EjectionPolicy, EjectionTable
@@ -18,6 +19,7 @@
 from hibiscusspar_entry.fleet.placement_job import make_job
 from hibiscusspar_entry.fleet.request_scheduler import RequestScheduler
 from hibiscusspar_entry.fleet.request_state import RequestState
+from hibiscusspar_entry.fleet.shared_budgets import SharedBudgets
 from hibiscusspar_entry.fleet.tests.crash_network import NetworkFaults
 from hibiscusspar_entry.fleet.tests.silence_engines import (
     EVENT_STEPS,
@@ -133,7 +135,9 @@
         )
         self.scheduler.configure(engine_rules())
         self.scheduler.set_targets(replay.targets)
-        self.budgets = RetryBudgets(RETRY_RATIO, RETRY_SLACK, _RETRY_WINDOW_S)
+        self.budgets = SharedBudgets(
+            RetryBudgets(RETRY_RATIO, RETRY_SLACK, _RETRY_WINDOW_S), self.name
+        )
         self.hedging = Hedging(
             SimpleNamespace(
                 request_scheduler=self.scheduler,
@@ -177,7 +181,8 @@
         self._active = {}
         self._rng = Random(f"{case.nodes}/{case.seed}")
         noise = Random(f"{case.nodes}/{case.seed}/network")
-        self._network = SchedulerNetwork(self.clock, case.faults, noise)
+        pool = RetryPool(RETRY_RATIO, RETRY_SLACK, _RETRY_WINDOW_S)
+        self._network = SchedulerNetwork(self.clock, case.faults, noise, pool)
         self.targets = {
             f"t{n}": target(f"t{n}", ["a1"], zone=f"z{n % _ZONES}")
             for n in range(_TARGETS[case.nodes])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -7,9 +7,11 @@
 from msgspec.json import Decoder
 
 from hibiscusspar.fleet.fanout import exchange_interval_s
+from hibiscusspar.fleet.lent_retries import RetryPool
 from hibiscusspar.fleet.messages import (
     FleetView,
     NodeReport,
+    RetryLoan,
     SendNotice,
     ViewRelay,
     Want,
@@ -39,7 +41,7 @@
     fence = 1
 
     def holds(self, now):
-        return True
+        return self.leads
 
 
 class Orders:
@@ -54,13 +56,14 @@
 
     def setUp(self):
         self.clock = Clock()
+        self.election = Election()
         self.views = []
         self.coordinator = Coordinator(
             "c",
             "s",
             "10.0.0.9:7000",
             self.clock,
-            Election(),
+            self.election,
             None,
             Orders(),
             ("z1",),
@@ -70,6 +73,7 @@
             LimitExchange(self.clock),
             CrashExchange(self.clock, lambda address: False, None, lambda: False),
             SpeedExchange(self.clock),
+            retry_pool=RetryPool(0.2, 58.0, 10.0),
         )
         self.addCleanup(self.coordinator.close)
         rules = engine_rules()
@@ -386,5 +390,50 @@
         self.assertLessEqual(sent, 2 * intervals + 1)
 
 
+class TestLoansOfRetries(CoordinatorTestCase):
+    node_count = 20
+    LOAN = RetryLoan("s", 7, "draft")
+
+    def setUp(self):
+        super().setUp()
+        self.notices = []
+        # The loans of a predecessor may still be used until then.
+        self.clock.now += 11.0
+
+    def _send(self, address, body):
+        if isinstance(body, SendNotice):
+            self.notices.append((address, body))
+        else:
+            super()._send(address, body)
+
+    def ask(self):
+        """Return the loans that the coordinator sends for a request."""
+        self.notices.clear()
+        self.coordinator.handle_loan_request(self.LOAN, ADDRESS)
+        return self.notices
+
+    def test_loan_is_sent_to_the_node_that_asks(self):
+        self.report(requests={"draft": 3})
+        self.next_view()
+        self.assertEqual(self.ask(), [(ADDRESS, SendNotice([], loan=self.LOAN))])
+
+    def test_nodes_of_older_builds_tell_no_requests(self):
+        self.report()
+        self.next_view()
+        self.assertEqual(self.ask(), [])
+
+    def test_nothing_is_lent_without_a_lease(self):
+        self.report(requests={"draft": 3})
+        self.next_view()
+        self.election.leads = False
+        self.assertEqual(self.ask(), [])
+
+    def test_successor_lends_nothing_at_first(self):
+        self.coordinator.take_over({})
+        self.report(requests={"draft": 3})
+        self.next_view()
+        self.assertEqual(self.ask(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notice_receiver.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_notice_receiver.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest.mock import Mock
 
-from hibiscusspar.fleet.messages import ConfigQuery, SendNotice, StreamBegan
+from hibiscusspar.fleet.messages import ConfigQuery, RetryLoan, SendNotice, StreamBegan
 from hibiscusspar_entry.fleet.notice_receiver import NoticeReceiver
 
 ADDRESS = ("10.0.0.1", 7000)
@@ -23,6 +23,10 @@
         calls = self.receive(SendNotice([("t0", 100)]))
         self.assertEqual(calls, ["request_scheduler.apply_notice"])
 
+    def test_loan_of_a_retry_reaches_the_budgets(self):
+        calls = self.receive(SendNotice([], loan=RetryLoan("s1", 1, "s")))
+        self.assertEqual(calls, ["clock", "retry_budgets.apply_loan"])
+
     def test_each_part_of_a_notice_reaches_its_component(self):
         for fields, name in (
             ({"began": [StreamBegan("k", "s", "v1")]}, "origins.apply_notice"),
