--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -149,6 +149,16 @@
                 self.bench.step()
                 self.assertFalse(self.bench.mover.is_moving(stream.state))
 
+    def test_move_may_end_while_a_stream_is_asked_about(self):
+        """Another thread sets the move to None once there is no destination."""
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.mover.step()
+        run = self.bench.mover._runs[stream.state]
+        move = mock.PropertyMock(side_effect=[run.move, None, None])
+        with mock.patch.object(type(run), "move", move, create=True):
+            self.assertTrue(self.bench.mover.is_moving(stream.state))
+
     def test_moved_stream_may_leave_a_destination_that_sends_nothing(self):
         stream = self.bench.stream()
         self.bench.drain("t0")
@@ -375,6 +385,32 @@
         self.finish(stream)
         self.assertEqual(stream.outcome, "whole")
 
+    def test_stream_without_a_further_attempt_stays_until_its_target_leaves(self):
+        stream = self.bench.stream(resumable=True)
+        stream.state.attempts = 2
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
+    def test_stream_stays_while_the_retry_budget_has_no_room(self):
+        stream = self.bench.stream(resumable=True)
+        self.bench.has_retry_room = False
+        self.bench.slow_down("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.has_retry_room = True
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(stream.outcome, "whole")
+
     def test_source_that_dies_during_the_move_is_a_failed_attempt(self):
         stream = self.bench.stream()
         self.engines.by_name["t0"].is_up = False
