A flush of the log beside another one ends no stop of a node

A node that had answered all its requests might not have ended at SIGTERM until the platform killed it: the last flush of its log could fail with an IndexError, when the thread that writes the log took the last line in between, and the exit that follows was skipped.

Change: lines are taken until there are none, without a look before.

Evidence: test_lines_that_another_thread_has_written_end_no_flush failed before (IndexError, the other thread's step set by hand) and passes.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
@@ -3,6 +3,7 @@
 import sys
 import threading
 from collections import deque
+from contextlib import suppress
 
 from eliot import add_destinations
 from msgspec.json import encode as to_json
@@ -54,8 +55,10 @@
     def flush(self):
         """Write the buffered lines."""
         lines = []
-        while self._lines:
-            lines.append(to_json(self._lines.popleft(), enc_hook=str))
+        # Two threads call this, so the buffer may become empty at any moment.
+        with suppress(IndexError):
+            while True:
+                lines.append(to_json(self._lines.popleft(), enc_hook=str))
         if lines:
             self._output.write(b"\n".join(lines) + b"\n")
             self._output.flush()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/silence_watch.py
@@ -268,7 +268,7 @@
         self._second_ends_at = hedging.monotonic() + silence_s
 
     def _limit_s(self, longest_s):
-        """Return the seconds for which a call may block the read of the first answer."""
+        """Return the seconds for which a call may block reads of the first answer."""
         remaining_s = self._admitted.ends_at - self._hedging.clock()
         return min(longest_s, _BLOCKED_SHARE * remaining_s)
 
