Nodes ask whether a quarantine that no view tells still holds

What callers saw: a node that is out of reach for over 3 s while a quarantine is lifted (frozen, or cut off from the coordinator), or that reads a lifted verdict from the store at its start, goes on refusing sound requests with "it crashed targets" for up to 600 s while all others serve them.

Cause: views tell for 3 s that a verdict is lifted, but repeat only verdicts in force. A node that missed the lifting keeps the verdict until it expires, and as it refuses what could disprove it, it has no answer of its own. Only the coordinator's node tries refused requests.

Evidence: `TestQuarantineIsLiftedWhileANodeIsOutOfReach` cuts one of three nodes off for 4 s in the replay of the quarantine; 6 s after the cut it refused the sound part before this change (two cases failed), and none does now, while all three refuse the fatal part.

Why this works: once a second a report names up to four of the verdicts that no view has told for 5 s, in turn, with the age of the last crash. A coordinator that has an answer for which this crash doesn't count, and no crash that counts, tells the answer in its next views, with its true time, so that it clears no later crashes than at the coordinator. Without an answer the verdict holds, and also if later crashes count (the test of this failed before the condition was there). Verdicts in force are told in rotation, so that reports are empty of them. `NodeReport.refused` is a new field with a default; older builds ignore it and send none.

--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -155,7 +155,8 @@
     name the targets, and ``directory_digest`` the digest of the directory that it has,
     0 if none. ``call_times`` maps targets of plain services to the start of their
     incarnation, the mean seconds of their answers, the number of answers and that of
-    failures in the last second.
+    failures in the last second. ``refused`` holds suspects that the node refuses though
+    no view has told so lately, with the age of their last crash.
     """
 
     node: str
@@ -185,6 +186,7 @@
     reads_directory_changes: bool = False
     directory_digest: int = 0
     call_times: dict[str, tuple[int, float, int, int]] = {}
+    refused: dict[str, float] = {}
 
 
 class FleetView(Struct, tag="view"):
--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -159,8 +159,8 @@
 
         Its earlier crashes had another cause.
         """
-        self._answered_at.pop(suspect, None)
-        self._answered_at[suspect] = now
+        earlier = self._answered_at.pop(suspect, now)
+        self._answered_at[suspect] = max(now, earlier)
         if len(self._answered_at) > self._policy.max_answers:
             del self._answered_at[next(iter(self._answered_at))]
         was_suspect = suspect in self._rows or suspect in self._adopted
@@ -187,6 +187,10 @@
             self._evict()
         return True
 
+    def answered_at(self, suspect):
+        """Return the time of the last known answer, None if there is none."""
+        return self._answered_at.get(suspect)
+
     def was_answered(self, suspect, crashed_at):
         """Return whether a crash at a time doesn't count for a suspect."""
         answered_at = self._answered_at.get(suspect)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -7,6 +7,7 @@
 import threading
 from contextlib import contextmanager
 from functools import partial
+from math import inf
 
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
@@ -49,6 +50,11 @@
 _MAX_TOLD_SUSPECTS = 16
 # Those of them that a view repeats in rotation, besides what has changed.
 _ROTATED = 4
+# Time in seconds since a view told a verdict after which a node asks whether it holds,
+# interval between the reports that ask, and verdicts that one asks for at most.
+_CONFIRMED_S = 5.0
+_ASK_S = 1.0
+_MAX_ASKED = 4
 # Age of a suspect's last crash beyond which it isn't told any more, in seconds.
 _TOLD_S = 30.0
 # Interval between removals of what no longer counts, in seconds.
@@ -79,6 +85,10 @@
         # Suspects that views have told, and those of them that were to be refused.
         self._told = set()
         self._told_refused = set()
+        # Times at which views told the verdicts.
+        self._confirmed_at = {}
+        self._asked_at = -inf
+        self._asked_count = 0
         self._lock = threading.Lock()
         # Callbacks to call once the lock is free.
         self._due_calls = []
@@ -87,6 +97,7 @@
         self._probed_at = {}
         self._own = {}
         self._reporters = {}
+        # Times since which answers are told, and of the answers themselves.
         self._answered = {}
         self._coordinator = None
         self._verdict_rotation = EntryRotation(_MAX_VERDICTS)
@@ -224,18 +235,21 @@
                 report.crashes.append(row)
             answers = list(self._recent_answers(now).items())
             report.answered = dict(answers[-_MAX_ANSWERS:])
+            report.refused = self._unconfirmed(now)
 
     def apply_report(self, report):
         """Record the crashes that another node reports to this coordinator."""
-        if not report.crashes and not report.answered:
+        if not report.crashes and not report.answered and not report.refused:
             return
         with self._locked() as now:
             for row in report.crashes:
                 crash = (row.target_id, row.born)
                 self._record(now, crash, row.suspects, row.age_s, report.node)
-                self._tell_answered(now, row.suspects)
+                self._tell_answered(now, dict.fromkeys(row.suspects, now))
             for suspect, age_s in report.answered.items():
                 self._record_answer(now, suspect, report.node, age_s)
+            crashed_at = {s: now - age_s for s, age_s in report.refused.items()}
+            self._tell_answered(now, crashed_at)
 
     def due_verdicts(self, number):
         """Return the verdicts that the view with a number carries."""
@@ -277,6 +291,8 @@
                 if own.report_number is not None and own.report_number <= acked:
                     own.is_acked = True
             for row in view.quarantined:
+                if row.crashes and row.refused:
+                    self._confirmed_at[row.suspect] = now
                 self._apply_row(now, row, view.node)
 
     def apply_verdicts(self, rows, source):
@@ -387,23 +403,47 @@
         """Lift the verdicts that later crashes explain otherwise."""
         for suspect in self._told_refused - verdicts.keys():
             if self._table(suspect).verdict(suspect) is None:
-                self._answered.setdefault(suspect, now)
+                self._answered.setdefault(suspect, (now, now))
         self._told_refused = set(verdicts)
 
     def _tell_answer(self, now, suspect):
         self._answered.pop(suspect, None)
-        self._answered[suspect] = now
+        self._answered[suspect] = now, now
         self._due_calls.append(self.request_report)
 
-    def _tell_answered(self, now, suspects):
-        """Tell in the next views which suspects were answered a short time ago.
+    def _tell_answered(self, now, times):
+        """Tell in the next views which suspects of others have been answered.
 
-        Their crashes don't count here, but at the node that reports them.
+        Parameters
+        ----------
+        now : float
+        times : dict of str to float
+            Suspects, with the time of a crash that their answers must explain.
         """
-        for suspect in suspects:
-            if self._table(suspect).was_answered(suspect, now):
+        for suspect, at in times.items():
+            table = self._table(suspect)
+            # A crash that counts here isn't explained.
+            if table.was_answered(suspect, at) and not table.count(suspect):
                 self._told.add(suspect)
-                self._answered[suspect] = now
+                self._answered[suspect] = now, table.answered_at(suspect)
+
+    def _unconfirmed(self, now):
+        """Return the age of the last crash of verdicts that no view has told lately.
+
+        They may have been lifted while this node was out of reach.
+        """
+        if now < self._asked_at + _ASK_S:
+            return {}
+        self._asked_at = now
+        verdicts = [
+            verdict
+            for verdict in self._quarantined(now)
+            if now > self._confirmed_at.get(verdict.suspect, -inf) + _CONFIRMED_S
+        ]
+        first = self._asked_count % max(1, len(verdicts))
+        self._asked_count += _MAX_ASKED
+        asked = (verdicts[first:] + verdicts[:first])[:_MAX_ASKED]
+        return {v.suspect: round(now - v.last_at, 3) for v in asked}
 
     def _announce(self, now, suspect, source):
         """Log a verdict and wake the requests that wait."""
@@ -425,11 +465,11 @@
     def _recent_answers(self, now):
         """Return the suspects that were answered lately, with the age in seconds."""
         self._answered = {
-            suspect: at
-            for suspect, at in self._answered.items()
-            if now < at + _ANSWERS_REPEATED_S
+            suspect: times
+            for suspect, times in self._answered.items()
+            if now < times[0] + _ANSWERS_REPEATED_S
         }
-        return {s: round(now - at, 3) for s, at in self._answered.items()}
+        return {s: round(now - at, 3) for s, (_, at) in self._answered.items()}
 
     def _expire(self, now):
         if now < self._expired_at + _EXPIRE_S:
@@ -447,6 +487,11 @@
             for suspect, at in self._probed_at.items()
             if now < at + _PROBE_S
         }
+        self._confirmed_at = {
+            suspect: at
+            for suspect, at in self._confirmed_at.items()
+            if now < at + _CONFIRMED_S
+        }
         while len(self._own) > _MAX_OWN_CRASHES:
             del self._own[next(iter(self._own))]
         while len(self._reporters) > _MAX_OWN_CRASHES:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -319,6 +319,94 @@
         self.assertTrue(self.is_refused())
 
 
+class TestQuarantineIsLiftedWhileANodeIsOutOfReach(unittest.TestCase):
+    """Guards against nodes that refuse what all others serve again."""
+
+    def lift_while_cut_off(self, answered_by):
+        """Return the number of nodes that refuse a sound part after all."""
+        network = CrashNetwork(3)
+        network.run(2.0)
+        reporter, away = network.nodes[1:]
+        for number, fatal in enumerate(["part-a", "part-b", "part-b", "part-b"]):
+            suspects = ["part-good", fatal]
+            reporter.exchange.record_break(target(f"t{number}"), suspects)
+            network.run(0.2)
+        network.run(1.0)
+        self.assertEqual(network.refusing(["acme-1", "part-good"]), 3)
+        network.cut = {away.name}
+        network.nodes[answered_by].exchange.record_answer(["part-good"])
+        network.run(4.0)
+        network.cut = set()
+        network.run(6.0)
+        self.assertEqual(network.refusing(["acme-1", "part-b"]), 3)
+        return network.refusing(["acme-1", "part-good"])
+
+    def test_answer_of_the_coordinator(self):
+        self.assertEqual(self.lift_while_cut_off(0), 0)
+
+    def test_answer_of_another_node(self):
+        self.assertEqual(self.lift_while_cut_off(1), 0)
+
+
+class TestVerdictThatNoViewTells(ExchangeTestCase):
+    def setUp(self):
+        super().setUp()
+        row = QuarantineRow(FATAL[0], 2, 5.0, 1.0)
+        self.exchange.apply_verdicts([row], "store")
+
+    def test_node_asks_whether_it_holds(self):
+        self.assertEqual(self.report(1).refused, {FATAL[0]: 1.0})
+
+    def test_node_doesnt_ask_after_a_view_has_told_it(self):
+        row = QuarantineRow(FATAL[0], 2, 5.0, 1.0)
+        self.exchange.apply_view(self.view([row]), "n1")
+        self.assertEqual(self.report(1).refused, {})
+        self.clock.now += 6.0
+        self.assertEqual(list(self.report(2).refused), FATAL)
+
+    def test_it_holds_unless_the_coordinator_has_an_answer(self):
+        other = self.make()
+        other.apply_report(self.report(1))
+        self.assertEqual(other.due_verdicts(1), [])
+        other.record_answer(FATAL)
+        self.clock.now += 1.0
+        other.apply_report(self.report(2))
+        self.exchange.apply_view(self.view(other.due_verdicts(2)), "n1")
+        self.assertEqual(self.exchange.refused_for(*FATAL), 0.0)
+
+    def test_it_holds_if_the_answer_came_long_before_the_crashes(self):
+        other = self.make()
+        other.record_answer(FATAL)
+        self.clock.now += 60.0
+        row = QuarantineRow(FATAL[0], 3, 5.0, 1.0)
+        self.exchange.apply_verdicts([row], "store")
+        other.apply_report(self.report(1))
+        self.assertEqual(other.due_verdicts(1), [])
+
+    def test_it_holds_if_later_crashes_count(self):
+        """The coordinator has an answer since the crashes that the node knows."""
+        other = self.make()
+        other.record_answer(FATAL)
+        self.clock.now += 60.0
+        row = QuarantineRow(FATAL[0], 2, 5.0, 1.0)
+        other.apply_view(self.view([row]), "n2")
+        report = self.report(1)
+        self.assertEqual(report.refused, {FATAL[0]: 61.0})
+        other.apply_report(report)
+        self.assertGreater(other.refused_for(*FATAL), 0.0)
+        (row,) = other.due_verdicts(1)
+        self.assertEqual((row.suspect, row.crashes), (FATAL[0], 2))
+
+    def test_all_verdicts_are_asked_for_in_turn(self):
+        rows = [QuarantineRow(f"acme-{n}", 2, 5.0, 1.0) for n in range(9)]
+        self.exchange.apply_verdicts(rows, "store")
+        asked = set()
+        for number in range(3):
+            asked |= self.report(number).refused.keys()
+            self.clock.now += 1.0
+        self.assertEqual(len(asked), 10)
+
+
 class TestViews(ExchangeTestCase):
     def sizes(self, views):
         return [len(self.exchange.due_verdicts(number)) for number in range(views)]
