--- a/packages/hibiscusspar/hibiscusspar/fleet/messages.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/messages.py
@@ -157,7 +157,8 @@
     0 if none. ``call_times`` maps targets of plain services to the start of their
     incarnation, the mean seconds of their answers, the number of answers and that of
     failures in the last second. ``requests`` holds the number of callers' requests in
-    the last window of the retry budget, by service.
+    the last window of the retry budget, by service. ``refused`` holds suspects that the
+    node refuses though no view has told so lately, with the age of their last crash.
     """
 
     node: str
@@ -188,6 +189,7 @@
     directory_digest: int = 0
     call_times: dict[str, tuple[int, float, int, int]] = {}
     requests: dict[str, int] = {}
+    refused: dict[str, float] = {}
 
 
 class FleetView(Struct, tag="view"):
