A node that is asked to add threads before its server has started starts all the same

A node could end at its start with "Threadpools can only be started once", beside load: four of some 80 starts in the soak. Its callers were not served until its process was started again.

Cause: the periodic tasks of a node start before its callers' port. The first tick then added threads to the pool of the port, which refuses to start with threads.

Change: a server that hasn't started adds none.

Evidence: test_server_may_be_asked_to_grow_before_it_starts failed before (RuntimeError, and its process never ended, as the threads of the half-started server wait for requests) and passes; test_front_server 19 of 19.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/silence_engines.py
@@ -167,7 +167,7 @@
         self._engines = engines
         self._on_sent = on_sent
 
-    def connect(self, admitted, _state, placement, _is_second):
+    def connect(self, admitted, _state, placement, _is_second, _limit_s):
         """Return a run, which isn't begun yet, of the stream of a request.
 
         The engine reads the prompt and what the stream has of its answer.
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -280,9 +280,11 @@
     def grow(self):
         """Add threads before they are needed, if few are idle.
 
-        It must be called periodically.
+        It must be called periodically, and may be called before the server has started.
         """
         pool = self._server.requests
+        if not self._thread.is_alive():
+            return
         if pool.free < _GROW_STEP and pool.count < self._max_threads:
             pool.grow(min(_GROW_STEP, self._max_threads - pool.count))
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -126,6 +126,17 @@
         self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
 
 
+class TestStart(unittest.TestCase):
+    def test_server_may_be_asked_to_grow_before_it_starts(self):
+        """Guards against a node that ends when its first tick comes early."""
+        server = FrontServer("127.0.0.1:0", lambda inbound: None, 2, 64)
+        server.grow()
+        server.start()
+        self.addCleanup(server.stop)
+        server.grow()
+        self.assertGreater(server._server.requests.count, 2)
+
+
 class TestUnansweredRequests(unittest.TestCase):
     def test_requests_that_wait_for_a_thread_count(self):
         """Guards against a stop that exits before they are answered."""
