--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -6,7 +6,15 @@
 
 from replica import MODEL
 
-__all__ = ["HOST", "KEY", "Answer", "call", "configuration", "stream_headers"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "Answer",
+    "call",
+    "configuration",
+    "request_headers",
+    "stream_headers",
+]
 
 HOST = "ficu95.example"
 KEY = "i9n73hh2b9wu3fexd9dn"
@@ -147,6 +155,16 @@
         return bool(self.headers) or bool(self.fault)
 
 
+def request_headers(request_id, deadline_s):
+    """Return the headers of any request."""
+    return {
+        "Host": HOST,
+        "X-Hibiscusspar-Request-Id": request_id,
+        "X-Hibiscusspar-Deadline-Ms": str(int(deadline_s * 1000)),
+        "Authorization": f"Bearer {KEY}",
+    }
+
+
 def stream_headers(adapter="", tokens="60,40"):
     """Return the headers of a request to the engine service."""
     return {
@@ -167,13 +185,7 @@
     answer = to or Answer(request_id)
     ends_at = monotonic() + deadline_s
     connection = HTTPConnection(*address, timeout=deadline_s)
-    fields = {
-        "Host": HOST,
-        "X-Hibiscusspar-Request-Id": request_id,
-        "X-Hibiscusspar-Deadline-Ms": str(int(deadline_s * 1000)),
-        "Authorization": f"Bearer {KEY}",
-        **dict(headers),
-    }
+    fields = {**request_headers(request_id, deadline_s), **dict(headers)}
     try:
         connection.request(method, path, body or None, fields)
         response = connection.getresponse()
--- a/review/lib/frame.py
+++ b/review/lib/frame.py
@@ -60,6 +60,12 @@
         self.record("all nodes are ready")
 
 
+def _stop(number, frame):
+    """End the case and its nodes, as the limit of run.sh asks; once."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def run_case(folder, run):
     """Run a case and exit: 1 if its rule was broken, 0 if not, 2 without a result.
 
@@ -70,8 +76,7 @@
     run : callable
         Called with a ``Deployment``; returns lines about how the rule was broken.
     """
-    # The limit of run.sh ends the nodes as well.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, _stop)
     record = Record(Path(folder) / "record.txt")
     record(f"TROUBLE={int(TROUBLE)}")
     deployment, code = None, 2
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -161,10 +161,11 @@
     """Model replica: orders, loads of adapters, reports and streams.
 
     Streams have as many events as ``X-Hibiscusspar-Token-Count`` allows, two tokens
-    each, ``gap_s`` apart.
+    each, ``gap_s`` apart, the first one after ``first_s``.
     """
 
     gap_s = 0.03
+    first_s = 0.0
 
     def __init__(self, *arguments, **options):
         self.orders = []
@@ -205,6 +206,7 @@
         with self.lock:
             self.runs.append((monotonic(), request_id, begin))
         self.record(f"{self.target_id} ({self.software}) runs {request_id} at {begin}")
+        sleep(self.first_s)
         seal = ("X-Hibiscusspar-Response-Seal", f"seal-{request_id}")
         handler.head(200, (seal, ("Content-Type", "text/event-stream")))
         handler.send_header("X-Hibiscusspar-Weight-Versions", "1")
