--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,114 +1,99 @@
-"""Another writer leaves an entry with a field of another type among the replicas."""
+"""A replica sends a second copy of a refusal, late."""
 
+import random
 import threading
 from collections import Counter
-from http.client import HTTPConnection, HTTPException
 from itertools import count
 from pathlib import Path
 from time import monotonic, sleep
 
-from client import DRAFT, request_headers, stream_headers
-from frame import TROUBLE, CaseError, run_case
-from replica import Engine
+from client import ISSUE, call
+from frame import TROUBLE, run_case
+from replica import Plain
 
-SERVICE = "huvo11a"
-CLIENTS_PER_NODE = 8
-DEADLINE_S = 10.0
-# Nesting of the list that stands where a text is due; the entry has 2 KB.
-DEPTH = 960
-# Answers that a machine in touch may leave out, and ends of a process by itself.
-MAX_LOST, MAX_ENDS = 3, 2
-SECONDS = 10.0
+# Shares of the requests that a replica turns away, and of its answers that it repeats.
+SHED_SHARE = 0.45
+EXTRA_SHARE = 0.05
+# A replica turns requests away for the first seconds of each period.
+SHED_S, PERIOD_S = 2.0, 9.0
+SECONDS = 98.0
+CLIENTS = 72
+PAUSE_S = 0.15
 
 
-class Client(threading.Thread):
-    """Client that sends one request after the other on a kept connection.
+class Shedding(Plain):
+    """Replica that turns requests away and sends some answers twice."""
 
-    ``lost`` holds the requests from a kept connection that was closed without a byte of
-    an answer.
-    """
+    extra_share = 0.0
+    work_s = 0.03
 
-    def __init__(self, node, name, record, stopping):
-        super().__init__(daemon=True)
-        self.node = node
-        self.lost = []
-        self.answered = 0
-        self._name = name
-        self._record = record
-        self._stopping = stopping
+    def __init__(self, *arguments, **options):
+        self._rng = random.Random(f"{arguments[2]}")
+        super().__init__(*arguments, **options)
 
-    def run(self):
-        """Send requests until the end of the case."""
-        connection, is_kept = None, False
-        for number in count(1):
-            if self._stopping.is_set():
-                return
-            request_id = f"{self._name}r{number}"
-            if connection is None:
-                connection = HTTPConnection(*self.node.front, timeout=DEADLINE_S)
-                is_kept = False
-            headers = request_headers(request_id, DEADLINE_S)
-            headers |= stream_headers(tokens="60,20")
-            has_head = False
-            sent_at = monotonic()
-            try:
-                connection.request("POST", DRAFT, b"x" * 100, headers)
-                response = connection.getresponse()
-                has_head = True
-                response.read()
-                self.answered += response.status == 200
-                is_kept = True
-                self._record(f"client gets {request_id}: {response.status}")
-            except (OSError, HTTPException) as error:
-                self._record(f"client gets {request_id}: {error!r}")
-                is_late = isinstance(error, TimeoutError)
-                if is_kept and not has_head and not is_late:
-                    self.lost.append((sent_at, request_id))
-                connection.close()
-                connection = None
-                sleep(0.3)
+    def handle_call(self, handler, body):
+        """Run a request or turn it away."""
+        request_id = handler.request_id
+        extra = getattr(handler, "extra", b"")
+        handler.extra = b""
+        if extra:
+            # The second copy arrives where the next answer is expected.
+            handler.wfile.write(extra)
+            text = "that request" if request_id.encode() in extra else "another one"
+            self.record(f"{self.target_id} repeats a refusal on {request_id}: {text}")
+        is_full = monotonic() % PERIOD_S < SHED_S
+        if not is_full or self._rng.random() >= SHED_SHARE:
+            super().handle_call(handler, body)
+            return
+        self.record(f"{self.target_id} turns {request_id} away")
+        handler.refuse(503)
+        if self._rng.random() < self.extra_share:
+            handler.extra = (
+                "HTTP/1.1 503 Service Unavailable\r\n"
+                f"X-Hibiscusspar-Request-Id: {request_id}\r\n"
+                "X-Hibiscusspar-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n"
+            ).encode()
 
 
 def run(deployment):
     """Run the case and return how the rule was broken."""
     record = deployment.record
-    engines = [
-        deployment.add(Engine, f"i-7f3a91c{i}", SERVICE, zone)
-        for i, zone in enumerate(("caerdydd", "abertawe", "wrecsam") * 2)
+    replicas = [
+        deployment.add(Shedding, f"i-9e2c04d{i}", "wuno96b", zone)
+        for i, zone in enumerate(("caerdydd", "abertawe", "wrecsam"))
     ]
-    for engine in engines:
-        engine.first_s, engine.gap_s = 0.4, 0.01
     deployment.start_nodes()
-    stopping = threading.Event()
-    clients = [
-        Client(node, f"n{n}c{c}", record, stopping)
-        for n, node in enumerate(deployment.nodes)
-        for c in range(CLIENTS_PER_NODE)
-    ]
-    sleep(2.0)
-    for client in clients:
-        client.start()
-    sleep(4.0)
-    if not all(client.answered for client in clients):
-        raise CaseError("not all clients are served")
-    if TROUBLE:
-        value = []
-        for _ in range(DEPTH):
-            value = [value]
-        deployment.store.put("servers", "x-unknown", {"service": value})
-        record("another writer has written an entry with a field of another type")
+    sleep(3.0)
+    for replica in replicas[:2]:
+        replica.extra_share = EXTRA_SHARE if TROUBLE else 0.0
+    stopping, numbers = threading.Event(), count(1)
+    answers, threads = [], []
+
+    def send(index):
+        node = deployment.nodes[index % len(deployment.nodes)]
+        while not stopping.is_set():
+            request_id = f"c{index}r{next(numbers)}"
+            answer = call(node.front, "POST", ISSUE, request_id, 1.5, body=b"x" * 600)
+            record(f"client gets {answer}")
+            answers.append(answer)
+            sleep(PAUSE_S)
+
+    for index in range(CLIENTS):
+        thread = threading.Thread(target=send, args=(index,), daemon=True)
+        thread.start()
+        threads.append(thread)
     sleep(SECONDS)
     stopping.set()
-    sleep(0.5)
-    arrived = {request_id for engine in engines for _, request_id in engine.arrivals}
-    lost = Counter()
-    for client in clients:
-        lost[client.node.name] += sum(i in arrived for _, i in client.lost)
-    ends = {node.name: node.starts - 1 for node in deployment.nodes}
-    record(f"passed on and not answered, by machine: {dict(lost)}")
-    record(f"ends of processes by themselves, by machine: {ends}")
-    return [f"LOST: {n} at {name}" for name, n in lost.items() if n > MAX_LOST] + [
-        f"Fault: {n} ends at {name}" for name, n in ends.items() if n > MAX_ENDS
+    for thread in threads:
+        thread.join(3.0)
+    runs = Counter(row[1] for replica in replicas for row in replica.runs)
+    record(f"answers: {Counter(a.status for a in answers)}, runs: {len(runs)}")
+    found = [f"TWICE: {i} ran {n} times" for i, n in runs.items() if n > 1]
+    return found + [
+        f"REFUSED: {a.request_id} was answered {a.status} and ran"
+        for a in answers
+        if a.status in (408, 421, 429, 503) and runs[a.request_id]
     ]
 
 
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,105 +1,117 @@
-"""The store comes back from a copy that is some seconds old, after a hand-over."""
+"""Replicas truncate some of their answers."""
 
-import signal
+import random
 import threading
+from collections import Counter
 from itertools import count
 from pathlib import Path
-from time import monotonic, sleep
+from time import sleep
 
-from client import DRAFT, call, stream_headers
+from client import ISSUE, LOOKUP, call
 from frame import TROUBLE, CaseError, run_case
-from replica import Engine
+from replica import Plain
+
+SERVICE = "wuno96b"
+# Share of the answers of a faulty replica that it truncates.
+TRUNCATED_SHARE = 0.05
+BODY_BYTES = 800
+CLIENTS = 27
+PAUSE_S = 0.1
+SECONDS = 40.0
+
+
+def seal_of(request_id):
+    """Return the seal of the answer to a request."""
+    return f"seal-{request_id}"
+
+
+def body_of(request_id):
+    """Return the whole body of the answer to a request."""
+    return f"answer to {request_id} ".encode().ljust(BODY_BYTES, b".")
+
+
+class Truncating(Plain):
+    """Replica that ends some answers, and their connections, at a random byte."""
+
+    truncated_share = 0.0
+
+    def __init__(self, *arguments, **options):
+        self._rng = random.Random(arguments[2])
+        super().__init__(*arguments, **options)
+
+    def handle_call(self, handler, body):
+        """Run a request and answer it, as a whole or in part."""
+        request_id = handler.request_id
+        with self.lock:
+            self.runs.append((0.0, request_id, 0))
+        sleep(self.work_s)
+        data = body_of(request_id)
+        answer = (
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Hibiscusspar-Request-Id: {request_id}\r\n"
+            f"X-Hibiscusspar-Response-Seal: {seal_of(request_id)}\r\n"
+            "Content-Type: application/octet-stream\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        ).encode() + data
+        if self._rng.random() < self.truncated_share:
+            answer = answer[: self._rng.randrange(1, len(answer))]
+            handler.close_connection = True
+            text = f"{len(answer)} bytes of the answer"
+            self.record(f"{self.target_id} runs {request_id} and sends {text}")
+        handler.wfile.write(answer)
 
-ZONE = "caerdydd"
-LEASES = "hibiscusspar-leases"
-DUTY = f"orders-{ZONE}"
-# Kinds that the operator and the replicas write.
-EXTERNAL_KINDS = ("config", "servers", "versions")
-LEASE_S = 3.0
 
+def run(deployment):
+    """Run the case and return how the rule was broken."""
+    record = deployment.record
+    replicas = [
+        deployment.add(Truncating, f"i-9e2c04d{i}", SERVICE, zone)
+        for i, zone in enumerate(("caerdydd", "abertawe", "wrecsam"))
+    ]
+    deployment.start_nodes()
+    sleep(2.0)
+    for replica in replicas[:2]:
+        replica.truncated_share = TRUNCATED_SHARE if TROUBLE else 0.0
+    stopping, numbers, answers = threading.Event(), count(1), []
 
-def ask_for_adapters(nodes, stopping):
-    """Ask for one adapter after the other, so that loads are ordered."""
-    numbers = count(1)
-
-    def run(offset):
+    def send(index):
+        node = deployment.nodes[index % len(deployment.nodes)]
         while not stopping.is_set():
             number = next(numbers)
-            node = nodes[(number + offset) % len(nodes)]
-            headers = stream_headers(f"a{number % 2000 + 1}")
-            if node.is_running:
-                call(node.front, "POST", DRAFT, f"r{offset}x{number}", 4.0, headers)
-            sleep(0.2)
-
-    for offset in range(6):
-        threading.Thread(target=run, args=(offset,), daemon=True).start()
-
-
-def breaks_of(engine):
-    """Return how the orders to a replica break the rule."""
+            request_id = f"c{index}r{number}"
+            if number % 3:
+                answer = call(node.front, "POST", ISSUE, request_id, 1.5, body=b"x")
+            else:
+                answer = call(node.front, "GET", LOOKUP, request_id, 1.5)
+            record(f"client gets {answer}")
+            answers.append(answer)
+            sleep(PAUSE_S)
+
+    threads = [
+        threading.Thread(target=send, args=(index,), daemon=True)
+        for index in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    sleep(SECONDS)
+    stopping.set()
+    for thread in threads:
+        thread.join(3.0)
+    statuses = Counter(answer.status for answer in answers)
+    record(f"answers: {statuses}")
+    if statuses[200] < len(answers) / 2:
+        raise CaseError("most requests weren't served")
     found = []
-    highest, holder_of = 0, {}
-    for at, holder, fence in engine.orders:
-        first = holder_of.setdefault(fence, holder)
-        if first != holder:
-            found.append(f"{at:.3f}: fence {fence} of {holder}, before of {first}")
-        if fence < highest:
-            found.append(f"{at:.3f}: fence {fence} of {holder} after {highest}")
-        highest = max(highest, fence)
+    for answer in answers:
+        if answer.status != 200:
+            continue
+        seal = answer.headers.get("X-Hibiscusspar-Response-Seal")
+        if seal != seal_of(answer.request_id):
+            found.append(f"{answer.request_id}: 200 with the seal {seal!r}")
+        elif answer.body != body_of(answer.request_id):
+            size = len(answer.body)
+            found.append(f"{answer.request_id}: 200 with {size} bytes of the body")
     return found
 
 
-def holder(deployment):
-    """Return the node that holds the duty of the zone, or None."""
-    lease = deployment.store.read(LEASES, DUTY)
-    if lease is None or lease["released"]:
-        return None
-    return deployment.fleet.of_machine(lease["machine"])
-
-
-def wait_for_orders(engine, machine, seconds):
-    """Wait until a machine has given orders; return whether it has."""
-    ends_at = monotonic() + seconds
-    while monotonic() < ends_at:
-        if engine.orders and engine.orders[-1][1] == machine:
-            return True
-        sleep(0.05)
-    return False
-
-
-def run(deployment):
-    """Run the case and return how the rule was broken."""
-    record, store = deployment.record, deployment.store
-    engine = deployment.add(Engine, "i-7f3a91c2", "huvo11a", ZONE)
-    deployment.start_nodes()
-    stopping = threading.Event()
-    ask_for_adapters(deployment.nodes, stopping)
-    sleep(6.0)
-    first = holder(deployment)
-    if first is None or not wait_for_orders(engine, first.machine, 10.0):
-        raise CaseError("no orders before the hand-over")
-    saved, saved_at = store.copy(), monotonic()
-    record(f"copy of the store is made; {DUTY} is held by {first.machine}")
-    # A planned stop: SIGTERM, then the process starts again.
-    first.signal(signal.SIGTERM)
-    record(f"SIGTERM to {first.name}")
-    while (second := holder(deployment)) in (None, first):
-        if monotonic() > saved_at + 12.0:
-            raise CaseError("no hand-over")
-        sleep(0.05)
-    if not wait_for_orders(engine, second.machine, 12.0):
-        raise CaseError("no orders after the hand-over")
-    record(f"{DUTY} is held by {second.machine}, which has given orders")
-    if TROUBLE:
-        store.go_away()
-        record("the store is away")
-        sleep(0.5)
-        store.return_from(saved, EXTERNAL_KINDS)
-        age_s = monotonic() - saved_at
-        record(f"the store is back from a copy {age_s:.1f} s old, with era 2")
-    sleep(15.0)
-    stopping.set()
-    return breaks_of(engine)
-
-
 run_case(Path(__file__).parent, run)
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,129 +1,105 @@
-"""All processes are killed while a release replaces the software of the replicas."""
+"""The store comes back from a copy that is some seconds old, after a hand-over."""
 
 import signal
 import threading
+from itertools import count
 from pathlib import Path
 from time import monotonic, sleep
 
-from client import DRAFT, Answer, call, stream_headers
-from fleet import RESTART_S
+from client import DRAFT, call, stream_headers
 from frame import TROUBLE, CaseError, run_case
 from replica import Engine
 
-SERVICE = "huvo11a"
-STREAMS = 12
-EVENTS = 240
-DEADLINE_S = 15.0
-DRAIN_S = 2.0
-# The replicas run a little longer than they must.
-EXTRA_S = 0.1
-# Time for which killed processes are down.
-DOWN_S = 1.0
-# Pauses of a client before it takes its stream up again.
-PAUSES_S = (0.4, 0.8, 1.2, 1.6, 2.0)
-MAX_JOINED = 2
-
-
-class Client(threading.Thread):
-    """Client of one stream, which takes it up again after a broken connection."""
-
-    def __init__(self, deployment, number):
-        super().__init__(daemon=True)
-        self._deployment = deployment
-        self._number = number
-        self.tries = []
-
-    @property
-    def software(self):
-        """Software versions of the events of all tries, in order."""
-        found = []
-        for answer in self.tries:
-            for event in answer.body.split(b"\n\n")[:-1]:
-                software = event.partition(b"data: ")[2].partition(b" ")[0].decode()
-                if not found or found[-1] != software:
-                    found.append(software)
-        return found
-
-    def run(self):
-        """Send the request, and the rest of it again a few times."""
-        ends_at = monotonic() + DEADLINE_S
-        last, first_id = 0, ""
-        for number, pause_s in enumerate((0.0, *PAUSES_S)):
-            sleep(pause_s)
-            left_s = ends_at - monotonic()
-            if left_s <= 0.5:
-                return
-            nodes = self._deployment.nodes
-            node = nodes[(self._number + number) % len(nodes)]
-            request_id = f"s{self._number}t{number}"
-            headers = stream_headers(tokens=f"60,{2 * EVENTS}")
-            if last:
-                headers |= {"Last-Event-Id": str(last), "Resumes": first_id}
-            answer = Answer(request_id)
-            self.tries.append(answer)
-            self._deployment.record(f"client sends {request_id} after event {last}")
-            call(node.front, "POST", DRAFT, request_id, left_s, headers, to=answer)
-            self._deployment.record(f"client gets {answer}, whole events counted")
-            if answer.last_event and not last:
-                first_id = request_id
-            last += answer.last_event
-            if answer.status == 200:
-                return
-
-
-def release(deployment, old, drained):
-    """Replace the replicas one after the other; the new one starts first."""
-    for number, replica in enumerate(old):
-        zone = replica.zone
-        deployment.add(
-            Engine, f"i-new{number}", SERVICE, zone, software="v2"
-        ).gap_s = replica.gap_s
-        deployment.record(f"{replica.target_id} drains")
-        replica.drain()
-        timer = threading.Timer(DRAIN_S + EXTRA_S, replica.leave)
-        timer.daemon = True
-        timer.start()
-        sleep(1.0)
-    drained.set()
+ZONE = "caerdydd"
+LEASES = "hibiscusspar-leases"
+DUTY = f"orders-{ZONE}"
+# Kinds that the operator and the replicas write.
+EXTERNAL_KINDS = ("config", "servers", "versions")
+LEASE_S = 3.0
+
+
+def ask_for_adapters(nodes, stopping):
+    """Ask for one adapter after the other, so that loads are ordered."""
+    numbers = count(1)
+
+    def run(offset):
+        while not stopping.is_set():
+            number = next(numbers)
+            node = nodes[(number + offset) % len(nodes)]
+            headers = stream_headers(f"a{number % 2000 + 1}")
+            if node.is_running:
+                call(node.front, "POST", DRAFT, f"r{offset}x{number}", 4.0, headers)
+            sleep(0.2)
+
+    for offset in range(6):
+        threading.Thread(target=run, args=(offset,), daemon=True).start()
+
+
+def breaks_of(engine):
+    """Return how the orders to a replica break the rule."""
+    found = []
+    highest, holder_of = 0, {}
+    for at, holder, fence in engine.orders:
+        first = holder_of.setdefault(fence, holder)
+        if first != holder:
+            found.append(f"{at:.3f}: fence {fence} of {holder}, before of {first}")
+        if fence < highest:
+            found.append(f"{at:.3f}: fence {fence} of {holder} after {highest}")
+        highest = max(highest, fence)
+    return found
+
+
+def holder(deployment):
+    """Return the node that holds the duty of the zone, or None."""
+    lease = deployment.store.read(LEASES, DUTY)
+    if lease is None or lease["released"]:
+        return None
+    return deployment.fleet.of_machine(lease["machine"])
+
+
+def wait_for_orders(engine, machine, seconds):
+    """Wait until a machine has given orders; return whether it has."""
+    ends_at = monotonic() + seconds
+    while monotonic() < ends_at:
+        if engine.orders and engine.orders[-1][1] == machine:
+            return True
+        sleep(0.05)
+    return False
 
 
 def run(deployment):
     """Run the case and return how the rule was broken."""
-    record = deployment.record
-    old = [
-        deployment.add(Engine, f"i-old{i}", SERVICE, zone)
-        for i, zone in enumerate(("caerdydd", "abertawe"))
-    ]
-    for replica in old:
-        replica.gap_s = 0.05
+    record, store = deployment.record, deployment.store
+    engine = deployment.add(Engine, "i-7f3a91c2", "huvo11a", ZONE)
     deployment.start_nodes()
-    sleep(3.0)
-    clients = [Client(deployment, number) for number in range(STREAMS)]
-    for client in clients:
-        client.start()
-    sleep(0.5)
-    begun = threading.Event()
-    threading.Thread(target=release, args=(deployment, old, begun), daemon=True).start()
-    sleep(1.0)
-    # The last replica of the old software has just reported that it drains.
-    sleep(1.2)
+    stopping = threading.Event()
+    ask_for_adapters(deployment.nodes, stopping)
+    sleep(6.0)
+    first = holder(deployment)
+    if first is None or not wait_for_orders(engine, first.machine, 10.0):
+        raise CaseError("no orders before the hand-over")
+    saved, saved_at = store.copy(), monotonic()
+    record(f"copy of the store is made; {DUTY} is held by {first.machine}")
+    # A planned stop: SIGTERM, then the process starts again.
+    first.signal(signal.SIGTERM)
+    record(f"SIGTERM to {first.name}")
+    while (second := holder(deployment)) in (None, first):
+        if monotonic() > saved_at + 12.0:
+            raise CaseError("no hand-over")
+        sleep(0.05)
+    if not wait_for_orders(engine, second.machine, 12.0):
+        raise CaseError("no orders after the hand-over")
+    record(f"{DUTY} is held by {second.machine}, which has given orders")
     if TROUBLE:
-        if len(old[1].runs) < MAX_JOINED:
-            raise CaseError("too few streams")
-        fleet = deployment.fleet
-        fleet.held_down.update(node.name for node in deployment.nodes)
-        for node in deployment.nodes:
-            node.signal(signal.SIGKILL)
-        record("all processes are killed")
-        sleep(max(0.0, DOWN_S - RESTART_S))
-        fleet.held_down.clear()
-    for client in clients:
-        client.join(DEADLINE_S + 2.0)
-    joined = [c for c in clients if len(set(c.software)) > 1]
-    record(f"{len(joined)} of {len(clients)} streams hold events of two versions")
-    if len(joined) <= MAX_JOINED:
-        return []
-    return [f"{c.tries[0].request_id}: {' then '.join(c.software)}" for c in joined]
+        store.go_away()
+        record("the store is away")
+        sleep(0.5)
+        store.return_from(saved, EXTERNAL_KINDS)
+        age_s = monotonic() - saved_at
+        record(f"the store is back from a copy {age_s:.1f} s old, with era 2")
+    sleep(15.0)
+    stopping.set()
+    return breaks_of(engine)
 
 
 run_case(Path(__file__).parent, run)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -65,6 +65,10 @@
         with self._lock:
             seconds = monotonic() - self._started_at
             self._file.write(f"{seconds:8.3f} {text}\n")
+
+    def flush(self):
+        """Write what is buffered."""
+        with self._lock:
             self._file.flush()
 
 
--- a/review/lib/frame.py
+++ b/review/lib/frame.py
@@ -95,6 +95,7 @@
             if deployment is not None:
                 deployment.fleet.stop()
     record({0: "the rule held", 1: "the rule was broken", 2: "no result"}[code])
+    record.flush()
     sys.stdout.write((Path(folder) / "record.txt").read_text(encoding="utf-8")[-1500:])
     sys.stdout.flush()
     # Python exits with 1 after an error, so a broken rule has a code of its own.
