--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -62,6 +62,9 @@
     if state.answer_begun and not is_stream:
         # The caller already has the head of an answer, so only a stream can follow.
         return AttemptFailure("answer", f"status {response.status}", False, False)
+    if 200 <= response.status < 300 and not answer.sealed and not state.answer_begun:
+        # Every target signs its own answers.
+        return AttemptFailure("answer", "success without a signature", False, False)
     if response.status >= 500 and admitted.route.idempotent:
         reason = f"status {response.status}"
         return AttemptFailure("answer", reason, False, False, is_whole=True)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/target_control.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/target_control.py
@@ -4,11 +4,12 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from msgspec import MsgspecError, Struct, json
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError as TransportError
 
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.events import TARGET_UNREACHABLE
+from hibiscusspar_wire.strict_http import strict_pool_manager
 
 __all__ = ["TargetControl"]
 
@@ -43,7 +44,7 @@
     def __init__(self, address_of, connect_timeout_s):
         self._address_of = address_of
         self._connect_timeout_s = connect_timeout_s
-        self._pool = PoolManager(num_pools=256, maxsize=4, retries=False)
+        self._pool = strict_pool_manager(num_pools=256, maxsize=4, retries=False)
         self._pollers = ThreadPoolExecutor(POLL_THREADS, "state")
         self._polling = set()
         self._lock = threading.Lock()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
@@ -1,16 +1,18 @@
 """HTTP connections with one time limit for the head of an answer and for each read.
 
-They detect bytes that were received after an answer.
+They detect answers that end inside their head, and bytes received after an answer.
 """
 
 from contextlib import suppress
 from http.client import HTTPException, HTTPResponse
-from io import BufferedReader, RawIOBase
+from io import RawIOBase
 from time import monotonic
 from typing import Protocol
 
 from urllib3.connection import HTTPConnection
 
+from hibiscusspar_wire.strict_http import LineReader, check_framing
+
 __all__ = ["CheckedConnection", "Silence"]
 
 # Part of the time left for a read after which the socket's timeout ends, at first.
@@ -121,7 +123,7 @@
         super().close()
 
 
-class _CheckedReader(BufferedReader):
+class _CheckedReader(LineReader):
     """Reader of one answer that detects bytes received after the answer."""
 
     def __init__(self, raw, sock, ends_at, silence):
@@ -146,6 +148,11 @@
         raw = self.fp.detach()
         self.fp = self.reader = _CheckedReader(raw, sock, ends_at, silence)
 
+    def begin(self):
+        """Read the head of the answer."""
+        super().begin()
+        check_framing(self)
+
 
 class CheckedConnection(HTTPConnection):
     """Connection that keeps its last answer and the reader of it."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/peers.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/peers.py
@@ -4,10 +4,11 @@
 from typing import Protocol
 
 from cherrypy import HTTPError, expose, request, response
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError as TransportError
 
 from hibiscusspar.errors import StepError
+from hibiscusspar_wire.strict_http import strict_pool_manager
 
 __all__ = ["PeerApp", "PeerClient", "PeerHandler", "SECRET_HEADER", "VM_HEADER"]
 
@@ -88,7 +89,7 @@
             "Content-Type": "application/json",
         }
         timeout = Timeout(connect=timeout_s, read=timeout_s)
-        self._pool = PoolManager(num_pools=512, maxsize=2, timeout=timeout)
+        self._pool = strict_pool_manager(num_pools=512, maxsize=2, timeout=timeout)
 
     def exchange(self, address, data):
         """Post an encoded exchange to a peer and return its answer.
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/platform_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/platform_client.py
@@ -6,7 +6,7 @@
 from urllib.parse import quote
 
 import msgspec
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 from urllib3.exceptions import HTTPError as TransportError
 
@@ -18,6 +18,7 @@
     RefusedError,
     UnknownOutcomeError,
 )
+from hibiscusspar_wire.strict_http import strict_pool_manager
 
 __all__ = [
     "ObjectEvent",
@@ -131,7 +132,7 @@
         self._pause = pause
         self._budget = CallBudget(calls_per_s, burst, clock)
         self._breaker = CircuitBreaker(clock, rng)
-        self._pool = PoolManager(num_pools=1, maxsize=4, block=False)
+        self._pool = strict_pool_manager(num_pools=1, maxsize=4, block=False)
         self.calls = 0
 
     @property
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
@@ -4,7 +4,7 @@
 
 from msgspec import MsgspecError, Struct
 from msgspec.json import Decoder
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     NewConnectionError,
@@ -14,6 +14,7 @@
 
 from hibiscusspar.errors import StepError
 from hibiscusspar.requests.retry import RULES, Cause
+from hibiscusspar_wire.strict_http import strict_pool_manager
 
 __all__ = ["TargetAnswer", "TargetClient", "TargetError"]
 
@@ -67,8 +68,8 @@
     def __init__(self, connect_timeout_s, silence_timeout_s):
         self._connect_timeout_s = connect_timeout_s
         self.silence_timeout_s = silence_timeout_s
-        self._pool = PoolManager(num_pools=1024, maxsize=64)
-        self._single_use_pool = PoolManager(num_pools=1024, maxsize=1)
+        self._pool = strict_pool_manager(num_pools=1024, maxsize=64)
+        self._single_use_pool = strict_pool_manager(num_pools=1024, maxsize=1)
 
     def send(
         self, address, method, uri, headers, body, answer_timeout_s=None, reuse=True
