--- a/packages/hibiscusspar/hibiscusspar/fleet/lease.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/lease.py
@@ -6,10 +6,16 @@
 its lease from before it sent the renewing write, so the lease ends at the holder no
 later than anywhere else. A successor gives no order until the last order of its
 predecessor is certainly older than the gap that targets require.
+
+The store may return from an older copy, which begins a new era. Leases and changes of
+holders since the copy are gone then, so a lease of an earlier era names no holder
+reliably: it is taken anew, with a higher fencing token and after the same wait, also by
+the machine that it names.
 """
 
 from typing import NamedTuple
 
+from hibiscusspar.fleet.store_era import is_outdated, next_fence
 from hibiscusspar.fleet.store_reads import lease_pause_s, leaves_lease
 
 __all__ = ["Election", "LeaseRecord", "LeaseTiming", "ReadLease", "WriteLease"]
@@ -31,7 +37,12 @@
 
 
 class LeaseRecord(NamedTuple):
-    """Content of the lease object; ``machine`` is a VM's name and address."""
+    """Content of the lease object.
+
+    ``machine`` is a VM's name and address. ``nonce`` rises with each write of a machine
+    and tells how much of the wait before its first order is over: all of it once it
+    reaches the milliseconds of ``valid_s`` and ``order_gap_s`` together.
+    """
 
     machine: str
     start: str
@@ -88,7 +99,10 @@
         self._renewed_at = None
         self._may_order_at = 0.0
         self._next_action_at = 0.0
-        self._nonce = 0
+        self._era = None
+        # Whether an earlier era was known, and the end of the lease held in it.
+        self._has_returned = False
+        self._kept_until = None
         self._is_current = False
         self._is_releasing = False
         # Reads in a row that returned the same revision.
@@ -125,7 +139,7 @@
         Until another holder is known, a coordinator keeps sending views; only orders
         need a valid lease.
         """
-        return self._renewed_at is not None and self._is_mine()
+        return self._renewed_at is not None and self._names_this_process()
 
     def may_order(self, now):
         """Return whether this process may give orders to targets."""
@@ -152,13 +166,14 @@
             return None
         if self._is_current and self._is_mine():
             self._next_action_at = now + self._timing.renew_s
-            return self._write(self._record.fence)
+            return self._write(now, self._record.fence)
         was_read = self._changed_at is not None
         if self._is_releasing or leaves_lease(holder_heard, self._is_current, was_read):
             return None
         self._next_action_at = now + self._timing.poll_s
         if self._is_current and self._may_take(now):
-            return self._write(self.fence + 1)
+            fence = next_fence(self.fence, self._era or 0, self._revision)
+            return self._write(now, fence)
         return ReadLease()
 
     def release(self, now):
@@ -166,15 +181,28 @@
         self._is_releasing = True
         if not self.holds(now):
             return None
-        return self._write(self._record.fence, released=True)
+        return self._write(now, self._record.fence, released=True)
 
     def resume(self):
         """Apply for the lease again after a release."""
         self._is_releasing = False
 
-    def on_read(self, now, record, revision):
-        """Handle the result of a read; ``record`` is None if there is no object."""
+    def on_read(self, now, record, revision, era=0):
+        """Handle the result of a read.
+
+        Parameters
+        ----------
+        now : float
+        record : LeaseRecord or None
+            None if there is no object or it can't be read.
+        revision : int
+            0 if there is no object.
+        era : int, optional
+            Era of the store, 0 if it doesn't tell any.
+        """
         self._is_current = True
+        if era != self._era:
+            self._begin_era(now, era)
         if self._silent_since is None:
             self._silent_since = now
         if revision == self._revision and self._changed_at is not None:
@@ -182,8 +210,7 @@
             self._is_renewed = False
         else:
             self._apply_change(now, record, revision)
-        if record is not None and record.machine == self._machine:
-            # No other machine holds the lease, so there is no reason to wait.
+        if self._may_take_at_once(now):
             self._next_action_at = now
         else:
             self._next_action_at = now + lease_pause_s(
@@ -194,8 +221,15 @@
                 self._fraction,
             )
 
-    def on_written(self, sent_at, now, record, revision):
-        """Handle a write of this process that took effect."""
+    def on_written(self, sent_at, now, record, revision, era=0):
+        """Handle a write of this process that took effect.
+
+        If the store has returned since the last read, the condition of the write was
+        one on another history, so the lease is read again.
+        """
+        if era != self._era:
+            self.on_failed(now)
+            return
         if record.released:
             self._renewed_at = None
             self._update(now, record, revision)
@@ -218,12 +252,12 @@
             self._next_action_at = now
 
     def _apply_change(self, now, record, revision):
+        was_read = self._changed_at is not None
         if not (record and self._same_process(record)):
             self._renewed_at = None
-        elif not self._is_mine():
+        elif was_read and not self._names_this_process():
             # The answer of the write that took the lease was lost.
             self._become_holder(now)
-        was_read = self._changed_at is not None
         self._update(now, record, revision)
         self._same_reads = 1
         self._is_renewed = was_read and record is not None and not record.released
@@ -235,21 +269,55 @@
         self._silent_since = now
 
     def _become_holder(self, now):
-        predecessor = self._record
-        if predecessor is None or predecessor.machine == self._machine:
-            self._may_order_at = now
-            return
-        # Its last order was given before the last renewal seen here expired.
-        last_order = self._changed_at
-        if not predecessor.released:
-            last_order += self._timing.valid_s
+        predecessor, valid_s = self._record, self._timing.valid_s
+        if self._is_record_outdated():
+            if self._keeps_lease(now):
+                return
+            # A holder of an earlier era may not have noticed yet that it has ended.
+            last_order = self._changed_at + valid_s
+        elif predecessor is None:
+            last_order = float("-inf")
+        elif predecessor.machine == self._machine:
+            # It may have restarted while it waited.
+            last_order = now - predecessor.nonce / 1000 + valid_s
+        else:
+            # Its last order was given before the last renewal seen here expired.
+            last_order = self._changed_at
+            if not predecessor.released:
+                last_order += valid_s
         self._may_order_at = max(now, last_order + self._timing.order_gap_s)
 
+    def _begin_era(self, now, era):
+        """Forget the lease as known, since the store may have an older one."""
+        self._has_returned = self._era is not None
+        self._kept_until = None
+        if self.may_order(now):
+            self._kept_until = self._renewed_at + self._timing.valid_s
+        self._era = era
+        self._changed_at = None
+        self._silent_since = now
+
+    def _keeps_lease(self, now):
+        """Return whether the lease of the last era is still valid.
+
+        No other machine may order by then, since it has to wait longer.
+        """
+        return self._kept_until is not None and now < self._kept_until
+
+    def _is_record_outdated(self):
+        """Return whether the lease as read tells nothing about the last holder."""
+        if self._record is None:
+            return self._has_returned or self._revision > 0
+        return is_outdated(self._record.fence, self._era or 0)
+
     def _may_take(self, now):
-        record = self._record
-        if record is not None and record.machine == self._machine:
+        return self._may_take_at_once(now) or now >= self._free_at()
+
+    def _may_take_at_once(self, now):
+        """Return whether no other machine holds the lease."""
+        if self._record is not None and self._record.machine == self._machine:
             return True
-        return now >= self._free_at()
+        return self._is_record_outdated() and self._keeps_lease(now)
 
     def _free_at(self):
         """Return the time at which this process may take the lease."""
@@ -259,6 +327,9 @@
         return free_at
 
     def _is_mine(self):
+        return self._names_this_process() and not self._is_record_outdated()
+
+    def _names_this_process(self):
         return self._record is not None and (
             self._same_process(self._record) and not self._record.released
         )
@@ -266,9 +337,20 @@
     def _same_process(self, record):
         return record.machine == self._machine and record.start == self._start
 
-    def _write(self, fence, released=False):
-        self._nonce += 1
+    def _write(self, now, fence, released=False):
         record = LeaseRecord(
-            self._machine, self._start, self._address, fence, released, self._nonce
+            self._machine, self._start, self._address, fence, released, self._nonce(now)
         )
         return WriteLease(record, self._revision)
+
+    def _nonce(self, now):
+        nonce, known = 1, self._record
+        if self._is_record_outdated() or known is None:
+            return nonce
+        if known.machine == self._machine:
+            nonce += known.nonce
+        if self._is_mine():
+            wait_s = self._timing.valid_s + self._timing.order_gap_s
+            waited_s = now - self._may_order_at + wait_s
+            nonce = max(nonce, int(waited_s * 1000))
+        return nonce
--- a/packages/hibiscusspar/hibiscusspar/fleet/targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/targets.py
@@ -44,13 +44,15 @@
 
     Entries expire during an outage, and live targets register again by themselves
     afterwards. So an entry that is missing after an outage is kept for a grace period;
-    one deleted at any other time is removed at once.
+    one deleted at any other time is removed at once. A target that drains never stops
+    to, so one that an older copy of the store shows as ready goes on draining.
     """
 
     def __init__(self):
         self._rows = {}
         self._missing_since = {}
         self._returned_at = None
+        self._is_older = False
 
     @property
     def rows(self):
@@ -64,7 +66,7 @@
 
     def replace(self, now, targets):
         """Replace the table by a full listing of the directory."""
-        listed = {target.target_id: target for target in targets}
+        listed = {t.target_id: self._with_drain(now, t) for t in targets}
         for target_id in self._rows.keys() - listed.keys():
             self._missing_since.setdefault(target_id, now)
         kept = {i: self._rows[i] for i in self._missing_since if i in self._rows}
@@ -91,9 +93,16 @@
             self._rows.pop(target_id, None)
             self._missing_since.pop(target_id, None)
 
-    def store_returned(self, now):
-        """Start the grace period: the store answers again after an outage."""
-        self._returned_at = now
+    def store_returned(self, now, is_older=False):
+        """Start the grace period: the store answers again after an outage.
+
+        Parameters
+        ----------
+        now : float
+        is_older : bool, optional
+            Whether the store has an older copy.
+        """
+        self._returned_at, self._is_older = now, is_older
 
     def expire(self, now):
         """Drop missing entries once the grace period is over."""
@@ -103,6 +112,15 @@
             self._rows.pop(target_id, None)
         self._missing_since = {}
 
+    def _with_drain(self, now, target):
+        """Return a target that drains if it is known to drain since the same start."""
+        known = self._rows.get(target.target_id)
+        if known is None or not (self._is_older and self._in_grace(now)):
+            return target
+        if known.draining and known.born == target.born:
+            return target._replace(draining=True)
+        return target
+
     def _in_grace(self, now):
         return self._returned_at is not None and (
             now < self._returned_at + RETURN_GRACE_S
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_targets.py
@@ -34,6 +34,17 @@
         directory.expire(13.0)
         self.assertEqual(list(directory.rows), ["a"])
 
+    def test_older_copy_does_not_end_the_draining_of_a_target(self):
+        """Guards against requests to a leaving target after a return of the store."""
+        directory = TargetDirectory()
+        directory.replace(1.0, [target("a", draining=True), target("b")])
+        directory.store_returned(10.0, is_older=True)
+        directory.replace(10.0, [target("a"), target("b")])
+        self.assertTrue(directory.rows["a"].draining)
+        self.assertFalse(directory.rows["b"].draining)
+        directory.replace(11.0, [target("a")._replace(born=2)])
+        self.assertFalse(directory.rows["a"].draining)
+
     def test_entry_deleted_after_the_grace_is_removed_at_once(self):
         directory = TargetDirectory()
         directory.replace(1.0, [target("a")])
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/evacuation_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/evacuation_sync.py
@@ -145,7 +145,7 @@
                 lambda now: self._table.apply_changes(now, at, changes),
             )
 
-    def on_store_returned(self):
+    def on_store_returned(self, is_older=False):
         """Do nothing: the next answer of the store tells the list."""
 
     def on_store_lost(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -35,6 +35,7 @@
     "SETTINGS_READ",
     "STORE_LOST",
     "STORE_REGAINED",
+    "STORE_REPLACED",
     "TARGETS_COLD",
     "TARGET_CHANGED",
     "TARGET_COLD_BAD",
@@ -378,6 +379,12 @@
     ("target", "born", "fault", "source", "presumed_s"),
     "A bad statement of how long a target stays cold; `presumed_s` is assumed.",
 )
+STORE_REPLACED = declare(
+    662,
+    "node.store_replaced",
+    ("kind", "reason"),
+    "The store has returned from an older copy; objects of the kind are read again.",
+)
 FIRST_VIEW = declare(
     671,
     "node.first_view",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/lease_keeper.py
@@ -115,7 +115,7 @@
                 record, levels = _decode(stored.value)
                 revision = stored.revision
                 self._stored_levels = levels
-            election.on_read(self._clock(), record, revision)
+            election.on_read(self._clock(), record, revision, self._store.era)
             return
         sent_at = self._clock()
         try:
@@ -123,7 +123,9 @@
         except ConflictError:
             election.on_failed(self._clock())
             return
-        election.on_written(sent_at, self._clock(), action.record, revision)
+        election.on_written(
+            sent_at, self._clock(), action.record, revision, self._store.era
+        )
 
     def _write(self, action):
         value = {**action.record._asdict(), _LEVELS: self._levels()}
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -8,7 +8,13 @@
 
 
 class ObjectStore(Protocol):
-    """Store of the platform; its errors are those of ``hibiscusspar_wire``."""
+    """Store of the platform; its errors are those of ``hibiscusspar_wire``.
+
+    ``era`` rises each time that the store returns from an older copy, as the last
+    answer told; 0 if the store doesn't tell.
+    """
+
+    era: int
 
     def get(self, kind: str, name: str) -> Any:
         """Return an object with ``revision`` and ``value``, or None."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -86,7 +86,7 @@
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
-    def on_store_returned(self):
+    def on_store_returned(self, is_older=False):
         """Do nothing: the next answer confirms the configuration."""
 
     def _apply_object(self, stored):
@@ -239,19 +239,24 @@
             fields = {"reason": "changed", "age_s": self._age_s(sent_at)}
             self._publish_changes(before, fields)
 
-    def on_store_returned(self):
+    def on_store_returned(self, is_older=False):
         """Keep entries that expired during an outage until their targets are back.
 
         Entries can't have expired if this node knew the directory until shortly before,
         also if it lost only its own path to the store and the coordinator relayed it.
+
+        Parameters
+        ----------
+        is_older : bool, optional
+            Whether the store has an older copy, which targets have yet to correct.
         """
         with self._lock:
             now = self._clock()
             known_at = self._relayed_at
             if self._confirmed_at is not None:
                 known_at = max(known_at, self._confirmed_at)
-            if now - known_at >= self._expiry_s:
-                self._directory.store_returned(now)
+            if is_older or now - known_at >= self._expiry_s:
+                self._directory.store_returned(now, is_older)
 
     def _age_s(self, at):
         return round(self._clock() - at, 3)
@@ -309,7 +314,7 @@
             if not deleted:
                 self._apply_object(stored, self._clock() - sent_at)
 
-    def on_store_returned(self):
+    def on_store_returned(self, is_older=False):
         """Do nothing: versions only grow."""
 
     def _apply_object(self, stored, age_s):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
@@ -4,9 +4,13 @@
 
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.events import STORE_LOST, STORE_REGAINED
+from hibiscusspar_entry.fleet.events import (
+    STORE_LOST,
+    STORE_REGAINED,
+    STORE_REPLACED,
+)
 from hibiscusspar_entry.fleet.own_reads import UnlimitedReads
-from hibiscusspar_wire.platform_errors import CompactedError
+from hibiscusspar_wire.platform_errors import CompactedError, StoreReplacedError
 
 __all__ = ["StoreWatch"]
 
@@ -30,7 +34,8 @@
         Pause between calls, which bounds their rate while many objects change.
     handler : object
         Has ``on_listing(objects, sent_at)``, ``on_changes(events, sent_at)`` and
-        ``on_store_returned()``, which is called after an outage.
+        ``on_store_returned(is_older)``, which is called after an outage, and with
+        ``is_older`` if the store has returned from an older copy.
     is_relayed : callable
         Returns whether the coordinator's views relay these objects, so that the store
         need not be read.
@@ -93,6 +98,13 @@
         """Make one call and return the pause after it, in seconds."""
         try:
             self._poll()
+        except StoreReplacedError as error:
+            self._backoff.record_answer()
+            self._revision = None
+            fields = {"kind": self._kind, "reason": error.reason}
+            write_records([(STORE_REPLACED, fields)])
+            self._handler.on_store_returned(is_older=True)
+            return 0.0
         except CompactedError:
             # The history was compacted, so a listing replaces it.
             self._backoff.record_answer()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_lease_keeper.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.value = None
         self.revision = 0
+        self.era = 0
 
     def get(self, _kind, name):
         if self.value is None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -18,6 +18,7 @@
 from hibiscusspar_wire.platform_errors import (
     CompactedError,
     RefusedError,
+    StoreReplacedError,
     UnknownOutcomeError,
 )
 
@@ -155,8 +156,8 @@
     def on_changes(self, events, sent_at):
         self.seen.append(("changed", len(events)))
 
-    def on_store_returned(self):
-        self.seen.append(("returned",))
+    def on_store_returned(self, is_older=False):
+        self.seen.append(("older",) if is_older else ("returned",))
 
 
 LISTING = SimpleNamespace(objects=[1, 2], revision=10)
@@ -267,6 +268,12 @@
         self.poll(watch, 3)
         self.assertEqual(self.store.calls[-1], ("list",))
 
+    def test_older_copy_is_listed_and_reported(self):
+        replaced = StoreReplacedError("s", "p", "era 2 of the store after 1")
+        watch = self.make_watch(LISTING, replaced, LISTING)
+        self.poll(watch, 3)
+        self.assertEqual(self.handler.seen, [("listed", 2), ("older",), ("listed", 2)])
+
     def test_end_of_an_outage_is_reported(self):
         watch = self.make_watch(
             LISTING, RefusedError("s", "p", "503"), LISTING, CHANGES
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/platform_errors.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/platform_errors.py
@@ -8,6 +8,7 @@
     "PlatformError",
     "MissingError",
     "RefusedError",
+    "StoreReplacedError",
     "UnknownOutcomeError",
 ]
 
@@ -45,6 +46,10 @@
     """The events after the given version are no longer kept."""
 
 
+class StoreReplacedError(CompactedError):
+    """The store has returned from an older copy since the last listing."""
+
+
 class UnknownOutcomeError(PlatformError):
     """A write was sent and its answer was lost, so it may have taken effect."""
 
