--- a/packages/hibiscusspar/hibiscusspar/fleet/rules.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/rules.py
@@ -110,7 +110,8 @@
     """One version of the configuration.
 
     ``routes`` maps a host to its routes, longest prefix first, ``keys`` the digest of
-    an API key to the name of its account.
+    an API key to the name of its account. ``requires_keys`` is whether requests on
+    routes that aren't public need a key, even if there is none.
     """
 
     version: int
@@ -122,6 +123,7 @@
     max_body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    requires_keys: bool
 
 
 def find_route(ruleset, host, path):
@@ -152,12 +154,12 @@
     Returns
     -------
     str
-        Name of the service, empty if the route has none.
+        Name of the service, empty if none has a weight above 0.
     """
-    total = sum(weight for _, weight in route.split)
-    remainder = fraction * total
-    for service, weight in route.split:
+    split = [share for share in route.split if share[1] > 0]
+    remainder = fraction * sum(weight for _, weight in split)
+    for service, weight in split:
         remainder -= weight
         if remainder < 0:
             return service
-    return route.split[-1][0] if route.split else ""
+    return split[-1][0] if split else ""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/call_admission.py
@@ -157,7 +157,7 @@
 
     def _account(self, ruleset, route, call):
         """Return the account of a request and the digest of its API key."""
-        if route.public or not ruleset.keys:
+        if route.public or not ruleset.requires_keys:
             return "", ""
         self._check_freshness()
         digest = digest_key(call.key)
@@ -183,11 +183,13 @@
         An answer that has begun is continued: the caller sent the request while the
         key held.
         """
+        ruleset = self._config.ruleset
         if not admitted.key_digest or state.answer_begun:
             return
+        if not ruleset.requires_keys:
+            return
         self._check_freshness()
-        keys = self._config.ruleset.keys
-        if keys.get(admitted.key_digest) != admitted.account:
+        if ruleset.keys.get(admitted.key_digest) != admitted.account:
             raise RefusedError(401, "the key was withdrawn", by=EndedBy.KEY)
 
 
