--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -46,12 +46,23 @@
     return answer.request_id == request_id and status != _MISDIRECTED
 
 
-def head_failure(admitted, state, answer, response):
-    """Return the failure that the head of an answer shows, or None."""
+def head_failure(admitted, state, answer, response, is_first_call):
+    """Return the failure that the head of an answer shows, or None.
+
+    Parameters
+    ----------
+    admitted : Admitted
+    state : RequestState
+    answer : AnswerHead
+    response : Response
+    is_first_call : bool
+        Whether the connection has certainly carried no request before.
+    """
     is_ours = answer.request_id == admitted.call.request_id
-    # A refusal without an id may come from a target that didn't read the request. One
-    # with another id is a late copy and says nothing about this request.
-    if answer.not_run and (is_ours or not answer.request_id):
+    # A refusal without an id may come from a target that didn't read the request. On a
+    # connection that was used before, it may as well be a late copy of an answer to an
+    # earlier call, as one with another id is, and says nothing about this request.
+    if answer.not_run and (is_ours or (not answer.request_id and is_first_call)):
         adapter_missing = response.status == _MISDIRECTED
         reason = f"not run, status {response.status}"
         return AttemptFailure("answer", reason, True, adapter_missing, is_whole=True)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -69,11 +69,10 @@
         if not admitted.route.idempotent:
             idle_s = policy.unsafe_idle_s
         suspects = self._crash_guard.suspects(admitted, state, is_second)
-        paths = self._parts.paths
+        paths, request_id = self._parts.paths, admitted.call.request_id
         if placement.is_reserved:
-            request_id = admitted.call.request_id
             return paths.acquire(placement, idle_s, request_id, suspects, limit_s)
-        return paths.acquire_again(target, idle_s)
+        return paths.acquire_again(target, idle_s, request_id)
 
     def send(self, admitted, state, placement, connection, copy=None, limit_s=inf):
         """Send a request on the way to its target.
@@ -150,8 +149,11 @@
         self._parts.statements.record(
             origin, answer, response.status, admitted.call.request_id
         )
-        failure = head_failure(admitted, state, answer, response)
+        failure = head_failure(
+            admitted, state, answer, response, connection.is_first_call
+        )
         if failure is not None:
+            connection.record_failed(admitted.call.request_id)
             scheduler = self._parts.request_scheduler
             scheduler.calls.record_failure(
                 placement, admitted, sent_at, failure.not_run, response.status
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/own_path.py
@@ -32,6 +32,11 @@
         """Whether the attempt was cancelled."""
         return self._connection.cancelled
 
+    @property
+    def is_first_call(self):
+        """Whether its connection has carried no request before."""
+        return self._connection.is_first_call
+
     def fileno(self):
         """Return the file descriptor of the connection."""
         return self._connection.fileno()
@@ -71,6 +76,10 @@
         """Return the rest of the body."""
         return self._connection.read_whole(response, timeout_s, max_bytes)
 
+    def record_failed(self, request_id):
+        """Record that a request failed here and may be sent to this target again."""
+        self._connection.record_failed(request_id)
+
     def release(self, headers):
         """End the attempt after its answer was read to the end."""
         self._connections.release(self._target.target_id, self._connection, headers)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -244,7 +244,9 @@
         body = inbound.read_body(self._server_limits.body_bytes)
         target = self._sendable_target(call)
         try:
-            path = self._paths.acquire_own(target, _IDLE_S, call.permitted)
+            path = self._paths.acquire_own(
+                target, _IDLE_S, call.request_id, call.permitted
+            )
         except CallFailedError as error:
             reason = UNREACHABLE if error.step == "connect" else error.reason
             raise _NotSentError(reason) from error
@@ -276,6 +278,8 @@
         finally:
             watch.remove(handle)
         if answer.request_id == call.request_id:
+            if not 200 <= response.status < 300:
+                path.record_failed(call.request_id)
             state.release_connection(response.headers)
         else:
             state.close_connection()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -53,6 +53,8 @@
     """
 
     is_own = False
+    # Only the proxy knows the connection to the target.
+    is_first_call = False
 
     def __init__(
         self, connections, watch, target, request_id, suspects, permitted=False
@@ -157,6 +159,9 @@
         """Return the rest of the body."""
         return self._hop.read_whole(response, timeout_s, max_bytes)
 
+    def record_failed(self, request_id):
+        """Do nothing: the proxy has recorded it for its connection to the target."""
+
     def release(self, headers):
         """End the attempt after its answer was read to the end."""
         # Only the proxy knows what the target says about its connection.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/target_paths.py
@@ -13,10 +13,12 @@
 class TargetPath(Protocol):
     """Way to one target, for one attempt.
 
-    ``is_own`` is whether it leads over this node's own links.
+    ``is_own`` is whether it leads over this node's own links, ``is_first_call`` whether
+    its connection to the target has certainly carried no request before.
     """
 
     is_own: bool
+    is_first_call: bool
 
     def send(self, method, uri, headers, body, timeout_s, limit_s=inf):
         """Send the request, which may take ``limit_s`` at most."""
@@ -36,6 +38,9 @@
     def read_whole(self, response, timeout_s, max_bytes) -> bytes:
         """Return the rest of the body."""
 
+    def record_failed(self, request_id):
+        """Record that a request failed here and may be sent to this target again."""
+
     def release(self, headers):
         """End the attempt after its answer was read to the end."""
 
@@ -108,9 +113,13 @@
             )
             path.connect()
             return path
-        return self.acquire_own(target, max_idle_s, permitted, connect_timeout_s)
+        return self.acquire_own(
+            target, max_idle_s, request_id, permitted, connect_timeout_s
+        )
 
-    def acquire_own(self, target, max_idle_s, permitted=False, connect_timeout_s=inf):
+    def acquire_own(
+        self, target, max_idle_s, request_id, permitted=False, connect_timeout_s=inf
+    ):
         """Return the way over this node's own links.
 
         ``permitted`` is whether the request has a permit for a cold target.
@@ -121,7 +130,11 @@
         """
         try:
             connection = self._connections.acquire(
-                target.target_id, target.address, max_idle_s, connect_timeout_s
+                target.target_id,
+                target.address,
+                max_idle_s,
+                connect_timeout_s,
+                request_id,
             )
         except CallFailedError:
             self._watch.record_failure(target.service)
@@ -136,7 +149,7 @@
             raise _evacuated_error(target)
         return OwnPath(self._connections, self._watch, target, connection)
 
-    def acquire_again(self, target, max_idle_s):
+    def acquire_again(self, target, max_idle_s, request_id):
         """Return the way for a run that goes back to a target that leaves.
 
         Raises
@@ -146,7 +159,7 @@
         if self.is_evacuated(target):
             raise _evacuated_error(target)
         connection = self._connections.acquire(
-            target.target_id, target.address, max_idle_s
+            target.target_id, target.address, max_idle_s, request_id=request_id
         )
         return OwnPath(self._connections, self._watch, target, connection)
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -35,6 +35,8 @@
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _MAX_IDLE = 64
+# Failed requests whose ids a connection keeps; it isn't reused beyond.
+_MAX_FAILED = 64
 _READ_BYTES = 65_536
 # Time in which a host answers whether a port is open.
 _CHECK_TIMEOUT_S = 0.3
@@ -84,6 +86,9 @@
         self.address = address
         self.idle_since = 0.0
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
+        # Whether no request was sent before the current one.
+        self.is_first_call = True
+        self._failed_ids = set()
         self._cancelled = False
         # Whether a call was sent and no whole answer was read since.
         self._is_calling = False
@@ -99,7 +104,10 @@
         """
         reader = self._http.reader
         return (
-            self._http.sock is not None and reader.closed and not reader.has_extra_bytes
+            self._http.sock is not None
+            and reader.closed
+            and not reader.has_extra_bytes
+            and len(self._failed_ids) <= _MAX_FAILED
         )
 
     @property
@@ -215,6 +223,18 @@
                 raise CallFailedError("read", self.address, reason)
         return bytes(body)
 
+    def record_failed(self, request_id):
+        """Record that a request failed here and may be sent to this target again.
+
+        A late copy of this answer could be taken for that to the next sending, as both
+        have the same id, so that one must use another connection.
+        """
+        self._failed_ids.add(request_id)
+
+    def may_carry(self, request_id):
+        """Return whether no earlier sending of a request has failed here."""
+        return request_id not in self._failed_ids
+
     def cancel(self):
         """Abort the call from another thread; its reads and writes fail at once."""
         self._cancelled = True
@@ -236,6 +256,7 @@
     def end_call(self):
         """Record that the answer was read to its end."""
         self._is_calling = False
+        self.is_first_call = False
 
     def is_stale(self, now):
         """Return whether an idle connection must not be reused.
@@ -273,7 +294,9 @@
         self._idle = {}
         self.opened = 0
 
-    def acquire(self, target_id, address, max_idle_s, connect_timeout_s=inf):
+    def acquire(
+        self, target_id, address, max_idle_s, connect_timeout_s=inf, request_id=""
+    ):
         """Return an idle connection of the pool or a new one.
 
         Parameters
@@ -283,6 +306,8 @@
             Longest time in seconds that a pooled connection may have been idle.
         connect_timeout_s : float, optional
             Longest time in seconds to connect, if it is below that of the pool.
+        request_id : str, optional
+            Request to be sent, for which connections are left out on which it failed.
 
         Raises
         ------
@@ -290,7 +315,7 @@
             If a new connection can't be opened.
         """
         now = self._clock()
-        while (connection := self._pop(target_id, address)) is not None:
+        while (connection := self._pop(target_id, address, request_id)) is not None:
             if now <= connection.idle_since + max_idle_s and not connection.is_stale(
                 now
             ):
@@ -355,10 +380,13 @@
         for connection in closing:
             connection.close()
 
-    def _pop(self, target_id, address):
+    def _pop(self, target_id, address, request_id):
         with self._lock:
-            idle = self._idle.get((target_id, address))
-            return idle.pop() if idle else None
+            idle = self._idle.get((target_id, address), [])
+            for index in reversed(range(len(idle))):
+                if idle[index].may_carry(request_id):
+                    return idle.pop(index)
+        return None
 
 
 def keep_alive_s(headers):
