--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections import deque
 from math import inf
 from typing import NamedTuple
 
@@ -132,12 +133,20 @@
             raise BadRequestError(400, "both a length and a transfer encoding")
         try:
             body = request.rfile.read()
+            if request.chunked_read:
+                # What is left unread would count as the begin of the next request.
+                deque(request.rfile.read_trailer_lines(), maxlen=0)
         except TimeoutError as error:
             raise BadRequestError(408, "the rest of the body is late") from error
         except MaxSizeExceeded as error:
             raise BadRequestError(413, "the body is too long") from error
         except ValueError as error:
             raise BadRequestError(400, "the chunks are malformed") from error
+        except OSError as error:
+            # An error of the socket has a number, that of a long chunk has none.
+            if error.errno is not None:
+                raise
+            raise BadRequestError(413, "the body is too long") from error
         if len(body) > max_bytes:
             raise BadRequestError(413, "the body is too long")
         length = names.get(b"Content-Length")
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -6,7 +6,7 @@
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
-from hibiscusspar_wire.front_server import FrontServer
+from hibiscusspar_wire.front_server import BadRequestError, FrontServer
 
 _REQUEST = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
 _TIMEOUT_S = 5.0
@@ -27,8 +27,8 @@
     return received
 
 
-class TestIdleConnections(unittest.TestCase):
-    """Guards against connections that are closed while callers may use them."""
+class ServerTestCase(unittest.TestCase):
+    """Server that answers each request after reading its body."""
 
     def setUp(self):
         self.server = FrontServer("127.0.0.1:0", self._handle, 16, 64)
@@ -37,7 +37,12 @@
         self.addCleanup(self.server.stop)
 
     def _handle(self, inbound):
-        inbound.read_body(4096)
+        try:
+            inbound.read_body(4096)
+        except BadRequestError as error:
+            inbound.close_after_answer()
+            inbound.answer(error.status, [], b"")
+            return
         inbound.answer(200, [], b"end\n")
 
     def connect(self):
@@ -53,6 +58,38 @@
         except OSError:
             return False
 
+
+class TestChunkedBodies(ServerTestCase):
+    """Guards against kept connections that wait for the rest of a request in vain.
+
+    They hold a thread, count as open requests, and end with an answer that no request
+    has asked for.
+    """
+
+    def send(self, caller, trailer=b""):
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        caller.sendall(head + b"2\r\n{}\r\n0\r\n" + trailer + b"\r\n")
+        return receive(caller)
+
+    def test_connection_is_idle_after_the_answer(self):
+        self.server._server.transfer_timeout_s = 0.3
+        for trailer in (b"", b"X-Sum: 1\r\n"):
+            caller = self.connect()
+            self.assertTrue(self.send(caller, trailer).startswith(b"HTTP/1.1 200"))
+            wait_for_unanswered(self, self.server, 0)
+            sleep(0.6)
+            self.assertTrue(self.send(caller, trailer).startswith(b"HTTP/1.1 200"))
+
+    def test_long_chunk_is_refused_as_too_long(self):
+        caller = self.connect()
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        caller.sendall(head + b"2000\r\n")
+        self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 413"))
+
+
+class TestIdleConnections(ServerTestCase):
+    """Guards against connections that are closed while callers may use them."""
+
     def test_lower_limit_closes_no_connection_that_callers_may_use(self):
         callers = [self.connect() for _ in range(60)]
         self.assertTrue(all(self.is_answered(caller) for caller in callers))
