--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
@@ -16,6 +16,8 @@
 # Size of the buffer: some seconds of the heaviest traffic.
 _MAX_LINES = 4000
 _FLUSH_S = 0.2
+# Longest wait in seconds for an output that accepts no more lines, at the end.
+_CLOSE_S = 1.0
 # Fields that eliot adds for nested actions, which these logs don't use.
 _UNUSED_FIELDS = ("task_uuid", "task_level")
 
@@ -28,12 +30,13 @@
     common : dict
         Fields that each line carries.
     output : file, optional
-        Binary file; standard output if not given.
+        Binary file; standard output if not given. Lines are dropped if the process was
+        started without one.
     """
 
     def __init__(self, common, output=None):
         self._common = common
-        self._output = output or sys.stdout.buffer
+        self._output = output or (sys.stdout and sys.stdout.buffer)
         self._lines = deque()
         self._dropped = 0
         self._wake = threading.Event()
@@ -46,22 +49,35 @@
 
     def add(self, message):
         """Buffer one line, or count it as dropped if the buffer is full."""
+        if self._output is None:
+            return
         if len(self._lines) >= _MAX_LINES:
             self._dropped += 1
             return
         line = {k: v for k, v in message.items() if k not in _UNUSED_FIELDS}
         self._lines.append({**self._common, **line})
 
+    def close(self):
+        """Write the buffered lines, unless the output blocks, and end the thread."""
+        self._wake.set()
+        if self._thread.is_alive():
+            self._thread.join(_CLOSE_S)
+
     def flush(self):
-        """Write the buffered lines."""
+        """Write the buffered lines; those that can't be written count as dropped."""
         lines = []
         # Two threads call this, so the buffer may become empty at any moment.
         with suppress(IndexError):
             while True:
                 lines.append(to_json(self._lines.popleft(), enc_hook=str))
-        if lines:
+        if not lines:
+            return
+        try:
             self._output.write(b"\n".join(lines) + b"\n")
             self._output.flush()
+        except (OSError, ValueError):
+            # Nobody reads the output, or it is full or closed.
+            self._dropped += len(lines)
 
     def _run(self):
         while not self._wake.wait(_FLUSH_S):
@@ -69,3 +85,4 @@
             if self._dropped:
                 count, self._dropped = self._dropped, 0
                 write_records([(LINES_DROPPED, {"count": count})])
+        self.flush()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -283,7 +283,7 @@
         seconds = round(parts.clock() - started_at, 3)
         fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
-        parts.log_sink.flush()
+        parts.log_sink.close()
 
     @property
     def _open_requests(self):
