Move streams only to the same weights of their model (STALE)

Streams of targets that leave went on, from the state of their run, at targets with newer weights of the model, so that an answer's second part was made by new weights from the memory of the old ones.

Cause: only the version of the adapter was compared, since a placement has one version. The state of a run also depends on the version of the model.

Two new tests fail without the change.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
@@ -42,8 +42,10 @@
         claim : callable
             Takes a placement unless its target is full; returns whether it did.
         """
+        source, model = run.placement.target, run.admitted.call.model
         for _ in range(_MAX_CHOICES):
             excluded = self._excluded(run) | full_targets()
+            excluded |= self._scheduler.targets_with_other_weights(source, model)
             ticket = self._take(run)
             if ticket is None:
                 ticket = self._scheduler.submit(move_job(run, self._clock(), excluded))
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -132,6 +132,28 @@
             self._refuse_dropped(now)
             self._retry_waiting(now)
 
+    def targets_with_other_weights(self, source, model):
+        """Return the targets of a service with other weights of a model than one has.
+
+        Parameters
+        ----------
+        source : Target
+        model : str
+
+        Returns
+        -------
+        set of str
+            Ids of targets.
+        """
+        version = source.models.get(model)
+        with self.lock:
+            return {
+                target.target_id
+                for target in self._targets.values()
+                if target.service == source.service
+                and target.models.get(model) != version
+            }
+
     def software_versions(self, service):
         """Return the software versions that may have begun a stream of a service.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -74,10 +74,17 @@
         )
 
     def suits(self, placement):
-        """Return whether a destination can continue the run."""
+        """Return whether a destination can continue the run.
+
+        The state of a run belongs to the weights of the adapter and of the model that
+        made it; ``version`` is that of the adapter if the request names one.
+        """
+        model = self.admitted.call.model
+        source, destination = self.placement.target, placement.target
         return (
             placement.version == self.placement.version
-            and placement.target.software == self._software
+            and destination.models.get(model) == source.models.get(model)
+            and destination.software == self._software
         )
 
     def row(self, usual_events):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
@@ -86,6 +86,13 @@
         # Fails if a placement is released twice.
         self.reserved.remove(id(placement))
 
+    def targets_with_other_weights(self, source, model):
+        return {
+            name
+            for name, target in self.targets.items()
+            if target.models.get(model) != source.models.get(model)
+        }
+
     def is_current(self, target):
         return True
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
@@ -46,6 +46,18 @@
             suits=lambda placement: True,
         )
 
+    def test_targets_with_other_weights_are_left_out(self):
+        """Guards against a choice that ends before it reaches a suitable target."""
+        others = [
+            target(f"t{i}", ["a1"])._replace(software="v1", models={"m": 2})
+            for i in range(1, 10)
+        ]
+        source = self.run_.placement.target
+        self.targets(source, *others, target("t10", ["a1"])._replace(software="v1"))
+        rows = {f"t{i}": (1, [("m/a1", 1, 0.0)]) for i in range(1, 11)}
+        self.scheduler.apply_view(view(rows, number=2))
+        self.assertEqual(self.reserve().target.target_id, "t10")
+
     def reserve(self):
         return self.destinations.reserve(self.run_, set, lambda placement: True)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -103,6 +103,21 @@
         stream.close()
         self.finish(stream)
 
+    def test_run_is_not_continued_with_other_weights_of_its_model(self):
+        """Guards against new weights that go on from the state of the old ones."""
+        for adapter in ("", "a1"):
+            self.bench = MoveBench(adapter=adapter)
+            self.engines = self.bench.engines
+            stream = self.bench.stream()
+            for name in ("t1", "t2"):
+                row = self.bench.scheduler.targets[name]
+                self.bench.scheduler.targets[name] = row._replace(models={"m": 2})
+            self.bench.drain("t0")
+            self.bench.step()
+            self.assertEqual(self.engines.calls, [("t0", "t3")])
+            stream.close()
+            self.finish(stream)
+
     def test_four_moves_and_two_of_a_pair_go_on_at_a_time(self):
         streams = [self.bench.stream(f"r{i}") for i in range(6)]
         self.bench.drain("t0")
