--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
@@ -4,6 +4,7 @@
 
 from hibiscusspar.errors import StepError
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import (
     STORE_LOST,
     STORE_REGAINED,
@@ -138,7 +139,11 @@
                 self._wake.wait(min(held_s, _RELAYED_POLL_S))
                 self._wake.clear()
                 continue
-            pause_s = self.poll_once()
+            try:
+                pause_s = self.poll_once()
+            except Exception as error:  # noqa: BLE001
+                log_failure(f"watch {self._kind}", error)
+                self._revision, pause_s = None, self._wait_s
             pause.wait(min(pause_s, self._gap_s))
             # A longer pause ends when this node becomes the one that reads for all.
             if pause_s > self._gap_s:
