--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/start_replay.py
@@ -60,6 +60,8 @@
 class Store:
     """Objects with conditional writes; counts the calls by kind."""
 
+    era = 1
+
     def __init__(self):
         self.calls = Counter()
         self.rows = {}
