Know the versions of software that left before all processes started (ORDER)

Cause: origins of streams and the versions that the directory has shown lately are kept in the memory of the nodes only. A process that has just started knows the version that is there now, takes it for the only one, and lets it go on with a stream of another.

Class: what isn't known yet is taken for what doesn't exist.

Change: the coordinator keeps the versions by service that the directory has shown in the last 40 s in one object of the store (SoftwareStore), written when they change. Each process reads it once at its start. Until then, and for 40 s if the store doesn't answer, a stream of unknown origin is refused with a retry delay; so it is while several versions are known.

Why it works: a version that may have begun a stream is in the directory or in the object, as it is written when it appears and removed 40 s after it has left, longer than callers wait for a stream. With one version in both, streams of unknown origin go on as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -33,6 +33,7 @@
     "REQUEST_QUARANTINED",
     "ROWS_CHANGED",
     "SETTINGS_READ",
+    "SOFTWARE_READ",
     "STORE_LOST",
     "STORE_REGAINED",
     "STORE_REPLACED",
@@ -385,6 +386,13 @@
     ("kind", "reason"),
     "The store has returned from an older copy; objects of the kind are read again.",
 )
+SOFTWARE_READ = declare(
+    663,
+    "node.software_read",
+    ("versions",),
+    "The software versions by service that the processes before have known lately. A "
+    "stream of unknown origin is refused until then, and while there are several.",
+)
 FIRST_VIEW = declare(
     671,
     "node.first_view",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -79,6 +79,7 @@
     # The keeper of the coordinator's lease comes first.
     lease_keepers: tuple
     quarantine_store: Any
+    software_store: Any
     store_backoff: Any
     order_dispatcher: Any
     log_sink: Any
@@ -131,8 +132,17 @@
         self._quarantine_task = PeriodicTask(
             "quarantine store", quarantine_store.step, quarantine_store.pause_s
         )
+        software_store = parts.software_store
+        software_task = PeriodicTask(
+            "software store", software_store.step, software_store.pause_s
+        )
         tick_task = PeriodicTask("tick", self._tick, self._tick_s)
-        self._tasks = (self._lease_task, self._quarantine_task, tick_task)
+        self._tasks = (
+            self._lease_task,
+            self._quarantine_task,
+            software_task,
+            tick_task,
+        )
         self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
         parts.request_scheduler.on_sent = self._notice_sender.add
         parts.speeds.slow_periods.on_changed = self._notice_sender.add_slow
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -10,7 +10,6 @@
 from hibiscusspar.fleet.prompt_queue import PromptQueues
 from hibiscusspar.fleet.reported_queues import reported_backlogs
 from hibiscusspar.fleet.routing import ChoicePolicy
-from hibiscusspar.fleet.software_history import SoftwareHistory
 from hibiscusspar.fleet.usable_targets import UsableTargets
 from hibiscusspar.fleet.waiting import Send, Wait, wait_for_open_target
 from hibiscusspar.fleet.wants import group_wants
@@ -22,6 +21,7 @@
 from hibiscusspar_entry.fleet.candidates import EVERY_TARGET, make_candidates
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
 from hibiscusspar_entry.fleet.sent_reports import SentReports
+from hibiscusspar_entry.fleet.software_versions import SoftwareVersions
 
 __all__ = ["RequestScheduler"]
 
@@ -78,7 +78,7 @@
         self._gate = gate
         self._admission = admission or AdmissionGate()
         self.calls = CallTimesExchange(clock)
-        self._software_history = SoftwareHistory()
+        self.software = SoftwareVersions(clock)
         self._rng = random.Random(f"{node}/{start}")
         self._next_decision_at = 0.0
         self.direct_peers = 0
@@ -121,7 +121,7 @@
         """Replace the directory of targets and retry the waiting requests."""
         with self.lock:
             now = self._clock()
-            self._software_history.record(now, self._targets)
+            self.software.set_targets(targets)
             self._targets = targets
             self._usable.set_targets(targets)
             self.calls.set_targets(targets)
@@ -154,15 +154,6 @@
                 and target.models.get(model) != version
             }
 
-    def software_versions(self, service):
-        """Return the software versions that may have begun a stream of a service.
-
-        These are the versions of its targets now and some time ago.
-        """
-        with self.lock:
-            self._software_history.record(self._clock(), self._targets)
-            return self._software_history.versions(service)
-
     def serves(self, origin, excluded=frozenset()):
         """Return whether a target remains that may continue a stream.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_continuation.py
@@ -39,8 +39,8 @@
         if origin is not None and origin.service != admitted.service:
             raise RefusedError(503, "the stream began at another service")
         if origin is None:
-            versions = self._request_scheduler.software_versions(admitted.service)
-            if len(versions) > 1:
+            versions = self._request_scheduler.software.versions(admitted.service)
+            if versions is None or len(versions) > 1:
                 raise RefusedError(503, "unknown origin of the stream", self._retry_s)
         state.origin = origin
         self.check_origin(state)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
@@ -7,6 +7,7 @@
 from hibiscusspar.fleet.waiting import Refuse
 from hibiscusspar_entry.fleet.refusal import RefusedError
 from hibiscusspar_entry.fleet.request_state import RequestState
+from hibiscusspar_entry.fleet.software_versions import SoftwareVersions
 from hibiscusspar_entry.fleet.stream_continuation import StreamContinuation
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
     SchedulerTestCase,
@@ -70,6 +71,17 @@
         self.clock.now += 100.0
         self.assertIsNone(self.resume("r9").origin)
 
+    def test_unknown_origin_is_refused_while_earlier_versions_may_be_unknown(self):
+        """Guards against a started process that knows the versions of now only."""
+        software = SoftwareVersions(self.clock, self.clock())
+        self.scheduler.software = software
+        self.targets(self.v1)
+        self.assertEqual(self.refusal("r9").retry_after_s, 0.3)
+        software.restore({"draft": ["v1"]})
+        self.assertIsNone(self.resume("r9").origin)
+        software.restore({"draft": ["v0"]})
+        self.assertEqual(self.refusal("r9").retry_after_s, 0.3)
+
     def test_version_that_left_lately_may_have_begun_the_stream(self):
         self.targets(self.v1)
         self.clock.now += 5.0
