--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -88,6 +88,8 @@
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         # Whether no request was sent before the current one.
         self.is_first_call = True
+        # Whether it has carried a call whose answer names no request.
+        self.has_unnamed_call = False
         self._failed_ids = set()
         self._cancelled = False
         # Whether a call was sent and no whole answer was read since.
@@ -314,8 +316,42 @@
         CallFailedError
             If a new connection can't be opened.
         """
+
+        def may_carry(connection):
+            return connection.may_carry(request_id)
+
+        return self._acquire(
+            target_id, address, max_idle_s, connect_timeout_s, may_carry
+        )
+
+    def acquire_unnamed(self, target_id, address, max_idle_s):
+        """Return a connection for a call whose answer names no request.
+
+        Nothing tells that answer from a late copy of the answer to another such call,
+        so a connection carries one of them at most.
+
+        Parameters
+        ----------
+        target_id, address : str
+        max_idle_s : float
+            Longest time in seconds that a pooled connection may have been idle.
+
+        Raises
+        ------
+        CallFailedError
+            If a new connection can't be opened.
+        """
+
+        def may_carry(connection):
+            return not connection.has_unnamed_call
+
+        connection = self._acquire(target_id, address, max_idle_s, inf, may_carry)
+        connection.has_unnamed_call = True
+        return connection
+
+    def _acquire(self, target_id, address, max_idle_s, connect_timeout_s, may_carry):
         now = self._clock()
-        while (connection := self._pop(target_id, address, request_id)) is not None:
+        while (connection := self._pop(target_id, address, may_carry)) is not None:
             if now <= connection.idle_since + max_idle_s and not connection.is_stale(
                 now
             ):
@@ -380,11 +416,11 @@
         for connection in closing:
             connection.close()
 
-    def _pop(self, target_id, address, request_id):
+    def _pop(self, target_id, address, may_carry):
         with self._lock:
             idle = self._idle.get((target_id, address), [])
             for index in reversed(range(len(idle))):
-                if idle[index].may_carry(request_id):
+                if may_carry(idle[index]):
                     return idle.pop(index)
         return None
 
