--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -5,7 +5,11 @@
 
 from hibiscusspar.fleet.retries import RetryDecision, retry_decision
 from hibiscusspar.fleet.waiting import Refuse
-from hibiscusspar_entry.fleet.answer_checks import is_event_stream, stream_end_failure
+from hibiscusspar_entry.fleet.answer_checks import (
+    ends_with_connection,
+    is_event_stream,
+    stream_end_failure,
+)
 from hibiscusspar_entry.fleet.attempts import Attempts
 from hibiscusspar_entry.fleet.call_admission import Admission
 from hibiscusspar_entry.fleet.call_log import CallLog
@@ -32,6 +36,8 @@
 # Size up to which a plain answer is read whole before it is passed on. A node holds one
 # such buffer for each of some hundred open requests.
 _WHOLE_ANSWER_BYTES = 262_144
+# Longest head of another answer that is looked for where two parts of a body meet.
+_HEAD_BYTES = 4096
 
 
 class Forwarder:
@@ -321,15 +327,18 @@
 
     def _relay_whole(self, inbound, admitted, state, connection, response, headers):
         """Pass on a plain answer, as a whole unless it is long."""
-        body = bytearray()
+        body, passed_on = bytearray(), b""
         while data := connection.read(response, admitted.ends_at - self._clock()):
             body += data
             if len(body) > _WHOLE_ANSWER_BYTES:
+                self._check_body(connection, response, passed_on + body)
                 if not state.answer_begun:
                     state.answer_begun = True
                     inbound.send_head(response.status, headers)
                 inbound.write(bytes(body))
+                passed_on = bytes(body[-_HEAD_BYTES:])
                 body.clear()
+        self._check_body(connection, response, passed_on + body)
         state.release_connection(response.headers)
         if state.answer_begun:
             inbound.write(bytes(body))
@@ -337,6 +346,15 @@
             inbound.answer(response.status, headers, bytes(body))
         self._log.answered(admitted, state, response.status)
 
+    def _check_body(self, connection, response, body):
+        """Check that no late copy of another answer stands in a body.
+
+        Behind a body whose length isn't known, a copy looks like a part of it.
+        """
+        if ends_with_connection(response) and self._parts.dialect.holds_answer(body):
+            reason = "another answer in the body"
+            raise CallFailedError("read", connection.address, reason)
+
     def _relay_stream(
         self,
         inbound,
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -94,3 +94,6 @@
 
     def answer_headers(self, headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that are passed on to the caller."""
+
+    def holds_answer(self, body) -> bool:
+        """Return whether the head of another answer stands in a body."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
@@ -4,6 +4,8 @@
 
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
+# Begin of the head of an answer. No field has such a name.
+_ANSWER = b"HTTP/1."
 # Longest event; those of engines have some hundred bytes.
 _MAX_EVENT_BYTES = 262_144
 
@@ -45,7 +47,8 @@
         Raises
         ------
         ValueError
-            If an event is missing, repeated or too long.
+            If an event is missing, repeated or too long, or an answer begins in its
+            place, as a late copy does in a stream without a length.
         """
         if self._is_one_event(data):
             self._count_event(data)
@@ -67,6 +70,8 @@
         )
 
     def _count_event(self, event):
+        if event.startswith(_ANSWER):
+            raise ValueError("another answer in the stream")
         number = _event_number(event)
         if number is None:
             return
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_event_stream.py
@@ -41,6 +41,16 @@
             with self.assertRaises(ValueError):
                 splitter.feed(_event(number, []))
 
+    def test_late_copy_of_another_answer_is_no_event(self):
+        """Guards against a copy whose first event has the number that is due."""
+        for fields in (b"", b"id: 2\n"):
+            copy = b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + fields + b"data: x\n\n"
+            for parts in ([copy], [copy[:9], copy[9:]]):
+                splitter = EventSplitter(0)
+                splitter.feed(_event(1, []))
+                with self.assertRaises(ValueError):
+                    list(map(splitter.feed, parts))
+
     def test_event_without_a_valid_number_is_passed_on(self):
         """Guards against text that only contains the name of the field."""
         splitter = EventSplitter(4)
