--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
@@ -7,7 +7,10 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
-__all__ = ["DelayedCalls", "log_failure"]
+__all__ = ["DelayedCalls", "log_failure", "log_server_error"]
+
+# Longest logged part of an error's text; the last lines of a traceback tell most.
+_MAX_ERROR_CHARS = 1000
 
 
 def log_failure(task, error):
@@ -22,6 +25,17 @@
     write_records([(BACKGROUND_FAILED, {"task": task, "reason": reason})])
 
 
+def log_server_error(text):
+    """Log an error of a connection to a server of this node.
+
+    Parameters
+    ----------
+    text : str
+    """
+    reason = text[-_MAX_ERROR_CHARS:]
+    write_records([(BACKGROUND_FAILED, {"task": "server", "reason": reason})])
+
+
 class DelayedCalls:
     """Calls of functions after a delay, by a few threads.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/peer_proxy.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from hibiscusspar_entry.event_log import write_records
-from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.background import log_failure, log_server_error
 from hibiscusspar_entry.fleet.events import CALL_SENT_FOR_PEER
 from hibiscusspar_entry.fleet.proxy_messages import (
     ANSWER_HEADER,
@@ -231,7 +231,9 @@
     def _start(self):
         with self._lock:
             if self._server is None:
-                server = FrontServer(self._address, self.handle, _THREADS)
+                server = FrontServer(
+                    self._address, self.handle, _THREADS, on_error=log_server_error
+                )
                 server.set_limits(*self._server_limits)
                 server.start()
                 self._server = server
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -7,6 +7,7 @@
 import threading
 from collections import deque
 from math import inf
+from traceback import format_exc
 from typing import NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
@@ -228,6 +229,10 @@
         :attr:`InboundRequest.is_excess`. Without any, further requests wait unread.
     idle_notice_s : float, optional
         Time in seconds in which callers learn of another limit of the idle time.
+    on_error : callable, optional
+        Called with a text about each error of a connection, in the thread that served
+        it, so it must neither block nor fail. By default errors are written to standard
+        error.
     """
 
     def __init__(
@@ -238,6 +243,7 @@
         max_threads=320,
         reserve_threads=0,
         idle_notice_s=_IDLE_NOTICE_S,
+        on_error=None,
     ):
         threading.stack_size(_STACK_BYTES)
         host, _, port = address.rpartition(":")
@@ -248,6 +254,7 @@
             peercreds_enabled=False,
         )
         self._server.idle_notice_s = idle_notice_s
+        self._server.on_error = on_error
         self._server.requests = RequestThreads(
             self._server, threads, max_threads + reserve_threads
         )
@@ -308,6 +315,7 @@
     _idle_limit_s = _IDLE_LIMIT_S
     _connections = None
     idle_notice_s = _IDLE_NOTICE_S
+    on_error = None
 
     @property
     def idle_limit_s(self):
@@ -326,6 +334,13 @@
         """Number of connections that were closed as idle."""
         return 0 if self._connections is None else self._connections.closed_count
 
+    def error_log(self, msg="", level=20, traceback=False):
+        """Report an error; called by cheroot, which writes it to standard error."""
+        if self.on_error is None:
+            super().error_log(msg, level, traceback)
+            return
+        self.on_error(f"{msg}\n{format_exc()}" if traceback else str(msg))
+
     def prepare(self):
         """Bind the port and start the threads."""
         super().prepare()
