--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers that wait for a request."""
 
 import select
+import selectors
 import threading
 from time import monotonic
 
@@ -10,6 +11,9 @@
 
 __all__ = ["IdleConnections"]
 
+# Pause in seconds after a connection that could not be accepted.
+_ACCEPT_PAUSE_S = 0.05
+
 
 class IdleConnections(ConnectionManager):
     """Manager of the idle connections of a server.
@@ -32,6 +36,8 @@
         self._lock = threading.Lock()
         self._limits = LimitHistory(idle_limit_s, notice_s)
         self.closed_count = 0
+        # Time at which connections are accepted again, None while they are.
+        self._accepts_at = None
 
     @property
     def idle_limit_s(self):
@@ -51,8 +57,12 @@
     def _run(self, expiration_interval):
         expires_at = monotonic() + expiration_interval
         while not self._stop_requested:
+            timeout_s = expiration_interval
+            if self._accepts_at is not None:
+                timeout_s = min(timeout_s, _ACCEPT_PAUSE_S)
+                self._resume_accepting()
             try:
-                ready = self._selector.select(timeout=expiration_interval)
+                ready = self._selector.select(timeout=timeout_s)
             except OSError:
                 self._remove_invalid_sockets()
                 continue
@@ -68,11 +78,25 @@
 
     def _accept(self):
         """Accept a connection, which gets a thread once a request arrives."""
-        conn = self._from_server_socket(self.server.socket)
+        try:
+            conn = self._from_server_socket(self.server.socket)
+        except OSError as error:
+            # No descriptor or memory is left. The listening socket stays readable, so
+            # it isn't watched for a while; callers wait in its queue.
+            self.server.error_log(f"accept: {error!r}")
+            self._selector.unregister(self.server.socket.fileno())
+            self._accepts_at = monotonic() + _ACCEPT_PAUSE_S
+            return
         if conn is not None:
             conn.socket.settimeout(self.server.transfer_timeout_s)
             self.put(conn)
 
+    def _resume_accepting(self):
+        if monotonic() >= self._accepts_at:
+            self._accepts_at = None
+            listening = self.server.socket.fileno()
+            self._selector.register(listening, selectors.EVENT_READ, self.server)
+
     def _close_idle(self):
         now = monotonic()
         with self._lock:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -1,8 +1,11 @@
 """Tests of the server of the callers' port."""
 
+import os
 import socket
 import threading
 import unittest
+from contextlib import contextmanager, suppress
+from resource import RLIMIT_NOFILE, getrlimit, setrlimit
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
@@ -343,3 +346,61 @@
                 break
             received += data
         return received
+
+
+class TestWithoutDescriptors(ServerTestCase):
+    """Guards against kept connections that aren't served while none is accepted."""
+
+    def setUp(self):
+        super().setUp()
+        self.errors = []
+        self.server._server.on_error = self.errors.append
+
+    @contextmanager
+    def without_descriptors(self):
+        """Leave this process no free descriptor."""
+        held = []
+        limits = getrlimit(RLIMIT_NOFILE)
+        setrlimit(RLIMIT_NOFILE, (min(limits[0], 512), limits[1]))
+        try:
+            with suppress(OSError):
+                while True:
+                    held.append(os.dup(0))
+            yield
+        finally:
+            for descriptor in held:
+                os.close(descriptor)
+            setrlimit(RLIMIT_NOFILE, limits)
+
+    def unconnected(self):
+        """Return the socket of a caller that has not connected yet."""
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.settimeout(_TIMEOUT_S)
+        return caller
+
+    def test_kept_connection_is_served_while_callers_connect(self):
+        kept = self.connect()
+        self.assertTrue(self.is_answered(kept))
+        new = [self.unconnected() for _ in range(3)]
+        with self.without_descriptors():
+            for caller in new:
+                caller.connect(("127.0.0.1", self.server.port))
+            for _ in range(20):
+                self.assertTrue(self.is_answered(kept))
+                sleep(0.02)
+            # One error for each pause, not one for each turn of the loop.
+            self.assertLess(len(self.errors), 40)
+            self.assertGreater(len(self.errors), 0)
+        for caller in new:
+            self.assertTrue(self.is_answered(caller))
+
+    def test_idle_connections_are_closed_while_none_is_accepted(self):
+        self.server.set_limits(4096, 4096, 0.2)
+        idle, new = self.connect(), self.unconnected()
+        self.assertTrue(self.is_answered(idle))
+        with self.without_descriptors():
+            new.connect(("127.0.0.1", self.server.port))
+            self.assertEqual(idle.recv(1), b"")
+            # Its descriptor serves the caller that waits.
+            self.assertTrue(self.is_answered(new))
