--- a/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
@@ -1,13 +1,19 @@
 """Connections of callers, read through the buffers of the interpreter."""
 
+import os
+import struct
+from contextlib import suppress
 from io import BufferedReader
-from socket import SocketIO
+from socket import SO_LINGER, SOL_SOCKET, SocketIO
 
 from cheroot.makefile import StreamWriter
 from cheroot.server import HTTPConnection
 
 __all__ = ["CallerConnection"]
 
+# Reset a connection when it is closed, and drop the bytes that were not sent.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class _ReceivedStream(SocketIO):
     """Received bytes, whose position is the number of them that were read."""
@@ -57,6 +63,8 @@
         super().__init__(server, sock, _make_file)
         # Whether the current request is beyond those that the server may hold.
         self.is_excess = False
+        # Whether the connection is reset when it is closed.
+        self.resets = False
 
     def communicate(self):
         """Read and answer a request; return whether the connection is kept."""
@@ -68,6 +76,17 @@
             if not self.is_excess:
                 slots.release()
 
+    def _close_kernel_socket(self):
+        if not self.resets:
+            super()._close_kernel_socket()
+            return
+        with suppress(OSError):
+            self.socket.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
+        # The files of the connection would keep its descriptor open.
+        descriptor = self.socket.detach()
+        if descriptor >= 0:
+            os.close(descriptor)
+
 
 def _make_file(sock, mode, bufsize):
     if "r" in mode:
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/front_server.py
@@ -85,6 +85,7 @@
     def __init__(self, request):
         self._request = request
         self._bodiless = request.method == b"HEAD"
+        self._has_length = False
 
     @property
     def socket(self):
@@ -173,6 +174,7 @@
         ]
         if length is not None:
             request.outheaders.append((b"Content-Length", str(length).encode()))
+        self._has_length = length is not None
         try:
             request.ensure_headers_sent()
         except OSError as error:
@@ -203,6 +205,11 @@
     def abort(self):
         """Close the connection without completing the answer."""
         request = self._request
+        # Only a reset tells the end of an answer without chunks or a length from that
+        # of a whole one.
+        request.conn.resets = request.sent_headers and not (
+            request.chunked_write or self._has_length
+        )
         request.close_connection = True
         request.chunked_write = False
         request.sent_headers = True
