Wake the copy of the software versions when a node becomes the coordinator

A node that doesn't coordinate looked twice a second whether it has become that. Its task is woken like that of the quarantine instead, so that it costs nothing meanwhile.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -133,14 +133,14 @@
             "quarantine store", quarantine_store.step, quarantine_store.pause_s
         )
         software_store = parts.software_store
-        software_task = PeriodicTask(
+        self._software_task = PeriodicTask(
             "software store", software_store.step, software_store.pause_s
         )
         tick_task = PeriodicTask("tick", self._tick, self._tick_s)
         self._tasks = (
             self._lease_task,
             self._quarantine_task,
-            software_task,
+            self._software_task,
             tick_task,
         )
         self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
@@ -386,7 +386,11 @@
 
     def _switch_role(self, leads):
         self._parts.relayed_state.set_source(leads)
-        for task in (self._quarantine_task, *self._parts.watches):
+        for task in (
+            self._quarantine_task,
+            self._software_task,
+            *self._parts.watches,
+        ):
             task.wake()
         if leads:
             with self._parts.quota_changed:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_store.py
@@ -21,10 +21,10 @@
 _READ_S = 10.0
 # Pause after a call that failed, in seconds.
 _RETRY_S = 0.3
-# Times between steps in seconds: of the coordinator, and of other nodes, which may
-# become that.
-_STEP_S = 0.1
-_IDLE_S = 0.5
+# Times between steps in seconds: of the coordinator, and of other nodes, whose task is
+# woken when they become that.
+_STEP_S = 0.2
+_IDLE_S = 60.0
 
 
 class SoftwareStore:
