--- a/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
@@ -76,6 +76,13 @@
             if not self.is_excess:
                 slots.release()
 
+    def close(self):
+        """Close the connection; an error would stop the whole server."""
+        try:
+            super().close()
+        except Exception:  # noqa: BLE001
+            self.server.error_log("closing a connection", traceback=True)
+
     def _close_kernel_socket(self):
         if not self.resets:
             super()._close_kernel_socket()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -50,9 +50,16 @@
             self._limits.change(monotonic(), limit_s)
 
     def put(self, conn):
-        """Let a connection wait for its next request."""
+        """Let a connection wait for its next request; close it if it can't.
+
+        An error of one connection would stop the whole server.
+        """
         conn.idle_since = monotonic()
-        super().put(conn)
+        try:
+            super().put(conn)
+        except Exception:  # noqa: BLE001
+            self.server.error_log("keeping a connection", traceback=True)
+            conn.close()
 
     def _run(self, expiration_interval):
         expires_at = monotonic() + expiration_interval
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -9,6 +9,9 @@
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
+from cheroot.connections import ConnectionManager
+from cheroot.server import HTTPConnection
+
 from hibiscusspar_wire.front_server import BadRequestError, FrontServer
 
 _REQUEST = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
@@ -404,3 +407,32 @@
             self.assertEqual(idle.recv(1), b"")
             # Its descriptor serves the caller that waits.
             self.assertTrue(self.is_answered(new))
+
+
+class TestErrorsOfOneConnection(ServerTestCase):
+    """Guards against an error of one connection that closes the port for all."""
+
+    def setUp(self):
+        super().setUp()
+        self.errors = []
+        self.server._server.on_error = self.errors.append
+
+    def assert_fails_alone(self, target, name):
+        other = self.connect()
+        self.assertTrue(self.is_answered(other))
+        failing = self.connect()
+        with patch.object(target, name, side_effect=OSError(28, "no space")):
+            # Some requests, as each would end a thread.
+            for caller in (failing, self.connect(), self.connect()):
+                self.is_answered(caller)
+                caller.close()
+            sleep(0.2)
+        self.assertTrue(self.errors)
+        self.assertTrue(self.is_answered(other))
+        self.assertTrue(self.is_answered(self.connect()))
+
+    def test_connection_that_cannot_be_kept(self):
+        self.assert_fails_alone(ConnectionManager, "put")
+
+    def test_connection_that_cannot_be_closed(self):
+        self.assert_fails_alone(HTTPConnection, "close")
