Go on with background work after an error of its pause (FAULT)

What callers saw: nothing traced to it. A thread whose pause can't be determined, or is out of range, ended without a line in the log: the renewal of leases, ticks, moves, copies in the store.

Cause: the pause stood outside of the handling of errors. Class: a thread dies silently.

Change: such an error is logged, and the next step follows after 0.1 s.

Evidence: test_pause_that_fails_does_not_end_the_task fails without the change and passes with it.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/periodic_task.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/periodic_task.py
@@ -1,11 +1,15 @@
 """Steps of background work, each in a thread of its own."""
 
 import threading
+from time import sleep
 
 from hibiscusspar_entry.fleet.background import log_failure
 
 __all__ = ["PeriodicTask"]
 
+# Time in seconds until the next step if its time can't be determined.
+_FAILED_PAUSE_S = 0.1
+
 
 class PeriodicTask:
     """Thread that makes a step again and again; a failed step is logged.
@@ -40,9 +44,16 @@
         self._closed = True
         self._wake.set()
 
+    def _pause(self):
+        try:
+            self._wake.wait(self._pause_s())
+        except Exception as error:  # noqa: BLE001
+            log_failure(self._name, error)
+            sleep(_FAILED_PAUSE_S)
+
     def _run(self):
         while True:
-            self._wake.wait(self._pause_s())
+            self._pause()
             self._wake.clear()
             if self._closed:
                 return
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_periodic_task.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_periodic_task.py
@@ -35,6 +35,15 @@
                 self.assertTrue(self.stepped.acquire(timeout=WAIT_S))
         self.assertEqual(log_failure.call_args.args[0], "work")
 
+    def test_pause_that_fails_does_not_end_the_task(self):
+        """Guards against work that stops silently, as the renewal of a lease would."""
+        self.pause_s = float("inf")
+        with patch(f"{PeriodicTask.__module__}.log_failure") as log_failure:
+            self.task.start()
+            for _ in range(3):
+                self.assertTrue(self.stepped.acquire(timeout=WAIT_S))
+        self.assertEqual(log_failure.call_args.args[0], "work")
+
     def test_closed_task_makes_no_step(self):
         self.task.start()
         self.task.close()
