Count threads that can't be started as what they are (LOST)

What callers saw: requests that arrived while the system started no thread got no answer before others had ended, even after threads could be started again, and a node that stopped could end while it held them. Found by reading; the users' cases aren't traced to it.

Cause: RequestThreads counted a thread as free before it tried to start it. After each failure fewer requests looked open (unanswered) and fewer waiting, so that the pool didn't grow any more. The error also left the loop over all connections, and the tick that calls grow, before the work of the coordinator. Class: a count that precedes what it counts.

Change: the count is undone, the error logged, and the next request or tick tries again.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/request_threads.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/request_threads.py
@@ -52,15 +52,22 @@
             self.grow(-self._free)
 
     def grow(self, amount):
-        """Add threads, up to the largest number.
+        """Add threads, up to the largest number or to what the system allows.
 
         The pool of cheroot waits for each of them to begin, in steps of 0.1 s.
         """
         with self._lock:
             for _ in range(min(amount, self.max - self.count)):
+                # A thread counts before it asks for a request.
                 self._free += 1
                 self._new += 1
-                self._threads.append(self._spawn_worker())
+                try:
+                    self._threads.append(self._spawn_worker())
+                except (RuntimeError, MemoryError) as error:
+                    self._free -= 1
+                    self._new -= 1
+                    self.server.error_log(f"starting a thread: {error!r}")
+                    return
 
     def _get(self):
         """Return the next connection with a request; called by the threads."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -11,6 +11,7 @@
 
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection
+from cheroot.workers.threadpool import WorkerThread
 
 from hibiscusspar_wire.front_server import BadRequestError, FrontServer
 
@@ -436,3 +437,36 @@
 
     def test_connection_that_cannot_be_closed(self):
         self.assert_fails_alone(HTTPConnection, "close")
+
+
+class TestWithoutThreads(ServerTestCase):
+    """Guards against requests that are neither served nor counted as open."""
+
+    def setUp(self):
+        self.go_on = threading.Event()
+        self.addCleanup(self.go_on.set)
+        super().setUp()
+        self.errors = []
+        self.server._server.on_error = self.errors.append
+
+    def _handle(self, inbound):
+        self.go_on.wait(_TIMEOUT_S)
+        super()._handle(inbound)
+
+    def test_all_requests_are_counted_and_answered(self):
+        callers = [self.connect() for _ in range(40)]
+        failing = RuntimeError("can't start new thread")
+        with patch.object(WorkerThread, "start", side_effect=failing):
+            for caller in callers:
+                caller.sendall(_REQUEST % 0)
+            wait_for_unanswered(self, self.server, 40)
+            self.server.grow()
+        self.assertTrue(self.errors)
+        last = self.connect()
+        last.sendall(_REQUEST % 0)
+        wait_for_unanswered(self, self.server, 41)
+        self.assertEqual(self.server._server.requests.free, 0)
+        self.go_on.set()
+        for caller in (*callers, last):
+            self.assertTrue(receive(caller).startswith(b"HTTP/1.1 200"))
+        wait_for_unanswered(self, self.server, 0)
