--- a/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/disconnect_watch.py
@@ -2,10 +2,14 @@
 
 import select
 import threading
+from contextlib import suppress
+from time import sleep
 
 __all__ = ["DisconnectWatch"]
 
 _HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+# Pause in seconds after a failed wait for disconnects.
+_FAILED_PAUSE_S = 0.1
 
 
 class DisconnectWatch:
@@ -14,7 +18,7 @@
     Parameters
     ----------
     on_error : callable
-        Called with the exception of a callback that fails.
+        Called with the exception of a callback that fails, or of the watch itself.
     epoll : select.epoll, optional
     """
 
@@ -32,6 +36,8 @@
     def add(self, sock, callback):
         """Call ``callback`` once if the peer disconnects; return a handle.
 
+        If the kernel can't watch the socket, its request goes on without the watch.
+
         Parameters
         ----------
         sock : socket.socket
@@ -43,9 +49,12 @@
             File descriptor of the socket, to pass to :meth:`remove`.
         """
         descriptor = sock.fileno()
-        with self._lock:
-            self._callbacks[descriptor] = callback
-            self._epoll.register(descriptor, _HANGUP)
+        try:
+            with self._lock:
+                self._epoll.register(descriptor, _HANGUP)
+                self._callbacks[descriptor] = callback
+        except (OSError, ValueError) as error:
+            self._on_error(error)
         return descriptor
 
     def remove(self, descriptor):
@@ -56,18 +65,26 @@
         """
         with self._lock:
             if self._callbacks.pop(descriptor, None) is not None:
-                self._epoll.unregister(descriptor)
+                # The kernel forgets a closed socket by itself.
+                with suppress(OSError):
+                    self._epoll.unregister(descriptor)
 
     def _run(self):
         while True:
-            for descriptor, _ in self._epoll.poll():
-                callback = self._take_callback(descriptor)
-                if callback is not None:
-                    self._call(callback)
-
-    def _call(self, callback):
+            try:
+                events = self._epoll.poll()
+            except Exception as error:  # noqa: BLE001
+                self._on_error(error)
+                sleep(_FAILED_PAUSE_S)
+                continue
+            for descriptor, _ in events:
+                self._handle(descriptor)
+
+    def _handle(self, descriptor):
         try:
-            callback()
+            callback = self._take_callback(descriptor)
+            if callback is not None:
+                callback()
         except Exception as error:  # noqa: BLE001
             self._on_error(error)
 
@@ -79,8 +96,10 @@
         with self._lock:
             if descriptor not in self._callbacks or not _is_hung_up(descriptor):
                 return None
-            self._epoll.unregister(descriptor)
-            return self._callbacks.pop(descriptor)
+            callback = self._callbacks.pop(descriptor)
+            with suppress(OSError):
+                self._epoll.unregister(descriptor)
+            return callback
 
 
 def _is_hung_up(descriptor):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_disconnect_watch.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_disconnect_watch.py
@@ -5,7 +5,7 @@
 import threading
 import unittest
 from queue import Queue
-from select import EPOLLRDHUP
+from select import EPOLLRDHUP, epoll
 
 from hibiscusspar_wire.disconnect_watch import DisconnectWatch
 
@@ -42,6 +42,20 @@
             self._polled.wait_for(lambda: self._polls > before, _TIMEOUT_S)
 
 
+class _FailingEpoll:
+    """Epoll object of which each operation fails at first."""
+
+    def __init__(self):
+        self._epoll = epoll()
+        self._failed = set()
+
+    def __getattr__(self, name):
+        if name in self._failed:
+            return getattr(self._epoll, name)
+        self._failed.add(name)
+        raise OSError(28, "No space left on device")
+
+
 class TestDisconnectWatch(unittest.TestCase):
     def connect(self):
         caller, accepted = socket.socketpair()
@@ -84,3 +98,19 @@
             caller.close()
         self.assertIsInstance(errors.get(timeout=_TIMEOUT_S), ZeroDivisionError)
         self.assertTrue(gone.wait(_TIMEOUT_S))
+
+    def test_error_of_the_kernel_ends_no_watch_and_no_request(self):
+        """Guards against requests without an answer and callers unnoticed as gone."""
+        errors, gone = Queue(), threading.Event()
+        watch = DisconnectWatch(errors.put, _FailingEpoll())
+        watch.start()
+        _, unwatched = self.connect()
+        watch.remove(watch.add(unwatched, self.fail))
+        _, watched = self.connect()
+        watch.remove(watch.add(watched, self.fail))
+        caller, accepted = self.connect()
+        watch.add(accepted, gone.set)
+        caller.close()
+        self.assertTrue(gone.wait(_TIMEOUT_S))
+        for _ in range(2):
+            self.assertIsInstance(errors.get(timeout=_TIMEOUT_S), OSError)
