--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/background.py
@@ -7,7 +7,7 @@
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.events import BACKGROUND_FAILED
 
-__all__ = ["DelayedCalls", "log_failure", "log_server_error"]
+__all__ = ["BackgroundPool", "DelayedCalls", "log_failure", "log_server_error"]
 
 # Longest logged part of an error's text; the last lines of a traceback tell most.
 _MAX_ERROR_CHARS = 1000
@@ -36,31 +36,62 @@
     write_records([(BACKGROUND_FAILED, {"task": "server", "reason": reason})])
 
 
-class DelayedCalls:
-    """Calls of functions after a delay, by a few threads.
+class BackgroundPool:
+    """Threads for background work, whose errors are logged.
 
     Parameters
     ----------
     task : str
         Name of the work in the log.
-    threads : int, optional
+    threads : int
+        Largest number of threads.
     """
 
-    def __init__(self, task, threads=2):
+    def __init__(self, task, threads):
         self._task = task
         self._pool = ThreadPoolExecutor(threads)
 
-    def __call__(self, delay_s, function):
-        """Call a function after a delay in seconds, or later if many calls wait."""
-        self._pool.submit(self._run, delay_s, function)
+    def submit(self, function, *arguments):
+        """Call a function in the background, later while no thread can be started."""
+        try:
+            self._pool.submit(self._run, function, arguments)
+        except (RuntimeError, MemoryError) as error:
+            # The pool has queued the call before it tried to start a thread.
+            log_failure(self._task, error)
 
     def close(self):
         """Drop the calls that wait."""
         self._pool.shutdown(wait=False, cancel_futures=True)
 
-    def _run(self, delay_s, function):
+    def _run(self, function, arguments):
         try:
-            sleep(delay_s)
-            function()
+            function(*arguments)
         except Exception as error:  # noqa: BLE001
             log_failure(self._task, error)
+
+
+class DelayedCalls:
+    """Calls of functions after a delay, by a few threads.
+
+    Parameters
+    ----------
+    task : str
+        Name of the work in the log.
+    threads : int, optional
+    """
+
+    def __init__(self, task, threads=2):
+        self._pool = BackgroundPool(task, threads)
+
+    def __call__(self, delay_s, function):
+        """Call a function after a delay in seconds, or later if many calls wait."""
+        self._pool.submit(_call_after, delay_s, function)
+
+    def close(self):
+        """Drop the calls that wait."""
+        self._pool.close()
+
+
+def _call_after(delay_s, function):
+    sleep(delay_s)
+    function()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -1,7 +1,6 @@
 """Coordinator of the fleet: views to all nodes, account levels and load orders."""
 
 import threading
-from concurrent.futures import ThreadPoolExecutor
 from time import sleep, thread_time
 
 from msgspec.json import encode as to_json
@@ -25,7 +24,7 @@
 from hibiscusspar.fleet.residency_numbers import join_numbers
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.admission_exchange import AdmissionLevels
-from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.background import BackgroundPool, log_failure
 from hibiscusspar_entry.fleet.call_times_exchange import FleetTimes
 from hibiscusspar_entry.fleet.cold_exchange import ColdExchange
 from hibiscusspar_entry.fleet.events import ROWS_CHANGED
@@ -145,8 +144,8 @@
         self._retry_pool = retry_pool or RetryPool(0.0, 0.0, 0.0)
         self._active = False
         self._view_sent_at = 0.0
-        self._order_pool = ThreadPoolExecutor(_ORDER_THREADS)
-        self._query_pool = ThreadPoolExecutor(_QUERY_THREADS)
+        self._order_pool = BackgroundPool("dispatch", _ORDER_THREADS)
+        self._query_pool = BackgroundPool("query", _QUERY_THREADS)
         self._plan_requested = threading.Event()
         self._idle_until = 0.0
         self._closed = False
@@ -163,7 +162,7 @@
         self._closed = True
         self._plan_requested.set()
         for pool in (self._order_pool, self._query_pool):
-            pool.shutdown(wait=False, cancel_futures=True)
+            pool.close()
 
     @property
     def permits_issued(self):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/order_dispatcher.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/order_dispatcher.py
@@ -5,12 +5,12 @@
 """
 
 import threading
-from concurrent.futures import ThreadPoolExecutor
 from itertools import count
 
 from hibiscusspar.fleet.messages import OrderRequest, OrderResult
 from hibiscusspar.fleet.planner import LoadOrder
 from hibiscusspar_entry.event_log import write_records
+from hibiscusspar_entry.fleet.background import BackgroundPool
 from hibiscusspar_entry.fleet.events import ADAPTER_ORDERED
 
 __all__ = ["OrderDispatcher"]
@@ -46,11 +46,11 @@
         self._pending_requests = {}
         self._numbers = count(1)
         self._coordinator_fence = 0
-        self._pool = ThreadPoolExecutor(_THREADS)
+        self._pool = BackgroundPool("orders", _THREADS)
 
     def close(self):
         """Stop the threads of the pool."""
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._pool.close()
 
     def set_targets(self, targets):
         """Replace the directory of targets."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -7,7 +7,6 @@
 
 import threading
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
 
 from hibiscusspar.fleet.leaving_targets import LeavingTargets
 from hibiscusspar.fleet.stream_moves import (
@@ -17,7 +16,7 @@
     StreamMove,
     select_streams,
 )
-from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.background import BackgroundPool, log_failure
 from hibiscusspar_entry.fleet.destinations import Destinations
 from hibiscusspar_entry.fleet.move_log import MoveLog
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
@@ -78,7 +77,7 @@
         self._scheduler = request_scheduler
         self._calls = calls
         self._destinations = Destinations(clock, request_scheduler, closed_targets)
-        self._submit = submit or ThreadPoolExecutor(_MAX_MOVES).submit
+        self._submit = submit or BackgroundPool("stream moves", _MAX_MOVES).submit
         self._lock = threading.Lock()
         self._services = frozenset()
         # Last directory and evacuated zones, None before the first.
