Query and order targets again after any error of a call to them (FAULT)

What callers saw: nothing traced to it. A target that gets no load order until another node leads, so that requests for an adapter wait or are refused.

Cause: a query or an order counts as under way until its outcome is recorded. Code outside the handling of errors (decoding into the plan, the choice of the duty holder) left it so for ever, and an error in a round dropped the queries that the round had already counted. Class: a mark that only success clears.

Change: each query ends as a report or as none, each order with an outcome (lost after an unexpected error), and due queries are submitted before the rest of a round.

Evidence: TestErrorsOfBackgroundCalls: 3 of 3 fail on the code before with injected errors; all of test_coordinator and test_background pass now. Not mended: orders that a round has counted are dropped if the planner itself fails for a later want of that round.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/coordinator.py
@@ -307,7 +307,9 @@
         with self._lock:
             wants = self._wants(now)
             self._idle_until = 0.0 if wants else now + _IDLE_PLAN_S
-            queried = [self._targets[t] for t in self._planner.targets_to_query(now)]
+            # They count as queried, so an error in what follows must not drop them.
+            for target_id in self._planner.targets_to_query(now):
+                self._query_pool.submit(self._query_state, self._targets[target_id])
             orders = self._planner.next_orders(
                 now,
                 self._engines.orderable(frozenset(self._holders(now)), self._duty_zone),
@@ -317,8 +319,6 @@
                 exchange_interval_s(self._levels.nodes),
             )
             self.planned += len(orders)
-        for target in queried:
-            self._query_pool.submit(self._query_state, target)
         for order in orders:
             self._order_pool.submit(self._dispatch, order)
 
@@ -456,15 +456,20 @@
         )
 
     def _query_state(self, target):
-        state = None
+        """Query a target; whatever fails, the next query follows after a backoff."""
+        is_recorded = False
         try:
             state = self._orders.read_state(target)
+            if state is not None:
+                self._record_state(target, state)
+                is_recorded = True
         except Exception as error:  # noqa: BLE001
             log_failure("query", error)
-        if state is None:
+        if not is_recorded:
             with self._lock:
                 self._planner.record_no_report(self._clock(), target.target_id)
-            return
+
+    def _record_state(self, target, state):
         with self._lock:
             self._planner.record_report(
                 self._clock(),
@@ -477,21 +482,13 @@
         self._plan_requested.set()
 
     def _dispatch(self, order):
-        result = "refused"
-        with self._lock:
-            target = self._targets.get(order.target_id)
-            zone = self._duty_zone(target) if target else ""
-            holders = self._holders(self._clock())
-        if zone in holders:
-            fence = self._election.fence
-            try:
-                result = self._order_dispatcher.dispatch(
-                    order, zone, holders[zone], fence
-                )
-            except Exception as error:  # noqa: BLE001
-                # The order may have been sent.
-                result = "lost"
-                log_failure("dispatch", error)
+        """Send an order; its target gets no other before an outcome is recorded."""
+        # After an unexpected error the order may have been sent.
+        result = "lost"
+        try:
+            result = self._send_order(order)
+        except Exception as error:  # noqa: BLE001
+            log_failure("dispatch", error)
         with self._lock:
             self._planner.record_outcome(self._clock(), OrderOutcome(order, result))
         self._plan_requested.set()
@@ -499,6 +496,16 @@
             self.hasten_view()
             self._announce_load(order)
 
+    def _send_order(self, order):
+        with self._lock:
+            target = self._targets.get(order.target_id)
+            zone = self._duty_zone(target) if target else ""
+            holders = self._holders(self._clock())
+        if zone not in holders:
+            return "refused"
+        fence = self._election.fence
+        return self._order_dispatcher.dispatch(order, zone, holders[zone], fence)
+
     def _announce_load(self, order):
         """Tell the nodes that wait for an adapter, sooner than the next view does."""
         key = (order.model, order.adapter)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_coordinator.py
@@ -1,8 +1,11 @@
 """Tests of what the coordinator's views carry, and how often they are sent."""
 
+import threading
 import unittest
 from collections import Counter
+from contextlib import suppress
 from time import monotonic, sleep
+from unittest.mock import patch
 
 from msgspec.json import Decoder
 
@@ -172,6 +175,45 @@
         self.assertEqual(self.next_view().residency, {})
 
 
+class TestErrorsOfBackgroundCalls(CoordinatorTestCase):
+    """Guards against targets that get neither queries nor orders any more."""
+
+    def setUp(self):
+        super().setUp()
+        self.planner = self.coordinator._planner
+
+    def test_query_whose_answer_cannot_be_recorded_is_repeated(self):
+        with (
+            patch.object(self.planner, "record_report", side_effect=KeyError("m")),
+            patch.object(self.planner, "record_no_report") as record_no_report,
+        ):
+            self.coordinator._query_state(target("t1"))
+        self.assertIn("t1", record_no_report.call_args.args)
+
+    def test_due_queries_are_made_though_the_rest_of_the_round_fails(self):
+        queried = threading.Event()
+        with (
+            patch.object(self.planner, "targets_to_query", return_value=["t1"]),
+            patch.object(self.planner, "next_orders", side_effect=KeyError("m")),
+            patch.object(
+                self.coordinator, "_query_state", lambda target: queried.set()
+            ),
+            suppress(KeyError),
+        ):
+            self.coordinator.plan()
+        self.assertTrue(queried.wait(WAIT_S))
+
+    def test_order_that_fails_before_it_is_sent_has_an_outcome(self):
+        order = LoadOrder("t1", "load", "m", "a1", 1, 0)
+        with (
+            patch.object(self.planner, "record_outcome") as record_outcome,
+            patch.object(self.coordinator, "_holders", side_effect=KeyError("z1")),
+            suppress(KeyError),
+        ):
+            self.coordinator._dispatch(order)
+        self.assertEqual(record_outcome.call_args.args[1].result, "lost")
+
+
 class Dispatcher:
     """Duty holder whose targets accept every order."""
 
