Keep watching the store after an error outside of its calls (FAULT)

What callers saw: nothing traced to it. A node that goes on with an old configuration, old targets or old versions, and looks sound.

Cause: StoreWatch asks three others (views, own reads, backoff) whether a call is due, outside the handling of errors; an error there ended its thread. Class: a thread dies, the process goes on.

Change: one step asks and calls, and its errors are handled in one place as those of calls were.

Evidence: test_error_outside_a_call_ends_no_watch: 2 of 2 cases fail on the code before; all of test_store_sync and test_evacuation_sync pass now.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_watch.py
@@ -124,23 +124,8 @@
     def _run(self):
         pause = threading.Event()
         while True:
-            if self._is_relayed():
-                # The next listing includes the changes made in the meantime.
-                self._revision = None
-                self._wake.wait(self._relayed_for_s())
-                self._wake.clear()
-                continue
-            if self._own_reads.is_held(self._read_age_s(), self._limit_s):
-                self._wake.wait(_RELAYED_POLL_S)
-                self._wake.clear()
-                continue
-            held_s = self._backoff.wait_s()
-            if held_s > 0:
-                self._wake.wait(min(held_s, _RELAYED_POLL_S))
-                self._wake.clear()
-                continue
             try:
-                pause_s = self.poll_once()
+                pause_s = self._step()
             except Exception as error:  # noqa: BLE001
                 log_failure(f"watch {self._kind}", error)
                 self._revision, pause_s = None, self._wait_s
@@ -150,6 +135,21 @@
                 self._wake.wait(pause_s - self._gap_s)
                 self._wake.clear()
 
+    def _step(self):
+        """Make a call, or wait while none is due; return the pause, in seconds."""
+        if self._is_relayed():
+            # The next listing includes the changes made in the meantime.
+            self._revision, held_s = None, self._relayed_for_s()
+        elif self._own_reads.is_held(self._read_age_s(), self._limit_s):
+            held_s = _RELAYED_POLL_S
+        else:
+            held_s = min(self._backoff.wait_s(), _RELAYED_POLL_S)
+            if held_s <= 0:
+                return self.poll_once()
+        self._wake.wait(held_s)
+        self._wake.clear()
+        return 0.0
+
     def _read_age_s(self):
         if self._answer_sent_at is None:
             return None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_store_sync.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import Mock, patch
 
 from hibiscusspar.fleet.targets import Target, TargetDirectory
 from hibiscusspar_entry.fleet.own_reads import OwnReads
@@ -235,6 +236,22 @@
     def test_node_that_reads_for_all_reads_as_often_as_before(self):
         self.assertEqual(self.limited_watch(True, 0.0).poll_once(), 0.15)
 
+    def test_error_outside_a_call_ends_no_watch(self):
+        """Guards against a node that goes on with an old configuration."""
+        for part, name in (("", "_is_relayed"), ("_own_reads", "is_held")):
+            with self.subTest(name=name):
+                watch = self.make_watch(LISTING)
+                watch._wait_s = 0.05
+                # The third step ends the thread.
+                watch._is_relayed = Mock(side_effect=[False, False, SystemExit])
+                failing = Mock(side_effect=[KeyError("n1"), False, SystemExit])
+                setattr(getattr(watch, part) if part else watch, name, failing)
+                with patch(f"{StoreWatch.__module__}.log_failure") as log_failure:
+                    watch.start()
+                    watch._thread.join(2.0)
+                log_failure.assert_called_once()
+                self.assertEqual(self.store.calls, [("list",)])
+
     def poll(self, watch, count):
         for _ in range(count):
             watch.poll_once()
