Write the log on after a line that can't be encoded (FAULT)

What callers saw: nothing; the log of a node ended for ever, and with it all evidence.

Cause: an error of the encoding ended the thread that writes the log, and dropped the lines taken before in the same round. Class: an error of one item ends the work for all of them.

Evidence: test_line_that_cannot_be_encoded_ends_no_flush fails on the code before (UnicodeEncodeError) and passes now. Which line could hold such a text isn't known.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/log_sink.py
@@ -69,7 +69,7 @@
         # Two threads call this, so the buffer may become empty at any moment.
         with suppress(IndexError):
             while True:
-                lines.append(to_json(self._lines.popleft(), enc_hook=str))
+                lines += self._encode(self._lines.popleft())
         if not lines:
             return
         try:
@@ -79,6 +79,14 @@
             # Nobody reads the output, or it is full or closed.
             self._dropped += len(lines)
 
+    def _encode(self, line):
+        """Return a list of the encoded line, empty if it can't be encoded."""
+        try:
+            return [to_json(line, enc_hook=str)]
+        except Exception:  # noqa: BLE001
+            self._dropped += 1
+            return []
+
     def _run(self):
         while not self._wake.wait(_FLUSH_S):
             self.flush()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_log_sink.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_log_sink.py
@@ -3,6 +3,7 @@
 import unittest
 from collections import deque
 from io import BytesIO
+from unittest.mock import MagicMock, Mock
 
 from hibiscusspar_entry.fleet.log_sink import LogSink
 
@@ -24,3 +25,14 @@
         sink.flush()
         sink.flush()
         self.assertEqual(output.getvalue(), b'{"vm":"n1","event":1}\n')
+
+    def test_line_that_cannot_be_encoded_ends_no_flush(self):
+        """Guards against a log that ends with one line, for ever."""
+        output = BytesIO()
+        sink = LogSink({}, output)
+        unprintable = MagicMock(__str__=Mock(side_effect=KeyError("text")))
+        for value in ("\ud800", unprintable, "last"):
+            sink.add({"reason": value})
+        sink.flush()
+        self.assertEqual(output.getvalue(), b'{"reason":"last"}\n')
+        self.assertEqual(sink._dropped, 2)
