Pause after a datagram that can't be received (FAULT)

What callers saw: nothing traced to it. A node whose socket returns an error each time uses up the processor, fills its log and drops its other lines.

Cause: the receiving thread called again at once. Class: a loop without a pause after an error.

Change: a pause of 20 ms after an error of the socket. Errors of what handles a datagram, which were logged as errors of the socket if they were OSErrors, have none.

Evidence: test_lasting_error_uses_no_processor: 31,029 calls in 0.5 s on the code before, fewer than 50 now; test_errors_of_the_receiver_delay_no_datagram passes before and after.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/channel.py
@@ -6,6 +6,7 @@
 
 import socket
 import threading
+from time import sleep
 
 from msgspec import MsgspecError
 from msgspec.json import Decoder
@@ -26,6 +27,8 @@
 __all__ = ["Channel"]
 
 _MAX_BYTES = 65_507
+# Pause in seconds after a datagram that can't be received.
+_FAILED_PAUSE_S = 0.02
 _DECODER = Decoder(
     NodeReport
     | FleetView
@@ -98,9 +101,12 @@
         while True:
             try:
                 size, address = self._socket.recvfrom_into(buffer)
-                self.received_bytes += size
-                self.handle_datagram(bytes(buffer[:size]), address)
             except OSError as error:
                 log_failure("channel.receive", error)
+                sleep(_FAILED_PAUSE_S)
+                continue
+            try:
+                self.received_bytes += size
+                self.handle_datagram(bytes(buffer[:size]), address)
             except Exception as error:  # noqa: BLE001
                 log_failure("channel.handle", error)
