Accept connections again after the listening socket couldn't be watched (FAULT)

What callers saw: nothing traced to it. The port of a node stays open, but no new connection is accepted any more, while its process goes on.

Cause: after connections couldn't be accepted, the listening socket is watched again later; an error of that (no memory or room for epoll) left the socket unwatched for ever, since the time of the next try was cleared first. Class: a state that is left before its successor is reached.

Change: such an error is logged, and the next try follows after the same pause.

Evidence: test_listening_socket_that_cannot_be_watched_again: on the code before the next caller got no answer within 5 s; it passes now, as do all 27 tests of test_front_server.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -99,10 +99,16 @@
             self.put(conn)
 
     def _resume_accepting(self):
-        if monotonic() >= self._accepts_at:
-            self._accepts_at = None
-            listening = self.server.socket.fileno()
+        if monotonic() < self._accepts_at:
+            return
+        listening = self.server.socket.fileno()
+        try:
             self._selector.register(listening, selectors.EVENT_READ, self.server)
+        except OSError as error:
+            self.server.error_log(f"accept: {error!r}")
+            self._accepts_at = monotonic() + _ACCEPT_PAUSE_S
+        else:
+            self._accepts_at = None
 
     def _close_idle(self):
         now = monotonic()
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -438,6 +438,18 @@
     def test_connection_that_cannot_be_closed(self):
         self.assert_fails_alone(HTTPConnection, "close")
 
+    def test_listening_socket_that_cannot_be_watched_again(self):
+        connections, full = self.server._server._connections, OSError(28, "no space")
+        with (
+            patch.object(connections, "_from_server_socket", side_effect=full),
+            patch.object(connections._selector, "register", side_effect=full),
+        ):
+            self.connect()
+            sleep(0.3)
+        self.assertLess(len(self.errors), 20)
+        self.assertTrue(self.errors)
+        self.assertTrue(self.is_answered(self.connect()))
+
 
 class TestWithoutThreads(ServerTestCase):
     """Guards against requests that are neither served nor counted as open."""
