Complete open requests whatever the release of the leases does (LOST and FAULT)

What callers saw: nothing traced to it. A node that stops cuts off all requests that it has read and ends with status 1, or isn't stopped when its grace period ends and is killed.

Cause: a stop released the leases first and waited for the requests afterwards, in one thread. An unexpected error of the release ended the process; a store whose answer doesn't end (each part of it has a time limit, the whole has none) held up the stop. Class: a step that may fail before one that must not.

Change: the leases are released beside the wait for the requests; errors are logged, lease by lease, and the stop waits for the release until the end of its time at most.

Evidence: TestStopBesideTheStore with real processes: on the code before status 1 (error) and no end within the grace period of 4 s (release of 60 s); both stop with status 0 in time now. test_startup and test_signals passed together (21 tests).

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -17,7 +17,7 @@
 from hibiscusspar.fleet.quota import discounted_levels
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
-from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.background import BackgroundPool, log_failure
 from hibiscusspar_entry.fleet.coordinator_loss import CoordinatorLoss
 from hibiscusspar_entry.fleet.events import (
     FIRST_VIEW,
@@ -278,8 +278,8 @@
         grace_s = parts.settings.bounds.grace_s - _GRACE_MARGIN_S
         fields = {"open": self._forwarder.open_requests, "grace_s": grace_s}
         write_records([(NODE_DRAINING, fields)])
-        for lease_keeper in parts.lease_keepers:
-            lease_keeper.release()
+        released = threading.Event()
+        BackgroundPool("release", 1).submit(self._release_leases, released)
 
         def is_over():
             return parts.clock() - started_at >= grace_s
@@ -290,11 +290,21 @@
             return accepts or self._open_requests
 
         wait_until_answered(is_over, count_requests, _TICK_S)
+        released.wait(max(0.0, started_at + grace_s - parts.clock()))
         seconds = round(parts.clock() - started_at, 3)
         fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
         parts.log_sink.close()
 
+    def _release_leases(self, released):
+        """Release all leases; a store that fails must not cost open requests."""
+        for lease_keeper in self._parts.lease_keepers:
+            try:
+                lease_keeper.release()
+            except Exception as error:  # noqa: BLE001
+                log_failure("release", error)
+        released.set()
+
     @property
     def _open_requests(self):
         # Both include requests that wait for a thread.
