Tick all parts of a node though one of them fails (FAULT)

What callers saw: nothing traced to it. A coordinator that renews its lease but sends no views, so that no other node takes over and nodes go on without shares, permits and loads.

Cause: a tick made seven steps in a row; an error of the scheduler, the paths or a server that can't start a thread left out all that followed, each time. Class: an error of one part ends the work of the others.

Change: each step is made, and its error logged, by itself.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -457,14 +457,28 @@
         return _TICK_S if is_busy else _IDLE_TICK_S
 
     def _tick(self):
-        self._parts.request_scheduler.tick()
-        self._parts.path_watch.tick()
-        self._parts.config_relay.tick()
-        self._parts.peer_proxy.grow()
-        self._front.grow()
-        if self._parts.election.leads:
-            if self._view_requested.is_set():
-                self._view_requested.clear()
-                self._coordinator.send_views()
-            self._coordinator.tick()
+        """Make all steps that are due, also after one that fails."""
+        for step in (
+            self._parts.request_scheduler.tick,
+            self._parts.path_watch.tick,
+            self._parts.config_relay.tick,
+            self._parts.peer_proxy.grow,
+            self._front.grow,
+            self._tick_coordinator,
+            self._check_coordinator,
+        ):
+            try:
+                step()
+            except Exception as error:  # noqa: BLE001
+                log_failure("tick", error)
+
+    def _tick_coordinator(self):
+        if not self._parts.election.leads:
+            return
+        if self._view_requested.is_set():
+            self._view_requested.clear()
+            self._coordinator.send_views()
+        self._coordinator.tick()
+
+    def _check_coordinator(self):
         self._loss.check(self._parts.request_scheduler.view_age_s)
