Move the streams that were chosen though the rest of a step fails (FAULT)

What callers saw: nothing traced to it. Streams stay at targets that leave or are slow.

Cause: a step of the moves marked all chosen streams as moving, and began their moves only after calls to others. An error there left the marks for ever; four of them end all moves of a node. Class: a mark that precedes the work.

Change: each move begins as soon as it is marked.

Evidence: TestErrorOfAStep fails on the code before with an injected error (no call for a copy); all 46 tests of test_stream_mover pass now.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -244,12 +244,12 @@
                 since = float("inf") if run.is_relief else run.leave.since
                 run.move = StreamMove(since)
                 self._moving.add(run)
+                # What follows may fail, and a run that counts as moving must move.
+                self._submit(self._move, run)
                 if run.is_relief:
                     self._relief.record_move(now, run)
         for run in waited:
             self._destinations.withdraw(run)
-        for run in runs:
-            self._submit(self._move, run)
 
     def _select_leaving(self, now, runs):
         rows = [
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -2,6 +2,7 @@
 
 import threading
 import unittest
+from contextlib import suppress
 from unittest import mock
 
 from hypothesis import settings
@@ -330,6 +331,22 @@
         self.assertEqual((stream.outcome, stream.events), ("whole", LENGTH))
 
 
+class TestErrorOfAStep(MoverTestCase):
+    """Guards against streams that count as moving for ever and let no others move."""
+
+    def test_stream_that_was_chosen_moves(self):
+        stream = self.bench.stream()
+        relief = self.bench.mover._relief
+        with mock.patch.object(relief, "record_move", side_effect=KeyError("t0")):
+            for _ in range(3):
+                with suppress(KeyError):
+                    self.bench.slow_down("t0")
+        self.bench.run_queued()
+        self.assertEqual(self.engines.calls, [("t0", "t1")])
+        stream.close()
+        self.finish(stream)
+
+
 class TestRelief(MoverTestCase):
     """A stream at a slow target moves, and continues there if it can't."""
 
