--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -17,7 +17,7 @@
 from hibiscusspar.fleet.quota import discounted_levels
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.address import parse_address
-from hibiscusspar_entry.fleet.background import log_failure
+from hibiscusspar_entry.fleet.background import BackgroundPool, log_failure
 from hibiscusspar_entry.fleet.coordinator_loss import CoordinatorLoss
 from hibiscusspar_entry.fleet.events import (
     FIRST_VIEW,
@@ -278,8 +278,8 @@
         grace_s = parts.settings.bounds.grace_s - _GRACE_MARGIN_S
         fields = {"open": self._forwarder.open_requests, "grace_s": grace_s}
         write_records([(NODE_DRAINING, fields)])
-        for lease_keeper in parts.lease_keepers:
-            lease_keeper.release()
+        released = threading.Event()
+        BackgroundPool("release", 1).submit(self._release_leases, released)
 
         def is_over():
             return parts.clock() - started_at >= grace_s
@@ -290,11 +290,21 @@
             return accepts or self._open_requests
 
         wait_until_answered(is_over, count_requests, _TICK_S)
+        released.wait(max(0.0, started_at + grace_s - parts.clock()))
         seconds = round(parts.clock() - started_at, 3)
         fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
         parts.log_sink.close()
 
+    def _release_leases(self, released):
+        """Release all leases; a store that fails must not cost open requests."""
+        for lease_keeper in self._parts.lease_keepers:
+            try:
+                lease_keeper.release()
+            except Exception as error:  # noqa: BLE001
+                log_failure("release", error)
+        released.set()
+
     @property
     def _open_requests(self):
         # Both include requests that wait for a thread.
@@ -447,14 +457,28 @@
         return _TICK_S if is_busy else _IDLE_TICK_S
 
     def _tick(self):
-        self._parts.request_scheduler.tick()
-        self._parts.path_watch.tick()
-        self._parts.config_relay.tick()
-        self._parts.peer_proxy.grow()
-        self._front.grow()
-        if self._parts.election.leads:
-            if self._view_requested.is_set():
-                self._view_requested.clear()
-                self._coordinator.send_views()
-            self._coordinator.tick()
+        """Make all steps that are due, also after one that fails."""
+        for step in (
+            self._parts.request_scheduler.tick,
+            self._parts.path_watch.tick,
+            self._parts.config_relay.tick,
+            self._parts.peer_proxy.grow,
+            self._front.grow,
+            self._tick_coordinator,
+            self._check_coordinator,
+        ):
+            try:
+                step()
+            except Exception as error:  # noqa: BLE001
+                log_failure("tick", error)
+
+    def _tick_coordinator(self):
+        if not self._parts.election.leads:
+            return
+        if self._view_requested.is_set():
+            self._view_requested.clear()
+            self._coordinator.send_views()
+        self._coordinator.tick()
+
+    def _check_coordinator(self):
         self._loss.check(self._parts.request_scheduler.view_age_s)
