--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -33,9 +33,15 @@
     """Origins of streams by key.
 
     The key stands for the request that brought the first event of a stream.
+
+    Parameters
+    ----------
+    capacity : int, optional
+        Most origins that are kept, the newest ones.
     """
 
-    def __init__(self):
+    def __init__(self, capacity=_MAX_ORIGINS):
+        self._capacity = capacity
         self._rows = {}
 
     def __len__(self):
@@ -52,11 +58,16 @@
         row = self._rows.get(key)
         return None if row is None else row[0]
 
+    def rows(self, now):
+        """Return pairs of the key of a stream and its origin, the oldest first."""
+        self._expire(now)
+        return [(key, origin) for key, (origin, _) in self._rows.items()]
+
     def _expire(self, now):
         # Rows are in the order of their times, so only the first ones can be too old.
         while self._rows:
             key, (_, at) = next(iter(self._rows.items()))
-            if now < at + _KEPT_S and len(self._rows) < _MAX_ORIGINS:
+            if now < at + _KEPT_S and len(self._rows) < self._capacity:
                 return
             del self._rows[key]
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/events.py
@@ -27,6 +27,7 @@
     "NODE_DRAINING",
     "NODE_STARTED",
     "NODE_STOPPED",
+    "ORIGINS_READ",
     "PATH_CHANGED",
     "QUARANTINE_LIFTED",
     "QUARANTINE_PROBED",
@@ -393,6 +394,13 @@
     "The software versions by service that the processes before have known lately. A "
     "stream of unknown origin is refused until then, and while there are several.",
 )
+ORIGINS_READ = declare(
+    667,
+    "node.origins_read",
+    ("nodes", "streams"),
+    "A process that has just started knows the origins of streams that the processes "
+    "before have stored, as several software versions of a service are known.",
+)
 FIRST_VIEW = declare(
     671,
     "node.first_view",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -80,6 +80,7 @@
     lease_keepers: tuple
     quarantine_store: Any
     software_store: Any
+    origin_store: Any
     store_backoff: Any
     order_dispatcher: Any
     log_sink: Any
@@ -136,11 +137,16 @@
         self._software_task = PeriodicTask(
             "software store", software_store.step, software_store.pause_s
         )
+        origin_store = parts.origin_store
+        origin_task = PeriodicTask(
+            "origin store", origin_store.step, origin_store.pause_s
+        )
         tick_task = PeriodicTask("tick", self._tick, self._tick_s)
         self._tasks = (
             self._lease_task,
             self._quarantine_task,
             self._software_task,
+            origin_task,
             tick_task,
         )
         self._notice_receiver = NoticeReceiver(parts, self._notice_sender)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of the origins of streams between nodes."""
 
 import threading
+from collections import Counter
 
 from msgspec.json import encode as to_json
 from xxhash import xxh3_64_hexdigest
@@ -18,6 +19,8 @@
 # Longest wait for the origin of a stream from other nodes, in seconds: some round trips
 # between zones and the time until a busy node answers.
 _ANSWER_WAIT_S = 0.15
+# Streams begun at this node whose origins are kept for the store, the newest ones.
+_MAX_BEGUN = 8_000
 
 
 class OriginExchange:
@@ -35,7 +38,9 @@
         self._peers = peers
         self._channel = channel
         self._origins = StreamOrigins()
+        self._begun = StreamOrigins(_MAX_BEGUN)
         self._changed = threading.Condition()
+        self._begun_counts = Counter()
         # Number of queries sent to other nodes, and of those that found an origin.
         self.query_count = 0
         self.found_count = 0
@@ -48,6 +53,9 @@
     def announce(self, request_id, origin):
         """Record the origin of a stream here and at the nodes that hold its copies."""
         key = _key(request_id)
+        with self._changed:
+            self._begun.record(self._clock(), key, origin)
+            self._begun_counts[origin.service] += 1
         self._record(key, origin)
         self._send_to_holders(key, SendNotice([], began=[_row(key, origin)]))
 
@@ -69,6 +77,34 @@
         self.found_count += 1
         return origin
 
+    def begun_counts(self, services):
+        """Return the number of streams that began here, by service."""
+        with self._changed:
+            return {service: self._begun_counts[service] for service in services}
+
+    def begun_rows(self):
+        """Return the keys and origins of the streams that began here lately."""
+        with self._changed:
+            return self._begun.rows(self._clock())
+
+    def restore(self, rows, began_here):
+        """Add origins that the processes before have recorded.
+
+        Parameters
+        ----------
+        rows : list of tuple of (str, StreamOrigin)
+            Keys and origins, the oldest first.
+        began_here : bool
+            Whether the streams began at this node.
+        """
+        with self._changed:
+            now = self._clock()
+            for key, origin in rows:
+                self._origins.record(now, key, origin)
+                if began_here:
+                    self._begun.record(now, key, origin)
+            self._changed.notify_all()
+
     def apply_notice(self, notice, address):
         """Record the origins of a notice, and answer with those that it asks for."""
         for row in notice.began:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -31,6 +31,9 @@
     def update(self, kind: str, name: str, value: Any, revision: int) -> int:
         """Replace an object that still has the revision; return the new one."""
 
+    def delete(self, kind: str, name: str, revision: int) -> None:
+        """Delete an object that still has the revision."""
+
 
 class PlatformCodec(Protocol):
     """Decoder of the objects that the platform keeps in its store.
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_versions.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_versions.py
@@ -52,6 +52,11 @@
             self._history.record(self._clock(), self._targets)
             return self._history.all_versions()
 
+    def mixed_services(self):
+        """Return the services of which several versions are known."""
+        found = self.all_versions()
+        return {service for service, names in found.items() if len(names) > 1}
+
     def restore(self, versions):
         """Add the versions by service that the processes before have known."""
         with self._lock:
