--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -6,6 +6,7 @@
 before the first event of its stream is passed on.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -43,6 +44,9 @@
     def __init__(self, capacity=_MAX_ORIGINS):
         self._capacity = capacity
         self._rows = {}
+        # Keys in the order of their times. To find the first key of a dict would take
+        # longer with each one that was removed before it.
+        self._keys = deque()
 
     def __len__(self):
         return len(self._rows)
@@ -50,7 +54,9 @@
     def record(self, now, key, origin):
         """Keep an origin; the first one of a stream is never replaced."""
         self._expire(now)
-        self._rows.setdefault(key, (origin, now))
+        if key not in self._rows:
+            self._rows[key] = origin, now
+            self._keys.append(key)
 
     def find(self, now, key):
         """Return the origin of a stream, or None if it isn't known."""
@@ -64,12 +70,11 @@
         return [(key, origin) for key, (origin, _) in self._rows.items()]
 
     def _expire(self, now):
-        # Rows are in the order of their times, so only the first ones can be too old.
-        while self._rows:
-            key, (_, at) = next(iter(self._rows.items()))
+        while self._keys:
+            _, at = self._rows[self._keys[0]]
             if now < at + _KEPT_S and len(self._rows) < self._capacity:
                 return
-            del self._rows[key]
+            del self._rows[self._keys.popleft()]
 
 
 def may_continue(target, job):
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from time import process_time
 
 from hibiscusspar.fleet.stream_origins import (
     StreamOrigin,
@@ -35,6 +36,20 @@
         self.assertEqual(len(origins), 20_000)
         self.assertEqual(origins.find(100.0, "r29999"), V1)
 
+    def test_cost_does_not_grow_with_the_number_of_origins(self):
+        """Guards against a replacement that passes over all places left before."""
+
+        def seconds(capacity):
+            origins = StreamOrigins(capacity)
+            for number in range(capacity):
+                origins.record(100.0, f"r{number}", V1)
+            began_at = process_time()
+            for number in range(40_000):
+                origins.record(100.0, f"s{number}", V1)
+            return process_time() - began_at
+
+        self.assertLess(seconds(60_000), 4 * seconds(500))
+
 
 class TestHolders(unittest.TestCase):
     def test_all_nodes_of_a_small_fleet_hold_copies(self):
