--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -13,14 +13,20 @@
 
 from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
 
-__all__ = ["StreamOrigin", "StreamOrigins", "may_continue", "origin_holders"]
+__all__ = [
+    "MAX_ORIGINS",
+    "StreamOrigin",
+    "StreamOrigins",
+    "may_continue",
+    "origin_holders",
+]
 
 # Nodes that hold a copy of an origin in a large fleet. In a small one all do.
 _COPIES = 3
 # Time in seconds for which an origin is kept; callers wait for no stream that long.
 _KEPT_S = 40.0
-# Most origins that a node keeps, the newest ones.
-_MAX_ORIGINS = 20_000
+# Most origins that a node keeps, the newest ones, of some 360 bytes each.
+MAX_ORIGINS = 60_000
 
 
 class StreamOrigin(NamedTuple):
@@ -41,7 +47,7 @@
         Most origins that are kept, the newest ones.
     """
 
-    def __init__(self, capacity=_MAX_ORIGINS):
+    def __init__(self, capacity=MAX_ORIGINS):
         self._capacity = capacity
         self._rows = {}
         # Keys in the order of their times. To find the first key of a dict would take
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_stream_origins.py
@@ -31,10 +31,17 @@
 
     def test_number_of_origins_is_bounded(self):
         origins = StreamOrigins()
-        for number in range(30_000):
+        for number in range(80_000):
             origins.record(100.0, f"r{number}", V1)
-        self.assertEqual(len(origins), 20_000)
-        self.assertEqual(origins.find(100.0, "r29999"), V1)
+        self.assertEqual(len(origins), 60_000)
+        self.assertEqual(origins.find(100.0, "r79999"), V1)
+
+    def test_origins_are_kept_at_a_high_rate(self):
+        """Guards against streams that a busy fleet forgets before they are taken up."""
+        origins = StreamOrigins()
+        for number in range(28_000):
+            origins.record(100.0 + number / 700, f"r{number}", V1)
+        self.assertEqual(origins.find(139.9, "r0"), V1)
 
     def test_cost_does_not_grow_with_the_number_of_origins(self):
         """Guards against a replacement that passes over all places left before."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/origin_store.py
@@ -7,7 +7,7 @@
 from msgspec import MsgspecError, convert
 
 from hibiscusspar.errors import StepError
-from hibiscusspar.fleet.stream_origins import StreamOrigin
+from hibiscusspar.fleet.stream_origins import MAX_ORIGINS, StreamOrigin
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.background import log_failure
 from hibiscusspar_entry.fleet.events import ORIGINS_READ
@@ -23,8 +23,6 @@
 # Time in seconds after the start in which the copies are read, if several versions are
 # known; then no stream that began before is taken up any more.
 _RESTORE_S = 40.0
-# Origins read at most, as many as a node keeps.
-_MAX_RESTORED = 20_000
 # Pause after a call that failed, in seconds.
 _RETRY_S = 0.3
 # Times between steps: in seconds while calls may be due soon, as a fraction of the
@@ -132,7 +130,7 @@
 
     def _restore(self):
         objects = self._store.list(ORIGIN_KIND).objects
-        share = max(1, _MAX_RESTORED // max(1, len(objects)))
+        share = max(1, MAX_ORIGINS // max(1, len(objects)))
         count = 0
         for stored in objects:
             rows = _decode(stored.value, share)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_origin_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_origin_store.py
@@ -325,7 +325,8 @@
         run(1.5, *nodes)
         started = self.start("n1", "v1", "v2")
         run(0.1, started)
-        self.assertLessEqual(started.origins.held_count, 20_000)
+        self.assertLessEqual(started.origins.held_count, 60_000)
+        self.assertGreater(started.origins.held_count, 50_000)
         for number in range(9):
             self.assertEqual(started.find(f"r{number}-7999"), V1)
 
