--- a/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/stream_origins.py
@@ -6,20 +6,27 @@
 before the first event of its stream is passed on.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
 from hibiscusspar.fleet.fanout import MAX_DIRECT_NODES
 
-__all__ = ["StreamOrigin", "StreamOrigins", "may_continue", "origin_holders"]
+__all__ = [
+    "MAX_ORIGINS",
+    "StreamOrigin",
+    "StreamOrigins",
+    "may_continue",
+    "origin_holders",
+]
 
 # Nodes that hold a copy of an origin in a large fleet. In a small one all do.
 _COPIES = 3
 # Time in seconds for which an origin is kept; callers wait for no stream that long.
 _KEPT_S = 40.0
-# Most origins that a node keeps, the newest ones.
-_MAX_ORIGINS = 20_000
+# Most origins that a node keeps, the newest ones, of some 360 bytes each.
+MAX_ORIGINS = 60_000
 
 
 class StreamOrigin(NamedTuple):
@@ -33,10 +40,19 @@
     """Origins of streams by key.
 
     The key stands for the request that brought the first event of a stream.
+
+    Parameters
+    ----------
+    capacity : int, optional
+        Most origins that are kept, the newest ones.
     """
 
-    def __init__(self):
+    def __init__(self, capacity=MAX_ORIGINS):
+        self._capacity = capacity
         self._rows = {}
+        # Keys in the order of their times. To find the first key of a dict would take
+        # longer with each one that was removed before it.
+        self._keys = deque()
 
     def __len__(self):
         return len(self._rows)
@@ -44,7 +60,9 @@
     def record(self, now, key, origin):
         """Keep an origin; the first one of a stream is never replaced."""
         self._expire(now)
-        self._rows.setdefault(key, (origin, now))
+        if key not in self._rows:
+            self._rows[key] = origin, now
+            self._keys.append(key)
 
     def find(self, now, key):
         """Return the origin of a stream, or None if it isn't known."""
@@ -52,13 +70,17 @@
         row = self._rows.get(key)
         return None if row is None else row[0]
 
+    def rows(self, now):
+        """Return pairs of the key of a stream and its origin, the oldest first."""
+        self._expire(now)
+        return [(key, origin) for key, (origin, _) in self._rows.items()]
+
     def _expire(self, now):
-        # Rows are in the order of their times, so only the first ones can be too old.
-        while self._rows:
-            key, (_, at) = next(iter(self._rows.items()))
-            if now < at + _KEPT_S and len(self._rows) < _MAX_ORIGINS:
+        while self._keys:
+            _, at = self._rows[self._keys[0]]
+            if now < at + _KEPT_S and len(self._rows) < self._capacity:
                 return
-            del self._rows[key]
+            del self._rows[self._keys.popleft()]
 
 
 def may_continue(target, job):
