Replace an idle connection by that of an own call (FAULT, LOST)

A coordinator that reads reports of many targets, to which it sends few requests, runs out of descriptors.

Cause: a connection that has carried an own call without a name carries none again, so each report opens one and leaves it in the pool, where up to 64 for each target stay, also after the target has closed them: only those that a call takes out are checked. Class: a resource that is taken again and again is given back only by another kind of work.

Change: when such a call has opened a connection, the oldest idle one of its target is closed.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_connections.py
@@ -347,6 +347,8 @@
 
         connection = self._acquire(target_id, address, max_idle_s, inf, may_carry)
         connection.has_unnamed_call = True
+        if connection.is_first_call:
+            self._close_oldest(target_id, address)
         return connection
 
     def _acquire(self, target_id, address, max_idle_s, connect_timeout_s, may_carry):
@@ -416,6 +418,14 @@
         for connection in closing:
             connection.close()
 
+    def _close_oldest(self, target_id, address):
+        """Close an idle connection, so that calls which need new ones add none."""
+        with self._lock:
+            idle = self._idle.get((target_id, address), [])
+            connection = idle.pop(0) if idle else None
+        if connection is not None:
+            connection.close()
+
     def _pop(self, target_id, address, may_carry):
         with self._lock:
             idle = self._idle.get((target_id, address), [])
