Reject a copy without an id behind an answer without a length (MIXED, stutter)

What callers saw: a 2xx whose body is the target's with another answer behind it.

Answers to the nodes' own calls (orders, reports, moves) and some refusals name none, and their connections carry requests too.

Class: the end of an answer is taken for another one's.

Change: on a connection that was used before, any head of an answer counts: a status line with the first header behind it. On a new connection no such copy can arrive, so a body there may quote an answer as before.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -351,7 +351,9 @@
 
         Behind a body whose length isn't known, a copy looks like a part of it.
         """
-        if ends_with_connection(response) and self._parts.dialect.holds_answer(body):
+        if ends_with_connection(response) and self._parts.dialect.holds_answer(
+            body, connection.is_first_call
+        ):
             reason = "another answer in the body"
             raise CallFailedError("read", connection.address, reason)
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -95,5 +95,8 @@
     def answer_headers(self, headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that are passed on to the caller."""
 
-    def holds_answer(self, body) -> bool:
-        """Return whether the head of another answer stands in a body."""
+    def holds_answer(self, body, is_first_call) -> bool:
+        """Return whether the head of another answer stands in a body.
+
+        ``is_first_call`` is whether its connection certainly carried no call before.
+        """
