Reject a truncated copy behind an answer without a length (MIXED, stutter)

What callers saw: a 2xx whose body is the target's with the begin of another answer behind it.

Cause: a target may end its connection inside the head of a late copy, before the line that names the request. Behind an answer that ends with its connection, these bytes count as the rest of the body.

Class: the end of an answer is taken for another one's.

Change: a head that isn't complete at the end of such a body counts as one of another answer from its first seven bytes ("HTTP/1.") on. A whole head that names no request may still be quoted on a new connection. A copy of less than seven bytes can't be told from a body.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -331,7 +331,7 @@
         while data := connection.read(response, admitted.ends_at - self._clock()):
             body += data
             if len(body) > _WHOLE_ANSWER_BYTES:
-                self._check_body(connection, response, passed_on + body)
+                self._check_body(connection, response, passed_on + body, is_end=False)
                 if not state.answer_begun:
                     state.answer_begun = True
                     inbound.send_head(response.status, headers)
@@ -346,13 +346,13 @@
             inbound.answer(response.status, headers, bytes(body))
         self._log.answered(admitted, state, response.status)
 
-    def _check_body(self, connection, response, body):
+    def _check_body(self, connection, response, body, is_end=True):
         """Check that no late copy of another answer stands in a body.
 
         Behind a body whose length isn't known, a copy looks like a part of it.
         """
         if ends_with_connection(response) and self._parts.dialect.holds_answer(
-            body, connection.is_first_call
+            body, connection.is_first_call, is_end
         ):
             reason = "another answer in the body"
             raise CallFailedError("read", connection.address, reason)
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -95,8 +95,9 @@
     def answer_headers(self, headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that are passed on to the caller."""
 
-    def holds_answer(self, body, is_first_call) -> bool:
+    def holds_answer(self, body, is_first_call, is_end=True) -> bool:
         """Return whether the head of another answer stands in a body.
 
-        ``is_first_call`` is whether its connection certainly carried no call before.
+        ``is_first_call`` is whether its connection certainly carried no call before,
+        ``is_end`` whether the body ends here; the head may be cut off there.
         """
