--- a/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
@@ -4,6 +4,7 @@
 """
 
 from contextlib import suppress
+from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse
 from io import RawIOBase
 from time import monotonic
@@ -149,8 +150,14 @@
         self.fp = self.reader = _CheckedReader(raw, sock, ends_at, silence)
 
     def begin(self):
-        """Read the head of the answer."""
+        """Read the head of the answer; skip interim answers before it."""
         super().begin()
+        while (
+            100 <= self.status < 200 and self.status != HTTPStatus.SWITCHING_PROTOCOLS
+        ):
+            # ``http.client`` skips those with status 100 only.
+            self.headers = self.msg = None
+            super().begin()
         check_framing(self)
 
 
