--- a/packages/hibiscusspar_entry/hibiscusspar_entry/process.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/process.py
@@ -1,10 +1,10 @@
 """Main function of the entry process."""
 
 import signal
-import threading
 
 from hibiscusspar_entry.composition import build_node
 from hibiscusspar_entry.event_log import open_log
+from hibiscusspar_entry.signal_flag import SignalFlag
 
 __all__ = ["run_process"]
 
@@ -17,9 +17,9 @@
     settings : Settings
     """
     open_log(settings.log_file, vm=settings.vm_id, zone=settings.zone)
-    stop = threading.Event()
+    stop = SignalFlag()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+        signal.signal(number, stop.set)
     node = build_node(settings, stop.set)
     node.start()
     stop.wait()
