Pause between looks at the store while its clients back off (FAULT)

What callers saw: nothing traced to it. A process that starts while the store turns its first calls away uses up its processor, so that all else on the node is late.

Cause: before the first read the copies of the quarantine and of the software versions look again at once. While another client's failure holds back their call, they look without a pause.

Class: a loop without a pause after an error of another part.

Change: they look again when the backoff ends.

Evidence: test_read_that_is_held_back_is_not_tried_without_a_pause of both fail without the change.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/quarantine_store.py
@@ -63,7 +63,9 @@
         is_read_due = self._read_at is None or now >= self._read_at + _READ_S
         if not is_read_due and self._crash_counts() == self._stored:
             return
-        if self._backoff.wait_s() > 0:
+        held_s = self._backoff.wait_s()
+        if held_s > 0:
+            self._retry_at = now + min(held_s, _READ_S)
             return
         try:
             self._read(now) if is_read_due else self._write()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_store.py
@@ -66,7 +66,9 @@
         is_read_due = self._read_at is None or now >= self._read_at + _READ_S
         if not is_read_due and self._software.all_versions() == self._stored:
             return
-        if self._backoff.wait_s() > 0:
+        held_s = self._backoff.wait_s()
+        if held_s > 0:
+            self._retry_at = now + min(held_s, _RETRY_S)
             return
         try:
             if is_read_due:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_quarantine_store.py
@@ -49,13 +49,14 @@
             lambda delay_s, function: self.later.append(function),
             lambda: False,
         )
+        self.backoff = StoreBackoff(clock, Random(3), lambda: 9, lambda: self.leads)
         self.copy = QuarantineStore(
             store,
             self.crashes,
             clock,
             lambda: self.leads,
             lambda: self.view_age_s,
-            StoreBackoff(clock, Random(3), lambda: 9, lambda: self.leads),
+            self.backoff,
         )
 
     def crash(self, *names):
@@ -108,6 +109,13 @@
         self.coordinator.run(2.5)
         self.assertTrue(self.coordinator.refuses)
 
+    def test_read_that_is_held_back_is_not_tried_without_a_pause(self):
+        """Guards against a process that spins while others' calls have failed."""
+        other = self.make()
+        other.backoff.record_failure()
+        other.copy.step()
+        self.assertGreater(other.copy.pause_s(), 0.0)
+
     def test_node_with_a_coordinator_reads_once(self):
         other = self.make()
         other.crash("t1", "t2")
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_software_store.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_software_store.py
@@ -21,12 +21,9 @@
         self.leads = leads
         self.software = SoftwareVersions(clock, clock())
         self.show(*software)
+        self.backoff = StoreBackoff(clock, Random(3), lambda: 9, lambda: self.leads)
         self.copy = SoftwareStore(
-            store,
-            self.software,
-            clock,
-            lambda: self.leads,
-            StoreBackoff(clock, Random(3), lambda: 9, lambda: self.leads),
+            store, self.software, clock, lambda: self.leads, self.backoff
         )
 
     def show(self, *software):
@@ -98,6 +95,13 @@
         started.run(3.0)
         self.assertEqual(started.versions, {"v2"})
 
+    def test_read_that_is_held_back_is_not_tried_without_a_pause(self):
+        """Guards against a process that spins while others' calls have failed."""
+        started = self.start("v2")
+        started.backoff.record_failure()
+        started.copy.step()
+        self.assertGreater(started.copy.pause_s(), 0.0)
+
     def test_versions_are_known_once_streams_of_earlier_ones_have_ended(self):
         self.store.is_away = True
         started = self.start("v2")
