Close a connection that is reset in the usual way; compare errors of accept() with the pauses

The test of accept() had a bound that held only on a machine that isn't busy; it compares the errors with the time that has passed.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/caller_connection.py
@@ -1,6 +1,5 @@
 """Connections of callers, read through the buffers of the interpreter."""
 
-import os
 import struct
 from contextlib import suppress
 from io import BufferedReader
@@ -87,12 +86,9 @@
         if not self.resets:
             super()._close_kernel_socket()
             return
+        # The end of the sending side, which comes first otherwise, ends a whole answer.
         with suppress(OSError):
             self.socket.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
-        # The files of the connection would keep its descriptor open.
-        descriptor = self.socket.detach()
-        if descriptor >= 0:
-            os.close(descriptor)
 
 
 def _make_file(sock, mode, bufsize):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/idle_connections.py
@@ -9,10 +9,10 @@
 
 from hibiscusspar_wire.limit_history import LimitHistory
 
-__all__ = ["IdleConnections"]
+__all__ = ["ACCEPT_PAUSE_S", "IdleConnections"]
 
 # Pause in seconds after a connection that could not be accepted.
-_ACCEPT_PAUSE_S = 0.05
+ACCEPT_PAUSE_S = 0.05
 
 
 class IdleConnections(ConnectionManager):
@@ -66,7 +66,7 @@
         while not self._stop_requested:
             timeout_s = expiration_interval
             if self._accepts_at is not None:
-                timeout_s = min(timeout_s, _ACCEPT_PAUSE_S)
+                timeout_s = min(timeout_s, ACCEPT_PAUSE_S)
                 self._resume_accepting()
             try:
                 ready = self._selector.select(timeout=timeout_s)
@@ -92,7 +92,7 @@
             # it isn't watched for a while; callers wait in its queue.
             self.server.error_log(f"accept: {error!r}")
             self._selector.unregister(self.server.socket.fileno())
-            self._accepts_at = monotonic() + _ACCEPT_PAUSE_S
+            self._accepts_at = monotonic() + ACCEPT_PAUSE_S
             return
         if conn is not None:
             conn.socket.settimeout(self.server.transfer_timeout_s)
@@ -106,7 +106,7 @@
             self._selector.register(listening, selectors.EVENT_READ, self.server)
         except OSError as error:
             self.server.error_log(f"accept: {error!r}")
-            self._accepts_at = monotonic() + _ACCEPT_PAUSE_S
+            self._accepts_at = monotonic() + ACCEPT_PAUSE_S
         else:
             self._accepts_at = None
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -14,6 +14,7 @@
 from cheroot.workers.threadpool import WorkerThread
 
 from hibiscusspar_wire.front_server import BadRequestError, FrontServer
+from hibiscusspar_wire.idle_connections import ACCEPT_PAUSE_S
 
 _REQUEST = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
 _TIMEOUT_S = 5.0
@@ -390,11 +391,13 @@
         with self.without_descriptors():
             for caller in new:
                 caller.connect(("127.0.0.1", self.server.port))
+            began = monotonic()
             for _ in range(20):
                 self.assertTrue(self.is_answered(kept))
                 sleep(0.02)
             # One error for each pause, not one for each turn of the loop.
-            self.assertLess(len(self.errors), 40)
+            pauses = (monotonic() - began) / ACCEPT_PAUSE_S
+            self.assertLess(len(self.errors), pauses + 3)
             self.assertGreater(len(self.errors), 0)
         for caller in new:
             self.assertTrue(self.is_answered(caller))
