Don't count events that are lost with a bad one behind them (ORDER)

What callers saw: a 200 whose stream lacks its first events, or events in its middle, and ends as complete. In the extreme it has no event at all.

Cause: EventSplitter.feed counts event by event and then fails at one that is missing, repeated or the head of another answer. The events before it in the same read are counted, but the caller never gets them, as feed raises. The node then has the stream continued behind the last counted event (Last-Event-Id), so these events are missing for good.

Class: progress is recorded before its effect.

Change: feed restores the last event and the count when it fails, so the stream goes on behind the last event that was returned.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/event_stream.py
@@ -44,6 +44,8 @@
     def feed(self, data):
         """Process received bytes and return the events that are complete.
 
+        If it fails, none of these events counts, as the caller gets none of them.
+
         Raises
         ------
         ValueError
@@ -58,8 +60,13 @@
             raise ValueError(f"an event of more than {_MAX_EVENT_BYTES} bytes")
         if not events:
             return b""
-        for event in events:
-            self._count_event(event)
+        before = self.last_event, self.count
+        try:
+            for event in events:
+                self._count_event(event)
+        except ValueError:
+            self.last_event, self.count = before
+            raise
         return _EVENT_END.join(events) + _EVENT_END
 
     def _is_one_event(self, data):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_event_stream.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_event_stream.py
@@ -51,6 +51,15 @@
                 with self.assertRaises(ValueError):
                     list(map(splitter.feed, parts))
 
+    def test_events_that_arrive_with_a_bad_one_do_not_count(self):
+        """Guards against a stream that goes on behind events that nobody got."""
+        for bad in (_event(4, []), b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nx\n\n"):
+            splitter = EventSplitter(0)
+            splitter.feed(_event(1, []))
+            with self.assertRaises(ValueError):
+                splitter.feed(_event(2, []) + bad)
+            self.assertEqual((splitter.last_event, splitter.count), (1, 1))
+
     def test_event_without_a_valid_number_is_passed_on(self):
         """Guards against text that only contains the name of the field."""
         splitter = EventSplitter(4)
