--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -4,6 +4,7 @@
 the trailers after the last chunk, so a truncated answer may look complete.
 """
 
+import re
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader
 
@@ -18,6 +19,8 @@
     "strict_pool_manager",
 ]
 
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
+
 
 class IncompleteLineError(HTTPException):
     """A connection ended inside a line of an answer or between two of its lines."""
@@ -76,8 +79,9 @@
 
 
 def check_framing(response):
-    """Check that the length of the body of an answer is known, if it has one.
+    """Check that a head is that of one answer and tells the length of its body.
 
+    A head that was cut off may run into the next one, in its first line or in a header.
     An answer with neither a length nor a transfer coding ends with its connection.
 
     Parameters
@@ -87,9 +91,13 @@
     Raises
     ------
     HTTPException
-        If the length is no number, there are several, or the transfer coding is
-        unknown. ``http.client`` reads such a body to the end of the connection.
+        If another head begins inside this one, the length is no number, there are
+        several, or the transfer coding is unknown. ``http.client`` reads such a body to
+        the end of the connection.
     """
+    for text in (response.reason, *response.headers.values()):
+        if _STATUS_LINE.search(text):
+            raise HTTPException(f"another answer in the head: {text[:80]!r}")
     codings = response.headers.get_all("Transfer-Encoding", [])
     if codings and not response.chunked:
         raise HTTPException(f"unknown transfer coding {codings!r}")
