Refuse streams of unknown origin while the directory is old (ORDER)

What callers saw: nothing is proved. A node that is cut off from the store and from all nodes, and still has clients, knows the versions of before the cut. If that is one, and another one appears meanwhile, it continues each stream of that one at its own version.

Cause: a version counts as the only one if the node has seen no other, however old its directory.

Class: what isn't known yet is taken for what doesn't exist.

Streams of known origin and new ones aren't concerned.

While the store is away from all nodes, streams that no node knows are refused also with one version; a new version can't appear then, but a node can't tell this from a cut of its own.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_versions.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/software_versions.py
@@ -24,6 +24,8 @@
         self._lock = threading.Lock()
         self._history = SoftwareHistory(began_at)
         self._targets = {}
+        # Returns whether the directory is new enough to show all versions.
+        self.is_current = lambda: True
 
     def set_targets(self, targets):
         """Replace the directory of targets."""
@@ -42,7 +44,7 @@
         with self._lock:
             now = self._clock()
             self._history.record(now, self._targets)
-            if not self._history.is_complete(now):
+            if not (self.is_current() and self._history.is_complete(now)):
                 return None
             return self._history.versions(service)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/store_sync.py
@@ -163,6 +163,16 @@
             return float("inf")
         return self._clock() - self._confirmed_at
 
+    @property
+    def known_age_s(self):
+        """The same, whether this node has read the directory or it was relayed."""
+        return self._clock() - self._known_at
+
+    @property
+    def _known_at(self):
+        at = self._confirmed_at
+        return self._relayed_at if at is None else max(self._relayed_at, at)
+
     def apply_relayed(self, targets, at, origin):
         """Apply the whole directory as the coordinator knew it at a given time.
 
@@ -252,10 +262,7 @@
         """
         with self._lock:
             now = self._clock()
-            known_at = self._relayed_at
-            if self._confirmed_at is not None:
-                known_at = max(known_at, self._confirmed_at)
-            if is_older or now - known_at >= self._expiry_s:
+            if is_older or now - self._known_at >= self._expiry_s:
                 self._directory.store_returned(now, is_older)
 
     def _age_s(self, at):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_continuation.py
@@ -82,6 +82,16 @@
         software.restore({"draft": ["v0"]})
         self.assertEqual(self.refusal("r9").retry_after_s, 0.3)
 
+    def test_unknown_origin_is_refused_while_the_directory_is_old(self):
+        """Guards against a node that never saw the version which began a stream."""
+        self.clock.now += 100.0
+        self.targets(self.v1)
+        self.clock.now += 100.0
+        self.scheduler.software.is_current = lambda: False
+        self.assertEqual(self.refusal("r9").retry_after_s, 0.3)
+        self.scheduler.software.is_current = lambda: True
+        self.assertIsNone(self.resume("r9").origin)
+
     def test_version_that_left_lately_may_have_begun_the_stream(self):
         self.targets(self.v1)
         self.clock.now += 5.0
