--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -65,7 +65,9 @@
     if answer.not_run and (is_ours or (not answer.request_id and is_first_call)):
         adapter_missing = response.status == _MISDIRECTED
         reason = f"not run, status {response.status}"
-        return AttemptFailure("answer", reason, True, adapter_missing, is_whole=True)
+        # The connection of one without an id isn't used again, as nothing would tell a
+        # copy of it from the answer to an own call.
+        return AttemptFailure("answer", reason, True, adapter_missing, is_whole=is_ours)
     if not is_ours:
         reason = f"answer to request {answer.request_id!r}"
         return AttemptFailure("answer", reason, False, False)
