--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -38,6 +38,7 @@
 _WHOLE_ANSWER_BYTES = 262_144
 # Longest head of another answer that is looked for where two parts of a body meet.
 _HEAD_BYTES = 4096
+_LEFT_REASON = "this VM has left"
 
 
 class Forwarder:
@@ -78,6 +79,8 @@
         self._open = set()
         self._lock = threading.Lock()
         self.draining_since = None
+        # Whether no request may wait for a target any more.
+        self._refuses_waiting = False
 
     @property
     def open_requests(self):
@@ -89,6 +92,14 @@
         since = self.draining_since
         return since is not None and now > since + self._policy.accept_s
 
+    def refuse_waiting(self):
+        """Refuse all requests that wait for a target, now or later."""
+        self._refuses_waiting = True
+        with self._lock:
+            waiting = list(self._open)
+        for state in waiting:
+            state.stop_waiting()
+
     def handle(self, inbound):
         """Answer one request of a caller."""
         arrived = self._clock()
@@ -134,8 +145,7 @@
     def _refuse_if_closed(self, inbound, arrived):
         if self.is_closed(arrived):
             inbound.read_body()
-            reason = "this VM has left"
-            raise RefusedError(503, reason, self._policy.draining_retry_s)
+            raise RefusedError(503, _LEFT_REASON, self._policy.draining_retry_s)
 
     def _run(self, inbound, admitted, state):
         parts = self._parts
@@ -184,7 +194,7 @@
         job = make_job(admitted, state, now, factor * route.first_byte_slo_s)
         request_scheduler = self._parts.request_scheduler
         ticket = state.ticket = request_scheduler.submit(job)
-        if state.caller_gone.is_set():
+        if state.caller_gone.is_set() or self._refuses_waiting:
             ticket.decided.set()
         ticket.decided.wait(max(0.0, job.give_up_at + 0.2 - now))
         if state.caller_gone.is_set() or ticket.decision is None:
@@ -193,6 +203,8 @@
             if state.caller_gone.is_set():
                 raise CallerLeftError
             self._crash_guard.check(admitted, state)
+            if self._refuses_waiting:
+                raise RefusedError(503, _LEFT_REASON, policy.draining_retry_s)
             raise RefusedError(503, "no decision", policy.failed_retry_s)
         state.ticket = None
         if isinstance(ticket.decision, Refuse):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/node.py
@@ -45,6 +45,8 @@
 _STORE_RETRY_S = 0.3
 # Part of the platform's grace period that is kept in reserve.
 _GRACE_MARGIN_S = 0.6
+# Time before the end of a graceful stop in which refusals reach their callers.
+_REFUSAL_S = 0.3
 
 
 class FleetParts(NamedTuple):
@@ -281,15 +283,19 @@
         for lease_keeper in parts.lease_keepers:
             lease_keeper.release()
 
-        def is_over():
-            return parts.clock() - started_at >= grace_s
-
         def count_requests():
             # Until requests are refused, the next one may come at any moment.
             accepts = not self._forwarder.is_closed(parts.clock())
             return accepts or self._open_requests
 
-        wait_until_answered(is_over, count_requests, _TICK_S)
+        def wait_until(ends_at):
+            wait_until_answered(
+                lambda: parts.clock() >= ends_at, count_requests, _TICK_S
+            )
+
+        wait_until(started_at + grace_s - _REFUSAL_S)
+        self._forwarder.refuse_waiting()
+        wait_until(started_at + grace_s)
         seconds = round(parts.clock() - started_at, 3)
         fields = {"open": self._forwarder.open_requests, "seconds": seconds}
         write_records([(NODE_STOPPED, fields)])
