Log the versions of the weights at both ends of a move

They now hold the version of the model that the source's answer states, what the directory lists for both ends, the versions of their copies of the adapter, and what the answer after the move states.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -403,7 +403,17 @@
             inbound.write(events)
             if state.attempt_event_at is None:
                 self._crash_guard.record_begin(admitted)
-                self._mover.begin(admitted, state, placement, connection, response)
+                head = self._parts.dialect.answer_head(
+                    response.status, response.headers
+                )
+                self._mover.begin(
+                    admitted,
+                    state,
+                    placement,
+                    connection,
+                    response,
+                    head.model_version,
+                )
             now = self._clock()
             state.record_event(now)
             if silence is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
@@ -85,17 +85,40 @@
 STREAM_MOVE_BEGUN = declare(
     690,
     "call.move_begun",
-    ("request", "source", "events", "destination", "reason", "since_s"),
+    (
+        "request",
+        "source",
+        "events",
+        "destination",
+        "reason",
+        "since_s",
+        "model_version",
+        "listed",
+        "versions",
+    ),
     "The state of a stream's run is being copied, because its target leaves: `reason` "
     "is `draining`, `evacuated`, `gone` or `said`, known for `since_s`; or because its "
-    "target is `slow`, or the stream would be too `late` there.",
+    "target is `slow`, or the stream would be too `late` there. `model_version` is the "
+    "version of the model that the source's answer stated, `listed` that of source and "
+    "destination in the directory, null if not known; `versions` are those of their "
+    "copies of the adapter, 0 if not known, or of the model if none is named.",
 )
 STREAM_MOVED = declare(
     691,
     "call.moved",
-    ("request", "source", "events", "destination", "pause_s"),
+    (
+        "request",
+        "source",
+        "events",
+        "destination",
+        "pause_s",
+        "model_version",
+        "before",
+    ),
     "A moved stream has its first event from another target, or from the "
-    "same one if the run went back; `pause_s` after the last event.",
+    "same one if the run went back; `pause_s` after the last event. `model_version` is "
+    "the version of the model that its answer states, `before` that of the answer "
+    "which made the state.",
 )
 STREAM_NOT_MOVED = declare(
     692,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
@@ -53,22 +53,28 @@
     def begun(self, run, placement):
         """Record that a destination is reserved and the state will be copied."""
         self._count_outcome("begun", run)
-        leave = run.leave
+        leave, model = run.leave, run.admitted.call.model
+        source, destination = run.placement, placement
         fields = {
             **run.fields(),
-            "destination": placement.target.target_id,
+            "destination": destination.target.target_id,
             "reason": leave.reason,
             "since_s": round(self._clock() - leave.since, 3),
+            "model_version": run.model_version,
+            "listed": [p.target.models.get(model) for p in (source, destination)],
+            "versions": [source.version, destination.version],
         }
         write_records([(STREAM_MOVE_BEGUN, fields)])
 
-    def succeeded(self, run, placement, is_return):
+    def succeeded(self, run, placement, is_return, model_version):
         """Record the first event after a move."""
         self._count_outcome("returned" if is_return else "moved", run)
         fields = {
             **run.fields(),
             "destination": placement.target.target_id,
             "pause_s": round(self._clock() - run.state.last_event_at, 3),
+            "model_version": model_version,
+            "before": run.model_version,
         }
         write_records([(STREAM_MOVED, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
@@ -6,7 +6,9 @@
 class NoMoves:
     """Replacement of a ``StreamMover`` where no stream moves."""
 
-    def begin(self, admitted, state, placement, connection, response):
+    def begin(
+        self, admitted, state, placement, connection, response, model_version=None
+    ):
         """Ignore the first event of a stream."""
 
     def follow(self, state, failure):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -138,14 +138,19 @@
         if is_new:
             self._task.wake()
 
-    def begin(self, admitted, state, placement, connection, response):
-        """Record the first event of an attempt, of which the stream may move later."""
+    def begin(
+        self, admitted, state, placement, connection, response, model_version=None
+    ):
+        """Record the first event of an attempt, of which the stream may move later.
+
+        ``model_version`` is that which the head of its answer states, if it does.
+        """
         if not self._services and state not in self._runs:
             return
         now = self._clock()
         run = None
         if admitted.service in self._services:
-            run = StreamRun(admitted, state, placement, connection, now)
+            run = StreamRun(admitted, state, placement, connection, now, model_version)
             if not run.may_move(response, self._scheduler):
                 run = None
         with self._lock:
@@ -157,7 +162,7 @@
                     run.retry_at = now + _RETRY_S
             is_leaving = placement.target.target_id in self._leaving
         if before is not None and before.move is not None:
-            self._record_success(before, placement)
+            self._record_success(before, placement, model_version)
         if is_leaving and run is not None:
             self._task.wake()
 
@@ -424,12 +429,12 @@
             # The copy expires by itself.
             log_failure("freeing a copy", error)
 
-    def _record_success(self, run, placement):
+    def _record_success(self, run, placement, model_version):
         with self._lock:
             is_return = _is_return(run)
             run.move.started()
             self._moving.discard(run)
-        self._log.succeeded(run, placement, is_return)
+        self._log.succeeded(run, placement, is_return, model_version)
 
 
 def _is_return(run):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -28,13 +28,18 @@
     placement : Placement
     connection : TargetPath
     began_at : float
+    model_version : int, optional
+        Version of the model that the head of its answer states.
     """
 
-    def __init__(self, admitted, state, placement, connection, began_at):
+    def __init__(
+        self, admitted, state, placement, connection, began_at, model_version=None
+    ):
         self.admitted = admitted
         self.state = state
         self.placement = placement
         self.connection = connection
+        self.model_version = model_version
         self.move = None
         # Leave of the target, or why it is relieved, once the stream moves.
         self.leave = None
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -66,7 +66,8 @@
     node that it answers, None if it doesn't say so. ``leaving`` is whether it says that
     it leaves, ``brittle`` whether it says that it fails if it must turn many requests
     away. ``cold`` is what it says about how long it stays cold (a ``ColdStatement``),
-    None if it says nothing.
+    None if it says nothing. ``model_version`` is the version of the model that answers,
+    also if the request names an adapter, None if it isn't stated.
     """
 
     request_id: str
@@ -78,6 +79,7 @@
     leaving: bool = False
     brittle: bool = False
     cold: object = None
+    model_version: int | None = None
 
 
 class Dialect(Protocol):
