Load adapters that only a leaving target holds

Callers of an adapter whose only copy is at a draining target waited until they were refused or the target was gone, and a stream that leaves it found no destination with its adapter.

Cause: the planner counted the draining target as a holder, so that it ordered no load. The targets that a want excludes are those that stay but can't be used; draining ones aren't listed among them, as nodes send them nothing anyway.

Change: a record of what a target holds tells whether the target leaves, and such a holder doesn't count.

Evidence: test_adapter_held_only_by_leaving_targets_is_loaded_elsewhere fails without the change.

--- a/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
@@ -26,6 +26,7 @@
     whether a query has no result yet, and ``failed_queries`` how many in a row had
     none. ``warm`` lists adapters
     that it held recently, the latest last. ``number`` is the revision of ``copies``.
+    ``draining`` is whether the target leaves.
 
     Parameters
     ----------
@@ -50,6 +51,7 @@
         self.warm = OrderedDict()
         self.last_used = {}
         self.number = 0
+        self.draining = False
 
     def increment_revision(self):
         """Take the next revision, by which nodes discard older states."""
--- a/packages/hibiscusspar/hibiscusspar/fleet/planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planner.py
@@ -97,6 +97,7 @@
                 }
                 held.increment_revision()
                 self._index.put(target_id, held)
+            held.draining = target.draining
             for model in target.models:
                 held.models[model] = 0.0
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -137,7 +137,9 @@
     def is_held(self, key, newest, excluded_targets):
         """Return whether a usable target holds an adapter in its newest version."""
         return any(
-            version >= newest and target_id not in excluded_targets
+            version >= newest
+            and target_id not in excluded_targets
+            and not self._held[target_id].draining
             for target_id, version in self._index.holders(key)
         )
 
--- a/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/tests/test_planner.py
@@ -105,6 +105,16 @@
         (order,) = fleet.plan(1.0, [wanted])
         self.assertEqual((order.target_id, order.adapter), ("t3", "a"))
 
+    def test_adapter_held_only_by_leaving_targets_is_loaded_elsewhere(self):
+        """Guards against requests that wait until the last holder is gone."""
+        rows = [target("t1", ["a"]), target("t2")]
+        fleet = Fleet(*rows)
+        self.assertEqual(fleet.plan(1.0, [want("a")]), [])
+        fleet.planner.sync([rows[0]._replace(draining=True), rows[1]])
+        del fleet.targets["t1"]
+        (order,) = fleet.plan(1.1, [want("a")])
+        self.assertEqual((order.target_id, order.operation), ("t2", "load"))
+
     def test_further_copy_only_if_the_backlog_is_long_enough(self):
         fleet = Fleet(target("t1", ["a"]), target("t2"))
         orders = fleet.plan(1.0, [want("a", extra_copy=True)], {"t1": 0.3})
