--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -107,7 +107,7 @@
             remaining_s,
             min(9, admitted.priority),
             last_event,
-            placement.version if admitted.call.adapter else 0,
+            _expected_version(admitted.call, placement, copy),
             copy,
         )
         head = admitted.head
@@ -196,3 +196,10 @@
                 target.target_id, error.step in UNSENT_STEPS
             )
         self._crash_guard.record_failure(admitted, state, target, error, is_second)
+
+
+def _expected_version(call, placement, copy):
+    """Return the version of the adapter or else of the model, 0 for any."""
+    if call.adapter:
+        return placement.version
+    return 0 if copy is None or copy.weights is None else copy.weights.model
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from hibiscusspar.fleet.run_weights import Holding
 from hibiscusspar_entry.fleet.stream_run import move_job
 
 __all__ = ["Destinations"]
@@ -11,6 +12,9 @@
 # Time in seconds that a leaving target must have left for a load of an adapter: some
 # 0.15 s for the load at an idle target, and the rest for the report, order and copy.
 _MIN_LOAD_S = 0.25
+# Destinations whose weights can't be read, after which a choice is given up: each may
+# take as long as the time-out of a report.
+_MAX_UNKNOWN = 2
 
 
 class Destinations:
@@ -22,12 +26,16 @@
     request_scheduler : RequestScheduler
     closed_targets : callable
         Returns the ids of the targets that must not get a moved stream.
+    weights : WeightsCheck
+    log : MoveLog
     """
 
-    def __init__(self, clock, request_scheduler, closed_targets):
+    def __init__(self, clock, request_scheduler, closed_targets, weights, log):
         self._clock = clock
         self._scheduler = request_scheduler
         self._closed_targets = closed_targets
+        self._weights = weights
+        self._log = log
         # Guards the waiting requests of the runs.
         self._lock = threading.Lock()
 
@@ -42,10 +50,11 @@
         claim : callable
             Takes a placement unless its target is full; returns whether it did.
         """
-        source, model = run.placement.target, run.admitted.call.model
+        service, model = run.admitted.service, run.admitted.call.model
+        version, unknown = run.weights.model, 0
         for _ in range(_MAX_CHOICES):
             excluded = self._excluded(run) | full_targets()
-            excluded |= self._scheduler.targets_with_other_weights(source, model)
+            excluded |= self._scheduler.targets_listing_other(service, model, version)
             ticket = self._take(run)
             if ticket is None:
                 ticket = self._scheduler.submit(move_job(run, self._clock(), excluded))
@@ -56,15 +65,18 @@
             placement = ticket.placement
             target_id = placement.target.target_id
             run.tried |= {target_id}
+            holding = Holding.OTHER
             # A target that a waiting request got may be excluded meanwhile.
-            is_excluded = target_id in excluded
-            if is_excluded or placement.permitted or not run.suits(placement):
-                self._scheduler.release(placement, first_byte=False)
-            elif claim(placement):
+            if target_id not in excluded and not placement.permitted:
+                holding = self._compare(run, placement)
+            if holding is Holding.SAME and claim(placement):
                 return placement
-            else:
+            self._scheduler.release(placement, first_byte=False)
+            if holding is Holding.SAME:
                 run.tried -= {target_id}
-                self._scheduler.release(placement, first_byte=False)
+            unknown += holding is Holding.UNKNOWN
+            if unknown >= _MAX_UNKNOWN:
+                return None
         return None
 
     def request_load(self, run):
@@ -100,6 +112,18 @@
         if ticket is not None:
             self._scheduler.withdraw(ticket)
 
+    def _compare(self, run, placement):
+        """Return the ``Holding`` of the weights of a run at a reserved destination."""
+        if not run.suits(placement):
+            return Holding.OTHER
+        try:
+            holding = self._weights.compare(run, placement.target)
+        except Exception:
+            self._scheduler.release(placement, first_byte=False)
+            raise
+        self._log.compared(run, placement, holding)
+        return holding
+
     def _take(self, run):
         with self._lock:
             ticket, run.ticket = run.ticket, None
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
@@ -6,6 +6,7 @@
     "ACCOUNT_SHARES",
     "ADMISSION_LEVEL",
     "CALL_TIMES",
+    "OTHER_WEIGHTS",
     "RELIEF_BEGUN",
     "RELIEF_ENDED",
     "SLOW_PERIOD",
@@ -127,6 +128,13 @@
     "A stream stays at a target that leaves or is slow, or has stopped there and could "
     "not be continued from its state; 633 and 634 tell what followed.",
 )
+OTHER_WEIGHTS = declare(
+    695,
+    "call.other_weights",
+    ("request", "source", "events", "destination", "model_version", "listed"),
+    "A stream doesn't move to this target, which reports other weights than those of "
+    "`model_version` that made its state; the directory lists the version `listed`.",
+)
 RELIEF_BEGUN = declare(
     693,
     "node.relief_begun",
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
@@ -3,8 +3,10 @@
 import threading
 from collections import Counter
 
+from hibiscusspar.fleet.run_weights import Holding
 from hibiscusspar_entry.event_log import write_records
 from hibiscusspar_entry.fleet.load_events import (
+    OTHER_WEIGHTS,
     STREAM_MOVE_BEGUN,
     STREAM_MOVED,
     STREAM_NOT_MOVED,
@@ -36,6 +38,8 @@
                 "stream_moves_failed": self._counts["failed"],
                 "stream_copies_freed": self._counts["freed"],
                 "stream_loads_requested": self._counts["loads requested"],
+                "stream_destinations_other": self._counts["other weights"],
+                "stream_destinations_unknown": self._counts["unknown weights"],
                 "stream_reliefs_begun": self._counts["begun for relief"],
                 "streams_relieved": self._counts["moved for relief"],
                 "stream_reliefs_returned": self._counts["returned for relief"],
@@ -83,11 +87,26 @@
         self._count_outcome("failed", run)
         write_records([(STREAM_NOT_MOVED, {**run.fields(), "reason": reason})])
 
+    def compared(self, run, placement, holding):
+        """Record that a destination turned out to hold other or unknown weights."""
+        if holding is not Holding.SAME:
+            self._count(f"{holding.value} weights")
+        if holding is Holding.OTHER:
+            model = run.admitted.call.model
+            fields = {
+                **run.fields(),
+                "destination": placement.target.target_id,
+                "model_version": run.weights.model,
+                "listed": placement.target.models.get(model),
+            }
+            write_records([(OTHER_WEIGHTS, fields)])
+
     def found_no_target(self, run):
         """Record that a stream stays for lack of a destination, once."""
         if not run.is_logged and not run.closed.is_set():
             run.is_logged = True
-            fields = {**run.fields(), "reason": "no destination"}
+            reason = "no destination" if run.weights else "unknown weights"
+            fields = {**run.fields(), "reason": reason}
             write_records([(STREAM_NOT_MOVED, fields)])
 
     def _count_outcome(self, name, run):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/request_scheduler.py
@@ -132,26 +132,24 @@
             self._refuse_dropped(now)
             self._retry_waiting(now)
 
-    def targets_with_other_weights(self, source, model):
-        """Return the targets of a service with other weights of a model than one has.
+    def targets_listing_other(self, service, model, version):
+        """Return the targets of a service that list another version of a model.
 
         Parameters
         ----------
-        source : Target
-        model : str
+        service, model : str
+        version : int
 
         Returns
         -------
         set of str
-            Ids of targets.
         """
-        version = source.models.get(model)
         with self.lock:
             return {
                 target.target_id
                 for target in self._targets.values()
-                if target.service == source.service
-                and target.models.get(model) != version
+                if target.service == service
+                and target.models.get(model, version) != version
             }
 
     def serves(self, origin, excluded=frozenset()):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -22,6 +22,7 @@
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
 from hibiscusspar_entry.fleet.placement import Placement
 from hibiscusspar_entry.fleet.stream_run import RouteLengths, StreamRun
+from hibiscusspar_entry.fleet.weights_check import WeightsCheck
 from hibiscusspar_wire.dialect import CopyHandle
 from hibiscusspar_wire.target_connections import CallFailedError
 
@@ -57,6 +58,8 @@
         Returns the ids of the targets that must not get a moved stream.
     ordinary_s : float
         Time in seconds that a draining target has if its entry doesn't tell.
+    read_state : callable
+        Returns the ``TargetState`` that a target reports, or None.
     relief : ReliefWatch, optional
         By default no stream moves because its target is slow.
     submit : callable, optional
@@ -70,13 +73,18 @@
         calls,
         closed_targets,
         ordinary_s,
+        read_state,
         relief=None,
         submit=None,
     ):
         self._clock = clock
         self._scheduler = request_scheduler
         self._calls = calls
-        self._destinations = Destinations(clock, request_scheduler, closed_targets)
+        self._log = MoveLog(clock)
+        self._weights = WeightsCheck(clock, read_state)
+        self._destinations = Destinations(
+            clock, request_scheduler, closed_targets, self._weights, self._log
+        )
         self._submit = submit or BackgroundPool("stream moves", _MAX_MOVES).submit
         self._lock = threading.Lock()
         self._services = frozenset()
@@ -88,7 +96,6 @@
         self._moving = set()
         self._lengths = RouteLengths()
         self._relief = relief
-        self._log = MoveLog(clock)
         self._is_started = False
         self._task = PeriodicTask("stream moves", self.step, self._pause_s)
 
@@ -292,7 +299,8 @@
         """Reserve a destination and have the state of a run copied there."""
         move = run.move
         try:
-            placement = self._reserve(run, move)
+            is_known = self._weights.learn(run)
+            placement = self._reserve(run, move) if is_known else None
             if placement is None:
                 with self._lock:
                     cleanup = move.not_chosen(self._clock())
@@ -300,7 +308,7 @@
                     run.move, run.retry_at = None, self._clock() + _RETRY_S
                 self._clean(run, cleanup)
                 self._log.found_no_target(run)
-                if self._destinations.request_load(run):
+                if is_known and self._destinations.request_load(run):
                     self._log.count_request()
                 return
             self._log.begun(run, placement)
@@ -348,7 +356,7 @@
                 state.onward = move.destination
             else:
                 state.onward = _return_placement(run.placement)
-            state.copy = CopyHandle(source.address, move.handle)
+            state.copy = CopyHandle(source.address, move.handle, run.weights)
         # The caller has events of the run.
         state.may_have_run = True
         return True
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -40,6 +40,9 @@
         self.placement = placement
         self.connection = connection
         self.model_version = model_version
+        # RunWeights of its state, once known.
+        self.weights = None
+        self.began_at = began_at
         self.move = None
         # Leave of the target, or why it is relieved, once the stream moves.
         self.leave = None
@@ -56,7 +59,6 @@
         self.answered = threading.Event()
         self.closed = threading.Event()
         self.is_logged = False
-        self._began_at = began_at
         self._first_count = state.splitter.count
         self._pace = RecentPace(began_at, self._first_count)
 
@@ -79,17 +81,14 @@
         )
 
     def suits(self, placement):
-        """Return whether a destination can continue the run.
+        """Return whether a destination can continue the run, as far as is listed.
 
-        The state of a run belongs to the weights of the adapter and of the model that
-        made it; ``version`` is that of the adapter if the request names one.
+        The state of a run also belongs to the weights that made it, of which only the
+        targets themselves tell.
         """
-        model = self.admitted.call.model
-        source, destination = self.placement.target, placement.target
         return (
             placement.version == self.placement.version
-            and destination.models.get(model) == source.models.get(model)
-            and destination.software == self._software
+            and placement.target.software == self._software
         )
 
     def row(self, usual_events):
@@ -107,7 +106,7 @@
         in_attempt = events - self._first_count
         gap_s = None
         if in_attempt > 0 and state.last_event_at is not None:
-            gap_s = max(0.0, state.last_event_at - self._began_at) / in_attempt
+            gap_s = max(0.0, state.last_event_at - self.began_at) / in_attempt
         return StreamRow(
             self,
             self.placement.target.target_id,
@@ -131,11 +130,16 @@
             row.expected_events,
             row.gap_s,
             self._pace.gap_s(now, row.events),
-            now - self._began_at,
+            now - self.began_at,
             admitted.arrived,
             admitted.ends_at,
         )
 
+    @property
+    def key(self):
+        """Model and adapter of the request."""
+        return self.admitted.call.model, self.admitted.call.adapter
+
     @property
     def is_relief(self):
         """Whether it moves because its target is slow, not because it leaves."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
@@ -10,6 +10,7 @@
 from hibiscusspar.fleet.stream_relief import ReliefPolicy
 from hibiscusspar.fleet.targets import Target
 from hibiscusspar_entry.fleet.placement import Placement, Ticket
+from hibiscusspar_entry.fleet.ports import TargetState
 from hibiscusspar_entry.fleet.relief_watch import ReliefWatch
 from hibiscusspar_entry.fleet.request_state import RequestState
 from hibiscusspar_entry.fleet.stream_mover import StreamMover
@@ -86,11 +87,11 @@
         # Fails if a placement is released twice.
         self.reserved.remove(id(placement))
 
-    def targets_with_other_weights(self, source, model):
+    def targets_listing_other(self, service, model, version):
         return {
             name
             for name, target in self.targets.items()
-            if target.models.get(model) != source.models.get(model)
+            if target.models.get(model, version) != version
         }
 
     def is_current(self, target):
@@ -98,7 +99,10 @@
 
 
 class Engine:
-    """Engine that runs requests, stops and copies them; ``copies`` are by handle."""
+    """Engine that runs requests, stops and copies them; ``copies`` are by handle.
+
+    ``copies`` holds the request and the version of the model that made its state.
+    """
 
     def __init__(self):
         self.running = {}
@@ -113,6 +117,9 @@
     ``script`` holds what becomes of each call: ``"ok"``, ``"full"``, ``"lost"`` (done,
     but not answered), ``"dropped"`` (not done), ``"refused"`` (another one is in
     progress) or ``"unsent"``. ``during_call`` is called while one is under way.
+
+    ``models`` holds the versions of the model at the engines whose rows in the
+    directory are old, ``silent`` the engines that report nothing.
     """
 
     def __init__(self, names):
@@ -121,8 +128,27 @@
         self.during_call = lambda: None
         self.freed = []
         self.calls = []
+        self.models = {}
+        self.silent = set()
+        self.versions = dict.fromkeys(self.by_name.values(), 1)
         self._number = 0
 
+    def model_version(self, target):
+        return self.models.get(target.target_id, target.models.get("m"))
+
+    def restart(self, name):
+        """Start an engine again under its id with newer weights."""
+        engine = self.by_name[name]
+        for runs in (engine.running, engine.stopped, engine.copies):
+            runs.clear()
+        self.versions[engine] += 1
+        self.models[name] = self.versions[engine]
+
+    def read_state(self, target):
+        if target.target_id in self.silent:
+            return None
+        return TargetState(0, {}, {}, {"m": self.model_version(target)}, False)
+
     def at_work(self, request_id):
         return [n for n, e in self.by_name.items() if request_id in e.running]
 
@@ -148,10 +174,11 @@
         self._number += 1
         handle = f"h{self._number}"
         created = engine.stopped[request_id]
-        engine.copies[handle] = request_id
+        made = (request_id, self.versions[engine])
+        engine.copies[handle] = made
         if not has_room:
             return MoveAnswer(MoveOutcome.KEPT, handle, created, "status 503")
-        self.by_name[destination.target_id].copies[handle] = request_id
+        self.by_name[destination.target_id].copies[handle] = made
         return MoveAnswer(MoveOutcome.COPIED, handle, created)
 
     def free(self, source, handle):
@@ -166,7 +193,8 @@
             held = engine.copies.pop(copy.handle, None)
             if held is None:
                 return False
-            assert held == request_id, f"{request_id} began from the state of {held}"
+            began = (request_id, self.versions[engine])
+            assert held == began, f"{began} began from the state of {held}"
             engine.stopped.pop(request_id, None)
         engine.running[request_id] = last_event
         assert len(self.at_work(request_id)) == 1, "two targets work on one request"
@@ -176,11 +204,13 @@
 class Stream:
     """Stream of one caller, relayed as ``Forwarder`` does it.
 
-    A resumable one is begun anew at another target if it breaks off.
+    A resumable one is begun anew at another target if it breaks off. ``states`` is
+    whether the heads of its answers state the version of the model.
     """
 
-    def __init__(self, bench, request_id, source, resumable=False):
+    def __init__(self, bench, request_id, source, resumable=False, states=True):
         self.resumable = resumable
+        self.states = states
         self.bench = bench
         self.state = RequestState()
         self.state.splitter = EventSplitter()
@@ -244,8 +274,14 @@
         self.bench.now += EVENT_GAP_S
         self.state.splitter.feed(f"id: {number}\n\n".encode())
         if self.state.attempt_event_at is None:
+            target = self.placement.target
             self.bench.mover.begin(
-                self.admitted, self.state, self.placement, self.connection, CHUNKED
+                self.admitted,
+                self.state,
+                self.placement,
+                self.connection,
+                CHUNKED,
+                self.bench.engines.model_version(target) if self.states else None,
             )
         self.state.record_event(self.bench.now)
 
@@ -321,6 +357,7 @@
             self.engines,
             lambda: self.closed_targets,
             1.0,
+            self.engines.read_state,
             # All streams of a slow target may leave at once.
             ReliefWatch(
                 self.told,
@@ -356,8 +393,10 @@
         self.scheduler.targets[name] = row._replace(draining=True)
         self.publish()
 
-    def stream(self, request_id="r1", source="t0", events=2, resumable=False):
-        stream = Stream(self, request_id, source, resumable)
+    def stream(
+        self, request_id="r1", source="t0", events=2, resumable=False, states=True
+    ):
+        stream = Stream(self, request_id, source, resumable, states)
         for _ in range(events):
             stream.receive()
         return stream
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
@@ -5,13 +5,19 @@
 from types import SimpleNamespace
 
 from hibiscusspar.fleet.leaving_targets import Leave
+from hibiscusspar.fleet.run_weights import RunWeights
 from hibiscusspar_entry.fleet.destinations import Destinations
+from hibiscusspar_entry.fleet.move_log import MoveLog
 from hibiscusspar_entry.fleet.placement import Placement
+from hibiscusspar_entry.fleet.ports import TargetState
 from hibiscusspar_entry.fleet.tests.test_request_scheduler import (
     SchedulerTestCase,
     target,
     view,
 )
+from hibiscusspar_entry.fleet.weights_check import WeightsCheck
+
+HELD = TargetState(0, {}, {}, {"m": 1}, False)
 
 
 class TestLoadRequests(SchedulerTestCase):
@@ -22,7 +28,12 @@
         source = target("t0", ["a1"], draining=True)._replace(software="v1")
         self.targets(source, target("t1")._replace(software="v1"))
         self.scheduler.apply_view(view({"t1": (1, [])}))
-        self.destinations = Destinations(self.clock, self.scheduler, set)
+        self.states = {}
+        self.log = MoveLog(self.clock)
+        weights = WeightsCheck(self.clock, lambda t: self.states.get(t.target_id, HELD))
+        self.destinations = Destinations(
+            self.clock, self.scheduler, set, weights, self.log
+        )
         call = SimpleNamespace(request_id="r1", model="m", adapter="a1")
         route = SimpleNamespace(first_byte_slo_s=1.0, max_gap_s=0.3)
         self.run_ = SimpleNamespace(
@@ -44,6 +55,9 @@
             has_waited=False,
             closed=threading.Event(),
             suits=lambda placement: True,
+            weights=RunWeights(1),
+            key=("m", "a1"),
+            fields=dict,
         )
 
     def test_targets_with_other_weights_are_left_out(self):
@@ -58,6 +72,32 @@
         self.scheduler.apply_view(view(rows, number=2))
         self.assertEqual(self.reserve().target.target_id, "t10")
 
+    def test_choice_ends_after_two_targets_that_report_nothing(self):
+        """Guards against a wait for one time-out after the other."""
+        names = [f"t{i}" for i in range(1, 6)]
+        rows = [target(name, ["a1"])._replace(software="v1") for name in names]
+        self.targets(self.run_.placement.target, *rows)
+        states = {name: (2, [("m/a1", 1, 0.0)]) for name in names}
+        self.scheduler.apply_view(view(states, number=2))
+        self.states = dict.fromkeys(names)
+        self.assertIsNone(self.reserve())
+        self.assertEqual(len(self.run_.tried), 2)
+        self.assertIsNone(self.reserve())
+        self.states = {}
+        (remaining,) = set(names) - self.run_.tried
+        self.assertEqual(self.reserve().target.target_id, remaining)
+        self.assertEqual(self.log.gauges()["stream_destinations_unknown"], 4)
+        self.assertEqual(self.scheduler.status()[2], 1)
+
+    def test_target_is_released_if_its_report_causes_an_error(self):
+        row = target("t1", ["a1"])._replace(software="v1")
+        self.targets(self.run_.placement.target, row)
+        self.scheduler.apply_view(view({"t1": (2, [("m/a1", 1, 0.0)])}, number=2))
+        self.states = {"t1": "no state"}
+        with self.assertRaises(AttributeError):
+            self.reserve()
+        self.assertEqual(self.scheduler.status()[2], 0)
+
     def reserve(self):
         return self.destinations.reserve(self.run_, set, lambda placement: True)
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -9,9 +9,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from hibiscusspar.fleet.run_weights import RunWeights
 from hibiscusspar_entry.fleet import relief_watch, stream_mover
 from hibiscusspar_entry.fleet.load_events import RELIEF_BEGUN, RELIEF_ENDED
 from hibiscusspar_entry.fleet.tests.move_engines import LENGTH, MoveBench
+from hibiscusspar_wire.dialect import CopyHandle
 
 STREAMS = 3
 INDEXES = st.integers(0, STREAMS - 1)
@@ -56,7 +58,7 @@
         self.assertEqual(self.engines.calls, [("t0", "t1")])
         stream.close()
         self.assertEqual(stream.at, "t1")
-        self.assertEqual(tuple(stream.state.copy), ("t0", "h1"))
+        self.assertEqual(stream.state.copy, CopyHandle("t0", "h1", RunWeights(1)))
         self.finish(stream)
         self.assertEqual((stream.outcome, stream.events), ("whole", LENGTH))
         self.assertEqual(stream.state.attempts, 1)
@@ -119,6 +121,56 @@
             stream.close()
             self.finish(stream)
 
+    def test_run_is_not_continued_by_a_process_newer_than_its_row(self):
+        """Guards against targets that have started again under their ids."""
+        self.engines.models = {"t1": 2}
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t2")])
+        stream.close()
+        self.finish(stream)
+        self.assertEqual(self.gauge("stream_destinations_other"), 1)
+
+    def test_state_of_a_process_newer_than_its_row_stays(self):
+        self.engines.models = {"t0": 2}
+        self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+
+    def test_rows_without_models_are_not_equal(self):
+        for name, row in self.bench.scheduler.targets.items():
+            self.bench.scheduler.targets[name] = row._replace(models={})
+        self.engines.models = {"t0": 1, "t1": 2, "t2": None, "t3": 1}
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t3")])
+        stream.close()
+        self.finish(stream)
+
+    def test_weights_of_a_run_are_reported_if_its_answer_does_not_state_them(self):
+        """Guards against a report from before the run."""
+        stream = self.bench.stream(states=False)
+        self.bench.drain("t0")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.now += 0.5
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t1")])
+        stream.close()
+        self.finish(stream)
+
+    def test_run_of_unknown_weights_stays(self):
+        self.engines.silent = {"t0"}
+        self.bench.stream(states=False)
+        self.bench.drain("t0")
+        self.bench.now += 0.5
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.assertEqual(self.gauge("stream_loads_requested"), 0)
+
     def test_four_moves_and_two_of_a_pair_go_on_at_a_time(self):
         streams = [self.bench.stream(f"r{i}") for i in range(6)]
         self.bench.drain("t0")
@@ -714,6 +766,16 @@
             self.streams[index].send(index in full)
         self.bench.engines.script = []
 
+    @rule(name=st.sampled_from(["t0", "t1", "t2", "t3"]))
+    def restart(self, name):
+        """Start a target again under its id, unseen by the directory."""
+        bench = self.bench
+        broken = [s for s in self.streams if s.outcome is None and s.at == name]
+        bench.engines.restart(name)
+        for stream in broken:
+            if not stream.state.copy:
+                stream.close()
+
     @rule(index=INDEXES, event=st.sampled_from(["", "", "leave", "break"]))
     def end(self, index, event):
         """End the request, or the attempt at its target; replace ended streams."""
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, Protocol
 
+from hibiscusspar.fleet.run_weights import RunWeights
+
 __all__ = ["AnswerHead", "CallHead", "CopyHandle", "Dialect", "Forwarding"]
 
 
@@ -33,11 +35,12 @@
     """Copy of the state of a run that was stopped.
 
     ``address`` is that of the target that stopped it, ``handle`` the name of the copy
-    there.
+    there. ``weights`` are those that made the state, None if not known.
     """
 
     address: str
     handle: str
+    weights: RunWeights | None = None
 
 
 class Forwarding(NamedTuple):
