Move streams only to the version of the adapter that made their state (STALE)

Callers of an adapter that had just got a new version could get the rest of an answer from it, from state of the version before.

Cause: an adapter that was loaded before the coordinator knew of an announcement is at version 0, any. Two such copies counted as equal, also if the one was loaded before and the other after the new version was named, and the second sending expected no version either.

Change: where the request expected no version, that of the adapter is what the source reports 0.5 s or later after the run's first event; a replacement waits for its runs. A destination that reports another version, resident or being loaded, is passed over, and the sending from the state always expects the version, so that the target itself refuses another one.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -200,6 +200,6 @@
 
 def _expected_version(call, placement, copy):
     """Return the version of the adapter or else of the model, 0 for any."""
-    if call.adapter:
-        return placement.version
-    return 0 if copy is None or copy.weights is None else copy.weights.model
+    if copy is not None and copy.weights is not None:
+        return copy.weights.expected
+    return placement.version if call.adapter else 0
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/load_events.py
@@ -131,9 +131,18 @@
 OTHER_WEIGHTS = declare(
     695,
     "call.other_weights",
-    ("request", "source", "events", "destination", "model_version", "listed"),
-    "A stream doesn't move to this target, which reports other weights than those of "
-    "`model_version` that made its state; the directory lists the version `listed`.",
+    (
+        "request",
+        "source",
+        "events",
+        "destination",
+        "model_version",
+        "adapter_version",
+        "listed",
+    ),
+    "A stream doesn't move to this target, which reports other weights than those that "
+    "made its state: `model_version`, and `adapter_version` unless null. `listed` are "
+    "the versions of the model and the adapter there that the node knew, 0 for any.",
 )
 RELIEF_BEGUN = declare(
     693,
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/move_log.py
@@ -97,7 +97,8 @@
                 **run.fields(),
                 "destination": placement.target.target_id,
                 "model_version": run.weights.model,
-                "listed": placement.target.models.get(model),
+                "adapter_version": run.weights.adapter,
+                "listed": [placement.target.models.get(model), placement.version],
             }
             write_records([(OTHER_WEIGHTS, fields)])
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -87,7 +87,7 @@
         targets themselves tell.
         """
         return (
-            placement.version == self.placement.version
+            placement.version in (0, self.weights.expected)
             and placement.target.software == self._software
         )
 
@@ -140,6 +140,11 @@
         """Model and adapter of the request."""
         return self.admitted.call.model, self.admitted.call.adapter
 
+    @property
+    def expects_any_version(self):
+        """Whether its target wasn't told which version of the adapter to run."""
+        return bool(self.admitted.call.adapter) and not self.placement.version
+
     @property
     def is_relief(self):
         """Whether it moves because its target is slow, not because it leaves."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/move_engines.py
@@ -44,6 +44,8 @@
         self.reserved = []
         self.waiting = []
         self.full = set()
+        # Version that placements name, 0 for any.
+        self.version = 1
 
     def submit(self, job):
         ticket = Ticket(job)
@@ -71,7 +73,7 @@
         return 1, 0
 
     def reserve(self, name):
-        placement = Placement(self.targets[name], ("m", ""), 1, 1, 0.0)
+        placement = Placement(self.targets[name], ("m", ""), self.version, 1, 0.0)
         self.reserved.append(id(placement))
         # Kept, so that no other placement gets its id.
         self.placements = [*getattr(self, "placements", []), placement]
@@ -119,7 +121,8 @@
     progress) or ``"unsent"``. ``during_call`` is called while one is under way.
 
     ``models`` holds the versions of the model at the engines whose rows in the
-    directory are old, ``silent`` the engines that report nothing.
+    directory are old, ``adapters`` and ``pending`` the versions of the adapter that
+    engines hold and load, ``silent`` the engines that report nothing.
     """
 
     def __init__(self, names):
@@ -129,6 +132,8 @@
         self.freed = []
         self.calls = []
         self.models = {}
+        self.adapters = {}
+        self.pending = {}
         self.silent = set()
         self.versions = dict.fromkeys(self.by_name.values(), 1)
         self._number = 0
@@ -147,7 +152,12 @@
     def read_state(self, target):
         if target.target_id in self.silent:
             return None
-        return TargetState(0, {}, {}, {"m": self.model_version(target)}, False)
+        adapters, pending = (
+            {("m", "a1"): rows[target.target_id]} if target.target_id in rows else {}
+            for rows in (self.adapters, self.pending)
+        )
+        models = {"m": self.model_version(target)}
+        return TargetState(0, adapters, pending, models, False)
 
     def at_work(self, request_id):
         return [n for n, e in self.by_name.items() if request_id in e.running]
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
@@ -55,7 +55,7 @@
             has_waited=False,
             closed=threading.Event(),
             suits=lambda placement: True,
-            weights=RunWeights(1),
+            weights=RunWeights(1, 1),
             key=("m", "a1"),
             fields=dict,
         )
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -162,6 +162,40 @@
         stream.close()
         self.finish(stream)
 
+    def test_copies_of_an_adapter_of_unknown_version_are_not_equal(self):
+        """Guards against two loads of any version, one before an announcement."""
+        self.bench = MoveBench(adapter="a1")
+        self.engines = self.bench.engines
+        self.bench.scheduler.version = 0
+        self.engines.adapters = {"t0": 1, "t1": 2, "t2": 1}
+        self.engines.pending = {"t2": 2}
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.now += 0.5
+        self.bench.step()
+        # The target compares the version of an adapter that it doesn't report yet.
+        self.assertEqual(self.engines.calls, [("t0", "t3")])
+        stream.close()
+        self.assertEqual(stream.state.copy.weights.expected, 1)
+        self.finish(stream)
+
+    def test_adapter_of_a_run_is_reported_after_its_first_event(self):
+        """Guards against a report from before a load of the adapter."""
+        self.bench = MoveBench(adapter="a1")
+        self.engines = self.bench.engines
+        self.bench.scheduler.version = 0
+        self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.now += 0.2
+        self.bench.step()
+        self.engines.adapters = {"t0": 1}
+        self.bench.now += 0.2
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [])
+        self.bench.now += 0.2
+        self.bench.step()
+        self.assertEqual(len(self.engines.calls), 1)
+
     def test_run_of_unknown_weights_stays(self):
         self.engines.silent = {"t0"}
         self.bench.stream(states=False)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
@@ -43,11 +43,13 @@
         if run.weights is not None:
             return True
         state = None
-        if run.model_version is None:
+        if run.model_version is None or run.expects_any_version:
             since = run.began_at + _REPORT_AGE_S
             if self._clock() >= since:
                 state = self._report(run.placement.target, since, _SOURCE_S)
-        run.weights = find_weights(run.key, run.model_version, state)
+        run.weights = find_weights(
+            run.key, run.model_version, run.placement.version, state
+        )
         return run.weights is not None
 
     def compare(self, run, target):
