Break off moved streams whose answers state other weights

A target that continues a run from its state states the version of the model in the head of its answer. If that isn't the one that made the state, events of it went on to the caller all the same. Both ends are compared before the copy, and no run of ours shows a way that is left, but if there is one the caller must not take the answer for one of a single version: it now sees a broken answer, or a new run where its stream may be resumed.

Evidence: TestMovedStreamOfOtherWeights gets a whole answer without the change.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -75,6 +75,10 @@
     if state.answer_begun and not is_stream:
         # The caller already has the head of an answer, so only a stream can follow.
         return AttemptFailure("answer", f"status {response.status}", False, False)
+    weights = None if state.copy is None else state.copy.weights
+    if weights is not None and answer.model_version not in (None, weights.model):
+        reason = f"weights {answer.model_version} on state of {weights.model}"
+        return AttemptFailure("answer", reason, False, False)
     if 200 <= response.status < 300 and not answer.sealed and not state.answer_begun:
         # Every target signs its own answers.
         return AttemptFailure("answer", "success without a signature", False, False)
