Count the grace of an adapter's older copies from the announcement that superseded them (VERSION)

Cause: a node kept only the newest announcement and its time, so that a third version gave all older copies another grace, also those that the second one had ruled out long before. The platform judges each version from its own acknowledgement.

Change: announcements are kept while their grace lasts, and the last one whose grace is over.

Evidence: test_newer_announcement_gives_no_further_grace_to_older_copies fails without it.

--- a/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
@@ -33,7 +33,8 @@
         self._index = TargetIndex()
         self._residency = ResidencyCopy()
         self._view_at = None
-        self._newest_versions = {}
+        # Versions and times of the announcements that matter, by adapter.
+        self._announced = {}
         self._missing_until = {}
 
     @property
@@ -56,9 +57,12 @@
 
     def announce(self, at, key, version):
         """Record that a version of an adapter was announced at a time."""
-        known, _ = self._newest_versions.get(key, (0, 0.0))
-        if version > known:
-            self._newest_versions[key] = (version, at)
+        rows = self._announced.get(key, ())
+        if rows and version <= rows[-1][0]:
+            return
+        # Of those whose grace is over, the last one excludes all older copies.
+        over = sum(at > known_at + self._version_grace_s for _, known_at in rows)
+        self._announced[key] = (*rows[max(0, over - 1) :], (version, at))
 
     def record_missing(self, now, target_id, key):
         """Record that an adapter is not resident at a target that should hold it."""
@@ -132,10 +136,11 @@
         copy = self._resident_copy(now, target, key)
         if copy is None or copy[1] > now:
             return None
-        newest, announced_at = self._newest_versions.get(key, (0, 0.0))
-        if copy[0] < newest and now > announced_at + self._version_grace_s:
-            return None
-        return copy[0]
+        is_outdated = any(
+            copy[0] < version and now > announced_at + self._version_grace_s
+            for version, announced_at in self._announced.get(key, ())
+        )
+        return None if is_outdated else copy[0]
 
     def _resident_copy(self, now, target, key):
         is_fresh = self._view_at is not None and now < self._view_at + _VIEW_STALE_S
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_request_scheduler.py
@@ -225,6 +225,24 @@
             ticket = self.scheduler.submit(self.job())
             self.assertEqual(ticket.placement.target.target_id, "t2")
 
+    def test_newer_announcement_gives_no_further_grace_to_older_copies(self):
+        """Guards against copies that serve again once a third version is named."""
+        self.targets(target("t1"), target("t2"))
+        rows = {"t1": (1, [("m/a1", 0, 0.0)]), "t2": (1, [("m/a1", 2, 0.0)])}
+        self.scheduler.apply_view(view(rows))
+        self.scheduler.announce(KEY, 2)
+        self.clock.now += 2.0
+        self.scheduler.announce(KEY, 3)
+        self.clock.now += 1.1
+        self.scheduler.announce(KEY, 4)
+        self.scheduler.apply_view(view(number=2))
+        for _ in range(3):
+            ticket = self.scheduler.submit(self.job())
+            self.assertEqual(ticket.placement.target.target_id, "t2")
+        self.clock.now += 2.0
+        self.scheduler.apply_view(view(number=3))
+        self.assertIsNone(self.scheduler.submit(self.job()).placement)
+
     def test_version_of_unknown_age_leaves_no_grace(self):
         self.targets(target("t1", ["a1"]))
         self.scheduler.announce(KEY, 2, age_s=float("inf"))
