Compare the weights of an answer with those of the copy that its request was sent with

So the second attempt of a moved stream whose destination is silent, which continues no copy, was refused if its target had other weights.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -46,7 +46,7 @@
     return answer.request_id == request_id and status != _MISDIRECTED
 
 
-def head_failure(admitted, state, answer, response, is_first_call):
+def head_failure(admitted, state, answer, response, is_first_call, copy=None):
     """Return the failure that the head of an answer shows, or None.
 
     Parameters
@@ -57,6 +57,8 @@
     response : Response
     is_first_call : bool
         Whether the connection has certainly carried no request before.
+    copy : CopyHandle, optional
+        Copy of the run that the request was sent to continue.
     """
     is_ours = answer.request_id == admitted.call.request_id
     # A refusal without an id may come from a target that didn't read the request. On a
@@ -75,7 +77,7 @@
     if state.answer_begun and not is_stream:
         # The caller already has the head of an answer, so only a stream can follow.
         return AttemptFailure("answer", f"status {response.status}", False, False)
-    weights = None if state.copy is None else state.copy.weights
+    weights = None if copy is None else copy.weights
     if weights is not None and answer.model_version not in (None, weights.model):
         reason = f"weights {answer.model_version} on state of {weights.model}"
         return AttemptFailure("answer", reason, False, False)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/attempts.py
@@ -117,7 +117,15 @@
         )
 
     def read_head(
-        self, admitted, state, placement, connection, sent_at, silence, limit_s=inf
+        self,
+        admitted,
+        state,
+        placement,
+        connection,
+        sent_at,
+        silence,
+        limit_s=inf,
+        copy=None,
     ):
         """Wait for the head of an answer.
 
@@ -131,6 +139,8 @@
         silence : SilenceWatch or None
         limit_s : float, optional
             Longest wait, if the time of the request allows it.
+        copy : CopyHandle, optional
+            Copy of the run that the request was sent to continue.
 
         Returns
         -------
@@ -150,7 +160,7 @@
             origin, answer, response.status, admitted.call.request_id
         )
         failure = head_failure(
-            admitted, state, answer, response, connection.is_first_call
+            admitted, state, answer, response, connection.is_first_call, copy
         )
         if failure is not None:
             connection.record_failed(admitted.call.request_id)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -244,7 +244,13 @@
                     raise CallerLeftError
             if response is None:
                 response, failure = self._attempts.read_head(
-                    admitted, state, placement, connection, sent_at, silence
+                    admitted,
+                    state,
+                    placement,
+                    connection,
+                    sent_at,
+                    silence,
+                    copy=state.copy,
                 )
                 if failure is not None:
                     if self._attempts.drain_refusal(connection, response, failure):
