Ask again at destinations that reported nothing, and wait for fewer of them

A stopped run waited for two reports, after which it was too late to go back to its source. Failed reads weren't remembered, so that each run asked an unreachable target anew. A placement leaked if the log failed.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/destinations.py
@@ -12,9 +12,11 @@
 # Time in seconds that a leaving target must have left for a load of an adapter: some
 # 0.15 s for the load at an idle target, and the rest for the report, order and copy.
 _MIN_LOAD_S = 0.25
-# Destinations whose weights can't be read, after which a choice is given up: each may
-# take as long as the time-out of a report.
-_MAX_UNKNOWN = 2
+# Destinations whose weights can't be read, after which a choice is given up, as each
+# may take as long as the time-outs of a report. A run that is stopped has less time.
+_MAX_UNKNOWN, _MAX_UNKNOWN_STOPPED = 2, 1
+# Time in seconds until such a destination is tried again.
+_UNKNOWN_S = 0.5
 
 
 class Destinations:
@@ -39,7 +41,7 @@
         # Guards the waiting requests of the runs.
         self._lock = threading.Lock()
 
-    def reserve(self, run, full_targets, claim):
+    def reserve(self, run, full_targets, claim, is_stopped=False):
         """Reserve a destination and return its placement, or None.
 
         Parameters
@@ -49,9 +51,12 @@
             Returns the targets that get as many moves from the source as allowed.
         claim : callable
             Takes a placement unless its target is full; returns whether it did.
+        is_stopped : bool, optional
+            Whether the run has stopped, so that its caller waits.
         """
         service, model = run.admitted.service, run.admitted.call.model
         version, unknown = run.weights.model, 0
+        max_unknown = _MAX_UNKNOWN_STOPPED if is_stopped else _MAX_UNKNOWN
         for _ in range(_MAX_CHOICES):
             excluded = self._excluded(run) | full_targets()
             excluded |= self._scheduler.targets_listing_other(service, model, version)
@@ -65,17 +70,20 @@
             placement = ticket.placement
             target_id = placement.target.target_id
             run.tried |= {target_id}
-            holding = Holding.OTHER
             # A target that a waiting request got may be excluded meanwhile.
-            if target_id not in excluded and not placement.permitted:
-                holding = self._compare(run, placement)
+            if target_id in excluded or placement.permitted or not run.suits(placement):
+                self._scheduler.release(placement, first_byte=False)
+                continue
+            holding = self._compare(run, placement)
             if holding is Holding.SAME and claim(placement):
                 return placement
             self._scheduler.release(placement, first_byte=False)
-            if holding is Holding.SAME:
+            if holding is not Holding.OTHER:
                 run.tried -= {target_id}
-            unknown += holding is Holding.UNKNOWN
-            if unknown >= _MAX_UNKNOWN:
+            if holding is Holding.UNKNOWN:
+                run.unread[target_id] = self._clock() + _UNKNOWN_S
+                unknown += 1
+            if unknown >= max_unknown:
                 return None
         return None
 
@@ -114,14 +122,12 @@
 
     def _compare(self, run, placement):
         """Return the ``Holding`` of the weights of a run at a reserved destination."""
-        if not run.suits(placement):
-            return Holding.OTHER
         try:
             holding = self._weights.compare(run, placement.target)
+            self._log.compared(run, placement, holding)
         except Exception:
             self._scheduler.release(placement, first_byte=False)
             raise
-        self._log.compared(run, placement, holding)
         return holding
 
     def _take(self, run):
@@ -131,4 +137,6 @@
 
     def _excluded(self, run):
         source = run.placement.target.target_id
-        return run.tried | run.unsuitable | {source} | self._closed_targets()
+        now = self._clock()
+        unread = {target_id for target_id, until in run.unread.items() if now < until}
+        return run.tried | run.unsuitable | unread | {source} | self._closed_targets()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -401,7 +401,9 @@
                     self._moving.add(run)
             return True
 
-        placement = self._destinations.reserve(run, full_targets, claim)
+        placement = self._destinations.reserve(
+            run, full_targets, claim, move.was_stopped
+        )
         self._clean(run, cleanup)
         return placement if is_chosen else None
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -56,6 +56,8 @@
         self.has_returned = False
         # Targets that were chosen as destinations before.
         self.tried = frozenset()
+        # Times until which those aren't tried whose weights couldn't be read.
+        self.unread = {}
         self.answered = threading.Event()
         self.closed = threading.Event()
         self.is_logged = False
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_destinations.py
@@ -51,6 +51,7 @@
             is_relief=False,
             unsuitable=frozenset(),
             tried=frozenset(),
+            unread={},
             ticket=None,
             has_waited=False,
             closed=threading.Event(),
@@ -81,14 +82,40 @@
         self.scheduler.apply_view(view(states, number=2))
         self.states = dict.fromkeys(names)
         self.assertIsNone(self.reserve())
-        self.assertEqual(len(self.run_.tried), 2)
+        self.assertEqual(len(self.run_.unread), 2)
         self.assertIsNone(self.reserve())
         self.states = {}
-        (remaining,) = set(names) - self.run_.tried
+        (remaining,) = set(names) - self.run_.unread.keys()
         self.assertEqual(self.reserve().target.target_id, remaining)
         self.assertEqual(self.log.gauges()["stream_destinations_unknown"], 4)
         self.assertEqual(self.scheduler.status()[2], 1)
 
+    def test_target_that_reported_nothing_is_tried_again(self):
+        """Guards against a lost report that rules a target out for good."""
+        row = target("t1", ["a1"])._replace(software="v1")
+        self.targets(self.run_.placement.target, row)
+        self.scheduler.apply_view(view({"t1": (2, [("m/a1", 1, 0.0)])}, number=2))
+        self.states = {"t1": None}
+        self.assertIsNone(self.reserve())
+        self.states = {}
+        self.clock.now += 0.4
+        self.assertIsNone(self.reserve())
+        self.clock.now += 0.2
+        self.assertEqual(self.reserve().target.target_id, "t1")
+
+    def test_stopped_run_waits_for_one_target_that_reports_nothing(self):
+        names = ["t1", "t2"]
+        rows = [target(name, ["a1"])._replace(software="v1") for name in names]
+        self.targets(self.run_.placement.target, *rows)
+        states = {name: (2, [("m/a1", 1, 0.0)]) for name in names}
+        self.scheduler.apply_view(view(states, number=2))
+        self.states = dict.fromkeys(names)
+        placement = self.destinations.reserve(
+            self.run_, set, lambda placement: True, is_stopped=True
+        )
+        self.assertIsNone(placement)
+        self.assertEqual(len(self.run_.unread), 1)
+
     def test_target_is_released_if_its_report_causes_an_error(self):
         row = target("t1", ["a1"])._replace(software="v1")
         self.targets(self.run_.placement.target, row)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
@@ -64,6 +64,8 @@
         now, name = self._clock(), target.target_id
         with self._lock:
             at, state = self._reports.get(name, (float("-inf"), None))
+            # A target that doesn't answer is soon asked again.
+            kept_s = _DESTINATION_S if state is None else kept_s
             if at >= since and now < at + kept_s:
                 return state
         state = self._read_state(target)
@@ -73,6 +75,5 @@
                 for known, row in self._reports.items()
                 if now < row[0] + _SOURCE_S
             }
-            if state is not None:
-                self._reports[name] = (now, state)
+            self._reports[name] = (now, state)
         return state
