Compare the weights of a destination once more if its copy took long (STALE)

A request that names an adapter has its target compare the version of the adapter only, and the call for a copy names its destination by address. So a target that starts again under its id between its report and a copy that arrives late, as after a freeze of the node, may continue the run under a newer model. Found by the review (trial with the model of moves), not seen by callers.

Now a copy counts only if it is there within 0.75 s of the report, by the clock that includes suspension, or if the destination reports the same weights again. Otherwise the run goes on as after a destination without room.

Evidence: test_copy_that_arrives_late_is_not_used_by_a_restarted_target fails without it.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from hibiscusspar.fleet.leaving_targets import LeavingTargets
+from hibiscusspar.fleet.run_weights import Holding
 from hibiscusspar.fleet.stream_moves import (
     MoveAnswer,
     MoveOutcome,
@@ -41,6 +42,9 @@
 # Time in seconds after which the relay doesn't wait for the answer to a call any more.
 # The call itself ends after 0.5 s.
 _ANSWER_LIMIT_S = 1.2
+# Time in seconds for which the weights that a destination reported hold: a target that
+# starts again needs longer to load them.
+_COMPARED_S = 0.75
 # Time in seconds in which the stream of a stopped run closes. After that this node
 # closes it: the run has stopped, and a broken link holds back the end.
 _CLOSE_LIMIT_S = 0.3
@@ -371,12 +375,26 @@
             is_unsent = error.step in ("connect", "closed")
             outcome = MoveOutcome.RUNS_ON if is_unsent else MoveOutcome.UNKNOWN
             answer = MoveAnswer(outcome, reason=f"{error.step}: {error.reason}")
+        if answer.outcome is MoveOutcome.COPIED:
+            answer = self._checked(run, destination, answer)
         with self._lock:
             cleanup = move.answered(self._clock(), answer)
         run.answered.set()
         self._clean(run, cleanup)
         return answer
 
+    def _checked(self, run, destination, answer):
+        """Return the answer about a copy, which counts only at the right weights.
+
+        The destination may have started again before the copy arrived, if much time
+        has passed since it reported them.
+        """
+        if self._clock() < run.compared_at + _COMPARED_S:
+            return answer
+        if self._weights.compare(run, destination) is Holding.SAME:
+            return answer
+        return answer._replace(outcome=MoveOutcome.KEPT, reason="late copy")
+
     def _reserve(self, run, move):
         """Reserve a destination and return its placement, or None.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -58,6 +58,8 @@
         self.tried = frozenset()
         # Times until which those aren't tried whose weights couldn't be read.
         self.unread = {}
+        # Time at which the last destination was asked for its weights.
+        self.compared_at = began_at
         self.answered = threading.Event()
         self.closed = threading.Event()
         self.is_logged = False
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -132,6 +132,23 @@
         self.finish(stream)
         self.assertEqual(self.gauge("stream_destinations_other"), 1)
 
+    def test_copy_that_arrives_late_is_not_used_by_a_restarted_target(self):
+        """Guards against a freeze between the report and the copy."""
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+
+        def freeze():
+            self.engines.during_call = lambda: None
+            self.bench.now += 3.0
+            self.engines.models["t1"] = 2
+
+        self.engines.during_call = freeze
+        self.bench.step()
+        stream.close()
+        self.assertEqual(self.engines.calls, [("t0", "t1"), ("t0", "t2")])
+        self.assertEqual(stream.at, "t2")
+        self.finish(stream)
+
     def test_state_of_a_process_newer_than_its_row_stays(self):
         self.engines.models = {"t0": 2}
         self.bench.stream()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
@@ -54,6 +54,7 @@
 
     def compare(self, run, target):
         """Return the ``Holding`` of the weights of a run at a destination."""
+        run.compared_at = self._clock()
         state = self._report(target, 0.0, _DESTINATION_S)
         if state is None:
             return Holding.UNKNOWN
