Don't move streams whose version of the model changes on the way (STALE)

The platform says that an event at which the version changes names it in its first line. Nothing read that line, so that a run whose state two versions have made counted as one of the version that the head had stated.

Such a stream now stays at its target.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -420,6 +420,9 @@
                     response,
                     head.model_version,
                 )
+            version = self._parts.dialect.event_version(events)
+            if version is not None:
+                self._mover.record_version(state, version)
             now = self._clock()
             state.record_event(now)
             if silence is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/no_moves.py
@@ -11,6 +11,9 @@
     ):
         """Ignore the first event of a stream."""
 
+    def record_version(self, state, model_version):
+        """Ignore a version that an event states."""
+
     def follow(self, state, failure):
         """Return False: the attempt has failed."""
         return False
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -177,6 +177,12 @@
         if is_leaving and run is not None:
             self._task.wake()
 
+    def record_version(self, state, model_version):
+        """Record the version of the model that an event of a stream states."""
+        run = self._runs.get(state)
+        if run is not None:
+            run.record_version(model_version)
+
     def follow(self, state, failure):
         """Continue a stream whose attempt has failed, if it is being moved.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_run.py
@@ -40,6 +40,7 @@
         self.placement = placement
         self.connection = connection
         self.model_version = model_version
+        self.is_of_one_version = True
         # RunWeights of its state, once known.
         self.weights = None
         self.began_at = began_at
@@ -95,6 +96,14 @@
             and placement.target.software == self._software
         )
 
+    def record_version(self, model_version):
+        """Record the version of the model that an event states.
+
+        Two versions have made the state of a run whose version changes.
+        """
+        if model_version != self.model_version:
+            self.is_of_one_version = False
+
     def row(self, usual_events):
         """Return what the choice of streams needs.
 
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -213,6 +213,16 @@
         self.bench.step()
         self.assertEqual(len(self.engines.calls), 1)
 
+    def test_run_stays_whose_version_changes_in_its_stream(self):
+        """Guards against a version that was stated at the begin only."""
+        for version, calls in ((1, 1), (2, 0)):
+            self.bench = MoveBench()
+            stream = self.bench.stream()
+            self.bench.mover.record_version(stream.state, version)
+            self.bench.drain("t0")
+            self.bench.step()
+            self.assertEqual(len(self.bench.engines.calls), calls)
+
     def test_run_of_unknown_weights_stays(self):
         self.engines.silent = {"t0"}
         self.bench.stream(states=False)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
@@ -40,6 +40,8 @@
 
         A report counts only if its content is newer than the first event of the run.
         """
+        if not run.is_of_one_version:
+            return False
         if run.weights is not None:
             return True
         state = None
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/dialect.py
@@ -100,6 +100,9 @@
     def answer_headers(self, headers) -> list[tuple[str, str]]:
         """Return the headers of an answer that are passed on to the caller."""
 
+    def event_version(self, events) -> int | None:
+        """Return the version of the model that events state last, or None."""
+
     def holds_answer(self, body, is_first_call, is_end=True) -> bool:
         """Return whether the head of another answer stands in a body.
 
