Keep only announcements that exclude copies sooner than newer ones

Versions that a listing tells have no age, so their rows were kept for good, one for each version that is ever listed. Only a row with an earlier time than that of a newer version matters.

--- a/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/usable_targets.py
@@ -60,7 +60,9 @@
         rows = self._announced.get(key, ())
         if rows and version <= rows[-1][0]:
             return
-        # Of those whose grace is over, the last one excludes all older copies.
+        # Only earlier ones exclude older copies sooner; of those whose grace is over,
+        # the last one excludes them all.
+        rows = [row for row in rows if row[1] < at]
         over = sum(at > known_at + self._version_grace_s for _, known_at in rows)
         self._announced[key] = (*rows[max(0, over - 1) :], (version, at))
 
