--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/ports.py
@@ -63,14 +63,15 @@
     """State that a target reports.
 
     ``adapters`` and ``pending`` hold the versions of the resident adapters and of those
-    being loaded, by ``(model, adapter)``, ``models`` the version of each model.
+    being loaded, by ``(model, adapter)``, ``models`` the version of each model, None if
+    it isn't stated.
     ``busy`` is whether the target executes an order about a model.
     """
 
     orders_accepted: int
     adapters: dict[tuple[str, str], int]
     pending: dict[tuple[str, str], int]
-    models: dict[str, int]
+    models: dict[str, int | None]
     busy: bool
 
 
