A moved run has the weights that its target was told to expect

It was asked for them anew, as the scheduler's placement still said any version, so that a second move came 0.5 s later and cost a further report. test_moved_run_keeps_the_weights_that_its_target_was_told fails without the change.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -162,6 +162,9 @@
         run = None
         if admitted.service in self._services:
             run = StreamRun(admitted, state, placement, connection, now, model_version)
+            if state.copy is not None:
+                # Its target was told to expect them.
+                run.weights = state.copy.weights
             if not run.may_move(response, self._scheduler):
                 run = None
         with self._lock:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_stream_mover.py
@@ -196,6 +196,22 @@
         self.assertEqual(stream.state.copy.weights.expected, 1)
         self.finish(stream)
 
+    def test_moved_run_keeps_the_weights_that_its_target_was_told(self):
+        self.bench = MoveBench(adapter="a1")
+        self.engines = self.bench.engines
+        self.bench.scheduler.version = 0
+        self.engines.adapters = {"t0": 1}
+        stream = self.bench.stream()
+        self.bench.drain("t0")
+        self.bench.now += 0.5
+        self.bench.step()
+        stream.close()
+        stream.send()
+        stream.receive()
+        self.bench.drain("t1")
+        self.bench.step()
+        self.assertEqual(self.engines.calls, [("t0", "t1"), ("t1", "t2")])
+
     def test_adapter_of_a_run_is_reported_after_its_first_event(self):
         """Guards against a report from before a load of the adapter."""
         self.bench = MoveBench(adapter="a1")
