--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -244,7 +244,13 @@
                     raise CallerLeftError
             if response is None:
                 response, failure = self._attempts.read_head(
-                    admitted, state, placement, connection, sent_at, silence
+                    admitted,
+                    state,
+                    placement,
+                    connection,
+                    sent_at,
+                    silence,
+                    copy=state.copy,
                 )
                 if failure is not None:
                     if self._attempts.drain_refusal(connection, response, failure):
@@ -414,6 +420,9 @@
                     response,
                     head.model_version,
                 )
+            version = self._parts.dialect.event_version(events)
+            if version is not None:
+                self._mover.record_version(state, version)
             now = self._clock()
             state.record_event(now)
             if silence is not None:
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/stream_mover.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from hibiscusspar.fleet.leaving_targets import LeavingTargets
+from hibiscusspar.fleet.run_weights import Holding
 from hibiscusspar.fleet.stream_moves import (
     MoveAnswer,
     MoveOutcome,
@@ -22,6 +23,7 @@
 from hibiscusspar_entry.fleet.periodic_task import PeriodicTask
 from hibiscusspar_entry.fleet.placement import Placement
 from hibiscusspar_entry.fleet.stream_run import RouteLengths, StreamRun
+from hibiscusspar_entry.fleet.weights_check import WeightsCheck
 from hibiscusspar_wire.dialect import CopyHandle
 from hibiscusspar_wire.target_connections import CallFailedError
 
@@ -40,6 +42,9 @@
 # Time in seconds after which the relay doesn't wait for the answer to a call any more.
 # The call itself ends after 0.5 s.
 _ANSWER_LIMIT_S = 1.2
+# Time in seconds for which the weights that a destination reported hold: a target that
+# starts again needs longer to load them.
+_COMPARED_S = 0.75
 # Time in seconds in which the stream of a stopped run closes. After that this node
 # closes it: the run has stopped, and a broken link holds back the end.
 _CLOSE_LIMIT_S = 0.3
@@ -57,6 +62,8 @@
         Returns the ids of the targets that must not get a moved stream.
     ordinary_s : float
         Time in seconds that a draining target has if its entry doesn't tell.
+    read_state : callable
+        Returns the ``TargetState`` that a target reports, or None.
     relief : ReliefWatch, optional
         By default no stream moves because its target is slow.
     submit : callable, optional
@@ -70,13 +77,18 @@
         calls,
         closed_targets,
         ordinary_s,
+        read_state,
         relief=None,
         submit=None,
     ):
         self._clock = clock
         self._scheduler = request_scheduler
         self._calls = calls
-        self._destinations = Destinations(clock, request_scheduler, closed_targets)
+        self._log = MoveLog(clock)
+        self._weights = WeightsCheck(clock, read_state)
+        self._destinations = Destinations(
+            clock, request_scheduler, closed_targets, self._weights, self._log
+        )
         self._submit = submit or BackgroundPool("stream moves", _MAX_MOVES).submit
         self._lock = threading.Lock()
         self._services = frozenset()
@@ -88,7 +100,6 @@
         self._moving = set()
         self._lengths = RouteLengths()
         self._relief = relief
-        self._log = MoveLog(clock)
         self._is_started = False
         self._task = PeriodicTask("stream moves", self.step, self._pause_s)
 
@@ -151,6 +162,9 @@
         run = None
         if admitted.service in self._services:
             run = StreamRun(admitted, state, placement, connection, now, model_version)
+            if state.copy is not None:
+                # Its target was told to expect them.
+                run.weights = state.copy.weights
             if not run.may_move(response, self._scheduler):
                 run = None
         with self._lock:
@@ -166,6 +180,12 @@
         if is_leaving and run is not None:
             self._task.wake()
 
+    def record_version(self, state, model_version):
+        """Record the version of the model that an event of a stream states."""
+        run = self._runs.get(state)
+        if run is not None:
+            run.record_version(model_version)
+
     def follow(self, state, failure):
         """Continue a stream whose attempt has failed, if it is being moved.
 
@@ -292,7 +312,8 @@
         """Reserve a destination and have the state of a run copied there."""
         move = run.move
         try:
-            placement = self._reserve(run, move)
+            is_known = self._weights.learn(run)
+            placement = self._reserve(run, move) if is_known else None
             if placement is None:
                 with self._lock:
                     cleanup = move.not_chosen(self._clock())
@@ -300,7 +321,7 @@
                     run.move, run.retry_at = None, self._clock() + _RETRY_S
                 self._clean(run, cleanup)
                 self._log.found_no_target(run)
-                if self._destinations.request_load(run):
+                if is_known and self._destinations.request_load(run):
                     self._log.count_request()
                 return
             self._log.begun(run, placement)
@@ -348,7 +369,7 @@
                 state.onward = move.destination
             else:
                 state.onward = _return_placement(run.placement)
-            state.copy = CopyHandle(source.address, move.handle)
+            state.copy = CopyHandle(source.address, move.handle, run.weights)
         # The caller has events of the run.
         state.may_have_run = True
         return True
@@ -363,12 +384,26 @@
             is_unsent = error.step in ("connect", "closed")
             outcome = MoveOutcome.RUNS_ON if is_unsent else MoveOutcome.UNKNOWN
             answer = MoveAnswer(outcome, reason=f"{error.step}: {error.reason}")
+        if answer.outcome is MoveOutcome.COPIED:
+            answer = self._checked(run, destination, answer)
         with self._lock:
             cleanup = move.answered(self._clock(), answer)
         run.answered.set()
         self._clean(run, cleanup)
         return answer
 
+    def _checked(self, run, destination, answer):
+        """Return the answer about a copy, which counts only at the right weights.
+
+        The destination may have started again before the copy arrived, if much time
+        has passed since it reported them.
+        """
+        if self._clock() < run.compared_at + _COMPARED_S:
+            return answer
+        if self._weights.compare(run, destination) is Holding.SAME:
+            return answer
+        return answer._replace(outcome=MoveOutcome.KEPT, reason="late copy")
+
     def _reserve(self, run, move):
         """Reserve a destination and return its placement, or None.
 
@@ -393,7 +428,9 @@
                     self._moving.add(run)
             return True
 
-        placement = self._destinations.reserve(run, full_targets, claim)
+        placement = self._destinations.reserve(
+            run, full_targets, claim, move.was_stopped
+        )
         self._clean(run, cleanup)
         return placement if is_chosen else None
 
