Test of connections that can't be kept: wait until the first one is kept

Cause, in the test: a caller can read its answer before the server's thread has kept its connection, and then the error that the test injects for others met the first one. It checks what it did.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -421,9 +421,22 @@
         self.errors = []
         self.server._server.on_error = self.errors.append
 
+    def connect_and_keep(self):
+        """Return a connection that the server has kept after an answer."""
+        kept, put = threading.Event(), ConnectionManager.put
+
+        def record(manager, connection):
+            put(manager, connection)
+            kept.set()
+
+        with patch.object(ConnectionManager, "put", record):
+            caller = self.connect()
+            self.assertTrue(self.is_answered(caller))
+            self.assertTrue(kept.wait(_TIMEOUT_S))
+        return caller
+
     def assert_fails_alone(self, target, name):
-        other = self.connect()
-        self.assertTrue(self.is_answered(other))
+        other = self.connect_and_keep()
         failing = self.connect()
         with patch.object(target, name, side_effect=OSError(28, "no space")):
             # Some requests, as each would end a thread.
