--- a/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/holdings.py
@@ -24,9 +24,8 @@
     yet, ``pending_adapter`` the adapter for which that order was given.
     ``was_queried`` is whether the target was ever queried, ``query_in_progress``
     whether a query has no result yet, and ``failed_queries`` how many in a row had
-    none. ``warm`` lists adapters
-    that it held recently, the latest last. ``number`` is the revision of ``copies``.
-    ``draining`` is whether the target leaves.
+    none. ``warm`` lists adapters that it held recently, the latest last. ``number`` is
+    the revision of ``copies``. ``draining`` is whether the target leaves.
 
     Parameters
     ----------
--- a/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
+++ b/packages/hibiscusspar/hibiscusspar/fleet/planning_round.py
@@ -135,7 +135,7 @@
         self.loads_in_progress += order.operation == "load"
 
     def is_held(self, key, newest, excluded_targets):
-        """Return whether a usable target holds an adapter in its newest version."""
+        """Return whether a usable target that stays holds the newest version."""
         return any(
             version >= newest
             and target_id not in excluded_targets
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/weights_check.py
@@ -9,8 +9,8 @@
 # Age in seconds that the content of a report may have when it arrives; the platform
 # says some hundred milliseconds.
 _REPORT_AGE_S = 0.5
-# Times in seconds for which reports are kept: those of sources hold for as long as the
-# runs that they show, and those of destinations until these can have started again.
+# Times in seconds for which reports are kept. Those of sources hold for as long as the
+# runs that they show; a destination may start again at any time.
 _SOURCE_S = 1.0
 _DESTINATION_S = 0.25
 
