--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+[ -d target/deps ] || { echo "build first: target/deps is missing" >&2; exit 2; }
+export PYTHONDONTWRITEBYTECODE=1
+exec timeout -k 5 115 python3 -P review/10/case.py
