--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -95,7 +95,7 @@
 
 
 @contextmanager
-def deployment(case, content, replica_type):
+def deployment(case, content, replica_type, replica_count=3):
     """Start a deployment, and end its processes.
 
     Parameters
@@ -106,6 +106,7 @@
         Configuration.
     replica_type : type
         Class of the replicas.
+    replica_count : int, optional
     """
     record = Record(Path(case).resolve().parent / "record.txt")
     prefix = free_network()
@@ -114,9 +115,14 @@
     service = content["services"][0]["name"]
     replicas = [
         replica_type(
-            (f"{prefix}.{100 + n}", 8308), service, f"z{n}", f"i-{n}", "v1", record
+            (f"{prefix}.{100 + n}", 8308),
+            service,
+            f"z{(n - 1) % 3 + 1}",
+            f"i-{n}",
+            "v1",
+            record,
         )
-        for n in _NUMBERS
+        for n in range(1, replica_count + 1)
     ]
     for replica in replicas:
         replica.start()
