--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -1,11 +1,14 @@
 """Small deployment: a store, three replicas of one service and three nodes."""
 
 import os
+import signal
+import sys
 import tempfile
 import threading
 import time
 from contextlib import contextmanager
 from pathlib import Path
+from traceback import print_exception
 from typing import NamedTuple
 
 from nodes import Node, Record, free_network, wait_ready
@@ -94,6 +97,12 @@
     }
 
 
+def _end_as_not_run(kind, error, traceback):
+    """Exit with 2 after an error of a script, which says nothing about the rule."""
+    print_exception(kind, error, traceback)
+    os._exit(2)
+
+
 @contextmanager
 def deployment(case, content, replica_type, replica_count=3):
     """Start a deployment, and end its processes.
@@ -108,6 +117,9 @@
         Class of the replicas.
     replica_count : int, optional
     """
+    # A script that runs out of time ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    sys.excepthook = _end_as_not_run
     record = Record(Path(case).resolve().parent / "record.txt")
     prefix = free_network()
     store = Store(f"{prefix}.2")
