Calls that ran aren't answered with the promise that they had not

Cause: head_failure looked at the status of an answer only for idempotent requests. For others each failure was passed on, so the status of a target became a promise of the node.

Fix: 408, 421, 429 and 503 without the target's statement that it did not run the request fail the attempt of a request that isn't idempotent. It may have run, so it isn't sent again and ends with 502 without the target's seal. Other failures pass unchanged, so no failure bears a seal with another status.

test_failed_calls failed before: 408, 429 and 503 reached the callers of unsafe calls and of streams that can't be resumed (7 failures).

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/answer_checks.py
@@ -13,6 +13,8 @@
 _EVENT_STREAM = "text/event-stream"
 # Status of a target that doesn't hold the adapter, or isn't the one that was meant.
 _MISDIRECTED = 421
+# Statuses by which a caller is told that its request has not run and never will.
+_PROMISES = frozenset({408, _MISDIRECTED, 429, 503})
 
 
 def is_event_stream(response):
@@ -84,7 +86,12 @@
     if 200 <= response.status < 300 and not answer.sealed and not state.answer_begun:
         # Every target signs its own answers.
         return AttemptFailure("answer", "success without a signature", False, False)
-    if response.status >= 500 and admitted.route.idempotent:
+    if admitted.route.idempotent:
+        is_rejected = response.status >= 500
+    else:
+        # Its caller would take the status for a statement and send the request again.
+        is_rejected = response.status in _PROMISES
+    if is_rejected:
         reason = f"status {response.status}"
         return AttemptFailure("answer", reason, False, False, is_whole=True)
     return None
