A part of prompts that other suspects explain is tried with a sound request soon

Cause: a part that ran at all crashes has more than each culprit and is convicted, rightly by what is known; but once it is refused, nothing can be answered that disproves the verdict. The first probe came 10 or 20 s after the last crash, whatever the evidence, and with any request that has the part.

Fix: if others that ran at two crashes or more explain all but one of its crashes, a request with none of these is sent 1 s after the last crash. Its answer lifts the verdict everywhere. Its crash would count as any other and postpone the next probe, so a fatal suspect gets no more attempts than before.

The simulated sound requests of CrashNetwork may be probes now, as CrashGuard has it.

--- a/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/quarantine.py
@@ -277,6 +277,10 @@
         """Return the times of the crashes of a suspect that this VM was told of."""
         return dict(self._rows.get(suspect, {}))
 
+    def suspects_at(self, crash):
+        """Return the suspects that ran at a crash."""
+        return frozenset(self._suspects.get(crash, ()))
+
     def expire(self, now):
         """Remove what no longer counts; return the suspects that were quarantined."""
         known = self._rows.keys() | self._adopted.keys()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -11,6 +11,7 @@
 
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
+from hibiscusspar.requests.probes import Probes, is_told_apart
 from hibiscusspar.requests.quarantine import (
     PART_POLICY,
     PART_SENDER,
@@ -29,8 +30,8 @@
 
 __all__ = ["CrashExchange"]
 
-# Time for which a probe may take, in seconds; then the next one may start.
-_PROBE_S = 10.0
+# Shortest delay after which a refused request may come again, in seconds.
+_MIN_RETRY_S = 10.0
 # Time after a broken connection at which the target is called again. A target that has
 # crashed refuses connections by then.
 _CHECK_DELAY_S = 0.03
@@ -93,8 +94,7 @@
         # Callbacks to call once the lock is free.
         self._due_calls = []
         self._may_probe = may_probe
-        # Start of the probe in progress by suspect.
-        self._probed_at = {}
+        self._probes = Probes()
         self._own = {}
         self._reporters = {}
         # Times since which answers are told, and of the answers themselves.
@@ -143,7 +143,7 @@
                 self._table(s).probe_in_s(now, s)
                 for s in self._refused(now, request, parts)
             ]
-            return min(left_s, max([_PROBE_S, *probes]))
+            return min(left_s, max([_MIN_RETRY_S, *probes]))
 
     def start_probe(self, request, parts=()):
         """Return whether a quarantined request may be sent to see if it is sound.
@@ -153,14 +153,21 @@
         if not self._may_probe():
             return False
         with self._locked() as now:
+            requested = {request, *parts}
             refused = self._refused(now, request, parts)
-            for suspect in refused:
-                probed_at = self._probed_at.get(suspect, now - _PROBE_S)
-                if now < probed_at + _PROBE_S:
+            verdicts = [self._table(s).verdict(s) for s in refused]
+            early = []
+            for verdict in verdicts:
+                suspect = verdict.suspect
+                regular_s = self._table(suspect).probe_in_s(now, suspect)
+                if self._probes.is_due(now, verdict, regular_s):
+                    continue
+                if not self._probes.is_early_due(now, verdict):
                     return False
-                if self._table(suspect).probe_in_s(now, suspect) > 0:
+                if not self._is_told_apart(suspect, requested):
                     return False
-            self._probed_at |= dict.fromkeys(refused, now)
+                early.append(verdict)
+            self._probes.start(now, verdicts, early)
             fields = {"suspects": refused}
             write_records([(QUARANTINE_PROBED, fields)])
             return True
@@ -371,11 +378,19 @@
 
     def _refused(self, now, request, parts):
         """Return the suspects for which a request is refused."""
-        return [
-            suspect
-            for suspect in (request, *parts)
-            if self._table(suspect).refused_for(now, suspect) > 0
+        return [s for s in (request, *parts) if self._is_refused(now, s)]
+
+    def _is_refused(self, now, suspect):
+        return self._table(suspect).refused_for(now, suspect) > 0
+
+    def _is_told_apart(self, suspect, requested):
+        """Return whether a request tells a suspect apart from others of its crashes."""
+        crashes = [
+            self._requests.suspects_at(crash) | self._parts.suspects_at(crash)
+            for crash in self._table(suspect).crashes_of(suspect)
         ]
+        counts = {s: self._table(s).count(s) for s in frozenset().union(*crashes)}
+        return is_told_apart(requested, crashes, counts)
 
     def _quarantined(self, now):
         return self._requests.quarantined(now) + self._parts.quarantined(now)
@@ -482,11 +497,7 @@
             for crash, own in self._own.items()
             if own.is_confirmed or now < own.at + _PENDING_S
         }
-        self._probed_at = {
-            suspect: at
-            for suspect, at in self._probed_at.items()
-            if now < at + _PROBE_S
-        }
+        self._probes.expire(now, partial(self._is_refused, now))
         self._confirmed_at = {
             suspect: at
             for suspect, at in self._confirmed_at.items()
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -90,6 +90,65 @@
         self.check(360, POOR_NETWORK)
 
 
+class TestFatalRequestsBesideAFatalPart(unittest.TestCase):
+    """Guards against a sound part that is refused as all fatal requests have it."""
+
+    def served(self, size, faults, seed, fatal):
+        """Return the share of sound requests that are served, and the late attempts.
+
+        Parameters
+        ----------
+        fatal : callable
+            Returns lists of suspects of the requests that come at a time, by number.
+        """
+        network = CrashNetwork(size, faults, seed)
+        network.run(2.0)
+        answered = []
+        for number in range(200):
+            if number % 20 == 0:
+                for suspects in fatal(number):
+                    network.request(suspects)
+            # Sound requests pause until the first targets have crashed.
+            if number >= 30:
+                name = f"part-s{number % 3}"
+                suspects = [f"acme-{number}", "part-first", name]
+                crashes = sorted(network.crashed_at)[:5]
+                is_late = network.clock.now > crashes[-1] + 2 * STABLE_WINDOW_S
+                found = network.sound_request(suspects)
+                if is_late:
+                    answered.append(found)
+            network.run(0.1)
+        late = network.late_attempts(5, STABLE_WINDOW_S)
+        return sum(answered) / len(answered), len(late)
+
+    def check(self, fatal, size=3, faults=None):
+        for seed in range(5):
+            with self.subTest(size=size, seed=seed):
+                share, late = self.served(size, faults, seed, fatal)
+                self.assertGreater(share, 0.5)
+                self.assertLessEqual(late, MAX_LATER_ATTEMPTS)
+
+    @staticmethod
+    def request_and_part(number):
+        return [
+            ["acme-fatal", "part-first", "part-s0"],
+            [f"acme-p{number}", "part-first", "part-bad"],
+        ]
+
+    @staticmethod
+    def two_requests(_number):
+        return [["acme-fatal", "part-first"], ["acme-other", "part-first"]]
+
+    def test_fatal_request_and_fatal_part(self):
+        self.check(self.request_and_part)
+
+    def test_fatal_request_and_fatal_part_on_a_poor_network(self):
+        self.check(self.request_and_part, 9, POOR_NETWORK)
+
+    def test_two_fatal_requests(self):
+        self.check(self.two_requests)
+
+
 class ExchangeTestCase(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
