Answers with malformed status lines fail

Fix: the status line of each head, interim ones included, must be that of RFC 9112, with a status from 100 to 599 other than 101, which no request asks for. The pooled clients use the same class and so skip interim answers other than 100, too.

The new tests failed before (41 and 3 failures; 000 and 099 passed) and pass now.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/checked_connection.py
@@ -4,15 +4,14 @@
 """
 
 from contextlib import suppress
-from http import HTTPStatus
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from io import RawIOBase
 from time import monotonic
 from typing import Protocol
 
 from urllib3.connection import HTTPConnection
 
-from hibiscusspar_wire.strict_http import LineReader, check_framing
+from hibiscusspar_wire.strict_http import LineReader, StrictResponse
 
 __all__ = ["CheckedConnection", "Silence"]
 
@@ -141,26 +140,6 @@
         super().close()
 
 
-class _CheckedResponse(HTTPResponse):
-    """Answer whose reader detects bytes received after the answer."""
-
-    def __init__(self, sock, ends_at, silence, *arguments, **options):
-        super().__init__(sock, *arguments, **options)
-        raw = self.fp.detach()
-        self.fp = self.reader = _CheckedReader(raw, sock, ends_at, silence)
-
-    def begin(self):
-        """Read the head of the answer; skip interim answers before it."""
-        super().begin()
-        while (
-            100 <= self.status < 200 and self.status != HTTPStatus.SWITCHING_PROTOCOLS
-        ):
-            # ``http.client`` skips those with status 100 only.
-            self.headers = self.msg = None
-            super().begin()
-        check_framing(self)
-
-
 class CheckedConnection(HTTPConnection):
     """Connection that keeps its last answer and the reader of it."""
 
@@ -171,8 +150,10 @@
 
     def response_class(self, sock, *arguments, **options):
         """Create the answer; called by ``http.client``."""
-        response = _CheckedResponse(
-            sock, self.ends_at, self.silence, *arguments, **options
-        )
+
+        def reader(raw):
+            return _CheckedReader(raw, sock, self.ends_at, self.silence)
+
+        response = StrictResponse(sock, *arguments, reader=reader, **options)
         self.answer, self.reader = response, response.reader
         return response
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -1,11 +1,12 @@
-"""HTTP connections that reject answers which end inside a line or a head.
+"""HTTP connections that reject truncated answers and malformed status lines.
 
 ``http.client`` takes the end of a connection for the end of a line, of a head and of
-the trailers after the last chunk, so a truncated answer may look complete.
+the trailers after the last chunk, so a truncated answer may look complete. It reads a
+status as Python reads a number, and takes any from 100 to 999.
 """
 
 import re
-from http.client import HTTPException, HTTPResponse
+from http.client import BadStatusLine, HTTPException, HTTPResponse
 from io import BufferedReader
 
 from urllib3 import HTTPConnectionPool, PoolManager
@@ -15,11 +16,15 @@
     "IncompleteLineError",
     "LineReader",
     "StrictConnectionPool",
+    "StrictResponse",
     "check_framing",
     "strict_pool_manager",
 ]
 
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
+# Status line of an answer or an interim one (RFC 9112, section 4). 101 answers a
+# request to switch protocols, which is never sent.
+_VALID_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?!101)[1-5]\d\d[ \r\n]")
 
 
 class IncompleteLineError(HTTPException):
@@ -32,6 +37,8 @@
     def __init__(self, raw):
         super().__init__(raw)
         self._has_line = False
+        # Last line that was read.
+        self.line = b""
 
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes.
@@ -47,22 +54,49 @@
         if not is_whole and (line or self._has_line):
             raise IncompleteLineError(f"connection ended after {line[:80]!r}")
         self._has_line = True
+        self.line = line
         return line
 
 
-class _StrictResponse(HTTPResponse):
-    def __init__(self, sock, *arguments, **options):
+class StrictResponse(HTTPResponse):
+    """Answer whose head must be complete and valid.
+
+    Parameters
+    ----------
+    sock : socket.socket
+    reader : callable, optional
+        Returns the ``LineReader`` of the answer, given the raw stream of the socket.
+    """
+
+    def __init__(self, sock, *arguments, reader=LineReader, **options):
         super().__init__(sock, *arguments, **options)
-        self.fp = LineReader(self.fp.detach())
+        self.fp = self.reader = reader(self.fp.detach())
 
     def begin(self):
-        """Read the head of the answer."""
+        """Read the head of the answer; skip interim answers before it.
+
+        Raises
+        ------
+        HTTPException
+            If a head ends early or is malformed.
+        """
         super().begin()
+        while 100 <= self.status < 200:
+            # ``http.client`` skips those with status 100 only.
+            self.headers = self.msg = None
+            super().begin()
         check_framing(self)
 
+    def _read_status(self):
+        # Called by ``http.client`` for each head.
+        fields = super()._read_status()
+        if not _VALID_STATUS_LINE.match(self.reader.line):
+            raise BadStatusLine(repr(self.reader.line[:80]))
+        return fields
+
 
 class _StrictConnection(HTTPConnection):
-    response_class = _StrictResponse
+    response_class = StrictResponse
 
 
 class StrictConnectionPool(HTTPConnectionPool):
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_strict_http.py
@@ -1,4 +1,4 @@
-"""Tests of answers that end early or whose length can't be told."""
+"""Tests of answers that end early, or whose status or length can't be told."""
 
 import socket
 import unittest
@@ -17,6 +17,23 @@
     b"Transfer-Encoding: chunked\r\n\r\n"
     b"00c\r\nwhole answer\r\n000\r\nX-Trailer: 1\r\n\r\n"
 )
+# Status lines that are no answer's: RFC 9112 has three digits behind one space, RFC
+# 9110 the codes 100 to 599, and nobody asks to switch protocols (101).
+BAD_STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1 1_03 OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.x 200 OK",
+    b" HTTP/1.1 200 OK",
+)
 UNFRAMED = HEAD + b"Content-Type: text/plain\r\n\r\n"
 
 
@@ -43,6 +60,22 @@
             accepted.close()
             connection.close()
 
+    def read_pooled(self, data):
+        """Return the body that a client with pooled connections reads."""
+        pool = self.manager.connection_from_url(f"http://{self.address}")
+        thread = Thread(target=self.answer, args=(data,))
+        thread.start()
+        try:
+            return pool.request("GET", "/").data
+        finally:
+            thread.join()
+
+    def answer(self, data):
+        accepted, _ = self.listener.accept()
+        with accepted:
+            accepted.recv(1000)
+            accepted.sendall(data)
+
 
 class TestTruncatedAnswers(AnswerTestCase):
     """Guards against a truncated answer that is taken for a whole one."""
@@ -66,21 +99,39 @@
                 with self.subTest(whole[:size]), self.assertRaises(HTTPError):
                     self.read_pooled(whole[:size])
 
-    def read_pooled(self, data):
-        """Return the body that a client with pooled connections reads."""
-        pool = self.manager.connection_from_url(f"http://{self.address}")
-        thread = Thread(target=self.answer, args=(data,))
-        thread.start()
-        try:
-            return pool.request("GET", "/").data
-        finally:
-            thread.join()
 
-    def answer(self, data):
-        accepted, _ = self.listener.accept()
-        with accepted:
-            accepted.recv(1000)
-            accepted.sendall(data)
+class TestStatusLines(AnswerTestCase):
+    """Guards against a malformed status line that is taken for that of an answer."""
+
+    def test_answers_with_malformed_status_lines_fail(self):
+        for line in BAD_STATUS_LINES:
+            data = WITH_LENGTH.replace(b"HTTP/1.1 200 OK", line)
+            with self.subTest(line), self.assertRaises(CallFailedError):
+                self.read(data)
+            with self.subTest(line, pooled=True), self.assertRaises(HTTPError):
+                self.read_pooled(data)
+
+    def test_interim_answers_with_malformed_status_lines_fail(self):
+        for line in BAD_STATUS_LINES:
+            data = line + b"\r\n\r\n" + WITH_LENGTH
+            with self.subTest(line), self.assertRaises(CallFailedError):
+                self.read(data)
+            with self.subTest(line, pooled=True), self.assertRaises(HTTPError):
+                self.read_pooled(data)
+
+    def test_interim_answers_are_skipped(self):
+        for line in (b"100 Continue", b"102 Processing", b"103 Early Hints"):
+            data = b"HTTP/1.1 " + line + b"\r\n\r\n" + WITH_LENGTH
+            with self.subTest(line):
+                self.assertEqual(self.read(data), b"whole answer")
+                self.assertEqual(self.read_pooled(data), b"whole answer")
+
+    def test_status_line_may_lack_a_reason(self):
+        for line in (b"HTTP/1.1 200", b"HTTP/1.1 200 ", b"HTTP/1.0 599 Other"):
+            data = WITH_LENGTH.replace(b"HTTP/1.1 200 OK", line)
+            with self.subTest(line):
+                self.assertEqual(self.read(data), b"whole answer")
+                self.assertEqual(self.read_pooled(data), b"whole answer")
 
 
 class TestFraming(AnswerTestCase):
