Early probes of parts: requests alone are no explanation unless it was answered

The first form of early probes tried a part that is fatal by itself as well: each request with it crashes two targets, its own and its retry's, so these requests explain the crashes of the part.

Only a part that was answered before may be explained by requests alone; otherwise one of the other causes must be a part.

--- a/packages/hibiscusspar/hibiscusspar/requests/probes.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/probes.py
@@ -3,7 +3,7 @@
 from math import inf
 from typing import NamedTuple
 
-__all__ = ["ProbePolicy", "Probes", "is_told_apart"]
+__all__ = ["ProbePolicy", "Probes", "find_other_causes"]
 
 # Crashes from which on a suspect may explain those of another one.
 _REPEATED = 2
@@ -98,12 +98,12 @@
         self._early = {s: row for s, row in self._early.items() if is_refused(s)}
 
 
-def is_told_apart(requested, crashes, counts):
-    """Return whether a request tells a suspect apart from the others of its crashes.
+def find_other_causes(requested, crashes, counts):
+    """Return the other suspects that may have caused the crashes of a suspect.
 
-    It does if others that ran repeatedly explain the crashes, all but one, and the
-    request has none of them. Those that ran at all of the crashes can't be told apart
-    from the suspect, so the request may have them.
+    They ran repeatedly, explain the crashes, all but one, and the request has none of
+    them, so it tells them apart from the suspect. Those that ran at all of the crashes
+    can't be told apart, so the request may have them.
 
     Parameters
     ----------
@@ -113,13 +113,18 @@
         Suspects that ran at each crash of the suspect.
     counts : mapping of str to int
         Crashes of each of them.
+
+    Returns
+    -------
+    set of str
+        Empty if they don't explain the crashes, or the request has one of them.
     """
     if not crashes:
-        return False
+        return set()
     repeated = {s for ran in crashes for s in ran if counts[s] >= _REPEATED}
     always = set.intersection(*map(set, crashes))
-    if requested & (repeated - always):
-        return False
     others = repeated - requested
     unexplained = sum(others.isdisjoint(ran) for ran in crashes)
-    return unexplained <= _MAX_UNEXPLAINED
+    if requested & (repeated - always) or unexplained > _MAX_UNEXPLAINED:
+        return set()
+    return others
--- a/packages/hibiscusspar/hibiscusspar/requests/tests/test_probes.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/tests/test_probes.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hibiscusspar.requests.probes import Probes, is_told_apart
+from hibiscusspar.requests.probes import Probes, find_other_causes
 from hibiscusspar.requests.quarantine import Verdict
 
 # Parts of prompts that all, fatal and sound requests have.
@@ -10,40 +10,41 @@
 VERDICT = Verdict(COMMON, 4, 0.0, 5.0)
 
 
-class TestToldApart(unittest.TestCase):
+class TestOtherCauses(unittest.TestCase):
     """Guards against a sound part that only a late probe can clear."""
 
-    def told_apart(self, requested, *crashes):
+    def others(self, requested, *crashes):
         crashes = [{COMMON, *others} for others in crashes]
         counts = {s: sum(s in ran for ran in crashes) for s in set().union(*crashes)}
-        return is_told_apart({COMMON, *requested}, crashes, counts)
+        return find_other_causes({COMMON, *requested}, crashes, counts)
 
-    def test_others_explain_the_crashes(self):
+    def test_suspects_that_ran_repeatedly_explain_the_crashes(self):
         crashes = [{"a-1"}, {"a-1"}, {BAD, "a-2"}, {BAD, "a-3"}]
-        self.assertTrue(self.told_apart({GOOD, "a-9"}, *crashes))
+        self.assertEqual(self.others({GOOD, "a-9"}, *crashes), {"a-1", BAD})
 
     def test_one_crash_needs_no_explanation(self):
-        self.assertTrue(self.told_apart({"a-9"}, {"a-1"}, {"a-1"}, {"a-2"}))
-        self.assertFalse(self.told_apart({"a-9"}, {"a-1"}, {"a-1"}, {"a-2"}, {"a-3"}))
+        crashes = [{"a-1"}, {"a-1"}, {"a-2"}]
+        self.assertEqual(self.others({"a-9"}, *crashes), {"a-1"})
+        self.assertEqual(self.others({"a-9"}, *crashes, {"a-3"}), set())
 
-    def test_request_with_another_explanation_doesnt_tell(self):
+    def test_request_with_another_cause_doesnt_tell(self):
         crashes = [{"a-1"}, {"a-1"}, {BAD, "a-2"}, {BAD, "a-2"}]
-        self.assertFalse(self.told_apart({BAD, "a-9"}, *crashes))
-        self.assertFalse(self.told_apart({"a-1"}, *crashes))
+        self.assertEqual(self.others({BAD, "a-9"}, *crashes), set())
+        self.assertEqual(self.others({"a-1"}, *crashes), set())
 
-    def test_part_that_ran_at_one_crash_is_no_explanation(self):
+    def test_part_that_ran_at_one_crash_is_no_cause(self):
         crashes = [{"a-1", GOOD}, {"a-1"}, {"a-2"}]
-        self.assertTrue(self.told_apart({GOOD, "a-9"}, *crashes))
+        self.assertEqual(self.others({GOOD, "a-9"}, *crashes), {"a-1"})
 
     def test_parts_that_ran_at_all_crashes_are_tried_together(self):
         crashes = [{"a-1", GOOD}, {"a-1", GOOD}, {"a-2", GOOD}]
-        self.assertTrue(self.told_apart({GOOD, "a-9"}, *crashes))
+        self.assertEqual(self.others({GOOD, "a-9"}, *crashes), {"a-1"})
 
-    def test_suspect_that_ran_alone_is_not_told_apart(self):
-        self.assertFalse(self.told_apart({"a-9"}, set(), set(), set()))
+    def test_suspect_that_ran_alone(self):
+        self.assertEqual(self.others({"a-9"}, set(), set(), set()), set())
 
     def test_verdict_without_known_crashes(self):
-        self.assertFalse(is_told_apart({COMMON}, [], {}))
+        self.assertEqual(find_other_causes({COMMON}, [], {}), set())
 
 
 class TestProbes(unittest.TestCase):
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/crash_exchange.py
@@ -11,7 +11,7 @@
 
 from hibiscusspar.fleet.entry_rotation import EntryRotation
 from hibiscusspar.fleet.messages import CrashRow, QuarantineRow
-from hibiscusspar.requests.probes import Probes, is_told_apart
+from hibiscusspar.requests.probes import Probes, find_other_causes
 from hibiscusspar.requests.quarantine import (
     PART_POLICY,
     PART_SENDER,
@@ -384,13 +384,21 @@
         return self._table(suspect).refused_for(now, suspect) > 0
 
     def _is_told_apart(self, suspect, requested):
-        """Return whether a request tells a suspect apart from others of its crashes."""
+        """Return whether a request tells a suspect apart from other likely causes.
+
+        Each request with a fatal part may have run repeatedly, so requests alone are no
+        likely cause of the crashes of a part that was never answered.
+        """
+        table = self._table(suspect)
         crashes = [
             self._requests.suspects_at(crash) | self._parts.suspects_at(crash)
-            for crash in self._table(suspect).crashes_of(suspect)
+            for crash in table.crashes_of(suspect)
         ]
         counts = {s: self._table(s).count(s) for s in frozenset().union(*crashes)}
-        return is_told_apart(requested, crashes, counts)
+        others = find_other_causes(requested, crashes, counts)
+        if table.answered_at(suspect) is not None:
+            return bool(others)
+        return any(self._table(other) is table for other in others)
 
     def _quarantined(self, now):
         return self._requests.quarantined(now) + self._parts.quarantined(now)
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/test_crash_exchange.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode, encode
 
 from hibiscusspar.fleet.messages import CrashRow, FleetView, NodeReport, QuarantineRow
+from hibiscusspar.requests.quarantine import PART_POLICY
 from hibiscusspar_entry.fleet.crash_exchange import CrashExchange
 from hibiscusspar_entry.fleet.tests.crash_network import (
     STABLE_WINDOW_S,
@@ -93,41 +94,51 @@
 class TestFatalRequestsBesideAFatalPart(unittest.TestCase):
     """Guards against a sound part that is refused as all fatal requests have it."""
 
-    def served(self, size, faults, seed, fatal):
+    def play(self, fatal, size, faults, seed, was_answered):
         """Return the share of sound requests that are served, and the late attempts.
 
         Parameters
         ----------
         fatal : callable
             Returns lists of suspects of the requests that come at a time, by number.
+        size : int
+        faults : NetworkFaults
+        seed : int
+        was_answered : bool
+            Whether there were sound requests long before the fatal ones.
         """
         network = CrashNetwork(size, faults, seed)
         network.run(2.0)
-        answered = []
+        for number in range(60 if was_answered else 0):
+            network.sound_request(self.sound(number))
+            network.run(0.1)
+        network.run(PART_POLICY.answer_s + 2.0)
+        served = []
         for number in range(200):
             if number % 20 == 0:
                 for suspects in fatal(number):
                     network.request(suspects)
             # Sound requests pause until the first targets have crashed.
             if number >= 30:
-                name = f"part-s{number % 3}"
-                suspects = [f"acme-{number}", "part-first", name]
                 crashes = sorted(network.crashed_at)[:5]
-                is_late = network.clock.now > crashes[-1] + 2 * STABLE_WINDOW_S
-                found = network.sound_request(suspects)
-                if is_late:
-                    answered.append(found)
+                is_served = network.sound_request(self.sound(number))
+                if network.clock.now > crashes[-1] + 2 * STABLE_WINDOW_S:
+                    served.append(is_served)
             network.run(0.1)
         late = network.late_attempts(5, STABLE_WINDOW_S)
-        return sum(answered) / len(answered), len(late)
+        return sum(served) / len(served), len(late)
 
-    def check(self, fatal, size=3, faults=None):
+    def check(self, fatal, size=3, faults=None, was_answered=True):
         for seed in range(5):
-            with self.subTest(size=size, seed=seed):
-                share, late = self.served(size, faults, seed, fatal)
+            with self.subTest(seed=seed):
+                share, late = self.play(fatal, size, faults, seed, was_answered)
                 self.assertGreater(share, 0.5)
                 self.assertLessEqual(late, MAX_LATER_ATTEMPTS)
 
+    @staticmethod
+    def sound(number):
+        return [f"acme-{number}", "part-first", f"part-s{number % 3}"]
+
     @staticmethod
     def request_and_part(number):
         return [
@@ -142,6 +153,9 @@
     def test_fatal_request_and_fatal_part(self):
         self.check(self.request_and_part)
 
+    def test_fatal_request_and_fatal_part_after_a_restart_of_all_nodes(self):
+        self.check(self.request_and_part, was_answered=False)
+
     def test_fatal_request_and_fatal_part_on_a_poor_network(self):
         self.check(self.request_and_part, 9, POOR_NETWORK)
 
@@ -149,6 +163,14 @@
         self.check(self.two_requests)
 
 
+class TestFatalPartAlone(unittest.TestCase):
+    def test_no_target_crashes_under_an_early_probe(self):
+        """Guards against requests that are taken for the cause beside a fatal part."""
+        for seed in range(5):
+            network, _, _ = run_part_day(9, NetworkFaults(), seed)
+            self.assertEqual(network.late_attempts(5, STABLE_WINDOW_S), [])
+
+
 class ExchangeTestCase(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
