Test of connections that can't be kept: wait for the put after the answer

Cause, in the test: a connection is put back when it is accepted and again after its answer. The test waited for one put, which was the first, so the second one could meet the error that the test injects. The assertions are as they were.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_front_server.py
@@ -423,16 +423,18 @@
 
     def connect_and_keep(self):
         """Return a connection that the server has kept after an answer."""
-        kept, put = threading.Event(), ConnectionManager.put
+        kept, put = threading.Semaphore(0), ConnectionManager.put
 
         def record(manager, connection):
             put(manager, connection)
-            kept.set()
+            kept.release()
 
         with patch.object(ConnectionManager, "put", record):
             caller = self.connect()
+            # It waits for its first request once it is accepted.
+            self.assertTrue(kept.acquire(timeout=_TIMEOUT_S))
             self.assertTrue(self.is_answered(caller))
-            self.assertTrue(kept.wait(_TIMEOUT_S))
+            self.assertTrue(kept.acquire(timeout=_TIMEOUT_S))
         return caller
 
     def assert_fails_alone(self, target, name):
