--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/tests/crash_network.py
@@ -138,9 +138,8 @@
     def sound_request(self, suspects):
         """Send a sound request to a node and return whether it is answered."""
         exchange = self.rng.choice(self.nodes).exchange
-        if exchange.refused_for(
-            suspects[0], suspects[1:]
-        ) > 0 and not exchange.start_probe(suspects[0], suspects[1:]):
+        is_refused = exchange.refused_for(suspects[0], suspects[1:]) > 0
+        if is_refused and not exchange.start_probe(suspects[0], suspects[1:]):
             return False
         exchange.record_answer(suspects)
         return True
