Errors don't quote bytes of targets to callers

Callers saw: after a malformed answer, a 502 with up to 80 bytes of what the target had sent, or with the id of another request. On a connection with a late copy of an answer these belong to another caller.

Cause: one text served the log and the caller, and held the error of the HTTP client.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/forwarder.py
@@ -115,7 +115,7 @@
             self._run(inbound, admitted, state)
         except RefusedError as error:
             if state.may_have_run:
-                failure = FailedError(502, error.reason, error.by)
+                failure = FailedError(502, error.reason, error.by, error.told)
                 self._fail(inbound, admitted, state, failure)
             else:
                 self._refuse(inbound, admitted, error, arrived)
@@ -132,7 +132,8 @@
             self._log.broken(admitted, state, 0, reason, EndedBy.CALLER)
         except Exception as error:  # noqa: BLE001
             # After an unexpected error it is unknown whether the request ran.
-            failure = FailedError(502, f"internal: {error!r}", EndedBy.INTERNAL)
+            reason = f"internal: {error!r}"
+            failure = FailedError(502, reason, EndedBy.INTERNAL, "internal error")
             self._fail(inbound, admitted, state, failure)
         finally:
             watch.remove(handle)
@@ -441,6 +442,7 @@
         if not failure.not_run:
             state.record_possible_run()
         reason = f"{failure.step}: {failure.reason}"
+        told = f"attempt failed: {failure.step}"
         denied_by = self._retry_denied_by(admitted, state, failure, now)
         self._log.failed(admitted, state, failure, "end" if denied_by else "retry")
         if denied_by is None:
@@ -449,8 +451,8 @@
             return
         if state.may_have_run:
             status = 504 if now >= admitted.ends_at else 502
-            raise FailedError(status, reason, denied_by)
-        raise RefusedError(503, reason, self._policy.failed_retry_s)
+            raise FailedError(status, reason, denied_by, told)
+        raise RefusedError(503, reason, self._policy.failed_retry_s, told=told)
 
     def _retry_denied_by(self, admitted, state, failure, now):
         """Return whose decision rules out another attempt, None if there may be one."""
--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/refusal.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/refusal.py
@@ -14,19 +14,29 @@
     ----------
     status : int
     reason : str
+        Reason for the log.
     retry_after_s : float, optional
     by : EndedBy, optional
         Decision that ends the request if it may have run before.
+    told : str, optional
+        Reason for the caller, if it differs. The one for the log may quote bytes of a
+        target, which may belong to another caller.
     """
 
     def __init__(
-        self, status, reason, retry_after_s=None, by: EndedBy = EndedBy.PLACEMENT
+        self,
+        status,
+        reason,
+        retry_after_s=None,
+        by: EndedBy = EndedBy.PLACEMENT,
+        told=None,
     ):
         super().__init__(status, reason)
         self.status = status
         self.reason = reason
         self.retry_after_s = retry_after_s
         self.by = by
+        self.told = reason if told is None else told
 
     def headers(self):
         """Return the headers of the answer."""
@@ -37,7 +47,7 @@
 
     def body(self):
         """Return the body of the answer."""
-        return to_json({"error": {"reason": self.reason, "ran": "not-run"}})
+        return to_json({"error": {"reason": self.told, "ran": "not-run"}})
 
 
 class FailedError(Exception):
@@ -47,14 +57,18 @@
     ----------
     status : int
     reason : str
+        Reason for the log.
     by : EndedBy
+    told : str
+        Reason for the caller, without bytes of a target.
     """
 
-    def __init__(self, status, reason, by: EndedBy):
+    def __init__(self, status, reason, by: EndedBy, told):
         super().__init__(status, reason)
         self.status = status
         self.reason = reason
         self.by = by
+        self.told = told
 
     def headers(self):
         """Return the headers of the answer."""
@@ -62,7 +76,7 @@
 
     def body(self):
         """Return the body of the answer."""
-        return to_json({"error": {"reason": self.reason, "ran": "unknown"}})
+        return to_json({"error": {"reason": self.told, "ran": "unknown"}})
 
 
 class CallerLeftError(Exception):
