--- a/packages/hibiscusspar/hibiscusspar/requests/probes.py
+++ b/packages/hibiscusspar/hibiscusspar/requests/probes.py
@@ -1,5 +1,6 @@
 """Probes: single requests that try whether quarantined suspects are sound."""
 
+from collections import Counter
 from math import inf
 from typing import NamedTuple
 
@@ -16,8 +17,7 @@
 
     A probe may take ``probe_s``, then the next one may start. One that tells a suspect
     apart from the others of its crashes starts earlier, ``early_s`` after the last
-    crash and ``early_gap_s`` after the last probe, but only ``max_early`` times, and
-    not after a further crash.
+    crash and ``early_gap_s`` after the last probe, but only ``max_early`` times.
     """
 
     probe_s: float = 10.0
@@ -37,8 +37,8 @@
     def __init__(self, policy=None):
         self._policy = policy or ProbePolicy()
         self._started_at = {}
-        # Number of early probes by suspect, and its crashes before the first one.
-        self._early = {}
+        # Number of early probes by suspect.
+        self._early = Counter()
 
     def is_due(self, now, verdict, regular_s):
         """Return whether a probe of a suspect may start.
@@ -56,11 +56,9 @@
     def is_early_due(self, now, verdict):
         """Return whether a probe may start that tells a suspect apart."""
         policy = self._policy
-        count, crashes = self._early.get(verdict.suspect, (0, verdict.crashes))
         started_at = self._started_at.get(verdict.suspect, -inf)
         return (
-            count < policy.max_early
-            and verdict.crashes <= crashes
+            self._early[verdict.suspect] < policy.max_early
             and now >= verdict.last_at + policy.early_s
             and now >= started_at + policy.early_gap_s
         )
@@ -77,9 +75,7 @@
             Those of them on which no probe was due otherwise.
         """
         self._started_at |= {v.suspect: now for v in verdicts}
-        for verdict in early:
-            count, crashes = self._early.get(verdict.suspect, (0, verdict.crashes))
-            self._early[verdict.suspect] = count + 1, crashes
+        self._early.update(v.suspect for v in early)
 
     def expire(self, now, is_refused):
         """Forget old probes, and the early ones of suspects that aren't refused.
@@ -95,7 +91,8 @@
             for suspect, at in self._started_at.items()
             if now < at + self._policy.probe_s
         }
-        self._early = {s: row for s, row in self._early.items() if is_refused(s)}
+        early = {s: count for s, count in self._early.items() if is_refused(s)}
+        self._early = Counter(early)
 
 
 def find_other_causes(requested, crashes, counts):
