Answers with malformed names of fields fail

Cause: http.client has a head parsed as that of a mail, which ends at the first line that doesn't look like a field. The fields after it are lost, Content-Length and Transfer-Encoding among them. Names with delimiters were passed on. Heads of interim answers were skipped unparsed.

Fix: LineReader, through which http.client and urllib3 read each line of an answer, fails at a line that is no field, no continuation of one and not the end of the head (RFC 9112, section 5). So targets, peers, kv-move, orders, reports and the store have the same check. The request may have run, as with any malformed head.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -1,8 +1,10 @@
-"""HTTP connections that reject truncated answers and malformed status lines.
+"""HTTP connections that reject truncated answers and malformed lines.
 
 ``http.client`` takes the end of a connection for the end of a line, of a head and of
 the trailers after the last chunk, so a truncated answer may look complete. It reads a
-status as Python reads a number, and takes any from 100 to 999.
+status as Python reads a number, and takes any from 100 to 999. It parses a head as that
+of a mail, which ends at the first line that isn't a field; the fields after it are
+lost, and the length of the body with them. It skips interim answers unparsed.
 """
 
 import re
@@ -15,6 +17,7 @@
 __all__ = [
     "IncompleteLineError",
     "LineReader",
+    "MalformedLineError",
     "StrictConnectionPool",
     "StrictResponse",
     "check_framing",
@@ -25,14 +28,29 @@
 # Status line of an answer or an interim one (RFC 9112, section 4). 101 answers a
 # request to switch protocols, which is never sent.
 _VALID_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?!101)[1-5]\d\d[ \r\n]")
+# Field line, or the empty line behind the last one (RFC 9112, section 5). The name is a
+# token (RFC 9110, section 5.6.2), without a blank before the colon.
+_FIRST_FIELD_LINE = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+:|\r?\n")
+# The value of a field may be continued on a line that begins with a blank.
+_FIELD_LINE = re.compile(rb"[ \t]|" + _FIRST_FIELD_LINE.pattern)
 
 
 class IncompleteLineError(HTTPException):
     """A connection ended inside a line of an answer or between two of its lines."""
 
 
+class MalformedLineError(HTTPException):
+    """A line of an answer isn't what the protocol has in its place."""
+
+
 class LineReader(BufferedReader):
-    """Reader of one answer whose lines must be complete."""
+    """Reader of one answer whose lines must be complete and well-formed.
+
+    All lines of an answer are read here, by ``http.client`` and by ``urllib3``.
+    """
+
+    # Pattern with which the next line begins; None where any line may follow.
+    expected = None
 
     def __init__(self, raw):
         super().__init__(raw)
@@ -48,6 +66,8 @@
         IncompleteLineError
             If the connection ends before the line does. At the start of an answer the
             line is empty then, which tells that there is no answer.
+        MalformedLineError
+            If a head has a line that is no field.
         """
         line = super().readline(size)
         is_whole = line.endswith(b"\n") or len(line) == size
@@ -55,6 +75,10 @@
             raise IncompleteLineError(f"connection ended after {line[:80]!r}")
         self._has_line = True
         self.line = line
+        if self.expected is not None:
+            if not self.expected.match(line):
+                raise MalformedLineError(f"malformed line {line[:80]!r}")
+            self.expected = _FIELD_LINE
         return line
 
 
@@ -85,13 +109,16 @@
             # ``http.client`` skips those with status 100 only.
             self.headers = self.msg = None
             super().begin()
+        self.reader.expected = None
         check_framing(self)
 
     def _read_status(self):
         # Called by ``http.client`` for each head.
+        self.reader.expected = None
         fields = super()._read_status()
         if not _VALID_STATUS_LINE.match(self.reader.line):
             raise BadStatusLine(repr(self.reader.line[:80]))
+        self.reader.expected = _FIRST_FIELD_LINE
         return fields
 
 
