Answers with NUL, CR or LF in the value of a field fail

Callers saw: a NUL in a value, and a CR or a line feed of a folded value, were passed on.

Cause: the mail parser takes a CR for the end of a line, as the next reader may. urllib3 joins the lines of a folded value only at CR and LF, so the line feed of one whose lines end in a line feed stayed in the value.

Fix: LineReader fails at a field line that holds NUL or CR (RFC 9110, section 5.5) and returns the lines of a head with CR and LF at their end. Other control bytes stay, which the RFC leaves to the recipient.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -29,10 +29,11 @@
 # request to switch protocols, which is never sent.
 _VALID_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?!101)[1-5]\d\d[ \r\n]")
 # Field line, or the empty line behind the last one (RFC 9112, section 5). The name is a
-# token (RFC 9110, section 5.6.2), without a blank before the colon.
-_FIRST_FIELD_LINE = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+:|\r?\n")
+# token (RFC 9110, section 5.6.2), without a blank before the colon. A value has neither
+# NUL nor CR (section 5.5), which may be taken for the end of a line.
+_FIRST_FIELD_LINE = re.compile(rb"(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\0\r\n]*)?\r?\n")
 # The value of a field may be continued on a line that begins with a blank.
-_FIELD_LINE = re.compile(rb"[ \t]|" + _FIRST_FIELD_LINE.pattern)
+_FIELD_LINE = re.compile(rb"[ \t][^\0\r\n]*\r?\n|" + _FIRST_FIELD_LINE.pattern)
 
 
 class IncompleteLineError(HTTPException):
@@ -49,7 +50,7 @@
     All lines of an answer are read here, by ``http.client`` and by ``urllib3``.
     """
 
-    # Pattern with which the next line begins; None where any line may follow.
+    # Pattern of the next line; None where any line may follow.
     expected = None
 
     def __init__(self, raw):
@@ -61,13 +62,15 @@
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes.
 
+        Lines of a head are returned with CR and LF at their end.
+
         Raises
         ------
         IncompleteLineError
             If the connection ends before the line does. At the start of an answer the
             line is empty then, which tells that there is no answer.
         MalformedLineError
-            If a head has a line that is no field.
+            If a head has a line that is no field, or a value with an invalid byte.
         """
         line = super().readline(size)
         is_whole = line.endswith(b"\n") or len(line) == size
@@ -79,6 +82,9 @@
             if not self.expected.match(line):
                 raise MalformedLineError(f"malformed line {line[:80]!r}")
             self.expected = _FIELD_LINE
+            if not line.endswith(b"\r\n"):
+                # ``urllib3`` joins the lines of a value only at CR and LF.
+                line = line[:-1] + b"\r\n"
         return line
 
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/field_lines.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/field_lines.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "BAD_NAMES",
+    "BAD_VALUES",
     "VALID_LINES",
     "with_line",
 ]
@@ -35,6 +36,18 @@
     b"\r",
     *(b"X%cY: v" % character for character in _DELIMITERS),
 )
+# Lines whose value holds a byte that a recipient must not pass on (RFC 9110, 5.5).
+BAD_VALUES = (
+    b"X: a\x00b",
+    b"X: \x00",
+    b"X: a\rb",
+    b"X: a\rSet-Cookie: b",
+    b"X: a\rContent-Length: 3",
+    b"X: a\r",
+    b"X: a\r\n b\x00c",
+    b"X: a\r\n b\rSet-Cookie: c",
+    b"X: a\r\n \r",
+)
 VALID_LINES = (
     b"X" + _TOKEN_PUNCTUATION + b": v",
     b"0123456789: digits",
