Answers with malformed chunks or trailers fail

No spoiled body was seen; another reader takes the same bytes for other chunks. The pooled clients raised ValueError or OverflowError at sizes below zero or beyond an index, which their callers don't expect.

Cause: http.client and urllib3 convert a size with int, skip two bytes after a chunk unseen and skip trailers unparsed.

Fix: LineReader checks the lines of chunks and trailers, too (RFC 9112, section 7.1), and StrictResponse what follows a chunk. TargetClient reads streams with read1, as read_chunked of urllib3 has a reader of chunks of its own.

--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -4,7 +4,8 @@
 the trailers after the last chunk, so a truncated answer may look complete. It reads a
 status as Python reads a number, and takes any from 100 to 999. It parses a head as that
 of a mail, which ends at the first line that isn't a field; the fields after it are
-lost, and the length of the body with them. It skips interim answers unparsed.
+lost, and the length of the body with them. It skips interim answers and trailers
+unparsed, and reads the size of a chunk as Python reads a number.
 """
 
 import re
@@ -34,6 +35,11 @@
 _FIRST_FIELD_LINE = re.compile(rb"(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\0\r\n]*)?\r?\n")
 # The value of a field may be continued on a line that begins with a blank.
 _FIELD_LINE = re.compile(rb"[ \t][^\0\r\n]*\r?\n|" + _FIRST_FIELD_LINE.pattern)
+# Size of a chunk and its extensions (RFC 9112, section 7.1); a size of zero, which ends
+# the chunks, has no digits in the group. 15 digits fit into an index of Python.
+_CHUNK_LINE = re.compile(
+    rb"(?=[0-9A-Fa-f])0*([0-9A-Fa-f]{0,15})(?:[ \t]*;[\t -~\x80-\xff]*)?\r\n"
+)
 
 
 class IncompleteLineError(HTTPException):
@@ -62,7 +68,7 @@
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes.
 
-        Lines of a head are returned with CR and LF at their end.
+        Field lines are returned with CR and LF at their end.
 
         Raises
         ------
@@ -70,7 +76,8 @@
             If the connection ends before the line does. At the start of an answer the
             line is empty then, which tells that there is no answer.
         MalformedLineError
-            If a head has a line that is no field, or a value with an invalid byte.
+            If a head or the trailers have a line that is no field, or a value with an
+            invalid byte, or if the size of a chunk is malformed.
         """
         line = super().readline(size)
         is_whole = line.endswith(b"\n") or len(line) == size
@@ -79,8 +86,13 @@
         self._has_line = True
         self.line = line
         if self.expected is not None:
-            if not self.expected.match(line):
+            match = self.expected.match(line)
+            if match is None:
                 raise MalformedLineError(f"malformed line {line[:80]!r}")
+            if self.expected is _CHUNK_LINE:
+                if not match[1]:
+                    self.expected = _FIRST_FIELD_LINE
+                return line
             self.expected = _FIELD_LINE
             if not line.endswith(b"\r\n"):
                 # ``urllib3`` joins the lines of a value only at CR and LF.
@@ -115,7 +127,7 @@
             # ``http.client`` skips those with status 100 only.
             self.headers = self.msg = None
             super().begin()
-        self.reader.expected = None
+        self.reader.expected = _CHUNK_LINE if self.chunked else None
         check_framing(self)
 
     def _read_status(self):
@@ -127,6 +139,16 @@
         self.reader.expected = _FIRST_FIELD_LINE
         return fields
 
+    def _get_chunk_left(self):
+        # Called by ``http.client``, which skips two bytes after a chunk unseen, before
+        # each read of a body in chunks.
+        if self.chunk_left == 0:
+            end = self._safe_read(2)
+            if end != b"\r\n":
+                raise MalformedLineError(f"{end!r} after a chunk")
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
 
 class _StrictConnection(HTTPConnection):
     response_class = StrictResponse
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/target_client.py
@@ -248,9 +248,7 @@
 
 
 def _body_parts(response):
-    if response.chunked:
-        yield from response.read_chunked(decode_content=False)
-        return
+    # ``read_chunked`` doesn't check what follows a chunk.
     while data := response.read1(_CHUNK_BYTES, decode_content=False):
         yield data
 
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_client.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/tests/test_target_client.py
@@ -72,7 +72,15 @@
         whole = frame(0) + frame(1, last=True)
         data = HEAD + CHUNKED + chunk(whole)
         self.assertEqual(self.stream(data + chunk(DONE) + b"0\r\n\r\n"), whole + DONE)
-        for rest in (b"0\r\n\r\n", b"", b"5\r\nda"):
+        unended = chunk(DONE)[:-2]
+        for rest in (
+            b"0\r\n\r\n",
+            b"",
+            b"5\r\nda",
+            b"+" + chunk(DONE) + b"0\r\n\r\n",
+            unended + b"XX0\r\n\r\n",
+            chunk(DONE) + b"0\r\nX Y: v\r\n\r\n",
+        ):
             with self.subTest(rest):
                 self.assert_cause(Cause.STREAM_CLOSED, self.stream, data + rest)
 
