hibiscussparctl rejects broken answers of entry VMs

Operators saw: status and drain took truncated answers, malformed status lines, fields and chunks for whole ones.

Cause: the tool's client of entry VMs had a plain pool of urllib3, without the checks of strict_http, which all other clients have.

Fix: it uses strict_pool_manager.

test_nodes failed before in 50 of 53 cases (three failed as they should, the status 000 among them) and passes now.

--- a/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
+++ b/packages/hibiscusspar_ctl/hibiscusspar_ctl/nodes.py
@@ -2,16 +2,16 @@
 
 from http import HTTPStatus
 
-from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
 from hibiscusspar.errors import StepError
+from hibiscusspar_wire.strict_http import strict_pool_manager
 
 __all__ = ["drain_node", "node_statuses", "read_status"]
 
 CALL_TIMEOUT_S = 3.0
 SECRET_HEADER = "X-Peer-Secret"
-_POOL = PoolManager(timeout=CALL_TIMEOUT_S, retries=False)
+_POOL = strict_pool_manager(timeout=CALL_TIMEOUT_S, retries=False)
 
 
 def read_status(address):
