Broken heads that peers of older builds pass on are rejected

Callers saw: an answer through a peer of an older build came with whatever status and names of fields that build had accepted, like 600 or X(Y).

Cause: the head of a target's answer comes from a peer as a message, not as lines, so LineReader and StrictResponse don't see it.

Fix: check_head applies the same patterns to the status and fields of that message. The target may have run the request, so the attempt fails as at a broken head.

--- a/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
+++ b/packages/hibiscusspar_entry/hibiscusspar_entry/fleet/proxied_path.py
@@ -2,6 +2,7 @@
 
 import threading
 from contextlib import suppress
+from http.client import HTTPException
 from math import inf
 from time import monotonic
 
@@ -21,6 +22,7 @@
     decode_header,
     encode_header,
 )
+from hibiscusspar_wire.strict_http import check_head
 from hibiscusspar_wire.target_connections import CallFailedError, Response
 
 __all__ = ["ProxiedPath"]
@@ -136,7 +138,8 @@
             self._send()
         try:
             answer = decode_header(text, ProxyAnswer)
-        except ValueError as error:
+            check_head(answer.status, answer.headers)
+        except (HTTPException, ValueError) as error:
             raise CallFailedError("wait", self.address, str(error)) from error
         fields = {
             "request": self._request_id,
--- a/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
+++ b/packages/hibiscusspar_wire/hibiscusspar_wire/strict_http.py
@@ -22,6 +22,7 @@
     "StrictConnectionPool",
     "StrictResponse",
     "check_framing",
+    "check_head",
     "strict_pool_manager",
 ]
 
@@ -29,12 +30,16 @@
 # Status line of an answer or an interim one (RFC 9112, section 4). 101 answers a
 # request to switch protocols, which is never sent.
 _VALID_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?!101)[1-5]\d\d[ \r\n]")
-# Field line, or the empty line behind the last one (RFC 9112, section 5). The name is a
-# token (RFC 9110, section 5.6.2), without a blank before the colon. A value has neither
-# NUL nor CR (section 5.5), which may be taken for the end of a line.
-_FIRST_FIELD_LINE = re.compile(rb"(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\0\r\n]*)?\r?\n")
+# Name of a field, a token (RFC 9110, section 5.6.2), and its value, without NUL and CR
+# (section 5.5), as another reader may take a CR for the end of a line.
+_NAME = r"[-!#$%&'*+.^_`|~0-9A-Za-z]+"
+_VALUE = r"[^\0\r\n]*"
+# Field line, or the empty line behind the last one (RFC 9112, section 5), without a
+# blank before the colon.
+_FIRST_FIELD_LINE = re.compile(rf"(?:{_NAME}:{_VALUE})?\r?\n".encode())
 # The value of a field may be continued on a line that begins with a blank.
-_FIELD_LINE = re.compile(rb"[ \t][^\0\r\n]*\r?\n|" + _FIRST_FIELD_LINE.pattern)
+_FIELD_LINE = re.compile(rf"[ \t]{_VALUE}\r?\n|".encode() + _FIRST_FIELD_LINE.pattern)
+_VALID_NAME, _VALID_VALUE = re.compile(_NAME), re.compile(_VALUE)
 # Size of a chunk and its extensions (RFC 9112, section 7.1); a size of zero, which ends
 # the chunks, has no digits in the group. 15 digits fit into an index of Python.
 _CHUNK_LINE = re.compile(
@@ -196,3 +201,27 @@
     )
     if not codings and not is_valid:
         raise HTTPException(f"invalid length {sorted(lengths)!r}")
+
+
+def check_head(status, fields):
+    """Check a head that another node has read, with the rules for one read here.
+
+    Parameters
+    ----------
+    status : int
+    fields : iterable of (str, str)
+
+    Raises
+    ------
+    HTTPException
+        If the status isn't that of a final answer, or a name or a value is invalid.
+    UnicodeEncodeError
+        If a value has characters beyond Latin-1.
+    """
+    if not 200 <= status <= 599:
+        raise BadStatusLine(str(status))
+    for name, value in fields:
+        # Heads are Latin-1; other characters couldn't be passed on.
+        value.encode("latin-1")
+        if not (_VALID_NAME.fullmatch(name) and _VALID_VALUE.fullmatch(value)):
+            raise MalformedLineError(f"malformed field {name[:80]!r}: {value[:80]!r}")
