--- a/review/lib3/engines.py
+++ b/review/lib3/engines.py
@@ -20,6 +20,9 @@
 class _Server(ThreadingHTTPServer):
     request_queue_size = 128
 
+    def handle_error(self, request, client_address):
+        """Ignore a connection that its caller has closed."""
+
 
 class EngineReplica:
     """Replica of an engine that may start again under its id, with other software.
@@ -222,12 +225,13 @@
     """Stream of one caller, who takes it up once at another node if it breaks off.
 
     ``events`` holds number and software version of each event, ``tries`` the node,
-    status and id of each try.
+    status and id of each try, ``taken_up_after`` the last event before the second one.
     """
 
     def __init__(self, host, path, key, deadline_s=15.0):
         self.events = []
         self.tries = []
+        self.taken_up_after = None
         self.is_complete = False
         self.began_at = monotonic()
         self._host, self._path, self._key = host, path, key
@@ -257,7 +261,8 @@
             "Authorization": f"Bearer {self._key}",
         }
         if self.events:
-            headers["Last-Event-Id"] = str(self.events[-1][0])
+            self.taken_up_after = self.events[-1][0]
+            headers["Last-Event-Id"] = str(self.taken_up_after)
             headers["Resumes"] = self._first_id
         connection = http.client.HTTPConnection(ip, 8221, timeout=4.0)
         status = 0
