--- a/review/15/case.py
+++ b/review/15/case.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import sys
 import threading
 from contextlib import ExitStack
 from pathlib import Path
@@ -10,7 +9,7 @@
 from time import monotonic, sleep
 
 from engines import LOAD_S, MODEL, EngineReplica, Stream
-from standins import Node, Platform, Record, free_network
+from standins import Node, Platform, Record, free_network, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("piacenza", "parma", "lodi")
@@ -157,6 +156,4 @@
 
 
 if __name__ == "__main__":
-    code = main()
-    sys.stdout.flush()
-    os._exit(code)
+    run_case(main)
--- a/review/lib3/engines.py
+++ b/review/lib3/engines.py
@@ -228,7 +228,7 @@
     status and id of each try, ``taken_up_after`` the last event before the second one.
     """
 
-    def __init__(self, host, path, key, deadline_s=15.0):
+    def __init__(self, host, path, key, deadline_s=15.0, prompt=(350, 1110)):
         self.events = []
         self.tries = []
         self.taken_up_after = None
@@ -236,6 +236,8 @@
         self.began_at = monotonic()
         self._host, self._path, self._key = host, path, key
         self._deadline_s = deadline_s
+        # Tokens of the part that prompts share, and of the other one.
+        self._prompt = prompt
 
     @property
     def versions(self):
@@ -251,13 +253,14 @@
 
     def _send(self, ip):
         request_id = os.urandom(8).hex()
+        shared, own = self._prompt
         headers = {
             "Host": self._host,
             "X-Hibiscusspar-Request-Id": request_id,
             "X-Hibiscusspar-Deadline-Ms": str(int(self._deadline_s * 1000)),
             "X-Hibiscusspar-Model": MODEL,
-            "X-Hibiscusspar-Token-Count": "1460,80",
-            "X-Hibiscusspar-Prompt-Prefix": f"5c1e07a2:350,{request_id}:1110",
+            "X-Hibiscusspar-Token-Count": f"{shared + own},80",
+            "X-Hibiscusspar-Prompt-Prefix": f"5c1e07a2:{shared},{request_id}:{own}",
             "Authorization": f"Bearer {self._key}",
         }
         if self.events:
--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -6,7 +6,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
+import traceback
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from itertools import count
@@ -17,12 +19,14 @@
 
 __all__ = [
     "HEARTBEAT_S",
+    "ROOT",
     "Node",
-    "Platform",
     "PlainReplica",
+    "Platform",
     "Record",
     "call",
     "free_network",
+    "run_case",
 ]
 
 HEARTBEAT_S = 1.2
@@ -407,3 +411,17 @@
             continue
         return network
     raise OSError("no free loopback addresses")
+
+
+def run_case(main):
+    """Run a case and end the process with its code, or 2 if it fails or is stopped."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        code = main()
+    except SystemExit:
+        code = 2
+    except Exception:  # noqa: BLE001
+        traceback.print_exc()
+        code = 2
+    sys.stdout.flush()
+    os._exit(code)
